--- /dev/null
+++ b/src/membership/instance-list.cc
@@ -0,0 +1,122 @@
+#include <swiftloft/membership/instance-list.h>
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include <limits>
+
+namespace swiftloft::membership {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t maxIdBytes = 256;
+
+Error malformed(std::string message)
+{
+    return Error { ErrorCode::MalformedInput, "instance list: " + std::move(message) };
+}
+
+std::string text(const json::object& row, std::string_view key)
+{
+    auto* value = row.if_contains(key);
+    if (!value || !value->is_string())
+        throw Exception(malformed(fmt::format("'{}' is missing or no string", key)));
+    if (value->get_string().size() > maxIdBytes)
+        throw Exception(malformed(fmt::format("'{}' is longer than {} bytes", key, maxIdBytes)));
+    return std::string(value->get_string());
+}
+
+std::string textOrEmpty(const json::object& row, std::string_view key)
+{
+    auto* value = row.if_contains(key);
+    return !value || value->is_null() ? std::string() : text(row, key);
+}
+
+Role roleOf(const json::object& row)
+{
+    auto name = text(row, "role");
+    if (name == "entry")
+        return Role::Entry;
+    if (name == "agent")
+        return Role::Agent;
+    throw Exception(malformed(fmt::format("unknown role '{}'", name)));
+}
+
+ListedState stateOf(const json::object& row)
+{
+    auto name = text(row, "state");
+    if (name == "live")
+        return ListedState::Live;
+    if (name == "leaving")
+        return ListedState::Leaving;
+    throw Exception(malformed(fmt::format("unknown state '{}'", name)));
+}
+
+std::optional<RankIndex> rankOf(const json::object& row)
+{
+    auto* value = row.if_contains("rank");
+    if (!value || value->is_null())
+        return std::nullopt;
+    boost::system::error_code ec;
+    auto rank = value->to_number<std::uint32_t>(ec);
+    if (ec)
+        throw Exception(malformed("'rank' is no number"));
+    return RankIndex(rank);
+}
+
+ListedInstance instanceOf(const json::value& value)
+{
+    if (!value.is_object())
+        throw Exception(malformed("an instance is no object"));
+    auto& row = value.get_object();
+    ListedInstance instance;
+    instance.id = NodeId(text(row, "id"));
+    instance.role = roleOf(row);
+    instance.address = TrafficAddress(text(row, "address"));
+    instance.peer = PeerAddress(text(row, "peer"));
+    instance.dataCentre = DataCentreName(text(row, "data_centre"));
+    instance.service = ServiceName(textOrEmpty(row, "service"));
+    instance.group = EngineGroupName(textOrEmpty(row, "group"));
+    instance.rank = rankOf(row);
+    instance.state = stateOf(row);
+    return instance;
+}
+
+InstanceList listOf(const json::value& value)
+{
+    if (!value.is_object())
+        throw Exception(malformed("no object"));
+    auto& root = value.get_object();
+    auto* revision = root.if_contains("revision");
+    auto* instances = root.if_contains("instances");
+    boost::system::error_code ec;
+    if (!revision || !instances || !instances->is_array())
+        throw Exception(malformed("'revision' or 'instances' is missing"));
+    InstanceList list;
+    list.revision = Revision(revision->to_number<std::uint64_t>(ec));
+    if (ec)
+        throw Exception(malformed("'revision' is no number"));
+    list.instances.reserve(instances->get_array().size());
+    for (auto& it : instances->get_array())
+        list.instances.push_back(instanceOf(it));
+    return list;
+}
+
+} // namespace
+
+Result<InstanceList> parseInstanceList(std::string_view text)
+{
+    boost::system::error_code ec;
+    auto value = json::parse(text, ec);
+    if (ec)
+        return malformed(ec.message());
+    try {
+        return listOf(value);
+    } catch (const Exception& e) {
+        return e.error();
+    }
+}
+
+} // namespace swiftloft::membership
