--- /dev/null
+++ b/src/membership/detector.cc
@@ -0,0 +1,439 @@
+#include "src/membership/detector.h"
+
+#include <algorithm>
+
+namespace swiftloft::membership {
+
+namespace {
+
+constexpr std::size_t maxSeeds = 8;
+constexpr std::size_t syncPeers = 3;
+constexpr std::size_t syncMessages = 4;
+constexpr milliseconds syncInterval { 1000 };
+constexpr double probeJitter = 0.1;
+/// Shares of `pickPeers`: this data centre, up to the rest of the region, the rest.
+constexpr double localShare = 0.5;
+constexpr double regionShare = 0.85;
+
+} // namespace
+
+Detector::Detector(ListedInstance self, Life life, Topology topology, DetectorOptions options, std::uint64_t seed)
+    : m_self(std::move(self))
+    , m_key(keyOf(m_self.id))
+    , m_life(life)
+    , m_options(options)
+    , m_random(seed)
+    , m_table(m_key, m_self.dataCentre, std::move(topology))
+{
+    queueSelf();
+}
+
+void Detector::step(const DetectorEvent& event, DetectorEffects& effects)
+{
+    m_effects = &effects;
+    std::visit([this](const auto& it) {
+        noticePause(it.now);
+        on(it);
+    },
+        event);
+    if (m_hasUrgentNews)
+        pushNews(m_options.relayFanout);
+    m_hasUrgentNews = false;
+    if (m_isViewDirty && m_view) {
+        m_view.reset();
+        effects.emplace_back(ViewChanged {});
+    }
+    m_effects = nullptr;
+}
+
+// A process that stood still (stopped, swapped out, starved) wakes with probes that look unanswered and suspicions that
+// look unrefuted: it would declare live members dead, and tell others. The gap between two events gives the pause away,
+// since ticks come several times a second. All judgements under way are dropped, and none is made before peers have
+// said what happened meanwhile.
+void Detector::noticePause(TimePoint now)
+{
+    auto gap = now - m_lastEvent;
+    auto isFirst = m_lastEvent == TimePoint();
+    m_lastEvent = now;
+    if (isFirst) {
+        m_lastHeard = now;
+        return;
+    }
+    if (gap <= m_options.pauseLimit)
+        return;
+    ++m_counters.pausesNoticed;
+    m_effects->emplace_back(PauseNoticed { std::chrono::duration_cast<milliseconds>(gap) });
+    m_isRefreshing = true;
+    m_wokeAt = now;
+    m_lastHeard = now;
+    m_syncAnswers = 0;
+    m_probes.clear();
+    m_relays.clear();
+    m_queue.dropJudgements();
+    askSync(now);
+}
+
+void Detector::askSync(TimePoint now)
+{
+    m_syncNonce = m_random.next();
+    m_nextSync = now + syncInterval;
+    for (auto& peer : pickPeers(syncPeers)) {
+        auto message = makeMessage(MessageKind::SyncRequest);
+        message.nonce = m_syncNonce;
+        send(peer, std::move(message));
+    }
+}
+
+void Detector::endRefresh(TimePoint now)
+{
+    m_isRefreshing = false;
+    for (auto key : m_suspects) {
+        if (auto* record = m_table.find(key))
+            record->suspicionDeadline = now + m_options.suspicionTime;
+    }
+}
+
+void Detector::on(const Tick& event)
+{
+    auto now = event.now;
+    if (m_isRefreshing) {
+        auto wanted = std::min<std::size_t>(2, m_table.otherCount());
+        if (m_syncAnswers >= wanted || now >= m_wokeAt + m_options.longestRefresh)
+            endRefresh(now);
+        else if (now >= m_nextSync)
+            askSync(now);
+    }
+    expireProbes(now);
+    expireSuspicions(now);
+    if (now >= m_nextProbe) {
+        startProbe(now);
+        auto jitter = 1.0 + probeJitter * (2.0 * m_random.unit() - 1.0);
+        m_nextProbe = now + std::chrono::duration_cast<Clock::duration>(m_options.probeInterval * jitter);
+    }
+}
+
+void Detector::dropLocalMarks()
+{
+    for (auto& record : m_table.records()) {
+        if (!record.isLocalMark)
+            continue;
+        record.isLocalMark = false;
+        record.health = Health::Alive;
+        m_isViewDirty = true;
+    }
+}
+
+void Detector::on(const ListTaken& event)
+{
+    std::vector<NodeKey> wereLeaving;
+    for (auto& record : m_table.records()) {
+        if (record.isLeaving())
+            wereLeaving.push_back(record.key);
+    }
+    std::sort(wereLeaving.begin(), wereLeaving.end());
+    m_table.take(*event.list);
+    m_listRevision = event.list->revision;
+    m_schedule.reset();
+    m_queue.setFleetSize(m_table.otherCount() + 1);
+    m_isViewDirty = true;
+    for (auto& record : m_table.records()) {
+        if (record.listed->state != ListedState::Leaving)
+            continue;
+        // Sticks to this life also when a later list, read from another replica, says live again.
+        record.hasSaidLeaving = true;
+        if (record.key == m_key) {
+            becomeLeaving();
+        } else if (!std::binary_search(wereLeaving.begin(), wereLeaving.end(), record.key)) {
+            noteChange(record, record.health, false, event.now);
+            queue(record);
+        }
+    }
+}
+
+void Detector::on(const LeaveRequested&)
+{
+    becomeLeaving();
+}
+
+void Detector::becomeLeaving()
+{
+    if (m_isLeaving)
+        return;
+    m_isLeaving = true;
+    ++m_sequence;
+    m_isViewDirty = true;
+    queueSelf();
+    pushNews(m_options.leavingFanout);
+    m_effects->emplace_back(SelfLeaving {});
+}
+
+void Detector::on(const MessageArrived& event)
+{
+    auto& message = event.message;
+    if (message.from == m_key)
+        return;
+    auto wasIsolated = event.now - m_lastHeard > isolationTime;
+    m_lastHeard = event.now;
+    if (wasIsolated)
+        dropLocalMarks();
+    mergeSender(event);
+    if (message.kind == MessageKind::News && m_isRefreshing && message.nonce == m_syncNonce)
+        ++m_syncAnswers;
+    mergeUpdates(event);
+    switch (message.kind) {
+    case MessageKind::Ping:
+        return answerPing(event);
+    case MessageKind::Ack:
+        return takeAck(event);
+    case MessageKind::PingRequest:
+        return relayPing(event);
+    case MessageKind::SyncRequest:
+        return answerSync(event);
+    case MessageKind::News:
+        return;
+    }
+}
+
+void Detector::mergeSender(const MessageArrived& event)
+{
+    auto& message = event.message;
+    auto* record = m_table.find(message.from);
+    if (!record)
+        return addSeed(event.from);
+    if (record->locality == Locality::Remote) {
+        auto& misses = m_remoteMisses[record->listed->dataCentre];
+        m_isViewDirty = m_isViewDirty || misses >= missesUntilUnreachable;
+        misses = 0;
+    }
+    MemberUpdate update;
+    update.member = message.from;
+    update.life = message.life;
+    update.sequence = message.sequence;
+    update.isLeaving = message.isLeaving;
+    std::vector<MemberUpdate> corrections;
+    mergeOne(update, event.now, corrections);
+}
+
+void Detector::mergeUpdates(const MessageArrived& event)
+{
+    auto isSyncAnswer = event.message.kind == MessageKind::News && event.message.nonce != 0 && event.message.nonce == m_syncNonce;
+    std::vector<MemberUpdate> corrections;
+    for (auto& update : event.message.updates) {
+        // Datagrams that lay in the socket during a pause hold judgements that may long be refuted.
+        if (m_isRefreshing && !isSyncAnswer && update.health != Health::Alive && !update.isLeaving && update.member != m_key)
+            continue;
+        if (update.member == m_key)
+            hearOfSelf(update);
+        else
+            mergeOne(update, event.now, corrections);
+    }
+    if (corrections.empty())
+        return;
+    Message message = makeMessage(MessageKind::News);
+    corrections.resize(std::min(corrections.size(), maxUpdatesPerMessage));
+    message.updates = std::move(corrections);
+    send(event.from, std::move(message));
+}
+
+void Detector::mergeOne(const MemberUpdate& update, TimePoint now, std::vector<MemberUpdate>& corrections)
+{
+    auto* record = m_table.find(update.member);
+    if (!record)
+        return;
+    auto healthBefore = record->health;
+    auto wasLeaving = record->isLeaving();
+    auto wasUnknown = !record->life;
+    auto isNewLife = record->life != update.life;
+    switch (m_table.merge(update)) {
+    case MergeResult::Outdated:
+        corrections.push_back(record->update());
+        return;
+    case MergeResult::Unchanged:
+        return;
+    case MergeResult::Changed:
+        break;
+    }
+    if (healthBefore != Health::Alive && record->health == Health::Alive && !isNewLife)
+        ++(healthBefore == Health::Dead ? m_counters.deathsRefuted : m_counters.suspicionsRefuted);
+    noteChange(*record, healthBefore, wasLeaving, now);
+    // Learning of a life for the first time is no news to others: passing it on would make each start of a node fill
+    // the datagrams of the fleet with what most know.
+    if (!wasUnknown || record->health != Health::Alive || record->isLeaving())
+        queue(*record);
+}
+
+// Others may hold this process suspect or dead (it was cut off or paused), hold an earlier process at this id as the
+// living one, or have learned sooner than itself that it is leaving.
+void Detector::hearOfSelf(const MemberUpdate& update)
+{
+    if (update.life > m_life) {
+        auto* listed = m_table.find(m_key);
+        if (listed && listed->listed->peer != m_self.peer) {
+            // Another process has taken this id elsewhere. Raising the generation would make the two push each other
+            // out for ever, and callers would go to the old one.
+            m_isSuperseded = true;
+            return becomeLeaving();
+        }
+        m_life.generation = update.life.generation + 1;
+        return queueSelf();
+    }
+    if (update.life != m_life)
+        return;
+    if (update.isLeaving && !m_isLeaving)
+        becomeLeaving();
+    if (update.health != Health::Alive && update.sequence >= m_sequence) {
+        m_sequence = update.sequence + 1;
+        ++m_counters.selfRefutations;
+        queueSelf();
+    }
+}
+
+void Detector::noteChange(const MemberRecord& record, Health healthBefore, bool wasLeaving, TimePoint now)
+{
+    m_isViewDirty = true;
+    if (record.health == Health::Suspect && healthBefore != Health::Suspect) {
+        m_table.find(record.key)->suspicionDeadline = now + m_options.suspicionTime;
+        m_suspects.push_back(record.key);
+    }
+    auto hasLeft = record.isLeaving() && !wasLeaving;
+    // Callers keep sending to a leaving member until they hear of it, so the word goes on at once.
+    m_hasUrgentNews = m_hasUrgentNews || hasLeft;
+    if (hasLeft || record.health != healthBefore)
+        m_effects->emplace_back(MemberChanged { record.listed->id, record.health, record.isLeaving() });
+}
+
+void Detector::answerSync(const MessageArrived& event)
+{
+    if (m_isRefreshing)
+        return;
+    std::vector<MemberUpdate> updates;
+    for (auto& record : m_table.records()) {
+        if (record.life && (record.update().health != Health::Alive || record.hasSaidLeaving))
+            updates.push_back(record.update());
+    }
+    m_random.shuffle(updates);
+    for (std::size_t i = 0; i < syncMessages; ++i) {
+        auto message = makeMessage(MessageKind::News);
+        message.nonce = event.message.nonce;
+        auto n = std::min(updates.size(), maxUpdatesPerMessage);
+        if (i == 0 || n > 0)
+            message.updates.assign(updates.end() - static_cast<std::ptrdiff_t>(n), updates.end());
+        updates.resize(updates.size() - n);
+        send(event.from, std::move(message));
+        if (updates.empty())
+            return;
+    }
+}
+
+void Detector::queue(const MemberRecord& record)
+{
+    if (record.life)
+        m_queue.push(record.update());
+}
+
+void Detector::queueSelf()
+{
+    MemberUpdate update;
+    update.member = m_key;
+    update.life = m_life;
+    update.sequence = m_sequence;
+    update.isLeaving = m_isLeaving;
+    m_queue.push(update);
+}
+
+void Detector::pushNews(std::size_t fanout)
+{
+    for (auto& peer : pickPeers(fanout))
+        send(peer, makeMessage(MessageKind::News));
+}
+
+void Detector::send(const PeerAddress& to, Message message)
+{
+    m_effects->emplace_back(SendMessage { to, std::move(message) });
+}
+
+Message Detector::makeMessage(MessageKind kind)
+{
+    Message message;
+    message.kind = kind;
+    message.from = m_key;
+    message.life = m_life;
+    message.sequence = m_sequence;
+    message.isLeaving = m_isLeaving;
+    message.updates = m_queue.take(maxUpdatesPerMessage);
+    return message;
+}
+
+std::vector<PeerAddress> Detector::pickPeers(std::size_t most)
+{
+    std::vector<PeerAddress> peers;
+    auto add = [&](const PeerAddress& peer) {
+        if (peer != m_self.peer && std::find(peers.begin(), peers.end(), peer) == peers.end())
+            peers.push_back(peer);
+    };
+    if (m_table.otherCount() == 0) {
+        for (auto& seed : m_seeds)
+            add(seed);
+        peers.resize(std::min(peers.size(), most));
+        return peers;
+    }
+    constexpr std::size_t attemptsPerPeer = 4;
+    for (std::size_t i = 0; i < most * attemptsPerPeer && peers.size() < most; ++i) {
+        auto share = m_random.unit();
+        auto locality = share < localShare ? Locality::SameDataCentre : share < regionShare ? Locality::SameRegion
+                                                                                            : Locality::Remote;
+        if (auto* record = m_table.pick(locality, m_random))
+            add(record->listed->peer);
+    }
+    return peers;
+}
+
+void Detector::addSeed(const PeerAddress& peer)
+{
+    if (m_seeds.size() < maxSeeds && std::find(m_seeds.begin(), m_seeds.end(), peer) == m_seeds.end())
+        m_seeds.push_back(peer);
+}
+
+bool Detector::isDataCentreReachable(const DataCentreName& dataCentre) const
+{
+    auto it = m_remoteMisses.find(dataCentre);
+    return it == m_remoteMisses.end() || it->second < missesUntilUnreachable;
+}
+
+std::shared_ptr<const View> Detector::view()
+{
+    if (m_view && !m_isViewDirty)
+        return m_view;
+    auto view = std::make_shared<View>();
+    view->listRevision = m_listRevision;
+    view->topology = m_table.topology();
+    view->members.reserve(m_table.records().size());
+    for (auto& record : m_table.records()) {
+        ViewMember member;
+        member.listed = record.listed;
+        member.health = record.health;
+        member.isLeaving = record.isLeaving();
+        member.isDirectlyReachable = record.isDirectlyReachable;
+        if (record.life)
+            member.incarnation = record.life->incarnation;
+        if (record.key == m_key) {
+            member.health = Health::Alive;
+            member.incarnation = m_life.incarnation;
+            member.isLeaving = member.isLeaving || m_isLeaving;
+        } else if (record.locality == Locality::Remote && !isDataCentreReachable(record.listed->dataCentre)) {
+            member.health = Health::Dead;
+        }
+        view->members.push_back(std::move(member));
+    }
+    m_view = view;
+    m_isViewDirty = false;
+    return m_view;
+}
+
+std::size_t Detector::memoryBytes() const
+{
+    constexpr std::size_t viewsHeld = 2;
+    return m_table.memoryBytes() + viewsHeld * m_table.records().size() * sizeof(ViewMember);
+}
+
+} // namespace swiftloft::membership
--- /dev/null
+++ b/src/membership/random.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+namespace swiftloft::membership {
+
+/// Seeded generator (splitmix64). Part of a reducer's state, so that the same events give the same effects on every
+/// run and with every standard library.
+class Random {
+public:
+    explicit Random(std::uint64_t seed)
+        : m_state(seed)
+    {
+    }
+
+    std::uint64_t next()
+    {
+        m_state += 0x9e3779b97f4a7c15ull;
+        auto z = m_state;
+        z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ull;
+        z = (z ^ (z >> 27)) * 0x94d049bb133111ebull;
+        return z ^ (z >> 31);
+    }
+
+    /// Below `bound`, which is above 0.
+    std::size_t below(std::size_t bound) { return static_cast<std::size_t>(next() % bound); }
+
+    /// In [0, 1).
+    double unit() { return static_cast<double>(next() >> 11) * 0x1.0p-53; }
+
+    template <typename T>
+    void shuffle(std::vector<T>& values)
+    {
+        for (auto n = values.size(); n > 1; --n)
+            std::swap(values[n - 1], values[below(n)]);
+    }
+
+private:
+    std::uint64_t m_state;
+};
+
+} // namespace swiftloft::membership
