Test control over an in-memory fleet; take no death from a peer's word

A death heard from a peer now only makes a suspect: each node waits for the refutation itself. A node that was cut off could else get healthy members dropped everywhere.

--- a/src/membership/detector.cc
+++ b/src/membership/detector.cc
@@ -10,6 +10,7 @@
 constexpr std::size_t syncPeers = 3;
 constexpr std::size_t syncMessages = 4;
 constexpr milliseconds syncInterval { 1000 };
+constexpr milliseconds revivalInterval { 200 };
 constexpr double probeJitter = 0.1;
 /// Shares of `pickPeers`: this data centre, up to the rest of the region, the rest.
 constexpr double localShare = 0.5;
@@ -177,6 +178,7 @@
     if (wasIsolated)
         dropLocalMarks();
     mergeSender(event);
+    tellRevived(event);
     if (message.kind == MessageKind::News && m_isRefreshing && message.nonce == m_syncNonce)
         ++m_syncAnswers;
     mergeUpdates(event);
@@ -214,6 +216,28 @@
     mergeOne(update, event.now, corrections);
 }
 
+// After a partition each side holds the other dead, and by then nobody passes that on any more: a member learns of it
+// only when somebody probes it, and refutes. Who hears from a dead member tells it at once, with others of its data
+// centre, and they pass the word on among themselves.
+void Detector::tellRevived(const MessageArrived& event)
+{
+    auto* sender = m_table.find(event.message.from);
+    if (!sender || sender->health != Health::Dead || sender->isLocalMark || event.now < m_nextRevival)
+        return;
+    m_nextRevival = event.now + revivalInterval;
+    auto news = makeMessage(MessageKind::News);
+    news.updates = { sender->update() };
+    std::vector<MemberUpdate> dead;
+    for (auto& record : m_table.records()) {
+        if (record.health == Health::Dead && !record.isLocalMark && record.life && record.listed->dataCentre == sender->listed->dataCentre)
+            dead.push_back(record.update());
+    }
+    m_random.shuffle(dead);
+    auto n = std::min(dead.size(), maxUpdatesPerMessage - news.updates.size());
+    news.updates.insert(news.updates.end(), dead.begin(), dead.begin() + static_cast<std::ptrdiff_t>(n));
+    send(event.from, std::move(news));
+}
+
 void Detector::mergeUpdates(const MessageArrived& event)
 {
     auto isSyncAnswer = event.message.kind == MessageKind::News && event.message.nonce != 0 && event.message.nonce == m_syncNonce;
--- a/src/membership/detector.h
+++ b/src/membership/detector.h
@@ -72,8 +72,8 @@
 /// Failure detection and spread of membership news: a reducer over its events.
 ///
 /// As SWIM (Das, Gupta, Motivala 2002): a ping each interval to one member; no answer, pings through others; no answer,
-/// suspicion, which the member may refute by a higher sequence; no refutation, death. With these differences: death can
-/// be refuted too, since a paused process wakes; a leaving mark never goes within one life; members of other regions
+/// suspicion, which the member may refute by a higher sequence; no refutation, death. With these differences: death is
+/// never taken from a peer's word, only from the node's own wait for a refutation; it can be refuted too, since a paused process wakes; a leaving mark never goes within one life; members of other regions
 /// are followed by data centre; and a node that has reason to doubt itself (it stood still, or hears nobody) keeps its
 /// judgements to itself.
 class Detector {
@@ -130,6 +130,7 @@
     void dropLocalMarks();
 
     void mergeSender(const MessageArrived& event);
+    void tellRevived(const MessageArrived& event);
     void mergeUpdates(const MessageArrived& event);
     void mergeOne(const MemberUpdate& update, TimePoint now, std::vector<MemberUpdate>& corrections);
     void hearOfSelf(const MemberUpdate& update);
@@ -170,6 +171,7 @@
     TimePoint m_nextProbe;
     TimePoint m_wokeAt;
     TimePoint m_nextSync;
+    TimePoint m_nextRevival;
     std::uint64_t m_syncNonce { 0 };
     std::size_t m_syncAnswers { 0 };
     std::uint32_t m_sequence { 0 };
--- a/src/membership/member-table.cc
+++ b/src/membership/member-table.cc
@@ -8,6 +8,17 @@
 
 constexpr int pickAttempts = 6;
 
+/// The health to take from a peer's word. A death is only ever declared here, after the member has had its time to
+/// refute: a peer that was cut off or stood still would otherwise get healthy members dropped everywhere at once. And
+/// the health of members of other regions is not followed one by one: regions that lose each other would each hold
+/// thousands suspect and fill their datagrams with it.
+Health hearsay(const MemberRecord& record, Health said)
+{
+    if (record.locality == Locality::Remote)
+        return Health::Alive;
+    return std::min(said, Health::Suspect);
+}
+
 } // namespace
 
 MemberUpdate MemberRecord::update() const
@@ -83,7 +94,7 @@
     record->life = update.life;
     record->sequence = update.sequence;
     record->hasSaidLeaving = update.isLeaving || keepsMark;
-    record->health = record->locality == Locality::Remote ? Health::Alive : update.health;
+    record->health = hearsay(*record, update.health);
     record->isLocalMark = false;
     return MergeResult::Changed;
 }
@@ -96,9 +107,7 @@
         result = MergeResult::Changed;
     }
     auto knowsBetter = record.hasSaidLeaving && !update.isLeaving;
-    // The health of members of other regions is not followed one by one: regions that lose each other would otherwise
-    // each declare thousands dead and fill their datagrams with it.
-    auto health = record.locality == Locality::Remote ? Health::Alive : update.health;
+    auto health = hearsay(record, update.health);
     if (update.sequence > record.sequence) {
         if (health != record.health)
             result = MergeResult::Changed;
--- /dev/null
+++ b/test/membership-fleet_test.cc
@@ -0,0 +1,228 @@
+#include "test/fake-fleet.h"
+
+#include <catch2/catch.hpp>
+
+namespace swiftloft::test {
+
+namespace {
+
+using membership::Health;
+
+std::size_t positionOf(FakeFleet& fleet, const std::string& dataCentre, membership::Role role)
+{
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        if (fleet.node(i).row.dataCentre.value() == dataCentre && fleet.node(i).row.role == role)
+            return i;
+    }
+    return 0;
+}
+
+std::size_t countLeaving(FakeFleet& fleet, std::size_t i)
+{
+    std::size_t n = 0;
+    for (std::size_t j = 0; j < fleet.size(); ++j) {
+        auto* member = fleet.node(j).isDown ? nullptr : fleet.control(j).view()->find(fleet.node(i).row.id);
+        n += member && member->isLeaving;
+    }
+    return n;
+}
+
+std::size_t countRunning(FakeFleet& fleet)
+{
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+        n += !fleet.node(i).isDown;
+    return n;
+}
+
+void startReady(FakeFleet& fleet)
+{
+    fleet.startAll();
+    REQUIRE(fleet.runUntil(seconds(15), [&] { return fleet.allReady(); }));
+    fleet.run(seconds(10));
+}
+
+} // namespace
+
+TEST_CASE("A member that dies is held dead by all within seconds", "[membership]")
+{
+    // An entry's machine loses power. Callers that are told its address would hang on it until every other entry has
+    // taken it out of its answers. Cause: nothing announces a death; only probes find it.
+    FakeFleet fleet({});
+    startReady(fleet);
+    fleet.kill(3);
+    auto took = fleet.runUntil(seconds(20), [&] { return fleet.countHealth(3, Health::Dead) == countRunning(fleet); });
+    REQUIRE(took);
+    CHECK(*took < seconds(12));
+    CHECK(fleet.sumCounters().deathsRefuted == 0);
+}
+
+TEST_CASE("A leaving process is known everywhere at once although the list is stale", "[membership]")
+{
+    // An operator stops an agent. The published list lags and goes on calling it live; entries that believe it keep
+    // sending work to a process that is on its way out. Cause: the list is the slowest of those who know.
+    FakeFleet fleet({});
+    startReady(fleet);
+    fleet.platform.documents[1].pinned = fleet.platform.documents[1].revision();
+    auto leaving = positionOf(fleet, "dc1", membership::Role::Agent);
+    fleet.at(fleet.now(), [] {});
+    fleet.leave(leaving);
+    auto took = fleet.runUntil(seconds(4), [&] { return countLeaving(fleet, leaving) == countRunning(fleet); });
+    REQUIRE(took);
+    CHECK(*took <= seconds(2));
+}
+
+TEST_CASE("A member that leaves by the list does not come back when an older list is read", "[membership]")
+{
+    // The list marks an instance leaving; a later revision, written from a lagging copy, says live again. Its process
+    // has meanwhile begun to shut down, and new work sent to it would be cut off. Cause: the list is not one replica.
+    FakeFleet fleet({});
+    startReady(fleet);
+    auto& row = fleet.node(4).row;
+    row.state = membership::ListedState::Leaving;
+    fleet.publishList();
+    REQUIRE(fleet.runUntil(seconds(5), [&] { return countLeaving(fleet, 4) == countRunning(fleet); }));
+    CHECK(fleet.control(4).isLeaving());
+    row.state = membership::ListedState::Live;
+    fleet.publishList();
+    fleet.run(seconds(10));
+    CHECK(countLeaving(fleet, 4) == countRunning(fleet));
+}
+
+TEST_CASE("A new process at the address of one that left is live again", "[membership]")
+{
+    // An agent leaves and its replacement starts in the same slot. Were the leaving mark kept by address, the new
+    // process would never get work: capacity is lost for good with nothing to see in any log.
+    FakeFleet fleet({});
+    startReady(fleet);
+    fleet.leave(4);
+    fleet.run(seconds(3));
+    REQUIRE(countLeaving(fleet, 4) == countRunning(fleet));
+    fleet.kill(4);
+    fleet.run(seconds(1));
+    fleet.start(4);
+    auto took = fleet.runUntil(seconds(20), [&] { return countLeaving(fleet, 4) == 0 && fleet.countHealth(4, Health::Alive) == countRunning(fleet) - 1; });
+    CHECK(took);
+}
+
+TEST_CASE("A one-way cut between two members gets nobody declared dead", "[membership]")
+{
+    // A firewall drops what one entry sends to one agent, one way. The entry's pings vanish while all others reach the
+    // agent. Were the entry to call it dead, a healthy backend server would lose all its work.
+    FakeFleet fleet({});
+    startReady(fleet);
+    fleet.drops = [&](auto& from, auto& to) { return &from == &fleet.node(0) && &to == &fleet.node(2); };
+    fleet.run(seconds(60));
+    CHECK(fleet.sumCounters().deathsDeclared == 0);
+    CHECK(fleet.countHealth(2, Health::Dead) == 0);
+    CHECK_FALSE(fleet.control(0).view()->find(fleet.node(2).row.id)->isDirectlyReachable);
+    CHECK(fleet.control(1).view()->find(fleet.node(2).row.id)->isDirectlyReachable);
+}
+
+TEST_CASE("A process that hears nobody does not get others suspected", "[membership]")
+{
+    // The inbound path of one process breaks; it still sends. None of its pings is answered, and its word that everybody
+    // is suspect reaches the fleet, which then drops healthy members. Cause: it takes its own deafness for their death.
+    FakeFleet fleet({});
+    startReady(fleet);
+    auto before = fleet.sumCounters();
+    fleet.drops = [&](auto&, auto& to) { return &to == &fleet.node(3); };
+    fleet.run(seconds(60));
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        if (i != 3)
+            CHECK(fleet.countHealth(i, Health::Dead) <= 1); // by the deaf process itself
+    }
+    auto after = fleet.sumCounters();
+    CHECK(after.suspicionsRefuted - before.suspicionsRefuted == 0);
+    CHECK(fleet.countHealth(3, Health::Dead) == fleet.size() - 1);
+}
+
+TEST_CASE("A process that stood still does not judge others when it wakes", "[membership]")
+{
+    // A host swaps and a process stands still for 30 s. When it wakes, its pings look unanswered and the suspicions it
+    // held look unrefuted, so it declares members dead that serve all along, and tells the others.
+    FakeFleet fleet({});
+    startReady(fleet);
+    fleet.kill(5); // so that a suspicion is under way when it falls asleep
+    fleet.run(milliseconds(2500));
+    fleet.start(5);
+    fleet.pause(1, seconds(30));
+    fleet.run(seconds(31));
+    auto before = fleet.sumCounters();
+    fleet.run(seconds(20));
+    auto after = fleet.sumCounters();
+    CHECK(fleet.control(1).detector().counters().pausesNoticed == 1);
+    CHECK(after.deathsDeclared - before.deathsDeclared == 0);
+    CHECK(after.suspicionsRaised - before.suspicionsRaised == 0);
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+        CHECK(fleet.countHealth(i, Health::Alive) == fleet.size() - 1);
+}
+
+TEST_CASE("Both sides of a partition go on, and it heals", "[membership]")
+{
+    // A data centre is cut off for a minute. Each side must go on with the members it reaches, and after the cut all
+    // must be live for all again. Cause of the danger: deaths declared on both sides outlive the partition.
+    FakeFleet fleet({});
+    startReady(fleet);
+    auto isInside = [](const FakeNode& it) { return it.row.dataCentre.value() == "dc0"; };
+    fleet.drops = [&](auto& from, auto& to) { return isInside(from) != isInside(to); };
+    fleet.run(seconds(60));
+    auto& inside = *fleet.control(0).view();
+    for (auto& member : inside.members)
+        CHECK((member.health == Health::Dead) == (member.listed->dataCentre.value() != "dc0"));
+    fleet.drops = nullptr;
+    auto isWhole = [&] {
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            if (fleet.countHealth(i, Health::Alive) != fleet.size() - 1)
+                return false;
+        }
+        return true;
+    };
+    auto took = fleet.runUntil(seconds(60), isWhole);
+    REQUIRE(took);
+    CHECK(*took < seconds(30));
+}
+
+TEST_CASE("Regions that lose each other declare no member dead one by one", "[membership]")
+{
+    // Two regions lose each other for a while. Thousands of suspicions about the other side would fill every datagram
+    // and crowd out news of the own side. Only the data centres are marked, and come back when they answer.
+    FakeFleetOptions options;
+    options.dataCentres = 4;
+    options.regions = 2;
+    FakeFleet fleet(options);
+    startReady(fleet);
+    auto isInside = [](const FakeNode& it) { return it.row.dataCentre.value() < "dc2"; };
+    fleet.drops = [&](auto& from, auto& to) { return isInside(from) != isInside(to); };
+    fleet.run(seconds(120));
+    CHECK(fleet.sumCounters().suspicionsRaised == 0);
+    auto last = fleet.size() - 1;
+    CHECK(fleet.countHealth(last, Health::Dead) == fleet.size() / 2);
+    fleet.drops = nullptr;
+    CHECK(fleet.runUntil(seconds(60), [&] { return fleet.countHealth(last, Health::Alive) == last; }));
+}
+
+TEST_CASE("A process whose id has passed to another address steps back", "[membership]")
+{
+    // An instance is taken for lost and its id given to a new one elsewhere; then the old process wakes. Were it to
+    // insist, the two would push each other out of every view for ever, and callers would reach either.
+    FakeFleet fleet({});
+    startReady(fleet);
+    auto old = fleet.node(2).row;
+    membership::Life life { 1, Incarnation(7) };
+    membership::Detector detector(old, life, {}, {}, 1);
+    membership::InstanceList list { Revision(9), { fleet.node(0).row, old } };
+    list.instances[1].peer = PeerAddress("10.9.9.9:7000");
+    membership::DetectorEffects effects;
+    detector.step(membership::ListTaken { std::make_shared<membership::InstanceList>(list), fleet.now() }, effects);
+    Message news;
+    news.from = membership::keyOf(fleet.node(0).row.id);
+    membership::MemberUpdate update;
+    update.member = membership::keyOf(old.id);
+    update.life = membership::Life { 2, Incarnation(8) };
+    news.updates = { update };
+    detector.step(membership::MessageArrived { fleet.node(0).row.peer, news, fleet.now() }, effects);
+    CHECK(detector.isLeaving());
+}
+
+} // namespace swiftloft::test
