--- /dev/null
+++ b/test/membership-reducers_test.cc
@@ -0,0 +1,225 @@
+#include "src/membership/detector.h"
+#include "src/membership/member-table.h"
+#include "src/membership/update-queue.h"
+
+#include <swiftloft/membership/instance-list.h>
+#include <swiftloft/membership/message.h>
+
+#include <catch2/catch.hpp>
+
+namespace swiftloft::membership {
+
+namespace {
+
+ListedInstance rowOf(const std::string& id, const std::string& dataCentre = "dc0")
+{
+    ListedInstance row;
+    row.id = NodeId(id);
+    row.peer = PeerAddress(id + ":7000");
+    row.dataCentre = DataCentreName(dataCentre);
+    return row;
+}
+
+InstanceList listOf(std::uint64_t revision, std::vector<ListedInstance> rows)
+{
+    return InstanceList { Revision(revision), std::move(rows) };
+}
+
+MemberUpdate updateOf(const std::string& id, Life life, std::uint32_t sequence, Health health, bool isLeaving = false)
+{
+    return MemberUpdate { keyOf(NodeId(id)), life, sequence, health, isLeaving };
+}
+
+constexpr std::uint64_t earlier = 100;
+constexpr std::uint64_t later = 200;
+const Life firstLife { earlier, Incarnation(9) };
+const Life secondLife { later, Incarnation(3) };
+
+MemberTable tableOf(std::vector<ListedInstance> rows)
+{
+    MemberTable table(keyOf(NodeId("self")), DataCentreName("dc0"), Topology {});
+    table.take(listOf(1, std::move(rows)));
+    return table;
+}
+
+} // namespace
+
+TEST_CASE("MemberTable: a leaving mark holds for one life and no longer", "[membership]")
+{
+    auto table = tableOf({ rowOf("self"), rowOf("a") });
+    auto& record = *table.find(keyOf(NodeId("a")));
+    CHECK(table.merge(updateOf("a", firstLife, 0, Health::Alive, true)) == MergeResult::Changed);
+    CHECK(table.merge(updateOf("a", firstLife, 7, Health::Alive)) == MergeResult::Outdated);
+    CHECK(record.isLeaving());
+    CHECK(table.merge(updateOf("a", secondLife, 0, Health::Alive)) == MergeResult::Changed);
+    CHECK_FALSE(record.isLeaving());
+    CHECK(table.merge(updateOf("a", firstLife, 9, Health::Alive, true)) == MergeResult::Outdated);
+    CHECK_FALSE(record.isLeaving());
+}
+
+TEST_CASE("MemberTable: a new life of an instance that the list calls leaving is leaving", "[membership]")
+{
+    // A backend server is drained; its agent crashes and restarts meanwhile. The new agent process must not get work
+    // just because its incarnation is new: the instance is on its way out.
+    auto row = rowOf("a");
+    row.state = ListedState::Leaving;
+    auto table = tableOf({ rowOf("self"), row });
+    table.merge(updateOf("a", firstLife, 0, Health::Alive));
+    table.merge(updateOf("a", secondLife, 0, Health::Alive));
+    CHECK(table.find(keyOf(NodeId("a")))->isLeaving());
+}
+
+TEST_CASE("MemberTable: only a higher sequence refutes a suspicion", "[membership]")
+{
+    auto table = tableOf({ rowOf("self"), rowOf("a") });
+    auto& record = *table.find(keyOf(NodeId("a")));
+    table.merge(updateOf("a", firstLife, 4, Health::Suspect));
+    CHECK(record.health == Health::Suspect);
+    CHECK(table.merge(updateOf("a", firstLife, 4, Health::Alive)) == MergeResult::Unchanged);
+    CHECK(record.health == Health::Suspect);
+    CHECK(table.merge(updateOf("a", firstLife, 5, Health::Alive)) == MergeResult::Changed);
+    CHECK(record.health == Health::Alive);
+    CHECK(table.merge(updateOf("a", firstLife, 4, Health::Dead)) == MergeResult::Outdated);
+    CHECK(record.health == Health::Alive);
+}
+
+TEST_CASE("MemberTable: a peer's word of a death makes a suspect", "[membership]")
+{
+    // A process was cut off, held everybody dead and comes back. Were its word taken, the whole fleet would drop
+    // members that serve, until each had heard of it and refuted.
+    auto table = tableOf({ rowOf("self"), rowOf("a") });
+    table.merge(updateOf("a", firstLife, 0, Health::Alive));
+    table.merge(updateOf("a", firstLife, 0, Health::Dead));
+    CHECK(table.find(keyOf(NodeId("a")))->health == Health::Suspect);
+}
+
+TEST_CASE("MemberTable: what the list no longer names is forgotten", "[membership]")
+{
+    auto table = tableOf({ rowOf("self"), rowOf("a"), rowOf("b") });
+    table.merge(updateOf("b", firstLife, 2, Health::Alive));
+    table.take(listOf(2, { rowOf("self"), rowOf("b") }));
+    CHECK_FALSE(table.find(keyOf(NodeId("a"))));
+    CHECK(table.find(keyOf(NodeId("b")))->sequence == 2);
+    CHECK(table.merge(updateOf("a", firstLife, 0, Health::Alive)) == MergeResult::Unchanged);
+}
+
+TEST_CASE("UpdateQueue: fresh news goes before what has ridden", "[membership]")
+{
+    UpdateQueue queue;
+    queue.setFleetSize(100);
+    queue.push(updateOf("a", firstLife, 0, Health::Alive));
+    queue.take(1);
+    queue.push(updateOf("b", firstLife, 0, Health::Alive));
+    CHECK(queue.take(1)[0].member == keyOf(NodeId("b")));
+    queue.push(updateOf("a", firstLife, 1, Health::Suspect));
+    CHECK(queue.size() == 2);
+    for (int i = 0; i < 100; ++i)
+        queue.take(2);
+    CHECK(queue.size() == 0);
+}
+
+TEST_CASE("Detector: hearing of an earlier process as the living one raises the generation", "[membership]")
+{
+    // A process is replaced and the new machine's clock runs behind. By generation alone the dead one would stay the
+    // living one for all peers, and the new one's word would count for nothing.
+    Detector detector(rowOf("self"), firstLife, {}, {}, 1);
+    DetectorEffects effects;
+    auto now = TimePoint(std::chrono::hours(1));
+    detector.step(ListTaken { std::make_shared<InstanceList>(listOf(1, { rowOf("self"), rowOf("a") })), now }, effects);
+    Message message;
+    message.from = keyOf(NodeId("a"));
+    message.updates = { updateOf("self", secondLife, 0, Health::Alive) };
+    detector.step(MessageArrived { PeerAddress("a:7000"), message, now }, effects);
+    auto life = detector.makeMessage(MessageKind::News).life;
+    CHECK(life > secondLife);
+    CHECK(life.incarnation == firstLife.incarnation);
+}
+
+TEST_CASE("Detector: a ping meant for another instance at this address is not answered", "[membership]")
+{
+    // An address passes to another instance while peers still probe the old one there. An answer would keep an instance
+    // alive that is gone.
+    Detector detector(rowOf("self"), firstLife, {}, {}, 1);
+    DetectorEffects effects;
+    Message ping;
+    ping.kind = MessageKind::Ping;
+    ping.from = keyOf(NodeId("a"));
+    ping.target = keyOf(NodeId("old"));
+    detector.step(MessageArrived { PeerAddress("a:7000"), ping, TimePoint(std::chrono::hours(1)) }, effects);
+    CHECK(effects.empty());
+    ping.target = keyOf(NodeId("self"));
+    detector.step(MessageArrived { PeerAddress("a:7000"), ping, TimePoint(std::chrono::hours(1)) }, effects);
+    REQUIRE(effects.size() == 1);
+    CHECK(std::get<SendMessage>(effects[0]).message.kind == MessageKind::Ack);
+}
+
+TEST_CASE("Gossip: a message survives its encoding, also a full one", "[membership]")
+{
+    Message message;
+    message.kind = MessageKind::PingRequest;
+    message.from = NodeKey(~0ull);
+    message.life = Life { ~0ull - 1, Incarnation(~0ull - 2) };
+    message.sequence = 0xfffffffe;
+    message.isLeaving = true;
+    message.nonce = ~0ull - 3;
+    message.target = NodeKey(~0ull - 4);
+    Random random(1);
+    for (std::size_t i = 0; i < maxUpdatesPerMessage; ++i)
+        message.updates.push_back(MemberUpdate { NodeKey(random.next()), { random.next(), Incarnation(random.next()) }, static_cast<std::uint32_t>(random.next()), Health::Dead, true });
+    for (auto topic : allTopics)
+        message.announcements.push_back(Announcement { topic, Revision(random.next()), { random.next(), random.next() }, milliseconds(0xfffffff0) });
+    auto bytes = encode(message);
+    CHECK(bytes.size() <= maxDatagramBytes);
+    auto decoded = decode(bytes);
+    REQUIRE(decoded.has_value());
+    CHECK(*decoded == message);
+}
+
+TEST_CASE("Gossip: no bytes crash the decoder", "[membership]")
+{
+    // Anything can arrive at an open UDP port. A crash there takes a whole node out with one datagram.
+    Message message;
+    message.updates.resize(3);
+    message.announcements.resize(2);
+    auto good = encode(message);
+    Random random(7);
+    std::size_t accepted = 0;
+    constexpr int rounds = 50'000;
+    for (int i = 0; i < rounds; ++i) {
+        auto bytes = good;
+        auto flips = 1 + random.below(6);
+        for (std::size_t k = 0; k < flips; ++k)
+            bytes[random.below(bytes.size())] = static_cast<std::byte>(random.next());
+        if (random.below(4) == 0)
+            bytes.resize(random.below(bytes.size() + 1));
+        if (random.below(16) == 0) {
+            bytes.resize(random.below(maxDatagramBytes));
+            for (auto& it : bytes)
+                it = static_cast<std::byte>(random.next());
+        }
+        accepted += decode(bytes).has_value();
+    }
+    CHECK(accepted > 0);
+    CHECK(accepted < rounds);
+}
+
+TEST_CASE("Instance list: read whole or refused whole", "[membership]")
+{
+    auto list = parseInstanceList(R"({"revision":7,"instances":[
+        {"id":"a","role":"agent","address":"127.0.0.1:1","peer":"127.0.0.1:2","data_centre":"x","service":"s","group":"g","rank":3,"state":"leaving"},
+        {"id":"e","role":"entry","address":"127.0.0.1:3","peer":"127.0.0.1:4","data_centre":"y","state":"live"}]})");
+    REQUIRE(list.has_value());
+    CHECK(list->revision == Revision(7));
+    REQUIRE(list->instances.size() == 2);
+    CHECK(list->instances[0].rank == RankIndex(3));
+    CHECK(list->instances[0].state == ListedState::Leaving);
+    CHECK(list->instances[1].role == Role::Entry);
+    CHECK(list->instances[1].service.value().empty());
+    CHECK(parseInstanceList("{").error().code == ErrorCode::MalformedInput);
+    CHECK(parseInstanceList(R"({"revision":1})").error().code == ErrorCode::MalformedInput);
+    CHECK(parseInstanceList(R"({"revision":1,"instances":[{"id":"a"}]})").error().code == ErrorCode::MalformedInput);
+    CHECK(parseInstanceList(R"({"revision":1,"instances":[7]})").error().code == ErrorCode::MalformedInput);
+    CHECK(parseInstanceList(R"({"revision":-1,"instances":[]})").error().code == ErrorCode::MalformedInput);
+}
+
+} // namespace swiftloft::membership
