--- /dev/null
+++ b/src/rpc/agent.capnp
@@ -0,0 +1,117 @@
+# Protocol between an entry instance and the agent in a backend server's slot.
+
+@0xd713fb501ea9a5b3;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("swiftloft::rpc::schema");
+
+enum Verdict {
+  notRun @0;
+  mayHaveRun @1;
+  ran @2;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+# One request as the entry hands it over. Times are relative because clocks of two instances don't agree: the receiver
+# turns them into deadlines on its own clock.
+struct Request {
+  key @0 :Text;
+  incarnation @1 :UInt64;          # the only agent incarnation that may start this request
+  service @2 :Text;
+  organisation @3 :Text;
+  isRepeatable @4 :Bool;
+  remainingMs @5 :UInt32;          # until the request's deadline
+  priority @6 :Int16;
+  fingerprint @7 :UInt64;
+  method @8 :Text;
+  target @9 :Text;
+  headers @10 :List(Header);
+  body @11 :Data;
+  runsAlone @12 :Bool;             # suspected of crashing backend servers: nothing else may run beside it
+}
+
+struct ResponseHead {
+  status @0 :UInt16;
+  headers @1 :List(Header);
+}
+
+# A piece of an answer. Offsets count body bytes from 0, so that a doubled or missing piece shows.
+struct Frame {
+  union {
+    head @0 :ResponseHead;
+    data @1 :Chunk;
+    end @2 :EndMark;
+  }
+}
+
+struct Chunk {
+  offset @0 :UInt64;
+  bytes @1 :Data;
+}
+
+# Only an answer that ends with this mark, with this length and digest, is whole.
+struct EndMark {
+  length @0 :UInt64;
+  digest @1 :UInt64;               # XXH3 of all body bytes
+}
+
+interface FrameSink {
+  write @0 (frame :Frame) -> stream;
+}
+
+enum OutcomeKind {
+  answered @0;                     # the end mark was sent
+  refused @1;                      # nothing ran; see reason
+  engineFailed @2;                 # the backend server broke off; see verdict
+  cancelled @3;
+}
+
+enum Reason {
+  none @0;
+  leaving @1;
+  wrongIncarnation @2;
+  tombstone @3;                    # the key was cancelled before it started
+  overloaded @4;
+  engineDown @5;
+  engineCrashed @6;
+  deadline @7;
+  unknownKey @8;
+  answerNotHeld @9;                # it ran, but the bytes asked for are no longer buffered
+  runningElsewhere @10;            # another connection has taken the stream over
+  quarantined @11;
+}
+
+struct Outcome {
+  kind @0 :OutcomeKind;
+  verdict @1 :Verdict;
+  reason @2 :Reason;
+}
+
+# What an agent says of itself; sent in answer to every heartbeat.
+struct Report {
+  incarnation @0 :UInt64;
+  isLeaving @1 :Bool;
+  running @2 :UInt32;              # requests in progress at the engine
+  queued @3 :UInt32;
+  isEngineUp @4 :Bool;
+  suspects @5 :List(UInt64);       # fingerprints in flight when the engine last crashed
+  convicted @6 :List(UInt64);      # fingerprints refused as crashing
+}
+
+interface Agent {
+  # Identifies the agent and doubles as heartbeat. Suspects and convictions known to the entry travel with it.
+  report @0 (entry :Text, suspects :List(UInt64), convicted :List(UInt64)) -> (report :Report);
+
+  # Starts a request, or attaches to it when its key is already known. Frames from body offset `offset` on go to sink.
+  run @1 (request :Request, sink :FrameSink) -> (outcome :Outcome);
+
+  # Attaches to a request that was handed over before; never starts one.
+  attach @2 (key :Text, incarnation :UInt64, offset :UInt64, needsHead :Bool, sink :FrameSink) -> (outcome :Outcome);
+
+  # Stops a request. One that had not started never will: its key becomes a tombstone, and the verdict is notRun.
+  cancel @3 (key :Text, incarnation :UInt64) -> (verdict :Verdict);
+}
