--- /dev/null
+++ b/src/agent/daemon.cc
@@ -0,0 +1,100 @@
+#include "src/agent/daemon.h"
+
+#include "src/log/logger.h"
+
+#include <boost/asio/post.hpp>
+
+namespace swiftloft::agent {
+
+namespace {
+
+constexpr milliseconds tickInterval { 100 };
+
+} // namespace
+
+Daemon::Daemon(process::ProcessConfig config, Incarnation incarnation)
+    : m_config(std::move(config))
+    , m_incarnation(incarnation)
+    , m_control(1)
+    , m_reducer(incarnation, {})
+    , m_status(m_control, m_config.listen)
+    , m_monitor(m_control, *m_config.backendServer, [this](Event event) { apply(event); })
+    , m_timer(m_control)
+{
+    addStatusPages();
+}
+
+void Daemon::run()
+{
+    m_signals = std::make_unique<process::StopSignals>(m_control, [this](int count) {
+        log::write(log::Event::ProcessStopping, "signals={}", count);
+        apply(LeaveRequested { Clock::now() });
+        if (count > 1)
+            m_traffic.stop();
+    });
+    std::thread traffic([this] { runTraffic(); });
+    m_monitor.start();
+    tick();
+    m_control.run();
+    traffic.join();
+}
+
+void Daemon::runTraffic()
+{
+    m_traffic.run(
+        [this] {
+            m_service = std::make_unique<Service>(m_traffic.ioContext(), *m_config.backendServer, ServiceOptions { m_incarnation }, [this](Event event) { post(std::move(event)); });
+            m_service->setOnDrained([this] { m_traffic.stop(); });
+            m_listener = std::make_unique<rpc::Listener>(m_traffic.ioContext(), *m_config.rpc, m_service->bootstrap());
+        },
+        [this] {
+            m_listener.reset();
+            m_service.reset();
+        });
+    m_control.stop();
+}
+
+void Daemon::post(Event event)
+{
+    boost::asio::post(m_control, [this, event = std::move(event)] { apply(event); });
+}
+
+void Daemon::apply(const Event& event)
+{
+    auto effects = std::make_shared<Effects>();
+    m_reducer.apply(event, *effects);
+    if (effects->empty())
+        return;
+    boost::asio::post(m_traffic.ioContext(), [this, effects] {
+        for (auto& effect : *effects) {
+            if (m_service)
+                m_service->perform(effect);
+        }
+    });
+}
+
+void Daemon::tick()
+{
+    apply(Tick { Clock::now() });
+    m_timer.expires_at(Clock::now() + tickInterval);
+    m_timer.async_wait([this](boost::system::error_code ec) {
+        if (!ec)
+            tick();
+    });
+}
+
+void Daemon::addStatusPages()
+{
+    m_status.add("/healthz", [] { return process::StatusAnswer { 200, "text/plain", "ok\n" }; });
+    m_status.add("/readyz", [this] {
+        if (m_reducer.isLeaving())
+            return process::StatusAnswer { 503, "text/plain", "leaving\n" };
+        return process::StatusAnswer { 200, "text/plain", "ready\n" };
+    });
+    m_status.add("/metrics", [this] {
+        m_metrics.set("swiftloft_agent_running", {}, static_cast<double>(m_reducer.running()));
+        return process::StatusAnswer { 200, "text/plain; version=0.0.4", m_metrics.text() };
+    });
+}
+
+} // namespace swiftloft::agent
--- /dev/null
+++ b/src/agent/daemon.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "src/agent/engine-monitor.h"
+#include "src/agent/reducer.h"
+#include "src/agent/service.h"
+#include "src/process/metrics.h"
+#include "src/process/process-config.h"
+#include "src/process/signals.h"
+#include "src/process/status-server.h"
+#include "src/rpc/connection.h"
+#include "src/rpc/event-loop.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <thread>
+
+namespace swiftloft::agent {
+
+/// The agent process: the control thread (the caller of `run`) with the reducer, and one traffic thread.
+class Daemon {
+public:
+    Daemon(process::ProcessConfig config, Incarnation incarnation);
+
+    /// Returns when the agent has shut down gracefully.
+    void run();
+
+private:
+    void post(Event event);
+    void apply(const Event& event);
+    void tick();
+    void addStatusPages();
+    void runTraffic();
+
+    process::ProcessConfig m_config;
+    Incarnation m_incarnation;
+    boost::asio::io_context m_control;
+    Reducer m_reducer;
+    process::Metrics m_metrics;
+    process::StatusServer m_status;
+    EngineMonitor m_monitor;
+    boost::asio::steady_timer m_timer;
+    std::unique_ptr<process::StopSignals> m_signals;
+
+    rpc::EventLoop m_traffic;
+    std::unique_ptr<Service> m_service;
+    std::unique_ptr<rpc::Listener> m_listener;
+};
+
+} // namespace swiftloft::agent
--- /dev/null
+++ b/src/agent/main.cc
@@ -0,0 +1,15 @@
+#include "src/agent/daemon.h"
+#include "src/process/program.h"
+
+using namespace swiftloft;
+
+int main(int argc, char** argv)
+{
+    return process::runDaemon(argc, argv, "swiftloft-agent", "The process in a backend server's slot: the only way to its engine.",
+        [](process::ProcessConfig config, Incarnation incarnation) {
+            if (!config.backendServer || !config.rpc)
+                throw Exception({ ErrorCode::MalformedInput, "an agent needs the keys 'backend-server' and 'rpc' in section '[process]'" });
+            agent::Daemon daemon(std::move(config), incarnation);
+            daemon.run();
+        });
+}
--- /dev/null
+++ b/src/agent/replay-buffer.cc
@@ -0,0 +1,25 @@
+#include "src/agent/replay-buffer.h"
+
+#include <algorithm>
+
+namespace swiftloft::agent {
+
+void ReplayBuffer::append(std::string_view bytes)
+{
+    m_bytes.append(bytes);
+    // Erasing moves what stays, so it waits until there is as much to drop as to keep.
+    if (m_bytes.size() < 2 * m_capacity)
+        return;
+    auto n = m_bytes.size() - m_capacity;
+    m_bytes.erase(0, n);
+    m_begin += n;
+}
+
+std::optional<std::string_view> ReplayBuffer::read(std::uint64_t offset, std::size_t most) const
+{
+    if (offset < m_begin || offset > end())
+        return std::nullopt;
+    return std::string_view(m_bytes).substr(offset - m_begin, most);
+}
+
+} // namespace swiftloft::agent
--- /dev/null
+++ b/src/agent/run.cc
@@ -0,0 +1,276 @@
+#include "src/agent/run.h"
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace swiftloft::agent {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::use_awaitable;
+
+namespace {
+
+constexpr std::size_t chunkBytes = 16 * 1024;
+constexpr std::size_t mostHeaderBytes = 64 * 1024;
+
+bool isHopByHop(http::field field)
+{
+    switch (field) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+        return true;
+    default:
+        return false;
+    }
+}
+
+std::size_t countEndToEnd(const http::fields& fields)
+{
+    return std::count_if(fields.begin(), fields.end(), [](auto& it) { return !isHopByHop(it.name()); });
+}
+
+kj::StringPtr toKj(beast::string_view text, std::string& holder)
+{
+    holder.assign(text.data(), text.size());
+    return { holder.data(), holder.size() };
+}
+
+void fillHead(rpc::schema::ResponseHead::Builder head, const http::response_header<>& from)
+{
+    head.setStatus(from.result_int());
+    auto headers = head.initHeaders(countEndToEnd(from));
+    std::size_t n = 0;
+    std::string holder;
+    for (auto& field : from) {
+        if (isHopByHop(field.name()))
+            continue;
+        auto header = headers[n++];
+        header.setName(toKj(field.name_string(), holder));
+        header.setValue(toKj(field.value(), holder));
+    }
+}
+
+} // namespace
+
+class Run::Digest {
+public:
+    Digest()
+        : m_state(XXH3_createState(), &XXH3_freeState)
+    {
+        XXH3_64bits_reset(m_state.get());
+    }
+
+    void add(std::string_view bytes) { XXH3_64bits_update(m_state.get(), bytes.data(), bytes.size()); }
+    std::uint64_t value() const { return XXH3_64bits_digest(m_state.get()); }
+
+private:
+    std::unique_ptr<XXH3_state_t, XXH_errorcode (*)(XXH3_state_t*)> m_state;
+};
+
+Run::Run(asio::io_context& ioContext, EngineClient& engine, EngineRequest request, TimePoint deadline, std::size_t bufferBytes)
+    : m_ioContext(ioContext)
+    , m_engine(engine)
+    , m_request(std::move(request))
+    , m_deadline(deadline)
+    , m_bufferBytes(bufferBytes)
+    , m_buffer(bufferBytes)
+    , m_digest(std::make_unique<Digest>())
+    , m_room(ioContext)
+{
+}
+
+Run::~Run() = default;
+
+void Run::start(OnEnded onEnded)
+{
+    m_onEnded = std::move(onEnded);
+    co_spawn(m_ioContext, execute(),
+        asio::bind_cancellation_slot(m_cancellation.slot(), [self = shared_from_this()](std::exception_ptr, RunEnd end) {
+            self->finish(end);
+        }));
+}
+
+void Run::stop()
+{
+    m_isStopped = true;
+    m_cancellation.emit(asio::cancellation_type::terminal);
+}
+
+asio::awaitable<RunEnd> Run::execute()
+{
+    try {
+        auto stream = co_await m_engine.connect(m_deadline, m_request.isRepeatable);
+        m_wasSent = true;
+        co_await http::async_write(stream, m_request.message, use_awaitable);
+        co_await readBody(stream);
+        co_return RunEnd::Answered;
+    } catch (const boost::system::system_error& error) {
+        if (m_isStopped)
+            co_return m_wasSent ? RunEnd::Cancelled : RunEnd::NotReached;
+        if (!m_wasSent)
+            co_return RunEnd::NotReached;
+        co_return error.code() == beast::error::timeout ? RunEnd::DeadlinePassed : RunEnd::Broken;
+    }
+}
+
+asio::awaitable<void> Run::readBody(beast::tcp_stream& stream)
+{
+    beast::flat_buffer buf;
+    http::response_parser<http::buffer_body> parser;
+    parser.header_limit(mostHeaderBytes);
+    parser.body_limit(boost::none);
+    co_await http::async_read_header(stream, buf, parser, use_awaitable);
+    m_head = parser.get().base();
+    wakeSubscribers();
+    std::array<char, chunkBytes> chunk;
+    while (!parser.is_done()) {
+        co_await waitForRoom();
+        parser.get().body().data = chunk.data();
+        parser.get().body().size = chunk.size();
+        parser.get().body().more = true;
+        boost::system::error_code ec;
+        co_await http::async_read_some(stream, buf, parser, asio::redirect_error(use_awaitable, ec));
+        if (ec && ec != http::error::need_buffer)
+            throw boost::system::system_error(ec);
+        std::string_view bytes(chunk.data(), chunk.size() - parser.get().body().size);
+        m_digest->add(bytes);
+        m_buffer.append(bytes);
+        wakeSubscribers();
+    }
+    if (parser.keep_alive())
+        m_engine.release(std::move(stream));
+}
+
+bool Run::hasRoom() const
+{
+    auto served = m_served;
+    auto isAttached = false;
+    for (auto& weak : m_subscribers) {
+        auto subscriber = weak.lock();
+        if (!subscriber)
+            continue;
+        served = isAttached ? std::min(served, subscriber->offset) : subscriber->offset;
+        isAttached = true;
+    }
+    return m_buffer.end() < served + m_bufferBytes;
+}
+
+// Reading on while no call takes the answer would drop bytes that a new connection is about to ask for; so the engine's
+// connection waits, until a call attaches or the deadline passes.
+asio::awaitable<void> Run::waitForRoom()
+{
+    while (!hasRoom()) {
+        m_room.expires_at(m_deadline);
+        boost::system::error_code ec;
+        co_await m_room.async_wait(asio::redirect_error(use_awaitable, ec));
+        if (!ec || m_isStopped)
+            throw boost::system::system_error(beast::error::timeout);
+    }
+}
+
+void Run::finish(RunEnd end)
+{
+    m_end = end;
+    wakeSubscribers();
+    if (m_onEnded)
+        m_onEnded(end);
+}
+
+void Run::wakeSubscribers()
+{
+    auto waiting = std::move(m_waiting);
+    m_waiting.clear();
+    for (auto& fulfiller : waiting)
+        fulfiller->fulfill();
+}
+
+kj::Promise<void> Run::untilChanged()
+{
+    auto changed = kj::newPromiseAndFulfiller<void>();
+    m_waiting.push_back(kj::mv(changed.fulfiller));
+    return kj::mv(changed.promise);
+}
+
+kj::Promise<CallOutcome> Run::attach(std::uint64_t offset, bool needsHead, rpc::schema::FrameSink::Client sink)
+{
+    auto subscriber = std::make_shared<Subscriber>(Subscriber { kj::mv(sink), offset, needsHead });
+    m_subscribers.remove_if([](auto& weak) { return weak.expired(); });
+    m_subscribers.push_back(subscriber);
+    m_room.cancel();
+    return pump(subscriber).attach(shared_from_this());
+}
+
+kj::Promise<CallOutcome> Run::pump(std::shared_ptr<Subscriber> subscriber)
+{
+    auto again = [this, subscriber]() { return pump(subscriber); };
+    if (subscriber->needsHead && m_head)
+        return sendHead(*subscriber).then(again);
+    auto bytes = m_buffer.read(subscriber->offset, chunkBytes);
+    if (!bytes) {
+        auto verdict = m_end == RunEnd::Answered ? Verdict::Ran : Verdict::MayHaveRun;
+        return CallOutcome { OutcomeKind::REFUSED, verdict, Reason::ANSWER_NOT_HELD };
+    }
+    if (!bytes->empty())
+        return sendData(*subscriber, *bytes).then(again);
+    if (m_end)
+        return sendEnd(*subscriber);
+    return untilChanged().then(again);
+}
+
+kj::Promise<void> Run::sendHead(Subscriber& subscriber)
+{
+    auto request = subscriber.sink.writeRequest();
+    fillHead(request.initFrame().initHead(), *m_head);
+    subscriber.needsHead = false;
+    return request.send();
+}
+
+kj::Promise<void> Run::sendData(Subscriber& subscriber, std::string_view bytes)
+{
+    auto request = subscriber.sink.writeRequest();
+    auto chunk = request.initFrame().initData();
+    chunk.setOffset(subscriber.offset);
+    chunk.setBytes(kj::ArrayPtr<const kj::byte>(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+    subscriber.offset += bytes.size();
+    m_served = subscriber.offset;
+    m_room.cancel();
+    return request.send();
+}
+
+kj::Promise<CallOutcome> Run::sendEnd(Subscriber& subscriber)
+{
+    switch (*m_end) {
+    case RunEnd::Answered:
+        break;
+    case RunEnd::NotReached:
+        return CallOutcome { OutcomeKind::REFUSED, Verdict::NotRun, Reason::ENGINE_DOWN };
+    case RunEnd::Cancelled:
+        return CallOutcome { OutcomeKind::CANCELLED, Verdict::MayHaveRun, Reason::NONE };
+    case RunEnd::DeadlinePassed:
+        return CallOutcome { OutcomeKind::ENGINE_FAILED, Verdict::MayHaveRun, Reason::DEADLINE };
+    case RunEnd::Broken:
+        return CallOutcome { OutcomeKind::ENGINE_FAILED, Verdict::MayHaveRun, Reason::ENGINE_CRASHED };
+    }
+    auto request = subscriber.sink.writeRequest();
+    auto end = request.initFrame().initEnd();
+    end.setLength(m_buffer.end());
+    end.setDigest(m_digest->value());
+    return request.send().then([]() { return CallOutcome { OutcomeKind::ANSWERED, Verdict::Ran, Reason::NONE }; });
+}
+
+} // namespace swiftloft::agent
--- /dev/null
+++ b/src/agent/service.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "src/agent/run.h"
+#include "src/rpc/agent.capnp.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace swiftloft::agent {
+
+struct ServiceOptions {
+    Incarnation incarnation;
+    std::size_t resumeBufferBytes { 256 * 1024 };
+};
+
+/// The traffic thread's side of an agent: takes calls from entries, asks the control thread what to do with each, and
+/// carries its answers out. Owns all requests in progress and the buffered answers of finished ones.
+class Service {
+public:
+    /// Hands an event to the control thread.
+    using Post = std::function<void(Event)>;
+
+    Service(boost::asio::io_context& ioContext, boost::asio::ip::tcp::endpoint engine, ServiceOptions options, Post post);
+    ~Service();
+
+    /// The RPC interface for a `Listener`.
+    capnp::Capability::Client bootstrap();
+
+    /// Carries out an effect of the reducer; on the traffic thread.
+    void perform(const Effect& effect);
+
+    /// Called once when the reducer has finished and every attached call has got its answer.
+    void setOnDrained(std::function<void()> onDrained) { m_onDrained = std::move(onDrained); }
+
+private:
+    using RunContext = capnp::CallContext<rpc::schema::Agent::RunParams, rpc::schema::Agent::RunResults>;
+    using CancelContext = capnp::CallContext<rpc::schema::Agent::CancelParams, rpc::schema::Agent::CancelResults>;
+
+    class Server;
+    struct Call;
+
+    kj::Promise<void> run(RunContext context);
+    kj::Promise<void> cancel(CancelContext context);
+    void report(rpc::schema::Report::Builder report) const;
+
+    void on(const StartRun& effect);
+    void on(const AttachCall& effect);
+    void on(const RefuseCall& effect);
+    void on(const AnswerCancel& effect);
+    void on(const StopRun& effect);
+    void on(const ForgetRun& effect);
+    void on(const Finish& effect);
+    void on(const PublishReport& effect);
+
+    CallId nextCall() { return CallId(++m_lastCall); }
+    void attach(const std::shared_ptr<Call>& call, const std::shared_ptr<Run>& run);
+    std::shared_ptr<Call> take(CallId id);
+    void reportIfDrained();
+
+    boost::asio::io_context& m_ioContext;
+    EngineClient m_engine;
+    ServiceOptions m_options;
+    Post m_post;
+    std::function<void()> m_onDrained;
+
+    std::uint64_t m_lastCall { 0 };
+    std::unordered_map<CallId, std::shared_ptr<Call>> m_calls;
+    std::unordered_map<CallId, kj::Own<kj::PromiseFulfiller<Verdict>>> m_cancels;
+    std::unordered_map<RequestKey, std::shared_ptr<Run>> m_runs;
+    PublishReport m_report;
+    std::size_t m_attached { 0 };
+    bool m_isFinished { false };
+};
+
+} // namespace swiftloft::agent
--- /dev/null
+++ b/src/process/signals.cc
@@ -0,0 +1,24 @@
+#include "src/process/signals.h"
+
+#include <csignal>
+
+namespace swiftloft::process {
+
+StopSignals::StopSignals(boost::asio::io_context& ioContext, std::function<void(int)> onStop)
+    : m_signals(ioContext, SIGTERM, SIGINT)
+    , m_onStop(std::move(onStop))
+{
+    wait();
+}
+
+void StopSignals::wait()
+{
+    m_signals.async_wait([this](boost::system::error_code ec, int) {
+        if (ec)
+            return;
+        m_onStop(++m_count);
+        wait();
+    });
+}
+
+} // namespace swiftloft::process
--- /dev/null
+++ b/src/process/signals.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <boost/asio/signal_set.hpp>
+
+#include <functional>
+
+namespace swiftloft::process {
+
+/// Calls `onStop` for the first SIGTERM or SIGINT: a graceful shutdown begins. A second one is left to the caller's
+/// hook as well, which may then stop at once.
+class StopSignals {
+public:
+    StopSignals(boost::asio::io_context& ioContext, std::function<void(int count)> onStop);
+
+private:
+    void wait();
+
+    boost::asio::signal_set m_signals;
+    std::function<void(int)> m_onStop;
+    int m_count { 0 };
+};
+
+} // namespace swiftloft::process
--- a/src/rpc/agent.capnp
+++ b/src/rpc/agent.capnp
@@ -32,6 +32,13 @@
   headers @10 :List(Header);
   body @11 :Data;
   runsAlone @12 :Bool;             # suspected of crashing backend servers: nothing else may run beside it
+  attempt @13 :AttemptId;
+}
+
+# One entry's try at a request. A key may see several tries; a cancelled or refused one never starts, the next may.
+struct AttemptId {
+  entry @0 :UInt64;                # incarnation of the entry
+  serial @1 :UInt64;
 }
 
 struct ResponseHead {
@@ -81,8 +88,7 @@
   deadline @7;
   unknownKey @8;
   answerNotHeld @9;                # it ran, but the bytes asked for are no longer buffered
-  runningElsewhere @10;            # another connection has taken the stream over
-  quarantined @11;
+  quarantined @10;
 }
 
 struct Outcome {
@@ -106,12 +112,12 @@
   # Identifies the agent and doubles as heartbeat. Suspects and convictions known to the entry travel with it.
   report @0 (entry :Text, suspects :List(UInt64), convicted :List(UInt64)) -> (report :Report);
 
-  # Starts a request, or attaches to it when its key is already known. Frames from body offset `offset` on go to sink.
-  run @1 (request :Request, sink :FrameSink) -> (outcome :Outcome);
-
-  # Attaches to a request that was handed over before; never starts one.
-  attach @2 (key :Text, incarnation :UInt64, offset :UInt64, needsHead :Bool, sink :FrameSink) -> (outcome :Outcome);
+  # Starts a request, or attaches to it when its key is already known: handing the same request over again, on this or
+  # another connection, never starts it twice. Frames from body offset `offset` on go to sink; the head comes first when
+  # it is asked for.
+  run @1 (request :Request, offset :UInt64, needsHead :Bool, sink :FrameSink) -> (outcome :Outcome);
 
-  # Stops a request. One that had not started never will: its key becomes a tombstone, and the verdict is notRun.
-  cancel @3 (key :Text, incarnation :UInt64) -> (verdict :Verdict);
+  # Gives a try up. One that had not started never will, and the verdict is notRun. A request that runs is stopped
+  # unless a later try has taken it over.
+  cancel @2 (key :Text, incarnation :UInt64, attempt :AttemptId) -> (verdict :Verdict);
 }
--- a/src/rpc/agent.capnp.h
+++ b/src/rpc/agent.capnp.h
@@ -28,6 +28,7 @@
 CAPNP_DECLARE_ENUM(Verdict, a4e42933e1ed7e1b);
 CAPNP_DECLARE_SCHEMA(e9af32ddd54de181);
 CAPNP_DECLARE_SCHEMA(9ef0f5a797c9478f);
+CAPNP_DECLARE_SCHEMA(ba289c32fb1e232b);
 CAPNP_DECLARE_SCHEMA(8fdb481226460212);
 CAPNP_DECLARE_SCHEMA(dff5e04771d70455);
 CAPNP_DECLARE_SCHEMA(fe0e25a89b211ef6);
@@ -54,7 +55,6 @@
   DEADLINE,
   UNKNOWN_KEY,
   ANSWER_NOT_HELD,
-  RUNNING_ELSEWHERE,
   QUARANTINED,
 };
 CAPNP_DECLARE_ENUM(Reason, 94bb354a6c22af96);
@@ -67,8 +67,6 @@
 CAPNP_DECLARE_SCHEMA(b1b4856eb080df26);
 CAPNP_DECLARE_SCHEMA(90fa89e1871a3f1f);
 CAPNP_DECLARE_SCHEMA(8847d64a960bcbf2);
-CAPNP_DECLARE_SCHEMA(e8b411415e1ce21c);
-CAPNP_DECLARE_SCHEMA(861d9c5fa8207683);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -102,7 +100,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9ef0f5a797c9478f, 3, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(9ef0f5a797c9478f, 3, 8)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AttemptId {
+  AttemptId() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ba289c32fb1e232b, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -253,8 +266,6 @@
   struct ReportResults;
   struct RunParams;
   struct RunResults;
-  struct AttachParams;
-  struct AttachResults;
   struct CancelParams;
   struct CancelResults;
 
@@ -304,7 +315,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a1a1709b17381f88, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a1a1709b17381f88, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -326,36 +337,6 @@
   };
 };
 
-struct Agent::AttachParams {
-  AttachParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(90fa89e1871a3f1f, 3, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Agent::AttachResults {
-  AttachResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8847d64a960bcbf2, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
 struct Agent::CancelParams {
   CancelParams() = delete;
 
@@ -364,7 +345,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e8b411415e1ce21c, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(90fa89e1871a3f1f, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -379,7 +360,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(861d9c5fa8207683, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8847d64a960bcbf2, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -529,6 +510,9 @@
 
   inline bool getRunsAlone() const;
 
+  inline bool hasAttempt() const;
+  inline  ::swiftloft::rpc::schema::AttemptId::Reader getAttempt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -624,6 +608,13 @@
   inline bool getRunsAlone();
   inline void setRunsAlone(bool value);
 
+  inline bool hasAttempt();
+  inline  ::swiftloft::rpc::schema::AttemptId::Builder getAttempt();
+  inline void setAttempt( ::swiftloft::rpc::schema::AttemptId::Reader value);
+  inline  ::swiftloft::rpc::schema::AttemptId::Builder initAttempt();
+  inline void adoptAttempt(::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId> disownAttempt();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -642,6 +633,88 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::swiftloft::rpc::schema::AttemptId::Pipeline getAttempt();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class AttemptId::Reader {
+public:
+  typedef AttemptId Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEntry() const;
+
+  inline  ::uint64_t getSerial() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AttemptId::Builder {
+public:
+  typedef AttemptId Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEntry();
+  inline void setEntry( ::uint64_t value);
+
+  inline  ::uint64_t getSerial();
+  inline void setSerial( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AttemptId::Pipeline {
+public:
+  typedef AttemptId Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1373,8 +1446,6 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::swiftloft::rpc::schema::Agent::RunParams,  ::swiftloft::rpc::schema::Agent::RunResults> runRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::swiftloft::rpc::schema::Agent::AttachParams,  ::swiftloft::rpc::schema::Agent::AttachResults> attachRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::swiftloft::rpc::schema::Agent::CancelParams,  ::swiftloft::rpc::schema::Agent::CancelResults> cancelRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
@@ -1401,10 +1472,6 @@
   typedef  ::swiftloft::rpc::schema::Agent::RunResults RunResults;
   typedef ::capnp::CallContext<RunParams, RunResults> RunContext;
   virtual ::kj::Promise<void> run(RunContext context);
-  typedef  ::swiftloft::rpc::schema::Agent::AttachParams AttachParams;
-  typedef  ::swiftloft::rpc::schema::Agent::AttachResults AttachResults;
-  typedef ::capnp::CallContext<AttachParams, AttachResults> AttachContext;
-  virtual ::kj::Promise<void> attach(AttachContext context);
   typedef  ::swiftloft::rpc::schema::Agent::CancelParams CancelParams;
   typedef  ::swiftloft::rpc::schema::Agent::CancelResults CancelResults;
   typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
@@ -1626,6 +1693,10 @@
   inline bool hasRequest() const;
   inline  ::swiftloft::rpc::schema::Request::Reader getRequest() const;
 
+  inline  ::uint64_t getOffset() const;
+
+  inline bool getNeedsHead() const;
+
   inline bool hasSink() const;
 #if !CAPNP_LITE
   inline  ::swiftloft::rpc::schema::FrameSink::Client getSink() const;
@@ -1666,6 +1737,12 @@
   inline void adoptRequest(::capnp::Orphan< ::swiftloft::rpc::schema::Request>&& value);
   inline ::capnp::Orphan< ::swiftloft::rpc::schema::Request> disownRequest();
 
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
+
+  inline bool getNeedsHead();
+  inline void setNeedsHead(bool value);
+
   inline bool hasSink();
 #if !CAPNP_LITE
   inline  ::swiftloft::rpc::schema::FrameSink::Client getSink();
@@ -1785,199 +1862,6 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::AttachParams::Reader {
-public:
-  typedef AttachParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
-
-  inline  ::uint64_t getIncarnation() const;
-
-  inline  ::uint64_t getOffset() const;
-
-  inline bool getNeedsHead() const;
-
-  inline bool hasSink() const;
-#if !CAPNP_LITE
-  inline  ::swiftloft::rpc::schema::FrameSink::Client getSink() const;
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Agent::AttachParams::Builder {
-public:
-  typedef AttachParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline  ::uint64_t getOffset();
-  inline void setOffset( ::uint64_t value);
-
-  inline bool getNeedsHead();
-  inline void setNeedsHead(bool value);
-
-  inline bool hasSink();
-#if !CAPNP_LITE
-  inline  ::swiftloft::rpc::schema::FrameSink::Client getSink();
-  inline void setSink( ::swiftloft::rpc::schema::FrameSink::Client&& value);
-  inline void setSink( ::swiftloft::rpc::schema::FrameSink::Client& value);
-  inline void adoptSink(::capnp::Orphan< ::swiftloft::rpc::schema::FrameSink>&& value);
-  inline ::capnp::Orphan< ::swiftloft::rpc::schema::FrameSink> disownSink();
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Agent::AttachParams::Pipeline {
-public:
-  typedef AttachParams Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::swiftloft::rpc::schema::FrameSink::Client getSink();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Agent::AttachResults::Reader {
-public:
-  typedef AttachResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasOutcome() const;
-  inline  ::swiftloft::rpc::schema::Outcome::Reader getOutcome() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Agent::AttachResults::Builder {
-public:
-  typedef AttachResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasOutcome();
-  inline  ::swiftloft::rpc::schema::Outcome::Builder getOutcome();
-  inline void setOutcome( ::swiftloft::rpc::schema::Outcome::Reader value);
-  inline  ::swiftloft::rpc::schema::Outcome::Builder initOutcome();
-  inline void adoptOutcome(::capnp::Orphan< ::swiftloft::rpc::schema::Outcome>&& value);
-  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Outcome> disownOutcome();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Agent::AttachResults::Pipeline {
-public:
-  typedef AttachResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::swiftloft::rpc::schema::Outcome::Pipeline getOutcome();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
 class Agent::CancelParams::Reader {
 public:
   typedef CancelParams Reads;
@@ -2000,6 +1884,9 @@
 
   inline  ::uint64_t getIncarnation() const;
 
+  inline bool hasAttempt() const;
+  inline  ::swiftloft::rpc::schema::AttemptId::Reader getAttempt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2038,6 +1925,13 @@
   inline  ::uint64_t getIncarnation();
   inline void setIncarnation( ::uint64_t value);
 
+  inline bool hasAttempt();
+  inline  ::swiftloft::rpc::schema::AttemptId::Builder getAttempt();
+  inline void setAttempt( ::swiftloft::rpc::schema::AttemptId::Reader value);
+  inline  ::swiftloft::rpc::schema::AttemptId::Builder initAttempt();
+  inline void adoptAttempt(::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId> disownAttempt();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2056,6 +1950,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::swiftloft::rpc::schema::AttemptId::Pipeline getAttempt();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2532,6 +2427,73 @@
       ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Request::Reader::hasAttempt() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasAttempt() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::swiftloft::rpc::schema::AttemptId::Reader Request::Reader::getAttempt() const {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::swiftloft::rpc::schema::AttemptId::Builder Request::Builder::getAttempt() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::swiftloft::rpc::schema::AttemptId::Pipeline Request::Pipeline::getAttempt() {
+  return  ::swiftloft::rpc::schema::AttemptId::Pipeline(_typeless.getPointerField(7));
+}
+#endif  // !CAPNP_LITE
+inline void Request::Builder::setAttempt( ::swiftloft::rpc::schema::AttemptId::Reader value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::swiftloft::rpc::schema::AttemptId::Builder Request::Builder::initAttempt() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::adoptAttempt(
+    ::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId>&& value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId> Request::Builder::disownAttempt() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t AttemptId::Reader::getEntry() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AttemptId::Builder::getEntry() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AttemptId::Builder::setEntry( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AttemptId::Reader::getSerial() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AttemptId::Builder::getSerial() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AttemptId::Builder::setSerial( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint16_t ResponseHead::Reader::getStatus() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3290,6 +3252,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Agent::RunParams::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Agent::RunParams::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Agent::RunParams::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Agent::RunParams::Reader::getNeedsHead() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Agent::RunParams::Builder::getNeedsHead() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Agent::RunParams::Builder::setNeedsHead(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Agent::RunParams::Reader::hasSink() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
@@ -3368,206 +3358,91 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Agent::AttachParams::Reader::hasKey() const {
+inline bool Agent::CancelParams::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::AttachParams::Builder::hasKey() {
+inline bool Agent::CancelParams::Builder::hasKey() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Agent::AttachParams::Reader::getKey() const {
+inline  ::capnp::Text::Reader Agent::CancelParams::Reader::getKey() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Agent::AttachParams::Builder::getKey() {
+inline  ::capnp::Text::Builder Agent::CancelParams::Builder::getKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Agent::AttachParams::Builder::setKey( ::capnp::Text::Reader value) {
+inline void Agent::CancelParams::Builder::setKey( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Agent::AttachParams::Builder::initKey(unsigned int size) {
+inline  ::capnp::Text::Builder Agent::CancelParams::Builder::initKey(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Agent::AttachParams::Builder::adoptKey(
+inline void Agent::CancelParams::Builder::adoptKey(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Agent::AttachParams::Builder::disownKey() {
+inline ::capnp::Orphan< ::capnp::Text> Agent::CancelParams::Builder::disownKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Agent::AttachParams::Reader::getIncarnation() const {
+inline  ::uint64_t Agent::CancelParams::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Agent::AttachParams::Builder::getIncarnation() {
+inline  ::uint64_t Agent::CancelParams::Builder::getIncarnation() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Agent::AttachParams::Builder::setIncarnation( ::uint64_t value) {
+inline void Agent::CancelParams::Builder::setIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Agent::AttachParams::Reader::getOffset() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Agent::AttachParams::Builder::getOffset() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Agent::AttachParams::Builder::setOffset( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Agent::AttachParams::Reader::getNeedsHead() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-
-inline bool Agent::AttachParams::Builder::getNeedsHead() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-inline void Agent::AttachParams::Builder::setNeedsHead(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Agent::AttachParams::Reader::hasSink() const {
+inline bool Agent::CancelParams::Reader::hasAttempt() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::AttachParams::Builder::hasSink() {
+inline bool Agent::CancelParams::Builder::hasAttempt() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-#if !CAPNP_LITE
-inline  ::swiftloft::rpc::schema::FrameSink::Client Agent::AttachParams::Reader::getSink() const {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::FrameSink>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::swiftloft::rpc::schema::FrameSink::Client Agent::AttachParams::Builder::getSink() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::FrameSink>::get(_builder.getPointerField(
+inline  ::swiftloft::rpc::schema::AttemptId::Reader Agent::CancelParams::Reader::getAttempt() const {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::swiftloft::rpc::schema::FrameSink::Client Agent::AttachParams::Pipeline::getSink() {
-  return  ::swiftloft::rpc::schema::FrameSink::Client(_typeless.getPointerField(1).asCap());
-}
-inline void Agent::AttachParams::Builder::setSink( ::swiftloft::rpc::schema::FrameSink::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::FrameSink>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
-}
-inline void Agent::AttachParams::Builder::setSink( ::swiftloft::rpc::schema::FrameSink::Client& cap) {
-  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::FrameSink>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
-}
-inline void Agent::AttachParams::Builder::adoptSink(
-    ::capnp::Orphan< ::swiftloft::rpc::schema::FrameSink>&& value) {
-  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::FrameSink>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::swiftloft::rpc::schema::FrameSink> Agent::AttachParams::Builder::disownSink() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::FrameSink>::disown(_builder.getPointerField(
+inline  ::swiftloft::rpc::schema::AttemptId::Builder Agent::CancelParams::Builder::getAttempt() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-
-inline bool Agent::AttachResults::Reader::hasOutcome() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Agent::AttachResults::Builder::hasOutcome() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::swiftloft::rpc::schema::Outcome::Reader Agent::AttachResults::Reader::getOutcome() const {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Outcome>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::swiftloft::rpc::schema::Outcome::Builder Agent::AttachResults::Builder::getOutcome() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Outcome>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
 #if !CAPNP_LITE
-inline  ::swiftloft::rpc::schema::Outcome::Pipeline Agent::AttachResults::Pipeline::getOutcome() {
-  return  ::swiftloft::rpc::schema::Outcome::Pipeline(_typeless.getPointerField(0));
+inline  ::swiftloft::rpc::schema::AttemptId::Pipeline Agent::CancelParams::Pipeline::getAttempt() {
+  return  ::swiftloft::rpc::schema::AttemptId::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void Agent::AttachResults::Builder::setOutcome( ::swiftloft::rpc::schema::Outcome::Reader value) {
-  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Outcome>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::swiftloft::rpc::schema::Outcome::Builder Agent::AttachResults::Builder::initOutcome() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Outcome>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Agent::AttachResults::Builder::adoptOutcome(
-    ::capnp::Orphan< ::swiftloft::rpc::schema::Outcome>&& value) {
-  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Outcome>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::swiftloft::rpc::schema::Outcome> Agent::AttachResults::Builder::disownOutcome() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Outcome>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Agent::CancelParams::Reader::hasKey() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Agent::CancelParams::Builder::hasKey() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Agent::CancelParams::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Agent::CancelParams::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Agent::CancelParams::Builder::setKey( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Agent::CancelParams::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Agent::CancelParams::Builder::adoptKey(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Agent::CancelParams::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Agent::CancelParams::Builder::setAttempt( ::swiftloft::rpc::schema::AttemptId::Reader value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t Agent::CancelParams::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::swiftloft::rpc::schema::AttemptId::Builder Agent::CancelParams::Builder::initAttempt() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Agent::CancelParams::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Agent::CancelParams::Builder::adoptAttempt(
+    ::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId>&& value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Agent::CancelParams::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId> Agent::CancelParams::Builder::disownAttempt() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline  ::swiftloft::rpc::schema::Verdict Agent::CancelResults::Reader::getVerdict() const {
