--- /dev/null
+++ b/standin/run-log.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <fstream>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace swiftloft::standin {
+
+/// What a backend server has run: the witness that a request ran at most once.
+///
+/// With a file, each start is on disk before the request runs, so that the record outlives a crash; a later process
+/// with the same file goes on from there.
+class RunLog {
+public:
+    explicit RunLog(const std::string& path);
+
+    /// Records that a request begins to run and gives the number to finish it with.
+    std::size_t start(std::string_view key, std::uint64_t fingerprint, std::int64_t resumeFrom = 0);
+    void finish(std::size_t id, std::int64_t tokens, std::string_view outcome);
+
+    /// How often requests with `key` began to run.
+    std::int64_t countOf(const std::string& key) const;
+    std::string toJson() const;
+
+private:
+    struct Entry {
+        std::string key;
+        std::uint64_t fingerprint { 0 };
+        std::int64_t resumeFrom { 0 };
+        std::int64_t startedMs { 0 };
+        std::int64_t finishedMs { 0 };
+        std::int64_t tokens { 0 };
+        std::string outcome { "running" };
+    };
+
+    void load(const std::string& path);
+    void append(std::string_view line);
+    void add(Entry);
+
+    std::vector<Entry> m_entries;
+    std::unordered_map<std::string, std::int64_t> m_counts;
+    std::ofstream m_file;
+};
+
+} // namespace swiftloft::standin
