--- a/standin/plain-main.cc
+++ b/standin/plain-main.cc
@@ -19,6 +19,8 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds hangPoll { 5 };
+
 class PlainService {
 public:
     PlainService(asio::io_context& io, std::string id, const std::string& runLogFile)
@@ -34,8 +36,8 @@
             co_await setFault(exchange);
             co_return;
         }
-        if (m_fault == "hang")
-            co_await pause(std::chrono::hours(24));
+        while (m_fault == "hang")
+            co_await pause(hangPoll);
         if (exchange.path() == "/admin/runs")
             co_await exchange.replyJson(HttpStatus::ok, m_runLog.toJson());
         else if (exchange.path() == "/load")
