--- a/include/swiftloft/settings/tree.h
+++ b/include/swiftloft/settings/tree.h
@@ -66,6 +66,8 @@
     /// All sections, in their order in the text.
     std::vector<NodeId> nodes() const;
     bool contains(const NodeId& node) const;
+    /// The node that `node` inherits from; nothing for the defaults, an organisation at a service, and unknown nodes.
+    std::optional<NodeId> parentOf(const NodeId& node) const;
 
     /// Names without templates, in their order in the text.
     std::vector<ServiceName> services() const;
--- a/src/settings/tree.cc
+++ b/src/settings/tree.cc
@@ -87,6 +87,14 @@
     return m_data->find(node) != nullptr;
 }
 
+std::optional<NodeId> Tree::parentOf(const NodeId& id) const
+{
+    auto node = m_data->find(id);
+    if (!node || id.kind == NodeKind::Defaults || id.kind == NodeKind::OrganisationAtService)
+        return std::nullopt;
+    return m_data->parentOf(*node).id;
+}
+
 std::vector<ServiceName> Tree::services() const
 {
     return namesOf<ServiceName>(*m_data, NodeKind::Service);
--- a/src/settings/value.cc
+++ b/src/settings/value.cc
@@ -196,6 +196,7 @@
     if (hours.ranges.empty())
         return "none";
     std::vector<std::string> pieces;
+    pieces.reserve(hours.ranges.size());
     for (auto& range : hours.ranges)
         pieces.push_back(formatTimeOfDay(range.from) + "-" + formatTimeOfDay(range.to));
     auto sign = hours.utcOffset < minutes(0) ? '-' : '+';
