Route by expected wait, cached prefix and what was seen of each server

Cause: load reports lag, so the idlest server of the last report draws everything until the next; a slow engine reports the same backlog as a fast one; sharing a prefix is worth a prefill but must not build a queue.

The expected wait is the report, corrected by own sends since its sample time, over the speed, times the slowness seen. Small services are compared in full, large ones by a few random samples, so a choice does not scan. The prefix index is a fixed four-way table, one cache line a lookup; a wrong entry costs one prefill, so lost cache events need no repair.

Two guards (own sends, sample time) first passed their tests when taken out: own work in flight hid the difference. The tests now report a backlog and fail without either.

--- /dev/null
+++ b/include/swiftloft/policy/prefix-index.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <swiftloft/policy/server-handle.h>
+#include <swiftloft/result.h>
+#include <swiftloft/units.h>
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace swiftloft::policy {
+
+/// Hash of a prompt from its start to the end of one block: equal hashes mean equal prefixes.
+using BlockHash = Strong<struct BlockHashTag, std::uint64_t>;
+
+struct PrefixBlockOptions {
+    Bytes blockSize { 1024 };
+    std::size_t maximumBlocks { 8 };
+};
+
+/// Hashes of the prefixes of `prompt` that end at whole blocks, shortest first. `salt` keeps models and adapters apart.
+std::vector<BlockHash> prefixBlocks(std::string_view prompt, std::uint64_t salt, const PrefixBlockOptions& options);
+
+struct PrefixIndexOptions {
+    /// Places remembered; rounded up to a power of two of buckets of four. One place takes 16 bytes.
+    std::size_t capacity { 1 << 16 };
+    /// A place not confirmed for so long is no longer believed: engines evict without telling.
+    seconds forgetAfter { 300 };
+};
+
+/// Which backend servers lately held which prompt prefix in their cache, as far as this entry knows.
+///
+/// A four-way set-associative table: fixed memory, one cache line a lookup, the least recently used of four makes room.
+/// It is a hint. A wrong entry costs one prefill, so lost and late cache events need no repair.
+class PrefixIndex {
+public:
+    struct Holder {
+        ServerHandle server;
+        /// Blocks of the prompt the server is believed to hold.
+        std::size_t blocks { 0 };
+    };
+    static constexpr std::size_t maximumHolders = 4;
+    using Holders = std::array<Holder, maximumHolders>;
+
+    static Result<PrefixIndex> create(PrefixIndexOptions options);
+
+    /// Notes that `server` computed, and so now caches, every prefix in `blocks`.
+    void remember(std::span<const BlockHash> blocks, ServerHandle server, TimePoint now);
+    /// Fills `holders` with the servers of the longest prefix that has any; returns how many there are.
+    std::size_t find(std::span<const BlockHash> blocks, TimePoint now, Holders& holders) const;
+    void evict(BlockHash block, ServerHandle server);
+    /// Forgets all of `server` in constant time: after a restart, or a gap in its cache events.
+    void forget(ServerHandle server);
+
+private:
+    static constexpr std::size_t ways = maximumHolders;
+    static constexpr std::uint32_t noEpoch = 0;
+
+    struct Place {
+        std::uint32_t tag { 0 };
+        std::uint32_t slot { 0 };
+        std::uint32_t epoch { noEpoch };
+        std::uint32_t usedAt { 0 };
+    };
+    struct alignas(64) Bucket {
+        std::array<Place, ways> places;
+    };
+
+    PrefixIndex(std::size_t buckets, seconds forgetAfter);
+    Bucket& bucketOf(BlockHash block) { return m_buckets[block.value() & (m_buckets.size() - 1)]; }
+    const Bucket& bucketOf(BlockHash block) const { return m_buckets[block.value() & (m_buckets.size() - 1)]; }
+    bool isBelieved(const Place& place, std::uint32_t tag, std::uint32_t now) const;
+    void rememberBlock(BlockHash block, ServerHandle server, std::uint32_t now);
+
+    std::vector<Bucket> m_buckets;
+    std::vector<std::uint32_t> m_epochs;
+    std::vector<std::uint32_t> m_generations;
+    std::uint32_t m_forgetAfter;
+};
+
+} // namespace swiftloft::policy
--- /dev/null
+++ b/src/policy/router.cc
@@ -0,0 +1,359 @@
+#include <swiftloft/policy/router.h>
+
+#include "src/policy/server-table.h"
+
+#include <boost/random/uniform_int_distribution.hpp>
+
+#include <algorithm>
+
+namespace swiftloft::policy {
+
+using internal::Server;
+using internal::ServerTable;
+using internal::Tier;
+using internal::tierCount;
+
+namespace {
+
+constexpr double microsecondsPerSecond = 1e6;
+
+struct Candidate {
+    std::uint32_t slot { 0 };
+    /// Expected times in microseconds.
+    double wait { 0 };
+    double firstByte { 0 };
+    std::size_t cachedBlocks { 0 };
+};
+
+Tokens uncachedPrompt(const RouteRequest& request, std::size_t cachedBlocks)
+{
+    if (!cachedBlocks)
+        return request.promptTokens;
+    // The last, partial block is counted with the whole ones: at most one block of error.
+    auto blocks = static_cast<std::int64_t>(request.prefix.size());
+    auto missing = blocks - std::min<std::int64_t>(blocks, static_cast<std::int64_t>(cachedBlocks));
+    return Tokens(request.promptTokens.value() * missing / blocks);
+}
+
+bool wasTried(const RouteRequest& request, ServerHandle server)
+{
+    return std::find(request.tried.begin(), request.tried.end(), server) != request.tried.end();
+}
+
+} // namespace
+
+std::string_view toString(RouteReason reason)
+{
+    switch (reason) {
+    case RouteReason::LeastWait:
+        return "least-wait";
+    case RouteReason::PrefixCached:
+        return "prefix-cached";
+    case RouteReason::Spilled:
+        return "spilled";
+    case RouteReason::Probe:
+        return "probe";
+    }
+    return "unknown";
+}
+
+std::string_view toString(ServerState state)
+{
+    switch (state) {
+    case ServerState::Active:
+        return "active";
+    case ServerState::Ejected:
+        return "ejected";
+    case ServerState::Leaving:
+        return "leaving";
+    }
+    return "unknown";
+}
+
+class Router::State {
+public:
+    State(RouterOptions settings, PrefixIndex index)
+        : options(std::move(settings))
+        , prefixes(std::move(index))
+    {
+    }
+
+    Tier tierOf(const ServerDescription& description) const
+    {
+        if (description.dataCentre == options.dataCentre)
+            return Tier::DataCentre;
+        return description.region == options.region ? Tier::Region : Tier::Far;
+    }
+
+    Candidate measure(std::uint32_t slot, std::size_t cachedBlocks, const RouteRequest& request, TimePoint now) const
+    {
+        auto& server = servers.slot(slot);
+        auto pending = std::max(server.reported + server.ownSinceReport, server.ownInFlight);
+        auto speed = server.tokensPerSecond > 0 ? server.tokensPerSecond : options.defaultTokensPerSecond;
+        auto perToken = server.health.slowFactor(options.health, now) * microsecondsPerSecond / speed;
+        auto wait = penalty(server.tier) + static_cast<double>(pending.value()) * perToken;
+        auto prefill = static_cast<double>(uncachedPrompt(request, cachedBlocks).value()) * perToken;
+        return { slot, wait, wait + prefill, cachedBlocks };
+    }
+
+    double penalty(Tier tier) const
+    {
+        switch (tier) {
+        case Tier::DataCentre:
+            return 0;
+        case Tier::Region:
+            return static_cast<double>(microseconds(options.regionPenalty).count());
+        case Tier::Far:
+            break;
+        }
+        return static_cast<double>(microseconds(options.farPenalty).count());
+    }
+
+    std::optional<Candidate> bestOf(Tier tier, const RouteRequest& request, TimePoint now, Generator& generator) const
+    {
+        auto& active = servers.active(tier);
+        if (active.empty())
+            return std::nullopt;
+        boost::random::uniform_int_distribution<std::size_t> draw(0, active.size() - 1);
+        bool comparesAll = active.size() <= options.compareAllUpTo;
+        auto n = comparesAll ? active.size() : options.samples;
+        // Starting anywhere spreads equal servers.
+        auto start = draw(generator);
+        std::optional<Candidate> best;
+        for (std::size_t i = 0; i < n; ++i) {
+            auto slot = comparesAll ? active[(start + i) % active.size()] : active[draw(generator)];
+            if (wasTried(request, servers.handleOf(slot)))
+                continue;
+            auto candidate = measure(slot, 0, request, now);
+            if (!best || candidate.wait < best->wait)
+                best = candidate;
+        }
+        return best;
+    }
+
+    std::optional<Candidate> bestOfAllTiers(const RouteRequest& request, TimePoint now, Generator& generator) const
+    {
+        auto spillAfter = static_cast<double>(microseconds(options.spillAfter).count());
+        std::optional<Candidate> best;
+        for (std::size_t i = 0; i < tierCount; ++i) {
+            auto candidate = bestOf(static_cast<Tier>(i), request, now, generator);
+            if (candidate && (!best || candidate->wait < best->wait))
+                best = candidate;
+            if (best && best->wait <= spillAfter)
+                break;
+        }
+        return best;
+    }
+
+    std::optional<Candidate> bestHolder(const RouteRequest& request, TimePoint now) const
+    {
+        PrefixIndex::Holders holders;
+        auto n = prefixes.find(request.prefix, now, holders);
+        std::optional<Candidate> best;
+        for (std::size_t i = 0; i < n; ++i) {
+            auto* server = servers.at(holders[i].server);
+            if (!server || server->state != ServerState::Active || wasTried(request, holders[i].server))
+                continue;
+            auto candidate = measure(holders[i].server.slot, holders[i].blocks, request, now);
+            if (!best || candidate.wait < best->wait)
+                best = candidate;
+        }
+        return best;
+    }
+
+    RouteChoice choiceOf(const Candidate& candidate, RouteReason reason, const RouteRequest& request) const
+    {
+        RouteChoice choice;
+        choice.server = servers.handleOf(candidate.slot);
+        choice.reason = reason;
+        choice.charged = uncachedPrompt(request, candidate.cachedBlocks) + request.expectedOutput;
+        choice.expectedFirstByte = microseconds(static_cast<std::int64_t>(candidate.firstByte));
+        choice.cachedBlocks = candidate.cachedBlocks;
+        return choice;
+    }
+
+    /// Guards against a hot spot: a prefix that most requests share would draw all of them to its first holder, whose
+    /// queue grows while others idle. The holder is taken only while its wait stays near the best one's; the server
+    /// taken instead becomes a holder too, so the prefix spreads as far as its traffic needs.
+    bool isAffinityWorthIt(const Candidate& holder, const Candidate& best) const
+    {
+        auto saved = best.firstByte - best.wait - (holder.firstByte - holder.wait);
+        return holder.wait <= options.affinityFactor * best.wait + std::max(0.0, saved);
+    }
+
+    RouterOptions options;
+    ServerTable servers;
+    PrefixIndex prefixes;
+    ServiceBaseline baseline;
+};
+
+Router::Router(std::unique_ptr<State> state)
+    : m_state(std::move(state))
+{
+}
+Router::Router(Router&&) noexcept = default;
+Router& Router::operator=(Router&&) noexcept = default;
+Router::~Router() = default;
+
+Result<Router> Router::create(RouterOptions options)
+{
+    if (!options.samples || !(options.defaultTokensPerSecond > 0))
+        return Error { ErrorCode::InvalidArgument, "router: samples and default speed must be positive" };
+    if (!(options.affinityFactor >= 0) || !(options.minimumActive >= 0 && options.minimumActive <= 1))
+        return Error { ErrorCode::InvalidArgument, "router: affinity factor must not be negative, minimum active must be 0 to 1" };
+    auto prefixes = PrefixIndex::create(options.prefixes);
+    if (!prefixes)
+        return prefixes.error();
+    return Router(std::make_unique<State>(std::move(options), std::move(*prefixes)));
+}
+
+ServerHandle Router::add(const ServerDescription& description)
+{
+    return m_state->servers.add(description, m_state->tierOf(description));
+}
+
+void Router::remove(ServerHandle server)
+{
+    m_state->prefixes.forget(server);
+    m_state->servers.remove(server);
+}
+
+void Router::leaving(ServerHandle server)
+{
+    m_state->servers.leave(server);
+}
+
+std::optional<ServerHandle> Router::find(const BackendServerId& id) const
+{
+    return m_state->servers.find(id);
+}
+
+const BackendServerId* Router::idOf(ServerHandle server) const
+{
+    auto* found = m_state->servers.at(server);
+    return found ? &found->id : nullptr;
+}
+
+std::size_t Router::size() const
+{
+    return m_state->servers.size();
+}
+
+std::optional<RouteChoice> Router::choose(const RouteRequest& request, TimePoint now, Generator& generator) const
+{
+    auto due = m_state->servers.dueForProbe(now);
+    // Only a request that can be sent again may be risked on a server that failed before.
+    if (due && request.isRepeatable && !wasTried(request, m_state->servers.handleOf(*due)))
+        return m_state->choiceOf(m_state->measure(*due, 0, request, now), RouteReason::Probe, request);
+    auto best = m_state->bestOfAllTiers(request, now, generator);
+    auto holder = m_state->bestHolder(request, now);
+    if (holder && (!best || m_state->isAffinityWorthIt(*holder, *best)))
+        return m_state->choiceOf(*holder, RouteReason::PrefixCached, request);
+    if (!best)
+        return std::nullopt;
+    bool isLocal = m_state->servers.slot(best->slot).tier == Tier::DataCentre;
+    return m_state->choiceOf(*best, isLocal ? RouteReason::LeastWait : RouteReason::Spilled, request);
+}
+
+void Router::onStart(const RouteChoice& choice, const RouteRequest& request, TimePoint now)
+{
+    auto* server = m_state->servers.at(choice.server);
+    if (!server)
+        return;
+    server->ownInFlight += choice.charged;
+    server->ownSinceReport += choice.charged;
+    server->recent.add(now, choice.charged);
+    if (choice.reason == RouteReason::Probe)
+        m_state->servers.suspendProbe(choice.server.slot);
+    m_state->prefixes.remember(request.prefix, choice.server, now);
+}
+
+void Router::onFirstByte(const RouteChoice& choice, microseconds observed, TimePoint now)
+{
+    if (auto* server = m_state->servers.at(choice.server))
+        server->health.onFirstByte(choice.expectedFirstByte, observed, m_state->baseline, m_state->options.health, now);
+}
+
+void Router::onTokenGap(ServerHandle server, microseconds gap, TimePoint now)
+{
+    if (auto* found = m_state->servers.at(server))
+        found->health.onTokenGap(gap, m_state->baseline, m_state->options.health, now);
+}
+
+void Router::onFinish(const RouteChoice& choice, TimePoint now)
+{
+    auto* server = m_state->servers.at(choice.server);
+    if (!server)
+        return;
+    server->ownInFlight -= choice.charged;
+    server->ownSinceReport -= choice.charged;
+    server->health.onSuccess(m_state->options.health, now);
+    m_state->servers.activate(choice.server);
+}
+
+void Router::onFail(const RouteChoice& choice, FailureKind kind, TimePoint now)
+{
+    auto* server = m_state->servers.at(choice.server);
+    if (!server)
+        return;
+    server->ownInFlight -= choice.charged;
+    server->ownSinceReport -= choice.charged;
+    if (kind == FailureKind::Crashed)
+        m_state->prefixes.forget(choice.server);
+    auto wasProbed = server->isProbed;
+    if (kind == FailureKind::Refused) {
+        // An agent that refuses for lack of room is alive.
+        m_state->servers.activate(choice.server);
+        return;
+    }
+    bool isBad = server->health.onFailure(kind, m_state->options.health, now);
+    // When most servers fail the cause is rarely the servers, and the few left would drown: better to keep trying.
+    auto left = static_cast<double>(m_state->servers.activeCount()) - (server->state == ServerState::Active ? 1 : 0);
+    bool leavesEnough = left >= m_state->options.minimumActive * static_cast<double>(m_state->servers.size());
+    if (wasProbed || (isBad && leavesEnough))
+        m_state->servers.eject(choice.server);
+}
+
+void Router::onReport(ServerHandle server, const LoadReport& report)
+{
+    auto* found = m_state->servers.at(server);
+    // Reports may come late and out of order; an older one would undo what a newer one said.
+    if (!found || report.sampledAt < found->sampledAt)
+        return;
+    found->sampledAt = report.sampledAt;
+    found->reported = report.pending;
+    if (report.tokensPerSecond > 0)
+        found->tokensPerSecond = report.tokensPerSecond;
+    found->ownSinceReport = found->recent.startedAfter(report.sampledAt);
+}
+
+void Router::onCacheEvicted(ServerHandle server, BlockHash block)
+{
+    m_state->prefixes.evict(block, server);
+}
+
+void Router::onCacheLost(ServerHandle server)
+{
+    m_state->prefixes.forget(server);
+}
+
+std::vector<RouteExplanation> Router::explain(const RouteRequest& request, TimePoint now) const
+{
+    PrefixIndex::Holders holders;
+    auto n = m_state->prefixes.find(request.prefix, now, holders);
+    std::vector<RouteExplanation> rows;
+    for (std::uint32_t slot = 0; slot < m_state->servers.slots(); ++slot) {
+        auto& server = m_state->servers.slot(slot);
+        if (!server.isUsed)
+            continue;
+        auto holder = std::find_if(holders.begin(), holders.begin() + n, [&](auto& it) { return it.server == m_state->servers.handleOf(slot); });
+        auto candidate = m_state->measure(slot, holder == holders.begin() + n ? 0 : holder->blocks, request, now);
+        rows.push_back({ server.id, server.state, microseconds(static_cast<std::int64_t>(candidate.wait)),
+            microseconds(static_cast<std::int64_t>(candidate.firstByte)), candidate.cachedBlocks,
+            server.health.slowFactor(m_state->options.health, now), server.ownInFlight, server.tier == Tier::DataCentre });
+    }
+    std::sort(rows.begin(), rows.end(), [](auto& a, auto& b) { return std::tie(a.state, a.expectedFirstByte, a.id) < std::tie(b.state, b.expectedFirstByte, b.id); });
+    return rows;
+}
+
+} // namespace swiftloft::policy
--- /dev/null
+++ b/src/policy/server-health.cc
@@ -0,0 +1,100 @@
+#include <swiftloft/policy/server-health.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace swiftloft::policy {
+
+namespace {
+
+void average(double& mean, double value, double weight)
+{
+    mean = mean > 0 ? mean + weight * (value - mean) : value;
+}
+
+double excess(double value, double median, double tolerance)
+{
+    if (median <= 0 || value <= median * tolerance)
+        return 1;
+    return value / median;
+}
+
+} // namespace
+
+void RunningMedian::add(double value)
+{
+    // Wide steps at first, so that a bad first value does not linger; then one percent.
+    constexpr double firstStep = 0.3;
+    constexpr double lastStep = 0.01;
+    if (!(value > 0))
+        return;
+    if (!m_count++) {
+        m_value = value;
+        return;
+    }
+    auto step = std::max(lastStep, firstStep / m_count);
+    m_value *= value > m_value ? 1 + step : 1 / (1 + step);
+}
+
+void ServerHealth::onTokenGap(microseconds gap, ServiceBaseline& baseline, const ServerHealthOptions& options, TimePoint now)
+{
+    auto n = static_cast<double>(gap.count());
+    baseline.tokenGap.add(n);
+    average(m_tokenGap, n, options.weight);
+    updateFactor(baseline, options, now);
+}
+
+void ServerHealth::onFirstByte(microseconds predicted, microseconds observed, ServiceBaseline& baseline, const ServerHealthOptions& options, TimePoint now)
+{
+    // Predictions of next to nothing make wild ratios.
+    constexpr double shortest = 1000;
+    auto ratio = std::max(shortest, static_cast<double>(observed.count())) / std::max(shortest, static_cast<double>(predicted.count()));
+    baseline.firstByteRatio.add(ratio);
+    average(m_firstByteRatio, ratio, options.weight);
+    updateFactor(baseline, options, now);
+}
+
+void ServerHealth::updateFactor(const ServiceBaseline& baseline, const ServerHealthOptions& options, TimePoint now)
+{
+    auto gap = excess(m_tokenGap, baseline.tokenGap.value(), options.gapTolerance);
+    auto firstByte = excess(m_firstByteRatio, baseline.firstByteRatio.value(), options.firstByteTolerance);
+    m_factor = std::min(std::max(gap, firstByte), options.maximumFactor);
+    m_observedAt = now;
+}
+
+void ServerHealth::onSuccess(const ServerHealthOptions& options, TimePoint now)
+{
+    m_failures = 0;
+    m_failureShare *= 1 - options.weight;
+    // A server that fails every other request succeeds in between; only a longer good stretch clears its record.
+    if (now >= m_ejectedUntil + options.longestEjection)
+        m_ejections = 0;
+}
+
+bool ServerHealth::onFailure(FailureKind kind, const ServerHealthOptions& options, TimePoint now)
+{
+    if (kind == FailureKind::Refused)
+        return false;
+    ++m_failures;
+    m_failureShare += options.weight * (1 - m_failureShare);
+    bool isBad = kind == FailureKind::Crashed || m_failures >= options.failuresToEject || m_failureShare >= options.failureShareToEject;
+    if (!isBad && !m_ejections)
+        return false;
+    constexpr unsigned mostDoublings = 16;
+    auto stretch = std::int64_t(1) << std::min(m_ejections, mostDoublings);
+    ++m_ejections;
+    m_failureShare = 0;
+    m_ejectedUntil = now + std::min(options.firstEjection * stretch, options.longestEjection);
+    return true;
+}
+
+double ServerHealth::slowFactor(const ServerHealthOptions& options, TimePoint now) const
+{
+    if (m_factor <= 1)
+        return 1;
+    auto age = std::chrono::duration<double>(now - m_observedAt).count();
+    auto belief = 1 - age / static_cast<double>(options.forgetAfter.count());
+    return belief <= 0 ? 1 : 1 + (m_factor - 1) * belief;
+}
+
+} // namespace swiftloft::policy
--- a/test/retry-policy_test.cc
+++ b/test/retry-policy_test.cc
@@ -91,13 +91,13 @@
         attempt.deadline = now + seconds(30);
         attempt.attempts = 1;
         ++sent;
-        while (fails(generator)) {
-            if (policy.decide(attempt, budget, now, generator).action != RetryAction::Retry)
-                break;
+        bool hasFailed = fails(generator);
+        while (hasFailed && policy.decide(attempt, budget, now, generator).action == RetryAction::Retry) {
             ++attempt.attempts;
             ++sent;
+            hasFailed = fails(generator);
         }
-        if (attempt.attempts == 1)
+        if (!hasFailed)
             budget.onSuccess(attempt.traffic);
     }
     auto amplification = static_cast<double>(sent) / asked;
--- /dev/null
+++ b/test/router_test.cc
@@ -0,0 +1,286 @@
+#include <swiftloft/policy/router.h>
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <map>
+#include <string>
+
+using namespace swiftloft;
+using namespace swiftloft::policy;
+
+namespace {
+
+const TimePoint start { seconds(1000) };
+
+struct RouterFixture {
+    Router router = Router::create(options()).value();
+    Generator generator { 17 };
+    TimePoint now { start };
+
+    static RouterOptions options()
+    {
+        RouterOptions options;
+        options.dataCentre = DataCentreName("hoan-kiem");
+        options.region = RegionName("hanoi");
+        return options;
+    }
+
+    ServerHandle add(const std::string& id, const std::string& dataCentre = "hoan-kiem", const std::string& region = "hanoi")
+    {
+        return router.add({ BackendServerId(id), DataCentreName(dataCentre), RegionName(region) });
+    }
+
+    static RouteRequest request(std::int64_t prompt = 100)
+    {
+        RouteRequest request;
+        request.promptTokens = Tokens(prompt);
+        request.expectedOutput = Tokens(100);
+        request.isRepeatable = true;
+        return request;
+    }
+
+    RouteChoice choose(const RouteRequest& it) { return router.choose(it, now, generator).value(); }
+
+    RouteChoice send(const RouteRequest& it)
+    {
+        auto choice = choose(it);
+        router.onStart(choice, it, now);
+        return choice;
+    }
+
+    /// How often each server is chosen over `n` choices that change nothing.
+    std::map<ServerHandle, int> tally(const RouteRequest& it, int n = 100)
+    {
+        std::map<ServerHandle, int> counts;
+        for (int i = 0; i < n; ++i)
+            ++counts[choose(it).server];
+        return counts;
+    }
+};
+
+RouteChoice attemptAt(ServerHandle server)
+{
+    RouteChoice choice;
+    choice.server = server;
+    choice.charged = Tokens(0);
+    return choice;
+}
+
+} // namespace
+
+TEST_CASE_METHOD(RouterFixture, "Router: between two load reports own requests are spread, not piled on the idlest server")
+{
+    // Reports lag by a second. Without the count of what was sent since, all requests of that second go to the server
+    // that was idle at the last report, and their callers wait behind each other.
+    for (int i = 0; i < 4; ++i)
+        router.onReport(add(fmt::format("e{}", i)), { start, Tokens(90000 + i), 5000 });
+    std::map<ServerHandle, int> sent;
+    for (int i = 0; i < 40; ++i)
+        ++sent[send(request()).server];
+    CHECK(sent.size() == 4);
+    for (auto& [server, n] : sent)
+        CHECK(n == 10);
+}
+
+TEST_CASE_METHOD(RouterFixture, "Router: a report sampled before a request was sent does not hide that request")
+{
+    // The report arrives after the request left, but was sampled before: the server looks idle although work is on the
+    // way to it.
+    auto a = add("a");
+    now += seconds(10);
+    send(request());
+    router.onReport(a, { now - milliseconds(500), Tokens(1000), 5000 });
+    CHECK(router.explain(request(), now)[0].expectedWait == milliseconds(240));
+    router.onReport(a, { now - milliseconds(900), Tokens(7000), 5000 });
+    CHECK(router.explain(request(), now)[0].expectedWait == milliseconds(240));
+}
+
+TEST_CASE_METHOD(RouterFixture, "Router: an engine four times slower than the median gets less, and is tried again later")
+{
+    // One engine's fans fail and it steps four times slower while it reports the same backlog as the others. Every
+    // caller sent there watches words drip until the engine is weighed by the gaps seen.
+    std::vector<ServerHandle> servers;
+    servers.reserve(4);
+    for (int i = 0; i < 4; ++i) {
+        servers.push_back(add(fmt::format("e{}", i)));
+        router.onReport(servers.back(), { start, Tokens(1000), 5000 });
+    }
+    for (int i = 0; i < 50; ++i) {
+        for (auto server : servers)
+            router.onTokenGap(server, milliseconds(server == servers[0] ? 80 : 20), now);
+    }
+    CHECK(tally(request()).count(servers[0]) == 0);
+    now += seconds(21);
+    CHECK(tally(request()).count(servers[0]) == 1);
+}
+
+TEST_CASE_METHOD(RouterFixture, "Router: a crashed server gets nothing until its time is up, then one request at a time")
+{
+    // An engine crashes and restarts broken. Without the limit of one probe every caller of that second fails on it.
+    auto bad = add("bad");
+    auto good = add("good");
+    add("third");
+    router.onFail(attemptAt(bad), FailureKind::Crashed, now);
+    CHECK(tally(request()).count(bad) == 0);
+    now += milliseconds(1001);
+    auto fixed = request();
+    fixed.isRepeatable = false;
+    CHECK(tally(fixed).count(bad) == 0);
+    auto probe = send(request());
+    CHECK(probe.server == bad);
+    CHECK(probe.reason == RouteReason::Probe);
+    CHECK(tally(request()).count(bad) == 0);
+    router.onFail(probe, FailureKind::Unreachable, now);
+    now += milliseconds(1500);
+    CHECK(tally(request()).count(bad) == 0);
+    now += milliseconds(501);
+    probe = send(request());
+    CHECK(probe.server == bad);
+    router.onFinish(probe, now);
+    CHECK(tally(request()).count(bad) == 1);
+    CHECK(tally(request()).count(good) == 1);
+}
+
+TEST_CASE_METHOD(RouterFixture, "Router: a server that fails every other request is ejected")
+{
+    auto flaky = add("flaky");
+    add("good");
+    add("third");
+    for (int i = 0; i < 6; ++i) {
+        router.onFail(attemptAt(flaky), FailureKind::TimedOut, now);
+        router.onFinish(attemptAt(flaky), now);
+        router.onFail(attemptAt(flaky), FailureKind::TimedOut, now);
+    }
+    CHECK(router.explain(request(), now).back().state == ServerState::Ejected);
+}
+
+TEST_CASE_METHOD(RouterFixture, "Router: when most servers fail the rest is not left alone with the load")
+{
+    // A switch drops packets, and all servers look bad from here. Ejecting them all would refuse every request; ejecting
+    // all but one would drown it.
+    std::vector<ServerHandle> servers;
+    servers.reserve(4);
+    for (int i = 0; i < 4; ++i)
+        servers.push_back(add(fmt::format("e{}", i)));
+    for (auto server : servers)
+        router.onFail(attemptAt(server), FailureKind::Crashed, now);
+    CHECK(tally(request()).size() == 2);
+}
+
+TEST_CASE_METHOD(RouterFixture, "Router: a leaving or removed server is never chosen, whatever is reported of it")
+{
+    auto a = add("a");
+    auto b = add("b");
+    router.leaving(a);
+    router.onReport(a, { now, Tokens(0), 9000 });
+    router.onFail(attemptAt(a), FailureKind::Crashed, now);
+    now += seconds(100);
+    router.onFinish(attemptAt(a), now);
+    CHECK(tally(request()).count(a) == 0);
+    router.remove(b);
+    CHECK_FALSE(router.choose(request(), now, generator));
+    auto c = add("c");
+    router.onFail(attemptAt(b), FailureKind::Crashed, now);
+    CHECK(choose(request()).server == c);
+    CHECK(router.idOf(b) == nullptr);
+    CHECK(add("c") == c);
+}
+
+TEST_CASE_METHOD(RouterFixture, "Router: a request is not sent again to a server that it was tried at")
+{
+    auto a = add("a");
+    auto b = add("b");
+    std::vector<ServerHandle> tried { a };
+    auto it = request();
+    it.tried = tried;
+    CHECK(tally(it).count(a) == 0);
+    tried.push_back(b);
+    it.tried = tried;
+    CHECK_FALSE(router.choose(it, now, generator));
+}
+
+TEST_CASE_METHOD(RouterFixture, "Router: a shared prefix goes where it is cached, and spreads before it makes a hot spot")
+{
+    // All letters of a ward begin with the same notice. Sent to one engine they share its cache; sent only there they
+    // queue up while the other engines idle.
+    for (int i = 0; i < 4; ++i)
+        add(fmt::format("e{}", i));
+    auto prefix = prefixBlocks(std::string(8192, 'x'), 1, {});
+    auto it = request(2000);
+    it.prefix = prefix;
+    auto first = send(it);
+    router.onFinish(first, now);
+    auto second = send(it);
+    CHECK(second.server == first.server);
+    CHECK(second.reason == RouteReason::PrefixCached);
+    CHECK(second.cachedBlocks == 8);
+    std::map<ServerHandle, int> sent;
+    for (int i = 0; i < 200; ++i)
+        ++sent[send(it).server];
+    CHECK(sent.size() == 4);
+    router.onCacheLost(first.server);
+    for (auto& row : router.explain(it, now))
+        CHECK((row.id == *router.idOf(first.server)) == (row.cachedBlocks == 0));
+}
+
+TEST_CASE_METHOD(RouterFixture, "Router: home is left only when its wait passes the threshold")
+{
+    auto home = add("home");
+    auto near = add("near", "ba-dinh");
+    add("far", "surat", "gujarat");
+    router.onReport(home, { now, Tokens(900), 5000 });
+    CHECK(tally(request()).count(home) == 1);
+    router.onReport(home, { now + seconds(1), Tokens(2000), 5000 });
+    auto choice = choose(request());
+    CHECK(choice.server == near);
+    CHECK(choice.reason == RouteReason::Spilled);
+}
+
+TEST_CASE_METHOD(RouterFixture, "Router: explain ranks the server that a choice takes first")
+{
+    for (int i = 0; i < 8; ++i)
+        router.onReport(add(fmt::format("e{}", i)), { now, Tokens(1000 - 100 * i), 5000 });
+    CHECK(router.explain(request(), now)[0].id == *router.idOf(choose(request()).server));
+}
+
+TEST_CASE("PrefixIndex: evicted and aged prefixes are forgotten, also when their slot has a new server")
+{
+    auto index = PrefixIndex::create({ .capacity = 64, .forgetAfter = seconds(300) }).value();
+    auto blocks = prefixBlocks(std::string(3000, 'a') + "tail", 9, {});
+    REQUIRE(blocks.size() == 2);
+    PrefixIndex::Holders holders;
+    ServerHandle server { 3, 1 };
+    index.remember(blocks, server, start);
+    CHECK(index.find(blocks, start, holders) == 1);
+    CHECK(holders[0].server == server);
+    CHECK(index.find(blocks, start + seconds(301), holders) == 0);
+    index.evict(blocks[1], server);
+    REQUIRE(index.find(blocks, start, holders) == 1);
+    CHECK(holders[0].blocks == 1);
+    index.remember({}, ServerHandle { 3, 2 }, start);
+    CHECK(index.find(blocks, start, holders) == 0);
+}
+
+TEST_CASE("PrefixIndex: memory stays fixed and the newest prefixes are kept")
+{
+    auto index = PrefixIndex::create({ .capacity = 1024, .forgetAfter = seconds(300) }).value();
+    PrefixIndex::Holders holders;
+    auto blocksOf = [](int n) { return prefixBlocks(fmt::format("{:01024}", n), 0, {}); };
+    for (int i = 0; i < 10000; ++i)
+        index.remember(blocksOf(i), { 0, 1 }, start + seconds(i / 100));
+    int kept = 0;
+    for (int i = 9800; i < 10000; ++i)
+        kept += index.find(blocksOf(i), start + seconds(100), holders) ? 1 : 0;
+    CHECK(kept >= 195);
+}
+
+TEST_CASE("prefixBlocks: equal starts give equal hashes, models are kept apart")
+{
+    auto a = prefixBlocks(std::string(2048, 'a') + std::string(1024, 'b'), 1, {});
+    auto b = prefixBlocks(std::string(2048, 'a') + std::string(1024, 'c'), 1, {});
+    REQUIRE(a.size() == 3);
+    CHECK(a[1] == b[1]);
+    CHECK(a[2] != b[2]);
+    CHECK(prefixBlocks(std::string(2048, 'a'), 2, {})[0] != a[0]);
+}
