--- a/standin/batch.cc
+++ b/standin/batch.cc
@@ -46,7 +46,7 @@
     auto share = generation->prompt.empty() ? 0 : 1 - static_cast<double>(cached) / static_cast<double>(generation->prompt.size());
     auto tokens = static_cast<double>(generation->promptTokens + generation->firstToken) * share;
     generation->prefillLeftMs = tokens * m_options.promptMsPerThousand / 1000;
-    generation->runId = m_runLog.start(generation->key, generation->fingerprint, generation->firstToken);
+    generation->runId = m_runLog.start({ generation->key, generation->idempotencyKey, generation->fingerprint, generation->firstToken });
     m_running.push_back(std::move(generation));
 }
 
--- a/standin/batch.h
+++ b/standin/batch.h
@@ -15,6 +15,7 @@
 /// One request inside an engine.
 struct Generation {
     std::string key;
+    std::string idempotencyKey;
     std::uint64_t fingerprint { 0 };
     std::string prompt;
     std::string hash;
--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -86,6 +86,7 @@
     }
     auto generation = std::make_shared<Generation>();
     generation->key = exchange.header("Swiftloft-Request-Key");
+    generation->idempotencyKey = exchange.header("Idempotency-Key");
     generation->fingerprint = fingerprintOf(exchange.request().body());
     generation->prompt = asked->prompt;
     generation->hash = promptHash(asked->prompt);
--- a/standin/plain-main.cc
+++ b/standin/plain-main.cc
@@ -67,10 +67,12 @@
     asio::awaitable<void> echo(Exchange& exchange)
     {
         auto& request = exchange.request();
-        auto key = exchange.header("Swiftloft-Request-Key");
-        if (key.empty())
-            key = exchange.header("Idempotency-Key");
-        auto id = m_runLog.start(key, XXH64(request.body().data(), request.body().size(), 0));
+        RunLog::Start start;
+        start.key = exchange.header("Swiftloft-Request-Key");
+        start.idempotencyKey = exchange.header("Idempotency-Key");
+        start.fingerprint = XXH64(request.body().data(), request.body().size(), 0);
+        auto key = start.key.empty() ? start.idempotencyKey : start.key;
+        auto id = m_runLog.start(start);
         ++m_running;
         auto delay = std::atoi(exchange.query("delay_ms").c_str());
         if (m_fault == "slow")
@@ -79,6 +81,7 @@
             co_await pause(std::chrono::milliseconds(delay));
         --m_running;
         m_runLog.finish(id, 0, "finished");
+        exchange.setHeader("Swiftloft-Backend-Server", m_id);
         co_await exchange.replyJson(HttpStatus::ok, echoJson(request, m_runLog.countOf(key)));
     }
 
--- a/standin/run-log.cc
+++ b/standin/run-log.cc
@@ -11,9 +11,16 @@
 
 namespace {
 
-std::string formatFingerprint(std::uint64_t fingerprint)
+constexpr int hexadecimal = 16;
+
+json::object startJson(const RunLog::Start& start)
 {
-    return fmt::format("{:016x}", fingerprint);
+    return {
+        { "key", start.key },
+        { "idempotency_key", start.idempotencyKey },
+        { "fingerprint", fmt::format("{:016x}", start.fingerprint) },
+        { "resume_from", start.resumeFrom },
+    };
 }
 
 } // namespace
@@ -32,9 +39,11 @@
     for (std::string line; std::getline(file, line);) {
         auto object = json::parse(line).as_object();
         if (object.contains("key")) {
-            Entry entry { json::value_to<std::string>(object.at("key")) };
-            entry.fingerprint = std::stoull(json::value_to<std::string>(object.at("fingerprint")), nullptr, 16);
-            entry.resumeFrom = object.at("resume_from").as_int64();
+            Entry entry;
+            entry.start.key = json::value_to<std::string>(object.at("key"));
+            entry.start.idempotencyKey = json::value_to<std::string>(object.at("idempotency_key"));
+            entry.start.fingerprint = std::stoull(json::value_to<std::string>(object.at("fingerprint")), nullptr, hexadecimal);
+            entry.start.resumeFrom = object.at("resume_from").as_int64();
             entry.startedMs = object.at("started").as_int64();
             entry.outcome = "lost";
             add(std::move(entry));
@@ -57,14 +66,15 @@
 
 void RunLog::add(Entry entry)
 {
-    ++m_counts[entry.key];
+    ++m_counts[entry.start.key];
     m_entries.push_back(std::move(entry));
 }
 
-std::size_t RunLog::start(std::string_view key, std::uint64_t fingerprint, std::int64_t resumeFrom)
+std::size_t RunLog::start(Start start)
 {
-    Entry entry { std::string(key), fingerprint, resumeFrom, epochMilliseconds() };
-    json::object object { { "key", entry.key }, { "fingerprint", formatFingerprint(fingerprint) }, { "resume_from", resumeFrom }, { "started", entry.startedMs } };
+    Entry entry { std::move(start), epochMilliseconds() };
+    auto object = startJson(entry.start);
+    object["started"] = entry.startedMs;
     append(json::serialize(object));
     add(std::move(entry));
     return m_entries.size() - 1;
@@ -90,15 +100,12 @@
 {
     json::array list;
     for (auto& entry : m_entries) {
-        list.push_back(json::object {
-            { "key", entry.key },
-            { "fingerprint", formatFingerprint(entry.fingerprint) },
-            { "resume_from", entry.resumeFrom },
-            { "started", entry.startedMs },
-            { "finished", entry.finishedMs },
-            { "tokens", entry.tokens },
-            { "outcome", entry.outcome },
-        });
+        auto object = startJson(entry.start);
+        object["started"] = entry.startedMs;
+        object["finished"] = entry.finishedMs;
+        object["tokens"] = entry.tokens;
+        object["outcome"] = entry.outcome;
+        list.push_back(std::move(object));
     }
     return json::serialize(list);
 }
--- a/standin/run-log.h
+++ b/standin/run-log.h
@@ -15,10 +15,20 @@
 /// with the same file goes on from there.
 class RunLog {
 public:
+    /// What is known of a request when it begins to run.
+    struct Start {
+        /// Name the system gave the request.
+        std::string key;
+        /// Name its caller gave it, where that was passed on.
+        std::string idempotencyKey;
+        std::uint64_t fingerprint { 0 };
+        std::int64_t resumeFrom { 0 };
+    };
+
     explicit RunLog(const std::string& path);
 
     /// Records that a request begins to run and gives the number to finish it with.
-    std::size_t start(std::string_view key, std::uint64_t fingerprint, std::int64_t resumeFrom = 0);
+    std::size_t start(Start);
     void finish(std::size_t id, std::int64_t tokens, std::string_view outcome);
 
     /// How often requests with `key` began to run.
@@ -27,9 +37,7 @@
 
 private:
     struct Entry {
-        std::string key;
-        std::uint64_t fingerprint { 0 };
-        std::int64_t resumeFrom { 0 };
+        Start start;
         std::int64_t startedMs { 0 };
         std::int64_t finishedMs { 0 };
         std::int64_t tokens { 0 };
