--- a/src/spread/control-node.cc
+++ b/src/spread/control-node.cc
@@ -186,7 +186,7 @@
 
     void perform(const DocumentRefused& effect)
     {
-        log::write(log::Event::SettingsRefused, "topic={} revision={} problem=\"{}\"", toString(effect.topic), effect.revision.value(), effect.problem);
+        log::write(log::Event::DocumentRefused, "topic={} revision={} problem=\"{}\"", toString(effect.topic), effect.revision.value(), effect.problem);
         if (effect.topic == Topic::Settings && m_hooks.onSettingsRefused)
             m_hooks.onSettingsRefused(effect.revision, effect.problem);
     }
@@ -195,7 +195,7 @@
     {
         auto& said = m_conflictSaid[static_cast<std::size_t>(effect.topic)];
         if (std::exchange(said, effect.revision) != effect.revision)
-            log::write(log::Event::RevisionConflict, "topic={} revision={}", toString(effect.topic), effect.revision.value());
+            log::write(log::Event::DocumentConflict, "topic={} revision={}", toString(effect.topic), effect.revision.value());
     }
 
     void perform(const NodeReady&)
--- a/src/spread/control.cc
+++ b/src/spread/control.cc
@@ -65,7 +65,8 @@
     m_now = event.now;
     auto& message = event.message;
     stepDetector(membership::MessageArrived { event.from, message, event.now });
-    m_hasHeardPeer = true;
+    if (!m_isReady)
+        m_heardPeers.insert(message.from);
     if (!m_isReady && message.isReady)
         m_readyPeers.insert(message.from);
     auto isBehind = false;
@@ -121,10 +122,10 @@
 
 void Control::handle(DocumentTaken effect)
 {
-    if (effect.document->topic() == Topic::Settings)
-        m_effects->emplace_back(SettingsInForce { effect.document });
-    else
+    if (effect.document->topic() == Topic::Instances)
         takeList(*effect.document);
+    else if (m_isReady)
+        m_effects->emplace_back(SettingsInForce { effect.document });
     announce();
 }
 
@@ -201,11 +202,13 @@
 }
 
 // A restarted process has forgotten which revision was in force, and the platform may be stale: taking its answer would
-// bring an old tree back into force. Peers remember, so it asks them and takes no traffic before they have answered.
+// bring an old tree back into force. Peers remember, so it asks them, and neither puts settings in force nor takes traffic
+// before they have answered.
 void Control::join()
 {
     if (maySettle()) {
         m_isReady = true;
+        m_effects->emplace_back(SettingsInForce { spreader(Topic::Settings).document() });
         m_effects->emplace_back(NodeReady {});
         announce();
         return;
@@ -225,8 +228,11 @@
     auto others = m_detector.table().otherCount();
     if (m_readyPeers.size() >= std::min(m_options.joinAnswers, others))
         return true;
+    // All of the fleet starts together: nobody is ready, and nobody is left who could know better.
+    if (m_heardPeers.size() >= others)
+        return true;
     auto waited = m_now - *m_joinStart;
-    return waited >= (m_hasHeardPeer ? m_options.joinTime : m_options.lonelyJoinTime);
+    return waited >= (m_heardPeers.empty() ? m_options.lonelyJoinTime : m_options.joinTime);
 }
 
 BlobsPulled Control::serve(const std::vector<Digest>& digests, TimePoint now)
--- a/src/spread/control.h
+++ b/src/spread/control.h
@@ -124,8 +124,8 @@
     TimePoint m_nextView;
     std::optional<TimePoint> m_joinStart; ///< When the first instance list was taken.
     TimePoint m_nextJoinRound;
-    std::set<membership::NodeKey> m_readyPeers; ///< Heard from while joining.
-    bool m_hasHeardPeer { false };
+    std::set<membership::NodeKey> m_heardPeers; ///< While joining.
+    std::set<membership::NodeKey> m_readyPeers; ///< Of those, who said that they are ready.
     bool m_isViewDirty { true };
     bool m_isReady { false };
 };
--- a/test/fake-fleet.h
+++ b/test/fake-fleet.h
@@ -207,6 +207,9 @@
         }
         return sum;
     }
+    /// Real time spent in reducers so far, for benches.
+    Clock::duration stepTime() const { return m_stepTime; }
+    std::uint64_t steps() const { return m_steps; }
     void at(TimePoint when, std::function<void()> action) { m_queue.push(Entry { when, ++m_order, std::move(action) }); }
 
 private:
@@ -263,7 +266,10 @@
     void step(std::size_t i, const spread::ControlEvent& event)
     {
         spread::ControlEffects effects;
+        auto begin = Clock::now();
         m_nodes[i]->control->step(event, effects);
+        m_stepTime += Clock::now() - begin;
+        ++m_steps;
         for (auto& effect : effects)
             std::visit([&](auto& it) { perform(i, it); }, effect);
     }
@@ -385,6 +391,8 @@
     std::priority_queue<Entry> m_queue;
     std::uint64_t m_order { 0 };
     std::uint64_t m_lives { 0 };
+    Clock::duration m_stepTime {};
+    std::uint64_t m_steps { 0 };
 };
 
 } // namespace swiftloft::test
--- a/test/spread-fleet_test.cc
+++ b/test/spread-fleet_test.cc
@@ -78,7 +78,8 @@
         fleet.run(seconds(1));
         fleet.start(i);
         REQUIRE(fleet.runUntil(seconds(20), [&] { return fleet.control(i).isReady(); }));
-        CHECK(fleet.control(i).spreader(Topic::Settings).revision() == Revision(4));
+        REQUIRE(fleet.node(i).inForce.size() == 1);
+        CHECK(fleet.node(i).inForce[0].second == Revision(4));
     }
     CHECK(fleet.allHold(Topic::Settings, 4));
 }
@@ -99,6 +100,7 @@
     fleet.run(seconds(25));
     CHECK(fleet.control(0).spreader(Topic::Settings).revision() == Revision(1));
     CHECK_FALSE(fleet.control(0).isReady());
+    CHECK(fleet.node(0).inForce.empty());
     fleet.dropsPulls = false;
     REQUIRE(fleet.runUntil(seconds(10), [&] { return fleet.control(0).isReady(); }));
     CHECK(fleet.control(0).spreader(Topic::Settings).revision() == Revision(2));
