Carry much news faster, follow data centres of other regions in turn, spread lifeless suspicions

Causes: suspicions of members whose life a node had not learned were kept to itself; news rode on probes alone; each region probe went to a random one of six data centres every 8 s.

--- a/bench/control-bench-fleet.cc
+++ b/bench/control-bench-fleet.cc
@@ -194,6 +194,7 @@
     };
     control.step(membership::Tick { now }, effects);
     auto firstList = give(spread::Topic::Instances, 1, json);
+    auto heapOfList = heapBytes() - heapBefore;
     auto firstTree = give(spread::Topic::Settings, 1, tree);
     auto heap = heapBytes() - heapBefore;
     auto secondList = give(spread::Topic::Instances, 2, json + " ");
@@ -226,8 +227,8 @@
         effects.clear();
     }
     auto ping = 1e6 * secondsOf(Clock::now() - begin) / rounds;
-    fmt::print("mode=member members={} list_bytes={} heap_bytes={} heap_bytes_a_member={:.0f} tick_us={:.2f} ping_us={:.2f} list_ms={:.2f} list_again_ms={:.2f} tree_ms={:.2f} tree_again_ms={:.2f}\n",
-        source.size(), json.size(), heap, static_cast<double>(heap - 2 * tree.size()) / static_cast<double>(source.size()), tick, ping, firstList, secondList, firstTree, secondTree);
+    fmt::print("mode=member members={} list_bytes={} heap_bytes={} heap_bytes_a_member={:.0f} heap_bytes_of_tree={} tick_us={:.2f} ping_us={:.2f} list_ms={:.2f} list_again_ms={:.2f} tree_ms={:.2f} tree_again_ms={:.2f}\n",
+        source.size(), json.size(), heap, static_cast<double>(heapOfList) / static_cast<double>(source.size()), heap - heapOfList, tick, ping, firstList, secondList, firstTree, secondTree);
 }
 
 } // namespace swiftloft::bench
--- a/src/membership/detector-probes.cc
+++ b/src/membership/detector-probes.cc
@@ -14,7 +14,7 @@
 
 void Detector::startProbe(TimePoint now)
 {
-    auto key = m_schedule.next(m_table, m_random);
+    auto key = m_schedule.next(m_table, doubtfulDataCentre(), m_random);
     if (!key) {
         // No list yet: seeds are the only way to learn of anybody.
         for (auto& seed : m_seeds)
@@ -26,6 +26,16 @@
     sendAbout(*m_table.find(*key), MessageKind::Ping, nonce);
 }
 
+/// A data centre of another region that has begun to miss probes and is not yet held unreachable.
+std::optional<DataCentreName> Detector::doubtfulDataCentre() const
+{
+    for (auto& [dataCentre, misses] : m_remoteMisses) {
+        if (misses > 0 && misses < missesUntilUnreachable)
+            return dataCentre;
+    }
+    return std::nullopt;
+}
+
 void Detector::expireProbes(TimePoint now)
 {
     std::vector<PendingProbe> failed;
--- a/src/membership/detector.cc
+++ b/src/membership/detector.cc
@@ -106,6 +106,7 @@
     }
     expireProbes(now);
     expireSuspicions(now);
+    gossip(now);
     if (now >= m_nextProbe) {
         startProbe(now);
         auto jitter = 1.0 + probeJitter * (2.0 * m_random.unit() - 1.0);
@@ -124,6 +125,16 @@
     }
 }
 
+// Probes alone carry news too slowly when a whole data centre is lost and there is much of it. News that has not ridden
+// far yet goes to one more peer several times a second, which still keeps within the control budget.
+void Detector::gossip(TimePoint now)
+{
+    if (now < m_nextGossip || !m_queue.hasFresh())
+        return;
+    m_nextGossip = now + m_options.gossipInterval;
+    pushNews(1);
+}
+
 void Detector::on(const ListTaken& event)
 {
     std::vector<NodeKey> wereLeaving;
@@ -301,7 +312,7 @@
         m_life.generation = update.life.generation + 1;
         return queueSelf();
     }
-    if (update.life != m_life)
+    if (update.life != m_life && update.life != Life {})
         return;
     if (update.isLeaving && !m_isLeaving)
         becomeLeaving();
@@ -351,8 +362,12 @@
 
 void Detector::queue(const MemberRecord& record)
 {
-    if (record.life)
-        m_queue.push(record.update());
+    // Without its life a leaving mark could hit the process that follows; the list brings that mark to all anyway. A
+    // suspicion may go without: the member refutes it.
+    auto update = record.update();
+    update.isLeaving = update.isLeaving && record.life;
+    if (record.life || update.health != Health::Alive)
+        m_queue.push(update);
 }
 
 void Detector::queueSelf()
--- a/src/membership/detector.h
+++ b/src/membership/detector.h
@@ -13,7 +13,8 @@
 
 /// Times and counts of failure detection. The defaults are those of docs/design/membership.md.
 struct DetectorOptions {
-    milliseconds probeInterval { 1000 };
+    milliseconds probeInterval { 500 };
+    milliseconds gossipInterval { 200 }; ///< Between datagrams that only carry news, while there is any.
     milliseconds directTimeout { 400 }; ///< Of a ping, before others are asked to ping.
     milliseconds indirectTimeout { 600 }; ///< Of the pings of others, before the member is suspect.
     milliseconds suspicionTime { 3000 }; ///< That a suspect has to refute.
@@ -128,6 +129,8 @@
     void suspect(MemberRecord& record, bool isLocalMark, TimePoint now);
     void expireSuspicions(TimePoint now);
     void dropLocalMarks();
+    void gossip(TimePoint now);
+    std::optional<DataCentreName> doubtfulDataCentre() const;
 
     void mergeSender(const MessageArrived& event);
     void tellRevived(const MessageArrived& event);
@@ -171,6 +174,7 @@
     TimePoint m_nextProbe;
     TimePoint m_wokeAt;
     TimePoint m_nextSync;
+    TimePoint m_nextGossip;
     TimePoint m_nextRevival;
     std::uint64_t m_syncNonce { 0 };
     std::size_t m_syncAnswers { 0 };
--- a/src/membership/member-table.cc
+++ b/src/membership/member-table.cc
@@ -84,10 +84,11 @@
     auto* record = find(update.member);
     if (!record)
         return MergeResult::Unchanged;
+    // A suspicion by a node that had not learned of the life yet is about whichever is the present one.
+    if (update.life == Life {} || record->life == update.life)
+        return mergeSameLife(*record, update);
     if (record->life && update.life < *record->life)
         return MergeResult::Outdated;
-    if (record->life == update.life)
-        return mergeSameLife(*record, update);
     // A later life owes nothing to the one before: neither its suspicions nor its leaving mark. What the list says of
     // the instance still holds, see `isLeaving`.
     auto keepsMark = !record->life && record->hasSaidLeaving;
--- a/src/membership/probe-schedule.h
+++ b/src/membership/probe-schedule.h
@@ -2,6 +2,7 @@
 
 #include "src/membership/member-table.h"
 
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -9,12 +10,13 @@
 
 /// Which member to probe next.
 ///
-/// Most probes stay in this data centre; one in four goes to the rest of the region and one in eight beyond it. Each
-/// distance is walked in shuffled rounds, so that a member waits a bounded time for its probe. Dead members are passed
-/// over most of the time: they must be tried now and then to notice a healed partition.
+/// Half of the probes stay in this data centre; a quarter goes to the rest of the region and a quarter beyond it. Near
+/// members are walked in shuffled rounds, so that each waits a bounded time for its probe. Dead ones are passed over
+/// most of the time: they must be tried now and then to notice a healed partition. Of other regions only the data
+/// centres are followed: they take turns, and one that has begun to miss probes goes first until it is clear.
 class ProbeSchedule {
 public:
-    std::optional<NodeKey> next(const MemberTable& table, Random& random);
+    std::optional<NodeKey> next(const MemberTable& table, const std::optional<DataCentreName>& doubtful, Random& random);
     /// Begins new rounds; to be called when the list has changed.
     void reset();
 
@@ -24,9 +26,12 @@
         std::size_t position { 0 };
     };
 
-    std::optional<NodeKey> nextAt(Locality locality, const MemberTable& table, Random& random);
+    std::optional<NodeKey> nextNear(Locality locality, const MemberTable& table, Random& random);
+    std::optional<NodeKey> nextRemote(const MemberTable& table, const std::optional<DataCentreName>& doubtful, Random& random);
 
-    Round m_rounds[3];
+    Round m_rounds[2]; ///< Same data centre and same region.
+    std::map<DataCentreName, std::vector<NodeKey>> m_remote;
+    std::optional<DataCentreName> m_lastRemote;
     unsigned m_count { 0 };
 };
 
--- a/src/membership/update-queue.cc
+++ b/src/membership/update-queue.cc
@@ -44,6 +44,11 @@
     return taken;
 }
 
+bool UpdateQueue::hasFresh() const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [this](const Entry& entry) { return entry.transmissions < m_transmissionLimit / 2; });
+}
+
 void UpdateQueue::dropJudgements()
 {
     std::erase_if(m_entries, [](const Entry& entry) { return entry.update.health != Health::Alive && !entry.update.isLeaving; });
--- a/src/membership/update-queue.h
+++ b/src/membership/update-queue.h
@@ -20,6 +20,8 @@
     std::vector<MemberUpdate> take(std::size_t most);
     /// Drops what has been said about the health of members, except of those that are leaving.
     void dropJudgements();
+    /// True while some update has ridden less than half its times.
+    bool hasFresh() const;
     std::size_t size() const { return m_entries.size(); }
 
 private:
--- a/src/spread/spreader.cc
+++ b/src/spread/spreader.cc
@@ -102,8 +102,10 @@
     if (hasAnswer) {
         m_failures = 0;
         m_lastContact = event.now;
+        m_nextCall.reset();
         // A watcher asks again at once, but never in a tight loop: a broken service may answer without waiting.
-        m_nextCall = m_isWatcher ? event.now + m_options.shortestRetry / 10 : after(event.now, pollInterval(m_fleetSize));
+        if (m_isWatcher)
+            m_nextCall = event.now + m_options.shortestRetry / 10;
     } else {
         auto base = m_isWatcher || !m_document ? std::max(m_options.shortestRetry, fairInterval(m_fleetSize)) : pollInterval(m_fleetSize);
         m_nextCall = after(event.now, base * (1 << std::min(m_failures, largestBackoff)));
--- a/test/membership-reducers_test.cc
+++ b/test/membership-reducers_test.cc
@@ -83,6 +83,21 @@
     CHECK(record.health == Health::Alive);
 }
 
+TEST_CASE("MemberTable: a suspicion that names no life is about the present one, and can be refuted", "[membership]")
+{
+    // A fleet has just started and a data centre is lost. Few nodes have learned of the lost members' lives; were only
+    // those to pass suspicions on, the rest would go on sending work to dead backend servers for minutes.
+    auto table = tableOf({ rowOf("self"), rowOf("a") });
+    auto& record = *table.find(keyOf(NodeId("a")));
+    table.merge(updateOf("a", firstLife, 0, Health::Alive));
+    CHECK(table.merge(updateOf("a", Life {}, 0, Health::Suspect)) == MergeResult::Changed);
+    CHECK(record.health == Health::Suspect);
+    CHECK(record.life == firstLife);
+    table.merge(updateOf("a", firstLife, 1, Health::Alive));
+    CHECK(table.merge(updateOf("a", Life {}, 0, Health::Suspect)) == MergeResult::Outdated);
+    CHECK(record.health == Health::Alive);
+}
+
 TEST_CASE("MemberTable: a peer's word of a death makes a suspect", "[membership]")
 {
     // A process was cut off, held everybody dead and comes back. Were its word taken, the whole fleet would drop
--- a/test/spread-fleet_test.cc
+++ b/test/spread-fleet_test.cc
@@ -41,6 +41,20 @@
     return found;
 }
 
+/// Replaces process `i`. For its first second it reaches the platform and no peer, so that the platform's word comes first.
+void replaceSlowly(FakeFleet& fleet, std::size_t i)
+{
+    fleet.kill(i);
+    fleet.run(seconds(1));
+    fleet.start(i);
+    auto drops = fleet.drops;
+    auto* node = &fleet.node(i);
+    fleet.drops = [&](auto& from, auto& to) { return &from == node || &to == node || (drops && drops(from, to)); };
+    fleet.run(seconds(1));
+    fleet.drops = drops;
+    REQUIRE(fleet.runUntil(seconds(20), [&] { return fleet.control(i).isReady(); }));
+}
+
 } // namespace
 
 TEST_CASE("A change is in force everywhere within 4 s by few calls to the platform", "[spread]")
@@ -77,10 +91,7 @@
     REQUIRE(fleet.runUntil(seconds(4), [&] { return fleet.allHold(Topic::Settings, 4); }));
     fleet.platform.documents[0].pinned = 2;
     for (std::size_t i = 0; i < fleet.size(); ++i) {
-        fleet.kill(i);
-        fleet.run(seconds(1));
-        fleet.start(i);
-        REQUIRE(fleet.runUntil(seconds(20), [&] { return fleet.control(i).isReady(); }));
+        replaceSlowly(fleet, i);
         REQUIRE(fleet.node(i).inForce.size() == 1);
         CHECK(fleet.node(i).inForce[0].second == Revision(4));
     }
@@ -296,10 +307,7 @@
     fleet.drops = [&](auto& from, auto& to) { return isInside(from) != isInside(to); };
     fleet.run(seconds(10));
     for (std::size_t i = 0; i < fleet.size() / 2; ++i) {
-        fleet.kill(i);
-        fleet.run(seconds(1));
-        fleet.start(i);
-        REQUIRE(fleet.runUntil(seconds(20), [&] { return fleet.control(i).isReady(); }));
+        replaceSlowly(fleet, i);
         REQUIRE(fleet.node(i).inForce.size() == 1);
         CHECK(fleet.node(i).inForce[0].second == Revision(2));
     }
--- a/test/spreader_test.cc
+++ b/test/spreader_test.cc
@@ -204,6 +204,40 @@
     CHECK(first<CallPlatform>(effects));
 }
 
+TEST_CASE("Spreader: polls of a fleet at the design size are spread over its fair interval", "[spread]")
+{
+    // The platform hangs and 6,170 processes poll it for two documents. Were each to ask every few seconds, they would
+    // use up the service's 2,000 calls a second and keep it down.
+    constexpr std::size_t fleetSize = 6170;
+    constexpr int processes = 500;
+    const SpreadOptions options;
+    auto fair = fleetSize * membership::topicCount / options.fleetCallsPerSecond;
+    int early = 0;
+    for (int i = 0; i < processes; ++i) {
+        Spreader spreader(Topic::Settings, options, nullptr, static_cast<std::uint64_t>(i));
+        SpreadEffects effects;
+        auto answer = [&](PlatformOutcome outcome, TimePoint at) { spreader.step(PlatformAnswered { { outcome, Revision(1), "x", "" }, at }, effects); };
+        auto waitForCall = [&](TimePoint from) {
+            effects.clear();
+            for (auto it = from; it < from + seconds(300); it += milliseconds(100)) {
+                spreader.step(SpreadTick { it, false, fleetSize }, effects);
+                if (first<CallPlatform>(effects))
+                    return std::chrono::duration<double>(it - from).count();
+            }
+            return 300.0;
+        };
+        answer(PlatformOutcome::Body, now);
+        auto silent = now + options.silenceLimit + milliseconds(1);
+        auto waited = waitForCall(silent);
+        early += waited < fair / 5;
+        CHECK(waited <= fair + 1);
+        answer(PlatformOutcome::Failed, silent + seconds(30));
+        CHECK(waitForCall(silent + seconds(30)) >= fair / 2);
+    }
+    CHECK(early < processes / 5 * 1.5);
+    CHECK(early > processes / 5 / 1.5);
+}
+
 TEST_CASE("ServeBudget: bounds what is served and refills", "[spread]")
 {
     ServeBudget budget(Bytes(1000), Bytes(100));
