--- a/bench/control-bench-udp.cc
+++ b/bench/control-bench-udp.cc
@@ -36,11 +36,11 @@
 /// The stand-in on a thread of its own, so that the nodes' thread measures the nodes alone.
 class PlatformThread {
 public:
-    explicit PlatformThread(std::string instances)
+    explicit PlatformThread(const std::string& instances)
         : m_platform(m_io, {})
     {
         auto handle = [this](standin::Exchange& exchange) { return m_platform.handle(exchange); };
-        m_server = std::move(standin::HttpServer::create(m_io, "127.0.0.1:0", handle).value());
+        m_server = standin::HttpServer::create(m_io, "127.0.0.1:0", handle).value();
         m_platform.publishInstances(instances);
         m_thread = std::thread([this] { m_io.run(); });
     }
--- a/src/spread/control.cc
+++ b/src/spread/control.cc
@@ -120,7 +120,7 @@
     m_effects->emplace_back(std::move(effect));
 }
 
-void Control::handle(DocumentTaken effect)
+void Control::handle(const DocumentTaken& effect)
 {
     if (effect.document->topic() == Topic::Instances)
         takeList(*effect.document);
--- a/src/spread/control.h
+++ b/src/spread/control.h
@@ -94,7 +94,7 @@
     void stepDetector(const membership::DetectorEvent& event);
     void stepSpreader(Topic topic, const SpreadEvent& event);
     void handle(membership::SendMessage effect);
-    void handle(DocumentTaken effect);
+    void handle(const DocumentTaken& effect);
     void handle(membership::ViewChanged effect);
     void handle(membership::SelfLeaving effect);
     template <typename T>
--- a/test/address-answer_test.cc
+++ b/test/address-answer_test.cc
@@ -48,7 +48,7 @@
 
 const TimePoint now { std::chrono::hours(1) };
 
-std::vector<std::string> answer(const View& view, std::uint64_t seed, std::optional<DataCentreName> client = DataCentreName("a1"), const AddressAnswerOptions& options = {})
+std::vector<std::string> answer(const View& view, std::uint64_t seed, const std::optional<DataCentreName>& client = DataCentreName("a1"), const AddressAnswerOptions& options = {})
 {
     std::vector<std::string> addresses;
     for (auto& it : answerAddresses(view, client, ServiceName("s"), seed, now, options).addresses)
@@ -133,6 +133,7 @@
 TEST_CASE("Rendezvous: a member that goes moves only its own choices", "[membership]")
 {
     std::vector<NodeKey> members;
+    members.reserve(50);
     for (int i = 0; i < 50; ++i)
         members.push_back(keyOf(NodeId(fmt::format("m{}", i))));
     std::size_t moved = 0;
--- a/test/control-node_test.cc
+++ b/test/control-node_test.cc
@@ -59,7 +59,7 @@
         : m_platform(m_io, {})
     {
         auto handle = [this](standin::Exchange& exchange) { return m_platform.handle(exchange); };
-        m_server = std::move(standin::HttpServer::create(m_io, "127.0.0.1:0", handle).value());
+        m_server = standin::HttpServer::create(m_io, "127.0.0.1:0", handle).value();
         for (std::size_t i = 0; i < size; ++i) {
             membership::ListedInstance row;
             row.id = membership::NodeId(fmt::format("node-{}", i));
@@ -197,6 +197,26 @@
     CHECK(fleet.runUntil([&] { return fleet.all([&](auto& it) { return it.body == first + second + "\n"; }); }));
 }
 
+TEST_CASE("ControlNode: a part that is not what its manifest says is never in force", "[spread]")
+{
+    // The platform serves a part from a copy that is behind. Joined with the others it makes a tree that nobody wrote.
+    constexpr std::size_t size = 2;
+    LoopbackFleet fleet(size);
+    fleet.platform().publishSettings("one");
+    for (std::size_t i = 0; i < size; ++i)
+        fleet.start(i);
+    REQUIRE(fleet.runUntil([&] { return fleet.all([](auto& it) { return it.body == "one"; }); }));
+    const std::string right = "right\n";
+    auto digest = settings::digestOf(right);
+    fleet.send("PUT", "/admin/parts/" + digest.value(), "wrong\n");
+    fleet.platform().publishSettings(settings::Manifest::format({ settings::Part { "a", digest, Bytes(right.size()) } }));
+    auto hasTried = [&] { return fleet.all([](auto& it) { return it.node->status().spread[0].platformCalls >= 4; }); };
+    CHECK(fleet.runUntil(hasTried));
+    CHECK(fleet.all([](auto& it) { return it.body == "one"; }));
+    fleet.send("PUT", "/admin/parts/" + digest.value(), right);
+    CHECK(fleet.runUntil([&] { return fleet.all([&](auto& it) { return it.body == right; }); }));
+}
+
 TEST_CASE("ControlNode: a process that restarts over a stale platform takes its peers' settings", "[spread]")
 {
     // The platform serves an old copy while a process restarts. It must not bring the old tree back into force, and must
--- a/test/membership-fleet_test.cc
+++ b/test/membership-fleet_test.cc
@@ -182,7 +182,7 @@
     };
     auto took = fleet.runUntil(seconds(60), isWhole);
     REQUIRE(took);
-    CHECK(*took < seconds(30));
+    CHECK(*took < seconds(10));
 }
 
 TEST_CASE("Regions that lose each other declare no member dead one by one", "[membership]")
--- a/test/spreader_test.cc
+++ b/test/spreader_test.cc
@@ -234,8 +234,8 @@
         answer(PlatformOutcome::Failed, silent + seconds(30));
         CHECK(waitForCall(silent + seconds(30)) >= fair / 2);
     }
-    CHECK(early < processes / 5 * 1.5);
-    CHECK(early > processes / 5 / 1.5);
+    CHECK(early < processes * 0.3);
+    CHECK(early > processes * 0.13);
 }
 
 TEST_CASE("ServeBudget: bounds what is served and refills", "[spread]")
