--- a/src/spread/control-node.cc
+++ b/src/spread/control-node.cc
@@ -186,7 +186,7 @@
 
     void perform(const DocumentRefused& effect)
     {
-        log::write(log::Event::SettingsRefused, "topic={} revision={} problem=\"{}\"", toString(effect.topic), effect.revision.value(), effect.problem);
+        log::write(log::Event::DocumentRefused, "topic={} revision={} problem=\"{}\"", toString(effect.topic), effect.revision.value(), effect.problem);
         if (effect.topic == Topic::Settings && m_hooks.onSettingsRefused)
             m_hooks.onSettingsRefused(effect.revision, effect.problem);
     }
