Queue fairly between organisations and refuse early what cannot be in time

Cause: past capacity, first come first served lets one organisation delay all others, and serves requests whose callers have gone.

Start-time fair queueing between organisations by weight, priorities only within an organisation (else whoever marks everything urgent takes the rest), refusal on arrival by expected wait against the last useful start, expiry by a timer, eviction from the largest holder when the queue is full.

Deficit round robin was weighed: O(1), but with costs from 10 to 100,000 tokens its quantum must be the largest cost, so a short request waits for a round of long ones.

Failed first: forgiving all use as soon as nobody waited gave the flooding organisation one more turn; it is now forgiven only when nothing runs.

--- /dev/null
+++ b/src/policy/drain-rate.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <swiftloft/units.h>
+
+namespace swiftloft::policy::internal {
+
+/// Work finished a second while there was work waiting, with older stretches forgotten.
+class DrainRate {
+public:
+    explicit DrainRate(double initial)
+        : m_rate(initial)
+    {
+    }
+
+    /// `isBusy`: something was waiting since the last finish; otherwise the gap says nothing about the speed.
+    void onFinish(Tokens cost, bool isBusy, TimePoint now)
+    {
+        constexpr double keep = 1 - 1.0 / 64;
+        constexpr double shortestStretch = 0.05;
+        if (isBusy && m_lastFinish != TimePoint {}) {
+            m_cost = m_cost * keep + static_cast<double>(cost.value());
+            m_elapsed = m_elapsed * keep + std::chrono::duration<double>(now - m_lastFinish).count();
+            if (m_elapsed > shortestStretch)
+                m_rate = m_cost / m_elapsed;
+        }
+        m_lastFinish = now;
+    }
+
+    double tokensPerSecond() const { return m_rate; }
+
+private:
+    double m_rate;
+    double m_cost { 0 };
+    double m_elapsed { 0 };
+    TimePoint m_lastFinish {};
+};
+
+} // namespace swiftloft::policy::internal
--- /dev/null
+++ b/src/policy/waiting-room.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "src/policy/indexed-heap.h"
+
+#include <swiftloft/policy/admission-queue.h>
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <array>
+#include <vector>
+
+namespace swiftloft::policy::internal {
+
+constexpr std::uint32_t noSlot = 0xffffffff;
+
+struct WaitingRequest {
+    AdmissionId id;
+    Tokens cost;
+    std::uint32_t organisation { 0 };
+    Priority priority { Priority::Normal };
+    std::uint32_t previous { noSlot };
+    std::uint32_t next { noSlot };
+};
+
+struct WaitingList {
+    std::uint32_t first { noSlot };
+    std::uint32_t last { noSlot };
+    Tokens cost;
+};
+
+struct WaitingOrganisation {
+    OrganisationName name;
+    double weight { 1 };
+    /// Virtual time at which the work started so far is paid for.
+    double finishTag { 0 };
+    Tokens backlog;
+    std::array<WaitingList, priorityCount> lists;
+};
+
+/// The waiting requests, in lists by organisation and priority, with the orders in which they can leave.
+class WaitingRoom {
+public:
+    std::uint32_t organisationSlot(const OrganisationName& name);
+    const WaitingOrganisation* findOrganisation(const OrganisationName& name) const;
+    WaitingOrganisation& organisation(std::uint32_t slot) { return m_organisations[slot]; }
+    void setWeight(const OrganisationName& name, double weight);
+    void forget(const OrganisationName& name);
+
+    void push(const AdmissionRequest& request, std::uint32_t organisation);
+    WaitingRequest take(std::uint32_t slot);
+    std::optional<std::uint32_t> find(AdmissionId id) const;
+    const WaitingRequest& at(std::uint32_t slot) const { return m_requests[slot]; }
+
+    std::size_t size() const { return m_slots.size(); }
+    Tokens backlog() const { return m_backlog; }
+    /// Sum of the weights of the organisations that have something waiting.
+    double activeWeight() const { return m_activeWeight; }
+
+    /// First request of the organisation whose turn it is.
+    std::optional<std::uint32_t> nextInTurn() const;
+    /// Charges a start to its organisation.
+    void charge(std::uint32_t organisation, Tokens cost);
+    /// Nothing waits and nothing runs: whoever used the idle servers owes nothing for it.
+    void onIdle();
+    std::optional<TimePoint> earliestLatestStart() const;
+    std::uint32_t firstToExpire() const { return m_latestStarts.topId(); }
+    /// The organisation with the most waiting for its weight, and that amount.
+    std::uint32_t largestOrganisation() const { return m_largest.topId(); }
+    double largestShare() const { return -m_largest.topKey(); }
+    std::uint32_t newestOf(std::uint32_t organisation) const;
+
+private:
+    void link(std::uint32_t slot);
+    void unlink(std::uint32_t slot);
+    void updateOrganisation(std::uint32_t organisation, Tokens change);
+
+    std::vector<WaitingRequest> m_requests;
+    std::vector<std::uint32_t> m_freeSlots;
+    boost::unordered_flat_map<std::uint64_t, std::uint32_t> m_slots;
+    std::vector<WaitingOrganisation> m_organisations;
+    std::vector<std::uint32_t> m_freeOrganisations;
+    boost::unordered_flat_map<OrganisationName, std::uint32_t, std::hash<OrganisationName>> m_names;
+    IndexedHeap<double> m_turns;
+    IndexedHeap<double> m_largest;
+    IndexedHeap<TimePoint> m_latestStarts;
+    Tokens m_backlog;
+    double m_activeWeight { 0 };
+    double m_virtualTime { 0 };
+    double m_latestFinishTag { 0 };
+};
+
+} // namespace swiftloft::policy::internal
