--- a/standin/plain-main.cc
+++ b/standin/plain-main.cc
@@ -71,7 +71,6 @@
         start.key = exchange.header("Swiftloft-Request-Key");
         start.idempotencyKey = exchange.header("Idempotency-Key");
         start.fingerprint = XXH64(request.body().data(), request.body().size(), 0);
-        auto key = start.key.empty() ? start.idempotencyKey : start.key;
         auto id = m_runLog.start(start);
         ++m_running;
         auto delay = std::atoi(exchange.query("delay_ms").c_str());
@@ -82,7 +81,7 @@
         --m_running;
         m_runLog.finish(id, 0, "finished");
         exchange.setHeader("Swiftloft-Backend-Server", m_id);
-        co_await exchange.replyJson(HttpStatus::ok, echoJson(request, m_runLog.countOf(key)));
+        co_await exchange.replyJson(HttpStatus::ok, echoJson(request, m_runLog.countOf(start)));
     }
 
     std::string loadJson() const
--- a/standin/run-log.cc
+++ b/standin/run-log.cc
@@ -13,6 +13,11 @@
 
 constexpr int hexadecimal = 16;
 
+const std::string& identityOf(const RunLog::Start& start)
+{
+    return start.idempotencyKey.empty() ? start.key : start.idempotencyKey;
+}
+
 json::object startJson(const RunLog::Start& start)
 {
     return {
@@ -66,7 +71,7 @@
 
 void RunLog::add(Entry entry)
 {
-    ++m_counts[entry.start.key];
+    ++m_counts[identityOf(entry.start)];
     m_entries.push_back(std::move(entry));
 }
 
@@ -90,9 +95,9 @@
     append(json::serialize(object));
 }
 
-std::int64_t RunLog::countOf(const std::string& key) const
+std::int64_t RunLog::countOf(const Start& start) const
 {
-    auto it = m_counts.find(key);
+    auto it = m_counts.find(identityOf(start));
     return it == m_counts.end() ? 0 : it->second;
 }
 
--- a/standin/run-log.h
+++ b/standin/run-log.h
@@ -31,8 +31,8 @@
     std::size_t start(Start);
     void finish(std::size_t id, std::int64_t tokens, std::string_view outcome);
 
-    /// How often requests with `key` began to run.
-    std::int64_t countOf(const std::string& key) const;
+    /// How often the request began to run; told apart by its caller's key, or by the system's where there is none.
+    std::int64_t countOf(const Start&) const;
     std::string toJson() const;
 
 private:
--- /dev/null
+++ b/test/process/process-harness.cc
@@ -0,0 +1,187 @@
+#include "test/process/process-harness.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+#include <thread>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace swiftloft::process_test {
+
+namespace {
+
+constexpr milliseconds pollInterval { 5 };
+constexpr int signalBase = 128;
+constexpr int cannotExecute = 127;
+constexpr int firstPort = 10'000;
+constexpr int portCount = 22'000;
+constexpr int portsOfProcess = 200;
+
+[[noreturn]] void runChild(char* const* arguments, int output, pid_t parent)
+{
+    // A test program that crashes must leave no process behind.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != parent)
+        ::_exit(cannotExecute);
+    ::dup2(output, STDOUT_FILENO);
+    ::closefrom(STDERR_FILENO + 1);
+    ::execv(arguments[0], arguments);
+    ::_exit(cannotExecute);
+}
+
+bool canBind(int port)
+{
+    auto fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto isFree = ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    ::close(fd);
+    return isFree;
+}
+
+} // namespace
+
+ChildProcess::ChildProcess(pid_t pid, int output)
+    : m_pid(pid)
+    , m_output(output)
+{
+}
+
+Result<std::unique_ptr<ChildProcess>> ChildProcess::start(std::vector<std::string> command, Options options)
+{
+    int ends[2];
+    if (::pipe2(ends, O_CLOEXEC) != 0)
+        return Error { ErrorCode::Internal, "no pipe" };
+    std::vector<char*> arguments;
+    for (auto& argument : command)
+        arguments.push_back(argument.data());
+    arguments.push_back(nullptr);
+    auto parent = ::getpid();
+    auto pid = ::fork();
+    if (pid == 0)
+        runChild(arguments.data(), ends[1], parent);
+    ::close(ends[1]);
+    if (pid < 0) {
+        ::close(ends[0]);
+        return Error { ErrorCode::Internal, "no process" };
+    }
+    std::unique_ptr<ChildProcess> child(new ChildProcess(pid, ends[0]));
+    if (options.waitsForListening && !child->readAddress(Clock::now() + options.startLimit))
+        return Error { ErrorCode::TimedOut, fmt::format("'{}' did not say that it listens", command.front()) };
+    return child;
+}
+
+ChildProcess::~ChildProcess()
+{
+    kill();
+    ::close(m_output);
+}
+
+bool ChildProcess::readAddress(TimePoint deadline)
+{
+    constexpr std::string_view mark = "listening ";
+    std::string text;
+    while (Clock::now() < deadline) {
+        pollfd waiting { m_output, POLLIN, 0 };
+        ::poll(&waiting, 1, static_cast<int>(pollInterval.count()));
+        if (!(waiting.revents & (POLLIN | POLLHUP)))
+            continue;
+        char buf[256];
+        auto n = ::read(m_output, buf, sizeof(buf));
+        if (n <= 0)
+            return false;
+        text.append(buf, static_cast<std::size_t>(n));
+        auto begin = text.find(mark);
+        auto end = begin == std::string::npos ? begin : text.find('\n', begin);
+        if (end == std::string::npos)
+            continue;
+        m_address = text.substr(begin + mark.size(), end - begin - mark.size());
+        return true;
+    }
+    return false;
+}
+
+std::optional<int> ChildProcess::reap(int flags)
+{
+    if (m_exitStatus)
+        return m_exitStatus;
+    int status = 0;
+    if (::waitpid(m_pid, &status, flags) != m_pid)
+        return std::nullopt;
+    m_exitStatus = WIFEXITED(status) ? WEXITSTATUS(status) : signalBase + WTERMSIG(status);
+    return m_exitStatus;
+}
+
+void ChildProcess::kill()
+{
+    if (reap(WNOHANG))
+        return;
+    ::kill(m_pid, SIGKILL);
+    reap(0);
+}
+
+void ChildProcess::pause()
+{
+    ::kill(m_pid, SIGSTOP);
+    int status = 0;
+    ::waitpid(m_pid, &status, WUNTRACED);
+}
+
+void ChildProcess::resume()
+{
+    ::kill(m_pid, SIGCONT);
+}
+
+void ChildProcess::terminate()
+{
+    ::kill(m_pid, SIGTERM);
+}
+
+std::optional<int> ChildProcess::waitForExit(TimePoint deadline)
+{
+    waitUntil(deadline, [this] { return reap(WNOHANG).has_value(); });
+    return m_exitStatus;
+}
+
+bool ChildProcess::isRunning()
+{
+    return !reap(WNOHANG);
+}
+
+std::string builtProgram(const std::string& path)
+{
+    return std::string(SWIFTLOFT_BUILD_DIR "/") + path;
+}
+
+int freePort()
+{
+    static int next = static_cast<int>(::getpid()) * portsOfProcess;
+    for (int n = 0; n < portCount; ++n) {
+        auto port = firstPort + next++ % portCount;
+        if (canBind(port))
+            return port;
+    }
+    throw Exception({ ErrorCode::Unavailable, "no free port" });
+}
+
+bool waitUntil(TimePoint deadline, const std::function<bool()>& condition)
+{
+    while (!condition()) {
+        if (Clock::now() >= deadline)
+            return false;
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return true;
+}
+
+} // namespace swiftloft::process_test
--- /dev/null
+++ b/test/process/process-harness.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <swiftloft/result.h>
+#include <swiftloft/units.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+/// Real processes for tests: started, paused, killed and always reaped.
+namespace swiftloft::process_test {
+
+/// A running program. The destructor kills and reaps it; it also dies with the test program.
+class ChildProcess {
+public:
+    struct Options {
+        /// Wait for the line `listening IP:PORT` on its standard output.
+        bool waitsForListening { true };
+        milliseconds startLimit { 10'000 };
+    };
+
+    static Result<std::unique_ptr<ChildProcess>> start(std::vector<std::string> command, Options);
+
+    ~ChildProcess();
+    ChildProcess(const ChildProcess&) = delete;
+    ChildProcess& operator=(const ChildProcess&) = delete;
+
+    pid_t pid() const { return m_pid; }
+    /// "IP:PORT" from the line `listening IP:PORT`.
+    const std::string& address() const { return m_address; }
+
+    /// SIGKILL; returns when the process is gone.
+    void kill();
+    /// SIGSTOP; returns when the process has stopped.
+    void pause();
+    void resume();
+    void terminate();
+    /// Exit status, or 128 and the signal that ended it; empty while it runs at the deadline.
+    std::optional<int> waitForExit(TimePoint deadline);
+    bool isRunning();
+
+private:
+    ChildProcess(pid_t, int output);
+    bool readAddress(TimePoint deadline);
+    std::optional<int> reap(int flags);
+
+    pid_t m_pid;
+    int m_output;
+    std::string m_address;
+    std::optional<int> m_exitStatus;
+};
+
+/// Path of a program in the build directory, such as "standin/standin-engine".
+std::string builtProgram(const std::string& path);
+
+/// A port with no listener, below the range the kernel draws client ports from, and not given out before by this
+/// process.
+int freePort();
+
+/// Polls `condition` until it holds; false when it does not by the deadline.
+bool waitUntil(TimePoint deadline, const std::function<bool()>& condition);
+
+} // namespace swiftloft::process_test
