Change expert maps by facts that the engines hold

Cause: a rank group must never run one step with two maps, whatever dies, wakes up late or is reordered.

The coordinator (rank 0's agent) and the rank agents are pure reducers. A switch point that any rank is armed for is always carried forward, unless a rank has entered that step with the old map; so two coordinators that both believe to be in charge come to one outcome, and engines that ignore fencing numbers do no harm.

Ruled out: aborting an armed change after a timeout (an order to go of the dead coordinator may still be in a socket); admitting all ranks at once after a restart of the whole group (orders of two coordinators could differ).

--- /dev/null
+++ b/src/expertmap/coordinator.cc
@@ -0,0 +1,359 @@
+#include <swiftloft/expertmap/coordinator.h>
+
+#include <algorithm>
+#include <array>
+
+namespace swiftloft::expertmap {
+
+using namespace coordination;
+
+const char* toString(CoordinatorPhase phase)
+{
+    constexpr std::array<const char*, 8> names { "inquiring", "idle", "staging", "arming", "confirming", "cancelling", "admitting", "stepped-down" };
+    return names[static_cast<std::size_t>(phase)];
+}
+
+Result<Coordinator> Coordinator::create(const Options& options)
+{
+    if (options.incarnation.value() == 0)
+        return Error { ErrorCode::InvalidArgument, "a coordinator needs an incarnation other than 0" };
+    if (options.ranks == 0 || options.stagingRanks == 0)
+        return Error { ErrorCode::InvalidArgument, "a coordinator needs one rank and one staging rank at least" };
+    if (options.leadSteps == 0 || options.maxLeadSteps < options.leadSteps)
+        return Error { ErrorCode::InvalidArgument, "the lead must be one step at least and not above its bound" };
+    if (options.retryAfter <= milliseconds(0) || options.idleReadAfter <= milliseconds(0))
+        return Error { ErrorCode::InvalidArgument, "the times of a coordinator must be positive" };
+    return Coordinator(options);
+}
+
+Coordinator::Coordinator(const Options& options)
+    : m_options(options)
+    , m_fence { 1, options.incarnation }
+    , m_ranks(options.ranks)
+    , m_lead(options.leadSteps)
+{
+}
+
+Effects Coordinator::apply(TimePoint now, const Event& event)
+{
+    Effects effects;
+    if (m_phase == CoordinatorPhase::SteppedDown)
+        return effects;
+    if (auto* arrived = std::get_if<ReportArrived>(&event))
+        onReport(arrived->report, effects);
+    else if (auto* hello = std::get_if<HelloArrived>(&event))
+        onHello(now, hello->hello, effects);
+    else if (auto* wish = std::get_if<MapWanted>(&event))
+        m_wanted = wish->version;
+    else if (std::holds_alternative<WishWithdrawn>(event))
+        m_wanted.reset();
+    if (m_phase != CoordinatorPhase::SteppedDown)
+        advance(now, effects);
+    return effects;
+}
+
+void Coordinator::onReport(const RankReport& report, Effects& effects)
+{
+    if (report.rank.value() >= m_ranks.size())
+        return;
+    if (report.promised > m_fence) {
+        // Failure: this process was frozen and another took over rank 0. Two coordinators that outbid each other in
+        // turn would stop all changes, so one that has led gives way for good. One that has only just begun bids again.
+        if (m_hasLed) {
+            m_phase = CoordinatorPhase::SteppedDown;
+            effects.push_back(SteppedDown { report.promised });
+            return;
+        }
+        inquireAgain(report.promised);
+        return;
+    }
+    auto& view = m_ranks[report.rank.value()];
+    // Failure: reports overtake each other. The status was read after the order of its round arrived, so a higher
+    // round is never older than what is known.
+    if (report.promised != m_fence || report.round <= view.round || !report.status)
+        return;
+    view.round = report.round;
+    view.status = report.status;
+}
+
+void Coordinator::onHello(TimePoint now, const RankHello& hello, Effects& effects)
+{
+    if (hello.rank.value() >= m_ranks.size())
+        return;
+    auto& view = m_ranks[hello.rank.value()];
+    view.lastOrder.reset();
+    send(now, hello.rank.value(), ReadStatus {}, effects);
+}
+
+void Coordinator::inquireAgain(FencingNumber newer)
+{
+    m_fence.counter = newer.counter + 1;
+    for (auto& view : m_ranks)
+        view = {};
+}
+
+std::vector<RankIndex> Coordinator::unheardRanks() const
+{
+    std::vector<RankIndex> ranks;
+    for (std::uint32_t r = 0; r < m_ranks.size(); ++r) {
+        if (!m_ranks[r].status)
+            ranks.push_back(RankIndex(r));
+    }
+    return ranks;
+}
+
+bool Coordinator::heardAll() const
+{
+    return std::all_of(m_ranks.begin(), m_ranks.end(), [](auto& view) { return view.status.has_value(); });
+}
+
+std::optional<SwitchPoint> Coordinator::pending() const
+{
+    std::optional<SwitchPoint> point;
+    for (auto& view : m_ranks) {
+        if (view.status && view.status->armed && (!point || view.status->armed->step < point->step))
+            point = view.status->armed;
+    }
+    return point;
+}
+
+StepNumber Coordinator::newestStep() const
+{
+    StepNumber step;
+    for (auto& view : m_ranks)
+        step = std::max(step, view.status->entered);
+    return step;
+}
+
+MapVersion Coordinator::groupMap() const
+{
+    const EngineStatus* newest = nullptr;
+    for (auto& view : m_ranks) {
+        if (view.status->isAdmitted && (!newest || view.status->entered > newest->entered))
+            newest = &*view.status;
+    }
+    return newest ? newest->current : m_wanted.value_or(m_options.initial);
+}
+
+void Coordinator::send(TimePoint now, std::uint32_t rank, const Order& order, Effects& effects, std::optional<milliseconds> every)
+{
+    auto& view = m_ranks[rank];
+    if (view.lastOrder == order && now < view.resendAt)
+        return;
+    view.lastOrder = order;
+    view.resendAt = now + every.value_or(m_options.retryAfter);
+    RankOrder message { m_fence, ++m_round, RankIndex(rank), std::nullopt, order };
+    if (!std::holds_alternative<ReadStatus>(order))
+        message.engine = view.status->engine;
+    effects.push_back(SendOrder { message });
+}
+
+void Coordinator::readAll(TimePoint now, milliseconds every, Effects& effects)
+{
+    for (std::uint32_t r = 0; r < m_ranks.size(); ++r)
+        send(now, r, ReadStatus {}, effects, every);
+}
+
+void Coordinator::advance(TimePoint now, Effects& effects)
+{
+    // Failure: a coordinator died after some ranks were told to go and others not. Until its successor has heard what
+    // each rank holds it cannot know the outcome, so it only asks. Each answer also binds that rank's agent to the
+    // newer fencing number.
+    if (!heardAll()) {
+        m_phase = CoordinatorPhase::Inquiring;
+        for (auto rank : unheardRanks())
+            send(now, rank.value(), ReadStatus {}, effects);
+        return;
+    }
+    m_hasLed = true;
+    if (auto point = pending()) {
+        m_point = point;
+        carryForward(now, *point, effects);
+        return;
+    }
+    if (m_point)
+        finishChange(effects);
+    if (admitWaiting(now, effects))
+        return;
+    m_waiting.clear();
+    // Once rank 0 may be armed, the switch point is seen through: a wish that changes meanwhile waits.
+    auto target = m_point ? std::optional(m_point->version) : m_wanted;
+    if (target && *target != groupMap()) {
+        startChange(now, *target, effects);
+        return;
+    }
+    m_phase = CoordinatorPhase::Idle;
+    dropOldMaps(now, effects);
+}
+
+void Coordinator::carryForward(TimePoint now, const SwitchPoint& point, Effects& effects)
+{
+    auto anyRank = [this](auto&& test) { return std::any_of(m_ranks.begin(), m_ranks.end(), [&](auto& view) { return test(*view.status); }); };
+    if (anyRank([&](auto& status) { return status.hasTaken(point); })) {
+        release(now, point, effects);
+        return;
+    }
+    // A rank entered the step with the old map, so it was never armed for it, so no rank was ever told to go.
+    if (anyRank([&](auto& status) { return status.hasPassed(point); })) {
+        cancel(now, point, effects);
+        return;
+    }
+    bool allArmed = !anyRank([&](auto& status) { return !status.isArmedFor(point); });
+    if (allArmed)
+        release(now, point, effects);
+    else
+        armRest(now, point, effects);
+}
+
+void Coordinator::release(TimePoint now, const SwitchPoint& point, Effects& effects)
+{
+    m_phase = CoordinatorPhase::Confirming;
+    for (std::uint32_t r = 0; r < m_ranks.size(); ++r) {
+        auto& status = *m_ranks[r].status;
+        if (!status.isAdmitted)
+            bringBack(now, r, point, effects);
+        else if (status.isArmedFor(point) && !status.isReleased)
+            send(now, r, Go { point }, effects);
+        else
+            send(now, r, ReadStatus {}, effects);
+    }
+}
+
+void Coordinator::cancel(TimePoint now, const SwitchPoint& point, Effects& effects)
+{
+    m_phase = CoordinatorPhase::Cancelling;
+    for (std::uint32_t r = 0; r < m_ranks.size(); ++r) {
+        if (m_ranks[r].status->isArmedFor(point))
+            send(now, r, Cancel { point }, effects);
+    }
+}
+
+void Coordinator::armRest(TimePoint now, const SwitchPoint& point, Effects& effects)
+{
+    m_phase = CoordinatorPhase::Arming;
+    for (std::uint32_t r = 0; r < m_ranks.size(); ++r) {
+        auto& status = *m_ranks[r].status;
+        if (!status.isAdmitted)
+            bringBack(now, r, point, effects);
+        else if (status.isArmedFor(point))
+            continue;
+        // An engine that restarted after it had loaded the map loads it again; the group holds meanwhile.
+        else if (!status.hasStaged(point.version))
+            send(now, r, StageMap { point.version }, effects);
+        else
+            send(now, r, Arm { point }, effects);
+    }
+}
+
+std::vector<Incarnation> Coordinator::waitingEngines() const
+{
+    std::vector<Incarnation> engines;
+    for (auto& view : m_ranks) {
+        if (!view.status->isAdmitted)
+            engines.push_back(view.status->engine);
+    }
+    return engines;
+}
+
+bool Coordinator::admitWaiting(TimePoint now, Effects& effects)
+{
+    auto engines = waitingEngines();
+    if (engines.empty())
+        return false;
+    m_phase = CoordinatorPhase::Admitting;
+    bool isNew = std::any_of(engines.begin(), engines.end(), [this](auto engine) { return std::find(m_waiting.begin(), m_waiting.end(), engine) == m_waiting.end(); });
+    m_waiting = std::move(engines);
+    // Failure: an engine restarts just as the others switch. What is known of them may be from before the switch, and
+    // it would be admitted with the old map. So all ranks are read once more after its restart was seen.
+    if (isNew) {
+        m_freshRound = m_round;
+        for (auto& view : m_ranks)
+            view.lastOrder.reset();
+    }
+    bool isFresh = std::all_of(m_ranks.begin(), m_ranks.end(), [this](auto& view) { return view.round > m_freshRound; });
+    if (!isFresh) {
+        readAll(now, m_options.retryAfter, effects);
+        return true;
+    }
+    // Failure: with no rank admitted, an order that an earlier coordinator left behind could admit one rank with
+    // another map. Rank 0 goes first and alone; all others follow the map that its engine then shows.
+    bool isNoneAdmitted = m_waiting.size() == m_ranks.size();
+    std::uint32_t end = isNoneAdmitted ? 1 : static_cast<std::uint32_t>(m_ranks.size());
+    for (std::uint32_t r = 0; r < end; ++r) {
+        if (!m_ranks[r].status->isAdmitted)
+            bringBack(now, r, std::nullopt, effects);
+    }
+    return true;
+}
+
+void Coordinator::bringBack(TimePoint now, std::uint32_t rank, const std::optional<SwitchPoint>& point, Effects& effects)
+{
+    auto& status = *m_ranks[rank].status;
+    auto version = groupMap();
+    // The others may be before or in the switch step. Armed from its first moment, the engine is right in both cases.
+    bool hasSwitched = point && version == point->version;
+    if (!status.hasStaged(version))
+        send(now, rank, StageMap { version }, effects);
+    else if (point && !hasSwitched && !status.hasStaged(point->version))
+        send(now, rank, StageMap { point->version }, effects);
+    else
+        send(now, rank, Admit { version, hasSwitched ? std::nullopt : point }, effects);
+}
+
+bool Coordinator::stage(TimePoint now, MapVersion version, Effects& effects)
+{
+    std::uint32_t loading = 0;
+    for (std::uint32_t r = 0; r < m_ranks.size() && loading < m_options.stagingRanks; ++r) {
+        if (m_ranks[r].status->hasStaged(version))
+            continue;
+        send(now, r, StageMap { version }, effects);
+        ++loading;
+    }
+    return loading == 0;
+}
+
+void Coordinator::startChange(TimePoint now, MapVersion version, Effects& effects)
+{
+    m_phase = CoordinatorPhase::Staging;
+    if (!stage(now, version, effects))
+        return;
+    m_phase = CoordinatorPhase::Arming;
+    if (!m_point)
+        m_point = SwitchPoint { version, StepNumber(newestStep().value() + m_lead) };
+    // Failure: see "Rank 0 is armed first" in docs/design/expert-maps.md. A successor must find this switch point armed
+    // at rank 0 whenever any rank could have been told to go.
+    send(now, 0, Arm { *m_point }, effects);
+}
+
+void Coordinator::finishChange(Effects& effects)
+{
+    auto point = *m_point;
+    bool allTaken = std::all_of(m_ranks.begin(), m_ranks.end(), [&](auto& view) { return view.status->hasTaken(point); });
+    if (allTaken) {
+        effects.push_back(ChangeFinished { point });
+        m_lead = m_options.leadSteps;
+        m_point.reset();
+        return;
+    }
+    bool isPassed = std::any_of(m_ranks.begin(), m_ranks.end(), [&](auto& view) { return view.status->hasPassed(point); });
+    if (!isPassed)
+        return;
+    effects.push_back(ChangePostponed { point });
+    m_lead = std::min(m_lead * 2, m_options.maxLeadSteps);
+    m_point.reset();
+}
+
+void Coordinator::dropOldMaps(TimePoint now, Effects& effects)
+{
+    auto version = groupMap();
+    for (std::uint32_t r = 0; r < m_ranks.size(); ++r) {
+        auto& staged = m_ranks[r].status->staged;
+        bool isSurplus = std::any_of(staged.begin(), staged.end(), [&](auto it) { return it != version; });
+        if (isSurplus)
+            send(now, r, DropMaps { version }, effects);
+        else
+            send(now, r, ReadStatus {}, effects, m_options.idleReadAfter);
+    }
+}
+
+} // namespace swiftloft::expertmap
--- /dev/null
+++ b/test/expertmap-protocol_test.cc
@@ -0,0 +1,187 @@
+#include "test/expertmap-rig.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+using namespace swiftloft;
+using namespace swiftloft::expertmap;
+
+namespace {
+
+constexpr MapVersion first = rig::Group::initial;
+constexpr MapVersion second { 200 };
+
+/// A group that has been admitted and steps with the first map.
+rig::Group steppingGroup(const rig::Settings& settings = {})
+{
+    rig::Group group(settings);
+    REQUIRE(group.runUntil([&] { return group.allRun(first) && group.completedSteps() > 5; }, 400));
+    return group;
+}
+
+/// The check of every test here: no step mixed maps, and after the faults the group steps and runs `version`.
+void checkSettles(rig::Group& group, MapVersion version, int bound = 600)
+{
+    CHECK(group.runUntil([&] { return group.allRun(version); }, bound));
+    auto steps = group.completedSteps();
+    group.run(50);
+    CHECK(group.completedSteps() >= steps + 40);
+    CHECK(group.mixedStep() == 0);
+}
+
+} // namespace
+
+TEST_CASE("Map change: without faults no step waits")
+{
+    auto group = steppingGroup();
+    auto held = group.heldTurns();
+    group.want(second);
+    checkSettles(group, second);
+    CHECK(group.heldTurns() == held);
+    REQUIRE(group.finished().size() == 1);
+}
+
+namespace {
+
+enum class Fault {
+    KillAgent,
+    FreezeAndWake,
+    FreezeReplaceAndWake,
+    RestartEngineWithoutMap,
+    RestartEngineWithOldMap,
+    RestartInstance,
+    StoreDown,
+};
+
+constexpr Fault faults[] = { Fault::KillAgent, Fault::FreezeAndWake, Fault::FreezeReplaceAndWake, Fault::RestartEngineWithoutMap,
+    Fault::RestartEngineWithOldMap, Fault::RestartInstance, Fault::StoreDown };
+
+void begin(rig::Group& group, Fault fault, std::uint32_t rank)
+{
+    switch (fault) {
+    case Fault::KillAgent:
+        group.killAgent(rank);
+        break;
+    case Fault::FreezeAndWake:
+    case Fault::FreezeReplaceAndWake:
+        group.freeze(rank);
+        break;
+    case Fault::RestartEngineWithoutMap:
+        group.restartEngine(rank);
+        break;
+    case Fault::RestartEngineWithOldMap:
+        group.restartEngine(rank, first);
+        break;
+    case Fault::RestartInstance:
+        group.killAgent(rank);
+        group.restartEngine(rank);
+        break;
+    case Fault::StoreDown:
+        group.setStoreUp(false);
+        break;
+    }
+}
+
+/// The slot gets its agent back, and what was stopped runs again.
+void end(rig::Group& group, Fault fault, std::uint32_t rank)
+{
+    if (fault == Fault::FreezeReplaceAndWake)
+        group.replace(rank);
+    else if (!group.agent(rank))
+        group.startAgent(rank);
+    if (fault == Fault::StoreDown)
+        group.setStoreUp(true);
+}
+
+/// Seeds tried of the sweep over two faults; each is some 300 turns of a group.
+constexpr int doubleFaults = 2000;
+
+struct Scenario {
+    Fault fault { Fault::KillAgent };
+    std::uint32_t rank { 0 };
+    /// Turns from the wish for the second map to the fault, and on to its end and to the waking of frozen processes.
+    int at { 0 };
+    int length { 0 };
+    int wakeAfter { 0 };
+};
+
+struct Outcome {
+    std::uint64_t mixedStep { 0 };
+    bool hasSettled { false };
+    bool stepsAgain { false };
+    std::uint64_t heldTurns { 0 };
+};
+
+Outcome play(const rig::Settings& settings, const std::vector<Scenario>& scenarios)
+{
+    rig::Group group(settings);
+    group.runUntil([&] { return group.allRun(first) && group.completedSteps() > 5; }, 600);
+    auto heldBefore = group.heldTurns();
+    group.want(second);
+    for (int turn = 0; turn < 300; ++turn) {
+        for (auto& it : scenarios) {
+            if (turn == it.at)
+                begin(group, it.fault, it.rank);
+            if (turn == it.at + it.length)
+                end(group, it.fault, it.rank);
+            if (turn == it.at + it.length + it.wakeAfter)
+                group.wakeAll();
+        }
+        group.turn();
+    }
+    group.setFaults({});
+    group.wakeAll();
+    Outcome outcome;
+    outcome.hasSettled = group.runUntil([&] { return group.allRun(second); }, 1500);
+    outcome.heldTurns = group.heldTurns() - heldBefore;
+    auto steps = group.completedSteps();
+    group.run(50);
+    outcome.stepsAgain = group.completedSteps() >= steps + 40;
+    outcome.mixedStep = group.mixedStep();
+    return outcome;
+}
+
+void checkOutcome(const Outcome& outcome)
+{
+    CHECK(outcome.mixedStep == 0);
+    CHECK(outcome.hasSettled);
+    CHECK(outcome.stepsAgain);
+}
+
+} // namespace
+
+TEST_CASE("Map change: one fault at any turn, on any rank, leaves one map in every step")
+{
+    // Users see a group that stalls or answers nonsense after a restart. One agent, engine or instance fails at some
+    // turn of a change, from before staging to after the last confirm, and comes back; frozen processes wake after
+    // their replacement has started. Messages meanwhile are late, doubled, reordered and lost.
+    for (bool checksFences : { false, true }) {
+        for (auto fault : faults) {
+            for (std::uint32_t rank : { 0u, 2u }) {
+                for (int at = 0; at < 110; at += 2) {
+                    rig::Settings settings { 4, checksFences, 20, static_cast<std::uint64_t>(at) * 7 + 1, { 3, 0.05, 0.1 } };
+                    CAPTURE(checksFences, static_cast<int>(fault), rank, at);
+                    checkOutcome(play(settings, { { fault, rank, at, 30, 25 } }));
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("Map change: two faults together leave one map in every step")
+{
+    // Users see the same after a rack fails: two ranks go at once or shortly after one another, rank 0 among them or
+    // not, and old processes of both slots wake up late and write what they had decided long ago.
+    std::mt19937_64 random(2026);
+    auto draw = [&](int low, int high) { return std::uniform_int_distribution<int>(low, high)(random); };
+    for (int n = 0; n < doubleFaults; ++n) {
+        rig::Settings settings { static_cast<std::uint32_t>(draw(2, 5)), n % 2 == 0, draw(5, 30), random(), { draw(0, 4), 0.1, 0.2 } };
+        std::vector<Scenario> scenarios;
+        scenarios.reserve(2);
+        for (int k = 0; k < 2; ++k)
+            scenarios.push_back({ faults[draw(0, std::size(faults) - 1)], static_cast<std::uint32_t>(draw(0, static_cast<int>(settings.ranks) - 1)), draw(0, 110), draw(1, 60), draw(0, 60) });
+        auto text = [](auto& it) { return fmt::format("fault {} rank {} at {} length {} wake {}", static_cast<int>(it.fault), it.rank, it.at, it.length, it.wakeAfter); };
+        CAPTURE(n, settings.checksFences, settings.ranks, text(scenarios[0]), text(scenarios[1]));
+        checkOutcome(play(settings, scenarios));
+    }
+}
--- /dev/null
+++ b/test/expertmap-rig.h
@@ -0,0 +1,474 @@
+#pragma once
+
+#include <swiftloft/expertmap/coordinator.h>
+#include <swiftloft/expertmap/rank-agent.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+/// A fake rank group for the protocol tests: engines in lock-step, the agents of their slots, and a bag of messages that
+/// are delayed, doubled, reordered and lost by a seed. One turn of the rig is one step time.
+namespace swiftloft::expertmap::rig {
+
+/// An engine with the conditional orders that the protocol asks for. It remembers nothing over a restart.
+struct FakeEngine {
+    EngineStatus status;
+    bool checksFences { false };
+    FencingNumber highest;
+    bool isUp { true };
+    /// Turns until the map being loaded is staged; loading runs beside the steps.
+    std::map<MapVersion, int> loading;
+
+    void apply(const EngineOrder& order, int loadTurns)
+    {
+        bool isRead = std::holds_alternative<ReadStatus>(order.order);
+        if (checksFences && !isRead) {
+            if (order.fence < highest)
+                return;
+            highest = order.fence;
+        }
+        if (auto* it = std::get_if<StageMap>(&order.order))
+            stage(it->version, loadTurns);
+        else if (auto* it = std::get_if<DropMaps>(&order.order))
+            drop(it->keep);
+        else if (auto* it = std::get_if<Admit>(&order.order))
+            admit(*it);
+        else if (auto* it = std::get_if<Arm>(&order.order))
+            arm(it->point);
+        else if (auto* it = std::get_if<Go>(&order.order))
+            status.isReleased = status.isReleased || status.armed == it->point;
+        else if (auto* it = std::get_if<Cancel>(&order.order))
+            cancel(it->point);
+    }
+
+    void stage(MapVersion version, int loadTurns)
+    {
+        if (!status.hasStaged(version))
+            loading.emplace(version, loadTurns);
+    }
+
+    void drop(MapVersion keep)
+    {
+        auto isSurplus = [&](MapVersion it) {
+            bool isUsed = (status.isAdmitted && it == status.current) || (status.armed && it == status.armed->version);
+            return !isUsed && it != keep;
+        };
+        std::erase_if(status.staged, isSurplus);
+        std::erase_if(loading, [&](auto& it) { return isSurplus(it.first); });
+    }
+
+    void admit(const Admit& order)
+    {
+        if (status.isAdmitted || !status.hasStaged(order.version))
+            return;
+        status.isAdmitted = true;
+        status.current = order.version;
+        status.armed = order.arm;
+    }
+
+    void arm(const SwitchPoint& point)
+    {
+        if (status.isAdmitted && !status.armed && status.entered < point.step && status.hasStaged(point.version))
+            status.armed = point;
+    }
+
+    void cancel(const SwitchPoint& point)
+    {
+        if (status.armed == point && !status.isReleased)
+            status.armed.reset();
+    }
+
+    /// Enters `step` if nothing holds it.
+    bool enter(StepNumber step)
+    {
+        if (!isUp || !status.isAdmitted)
+            return false;
+        if (status.armed && step >= status.armed->step) {
+            if (!status.isReleased)
+                return false;
+            status.current = status.armed->version;
+            status.armed.reset();
+            status.isReleased = false;
+        }
+        status.entered = step;
+        return true;
+    }
+
+    void load(bool isStoreUp)
+    {
+        for (auto it = loading.begin(); it != loading.end();) {
+            if (isStoreUp && --it->second <= 0) {
+                status.staged.push_back(it->first);
+                it = loading.erase(it);
+            } else
+                ++it;
+        }
+    }
+};
+
+enum class ProcessState {
+    Running,
+    Frozen,
+    Dead,
+};
+
+/// One agent process. A frozen one keeps its inbox and its unwritten engine orders, and carries on when it wakes,
+/// replaced or not.
+struct Process {
+    Incarnation incarnation;
+    std::uint32_t slot { 0 };
+    RankAgent agent;
+    std::optional<Coordinator> coordinator;
+    ProcessState state { ProcessState::Running };
+    /// The engine life its connection leads to; the connection dies with that life.
+    Incarnation engine;
+};
+
+struct MessageFaults {
+    int maxDelay { 0 };
+    double loss { 0 };
+    double duplicate { 0 };
+};
+
+struct Settings {
+    std::uint32_t ranks { 4 };
+    bool checksFences { false };
+    int loadTurns { 20 };
+    std::uint64_t seed { 1 };
+    MessageFaults faults;
+};
+
+class Group {
+public:
+    explicit Group(const Settings& settings)
+        : m_settings(settings)
+        , m_random(settings.seed)
+    {
+        m_engines.resize(settings.ranks);
+        for (std::uint32_t r = 0; r < settings.ranks; ++r) {
+            m_engines[r].status.engine = fresh();
+            m_engines[r].checksFences = settings.checksFences;
+        }
+        m_slots.resize(settings.ranks);
+        for (std::uint32_t r = 0; r < settings.ranks; ++r)
+            startAgent(r);
+    }
+
+    static constexpr MapVersion initial { 100 };
+
+    // Faults.
+    void killAgent(std::uint32_t slot)
+    {
+        if (m_slots[slot])
+            m_slots[slot]->state = ProcessState::Dead;
+        m_slots[slot].reset();
+    }
+    void startAgent(std::uint32_t slot)
+    {
+        auto incarnation = fresh();
+        auto agent = RankAgent::create({ RankIndex(slot), incarnation, m_settings.checksFences, milliseconds(50), milliseconds(25) }).value();
+        auto process = std::make_shared<Process>(Process { incarnation, slot, agent, std::nullopt, ProcessState::Running, m_engines[slot].status.engine });
+        if (slot == 0)
+            process->coordinator = Coordinator::create({ incarnation, m_settings.ranks, initial, 2, 32, 1024, milliseconds(20), milliseconds(200) }).value();
+        m_slots[slot] = process;
+        m_all.push_back(process);
+        carryOut(process, process->agent.start(now()));
+        if (m_wanted && slot == 0)
+            want(*m_wanted);
+    }
+    void freeze(std::uint32_t slot)
+    {
+        if (m_slots[slot])
+            m_slots[slot]->state = ProcessState::Frozen;
+    }
+    /// Starts a successor beside the frozen process.
+    void replace(std::uint32_t slot)
+    {
+        m_slots[slot].reset();
+        startAgent(slot);
+    }
+    void wakeAll()
+    {
+        for (auto& process : m_all) {
+            if (process->state != ProcessState::Frozen)
+                continue;
+            process->state = ProcessState::Running;
+            reconnect(process);
+        }
+    }
+    void restartEngine(std::uint32_t r, std::optional<MapVersion> oldMap = std::nullopt)
+    {
+        auto& engine = m_engines[r];
+        engine.status = {};
+        engine.status.engine = fresh();
+        engine.loading.clear();
+        engine.isUp = true;
+        if (oldMap) {
+            engine.status.staged.push_back(*oldMap);
+            engine.status.current = *oldMap;
+        }
+        m_hasEntered.erase(r);
+        // What a life of an engine did of an unfinished step goes with it (see "What the platform must give" in the
+        // design note); the new life enters the step again.
+        m_mapsOfStep[m_completed + 1].erase(r);
+        for (std::size_t n = 0; n < m_all.size(); ++n) {
+            auto process = m_all[n];
+            if (process->slot == r && process->state == ProcessState::Running)
+                reconnect(process);
+        }
+    }
+    void stopEngine(std::uint32_t r) { m_engines[r].isUp = false; }
+    void setStoreUp(bool isUp) { m_isStoreUp = isUp; }
+    void setFaults(const MessageFaults& faults) { m_settings.faults = faults; }
+
+    void want(MapVersion version)
+    {
+        m_wanted = version;
+        tellCoordinator(coordination::MapWanted { version });
+    }
+    void withdraw()
+    {
+        m_wanted.reset();
+        tellCoordinator(coordination::WishWithdrawn {});
+    }
+
+    /// One step time: messages, ticks, then every engine that may enters the step.
+    void turn()
+    {
+        ++m_turn;
+        deliver();
+        if (m_turn % 2 == 0)
+            tick();
+        for (auto& engine : m_engines)
+            engine.load(m_isStoreUp);
+        step();
+    }
+    void run(int turns)
+    {
+        for (int n = 0; n < turns; ++n)
+            turn();
+    }
+    /// Runs until `done` or the bound; true when done.
+    template <typename Done>
+    bool runUntil(Done&& done, int bound)
+    {
+        for (int n = 0; n < bound && !done(); ++n)
+            turn();
+        return done();
+    }
+
+    // What the tests look at.
+    std::uint64_t completedSteps() const { return m_completed; }
+    std::uint64_t heldTurns() const { return m_heldTurns; }
+    const FakeEngine& engine(std::uint32_t r) const { return m_engines[r]; }
+    Coordinator* coordinator() { return m_slots[0] ? &*m_slots[0]->coordinator : nullptr; }
+    RankAgent* agent(std::uint32_t slot) { return m_slots[slot] ? &m_slots[slot]->agent : nullptr; }
+    std::uint32_t ranks() const { return m_settings.ranks; }
+    std::uint64_t ordersSent() const { return m_ordersSent; }
+    bool allRun(MapVersion version) const
+    {
+        return std::all_of(m_engines.begin(), m_engines.end(), [&](auto& it) { return it.status.isAdmitted && it.status.current == version && !it.status.armed; });
+    }
+    /// The first step whose ranks used more than one map; 0 if none did.
+    std::uint64_t mixedStep() const
+    {
+        for (auto& [step, maps] : m_mapsOfStep) {
+            auto isOther = [&](auto& it) { return it.second != maps.begin()->second; };
+            if (std::any_of(maps.begin(), maps.end(), isOther))
+                return step;
+        }
+        return 0;
+    }
+    const std::vector<SwitchPoint>& finished() const { return m_finished; }
+    /// Hands an order straight to an engine, as a process outside the group's agents could.
+    void writeToEngine(std::uint32_t r, const EngineOrder& order) { m_engines[r].apply(order, m_settings.loadTurns); }
+
+private:
+    struct Message {
+        std::uint64_t at { 0 };
+        /// Rank whose slot it goes to, or the process if set.
+        std::uint32_t slot { 0 };
+        std::shared_ptr<Process> process;
+        std::variant<RankOrder, RankReport, RankHello, EngineOrder, rank::EngineAnswered> body;
+        Incarnation engine;
+    };
+
+    Incarnation fresh() { return Incarnation((m_random() | 1) & 0xffffffff); }
+    TimePoint now() const { return TimePoint(milliseconds(6 * m_turn)); }
+
+    void post(const Message& message, bool isLocal)
+    {
+        auto& faults = m_settings.faults;
+        std::uniform_real_distribution<double> chance(0, 1);
+        if (!isLocal && chance(m_random) < faults.loss)
+            return;
+        int copies = !isLocal && chance(m_random) < faults.duplicate ? 2 : 1;
+        for (int n = 0; n < copies; ++n) {
+            auto copy = message;
+            copy.at = m_turn + 1 + std::uniform_int_distribution<std::uint64_t>(0, isLocal ? 0 : faults.maxDelay)(m_random);
+            m_messages.push_back(copy);
+        }
+    }
+
+    void reconnect(const std::shared_ptr<Process>& process)
+    {
+        auto engine = m_engines[process->slot].status.engine;
+        if (process->engine == engine)
+            return;
+        process->engine = engine;
+        carryOut(process, process->agent.apply(now(), rank::EngineLost {}));
+    }
+
+    void tellCoordinator(const coordination::Event& event)
+    {
+        if (m_slots[0] && m_slots[0]->state == ProcessState::Running)
+            carryOut(m_slots[0], m_slots[0]->coordinator->apply(now(), event));
+    }
+
+    void carryOut(const std::shared_ptr<Process>& process, const rank::Effects& effects)
+    {
+        for (auto& effect : effects) {
+            if (auto* it = std::get_if<rank::WriteEngine>(&effect))
+                post({ 0, process->slot, process, it->order, process->engine }, true);
+            else if (auto* it = std::get_if<rank::SendReport>(&effect))
+                post({ 0, 0, processOf(it->to), it->report, {} }, process->slot == 0);
+            else if (auto* it = std::get_if<rank::SendHello>(&effect))
+                post({ 0, 0, nullptr, it->hello, {} }, process->slot == 0);
+        }
+    }
+
+    void carryOut(const std::shared_ptr<Process>& process, const coordination::Effects& effects)
+    {
+        for (auto& effect : effects) {
+            if (auto* it = std::get_if<coordination::SendOrder>(&effect)) {
+                ++m_ordersSent;
+                post({ 0, it->order.rank.value(), nullptr, it->order, {} }, it->order.rank.value() == 0);
+            } else if (auto* it = std::get_if<coordination::ChangeFinished>(&effect))
+                m_finished.push_back(it->point);
+            else if (std::holds_alternative<coordination::SteppedDown>(effect) && process == m_slots[0])
+                m_isRestartDue = true;
+        }
+    }
+
+    std::shared_ptr<Process> processOf(Incarnation incarnation)
+    {
+        for (auto& process : m_all) {
+            if (process->incarnation == incarnation)
+                return process;
+        }
+        return nullptr;
+    }
+
+    void deliver()
+    {
+        auto due = std::stable_partition(m_messages.begin(), m_messages.end(), [this](auto& it) { return it.at > m_turn; });
+        std::vector<Message> batch(due, m_messages.end());
+        m_messages.erase(due, m_messages.end());
+        std::shuffle(batch.begin(), batch.end(), m_random);
+        for (auto& message : batch)
+            deliver(message);
+        // The platform restarts an agent that gave up rank 0 though the slot is still its own.
+        if (std::exchange(m_isRestartDue, false)) {
+            killAgent(0);
+            startAgent(0);
+        }
+    }
+
+    void keepForLater(Message& message)
+    {
+        message.at = m_turn + 1;
+        m_messages.push_back(message);
+    }
+
+    void deliver(Message& message)
+    {
+        if (auto* it = std::get_if<EngineOrder>(&message.body)) {
+            if (message.process->state == ProcessState::Frozen) {
+                keepForLater(message);
+                return;
+            }
+            auto& engine = m_engines[message.slot];
+            // A connection to an earlier life of the engine is broken.
+            if (!engine.isUp || engine.status.engine != message.engine)
+                return;
+            engine.apply(*it, m_settings.loadTurns);
+            post({ 0, message.slot, message.process, rank::EngineAnswered { it->id, engine.status, engine.highest }, {} }, true);
+            return;
+        }
+        auto process = message.process ? message.process : m_slots[message.slot];
+        if (!process || process->state == ProcessState::Dead)
+            return;
+        if (process->state == ProcessState::Frozen) {
+            message.process = process;
+            keepForLater(message);
+            return;
+        }
+        if (auto* it = std::get_if<RankOrder>(&message.body))
+            carryOut(process, process->agent.apply(now(), rank::OrderArrived { *it }));
+        else if (auto* it = std::get_if<rank::EngineAnswered>(&message.body))
+            carryOut(process, process->agent.apply(now(), *it));
+        else if (!process->coordinator)
+            return;
+        else if (auto* it = std::get_if<RankReport>(&message.body))
+            carryOut(process, process->coordinator->apply(now(), coordination::ReportArrived { *it }));
+        else if (auto* it = std::get_if<RankHello>(&message.body))
+            carryOut(process, process->coordinator->apply(now(), coordination::HelloArrived { *it }));
+    }
+
+    void tick()
+    {
+        for (std::size_t n = 0; n < m_all.size(); ++n) {
+            auto process = m_all[n];
+            if (process->state != ProcessState::Running)
+                continue;
+            carryOut(process, process->agent.apply(now(), rank::Ticked {}));
+            if (process->coordinator)
+                carryOut(process, process->coordinator->apply(now(), coordination::Ticked {}));
+        }
+    }
+
+    void step()
+    {
+        StepNumber next(m_completed + 1);
+        for (std::uint32_t r = 0; r < m_engines.size(); ++r) {
+            if (m_hasEntered.contains(r) || !m_engines[r].enter(next))
+                continue;
+            m_hasEntered.insert(r);
+            m_mapsOfStep[next.value()][r] = m_engines[r].status.current;
+        }
+        if (m_hasEntered.size() < m_engines.size()) {
+            ++m_heldTurns;
+            return;
+        }
+        m_hasEntered.clear();
+        ++m_completed;
+    }
+
+    Settings m_settings;
+    std::mt19937_64 m_random;
+    std::vector<FakeEngine> m_engines;
+    std::vector<std::shared_ptr<Process>> m_slots;
+    /// Every process there ever was, also killed, frozen and replaced ones.
+    std::vector<std::shared_ptr<Process>> m_all;
+    std::vector<Message> m_messages;
+    /// For each step, the map each rank entered it with.
+    std::map<std::uint64_t, std::map<std::uint32_t, MapVersion>> m_mapsOfStep;
+    std::set<std::uint32_t> m_hasEntered;
+    std::vector<SwitchPoint> m_finished;
+    std::optional<MapVersion> m_wanted;
+    std::uint64_t m_turn { 0 };
+    std::uint64_t m_completed { 0 };
+    std::uint64_t m_heldTurns { 0 };
+    std::uint64_t m_ordersSent { 0 };
+    bool m_isStoreUp { true };
+    bool m_isRestartDue { false };
+};
+
+} // namespace swiftloft::expertmap::rig
