--- a/src/agent/daemon.cc
+++ b/src/agent/daemon.cc
@@ -28,17 +28,33 @@
 {
     m_signals = std::make_unique<process::StopSignals>(m_control, [this](int count) {
         log::write(log::Event::ProcessStopping, "signals={}", count);
-        apply(LeaveRequested { Clock::now() });
         if (count > 1)
-            m_traffic.stop();
+            return m_traffic.stop();
+        leave();
     });
+    startFleetControl();
     std::thread traffic([this] { runTraffic(); });
     m_monitor.start();
     tick();
     m_control.run();
+    m_fleetControl->stop();
     traffic.join();
 }
 
+void Daemon::startFleetControl()
+{
+    daemon::FleetControl::Hooks hooks;
+    hooks.onSettings = [](Revision, const settings::Tree&) {};
+    hooks.onLeaving = [this] { apply(LeaveRequested { Clock::now() }); };
+    m_fleetControl = std::make_unique<daemon::FleetControl>(m_control, m_config, membership::Role::Agent, m_incarnation, std::move(hooks));
+}
+
+void Daemon::leave()
+{
+    apply(LeaveRequested { Clock::now() });
+    m_fleetControl->leave();
+}
+
 void Daemon::runTraffic()
 {
     m_traffic.run(
--- a/src/agent/daemon.h
+++ b/src/agent/daemon.h
@@ -3,6 +3,7 @@
 #include "src/agent/engine-monitor.h"
 #include "src/agent/reducer.h"
 #include "src/agent/service.h"
+#include "src/daemon/fleet-control.h"
 #include "src/process/metrics.h"
 #include "src/process/process-config.h"
 #include "src/process/signals.h"
@@ -28,6 +29,8 @@
 private:
     void post(Event event);
     void apply(const Event& event);
+    void startFleetControl();
+    void leave();
     void tick();
     void addStatusPages();
     void runTraffic();
@@ -41,6 +44,7 @@
     EngineMonitor m_monitor;
     boost::asio::steady_timer m_timer;
     std::unique_ptr<process::StopSignals> m_signals;
+    std::unique_ptr<daemon::FleetControl> m_fleetControl;
 
     rpc::EventLoop m_traffic;
     std::unique_ptr<Service> m_service;
--- a/src/entry/daemon.cc
+++ b/src/entry/daemon.cc
@@ -29,11 +29,6 @@
     return options;
 }
 
-std::string toText(const process::Endpoint& endpoint)
-{
-    return fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
-}
-
 std::string queryValue(const std::string& target, std::string_view name)
 {
     auto url = boost::urls::parse_origin_form(target);
@@ -88,14 +83,14 @@
         leave();
     });
     startWorkers();
-    startControlNode();
+    startFleetControl();
     tick();
     m_control.run();
     for (auto& worker : m_workers)
         worker->stop();
     for (auto& thread : m_threads)
         thread.join();
-    m_node->stop();
+    m_fleetControl->stop();
 }
 
 void Daemon::startWorkers()
@@ -114,38 +109,18 @@
         m_threads.emplace_back([&worker] { worker->run(); });
 }
 
-void Daemon::startControlNode()
+void Daemon::startFleetControl()
 {
-    spread::ControlNodeOptions options;
-    options.self.id = membership::NodeId(m_config.id);
-    options.self.role = membership::Role::Entry;
-    options.self.address = membership::TrafficAddress(toText(m_config.listen));
-    options.self.peer = membership::PeerAddress(toText(m_config.peer));
-    options.self.dataCentre = m_config.dataCentre;
-    options.incarnation = m_incarnation;
-    options.platform = m_config.platform;
-    options.randomSeed = m_incarnation.value();
-    spread::ControlNodeHooks hooks;
-    hooks.checkSettings = [](std::string_view text) {
-        auto tree = settings::Tree::parse(text).result();
-        return tree ? spread::Validity {} : spread::Validity { false, tree.error().message };
-    };
-    hooks.onSettings = [this](Revision revision, const std::shared_ptr<const std::string>& text) {
-        apply(SettingsInForce { revision, settings::Tree::parse(*text).result().value(), Clock::now() });
-    };
+    daemon::FleetControl::Hooks hooks;
+    hooks.onSettings = [this](Revision revision, const settings::Tree& tree) { apply(SettingsInForce { revision, tree, Clock::now() }); };
     hooks.onViewChanged = [this](const std::shared_ptr<const membership::View>& view) { apply(ViewChanged { view, Clock::now() }); };
     hooks.onLeaving = [this] { apply(LeaveRequested { Clock::now() }); };
-    hooks.onSettingsRefused = [this](Revision revision, const std::string& problem) {
-        m_refusedRevision = revision;
-        m_refusedReason = problem;
-    };
-    m_node = spread::ControlNode::create(std::move(options), std::move(hooks)).value();
-    m_node->start(m_control).value();
+    m_fleetControl = std::make_unique<daemon::FleetControl>(m_control, m_config, membership::Role::Entry, m_incarnation, std::move(hooks));
 }
 
 void Daemon::leave()
 {
-    m_node->leave();
+    m_fleetControl->leave();
     apply(LeaveRequested { Clock::now() });
 }
 
@@ -264,7 +239,7 @@
     auto now = Clock::now();
     membership::AddressAnswerOptions options;
     options.keepFor = std::chrono::duration_cast<milliseconds>(service->entriesKeepTime);
-    auto answer = membership::answerAddresses(*m_node->view(), std::nullopt, name, ++m_answers + m_incarnation.value(), now, options);
+    auto answer = membership::answerAddresses(*m_fleetControl->view(), std::nullopt, name, ++m_answers + m_incarnation.value(), now, options);
     json::array addresses;
     for (auto& address : answer.addresses)
         addresses.emplace_back(toJson(address.value()));
@@ -284,9 +259,9 @@
     body["state"] = m_reducer.isLeaving() ? "leaving" : m_reducer.isReady() ? "ready"
                                                                             : "starting";
     body["settings_revision"] = m_reducer.settingsRevision().value_or(Revision(0)).value();
-    if (m_refusedRevision) {
-        body["refused_revision"] = m_refusedRevision->value();
-        body["refused_reason"] = toJson(m_refusedReason);
+    if (auto& refused = m_fleetControl->refused()) {
+        body["refused_revision"] = refused->revision.value();
+        body["refused_reason"] = toJson(refused->problem);
     }
     body["in_flight"] = m_reducer.inProgress();
     json::array servers;
--- a/src/entry/daemon.h
+++ b/src/entry/daemon.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "src/daemon/fleet-control.h"
 #include "src/entry/reducer.h"
 #include "src/entry/worker.h"
 #include "src/process/metrics.h"
 #include "src/process/process-config.h"
 #include "src/process/signals.h"
 #include "src/process/status-server.h"
-#include "src/spread/control-node.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -28,7 +28,7 @@
 private:
     using Reply = std::function<void(process::StatusAnswer)>;
 
-    void startControlNode();
+    void startFleetControl();
     void startWorkers();
     void post(Event event);
     void apply(const Event& event);
@@ -51,11 +51,9 @@
     process::Metrics m_metrics;
     boost::asio::steady_timer m_timer;
     std::unique_ptr<process::StopSignals> m_signals;
-    std::shared_ptr<spread::ControlNode> m_node;
+    std::unique_ptr<daemon::FleetControl> m_fleetControl;
     std::vector<std::unique_ptr<Worker>> m_workers;
     std::vector<std::thread> m_threads;
-    std::optional<Revision> m_refusedRevision;
-    std::string m_refusedReason;
     std::uint64_t m_answers { 0 };
     std::size_t m_finishedWorkers { 0 };
 };
