--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -234,7 +234,10 @@
         return kj::READY_NOW;
     }
     m_isWhole = true;
-    return m_exchange->push(AnswerEnd {});
+    auto written = m_exchange->push(AnswerEnd {});
+    if (m_awaitsEndMark)
+        end(AttemptEnd::Answered, Verdict::Ran, AttemptReason::None);
+    return written;
 }
 
 void Attempt::onOutcome(rpc::schema::Outcome::Reader outcome)
@@ -243,7 +246,12 @@
     auto reason = toReason(outcome.getReason());
     switch (outcome.getKind()) {
     case rpc::schema::OutcomeKind::ANSWERED:
-        return m_isWhole ? end(AttemptEnd::Answered, verdict, reason) : end(AttemptEnd::Damaged, Verdict::Ran, reason);
+        // The outcome can overtake the last frames, which wait their turn while the client reads slowly. The end mark
+        // decides; should it never come, the deadline does.
+        m_awaitsEndMark = true;
+        if (m_isWhole)
+            end(AttemptEnd::Answered, verdict, reason);
+        return;
     case rpc::schema::OutcomeKind::REFUSED:
         return end(AttemptEnd::Refused, verdict, reason);
     default:
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -55,6 +55,7 @@
     std::uint64_t m_received { 0 };
     bool m_hasHead { false };
     bool m_isWhole { false };
+    bool m_awaitsEndMark { false };
     bool m_hasEnded { false };
 };
 
--- a/src/entry/fleet.cc
+++ b/src/entry/fleet.cc
@@ -88,6 +88,18 @@
         m_routers.at(server.service).onReport(*server.handle, { event.now, event.report.pending, event.report.tokensPerSecond });
 }
 
+void Fleet::onRefusal(const BackendServerId& id, AttemptReason reason)
+{
+    auto it = m_servers.find(id);
+    if (it == m_servers.end())
+        return;
+    if (reason == AttemptReason::Leaving)
+        it->second.isLeaving = true;
+    else
+        it->second.isEngineUp = false;
+    updateRouter(it->second);
+}
+
 void Fleet::onLinkDown(const LinkDown& event)
 {
     auto it = m_servers.find(event.server);
--- a/src/entry/fleet.h
+++ b/src/entry/fleet.h
@@ -37,6 +37,8 @@
     /// Opens links to servers that are new in `view` and closes those that are gone from it.
     void onView(const membership::View& view, Effects& effects);
     void onReport(const LinkReported& event);
+    /// An agent has refused work because it is leaving or its engine is down; its next report may say otherwise.
+    void onRefusal(const BackendServerId& id, AttemptReason reason);
     void onLinkDown(const LinkDown& event);
 
     /// Null for a service without any listed server.
--- a/src/entry/reducer.cc
+++ b/src/entry/reducer.cc
@@ -15,6 +15,13 @@
     return RequestKey(fmt::format("{:016x}-{}", incarnation.value(), id.value()));
 }
 
+/// The agent takes no work now, and did nothing for this request.
+bool takesNoWork(const AttemptEnded& event)
+{
+    return event.end == AttemptEnd::Refused && event.verdict == Verdict::NotRun
+        && (event.reason == AttemptReason::Leaving || event.reason == AttemptReason::EngineDown);
+}
+
 /// A client's own key only means something within its organisation.
 RequestKey joinKey(const OrganisationName& organisation, const RequestKey& clientKey)
 {
@@ -56,11 +63,12 @@
         return RefusalReason::Quarantined;
     case AttemptReason::Overloaded:
         return RefusalReason::Overloaded;
-    case AttemptReason::WrongIncarnation:
-        return RefusalReason::HomeUnreachable;
     default:
-        return event.end == AttemptEnd::Refused ? RefusalReason::NoBackendServer : RefusalReason::BackendServerFailed;
+        break;
     }
+    if (event.end != AttemptEnd::Refused)
+        return RefusalReason::BackendServerFailed;
+    return event.reason == AttemptReason::WrongIncarnation ? RefusalReason::HomeUnreachable : RefusalReason::NoBackendServer;
 }
 
 } // namespace
@@ -234,7 +242,15 @@
         return;
     auto& request = it->second;
     request.verdict = combine(request.verdict, event.verdict);
+    auto server = request.attempt->server;
     releaseAttempt(request, failureKind(event), event.now);
+    if (takesNoWork(event)) {
+        // Its report is older than its refusal. Without this the next requests would go there as well until a newer
+        // report comes, each at the price of a retry. Each server can refuse so once, so this ends.
+        m_fleet.onRefusal(server, event.reason);
+        if (!request.isBoundToHome())
+            return dispatch(event.id, request, event.now, effects);
+    }
     if (event.end != AttemptEnd::Answered)
         return retryOrAnswer(event.id, request, event, effects);
     m_retryBudget.onSuccess({ request.resolved.service->name, request.resolved.organisation->name });
--- a/src/replay/http-client.cc
+++ b/src/replay/http-client.cc
@@ -113,8 +113,14 @@
     result.head = parser.get().base();
     std::size_t seen = 0;
     while (!parser.is_done()) {
-        co_await http::async_read_some(stream, buf, parser, use_awaitable);
+        boost::system::error_code ec;
+        co_await http::async_read_some(stream, buf, parser, boost::asio::redirect_error(use_awaitable, ec));
         auto& body = parser.get().body();
+        if (ec) {
+            // What came of a cut answer is the caller's to judge.
+            result.body = std::move(body);
+            throw boost::system::system_error(ec);
+        }
         if (onBody && body.size() > seen)
             onBody(std::string_view(body).substr(seen), Clock::now());
         seen = body.size();
