--- a/src/settings/parser.cc
+++ b/src/settings/parser.cc
@@ -205,6 +205,11 @@
     m_isCut = true;
 }
 
+bool Problems::contains(std::string_view node, std::string_view key) const
+{
+    return std::any_of(m_problems.begin(), m_problems.end(), [&](auto& problem) { return problem.node == node && problem.key == key; });
+}
+
 std::vector<Problem> Problems::take(const std::vector<std::string>& files)
 {
     auto position = [&](const Problem& problem) {
--- a/src/settings/parser.h
+++ b/src/settings/parser.h
@@ -12,6 +12,8 @@
 public:
     void add(Problem problem);
     bool isEmpty() const { return m_problems.empty(); }
+    /// Whether something was already said about `key` at `node`.
+    bool contains(std::string_view node, std::string_view key) const;
 
     /// In the order of file and line.
     std::vector<Problem> take(const std::vector<std::string>& files);
--- a/src/settings/validate.cc
+++ b/src/settings/validate.cc
@@ -31,6 +31,14 @@
     {
     }
 
+    /// A key that was written and refused must not be called missing too.
+    void addMissing(const Node& node, Key key, std::string expected) const
+    {
+        auto name = infoOf(key).name;
+        if (!m_problems.contains(node.id.toString(), name))
+            add(node, ProblemCode::MissingKey, node.line, name, "nothing", std::move(expected));
+    }
+
     void add(const Node& node, ProblemCode code, std::uint32_t line, std::string_view key, std::string found, std::string expected) const
     {
         auto file = m_data.files.empty() ? std::string() : m_data.files[node.file];
@@ -204,7 +212,7 @@
             // Keys that a service only hands down to its groups are asked of the groups.
             auto isForNode = info.kinds.contains(node.id.kind) && !(node.id.kind == NodeKind::Service && info.kinds.contains(NodeKind::Group));
             if (isForNode && info.presence == Presence::Required && !path.find(info.key).value)
-                m_reporter.add(node, ProblemCode::MissingKey, node.line, info.name, "nothing", "the key here or at a parent, or template = yes");
+                m_reporter.addMissing(node, info.key, "the key here or at a parent, or template = yes");
         }
     }
 
@@ -238,7 +246,7 @@
         auto organisation = m_data.find({ NodeKind::Organisation, node.id.name, {} });
         auto isRequired = std::get<bool>(*path.find(Key::RequiresKey).value);
         if (isRequired && !organisation->isTemplate() && !organisation->find(Key::KeyDigest))
-            m_reporter.add(node, ProblemCode::MissingKey, node.line, infoOf(Key::KeyDigest).name, "nothing", "the SHA-256 digest of the organisation's key, or requires-key = no");
+            m_reporter.addMissing(node, Key::KeyDigest, "the SHA-256 digest of the organisation's key, or requires-key = no");
     }
 
     TreeData& m_data;
--- a/test/settings-tree_test.cc
+++ b/test/settings-tree_test.cc
@@ -204,6 +204,12 @@
     CHECK(problemsOf("[organisation x]\nrequires-key = no\n").empty());
 }
 
+TEST_CASE("SettingsTree: a key that was written badly is not called missing too")
+{
+    CHECK(problemsOf("[service a]\nkind = modle\n")
+        == Lines { "t.ini:2: [service a] kind: found \"modle\", expected model or plain (bad-value)" });
+}
+
 TEST_CASE("SettingsTree: something pasted in place of a key digest is not repeated in the problem")
 {
     auto problems = problemsOf("[organisation x]\nkey-digest = hunter2-very-secret\nrequires-key = no\n");
