--- a/bench/settings-bench.cc
+++ b/bench/settings-bench.cc
@@ -96,7 +96,10 @@
 
 void measureBurn(std::uint32_t organisations, std::uint32_t services)
 {
-    constexpr int requests = 200000;
+    // An entry's share of 25,000 requests a second over 670 entries, for three days, so that every bucket is in use. All
+    // pairs are equally busy, which costs the most memory.
+    constexpr std::uint32_t requestsPerSecond = 37;
+    constexpr std::uint32_t requests = 259200 * requestsPerSecond;
     auto before = heapInUse();
     TimePoint now(std::chrono::hours(1));
     burn::BurnWindows windows(now);
@@ -108,8 +111,7 @@
         serviceNames.emplace_back(fmt::format("s{}", it));
     auto start = Clock::now();
     for (std::uint32_t it = 0; it < requests; ++it) {
-        // Three days of requests, so that every bucket is in use.
-        now += std::chrono::milliseconds(259200000 / requests);
+        now += std::chrono::microseconds(1000000 / requestsPerSecond);
         windows.add(now, serviceNames[it / organisations % services], names[it % organisations], it % 100 ? burn::Outcome::Good : burn::Outcome::Bad, "slow");
     }
     auto time = std::chrono::duration<double, std::nano>(Clock::now() - start).count() / requests;
@@ -131,7 +133,7 @@
     measure({ 11, 86, 300, 100 });
     measure({ 11, 86, 1800, 600 });
     measure({ 11, 86, 1800, 12090 });
-    fmt::print("\nBurn windows of one entry, requests spread over three days\n");
+    fmt::print("\nBurn windows of one entry, 37 requests a second for three days\n");
     fmt::print("{:>8} {:>9} {:>12} {:>9} {:>10}\n", "organis.", "pairs", "ns/request", "heap KiB", "JSON bytes");
     measureBurn(10, 2);
     measureBurn(300, 11);
--- a/include/swiftloft/settings/manifest.h
+++ b/include/swiftloft/settings/manifest.h
@@ -38,7 +38,7 @@
 
     static ParsedManifest parse(std::string_view text, std::string file = "manifest");
 
-    /// True when the first section of `text` is `[manifest]`.
+    /// True when the first line of `text` that is no comment is `[manifest]`; reads no further.
     static bool isManifest(std::string_view text);
 
     const std::vector<Part>& parts() const { return m_parts; }
--- a/src/burn/summary.cc
+++ b/src/burn/summary.cc
@@ -1,10 +1,6 @@
 #include "src/burn/summary.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
-#include <map>
-#include <set>
 
 namespace swiftloft::burn {
 
@@ -17,17 +13,6 @@
 constexpr std::uint64_t leastBad = 5;
 constexpr std::size_t longest = windowLengths.size() - 1;
 
-struct RowKey {
-    ServiceName service;
-    std::optional<OrganisationName> organisation;
-    friend auto operator<=>(const RowKey&, const RowKey&) = default;
-};
-
-struct Sums {
-    std::array<Burn, windowLengths.size()> burns;
-    std::map<std::string, std::uint64_t> reasons;
-};
-
 std::optional<std::size_t> indexOf(std::chrono::seconds length)
 {
     auto it = std::find(windowLengths.begin(), windowLengths.end(), length);
@@ -36,123 +21,101 @@
     return static_cast<std::size_t>(it - windowLengths.begin());
 }
 
-class Merger {
-public:
-    explicit Merger(Summary& summary)
-        : m_summary(summary)
-    {
-    }
+double rateOf(const Burn& burn, settings::Ratio objective)
+{
+    auto all = static_cast<double>(burn.good + burn.bad);
+    return all > 0 ? static_cast<double>(burn.bad) / all / (1 - objective.value()) : 0;
+}
 
-    void add(const Answer& answer)
-    {
-        ++m_summary.asked;
-        if (!answer.report) {
-            m_summary.missing.push_back({ answer.address, answer.report.error().message });
-            return;
-        }
-        if (!m_seen.insert(answer.report->instance).second) {
-            // The same entry under a second address: its share must enter neither the sums nor the coverage again.
-            --m_summary.asked;
-            return;
-        }
-        m_summary.instances.push_back(answer.report->instance);
-        for (auto& window : answer.report->windows)
-            add(window);
-    }
+/// The shorter window of each pair ends the alarm soon after the burn has ended.
+Alarm alarmOf(const std::array<Burn, windowLengths.size()>& burns)
+{
+    auto isOver = [&](std::size_t index, double rate) { return burns[index].rate >= rate && burns[index].bad >= leastBad; };
+    if (isOver(0, fastRate) && isOver(1, fastRate))
+        return Alarm::Fast;
+    if (isOver(2, slowRate) && isOver(3, slowRate))
+        return Alarm::Slow;
+    return Alarm::None;
+}
 
-    void finish(const ObjectiveOf& objectiveOf)
-    {
-        for (std::size_t it = 0; it < windowLengths.size(); ++it) {
-            auto wanted = static_cast<double>(m_summary.asked) * static_cast<double>(windowLengths[it].count());
-            m_summary.coverage[it] = wanted > 0 ? m_summary.coverage[it] / wanted : 0;
-        }
-        for (auto& [key, sums] : m_sums)
-            m_summary.rows.push_back(rowFrom(key, sums, objectiveOf));
-    }
+} // namespace
 
-private:
-    void add(const Window& window)
-    {
-        auto index = indexOf(window.length);
-        if (!index)
-            return;
-        auto length = static_cast<double>(window.length.count());
-        m_summary.coverage[*index] += std::clamp(window.coveredSeconds, 0.0, length);
-        for (auto& row : window.rows) {
-            add({ row.service, std::nullopt }, *index, row);
-            add({ row.service, row.organisation }, *index, row);
-        }
-    }
+std::string_view toString(Alarm alarm)
+{
+    constexpr std::array<std::string_view, 3> names { "", "slow", "fast" };
+    return names[static_cast<std::size_t>(alarm)];
+}
 
-    void add(const RowKey& key, std::size_t index, const Row& row)
-    {
-        auto& sums = m_sums[key];
-        sums.burns[index].good += row.good;
-        sums.burns[index].bad += row.bad;
-        if (index != longest)
-            return;
-        for (auto& reason : row.reasons)
-            sums.reasons[reason.reason] += reason.count;
-    }
+bool Summary::hasAlarm() const
+{
+    return std::any_of(rows.begin(), rows.end(), [](auto& row) { return row.alarm != Alarm::None; });
+}
 
-    static SummaryRow rowFrom(const RowKey& key, const Sums& sums, const ObjectiveOf& objectiveOf)
-    {
-        SummaryRow row { key.service, key.organisation, objectiveOf(key.service), sums.burns, 1, Alarm::None, {} };
-        for (auto& [reason, count] : sums.reasons)
-            row.reasons.push_back({ reason, count });
-        std::stable_sort(row.reasons.begin(), row.reasons.end(), [](auto& a, auto& b) { return a.count > b.count; });
-        if (!row.objective)
-            return row;
-        for (auto& burn : row.burns)
-            burn.rate = rateOf(burn, *row.objective);
-        row.budgetLeft = 1 - row.burns[longest].rate;
-        row.alarm = alarmOf(row.burns);
-        return row;
+void Summariser::add(const Answer& answer)
+{
+    ++m_summary.asked;
+    if (!answer.report) {
+        m_summary.missing.push_back({ answer.address, answer.report.error().message });
+        return;
     }
-
-    static double rateOf(const Burn& burn, settings::Ratio objective)
-    {
-        auto all = static_cast<double>(burn.good + burn.bad);
-        return all > 0 ? static_cast<double>(burn.bad) / all / (1 - objective.value()) : 0;
+    if (!m_seen.insert(answer.report->instance).second) {
+        // The same entry under a second address: its share must enter neither the sums nor the coverage again.
+        --m_summary.asked;
+        return;
     }
+    m_summary.instances.push_back(answer.report->instance);
+    for (auto& window : answer.report->windows)
+        add(window);
+}
 
-    /// The shorter window of each pair ends the alarm soon after the burn has ended.
-    static Alarm alarmOf(const std::array<Burn, windowLengths.size()>& burns)
-    {
-        auto isOver = [&](std::size_t index, double rate) { return burns[index].rate >= rate && burns[index].bad >= leastBad; };
-        if (isOver(0, fastRate) && isOver(1, fastRate))
-            return Alarm::Fast;
-        if (isOver(2, slowRate) && isOver(3, slowRate))
-            return Alarm::Slow;
-        return Alarm::None;
+void Summariser::add(const Window& window)
+{
+    auto index = indexOf(window.length);
+    if (!index)
+        return;
+    auto length = static_cast<double>(window.length.count());
+    m_summary.coverage[*index] += std::clamp(window.coveredSeconds, 0.0, length);
+    for (auto& row : window.rows) {
+        add({ row.service, std::nullopt }, *index, row);
+        add({ row.service, row.organisation }, *index, row);
     }
+}
 
-    Summary& m_summary;
-    std::set<InstanceId> m_seen;
-    std::map<RowKey, Sums> m_sums;
-};
-
-} // namespace
-
-std::string_view toString(Alarm alarm)
+void Summariser::add(const RowKey& key, std::size_t index, const Row& row)
 {
-    constexpr std::array<std::string_view, 3> names { "", "slow", "fast" };
-    return names[static_cast<std::size_t>(alarm)];
+    auto& sums = m_sums[key];
+    sums.burns[index].good += row.good;
+    sums.burns[index].bad += row.bad;
+    if (index != longest)
+        return;
+    for (auto& reason : row.reasons)
+        sums.reasons[reason.reason] += reason.count;
 }
 
-bool Summary::hasAlarm() const
+SummaryRow Summariser::rowFrom(const RowKey& key, const Sums& sums, const ObjectiveOf& objectiveOf)
 {
-    return std::any_of(rows.begin(), rows.end(), [](auto& row) { return row.alarm != Alarm::None; });
+    SummaryRow row { key.service, key.organisation, objectiveOf(key.service), sums.burns, 1, Alarm::None, {} };
+    for (auto& [reason, count] : sums.reasons)
+        row.reasons.push_back({ reason, count });
+    std::stable_sort(row.reasons.begin(), row.reasons.end(), [](auto& a, auto& b) { return a.count > b.count; });
+    if (!row.objective)
+        return row;
+    for (auto& burn : row.burns)
+        burn.rate = rateOf(burn, *row.objective);
+    row.budgetLeft = 1 - row.burns[longest].rate;
+    row.alarm = alarmOf(row.burns);
+    return row;
 }
 
-Summary summarise(const std::vector<Answer>& answers, const ObjectiveOf& objectiveOf)
+Summary Summariser::finish(const ObjectiveOf& objectiveOf)
 {
-    Summary summary;
-    Merger merger(summary);
-    for (auto& answer : answers)
-        merger.add(answer);
-    merger.finish(objectiveOf);
-    return summary;
+    for (std::size_t it = 0; it < windowLengths.size(); ++it) {
+        auto wanted = static_cast<double>(m_summary.asked) * static_cast<double>(windowLengths[it].count());
+        m_summary.coverage[it] = wanted > 0 ? m_summary.coverage[it] / wanted : 0;
+    }
+    for (auto& [key, sums] : m_sums)
+        m_summary.rows.push_back(rowFrom(key, sums, objectiveOf));
+    return std::move(m_summary);
 }
 
 } // namespace swiftloft::burn
--- a/src/burn/summary.h
+++ b/src/burn/summary.h
@@ -4,8 +4,11 @@
 
 #include "src/burn/report.h"
 
+#include <array>
 #include <functional>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -71,8 +74,34 @@
     bool hasAlarm() const;
 };
 
-/// Adds up the reports of several entries. An instance that answered at two addresses counts once; an entry that gave
-/// no report, or is younger than a window, lowers the coverage, so that the sums are never taken for the whole.
-Summary summarise(const std::vector<Answer>& answers, const ObjectiveOf& objectiveOf);
+/// Adds up the reports of several entries, one at a time, so that no more than one need be held. An instance that
+/// answered at two addresses counts once; an entry that gave no report, or is younger than a window, lowers the coverage,
+/// so that the sums are never taken for the whole.
+class Summariser {
+public:
+    void add(const Answer& answer);
+
+    Summary finish(const ObjectiveOf& objectiveOf);
+
+private:
+    struct RowKey {
+        ServiceName service;
+        std::optional<OrganisationName> organisation;
+        friend auto operator<=>(const RowKey&, const RowKey&) = default;
+    };
+
+    struct Sums {
+        std::array<Burn, windowLengths.size()> burns;
+        std::map<std::string, std::uint64_t> reasons;
+    };
+
+    void add(const Window& window);
+    void add(const RowKey& key, std::size_t index, const Row& row);
+    static SummaryRow rowFrom(const RowKey& key, const Sums& sums, const ObjectiveOf& objectiveOf);
+
+    Summary m_summary;
+    std::set<InstanceId> m_seen;
+    std::map<RowKey, Sums> m_sums;
+};
 
 } // namespace swiftloft::burn
--- a/src/ctl/burn.cc
+++ b/src/ctl/burn.cc
@@ -14,14 +14,14 @@
 
 constexpr auto burnTarget = "/swiftloft/v1/burn";
 
-std::vector<burn::Answer> answersFrom(const std::vector<Fetched>& fetched)
+burn::Summary askFleet(const Options& options, const burn::ObjectiveOf& objectiveOf)
 {
-    std::vector<burn::Answer> answers;
-    for (auto& it : fetched) {
+    burn::Summariser summariser;
+    fetchFromFleet(options, burnTarget, [&](std::size_t, const Fetched& it) {
         auto report = it.body ? burn::reportFromJson(*it.body) : Result<burn::Report>(it.body.error());
-        answers.push_back({ toString(it.endpoint), std::move(report) });
-    }
-    return answers;
+        summariser.add({ toString(it.endpoint), std::move(report) });
+    });
+    return summariser.finish(objectiveOf);
 }
 
 burn::ObjectiveOf objectivesIn(const settings::Tree& tree)
@@ -59,7 +59,7 @@
     auto tree = loadValidSettings(options.result()["settings"].as<std::string>(), console);
     if (!tree)
         return ExitCode::Finding;
-    auto summary = burn::summarise(answersFrom(fetchFromFleet(options, burnTarget)), objectivesIn(*tree));
+    auto summary = askFleet(options, objectivesIn(*tree));
     if (options.isJson())
         console.out(burnJson(summary) + "\n");
     else
--- a/src/ctl/check.cc
+++ b/src/ctl/check.cc
@@ -37,7 +37,8 @@
     for (auto& problem : parsed.problems)
         console.err(problem.toString() + "\n");
     if (!parsed.tree) {
-        console.err(fmt::format("{}: {} problems; such a revision would be refused everywhere\n", path, parsed.problems.size()));
+        auto n = parsed.problems.size();
+        console.err(fmt::format("{}: {} {}; such a revision would be refused everywhere\n", path, n, n == 1 ? "problem" : "problems"));
         return;
     }
     auto& tree = *parsed.tree;
--- a/src/ctl/fetch.cc
+++ b/src/ctl/fetch.cc
@@ -61,19 +61,36 @@
     co_return std::move(parser.get().body());
 }
 
-/// One of several that share the list of endpoints.
-asio::awaitable<void> work(std::vector<Fetched>& fetched, std::size_t& next, const std::string& target, TimePoint deadline)
+/// The endpoints still to be asked, shared by all that ask.
+struct Work {
+    const std::vector<Endpoint>& endpoints;
+    const std::string& target;
+    TimePoint deadline;
+    const FetchedHandler& onFetched;
+    std::size_t next { 0 };
+};
+
+asio::awaitable<Result<std::string>> tryFetch(Endpoint endpoint, const Work& work)
+{
+    try {
+        co_return co_await fetch(endpoint, work.target, work.deadline);
+    } catch (const boost::system::system_error& error) {
+        if (error.code() == beast::error::timeout)
+            co_return Error { ErrorCode::TimedOut, "no answer in time" };
+        co_return Error { ErrorCode::Unavailable, error.code().message() };
+    } catch (const std::exception& exception) {
+        co_return Error { ErrorCode::Unavailable, exception.what() };
+    }
+}
+
+asio::awaitable<void> fetchInTurn(Work& work)
 {
-    while (next < fetched.size()) {
-        auto& it = fetched[next++];
-        try {
-            it.body = co_await fetch(it.endpoint, target, deadline);
-        } catch (const boost::system::system_error& error) {
-            auto isLate = error.code() == beast::error::timeout;
-            it.body = Error { isLate ? ErrorCode::TimedOut : ErrorCode::Unavailable, isLate ? "no answer in time" : error.code().message() };
-        } catch (const std::exception& exception) {
-            it.body = Error { ErrorCode::Unavailable, exception.what() };
-        }
+    while (work.next < work.endpoints.size()) {
+        auto index = work.next++;
+        auto& endpoint = work.endpoints[index];
+        // Awaited on a line of its own: GCC 12 destroys a braced temporary twice when its list holds a co_await.
+        auto body = co_await tryFetch(endpoint, work);
+        work.onFetched(index, { endpoint, std::move(body) });
     }
 }
 
@@ -94,18 +111,13 @@
     return endpoint.address().is_v6() ? fmt::format("[{}]:{}", ip, endpoint.port()) : fmt::format("{}:{}", ip, endpoint.port());
 }
 
-std::vector<Fetched> fetchAll(const std::vector<Endpoint>& endpoints, const std::string& target, TimePoint deadline)
+void fetchAll(const std::vector<Endpoint>& endpoints, const std::string& target, TimePoint deadline, const FetchedHandler& onFetched)
 {
-    std::vector<Fetched> fetched;
-    fetched.reserve(endpoints.size());
-    for (auto& endpoint : endpoints)
-        fetched.push_back({ endpoint, Error { ErrorCode::Unavailable, "not asked" } });
     asio::io_context context;
-    std::size_t next = 0;
-    for (std::size_t it = 0; it < std::min(maxAtOnce, fetched.size()); ++it)
-        asio::co_spawn(context, work(fetched, next, target, deadline), asio::detached);
+    Work work { endpoints, target, deadline, onFetched };
+    for (std::size_t it = 0; it < std::min(maxAtOnce, endpoints.size()); ++it)
+        asio::co_spawn(context, fetchInTurn(work), asio::detached);
     context.run();
-    return fetched;
 }
 
 } // namespace swiftloft::ctl
--- a/src/ctl/fetch.h
+++ b/src/ctl/fetch.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -24,7 +25,9 @@
 };
 
 /// Asks every endpoint for `target` by HTTP, many at a time. Each has until `deadline`; one that is silent, refuses or
-/// answers with another status than 200 gives an error and holds up no other.
-std::vector<Fetched> fetchAll(const std::vector<Endpoint>& endpoints, const std::string& target, TimePoint deadline);
+/// answers with another status than 200 gives an error and holds up no other. `onFetched` gets each answer when it is
+/// there, in any order, with the endpoint's index.
+using FetchedHandler = std::function<void(std::size_t index, Fetched fetched)>;
+void fetchAll(const std::vector<Endpoint>& endpoints, const std::string& target, TimePoint deadline, const FetchedHandler& onFetched);
 
 } // namespace swiftloft::ctl
--- a/src/ctl/fleet.cc
+++ b/src/ctl/fleet.cc
@@ -10,7 +10,7 @@
     options.add("timeout", "longest wait for the answers", cxxopts::value<std::string>()->default_value("3s"));
 }
 
-std::vector<Fetched> fetchFromFleet(const Options& options, const std::string& target)
+void fetchFromFleet(const Options& options, const std::string& target, const FetchedHandler& onFetched)
 {
     if (!options.result().count("entry"))
         throw UsageError("expected at least one --entry IP:PORT");
@@ -19,7 +19,7 @@
     if (!timeout)
         throw UsageError("--timeout: found \"" + text + "\", expected " + timeout.error().message);
     auto endpoints = endpointsFrom(options.result()["entry"].as<std::vector<std::string>>());
-    return fetchAll(endpoints, target, Clock::now() + std::get<microseconds>(*timeout));
+    fetchAll(endpoints, target, Clock::now() + std::get<microseconds>(*timeout), onFetched);
 }
 
 } // namespace swiftloft::ctl
--- a/src/ctl/options.cc
+++ b/src/ctl/options.cc
@@ -31,7 +31,7 @@
     }
     m_operands = m_result.unmatched();
     if (m_result.count("help")) {
-        console.out(m_options.help());
+        console.out(m_options.help() + "\n");
         return false;
     }
     if (m_result.count("version")) {
--- a/src/ctl/show.cc
+++ b/src/ctl/show.cc
@@ -12,7 +12,14 @@
 namespace json = boost::json;
 using settings::EffectiveSetting;
 
-void printJson(const settings::NodeId& node, const std::vector<EffectiveSetting>& values, const Console& console)
+/// The node's place in the tree; empty where it is fixed.
+std::string parentOf(const settings::Tree& tree, const settings::NodeId& node)
+{
+    auto parent = tree.parentOf(node);
+    return parent ? parent->toString() : std::string();
+}
+
+void printJson(const settings::NodeId& node, const std::string& parent, const std::vector<EffectiveSetting>& values, const Console& console)
 {
     json::array rows;
     for (auto& setting : values) {
@@ -24,12 +31,13 @@
         }
         rows.push_back(std::move(row));
     }
-    json::object report { { "node", node.toString() }, { "settings", std::move(rows) } };
+    json::object report { { "node", node.toString() }, { "parent", parent }, { "settings", std::move(rows) } };
     console.out(json::serialize(report) + "\n");
 }
 
-void printTable(const std::vector<EffectiveSetting>& values, const Console& console)
+void printTable(const settings::NodeId& node, const std::string& parent, const std::vector<EffectiveSetting>& values, const Console& console)
 {
+    console.out(fmt::format("[{}]{}\n\n", node.toString(), parent.empty() ? "" : " inherits from " + parent));
     Table table({ { "KEY" }, { "VALUE" }, { "FROM" } });
     for (auto& setting : values)
         table.add({ std::string(setting.name()), setting.text(), setting.origin.toString() });
@@ -67,9 +75,9 @@
         return ExitCode::Finding;
     }
     if (options.isJson())
-        printJson(node, *values, console);
+        printJson(node, parentOf(*tree, node), *values, console);
     else
-        printTable(*values, console);
+        printTable(node, parentOf(*tree, node), *values, console);
     return ExitCode::Ok;
 }
 
--- a/src/ctl/status.cc
+++ b/src/ctl/status.cc
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace swiftloft::ctl {
@@ -26,15 +27,19 @@
     std::string body;
 };
 
-std::vector<Answered> reportsFrom(std::vector<Fetched> fetched)
+/// In the order of the command line.
+std::vector<Answered> askFleet(const Options& options)
 {
+    std::map<std::size_t, Answered> byIndex;
+    fetchFromFleet(options, statusTarget, [&](std::size_t index, Fetched it) {
+        auto report = it.body ? statusFromJson(*it.body) : Result<StatusReport>(it.body.error());
+        auto body = it.body ? std::move(*it.body) : std::string();
+        byIndex.emplace(index, Answered { it.endpoint, std::move(report), std::move(body) });
+    });
     std::vector<Answered> answers;
-    for (auto& it : fetched) {
-        if (it.body)
-            answers.push_back({ it.endpoint, statusFromJson(*it.body), *it.body });
-        else
-            answers.push_back({ it.endpoint, it.body.error(), {} });
-    }
+    answers.reserve(byIndex.size());
+    for (auto& [index, answer] : byIndex)
+        answers.push_back(std::move(answer));
     return answers;
 }
 
@@ -122,7 +127,7 @@
     if (!options.parse(arguments, console))
         return ExitCode::Ok;
     options.operands(0, 0);
-    auto answers = reportsFrom(fetchFromFleet(options, statusTarget));
+    auto answers = askFleet(options);
     if (options.isJson())
         printJson(answers, console);
     else
--- a/src/settings/manifest.cc
+++ b/src/settings/manifest.cc
@@ -3,6 +3,7 @@
 #include <swiftloft/settings/value.h>
 
 #include "src/settings/line-reader.h"
+#include "src/settings/text.h"
 
 #include <fmt/format.h>
 
@@ -151,18 +152,14 @@
 
 bool Manifest::isManifest(std::string_view text)
 {
-    auto isFirst = true;
-    auto found = false;
-    internal::LineHandler handler {
-        [&](auto, auto heading) {
-            found = found || (isFirst && heading == manifestHeading);
-            isFirst = false;
-        },
-        [](auto, auto, auto) {},
-        [](auto, auto, auto) {},
-    };
-    internal::readLines(text, handler);
-    return found;
+    while (!text.empty()) {
+        auto end = text.find('\n');
+        auto line = internal::trim(text.substr(0, end));
+        if (!line.empty() && line[0] != '#' && line[0] != ';')
+            return line == "[manifest]";
+        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+    }
+    return false;
 }
 
 std::string Manifest::format(const std::vector<Part>& parts)
--- a/test/burn-summary_test.cc
+++ b/test/burn-summary_test.cc
@@ -19,9 +19,12 @@
     return report;
 }
 
-Summary summaryOf(const std::vector<Answer>& answers)
+Summary summaryOf(const std::vector<Answer>& answers, std::optional<settings::Ratio> objective = settings::Ratio(0.999))
 {
-    return summarise(answers, [](const ServiceName&) { return settings::Ratio(0.999); });
+    Summariser summariser;
+    for (auto& answer : answers)
+        summariser.add(answer);
+    return summariser.finish([&](const ServiceName&) { return objective; });
 }
 
 constexpr double old = 1e9;
@@ -84,7 +87,7 @@
 
 TEST_CASE("BurnSummary: a service that the settings don't name has sums and no burn")
 {
-    auto summary = summarise({ { "a:1", reportOf("e1", old, 0, 9) } }, [](const ServiceName&) { return std::nullopt; });
+    auto summary = summaryOf({ { "a:1", reportOf("e1", old, 0, 9) } }, std::nullopt);
     CHECK(summary.rows[0].burns[0].bad == 9);
     CHECK(summary.rows[0].burns[0].rate == 0);
     CHECK(summary.rows[0].alarm == Alarm::None);
