Show the organisations that burn most; answer in a fixed order

An inherited key digest or template flag was not caught by a test: taking the guard out left all tests green. The test now looks at the effective settings too.

--- a/src/burn/summary.cc
+++ b/src/burn/summary.cc
@@ -51,6 +51,23 @@
     return std::any_of(rows.begin(), rows.end(), [](auto& row) { return row.alarm != Alarm::None; });
 }
 
+void Summary::keepWorst(std::size_t n)
+{
+    std::vector<SummaryRow> kept;
+    for (auto begin = rows.begin(); begin != rows.end();) {
+        auto end = std::find_if(begin, rows.end(), [&](auto& row) { return row.service != begin->service; });
+        std::stable_sort(begin + 1, end, [](auto& a, auto& b) { return a.burns[longest].bad > b.burns[longest].bad; });
+        for (auto it = begin; it != end; ++it) {
+            if (it - begin <= static_cast<std::ptrdiff_t>(n) || it->alarm != Alarm::None)
+                kept.push_back(std::move(*it));
+            else
+                ++leftOut;
+        }
+        begin = end;
+    }
+    rows = std::move(kept);
+}
+
 void Summariser::add(const Answer& answer)
 {
     ++m_summary.asked;
@@ -115,6 +132,9 @@
     }
     for (auto& [key, sums] : m_sums)
         m_summary.rows.push_back(rowFrom(key, sums, objectiveOf));
+    // Answers come in any order; a report must not depend on it.
+    std::sort(m_summary.instances.begin(), m_summary.instances.end());
+    std::sort(m_summary.missing.begin(), m_summary.missing.end(), [](auto& a, auto& b) { return a.address < b.address; });
     return std::move(m_summary);
 }
 
--- a/src/burn/summary.h
+++ b/src/burn/summary.h
@@ -70,8 +70,14 @@
     std::array<double, windowLengths.size()> coverage {};
     /// By service and organisation, each service's total first.
     std::vector<SummaryRow> rows;
+    /// Organisations that `keepWorst` has left out.
+    std::size_t leftOut { 0 };
 
     bool hasAlarm() const;
+
+    /// Leaves of each service its total and the `n` organisations that use most of its budget, and every one with an
+    /// alarm; for readers, who can't take in thousands of rows.
+    void keepWorst(std::size_t n);
 };
 
 /// Adds up the reports of several entries, one at a time, so that no more than one need be held. An instance that
--- a/src/ctl/burn-html.cc
+++ b/src/ctl/burn-html.cc
@@ -112,7 +112,10 @@
     html += "<table><thead><tr><th>Service</th><th>Organisation</th><th>Objective</th><th>Burn</th><th>Budget left</th><th>Requests</th><th>Bad</th><th>Alarm</th><th>Top reasons</th></tr></thead><tbody>\n";
     for (auto& row : summary.rows)
         addRow(html, row);
-    return html + "</tbody></table>\n</body></html>\n";
+    html += "</tbody></table>\n";
+    if (summary.leftOut > 0)
+        html += fmt::format("<p>And {} organisations that use less of their budget.</p>\n", summary.leftOut);
+    return html + "</body></html>\n";
 }
 
 } // namespace swiftloft::ctl
--- a/src/ctl/burn-report.cc
+++ b/src/ctl/burn-report.cc
@@ -48,11 +48,13 @@
     for (auto& reason : row.reasons)
         reasons[reason.reason] = reason.count;
     json::object object { { "service", row.service.value() }, { "organisation", nullptr }, { "objective", nullptr }, { "burn", std::move(burns) },
-        { "budget_left", row.budgetLeft }, { "alarm", toString(row.alarm) }, { "reasons", std::move(reasons) } };
+        { "budget_left", nullptr }, { "alarm", toString(row.alarm) }, { "reasons", std::move(reasons) } };
     if (row.organisation)
         object["organisation"] = row.organisation->value();
-    if (row.objective)
+    if (row.objective) {
         object["objective"] = row.objective->value();
+        object["budget_left"] = row.budgetLeft;
+    }
     return object;
 }
 
@@ -85,6 +87,8 @@
     for (auto& row : summary.rows)
         table.add(cellsOf(row), row.alarm == Alarm::None ? Tone::Plain : Tone::Bad);
     table.print(console);
+    if (summary.leftOut > 0)
+        console.out(fmt::format("and {} organisations that use less of their budget\n", summary.leftOut));
     console.out(fmt::format("\n{} of {} entries answered; covered:", summary.instances.size(), summary.asked));
     for (std::size_t it = 0; it < windowLengths.size(); ++it)
         console.out(fmt::format(" {} {:.0f}%", windowName(windowLengths[it]), summary.coverage[it] * 100));
--- a/src/ctl/burn.cc
+++ b/src/ctl/burn.cc
@@ -51,6 +51,7 @@
     addFleetOptions(options);
     options.add("settings", "settings tree or manifest with the objectives", cxxopts::value<std::string>());
     options.add("html", "also write the report to FILE, as one HTML document", cxxopts::value<std::string>());
+    options.add("top", "organisations of each service to show beside those with an alarm", cxxopts::value<std::string>()->default_value("20"));
     if (!options.parse(arguments, console))
         return ExitCode::Ok;
     options.operands(0, 0);
@@ -62,7 +63,8 @@
     auto summary = askFleet(options, objectivesIn(*tree));
     if (options.isJson())
         console.out(burnJson(summary) + "\n");
-    else
+    summary.keepWorst(static_cast<std::size_t>(std::get<std::int64_t>(options.valueOf("top", settings::ValueType::Count))));
+    if (!options.isJson())
         printBurnTable(summary, console);
     if (options.result().count("html"))
         writeHtml(options.result()["html"].as<std::string>(), summary);
--- a/src/ctl/fleet.cc
+++ b/src/ctl/fleet.cc
@@ -1,7 +1,5 @@
 #include "src/ctl/fleet.h"
 
-#include <swiftloft/settings/value.h>
-
 namespace swiftloft::ctl {
 
 void addFleetOptions(Options& options)
@@ -14,12 +12,9 @@
 {
     if (!options.result().count("entry"))
         throw UsageError("expected at least one --entry IP:PORT");
-    auto text = options.result()["timeout"].as<std::string>();
-    auto timeout = settings::parseValue(settings::ValueType::Duration, text);
-    if (!timeout)
-        throw UsageError("--timeout: found \"" + text + "\", expected " + timeout.error().message);
+    auto timeout = std::get<microseconds>(options.valueOf("timeout", settings::ValueType::Duration));
     auto endpoints = endpointsFrom(options.result()["entry"].as<std::vector<std::string>>());
-    fetchAll(endpoints, target, Clock::now() + std::get<microseconds>(*timeout), onFetched);
+    fetchAll(endpoints, target, Clock::now() + timeout, onFetched);
 }
 
 } // namespace swiftloft::ctl
--- a/src/ctl/options.cc
+++ b/src/ctl/options.cc
@@ -41,6 +41,15 @@
     return true;
 }
 
+settings::Value Options::valueOf(const std::string& name, settings::ValueType type) const
+{
+    auto text = m_result[name].as<std::string>();
+    auto value = settings::parseValue(type, text);
+    if (!value)
+        throw UsageError(fmt::format("--{}: found \"{}\", expected {}", name, text, value.error().message));
+    return *value;
+}
+
 const Arguments& Options::operands(std::size_t least, std::size_t most) const
 {
     if (m_operands.size() < least || m_operands.size() > most)
--- a/src/ctl/options.h
+++ b/src/ctl/options.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <swiftloft/settings/value.h>
+
 #include "src/ctl/command.h"
 
 #include <cxxopts.hpp>
@@ -29,6 +31,9 @@
     bool isJson() const { return m_result["json"].as<bool>(); }
     const cxxopts::ParseResult& result() const { return m_result; }
 
+    /// The value of an option, written as settings are; throws `UsageError`.
+    settings::Value valueOf(const std::string& name, settings::ValueType type) const;
+
     /// The operands, of which there must be from `least` to `most`.
     const Arguments& operands(std::size_t least, std::size_t most) const;
 
--- a/src/settings/revision-holder.cc
+++ b/src/settings/revision-holder.cc
@@ -10,6 +10,8 @@
 
 std::string reasonFrom(const std::vector<Problem>& problems)
 {
+    if (problems.empty())
+        return "it has no tree";
     auto more = problems.size() > 1 ? fmt::format(" (and {} more)", problems.size() - 1) : std::string();
     return problems.front().toString() + more;
 }
--- a/test/burn-summary_test.cc
+++ b/test/burn-summary_test.cc
@@ -92,3 +92,20 @@
     CHECK(summary.rows[0].burns[0].rate == 0);
     CHECK(summary.rows[0].alarm == Alarm::None);
 }
+
+TEST_CASE("BurnSummary: readers get the worst organisations and every one with an alarm")
+{
+    auto report = reportOf("e1", old, 1000, 0);
+    for (auto& window : report.windows) {
+        window.rows.push_back({ chat, OrganisationName("b"), 10, 4, { { "slow", 4 } } });
+        window.rows.push_back({ chat, OrganisationName("c"), 10, 9, { { "slow", 9 } } });
+        window.rows.push_back({ chat, OrganisationName("d"), 10, 8, { { "slow", 8 } } });
+    }
+    auto summary = summaryOf({ { "a:1", report } });
+    summary.keepWorst(1);
+    REQUIRE(summary.rows.size() == 3);
+    CHECK_FALSE(summary.rows[0].organisation);
+    CHECK(summary.rows[1].organisation == OrganisationName("c"));
+    CHECK(summary.rows[2].organisation == OrganisationName("d"));
+    CHECK(summary.leftOut == 2);
+}
--- a/test/settings-tree_test.cc
+++ b/test/settings-tree_test.cc
@@ -116,6 +116,10 @@
     auto tree = treeOf(smallTree);
     CHECK(tree.organisation(OrganisationName("acme"), ServiceName("chat")).value().keyDigest == std::nullopt);
     CHECK(tree.organisationByKeyDigest("0000000000000000000000000000000000000000000000000000000000000001") == std::nullopt);
+    for (auto& setting : tree.effective(NodeId::of(OrganisationName("acme"))).value()) {
+        CHECK(setting.key != Key::KeyDigest);
+        CHECK((setting.key != Key::Template || setting.text() == "no"));
+    }
 }
 
 TEST_CASE("SettingsTree: each value in force names the section and line it came from")
