--- a/src/replay/commands.cc
+++ b/src/replay/commands.cc
@@ -89,7 +89,7 @@
     std::this_thread::sleep_for(milliseconds(arguments["settle-ms"].as<int>()));
     boost::asio::io_context io(1);
     HttpClient client(io);
-    boost::asio::co_spawn(io, fetchRunCounts(client, backendServers), [&](std::exception_ptr, RunCounts found) { counts = std::move(found); });
+    boost::asio::co_spawn(io, fetchRunCounts(client, backendServers), [&](const std::exception_ptr&, RunCounts found) { counts = std::move(found); });
     io.run();
     return counts;
 }
--- a/src/replay/sender.cc
+++ b/src/replay/sender.cc
@@ -49,8 +49,7 @@
 } // namespace
 
 Sender::Sender(asio::io_context& io, SenderOptions options)
-    : m_io(io)
-    , m_options(std::move(options))
+    : m_options(std::move(options))
     , m_client(io)
 {
 }
--- a/src/replay/sender.h
+++ b/src/replay/sender.h
@@ -36,7 +36,6 @@
     Message messageOf(const TraceRequest&) const;
     boost::asio::awaitable<ExchangeEnd> attempt(std::shared_ptr<Record>, const Message&, const std::string& address, TimePoint deadline);
 
-    boost::asio::io_context& m_io;
     SenderOptions m_options;
     HttpClient m_client;
     std::map<ServiceName, std::unique_ptr<AddressBook>> m_books;
--- a/standin/http-server.cc
+++ b/standin/http-server.cc
@@ -96,7 +96,7 @@
     m_extraHeaders.set(boost::beast::string_view(name.data(), name.size()), boost::beast::string_view(value.data(), value.size()));
 }
 
-HttpResponse Exchange::responseHead(HttpStatus status, std::string contentType) const
+HttpResponse Exchange::responseHead(HttpStatus status, const std::string& contentType) const
 {
     HttpResponse response(status, m_request.version());
     for (auto& field : m_extraHeaders)
@@ -109,7 +109,7 @@
 awaitable<void> Exchange::reply(HttpStatus status, std::string contentType, std::string body)
 {
     m_hasReplied = true;
-    auto response = responseHead(status, std::move(contentType));
+    auto response = responseHead(status, contentType);
     response.body() = std::move(body);
     response.prepare_payload();
     co_await http::async_write(m_socket, response, use_awaitable);
@@ -123,7 +123,7 @@
 awaitable<void> Exchange::startStream(std::string contentType)
 {
     m_hasReplied = true;
-    auto head = responseHead(HttpStatus::ok, std::move(contentType));
+    auto head = responseHead(HttpStatus::ok, contentType);
     http::response<http::empty_body> response(head.base());
     response.chunked(true);
     http::response_serializer<http::empty_body> serializer(response);
@@ -236,7 +236,6 @@
         exchange.drop();
         co_return;
     }
-    boost::system::error_code ec;
     try {
         co_await exchange.reply(status, "text/plain", failure + "\n");
     } catch (const boost::system::system_error&) {
--- a/standin/http-server.h
+++ b/standin/http-server.h
@@ -57,7 +57,7 @@
     bool hasReplied() const { return m_hasReplied; }
 
 private:
-    HttpResponse responseHead(HttpStatus, std::string contentType) const;
+    HttpResponse responseHead(HttpStatus, const std::string& contentType) const;
 
     boost::asio::ip::tcp::socket& m_socket;
     HttpRequest m_request;
--- a/test/process/http-call.cc
+++ b/test/process/http-call.cc
@@ -23,7 +23,7 @@
     replay::HttpClient client(io);
     replay::ExchangeResult result;
     boost::asio::co_spawn(io, client.exchange(from.address, request, Clock::now() + from.allowed, nullptr),
-        [&](std::exception_ptr, replay::ExchangeResult found) { result = std::move(found); });
+        [&](const std::exception_ptr&, replay::ExchangeResult found) { result = std::move(found); });
     io.run();
     return result;
 }
--- a/test/process/process-harness.cc
+++ b/test/process/process-harness.cc
@@ -63,6 +63,7 @@
     if (::pipe2(ends, O_CLOEXEC) != 0)
         return Error { ErrorCode::Internal, "no pipe" };
     std::vector<char*> arguments;
+    arguments.reserve(command.size() + 1);
     for (auto& argument : command)
         arguments.push_back(argument.data());
     arguments.push_back(nullptr);
