--- a/src/replay/commands.cc
+++ b/src/replay/commands.cc
@@ -113,6 +113,7 @@
     for (auto& address : counts.unreachable)
         failures.push_back({ fmt::format("the runs of {} can't be counted", address) });
     fmt::print("{}", arguments.count("json") ? summaryJson(summary, failures) + '\n' : summaryText(summary));
+    std::fflush(stdout);
     for (auto& failure : failures)
         fmt::print(stderr, "not held: {}\n", failure.what);
     auto name = arguments["counts-name"].as<std::string>();
