Quarantine the request that crashes its backend servers

Cause: a body that crashes an engine is sent again, each time with a new key and through another entry.

Fingerprint of organisation, service and body; all in flight at a crash are suspect, run alone at a server that the fingerprint itself chooses, and are cleared by ending well; two uncleared crashes convict. State is a set of (fingerprint, crash, cleared), so merges are idempotent and commute.

Suspects go to the server that rendezvous hashing names rather than the least loaded one: entries agree on it without a message, so their copies meet at one agent. Bound: copies run by entries that had heard of no crash, plus one. Two when news outruns the resend. Asking a home before every run would bound it at two always, for one more round trip on every request; not taken.

Failed first: a second taken off the life of news at each hop does not end it when delays are longer; a hop count does.

--- /dev/null
+++ b/src/policy/crash-quarantine.cc
@@ -0,0 +1,228 @@
+#include <swiftloft/policy/crash-quarantine.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace swiftloft::policy {
+
+namespace {
+
+constexpr std::size_t crashesToConvict = 2;
+/// More crashes of one fingerprint change no decision.
+constexpr std::size_t mostCrashes = 4;
+
+template <typename Crashes>
+std::size_t countAgainst(const Crashes& crashes, TimePoint now)
+{
+    return static_cast<std::size_t>(std::count_if(crashes.begin(), crashes.end(), [&](auto& it) { return !it.isCleared && it.expiresAt > now; }));
+}
+
+template <typename Crashes>
+TimePoint firstToExpire(const Crashes& crashes, TimePoint now)
+{
+    auto first = TimePoint::max();
+    for (auto& it : crashes) {
+        if (!it.isCleared && it.expiresAt > now)
+            first = std::min(first, it.expiresAt);
+    }
+    return first;
+}
+
+template <typename Crashes>
+TimePoint lastToExpire(const Crashes& crashes)
+{
+    auto last = TimePoint::min();
+    for (auto& it : crashes)
+        last = std::max(last, it.expiresAt);
+    return last;
+}
+
+std::uint64_t hashOf(std::string_view text, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+} // namespace
+
+CrashId crashIdOf(const BackendServerId& server, Incarnation agent, std::uint64_t count)
+{
+    std::uint64_t numbers[] = { agent.value(), count };
+    return CrashId(hashOf(server.value(), XXH3_64bits(numbers, sizeof numbers)));
+}
+
+std::optional<BackendServerId> suspectServer(Fingerprint fingerprint, std::span<const BackendServerId> candidates)
+{
+    auto score = [&](const BackendServerId& id) { return std::pair(hashOf(id.value(), fingerprint.value()), std::string_view(id.value())); };
+    auto it = std::max_element(candidates.begin(), candidates.end(), [&](auto& a, auto& b) { return score(a) < score(b); });
+    if (it == candidates.end())
+        return std::nullopt;
+    return *it;
+}
+
+std::string_view toString(QuarantineAction action)
+{
+    switch (action) {
+    case QuarantineAction::Admit:
+        return "admit";
+    case QuarantineAction::RunAlone:
+        return "run-alone";
+    case QuarantineAction::Wait:
+        return "wait";
+    case QuarantineAction::Refuse:
+        return "refuse";
+    }
+    return "unknown";
+}
+
+CrashQuarantine::CrashQuarantine(CrashQuarantineOptions options)
+    : m_options(options)
+{
+}
+
+Result<CrashQuarantine> CrashQuarantine::create(CrashQuarantineOptions options)
+{
+    if (options.suspicion.count() <= 0 || options.conviction < options.suspicion || !options.capacity)
+        return Error { ErrorCode::InvalidArgument, "crash quarantine: suspicion and capacity must be positive, conviction at least suspicion" };
+    return CrashQuarantine(options);
+}
+
+QuarantineDecision CrashQuarantine::check(Fingerprint fingerprint, TimePoint now) const
+{
+    auto it = m_records.find(fingerprint);
+    if (it == m_records.end())
+        return {};
+    auto& record = it->second;
+    auto n = countAgainst(record.crashes, now);
+    if (!n)
+        return {};
+    auto until = firstToExpire(record.crashes, now);
+    if (n >= crashesToConvict)
+        return { QuarantineAction::Refuse, until };
+    // Two copies of one suspect would crash two servers before the first crash is known.
+    if (record.running)
+        return { QuarantineAction::Wait, until };
+    return { QuarantineAction::RunAlone, until };
+}
+
+void CrashQuarantine::onStartAlone(Fingerprint fingerprint)
+{
+    auto it = m_records.find(fingerprint);
+    if (it != m_records.end())
+        ++it->second.running;
+}
+
+void CrashQuarantine::onEndAlone(Fingerprint fingerprint)
+{
+    auto it = m_records.find(fingerprint);
+    if (it != m_records.end() && it->second.running)
+        --it->second.running;
+}
+
+std::vector<SuspicionMessage> CrashQuarantine::onSuccess(Fingerprint fingerprint, TimePoint now)
+{
+    std::vector<SuspicionMessage> news;
+    auto it = m_records.find(fingerprint);
+    if (it == m_records.end())
+        return news;
+    for (auto& crash : it->second.crashes) {
+        if (crash.isCleared || crash.expiresAt <= now)
+            continue;
+        crash.isCleared = true;
+        news.push_back(messageOf(fingerprint, crash, now));
+    }
+    return news;
+}
+
+std::vector<SuspicionMessage> CrashQuarantine::onCrash(const CrashReport& report, TimePoint now)
+{
+    std::vector<SuspicionMessage> news;
+    for (auto fingerprint : report.inFlight) {
+        Crash crash { report.crash, now + m_options.suspicion, false };
+        if (learn(fingerprint, crash, now))
+            news.push_back(messageOf(fingerprint, crash, now));
+    }
+    return news;
+}
+
+bool CrashQuarantine::onMessage(const SuspicionMessage& message, TimePoint now)
+{
+    // Each way round adds its delay to the life of the news; a node that has just forgotten would learn it anew from a
+    // slower one, and so on for ever. Counting nodes ends that whatever the delays are.
+    if (message.hops >= m_options.maximumHops || message.remaining.count() <= 0)
+        return false;
+    // A peer's figure is not trusted beyond what this node would have set itself.
+    auto remaining = std::min<milliseconds>(message.remaining, m_options.conviction);
+    return learn(message.fingerprint, { message.crash, now + remaining, message.isCleared, message.hops + 1 }, now);
+}
+
+std::vector<SuspicionMessage> CrashQuarantine::snapshot(TimePoint now) const
+{
+    std::vector<SuspicionMessage> messages;
+    for (auto& [fingerprint, record] : m_records) {
+        for (auto& crash : record.crashes) {
+            if (crash.expiresAt > now)
+                messages.push_back(messageOf(fingerprint, crash, now));
+        }
+    }
+    return messages;
+}
+
+void CrashQuarantine::tick(TimePoint now)
+{
+    boost::unordered::erase_if(m_records, [&](auto& entry) { return !entry.second.running && lastToExpire(entry.second.crashes) <= now; });
+}
+
+bool CrashQuarantine::learn(Fingerprint fingerprint, Crash crash, TimePoint now)
+{
+    auto it = m_records.find(fingerprint);
+    if (it == m_records.end()) {
+        makeRoom(now);
+        it = m_records.emplace(fingerprint, Record {}).first;
+    }
+    auto& crashes = it->second.crashes;
+    std::erase_if(crashes, [&](auto& known) { return known.expiresAt <= now && known.id != crash.id; });
+    auto known = std::find_if(crashes.begin(), crashes.end(), [&](auto& each) { return each.id == crash.id; });
+    if (known != crashes.end()) {
+        // The time point of the first news stands: taking the later one, two nodes that tell each other of a crash
+        // would put its end off for ever.
+        bool isNews = crash.isCleared && !known->isCleared;
+        known->isCleared = known->isCleared || crash.isCleared;
+        return isNews;
+    }
+    if (crashes.size() >= mostCrashes)
+        return false;
+    crashes.push_back(crash);
+    extendConviction(it->second, now);
+    return true;
+}
+
+void CrashQuarantine::extendConviction(Record& record, TimePoint now) const
+{
+    if (countAgainst(record.crashes, now) < crashesToConvict)
+        return;
+    for (auto& it : record.crashes)
+        it.expiresAt = std::max(it.expiresAt, now + m_options.conviction);
+}
+
+/// Guards against a flood of crash reports filling the memory: suspects go first, the one with the shortest life left,
+/// then the convicted. Linear, but only for a new suspect when full.
+void CrashQuarantine::makeRoom(TimePoint now)
+{
+    if (m_records.size() < m_options.capacity)
+        return;
+    tick(now);
+    while (m_records.size() >= m_options.capacity) {
+        auto rank = [&](auto& entry) { return std::pair(countAgainst(entry.second.crashes, now) >= crashesToConvict, lastToExpire(entry.second.crashes)); };
+        auto it = std::min_element(m_records.begin(), m_records.end(), [&](auto& a, auto& b) { return rank(a) < rank(b); });
+        m_records.erase(it);
+    }
+}
+
+SuspicionMessage CrashQuarantine::messageOf(Fingerprint fingerprint, const Crash& crash, TimePoint now) const
+{
+    return { fingerprint, crash.id, crash.isCleared, std::chrono::duration_cast<milliseconds>(crash.expiresAt - now), crash.hops };
+}
+
+} // namespace swiftloft::policy
--- /dev/null
+++ b/src/policy/fingerprint.cc
@@ -0,0 +1,71 @@
+#include <swiftloft/policy/fingerprint.h>
+
+#include <xxhash.h>
+
+#include <memory>
+
+namespace swiftloft::policy {
+
+namespace {
+
+struct HashStateDeleter {
+    void operator()(XXH3_state_t* state) const { XXH3_freeState(state); }
+};
+
+bool isSpace(char c)
+{
+    return c == ' ' || c == '\t' || c == '\n' || c == '\r';
+}
+
+/// Hashes the stretches between insignificant spaces.
+class BodyHasher {
+public:
+    explicit BodyHasher(XXH3_state_t* state)
+        : m_state(state)
+    {
+    }
+
+    void add(std::string_view body)
+    {
+        std::size_t begin = 0;
+        for (std::size_t i = 0; i < body.size(); ++i) {
+            if (isSpace(body[i]) && !m_isInString) {
+                addRaw(body.substr(begin, i - begin));
+                begin = i + 1;
+            }
+            track(body[i]);
+        }
+        addRaw(body.substr(begin));
+    }
+
+private:
+    void track(char c)
+    {
+        if (m_isEscaped)
+            m_isEscaped = false;
+        else if (c == '\\')
+            m_isEscaped = m_isInString;
+        else if (c == '"')
+            m_isInString = !m_isInString;
+    }
+
+    void addRaw(std::string_view text) { XXH3_64bits_update(m_state, text.data(), text.size()); }
+
+    XXH3_state_t* m_state;
+    bool m_isInString { false };
+    bool m_isEscaped { false };
+};
+
+} // namespace
+
+Fingerprint fingerprintOf(const OrganisationName& organisation, const ServiceName& service, std::string_view body)
+{
+    auto seed = XXH3_64bits(organisation.value().data(), organisation.value().size());
+    seed = XXH3_64bits_withSeed(service.value().data(), service.value().size(), seed);
+    std::unique_ptr<XXH3_state_t, HashStateDeleter> state(XXH3_createState());
+    XXH3_64bits_reset_withSeed(state.get(), seed);
+    BodyHasher(state.get()).add(body);
+    return Fingerprint(XXH3_64bits_digest(state.get()));
+}
+
+} // namespace swiftloft::policy
--- /dev/null
+++ b/test/crash-quarantine_test.cc
@@ -0,0 +1,278 @@
+#include <swiftloft/policy/crash-quarantine.h>
+#include <swiftloft/policy/fingerprint.h>
+#include <swiftloft/policy/random.h>
+
+#include <boost/random/uniform_int_distribution.hpp>
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+using namespace swiftloft;
+using namespace swiftloft::policy;
+
+namespace {
+
+const TimePoint start { seconds(1000) };
+constexpr Fingerprint poison { 666 };
+constexpr Fingerprint neighbour { 7 };
+
+CrashQuarantine makeQuarantine(std::size_t capacity = 100)
+{
+    return CrashQuarantine::create({ .suspicion = seconds(600), .conviction = seconds(3600), .capacity = capacity }).value();
+}
+
+/// A fleet of entries and servers in which one body crashes whatever runs it. Each entry hears of a crash `newsDelay`
+/// after it; agents hear only of their own. Clients send copies at given times through given entries.
+class PoisonedFleet {
+public:
+    PoisonedFleet(std::size_t entries, milliseconds newsDelay)
+        : m_newsDelay(newsDelay)
+    {
+        for (std::size_t i = 0; i < entries; ++i)
+            m_entries.push_back({ makeQuarantine(), {} });
+        for (int i = 0; i < 12; ++i) {
+            m_servers.emplace_back(fmt::format("engine-{}", i));
+            m_agents.push_back(makeQuarantine());
+        }
+    }
+
+    /// One copy arrives at `entry`; it crashes its server at once if it is run.
+    void send(std::size_t entry, TimePoint now)
+    {
+        deliver(now);
+        auto action = m_entries[entry].quarantine.check(poison, now).action;
+        if (action == QuarantineAction::Wait || action == QuarantineAction::Refuse)
+            return;
+        auto server = action == QuarantineAction::RunAlone ? serverForSuspect() : m_next++ % m_servers.size();
+        if (m_agents[server].check(poison, now).action == QuarantineAction::Refuse)
+            return;
+        m_unsuspected += action == QuarantineAction::Admit ? 1 : 0;
+        m_crashed.insert(server);
+        CrashReport report { crashIdOf(m_servers[server], Incarnation(1), ++m_crashes), { poison, neighbour } };
+        m_agents[server].onCrash(report, now);
+        m_entries[entry].quarantine.onCrash(report, now);
+        for (std::size_t i = 0; i < m_entries.size(); ++i) {
+            if (i != entry)
+                m_entries[i].inbox.push_back({ now + m_newsDelay, report });
+        }
+    }
+
+    /// Servers that crashed, and crashes in all.
+    std::size_t crashed() const { return m_crashed.size(); }
+    std::uint64_t crashes() const { return m_crashes; }
+    /// Copies that were run by an entry which had not heard of any crash.
+    std::size_t unsuspected() const { return m_unsuspected; }
+
+private:
+    struct News {
+        TimePoint at;
+        CrashReport report;
+    };
+    struct Entry {
+        CrashQuarantine quarantine;
+        std::vector<News> inbox;
+    };
+
+    std::size_t serverForSuspect() const
+    {
+        auto chosen = suspectServer(poison, m_servers);
+        return static_cast<std::size_t>(std::find(m_servers.begin(), m_servers.end(), *chosen) - m_servers.begin());
+    }
+
+    void deliver(TimePoint now)
+    {
+        for (auto& entry : m_entries) {
+            for (auto& news : entry.inbox) {
+                if (news.at <= now)
+                    entry.quarantine.onCrash(news.report, now);
+            }
+            std::erase_if(entry.inbox, [&](auto& news) { return news.at <= now; });
+        }
+    }
+
+    milliseconds m_newsDelay;
+    std::vector<Entry> m_entries;
+    std::vector<BackendServerId> m_servers;
+    std::vector<CrashQuarantine> m_agents;
+    std::size_t m_next { 0 };
+    std::size_t m_unsuspected { 0 };
+    std::set<std::size_t> m_crashed;
+    std::uint64_t m_crashes { 0 };
+};
+
+} // namespace
+
+TEST_CASE("CrashQuarantine: resends through every entry, each with a new key, crash two backend servers at most")
+{
+    // A letter with a broken table crashes the engine that reads it. The owner presses send again and again; each time
+    // the phone picks another entry and mints a new key. News outruns the owner's next try.
+    PoisonedFleet fleet(6, milliseconds(2));
+    for (int i = 0; i < 30; ++i)
+        fleet.send(i % 6, start + milliseconds(6 * i));
+    CHECK(fleet.crashed() == 2);
+    CHECK(fleet.crashes() == 2);
+}
+
+TEST_CASE("CrashQuarantine: copies that outrun the news cost one server each, and one more in all")
+{
+    // A client hedges: it sends copies through several entries before any of them has heard of the first crash. That
+    // harm cannot be prevented without asking somebody before each run; it ends with the news.
+    for (unsigned seed = 0; seed < 500; ++seed) {
+        Generator generator(seed);
+        boost::random::uniform_int_distribution<std::size_t> entry(0, 5);
+        boost::random::uniform_int_distribution<int> pause(0, 20);
+        PoisonedFleet fleet(6, milliseconds(50));
+        auto now = start;
+        for (int i = 0; i < 60; ++i) {
+            now += milliseconds(pause(generator));
+            fleet.send(entry(generator), now);
+        }
+        CAPTURE(seed);
+        CHECK(fleet.unsuspected() <= 6);
+        CHECK(fleet.crashed() <= fleet.unsuspected() + 1);
+    }
+}
+
+TEST_CASE("CrashQuarantine: a second crash convicts, for a time")
+{
+    auto quarantine = makeQuarantine();
+    CHECK(quarantine.check(poison, start).action == QuarantineAction::Admit);
+    CHECK(quarantine.onCrash({ CrashId(1), { poison, neighbour } }, start).size() == 2);
+    CHECK(quarantine.check(poison, start).action == QuarantineAction::RunAlone);
+    quarantine.onStartAlone(poison);
+    CHECK(quarantine.check(poison, start).action == QuarantineAction::Wait);
+    quarantine.onCrash({ CrashId(2), { poison } }, start + seconds(1));
+    quarantine.onEndAlone(poison);
+    auto decision = quarantine.check(poison, start + seconds(1));
+    CHECK(decision.action == QuarantineAction::Refuse);
+    CHECK(decision.until == start + seconds(3601));
+    CHECK(quarantine.check(neighbour, start + seconds(1)).action == QuarantineAction::RunAlone);
+    CHECK(quarantine.check(neighbour, start + seconds(600)).action == QuarantineAction::Admit);
+    CHECK(quarantine.check(poison, start + seconds(3601)).action == QuarantineAction::Admit);
+    quarantine.tick(start + seconds(3601));
+    CHECK(quarantine.empty());
+}
+
+TEST_CASE("CrashQuarantine: an innocent neighbour is released at every entry when it ends well elsewhere")
+{
+    // Sixty letters were in flight beside the one that crashed the engine. Their owners send them again; were they
+    // kept suspect, each would wait for a server of its own, and the next unrelated crash would convict them.
+    auto here = makeQuarantine();
+    auto there = makeQuarantine();
+    for (auto& message : here.onCrash({ CrashId(1), { poison, neighbour } }, start))
+        CHECK(there.onMessage(message, start));
+    auto cleared = here.onSuccess(neighbour, start + seconds(1));
+    REQUIRE(cleared.size() == 1);
+    CHECK(there.onMessage(cleared[0], start + seconds(1)));
+    for (auto* quarantine : { &here, &there }) {
+        CHECK(quarantine->check(neighbour, start + seconds(1)).action == QuarantineAction::Admit);
+        quarantine->onCrash({ CrashId(2), { neighbour } }, start + seconds(2));
+        CHECK(quarantine->check(neighbour, start + seconds(2)).action == QuarantineAction::RunAlone);
+    }
+}
+
+TEST_CASE("CrashQuarantine: doubled, late and reordered news leads every node to the same decision")
+{
+    // The clearing of a neighbour reaches one entry before the suspicion does, and everything comes twice.
+    std::vector<SuspicionMessage> news {
+        { neighbour, CrashId(1), false, seconds(600) },
+        { neighbour, CrashId(1), true, seconds(600) },
+        { poison, CrashId(1), false, seconds(600) },
+        { poison, CrashId(2), false, seconds(600) },
+        { poison, CrashId(2), false, seconds(500) },
+    };
+    std::vector<std::size_t> order { 0, 1, 2, 3, 4 };
+    do {
+        auto quarantine = makeQuarantine();
+        for (auto i : order) {
+            quarantine.onMessage(news[i], start);
+            quarantine.onMessage(news[i], start);
+        }
+        CHECK(quarantine.check(neighbour, start).action == QuarantineAction::Admit);
+        CHECK(quarantine.check(poison, start).action == QuarantineAction::Refuse);
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST_CASE("CrashQuarantine: news that nodes pass to and fro comes to an end")
+{
+    // Two entries tell each other what they know, again and again. Were each message a fresh start, a suspicion would
+    // never expire, and a letter would be refused for good.
+    auto delay = GENERATE(milliseconds(20), milliseconds(150));
+    auto a = makeQuarantine();
+    auto b = makeQuarantine();
+    a.onCrash({ CrashId(1), { neighbour } }, start);
+    auto now = start;
+    for (int i = 0; i < 62000; ++i) {
+        now += milliseconds(10);
+        auto fromA = a.snapshot(now - delay);
+        auto fromB = b.snapshot(now - delay);
+        for (auto& message : fromA)
+            b.onMessage(message, now);
+        for (auto& message : fromB)
+            a.onMessage(message, now);
+        a.tick(now);
+        b.tick(now);
+    }
+    CHECK(a.empty());
+    CHECK(b.empty());
+}
+
+TEST_CASE("CrashQuarantine: memory is bounded, and a flood of suspects does not free the convicted")
+{
+    // An engine that crashes again and again reports hundreds of suspects an hour.
+    auto quarantine = makeQuarantine(50);
+    quarantine.onCrash({ CrashId(1), { poison } }, start);
+    quarantine.onCrash({ CrashId(2), { poison } }, start);
+    for (std::uint64_t i = 0; i < 500; ++i)
+        quarantine.onCrash({ CrashId(100 + i), { Fingerprint(1000 + i) } }, start + seconds(3500));
+    CHECK(quarantine.size() == 50);
+    CHECK(quarantine.check(poison, start + seconds(3500)).action == QuarantineAction::Refuse);
+}
+
+TEST_CASE("CrashQuarantine: hostile messages neither live longer than allowed nor grow the memory")
+{
+    auto quarantine = makeQuarantine(50);
+    Generator generator(8);
+    boost::random::uniform_int_distribution<std::int64_t> any(std::numeric_limits<std::int64_t>::min(), std::numeric_limits<std::int64_t>::max());
+    for (int i = 0; i < 20000; ++i) {
+        SuspicionMessage message { Fingerprint(static_cast<std::uint64_t>(any(generator)) % 100), CrashId(static_cast<std::uint64_t>(any(generator))), any(generator) > 0, milliseconds(any(generator)) };
+        quarantine.onMessage(message, start);
+        REQUIRE(quarantine.size() <= 50);
+    }
+    quarantine.tick(start + seconds(3600));
+    CHECK(quarantine.empty());
+}
+
+TEST_CASE("suspectServer: all entries choose alike, whatever the order of their lists, and move little when one leaves")
+{
+    std::vector<BackendServerId> servers;
+    servers.reserve(20);
+    for (int i = 0; i < 20; ++i)
+        servers.emplace_back(fmt::format("engine-{}", i));
+    auto reversed = servers;
+    std::reverse(reversed.begin(), reversed.end());
+    auto fewer = servers;
+    fewer.pop_back();
+    int moved = 0;
+    for (std::uint64_t i = 0; i < 1000; ++i) {
+        auto chosen = suspectServer(Fingerprint(i), servers);
+        CHECK(chosen == suspectServer(Fingerprint(i), reversed));
+        moved += chosen != suspectServer(Fingerprint(i), fewer) ? 1 : 0;
+    }
+    CHECK(moved < 100);
+    CHECK_FALSE(suspectServer(poison, {}));
+}
+
+TEST_CASE("fingerprintOf: a resend has the same fingerprint however it is laid out, another request has not")
+{
+    OrganisationName cafe("cafe");
+    ServiceName drafting("drafting");
+    auto original = fingerprintOf(cafe, drafting, R"({"prompt": "a \"b\" c",  "n":1})");
+    CHECK(original == fingerprintOf(cafe, drafting, "{\n\t\"prompt\":\"a \\\"b\\\" c\",\"n\": 1 }\r\n"));
+    CHECK(original != fingerprintOf(cafe, drafting, R"({"prompt":"a \"b\"  c","n":1})"));
+    CHECK(fingerprintOf(cafe, drafting, R"({"p":"\"  x"})") != fingerprintOf(cafe, drafting, R"({"p":"\" x"})"));
+    CHECK(original != fingerprintOf(OrganisationName("other"), drafting, R"({"prompt": "a \"b\" c",  "n":1})"));
+    CHECK(original != fingerprintOf(cafe, ServiceName("notices"), R"({"prompt": "a \"b\" c",  "n":1})"));
+}
