Limit organisations over all entries without shared state

Cause: entries see different lists at the same time, so 1/6 and 1/5 overlap and the sum passes the limit; a fixed split refuses callers who use one entry.

Lending moves amounts, not rates: debited before the grant is sent, accepted once per asking, leased from the asking at the borrower and from the granting at the lender, so no common clock is needed.

Ruled out: rate grants (both sides would have to agree when they end), and acknowledged shares (every entry would need an answer from every other to grow, so one dead entry freezes the limit).

--- /dev/null
+++ b/src/policy/lent-bucket.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <swiftloft/ids.h>
+#include <swiftloft/units.h>
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <vector>
+
+namespace swiftloft::policy::internal {
+
+/// An amount with an end: borrowed from `peer` or lent to it under the borrower's `serial`.
+struct Lease {
+    double amount;
+    TimePoint expiresAt;
+    InstanceId peer;
+    /// The borrower's life, and its number for the grant.
+    Incarnation incarnation;
+    std::uint64_t serial { 0 };
+};
+
+inline double sumOf(const std::vector<Lease>& leases)
+{
+    double sum = 0;
+    for (auto& it : leases)
+        sum += it.amount;
+    return sum;
+}
+
+/// One entry's part of one limit: a token bucket, what was borrowed into it and what was lent out of it.
+class LentBucket {
+public:
+    /// No rate: not limited. A bucket that was not limited before starts empty at `yield`.
+    void setRate(std::optional<double> perSecond, double burstSeconds, double yield)
+    {
+        if (!m_rate) {
+            m_yield = yield;
+            m_level = 0;
+        }
+        m_rate = perSecond;
+        m_burstSeconds = burstSeconds;
+    }
+    bool isLimited() const { return m_rate.has_value(); }
+
+    /// `yield` is the integral of the share, `share` its value now.
+    void refill(double yield, double share, TimePoint now)
+    {
+        std::erase_if(m_borrowed, [&](auto& it) { return it.expiresAt <= now; });
+        std::erase_if(m_lent, [&](auto& it) { return it.expiresAt <= now; });
+        if (!m_rate)
+            return;
+        auto gained = *m_rate * (yield - m_yield);
+        m_yield = yield;
+        m_share = share;
+        m_level = std::min(m_level + gained, room());
+    }
+
+    double available() const { return m_rate ? m_level + sumOf(m_borrowed) : std::numeric_limits<double>::infinity(); }
+    double burst() const { return m_rate ? *m_rate * m_burstSeconds * m_share : 0; }
+
+    /// Seconds until `amount` is there from the own share alone; nothing when it never will be.
+    std::optional<double> secondsUntil(double amount) const
+    {
+        if (!m_rate || available() >= amount)
+            return 0;
+        auto gain = *m_rate * m_share;
+        if (gain <= 0 || amount > burst())
+            return std::nullopt;
+        return (amount - available()) / gain;
+    }
+
+    /// Borrowed amounts first, those that end soonest before the others.
+    void take(double amount, TimePoint now)
+    {
+        m_takenAt = now;
+        std::sort(m_borrowed.begin(), m_borrowed.end(), [](auto& a, auto& b) { return a.expiresAt < b.expiresAt; });
+        for (auto& it : m_borrowed) {
+            auto part = std::min(it.amount, amount);
+            it.amount -= part;
+            amount -= part;
+        }
+        std::erase_if(m_borrowed, [](auto& it) { return it.amount <= 0; });
+        m_level -= amount;
+    }
+
+    /// Bounded by the next refill, which comes before every use.
+    void giveBack(double amount) { m_level += amount; }
+    void borrow(Lease lease) { m_borrowed.push_back(std::move(lease)); }
+    const std::vector<Lease>& borrowed() const { return m_borrowed; }
+
+    /// What may be lent: never borrowed amounts, whose lease is someone else's. A bucket whose own callers have been
+    /// away for a whole burst keeps a smaller reserve.
+    double lendable(double reserve, double idleReserve, TimePoint now) const
+    {
+        if (!m_rate)
+            return 0;
+        bool isIdle = std::chrono::duration<double>(now - m_takenAt).count() > m_burstSeconds;
+        return std::max(0.0, m_level - (isIdle ? idleReserve : reserve) * burst());
+    }
+    void lend(Lease lease)
+    {
+        m_level -= lease.amount;
+        m_lent.push_back(std::move(lease));
+    }
+    /// The borrower has used up all it got under these serials: nothing of it can be used any more.
+    void release(const InstanceId& borrower, Incarnation incarnation, std::uint64_t spentUpTo)
+    {
+        std::erase_if(m_lent, [&](auto& it) { return it.peer == borrower && it.incarnation == incarnation && it.serial <= spentUpTo; });
+    }
+
+private:
+    /// Guards the burst of the whole fleet: were the bucket to fill up again while its grants are unused, both together
+    /// would allow more at one time than the limit's burst.
+    double room() const { return std::max(0.0, burst() - sumOf(m_lent)); }
+
+    std::optional<double> m_rate;
+    double m_burstSeconds { 0 };
+    double m_share { 0 };
+    double m_yield { 0 };
+    double m_level { 0 };
+    TimePoint m_takenAt {};
+    std::vector<Lease> m_borrowed;
+    std::vector<Lease> m_lent;
+};
+
+} // namespace swiftloft::policy::internal
