--- a/test/expertmap-coordinator_test.cc
+++ b/test/expertmap-coordinator_test.cc
@@ -43,6 +43,12 @@
         take(coordinator.apply(m_now, coordination::MapWanted { version }), given);
     }
 
+    void hello(std::uint32_t rank)
+    {
+        std::vector<RankOrder> given;
+        take(coordinator.apply(m_now, coordination::HelloArrived { { RankIndex(rank), Incarnation(70 + rank) } }), given);
+    }
+
     Coordinator coordinator { Coordinator::create({ Incarnation(9), ranks, first, ranks }).value() };
     EngineStatus statuses[ranks];
     std::vector<RankOrder> reads;
@@ -118,7 +124,7 @@
 TEST_CASE("Coordinator reads all ranks again before it admits a restarted engine")
 {
     // A restarted engine comes back with the map from before a switch. The others had switched since they were last
-    // asked, through orders of an earlier coordinator.
+    // asked, through orders of an earlier coordinator, and its agent is the first to speak.
     Driver driver;
     driver.tick(2);
     driver.reads.clear();
@@ -126,7 +132,8 @@
     driver.statuses[1].staged = { first, second };
     driver.statuses[0].current = second;
     driver.statuses[2].current = second;
-    auto orders = driver.tick(80);
+    driver.hello(1);
+    auto orders = driver.tick(5);
     REQUIRE(ranksToldTo("admit", orders) == std::vector<std::uint32_t> { 1 });
     CHECK(std::get<Admit>(orders.back().order).version == second);
 }
--- a/test/expertmap-protocol_test.cc
+++ b/test/expertmap-protocol_test.cc
@@ -185,3 +185,54 @@
         checkOutcome(play(settings, scenarios));
     }
 }
+
+namespace {
+
+constexpr const char* faultNames[] = { "agent killed", "agent frozen", "agent frozen, replaced", "engine restarted empty", "engine restarted with old map",
+    "instance restarted", "weight store down" };
+
+/// Turns in which the group stood, for each turn of a change at which the fault began.
+std::vector<std::uint64_t> pausesOf(Fault fault, std::uint32_t rank, int length)
+{
+    std::vector<std::uint64_t> pauses;
+    for (int at = 0; at < 110; ++at)
+        pauses.push_back(play({ 4, false, 20, static_cast<std::uint64_t>(at) + 1, {} }, { { fault, rank, at, length, 25 } }).heldTurns);
+    std::sort(pauses.begin(), pauses.end());
+    return pauses;
+}
+
+} // namespace
+
+TEST_CASE("Map change: a fault stops the group for no longer than it lasts and a bounded number of steps")
+{
+    // Callers wait while a group holds. The outage of an agent stops the group only if a switch step comes up meanwhile;
+    // a restarted engine stops it until it has loaded the current map, perhaps the next one too, and is admitted.
+    constexpr int outage = 30;
+    constexpr std::uint64_t loadTurns = 20;
+    constexpr std::uint64_t toResolve = 2 * loadTurns + 40;
+    for (auto fault : faults) {
+        for (std::uint32_t rank : { 0u, 2u }) {
+            auto pauses = pausesOf(fault, rank, outage);
+            CAPTURE(faultNames[static_cast<int>(fault)], rank);
+            bool isEngineUp = fault == Fault::KillAgent || fault == Fault::FreezeAndWake || fault == Fault::FreezeReplaceAndWake;
+            CHECK(pauses.back() <= outage + toResolve);
+            if (isEngineUp)
+                CHECK(pauses[pauses.size() / 2] == 0);
+            if (fault == Fault::StoreDown)
+                CHECK(pauses.back() == 0);
+        }
+    }
+}
+
+TEST_CASE("Table of pauses in steps", "[.][pauses]")
+{
+    for (int outage : { 0, 30, 100 }) {
+        for (auto fault : faults) {
+            for (std::uint32_t rank : { 0u, 2u }) {
+                auto pauses = pausesOf(fault, rank, outage);
+                fmt::print("outage {:3} turns, {:30} rank {}: median {:3} p90 {:3} most {:3}\n", outage, faultNames[static_cast<int>(fault)], rank, pauses[pauses.size() / 2],
+                    pauses[pauses.size() * 9 / 10], pauses.back());
+            }
+        }
+    }
+}
