--- a/src/replay/commands.cc
+++ b/src/replay/commands.cc
@@ -89,7 +89,7 @@
     std::this_thread::sleep_for(milliseconds(arguments["settle-ms"].as<int>()));
     boost::asio::io_context io(1);
     HttpClient client(io);
-    boost::asio::co_spawn(io, fetchRunCounts(client, backendServers), [&](std::exception_ptr, RunCounts found) { counts = std::move(found); });
+    boost::asio::co_spawn(io, fetchRunCounts(client, backendServers), [&](const std::exception_ptr&, RunCounts found) { counts = std::move(found); });
     io.run();
     return counts;
 }
@@ -113,6 +113,7 @@
     for (auto& address : counts.unreachable)
         failures.push_back({ fmt::format("the runs of {} can't be counted", address) });
     fmt::print("{}", arguments.count("json") ? summaryJson(summary, failures) + '\n' : summaryText(summary));
+    std::fflush(stdout);
     for (auto& failure : failures)
         fmt::print(stderr, "not held: {}\n", failure.what);
     auto name = arguments["counts-name"].as<std::string>();
