--- a/src/membership/instance-list.cc
+++ b/src/membership/instance-list.cc
@@ -109,7 +109,9 @@
 Result<InstanceList> parseInstanceList(std::string_view text)
 {
     boost::system::error_code ec;
-    auto value = json::parse(text, ec);
+    // The parsed tree is thrown away at once; its memory is taken in few large blocks.
+    json::monotonic_resource memory;
+    auto value = json::parse(text, ec, &memory);
     if (ec)
         return malformed(ec.message());
     try {
--- a/src/spread/control.cc
+++ b/src/spread/control.cc
@@ -4,6 +4,7 @@
 #include <swiftloft/membership/rendezvous.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace swiftloft::spread {
 
@@ -18,27 +19,34 @@
 constexpr milliseconds joinRound { 500 };
 constexpr std::size_t largestServe = 128 * 1024;
 
-Validity checkInstances(std::string_view body)
-{
-    auto list = membership::parseInstanceList(body);
-    return list ? Validity {} : Validity { false, list.error().message };
-}
-
 } // namespace
 
 Control::Control(membership::ListedInstance self, membership::Life life, membership::Topology topology, ControlOptions options,
     Spreader::Check checkSettings, std::uint64_t seed)
     : m_self(self)
     , m_options(options)
+    , m_parsedList(std::make_shared<std::optional<membership::InstanceList>>())
     , m_detector(std::move(self), life, std::move(topology), options.detector, seed)
     , m_spreaders { Spreader(Topic::Settings, options.spread, std::move(checkSettings), seed + 1),
-        Spreader(Topic::Instances, options.spread, checkInstances, seed + 2) }
+        Spreader(Topic::Instances, options.spread, checkInstances(), seed + 2) }
     , m_serveBudget(options.serveBurst, options.serveRate)
     , m_random(seed + 3)
     , m_view(m_detector.view())
 {
 }
 
+/// Keeps the parsed list for `takeList`: at the design size parsing it takes tens of milliseconds.
+Spreader::Check Control::checkInstances()
+{
+    return [parsed = m_parsedList](std::string_view body) {
+        auto list = membership::parseInstanceList(body);
+        if (!list)
+            return Validity { false, list.error().message };
+        *parsed = std::move(*list);
+        return Validity {};
+    };
+}
+
 void Control::step(const ControlEvent& event, ControlEffects& effects)
 {
     m_effects = &effects;
@@ -143,7 +151,7 @@
 
 void Control::takeList(const Document& document)
 {
-    auto list = membership::parseInstanceList(*document.body());
+    auto list = std::exchange(*m_parsedList, std::nullopt);
     if (!list)
         return;
     // The platform's order is the revision it answered with; the one inside the body is not trusted to agree.
--- a/src/spread/control.h
+++ b/src/spread/control.h
@@ -102,6 +102,7 @@
     {
         m_effects->emplace_back(std::move(effect));
     }
+    Spreader::Check checkInstances();
     void takeList(const Document& document);
     void announce();
     void complete(membership::Message& message) const;
@@ -113,6 +114,8 @@
 
     membership::ListedInstance m_self;
     ControlOptions m_options;
+    /// Of the list that the instances' spreader last found valid, until it is taken.
+    std::shared_ptr<std::optional<membership::InstanceList>> m_parsedList;
     membership::Detector m_detector;
     std::array<Spreader, membership::topicCount> m_spreaders;
     ServeBudget m_serveBudget;
