--- a/bench/control-bench-fleet.cc
+++ b/bench/control-bench-fleet.cc
@@ -1,6 +1,9 @@
 #include "bench/control-bench.h"
 #include "test/fake-fleet.h"
 
+#include <swiftloft/membership/address-answer.h>
+#include <swiftloft/membership/subset.h>
+
 #include <fmt/format.h>
 #include <malloc.h>
 
@@ -200,9 +203,20 @@
     auto secondList = give(spread::Topic::Instances, 2, json + " ");
     auto secondTree = give(spread::Topic::Settings, 2, editTree(tree, 1));
 
+    auto view = control.view();
+    constexpr int answers = 500;
+    auto begin = Clock::now();
+    std::size_t named = 0;
+    for (std::uint64_t i = 0; i < answers; ++i)
+        named += membership::answerAddresses(*view, DataCentreName("dc1"), ServiceName("service1"), i, now, {}).addresses.size();
+    auto answer = 1e6 * secondsOf(Clock::now() - begin) / answers;
+    begin = Clock::now();
+    auto connections = membership::agentsFor(*view, source.node(0).row, {}).size();
+    auto subset = 1e3 * secondsOf(Clock::now() - begin);
+
     constexpr int rounds = 20'000;
     membership::Random random(1);
-    auto begin = Clock::now();
+    begin = Clock::now();
     for (int i = 0; i < rounds; ++i) {
         now += milliseconds(100);
         control.step(membership::Tick { now }, effects);
@@ -227,8 +241,8 @@
         effects.clear();
     }
     auto ping = 1e6 * secondsOf(Clock::now() - begin) / rounds;
-    fmt::print("mode=member members={} list_bytes={} heap_bytes={} heap_bytes_a_member={:.0f} heap_bytes_of_tree={} tick_us={:.2f} ping_us={:.2f} list_ms={:.2f} list_again_ms={:.2f} tree_ms={:.2f} tree_again_ms={:.2f}\n",
-        source.size(), json.size(), heap, static_cast<double>(heapOfList) / static_cast<double>(source.size()), heap - heapOfList, tick, ping, firstList, secondList, firstTree, secondTree);
+    fmt::print("mode=member members={} list_bytes={} heap_bytes={} heap_bytes_a_member={:.0f} heap_bytes_of_tree={} tick_us={:.2f} ping_us={:.2f} list_ms={:.2f} list_again_ms={:.2f} tree_ms={:.2f} tree_again_ms={:.2f} answer_us={:.1f} answer_addresses={} subset_ms={:.2f} subset_agents={}\n",
+        source.size(), json.size(), heap, static_cast<double>(heapOfList) / static_cast<double>(source.size()), heap - heapOfList, tick, ping, firstList, secondList, firstTree, secondTree, answer, named / answers, subset, connections);
 }
 
 } // namespace swiftloft::bench
