--- a/src/ctl/status-report.cc
+++ b/src/ctl/status-report.cc
@@ -24,14 +24,19 @@
 std::optional<Revision> revisionOf(const json::object& object, const char* key)
 {
     auto value = find(object, key);
-    if (!value)
+    auto number = value ? value->to_number<std::uint64_t>() : 0;
+    if (number == 0)
         return std::nullopt;
-    return Revision(value->to_number<std::uint64_t>());
+    return Revision(number);
 }
 
 BackendServerStatus backendServerFrom(const json::object& object)
 {
-    BackendServerStatus server { BackendServerId(textOf(object, "id")), DataCentreName(textOf(object, "data_centre")), textOf(object, "state"), 0 };
+    BackendServerStatus server;
+    server.id = BackendServerId(textOf(object, "id"));
+    server.service = ServiceName(textOf(object, "service"));
+    server.dataCentre = DataCentreName(textOf(object, "data_centre"));
+    server.state = textOf(object, "state");
     if (auto load = find(object, "load"))
         server.load = load->to_number<double>();
     return server;
--- a/src/ctl/status-report.h
+++ b/src/ctl/status-report.h
@@ -14,10 +14,11 @@
 /// A backend server as one entry sees it.
 struct BackendServerStatus {
     BackendServerId id;
+    ServiceName service;
     DataCentreName dataCentre;
     std::string state;
     /// Requests in progress as a fraction of what it takes.
-    double load { 0 };
+    std::optional<double> load;
 };
 
 /// The body of `GET /swiftloft/v1/status`.
@@ -26,6 +27,7 @@
     std::string role;
     DataCentreName dataCentre;
     std::string state;
+    /// Revisions begin at 1.
     std::optional<Revision> settingsRevision;
     std::optional<Revision> refusedRevision;
     std::string refusedReason;
--- a/src/ctl/status.cc
+++ b/src/ctl/status.cc
@@ -18,8 +18,9 @@
 
 constexpr auto statusTarget = "/swiftloft/v1/status";
 
-/// The state of an instance that has nothing to report.
-constexpr std::string_view runningState = "running";
+/// States of an instance and of a backend server that call for nothing.
+constexpr std::string_view readyState = "ready";
+constexpr std::string_view upState = "up";
 
 struct Answered {
     Endpoint endpoint;
@@ -48,6 +49,11 @@
     return revision ? fmt::format("{}", revision->value()) : "-";
 }
 
+std::string loadText(const BackendServerStatus& server)
+{
+    return server.load ? fmt::format("{:.0f}%", *server.load * 100) : "-";
+}
+
 void printInstances(const std::vector<Answered>& answers, const Console& console)
 {
     Table table({ { "ENTRY" }, { "INSTANCE" }, { "ROLE" }, { "DATA CENTRE" }, { "STATE" }, { "SETTINGS", Table::Align::Right },
@@ -59,7 +65,7 @@
             continue;
         }
         auto& report = *answer.report;
-        auto isGood = report.state == runningState && !report.refusedRevision;
+        auto isGood = report.state == readyState && !report.refusedRevision;
         table.add({ address, report.instance.value(), report.role, report.dataCentre.value(), report.state, revisionText(report.settingsRevision),
                       revisionText(report.refusedRevision), fmt::format("{}", report.inFlight), fmt::format("{}", report.backendServers.size()) },
             isGood ? Tone::Plain : Tone::Bad);
@@ -69,13 +75,13 @@
 
 void printBackendServers(const std::vector<Answered>& answers, const Console& console)
 {
-    Table table({ { "INSTANCE" }, { "BACKEND SERVER" }, { "DATA CENTRE" }, { "STATE" }, { "LOAD", Table::Align::Right } });
+    Table table({ { "INSTANCE" }, { "BACKEND SERVER" }, { "SERVICE" }, { "DATA CENTRE" }, { "STATE" }, { "LOAD", Table::Align::Right } });
     for (auto& answer : answers) {
         if (!answer.report)
             continue;
         for (auto& server : answer.report->backendServers) {
-            table.add({ answer.report->instance.value(), server.id.value(), server.dataCentre.value(), server.state, fmt::format("{:.0f}%", server.load * 100) },
-                server.state == runningState ? Tone::Plain : Tone::Bad);
+            table.add({ answer.report->instance.value(), server.id.value(), server.service.value(), server.dataCentre.value(), server.state, loadText(server) },
+                server.state == upState ? Tone::Plain : Tone::Bad);
         }
     }
     console.out("\n");
--- a/test/ctl-fleet_test.cc
+++ b/test/ctl-fleet_test.cc
@@ -93,7 +93,7 @@
 {
     // One entry of three has died and one is frozen: it still accepts connections and never answers. The operator must
     // see the third at once, and both others named, rather than a command that hangs.
-    Server good(R"({"instance":"e1","role":"entry","data_centre":"tay-ho","state":"running","settings_revision":7,"in_flight":3,"backend_servers":[{"id":"b1","data_centre":"tay-ho","state":"running","load":0.5}]})");
+    Server good(R"({"instance":"e1","role":"entry","data_centre":"tay-ho","state":"ready","settings_revision":7,"in_flight":3,"backend_servers":[{"id":"b1","service":"drafting","data_centre":"tay-ho","state":"up","load":0.5}]})");
     Server frozen(std::nullopt);
     auto closed = closedAddress();
     auto result = ran({ "status", "--timeout", "200ms", "--backend-servers", "--entry", good.address(), "--entry", frozen.address(), "--entry", closed });
@@ -103,8 +103,8 @@
 
 TEST_CASE("CtlFleet: status says when an entry refuses a revision or runs another one")
 {
-    Server first(R"({"instance":"e1","state":"running","settings_revision":7,"refused_revision":8,"refused_reason":"settings:3: bad"})");
-    Server second(R"({"instance":"e2","state":"running","settings_revision":6,"refused_revision":null})");
+    Server first(R"({"instance":"e1","state":"ready","settings_revision":7,"refused_revision":8,"refused_reason":"settings:3: bad"})");
+    Server second(R"({"instance":"e2","state":"ready","settings_revision":6,"refused_revision":null})");
     auto result = ran({ "status", "--entry", first.address(), "--entry", second.address() });
     CHECK(result.code == ExitCode::Finding);
     CHECK_THAT(result.err, Contains("e1 refuses settings revision 8: settings:3: bad") && Contains("2 settings revisions are in force"));
