--- a/src/agent/daemon.cc
+++ b/src/agent/daemon.cc
@@ -18,7 +18,7 @@
     , m_control(1)
     , m_reducer(incarnation, {})
     , m_status(m_control, m_config.listen)
-    , m_monitor(m_control, *m_config.backendServer, [this](Event event) { apply(event); })
+    , m_monitor(m_control, *m_config.backendServer, [this](const Event& event) { apply(event); })
     , m_timer(m_control)
 {
     addStatusPages();
--- a/src/agent/engine-monitor.cc
+++ b/src/agent/engine-monitor.cc
@@ -22,7 +22,7 @@
 
 } // namespace
 
-EngineMonitor::EngineMonitor(asio::io_context& ioContext, asio::ip::tcp::endpoint engine, std::function<void(Event)> onEvent)
+EngineMonitor::EngineMonitor(asio::io_context& ioContext, asio::ip::tcp::endpoint engine, std::function<void(const Event&)> onEvent)
     : m_ioContext(ioContext)
     , m_engine(std::move(engine))
     , m_onEvent(std::move(onEvent))
--- a/src/agent/engine-monitor.h
+++ b/src/agent/engine-monitor.h
@@ -13,7 +13,7 @@
 /// Polls an engine's load page and says when the engine comes up or goes down. Belongs to the control thread.
 class EngineMonitor {
 public:
-    EngineMonitor(boost::asio::io_context& ioContext, boost::asio::ip::tcp::endpoint engine, std::function<void(Event)> onEvent);
+    EngineMonitor(boost::asio::io_context& ioContext, boost::asio::ip::tcp::endpoint engine, std::function<void(const Event&)> onEvent);
 
     void start();
 
@@ -33,7 +33,7 @@
 
     boost::asio::io_context& m_ioContext;
     boost::asio::ip::tcp::endpoint m_engine;
-    std::function<void(Event)> m_onEvent;
+    std::function<void(const Event&)> m_onEvent;
     State m_state { State::Unknown };
 };
 
--- a/src/agent/run.cc
+++ b/src/agent/run.cc
@@ -100,7 +100,7 @@
 {
     m_onEnded = std::move(onEnded);
     co_spawn(m_ioContext, execute(),
-        asio::bind_cancellation_slot(m_cancellation.slot(), [self = shared_from_this()](std::exception_ptr, RunEnd end) {
+        asio::bind_cancellation_slot(m_cancellation.slot(), [self = shared_from_this()](const std::exception_ptr&, RunEnd end) {
             self->finish(end);
         }));
 }
--- a/src/entry/reducer.cc
+++ b/src/entry/reducer.cc
@@ -81,12 +81,12 @@
     auto retryBudget = policy::RetryBudget::create({});
     if (!retryBudget)
         return retryBudget.error();
-    return Reducer(std::move(options), std::move(*retryPolicy), std::move(*retryBudget));
+    return Reducer(std::move(options), *retryPolicy, std::move(*retryBudget));
 }
 
 Reducer::Reducer(ReducerOptions options, policy::RetryPolicy retryPolicy, policy::RetryBudget retryBudget)
     : m_options(std::move(options))
-    , m_retryPolicy(std::move(retryPolicy))
+    , m_retryPolicy(retryPolicy)
     , m_retryBudget(std::move(retryBudget))
     , m_generator(m_options.randomSeed)
     , m_fleet(m_options.dataCentre, m_options.region)
--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -118,7 +118,7 @@
         if (!ec) {
             socket.set_option(tcp::no_delay(true), ec);
             // A connection that ends in an error is closed like any other.
-            co_spawn(m_loop.ioContext(), serve(Stream(std::move(socket))), [](std::exception_ptr) {});
+            co_spawn(m_loop.ioContext(), serve(Stream(std::move(socket))), [](const std::exception_ptr&) {});
         }
         accept();
     });
@@ -138,7 +138,7 @@
         m_acceptor->accept(socket, ec);
         if (ec)
             break;
-        co_spawn(m_loop.ioContext(), serve(Stream(std::move(socket))), [](std::exception_ptr) {});
+        co_spawn(m_loop.ioContext(), serve(Stream(std::move(socket))), [](const std::exception_ptr&) {});
     }
     m_acceptor.reset();
 }
--- a/src/process/status-server.cc
+++ b/src/process/status-server.cc
@@ -82,7 +82,7 @@
                 return answerFor({ request.target().data(), request.target().size() });
             };
             // A connection that ends in an error is closed like any other.
-            co_spawn(m_acceptor.get_executor(), serve(beast::tcp_stream(std::move(socket)), answer), [](std::exception_ptr) {});
+            co_spawn(m_acceptor.get_executor(), serve(beast::tcp_stream(std::move(socket)), answer), [](const std::exception_ptr&) {});
         }
         accept();
     });
--- a/src/rpc/asio-stream.cc
+++ b/src/rpc/asio-stream.cc
@@ -80,7 +80,7 @@
         });
 }
 
-class AsioStream : public kj::AsyncIoStream {
+class AsioStream final : public kj::AsyncIoStream {
 public:
     explicit AsioStream(tcp::socket socket)
         : m_state(std::make_shared<SocketState>(std::move(socket)))
--- a/src/rpc/connection.h
+++ b/src/rpc/connection.h
@@ -42,7 +42,7 @@
 };
 
 /// Accepts RPC connections and serves one bootstrap interface to all of them. Belongs to one `EventLoop` thread.
-class Listener : private kj::TaskSet::ErrorHandler {
+class Listener final : private kj::TaskSet::ErrorHandler {
 public:
     Listener(boost::asio::io_context& ioContext, const boost::asio::ip::tcp::endpoint& endpoint, capnp::Capability::Client bootstrap);
 
