--- a/test/replay-trace_test.cc
+++ b/test/replay-trace_test.cc
@@ -2,7 +2,10 @@
 #include "src/replay/trace.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
+#include <fstream>
+#include <iterator>
 #include <random>
 
 using namespace swiftloft;
@@ -38,6 +41,25 @@
     CHECK_FALSE(one == generate({ Firm::ViaHe, 8, seconds(5), 10 }));
 }
 
+TEST_CASE("Trace: the traces in the repository are the ones their seeds make")
+{
+    struct Case {
+        const char* file;
+        GeneratorOptions options;
+    };
+    for (auto& it : {
+             Case { "via-he-small", { Firm::ViaHe, 7, seconds(4), 10 } },
+             Case { "rasoi-rahdari-small", { Firm::RasoiRahdari, 7, seconds(4), 10 } },
+             Case { "via-he-morning", { Firm::ViaHe, 11, seconds(10), 20 } },
+             Case { "rasoi-rahdari-morning", { Firm::RasoiRahdari, 11, seconds(10), 20 } },
+         }) {
+        INFO(it.file);
+        std::ifstream file(fmt::format(SWIFTLOFT_SOURCE_DIR "/traces/{}.trace", it.file));
+        std::string text { std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+        CHECK(text == formatTrace(generate(it.options)));
+    }
+}
+
 TEST_CASE("Trace: an error names line, column and what was expected")
 {
     CHECK(messageOf("swiftloft-trace 2\n") == "line 1: first line: expected 'swiftloft-trace 1', found 'swiftloft-trace 2'");
