--- a/src/replay/address-book.cc
+++ b/src/replay/address-book.cc
@@ -61,8 +61,12 @@
     auto it = std::find(m_addresses.begin(), m_addresses.end(), address);
     if (it != m_addresses.end())
         std::rotate(it, it + 1, m_addresses.end());
-    if (!m_isDirect)
-        m_keepUntil = TimePoint();
+    askAgain();
+}
+
+void AddressBook::askAgain()
+{
+    m_keepUntil = TimePoint();
 }
 
 } // namespace swiftloft::replay
--- a/src/replay/address-book.h
+++ b/src/replay/address-book.h
@@ -23,6 +23,9 @@
     /// Moves an address that did not answer to the end of the kept list, and asks again soon.
     void reportFailure(const std::string& address);
 
+    /// The kept answer is used no more: an entry that stops says so with each of its answers.
+    void askAgain();
+
 private:
     boost::asio::awaitable<void> refresh();
     bool take(const ExchangeResult&);
--- a/src/replay/sender.cc
+++ b/src/replay/sender.cc
@@ -99,7 +99,7 @@
     record->problem = "no entry gave addresses";
     auto addresses = co_await addressBook.addresses();
     for (auto& address : addresses) {
-        auto end = co_await attempt(record, message, address, deadline);
+        auto end = co_await attempt(record, message, address, deadline, addressBook);
         if (end == ExchangeEnd::Whole || record->fate == Fate::Refused || Clock::now() >= deadline)
             break;
         addressBook.reportFailure(address);
@@ -110,7 +110,7 @@
     record->doneAt = Clock::now();
 }
 
-asio::awaitable<ExchangeEnd> Sender::attempt(std::shared_ptr<Record> record, const Message& message, const std::string& address, TimePoint deadline)
+asio::awaitable<ExchangeEnd> Sender::attempt(std::shared_ptr<Record> record, const Message& message, const std::string& address, TimePoint deadline, AddressBook& addressBook)
 {
     AnswerCheck check(record->request, message.body, !m_options.isDirect);
     OnBody onBody = [&check](std::string_view piece, TimePoint at) { check.onBody(piece, at); };
@@ -118,6 +118,8 @@
     record->entry = address;
     if (result.end != ExchangeEnd::NotConnected)
         ++record->sends;
+    if (result.head["Swiftloft-Ask-Again"] == "yes")
+        addressBook.askAgain();
     check.conclude(result, *record);
     co_return result.end;
 }
--- a/src/replay/sender.h
+++ b/src/replay/sender.h
@@ -34,7 +34,7 @@
 
     AddressBook& book(const ServiceName&);
     Message messageOf(const TraceRequest&) const;
-    boost::asio::awaitable<ExchangeEnd> attempt(std::shared_ptr<Record>, const Message&, const std::string& address, TimePoint deadline);
+    boost::asio::awaitable<ExchangeEnd> attempt(std::shared_ptr<Record>, const Message&, const std::string& address, TimePoint deadline, AddressBook&);
 
     SenderOptions m_options;
     HttpClient m_client;
