--- a/test/settings-tree_test.cc
+++ b/test/settings-tree_test.cc
@@ -116,6 +116,10 @@
     auto tree = treeOf(smallTree);
     CHECK(tree.organisation(OrganisationName("acme"), ServiceName("chat")).value().keyDigest == std::nullopt);
     CHECK(tree.organisationByKeyDigest("0000000000000000000000000000000000000000000000000000000000000001") == std::nullopt);
+    for (auto& setting : tree.effective(NodeId::of(OrganisationName("acme"))).value()) {
+        CHECK(setting.key != Key::KeyDigest);
+        CHECK((setting.key != Key::Template || setting.text() == "no"));
+    }
 }
 
 TEST_CASE("SettingsTree: each value in force names the section and line it came from")
@@ -204,6 +208,12 @@
     CHECK(problemsOf("[organisation x]\nrequires-key = no\n").empty());
 }
 
+TEST_CASE("SettingsTree: a key that was written badly is not called missing too")
+{
+    CHECK(problemsOf("[service a]\nkind = modle\n")
+        == Lines { "t.ini:2: [service a] kind: found \"modle\", expected model or plain (bad-value)" });
+}
+
 TEST_CASE("SettingsTree: something pasted in place of a key digest is not repeated in the problem")
 {
     auto problems = problemsOf("[organisation x]\nkey-digest = hunter2-very-secret\nrequires-key = no\n");
