--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -60,6 +60,7 @@
     Server& plain(std::size_t n) { return m_servers[m_options.engines + n]; }
     std::vector<Server>& servers() { return m_servers; }
     Entry& entry(std::size_t n = 0) { return m_entries[n]; }
+    std::size_t entryCount() const { return m_entries.size(); }
 
     void startBackend(Server& server);
     void startAgent(Server& server);
--- /dev/null
+++ b/test/process/replay_test.cc
@@ -0,0 +1,160 @@
+#include "test/process/fleet.h"
+
+#include "src/replay/generator.h"
+#include "src/replay/judge.h"
+#include "src/replay/report.h"
+#include "src/replay/runner.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <catch2/catch.hpp>
+
+using namespace swiftloft;
+using namespace swiftloft::process_test;
+using namespace swiftloft::replay;
+
+// Replays of a firm's recorded mix against a small fleet while something fails. Whatever fails, callers get whole answers
+// or honest refusals; a fault comes after a number of answers, not at a time.
+
+namespace {
+
+struct Fault {
+    std::size_t afterAnswers;
+    std::function<void()> inject;
+};
+
+/// The firm's mix for the fleet's services; `expected` holds for each request.
+Trace mixOf(Firm firm, ExpectedOutcome expected)
+{
+    auto trace = generate({ firm, 5, seconds(4), 25 });
+    for (auto& request : trace.requests) {
+        request.service = ServiceName(request.kind == BackendKind::Model ? "model" : "plain");
+        request.organisation = OrganisationName("caller");
+        request.expected = expected;
+    }
+    return trace;
+}
+
+RunCounts countRuns(Fleet& fleet)
+{
+    std::vector<std::string> addresses;
+    for (auto& server : fleet.servers())
+        addresses.push_back(server.backendAddress());
+    boost::asio::io_context io(1);
+    HttpClient client(io);
+    RunCounts counts;
+    boost::asio::co_spawn(io, fetchRunCounts(client, addresses), [&](const std::exception_ptr&, RunCounts found) { counts = std::move(found); });
+    io.run();
+    return counts;
+}
+
+/// Replays `trace` and checks its outcomes, and that at least `leastAnswered` (a share) was answered.
+void checkReplay(Fleet& fleet, const Trace& trace, std::vector<Fault> faults, double leastAnswered)
+{
+    RunnerOptions options;
+    options.callers = 6;
+    for (std::size_t n = 0; n < fleet.entryCount(); ++n)
+        options.sender.seeds.push_back(fleet.entry(n).address());
+    boost::asio::io_context io(1);
+    Runner runner(io, options);
+    std::size_t answers = 0;
+    std::string notAnswered;
+    runner.onRecord = [&](const Record& record) {
+        ++answers;
+        if (record.fate != Fate::Answered)
+            notAnswered += tableRow(record);
+        for (auto& fault : faults) {
+            if (fault.afterAnswers == answers)
+                fault.inject();
+        }
+    };
+    auto records = runner.run([&, n = std::size_t(0)]() mutable -> std::optional<TraceRequest> {
+        return n == trace.requests.size() ? std::nullopt : std::optional(trace.requests[n++]);
+    });
+    auto counts = countRuns(fleet);
+    auto summary = summarize(records, counts);
+    INFO(summaryText(summary) << notAnswered);
+    CHECK(counts.unreachable.empty());
+    for (auto& failure : judge(summary, withDefaults({ { Measure::AnsweredShare, Bound::AtLeast, leastAnswered } })))
+        FAIL_CHECK(failure.what);
+}
+
+Fleet::Options smallFleet()
+{
+    Fleet::Options options;
+    options.entries = 3;
+    options.engines = 4;
+    options.plainServers = 2;
+    return options;
+}
+
+} // namespace
+
+TEST_CASE("Replay: a healthy fleet answers every request of both firms")
+{
+    auto firm = GENERATE(Firm::ViaHe, Firm::RasoiRahdari);
+    Fleet fleet(smallFleet());
+    REQUIRE(fleet.waitUntilReady());
+    checkReplay(fleet, mixOf(firm, ExpectedOutcome::Answered), {}, 1);
+}
+
+// An entry is killed while callers hold its address. Answers in progress there are cut; their callers send them again,
+// under the same key, to the next address. A redraft that was running must not run a second time.
+TEST_CASE("Replay: an entry is killed and callers go on at another")
+{
+    Fleet fleet(smallFleet());
+    REQUIRE(fleet.waitUntilReady());
+    auto kill = [&] { fleet.entry(0).process->kill(); };
+    checkReplay(fleet, mixOf(Firm::RasoiRahdari, ExpectedOutcome::Honest), { { 30, kill } }, 0.9);
+}
+
+// An engine dies with requests in its batch and comes back empty. What may be repeated runs elsewhere if nothing of it
+// was sent; the rest is refused as "may have run" or visibly cut, and never runs twice.
+TEST_CASE("Replay: an engine is killed and comes back")
+{
+    Fleet fleet(smallFleet());
+    REQUIRE(fleet.waitUntilReady());
+    auto kill = [&] { fleet.engine(0).backend->kill(); };
+    auto restart = [&] { fleet.startBackend(fleet.engine(0)); };
+    checkReplay(fleet, mixOf(Firm::RasoiRahdari, ExpectedOutcome::Honest), { { 30, kill }, { 60, restart } }, 0.8);
+}
+
+// An agent dies while its engine goes on, and another agent starts in the slot. The new one knows nothing of the keys
+// the old one had started, so nothing under those keys may start again.
+TEST_CASE("Replay: an agent is killed and another starts in its slot")
+{
+    Fleet fleet(smallFleet());
+    REQUIRE(fleet.waitUntilReady());
+    auto kill = [&] { fleet.engine(1).agent->kill(); };
+    auto restart = [&] { fleet.startAgent(fleet.engine(1)); };
+    checkReplay(fleet, mixOf(Firm::RasoiRahdari, ExpectedOutcome::Honest), { { 30, kill }, { 50, restart } }, 0.8);
+}
+
+// Something between entries and agents forgets its connections: they stay open and carry nothing more, while new ones
+// work. Callers see slower answers; streams go on where they stopped.
+TEST_CASE("Replay: the connections to the agents go silent")
+{
+    auto options = smallFleet();
+    options.hasRelays = true;
+    Fleet fleet(options);
+    REQUIRE(fleet.waitUntilReady());
+    auto silence = [&] {
+        for (auto& server : fleet.servers())
+            server.relay->silenceConnections();
+    };
+    checkReplay(fleet, mixOf(Firm::ViaHe, ExpectedOutcome::Honest), { { 30, silence } }, 0.8);
+}
+
+// Two at once: the platform stops answering, and then an entry and an engine die. Nobody can learn of it from the
+// instance list; what callers are told must still be true.
+TEST_CASE("Replay: the platform is down while an entry and an engine die")
+{
+    Fleet fleet(smallFleet());
+    REQUIRE(fleet.waitUntilReady());
+    auto platformDown = [&] { callJson({ fleet.platformAddress(), "POST", "/admin/fault", R"({"kind":"down"})" }); };
+    auto killBoth = [&] {
+        fleet.entry(1).process->kill();
+        fleet.engine(2).backend->kill();
+    };
+    auto restart = [&] { fleet.startBackend(fleet.engine(2)); };
+    checkReplay(fleet, mixOf(Firm::ViaHe, ExpectedOutcome::Honest), { { 20, platformDown }, { 35, killBoth }, { 70, restart } }, 0.8);
+}
