--- a/include/swiftloft/expertmap/planner.h
+++ b/include/swiftloft/expertmap/planner.h
@@ -66,8 +66,8 @@
         /// How much a moved byte counts.
         double rebalanceWeight { 1 };
         std::vector<QuietHours> quietHours;
-        /// Cap on bytes moved; zero is none. Unused budget builds up for `burst` at most.
-        Bytes bytesPerMinute { 0 };
+        /// Cap on bytes moved; unset for none, zero moves nothing. Unused budget builds up for `burst` at most.
+        std::optional<Bytes> bytesPerMinute;
         milliseconds burst { 600'000 };
         /// Size of the weights of one expert of one layer.
         Bytes bytesPerExpert { 44'000'000 };
--- /dev/null
+++ b/src/expertmap/expert-map.capnp
@@ -0,0 +1,82 @@
+# Messages of a change of the expert map, between the coordinator of a rank group and its ranks.
+# src/expertmap/wire.h converts them and checks what a peer sent.
+
+@0xe3b17c6a5f0d9248;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("swiftloft::expertmap::schema");
+
+struct FencingNumber {
+  counter @0 :UInt64;
+  holder @1 :UInt64;
+}
+
+struct SwitchPoint {
+  version @0 :UInt64;
+  step @1 :UInt64;
+}
+
+struct EngineStatus {
+  engine @0 :UInt64;               # life of the engine; 0 is none
+  isAdmitted @1 :Bool;
+  current @2 :UInt64;
+  entered @3 :UInt64;
+  armed @4 :SwitchPoint;           # null if not armed
+  isReleased @5 :Bool;
+  staged @6 :List(UInt64);
+}
+
+struct Admit {
+  version @0 :UInt64;
+  arm @1 :SwitchPoint;             # null for none
+}
+
+struct RankOrder {
+  fence @0 :FencingNumber;
+  round @1 :UInt64;
+  rank @2 :UInt32;
+  engine @3 :UInt64;               # 0 for any
+  order :union {
+    read @4 :Void;
+    stage @5 :UInt64;
+    drop @6 :UInt64;               # version to keep
+    admit @7 :Admit;
+    arm @8 :SwitchPoint;
+    go @9 :SwitchPoint;
+    cancel @10 :SwitchPoint;
+  }
+}
+
+struct RankReport {
+  rank @0 :UInt32;
+  agent @1 :UInt64;
+  promised @2 :FencingNumber;
+  round @3 :UInt64;
+  status @4 :EngineStatus;         # null if the engine could not be read
+}
+
+struct RankHello {
+  rank @0 :UInt32;
+  agent @1 :UInt64;
+}
+
+struct ExpertMap {
+  ranks @0 :UInt32;
+  layers @1 :UInt32;
+  experts @2 :UInt32;
+  slotsPerRank @3 :UInt32;
+  slots @4 :List(UInt16);          # by layer, rank and slot; 0xffff is an empty slot
+}
+
+# The agent in the slot of a rank.
+interface RankMember {
+  order @0 (order :RankOrder) -> ();
+  # The map with this version, if the agent holds it.
+  map @1 (version :UInt64) -> (map :ExpertMap);
+}
+
+# The agent of rank 0.
+interface GroupCoordinator {
+  report @0 (report :RankReport) -> ();
+  hello @1 (hello :RankHello) -> ();
+}
--- a/src/expertmap/planner.cc
+++ b/src/expertmap/planner.cc
@@ -80,18 +80,18 @@
 
 std::uint64_t Planner::expertsAllowed(TimePoint now) const
 {
-    if (m_options.bytesPerMinute == Bytes(0))
+    if (!m_options.bytesPerMinute)
         return std::numeric_limits<std::uint64_t>::max();
     auto free = std::chrono::duration<double>(now + m_options.burst - std::max(m_paidAt, now)).count();
-    double bytes = std::max(0.0, free) / 60 * static_cast<double>(m_options.bytesPerMinute.value());
+    double bytes = std::max(0.0, free) / 60 * static_cast<double>(m_options.bytesPerMinute->value());
     return static_cast<std::uint64_t>(bytes / static_cast<double>(m_options.bytesPerExpert.value()));
 }
 
 void Planner::spend(TimePoint now, Bytes bytes)
 {
-    if (m_options.bytesPerMinute == Bytes(0))
+    if (!m_options.bytesPerMinute)
         return;
-    double minutes = static_cast<double>(bytes.value()) / static_cast<double>(m_options.bytesPerMinute.value());
+    double minutes = static_cast<double>(bytes.value()) / static_cast<double>(m_options.bytesPerMinute->value());
     m_paidAt = std::max(m_paidAt, now) + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(60 * minutes));
 }
 
--- /dev/null
+++ b/src/expertmap/wire.cc
@@ -0,0 +1,247 @@
+#include "src/expertmap/wire.h"
+
+#include <fmt/format.h>
+#include <kj/exception.h>
+
+namespace swiftloft::expertmap::wire {
+
+namespace {
+
+/// Thrown within this file only, and turned into an error at its edge.
+struct Malformed {
+    std::string text;
+};
+
+void require(bool isGood, const char* text)
+{
+    if (!isGood)
+        throw Malformed { text };
+}
+
+/// Runs `read`, which may meet bad values or bytes that Cap'n Proto refuses.
+template <typename T, typename Read>
+Result<T> guarded(Read&& read)
+{
+    try {
+        return read();
+    } catch (const Malformed& e) {
+        return Error { ErrorCode::MalformedInput, e.text };
+    } catch (const kj::Exception& e) {
+        return Error { ErrorCode::MalformedInput, fmt::format("a message can't be read: {}", e.getDescription().cStr()) };
+    }
+}
+
+void buildFence(schema::FencingNumber::Builder out, const FencingNumber& fence)
+{
+    out.setCounter(fence.counter);
+    out.setHolder(fence.holder.value());
+}
+
+FencingNumber parseFence(schema::FencingNumber::Reader in)
+{
+    return { in.getCounter(), Incarnation(in.getHolder()) };
+}
+
+void buildPoint(schema::SwitchPoint::Builder out, const SwitchPoint& point)
+{
+    out.setVersion(point.version.value());
+    out.setStep(point.step.value());
+}
+
+SwitchPoint parsePoint(schema::SwitchPoint::Reader in)
+{
+    require(in.getStep() > 0, "a switch point names no step");
+    return { MapVersion(in.getVersion()), StepNumber(in.getStep()) };
+}
+
+RankIndex parseRank(std::uint32_t rank)
+{
+    require(rank < maxRanks, "a rank is out of range");
+    return RankIndex(rank);
+}
+
+Incarnation parseIncarnation(std::uint64_t value)
+{
+    require(value != 0, "an incarnation is 0");
+    return Incarnation(value);
+}
+
+void buildStatus(schema::EngineStatus::Builder out, const EngineStatus& status)
+{
+    out.setEngine(status.engine.value());
+    out.setIsAdmitted(status.isAdmitted);
+    out.setCurrent(status.current.value());
+    out.setEntered(status.entered.value());
+    out.setIsReleased(status.isReleased);
+    if (status.armed)
+        buildPoint(out.initArmed(), *status.armed);
+    auto staged = out.initStaged(static_cast<unsigned>(status.staged.size()));
+    for (unsigned n = 0; n < staged.size(); ++n)
+        staged.set(n, status.staged[n].value());
+}
+
+EngineStatus parseStatus(schema::EngineStatus::Reader in)
+{
+    EngineStatus status;
+    status.engine = parseIncarnation(in.getEngine());
+    status.isAdmitted = in.getIsAdmitted();
+    status.current = MapVersion(in.getCurrent());
+    status.entered = StepNumber(in.getEntered());
+    status.isReleased = in.getIsReleased();
+    if (in.hasArmed())
+        status.armed = parsePoint(in.getArmed());
+    require(status.armed || !status.isReleased, "an engine is released and not armed");
+    require(!status.armed || status.isAdmitted, "an engine is armed and not admitted");
+    auto staged = in.getStaged();
+    require(staged.size() <= maxStagedMaps, "an engine has too many maps");
+    for (auto version : staged)
+        status.staged.emplace_back(version);
+    return status;
+}
+
+/// Writes an order into the union of a `RankOrder`.
+struct OrderBuilder {
+    schema::RankOrder::Order::Builder out;
+
+    void operator()(const ReadStatus&) { out.setRead(); }
+    void operator()(const StageMap& it) { out.setStage(it.version.value()); }
+    void operator()(const DropMaps& it) { out.setDrop(it.keep.value()); }
+    void operator()(const Admit& it)
+    {
+        auto admit = out.initAdmit();
+        admit.setVersion(it.version.value());
+        if (it.arm)
+            buildPoint(admit.initArm(), *it.arm);
+    }
+    void operator()(const Arm& it) { buildPoint(out.initArm(), it.point); }
+    void operator()(const Go& it) { buildPoint(out.initGo(), it.point); }
+    void operator()(const Cancel& it) { buildPoint(out.initCancel(), it.point); }
+};
+
+Admit parseAdmit(schema::Admit::Reader in)
+{
+    Admit admit { MapVersion(in.getVersion()), std::nullopt };
+    if (in.hasArm())
+        admit.arm = parsePoint(in.getArm());
+    return admit;
+}
+
+Order parseOrder(schema::RankOrder::Order::Reader in)
+{
+    switch (in.which()) {
+    case schema::RankOrder::Order::READ:
+        return ReadStatus {};
+    case schema::RankOrder::Order::STAGE:
+        return StageMap { MapVersion(in.getStage()) };
+    case schema::RankOrder::Order::DROP:
+        return DropMaps { MapVersion(in.getDrop()) };
+    case schema::RankOrder::Order::ADMIT:
+        return parseAdmit(in.getAdmit());
+    case schema::RankOrder::Order::ARM:
+        return Arm { parsePoint(in.getArm()) };
+    case schema::RankOrder::Order::GO:
+        return Go { parsePoint(in.getGo()) };
+    case schema::RankOrder::Order::CANCEL:
+        return Cancel { parsePoint(in.getCancel()) };
+    }
+    throw Malformed { "an order of an unknown kind" };
+}
+
+} // namespace
+
+void build(schema::RankOrder::Builder out, const RankOrder& order)
+{
+    buildFence(out.initFence(), order.fence);
+    out.setRound(order.round);
+    out.setRank(order.rank.value());
+    out.setEngine(order.engine ? order.engine->value() : 0);
+    std::visit(OrderBuilder { out.getOrder() }, order.order);
+}
+
+void build(schema::RankReport::Builder out, const RankReport& report)
+{
+    out.setRank(report.rank.value());
+    out.setAgent(report.agent.value());
+    buildFence(out.initPromised(), report.promised);
+    out.setRound(report.round);
+    if (report.status)
+        buildStatus(out.initStatus(), *report.status);
+}
+
+void build(schema::RankHello::Builder out, const RankHello& hello)
+{
+    out.setRank(hello.rank.value());
+    out.setAgent(hello.agent.value());
+}
+
+void build(schema::ExpertMap::Builder out, const ExpertMap& map)
+{
+    auto& shape = map.shape();
+    out.setRanks(shape.ranks);
+    out.setLayers(shape.layers);
+    out.setExperts(shape.experts);
+    out.setSlotsPerRank(shape.slotsPerRank);
+    auto slots = out.initSlots(static_cast<unsigned>(map.slots().size()));
+    for (unsigned n = 0; n < slots.size(); ++n)
+        slots.set(n, static_cast<std::uint16_t>(map.slots()[n].value()));
+}
+
+Result<RankOrder> parse(schema::RankOrder::Reader in)
+{
+    return guarded<RankOrder>([&] {
+        RankOrder order;
+        order.fence = parseFence(in.getFence());
+        parseIncarnation(in.getFence().getHolder());
+        order.round = in.getRound();
+        order.rank = parseRank(in.getRank());
+        if (in.getEngine() != 0)
+            order.engine = Incarnation(in.getEngine());
+        order.order = parseOrder(in.getOrder());
+        bool isRead = std::holds_alternative<ReadStatus>(order.order);
+        require(isRead || order.engine, "an order names no life of its engine");
+        return order;
+    });
+}
+
+Result<RankReport> parse(schema::RankReport::Reader in)
+{
+    return guarded<RankReport>([&] {
+        RankReport report;
+        report.rank = parseRank(in.getRank());
+        report.agent = parseIncarnation(in.getAgent());
+        report.promised = parseFence(in.getPromised());
+        report.round = in.getRound();
+        if (in.hasStatus())
+            report.status = parseStatus(in.getStatus());
+        return report;
+    });
+}
+
+Result<RankHello> parse(schema::RankHello::Reader in)
+{
+    return guarded<RankHello>([&] { return RankHello { parseRank(in.getRank()), parseIncarnation(in.getAgent()) }; });
+}
+
+Result<ExpertMap> parse(schema::ExpertMap::Reader in)
+{
+    struct Content {
+        MapShape shape;
+        std::vector<ExpertIndex> slots;
+    };
+    auto content = guarded<Content>([&] {
+        Content read { { in.getRanks(), in.getLayers(), in.getExperts(), in.getSlotsPerRank() }, {} };
+        auto sent = in.getSlots();
+        read.slots.reserve(sent.size());
+        for (auto expert : sent)
+            read.slots.emplace_back(expert);
+        return read;
+    });
+    if (!content)
+        return content.error();
+    auto map = ExpertMap::create(content->shape, std::move(content->slots));
+    if (!map)
+        return Error { ErrorCode::MalformedInput, map.error().message };
+    return map;
+}
+
+} // namespace swiftloft::expertmap::wire
--- /dev/null
+++ b/src/expertmap/wire.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "src/expertmap/expert-map.capnp.h"
+
+#include <swiftloft/expertmap/expert-map.h>
+#include <swiftloft/expertmap/protocol.h>
+
+#include <span>
+
+/// Conversion between the types of the protocol and their Cap'n Proto messages. What comes in is not trusted: `parse`
+/// fails with `MalformedInput` on anything that the protocol could not have sent. Nothing here throws.
+namespace swiftloft::expertmap::wire {
+
+/// Bounds of what is taken from a peer.
+inline constexpr std::uint32_t maxRanks = 4096;
+inline constexpr std::size_t maxStagedMaps = 64;
+
+void build(schema::RankOrder::Builder out, const RankOrder& order);
+void build(schema::RankReport::Builder out, const RankReport& report);
+void build(schema::RankHello::Builder out, const RankHello& hello);
+void build(schema::ExpertMap::Builder out, const ExpertMap& map);
+
+Result<RankOrder> parse(schema::RankOrder::Reader in);
+Result<RankReport> parse(schema::RankReport::Reader in);
+Result<RankHello> parse(schema::RankHello::Reader in);
+Result<ExpertMap> parse(schema::ExpertMap::Reader in);
+
+} // namespace swiftloft::expertmap::wire
--- a/test/expertmap-planner_test.cc
+++ b/test/expertmap-planner_test.cc
@@ -118,6 +118,8 @@
     CHECK(plan.moves.size() <= 2);
     CHECK(planner.plan(minute(62), 600).reason == PlanReason::OverByteCap);
     CHECK(planner.plan(minute(75), 600).moves.size() <= 1);
+    options.bytesPerMinute = Bytes(0);
+    CHECK(plannerThatKnows(options, withHotExpert(smallShape, 12)).plan(minute(61), 600).reason == PlanReason::OverByteCap);
 }
 
 TEST_CASE("Planner refuses options and reports that can't be right")
--- a/test/expertmap-protocol_test.cc
+++ b/test/expertmap-protocol_test.cc
@@ -195,6 +195,7 @@
 std::vector<std::uint64_t> pausesOf(Fault fault, std::uint32_t rank, int length)
 {
     std::vector<std::uint64_t> pauses;
+    pauses.reserve(110);
     for (int at = 0; at < 110; ++at)
         pauses.push_back(play({ 4, false, 20, static_cast<std::uint64_t>(at) + 1, {} }, { { fault, rank, at, length, 25 } }).heldTurns);
     std::sort(pauses.begin(), pauses.end());
--- /dev/null
+++ b/test/expertmap-wire_test.cc
@@ -0,0 +1,125 @@
+#include "src/expertmap/wire.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <catch2/catch.hpp>
+
+#include <cstring>
+#include <random>
+
+using namespace swiftloft;
+using namespace swiftloft::expertmap;
+
+namespace {
+
+constexpr SwitchPoint point { MapVersion(7), StepNumber(40) };
+
+/// A message as it would be sent, in words of eight bytes.
+using Words = std::vector<std::uint64_t>;
+
+template <typename Schema, typename T>
+Words wordsOf(const T& value)
+{
+    capnp::MallocMessageBuilder message;
+    wire::build(message.initRoot<Schema>(), value);
+    auto sent = capnp::messageToFlatArray(message);
+    Words words(sent.size());
+    std::memcpy(words.data(), sent.begin(), sent.size() * sizeof(capnp::word));
+    return words;
+}
+
+template <typename Schema>
+auto parseWords(const Words& words)
+{
+    using Parsed = decltype(wire::parse(std::declval<typename Schema::Reader>()));
+    try {
+        capnp::ReaderOptions options { 64 * 1024, 16 };
+        capnp::FlatArrayMessageReader reader(kj::arrayPtr(reinterpret_cast<const capnp::word*>(words.data()), words.size()), options);
+        return wire::parse(reader.getRoot<Schema>());
+    } catch (const kj::Exception&) {
+        return Parsed(Error { ErrorCode::MalformedInput, "" });
+    }
+}
+
+template <typename Schema, typename T>
+void damageAndParse(const T& value, std::mt19937_64& random)
+{
+    for (int n = 0; n < 3000; ++n) {
+        auto words = wordsOf<Schema>(value);
+        auto* bytes = reinterpret_cast<unsigned char*>(words.data());
+        for (int k = 0; k < 3; ++k)
+            bytes[random() % (words.size() * sizeof(words[0]))] = static_cast<unsigned char>(random());
+        words.resize(words.size() - random() % 2);
+        auto parsed = parseWords<Schema>(words);
+        if (parsed)
+            wordsOf<Schema>(*parsed);
+        else
+            CHECK(parsed.error().code == ErrorCode::MalformedInput);
+    }
+}
+
+RankReport someReport()
+{
+    EngineStatus status { Incarnation(50), true, MapVersion(6), StepNumber(39), point, true, { MapVersion(6), MapVersion(7) } };
+    return { RankIndex(3), Incarnation(9), { 4, Incarnation(8) }, 12, status };
+}
+
+} // namespace
+
+TEST_CASE("Wire: each order and report is read back as it was sent")
+{
+    std::vector<Order> orders { ReadStatus {}, StageMap { MapVersion(7) }, DropMaps { MapVersion(6) }, Admit { MapVersion(6), std::nullopt },
+        Admit { MapVersion(6), point }, Arm { point }, Go { point }, Cancel { point } };
+    for (auto& order : orders) {
+        RankOrder sent { { 4, Incarnation(8) }, 12, RankIndex(3), Incarnation(50), order };
+        auto words = wordsOf<schema::RankOrder>(sent);
+        auto got = parseWords<schema::RankOrder>(words);
+        REQUIRE(got.has_value());
+        CHECK(got->order == order);
+        CHECK(got->fence == sent.fence);
+        CHECK(got->round == 12);
+        CHECK(got->rank == sent.rank);
+        CHECK(got->engine == sent.engine);
+    }
+    auto words = wordsOf<schema::RankReport>(someReport());
+    auto got = parseWords<schema::RankReport>(words);
+    REQUIRE(got.has_value());
+    CHECK(got->status == someReport().status);
+    auto map = ExpertMap::even({ 4, 3, 8, 3 }).value();
+    words = wordsOf<schema::ExpertMap>(map);
+    CHECK(parseWords<schema::ExpertMap>(words).value() == map);
+}
+
+TEST_CASE("Wire: what no peer could have meant is refused")
+{
+    // A damaged or hostile message must not move a rank. Each of these was read as if it were good before it was checked.
+    auto isRefused = [](const RankReport& report) {
+        auto words = wordsOf<schema::RankReport>(report);
+        return !parseWords<schema::RankReport>(words).has_value();
+    };
+    auto report = someReport();
+    report.rank = RankIndex(wire::maxRanks);
+    CHECK(isRefused(report));
+    report = someReport();
+    report.status->armed.reset();
+    CHECK(isRefused(report));
+    report = someReport();
+    report.status->staged.assign(wire::maxStagedMaps + 1, MapVersion(1));
+    CHECK(isRefused(report));
+    report = someReport();
+    report.status->engine = Incarnation(0);
+    CHECK(isRefused(report));
+    RankOrder order { { 4, Incarnation(8) }, 12, RankIndex(3), std::nullopt, Arm { point } };
+    auto words = wordsOf<schema::RankOrder>(order);
+    CHECK(parseWords<schema::RankOrder>(words).error().message == "an order names no life of its engine");
+}
+
+TEST_CASE("Wire: random damage is refused or read as some good message, and never crashes")
+{
+    std::mt19937_64 random(7);
+    damageAndParse<schema::RankReport>(someReport(), random);
+    damageAndParse<schema::RankOrder>(RankOrder { { 4, Incarnation(8) }, 12, RankIndex(3), Incarnation(50), Admit { MapVersion(6), point } }, random);
+    damageAndParse<schema::RankHello>(RankHello { RankIndex(3), Incarnation(9) }, random);
+    damageAndParse<schema::ExpertMap>(ExpertMap::even({ 4, 3, 8, 3 }).value(), random);
+}
