--- a/src/agent/daemon.cc
+++ b/src/agent/daemon.cc
@@ -10,13 +10,21 @@
 
 constexpr milliseconds tickInterval { 100 };
 
+ReducerOptions reducerOptions(const process::ProcessConfig& config, Incarnation incarnation)
+{
+    ReducerOptions options;
+    options.self = BackendServerId(config.id);
+    options.incarnation = incarnation;
+    return options;
+}
+
 } // namespace
 
 Daemon::Daemon(process::ProcessConfig config, Incarnation incarnation)
     : m_config(std::move(config))
     , m_incarnation(incarnation)
     , m_control(1)
-    , m_reducer(incarnation, {})
+    , m_reducer(Reducer::create(reducerOptions(m_config, incarnation), Clock::now()).value())
     , m_status(m_control, m_config.listen)
     , m_monitor(m_control, *m_config.backendServer, [this](const Event& event) { apply(event); })
     , m_timer(m_control)
@@ -81,6 +89,10 @@
     m_reducer.apply(event, *effects);
     if (effects->empty())
         return;
+    for (auto& effect : *effects) {
+        if (std::holds_alternative<ProbeEngine>(effect))
+            m_monitor.probeNow();
+    }
     boost::asio::post(m_traffic.ioContext(), [this, effects] {
         for (auto& effect : *effects) {
             if (m_service)
--- a/src/agent/engine-monitor.cc
+++ b/src/agent/engine-monitor.cc
@@ -2,10 +2,11 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/json/parse.hpp>
 
 namespace swiftloft::agent {
 
@@ -26,6 +27,7 @@
     : m_ioContext(ioContext)
     , m_engine(std::move(engine))
     , m_onEvent(std::move(onEvent))
+    , m_timer(ioContext)
 {
 }
 
@@ -36,11 +38,12 @@
 
 asio::awaitable<void> EngineMonitor::poll()
 {
-    asio::steady_timer timer(m_ioContext);
     for (;;) {
-        enter(co_await probe());
-        timer.expires_at(Clock::now() + pollInterval);
-        co_await timer.async_wait(use_awaitable);
+        auto probedAt = Clock::now();
+        enter(co_await probe(), probedAt);
+        m_timer.expires_at(probedAt + pollInterval);
+        boost::system::error_code ec;
+        co_await m_timer.async_wait(asio::redirect_error(use_awaitable, ec));
     }
 }
 
@@ -57,21 +60,29 @@
         beast::flat_buffer buf;
         http::response<http::string_body> response;
         co_await http::async_read(stream, buf, response, use_awaitable);
+        m_tokensPerSecond = speedIn(response.body());
         co_return State::Up;
     } catch (const boost::system::system_error& error) {
         co_return error.code() == beast::error::timeout ? State::Silent : State::Gone;
     }
 }
 
-void EngineMonitor::enter(State state)
+// A plain server has no load page; whatever it answers, it is up.
+double EngineMonitor::speedIn(const std::string& body)
+{
+    boost::json::error_code ec;
+    auto value = boost::json::parse(body, ec);
+    auto object = ec ? nullptr : value.if_object();
+    auto speed = object ? object->if_contains("tokens_per_second") : nullptr;
+    return speed && speed->is_number() ? speed->to_number<double>() : 0;
+}
+
+void EngineMonitor::enter(State state, TimePoint probedAt)
 {
-    if (state == m_state)
-        return;
-    m_state = state;
     if (state == State::Up)
-        m_onEvent(EngineUp { Clock::now() });
+        m_onEvent(EngineUp { m_tokensPerSecond, probedAt, Clock::now() });
     else
-        m_onEvent(EngineDown { state == State::Gone, Clock::now() });
+        m_onEvent(EngineDown { state == State::Gone, probedAt, Clock::now() });
 }
 
 } // namespace swiftloft::agent
--- a/src/agent/engine-monitor.h
+++ b/src/agent/engine-monitor.h
@@ -5,21 +5,25 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
+#include <string>
 
 namespace swiftloft::agent {
 
-/// Polls an engine's load page and says when the engine comes up or goes down. Belongs to the control thread.
+/// Polls an engine's load page and reports after each probe how the engine is. Belongs to the control thread.
 class EngineMonitor {
 public:
     EngineMonitor(boost::asio::io_context& ioContext, boost::asio::ip::tcp::endpoint engine, std::function<void(const Event&)> onEvent);
 
     void start();
 
+    /// Probes at once; the event that follows belongs to a probe that began after this call.
+    void probeNow() { m_timer.cancel(); }
+
 private:
     enum class State {
-        Unknown,
         Up,
         /// The process answers no connection.
         Gone,
@@ -29,12 +33,14 @@
 
     boost::asio::awaitable<void> poll();
     boost::asio::awaitable<State> probe();
-    void enter(State state);
+    void enter(State state, TimePoint probedAt);
+    static double speedIn(const std::string& body);
 
     boost::asio::io_context& m_ioContext;
     boost::asio::ip::tcp::endpoint m_engine;
     std::function<void(const Event&)> m_onEvent;
-    State m_state { State::Unknown };
+    boost::asio::steady_timer m_timer;
+    double m_tokensPerSecond { 0 };
 };
 
 } // namespace swiftloft::agent
--- a/src/agent/events.h
+++ b/src/agent/events.h
@@ -3,6 +3,8 @@
 #include "src/rpc/agent.capnp.h"
 
 #include <swiftloft/ids.h>
+#include <swiftloft/policy/crash-quarantine.h>
+#include <swiftloft/policy/ticket.h>
 #include <swiftloft/units.h>
 #include <swiftloft/verdict.h>
 
@@ -14,37 +16,30 @@
 /// Events an agent's reducer takes and effects it gives. Time comes in with each event; nothing here reads a clock.
 namespace swiftloft::agent {
 
-/// One `run` call of an entry. Several calls may be about one key.
+/// One call of an entry. Several calls may be about one ticket.
 using CallId = Strong<struct CallIdTag, std::uint64_t>;
+/// A request at this agent, by its ticket; unique within this incarnation.
+using RunId = Strong<struct RunIdTag, std::string>;
 
-/// One entry's try at a request; unique over the fleet.
-struct AttemptId {
-    Incarnation entry;
-    std::uint64_t serial { 0 };
-
-    friend auto operator<=>(const AttemptId&, const AttemptId&) = default;
-};
+RunId runIdOf(const policy::Ticket& ticket);
 
 using rpc::schema::OutcomeKind;
 using rpc::schema::Reason;
 
 struct RunRequested {
     CallId call;
-    RequestKey key;
-    AttemptId attempt;
-    Incarnation incarnation;
+    policy::Ticket ticket;
     Fingerprint fingerprint;
-    bool isRepeatable { false };
     bool runsAlone { false };
+    /// Prompt and expected output.
+    Tokens work;
     TimePoint deadline;
     TimePoint now;
 };
 
 struct CancelRequested {
     CallId call;
-    RequestKey key;
-    AttemptId attempt;
-    Incarnation incarnation;
+    policy::Ticket ticket;
     TimePoint now;
 };
 
@@ -60,18 +55,28 @@
 };
 
 struct RunEnded {
-    RequestKey key;
+    RunId run;
     RunEnd end;
     TimePoint now;
 };
 
+/// The engine answers, at the speed it says; 0 when it does not say. The probe began at `probedAt`.
 struct EngineUp {
+    double tokensPerSecond { 0 };
+    TimePoint probedAt;
     TimePoint now;
 };
 
 /// The engine does not answer. `hasCrashed` when its process has gone: connections are refused or were reset.
 struct EngineDown {
     bool hasCrashed { false };
+    TimePoint probedAt;
+    TimePoint now;
+};
+
+/// What an entry knows of crashes.
+struct SuspicionsHeard {
+    std::vector<policy::SuspicionMessage> messages;
     TimePoint now;
 };
 
@@ -83,19 +88,24 @@
     TimePoint now;
 };
 
-using Event = std::variant<RunRequested, CancelRequested, RunEnded, EngineUp, EngineDown, LeaveRequested, Tick>;
+using Event = std::variant<RunRequested, CancelRequested, RunEnded, EngineUp, EngineDown, SuspicionsHeard, LeaveRequested, Tick>;
 
-/// Hands the request of `call` to the engine.
+/// Makes the request of `call` ready. It goes to the engine at once, or, while it `isHeld`, with `ReleaseRun`.
 struct StartRun {
     CallId call;
-    RequestKey key;
+    RunId run;
     TimePoint deadline;
+    bool isHeld { false };
+};
+
+struct ReleaseRun {
+    RunId run;
 };
 
 /// Sends the answer of a request that runs or has run to one more call.
 struct AttachCall {
     CallId call;
-    RequestKey key;
+    RunId run;
 };
 
 struct RefuseCall {
@@ -110,12 +120,22 @@
 };
 
 struct StopRun {
-    RequestKey key;
+    RunId run;
+};
+
+/// Asks the engine at once how it is: a request has broken.
+struct ProbeEngine {
+};
+
+/// A broken request may be answered: it is known whether the engine crashed with it. `crash` is 0 when it did not.
+struct ConcludeRun {
+    RunId run;
+    policy::CrashId crash;
 };
 
 /// The buffered answer of a finished request may go.
 struct ForgetRun {
-    RequestKey key;
+    RunId run;
 };
 
 /// Nothing is in progress and no more will come: the process may end.
@@ -127,10 +147,13 @@
     bool isLeaving { false };
     bool isEngineUp { false };
     std::uint32_t running { 0 };
-    std::vector<Fingerprint> suspects;
+    Tokens pending;
+    double tokensPerSecond { 0 };
+    policy::MintEpoch epoch;
+    std::vector<policy::SuspicionMessage> suspicions;
 };
 
-using Effect = std::variant<StartRun, AttachCall, RefuseCall, AnswerCancel, StopRun, ForgetRun, Finish, PublishReport>;
+using Effect = std::variant<StartRun, ReleaseRun, AttachCall, RefuseCall, AnswerCancel, StopRun, ProbeEngine, ConcludeRun, ForgetRun, Finish, PublishReport>;
 using Effects = std::vector<Effect>;
 
 } // namespace swiftloft::agent
--- a/src/agent/reducer.cc
+++ b/src/agent/reducer.cc
@@ -1,10 +1,29 @@
 #include "src/agent/reducer.h"
 
+#include <fmt/format.h>
+
 namespace swiftloft::agent {
 
-Reducer::Reducer(Incarnation incarnation, ReducerOptions options)
-    : m_incarnation(incarnation)
-    , m_options(options)
+RunId runIdOf(const policy::Ticket& ticket)
+{
+    return RunId(fmt::format("{:016x}-{}", ticket.mintedBy.value(), ticket.serial));
+}
+
+Result<Reducer> Reducer::create(ReducerOptions options, TimePoint now)
+{
+    auto dedup = policy::DedupTable::create(options.dedup, options.self, options.incarnation, now);
+    if (!dedup)
+        return dedup.error();
+    auto quarantine = policy::CrashQuarantine::create(options.quarantine);
+    if (!quarantine)
+        return quarantine.error();
+    return Reducer(std::move(options), std::move(*dedup), std::move(*quarantine));
+}
+
+Reducer::Reducer(ReducerOptions options, policy::DedupTable dedup, policy::CrashQuarantine quarantine)
+    : m_options(std::move(options))
+    , m_dedup(std::move(dedup))
+    , m_quarantine(std::move(quarantine))
 {
 }
 
@@ -13,7 +32,12 @@
     std::visit([&](auto& it) { on(it, effects); }, event);
 }
 
-Reason Reducer::reasonToRefuse(const RunRequested& event) const
+bool Reducer::mustRunAlone(const RunRequested& event) const
+{
+    return event.runsAlone || m_quarantine.check(event.fingerprint, event.now).action != policy::QuarantineAction::Admit;
+}
+
+Reason Reducer::reasonToRefuse(const RunRequested& event, bool runsAlone) const
 {
     if (m_isLeaving)
         return Reason::LEAVING;
@@ -21,159 +45,222 @@
         return Reason::ENGINE_DOWN;
     if (event.deadline <= event.now)
         return Reason::DEADLINE;
+    // The second line behind the entries: news of a crash may have reached this agent and not the entry.
+    if (m_quarantine.check(event.fingerprint, event.now).action == policy::QuarantineAction::Refuse)
+        return Reason::QUARANTINED;
+    // While a suspect has or awaits the engine to itself, its neighbours would become suspects as well if it crashes.
+    if (m_alone)
+        return Reason::OVERLOADED;
+    if (runsAlone && m_quarantine.check(event.fingerprint, event.now).action == policy::QuarantineAction::Wait)
+        return Reason::OVERLOADED;
     return Reason::NONE;
 }
 
 void Reducer::on(const RunRequested& event, Effects& effects)
 {
-    // Guards against a request that an earlier incarnation may have started: the entry's caller would see it run twice.
-    // Only the incarnation that the request names knows whether it has.
-    if (event.incarnation != m_incarnation) {
-        effects.push_back(RefuseCall { event.call, Verdict::MayHaveRun, Reason::WRONG_INCARNATION });
-        return;
-    }
-    // Guards against a late copy of a try that was refused or cancelled as not run, still in some connection's buffer:
-    // its caller has been told "not run" and may have sent the request again.
-    if (m_closedAttempts.contains(event.attempt)) {
-        effects.push_back(RefuseCall { event.call, Verdict::NotRun, Reason::TOMBSTONE });
-        return;
+    auto run = runIdOf(event.ticket);
+    auto isAlone = mustRunAlone(event);
+    auto reason = m_runs.contains(run) ? Reason::NONE : reasonToRefuse(event, isAlone);
+    if (reason != Reason::NONE) {
+        // "Not run" may be said only when a copy of this call, late in some connection's buffer, can't start it either.
+        // The cancel leaves that mark, or says that the request has run already.
+        auto verdict = m_dedup.cancel(event.ticket);
+        if (verdict == Verdict::NotRun) {
+            effects.push_back(RefuseCall { event.call, verdict, reason });
+            return;
+        }
     }
-    auto it = m_records.find(event.key);
-    if (it != m_records.end()) {
-        it->second.attempt = event.attempt;
-        effects.push_back(AttachCall { event.call, event.key });
+    auto result = m_dedup.start(event.ticket);
+    switch (result.answer) {
+    case policy::StartAnswer::Run:
+        return begin(event, isAlone, effects);
+    case policy::StartAnswer::AlreadyRunning:
+    case policy::StartAnswer::AlreadyFinished:
+        effects.push_back(AttachCall { event.call, run });
         return;
+    default:
+        return refuseStart(event, result, effects);
     }
-    auto reason = reasonToRefuse(event);
-    if (reason != Reason::NONE) {
-        closeAttempt(event.attempt, event.now);
-        effects.push_back(RefuseCall { event.call, Verdict::NotRun, reason });
-        return;
+}
+
+void Reducer::refuseStart(const RunRequested& event, policy::StartResult result, Effects& effects) const
+{
+    auto reason = Reason::TOO_OLD;
+    if (result.answer == policy::StartAnswer::Cancelled)
+        reason = Reason::TOMBSTONE;
+    if (result.answer == policy::StartAnswer::OtherIncarnation)
+        reason = Reason::WRONG_INCARNATION;
+    if (result.answer == policy::StartAnswer::Full)
+        reason = Reason::OVERLOADED;
+    effects.push_back(RefuseCall { event.call, result.verdict, reason });
+}
+
+void Reducer::begin(const RunRequested& event, bool isAlone, Effects& effects)
+{
+    auto id = runIdOf(event.ticket);
+    auto isHeld = isAlone && !m_runs.empty();
+    m_runs.emplace(id, Run { event.ticket, event.fingerprint, event.work, event.deadline, isAlone, isHeld });
+    m_pending += event.work;
+    if (isAlone) {
+        m_alone = id;
+        m_quarantine.onStartAlone(event.fingerprint);
     }
-    m_records.emplace(event.key, Record { event.fingerprint, event.attempt });
-    ++m_running;
-    effects.push_back(StartRun { event.call, event.key, event.deadline });
-    publish(effects);
+    effects.push_back(StartRun { event.call, id, event.deadline, isHeld });
+    publish(event.now, effects);
 }
 
 void Reducer::on(const CancelRequested& event, Effects& effects)
 {
-    if (event.incarnation != m_incarnation) {
-        effects.push_back(AnswerCancel { event.call, Verdict::MayHaveRun });
-        return;
-    }
-    auto it = m_records.find(event.key);
-    if (it == m_records.end()) {
-        closeAttempt(event.attempt, event.now);
-        effects.push_back(AnswerCancel { event.call, Verdict::NotRun });
-        return;
-    }
-    if (it->second.isRunning && it->second.attempt == event.attempt)
-        effects.push_back(StopRun { event.key });
-    effects.push_back(AnswerCancel { event.call, it->second.verdict });
+    auto verdict = m_dedup.cancel(event.ticket);
+    if (m_runs.contains(runIdOf(event.ticket)))
+        effects.push_back(StopRun { runIdOf(event.ticket) });
+    effects.push_back(AnswerCancel { event.call, verdict });
 }
 
 void Reducer::on(const RunEnded& event, Effects& effects)
 {
-    auto it = m_records.find(event.key);
-    if (it == m_records.end() || !it->second.isRunning)
+    auto it = m_runs.find(event.run);
+    if (it == m_runs.end())
         return;
-    --m_running;
-    it->second.isRunning = false;
-    if (event.end == RunEnd::NotReached) {
-        closeAttempt(it->second.attempt, event.now);
-        m_records.erase(it);
-        effects.push_back(ForgetRun { event.key });
-    } else {
-        if (event.end == RunEnd::Answered)
-            it->second.verdict = Verdict::Ran;
-        if (event.end == RunEnd::Broken)
-            m_recentlyBroken.push_back({ it->second.fingerprint, event.now });
-        m_finished.push_back({ event.key, event.now + m_options.keepFinished });
+    auto run = it->second;
+    m_runs.erase(it);
+    m_pending -= run.work;
+    m_dedup.finish(run.ticket, event.end == RunEnd::Answered ? Verdict::Ran : Verdict::MayHaveRun);
+    m_answers.push_back({ event.run, event.now + m_options.keepAnswers });
+    if (run.isAlone) {
+        m_alone.reset();
+        m_quarantine.onEndAlone(run.fingerprint);
+    }
+    if (event.end == RunEnd::Answered && !m_quarantine.empty())
+        m_quarantine.onSuccess(run.fingerprint, event.now);
+    if (event.end == RunEnd::Broken) {
+        m_broken.push_back({ event.run, run.fingerprint, event.now });
+        effects.push_back(ProbeEngine {});
     }
-    publish(effects);
+    releaseHeld(effects);
+    publish(event.now, effects);
     finishIfIdle(effects);
 }
 
-void Reducer::on(const EngineUp&, Effects& effects)
+void Reducer::releaseHeld(Effects& effects)
+{
+    if (!m_alone || m_runs.size() > 1)
+        return;
+    auto& run = m_runs.at(*m_alone);
+    if (!run.isHeld)
+        return;
+    run.isHeld = false;
+    effects.push_back(ReleaseRun { *m_alone });
+}
+
+void Reducer::stopLateHeld(TimePoint now, Effects& effects) const
+{
+    if (!m_alone)
+        return;
+    auto& run = m_runs.at(*m_alone);
+    if (run.isHeld && run.deadline <= now)
+        effects.push_back(StopRun { *m_alone });
+}
+
+void Reducer::on(const EngineUp& event, Effects& effects)
 {
     m_isEngineUp = true;
-    publish(effects);
+    m_tokensPerSecond = event.tokensPerSecond;
+    m_crash = {};
+    concludeBroken(event.probedAt, effects);
+    publish(event.now, effects);
 }
 
 void Reducer::on(const EngineDown& event, Effects& effects)
 {
-    if (!m_isEngineUp)
-        return;
+    auto wasUp = m_isEngineUp;
     m_isEngineUp = false;
-    if (event.hasCrashed)
-        takeSuspects(event.now);
-    publish(effects);
+    if (event.hasCrashed && wasUp)
+        takeCrash(event.now);
+    concludeBroken(event.probedAt, effects);
+    publish(event.now, effects);
 }
 
-// A crash breaks the connections of its requests a moment before the engine is seen to be gone, so requests that broke
-// lately count as in progress at the crash.
-void Reducer::takeSuspects(TimePoint now)
+// All that was at the engine is suspect: what still counts as running and what has broken since the last good probe.
+void Reducer::takeCrash(TimePoint now)
 {
-    m_suspects.clear();
-    for (auto& broken : m_recentlyBroken) {
-        if (broken.at + m_options.crashWindow >= now)
-            m_suspects.push_back(broken.fingerprint);
+    m_crash = policy::crashIdOf(m_options.self, m_options.incarnation, ++m_crashes);
+    policy::CrashReport report { m_crash, {} };
+    for (auto& broken : m_broken)
+        report.inFlight.push_back(broken.fingerprint);
+    for (auto& [id, run] : m_runs) {
+        if (!run.isHeld)
+            report.inFlight.push_back(run.fingerprint);
     }
-    m_recentlyBroken.clear();
-    for (auto& [key, record] : m_records) {
-        if (record.isRunning)
-            m_suspects.push_back(record.fingerprint);
-    }
-    m_suspectsExpire = now + m_options.keepSuspects;
+    m_quarantine.onCrash(report, now);
+}
+
+// A broken request is answered only now, with the crash that broke it. An entry that heard of the break alone would try
+// the request elsewhere before anyone suspects it, and a third server could die of it. Only a probe that began after the
+// break says anything: an older one may have found the engine alive a moment before.
+void Reducer::concludeBroken(TimePoint probedAt, Effects& effects)
+{
+    std::erase_if(m_broken, [&](auto& broken) {
+        if (broken.at > probedAt)
+            return false;
+        effects.push_back(ConcludeRun { broken.run, m_crash });
+        return true;
+    });
+}
+
+void Reducer::on(const SuspicionsHeard& event, Effects& effects)
+{
+    auto isNews = false;
+    for (auto& message : event.messages)
+        isNews = m_quarantine.onMessage(message, event.now) || isNews;
+    if (isNews)
+        publish(event.now, effects);
 }
 
-void Reducer::on(const LeaveRequested&, Effects& effects)
+void Reducer::on(const LeaveRequested& event, Effects& effects)
 {
     m_isLeaving = true;
-    publish(effects);
+    publish(event.now, effects);
     finishIfIdle(effects);
 }
 
 void Reducer::on(const Tick& event, Effects& effects)
 {
+    auto epoch = m_dedup.epoch();
+    m_dedup.tick(event.now);
+    m_quarantine.tick(event.now);
     forgetExpired(event.now, effects);
-    if (m_suspects.empty() || event.now < m_suspectsExpire)
-        return;
-    m_suspects.clear();
-    publish(effects);
-}
-
-void Reducer::closeAttempt(const AttemptId& attempt, TimePoint now)
-{
-    if (m_closedAttempts.insert(attempt).second)
-        m_closed.push_back({ attempt, now + m_options.keepFinished });
+    stopLateHeld(event.now, effects);
+    if (m_dedup.epoch() != epoch || !m_quarantine.empty())
+        publish(event.now, effects);
 }
 
 void Reducer::forgetExpired(TimePoint now, Effects& effects)
 {
-    while (!m_finished.empty() && (m_finished.front().expires <= now || m_finished.size() > m_options.mostFinished)) {
-        effects.push_back(ForgetRun { m_finished.front().id });
-        m_records.erase(m_finished.front().id);
-        m_finished.pop_front();
-    }
-    while (!m_closed.empty() && (m_closed.front().expires <= now || m_closed.size() > m_options.mostFinished)) {
-        m_closedAttempts.erase(m_closed.front().id);
-        m_closed.pop_front();
+    while (!m_answers.empty() && (m_answers.front().expires <= now || m_answers.size() > m_options.mostAnswers)) {
+        effects.push_back(ForgetRun { m_answers.front().run });
+        m_answers.pop_front();
     }
-    while (!m_recentlyBroken.empty() && m_recentlyBroken.front().at + m_options.crashWindow < now)
-        m_recentlyBroken.pop_front();
 }
 
-void Reducer::finishIfIdle(Effects& effects)
+void Reducer::finishIfIdle(Effects& effects) const
 {
-    if (m_isLeaving && m_running == 0)
+    if (m_isLeaving && m_runs.empty())
         effects.push_back(Finish {});
 }
 
-void Reducer::publish(Effects& effects) const
+void Reducer::publish(TimePoint now, Effects& effects) const
 {
-    effects.push_back(PublishReport { m_isLeaving, m_isEngineUp, static_cast<std::uint32_t>(m_running), m_suspects });
+    PublishReport report;
+    report.isLeaving = m_isLeaving;
+    report.isEngineUp = m_isEngineUp;
+    report.running = static_cast<std::uint32_t>(m_runs.size());
+    report.pending = m_pending;
+    report.tokensPerSecond = m_tokensPerSecond;
+    report.epoch = m_dedup.epoch();
+    if (!m_quarantine.empty())
+        report.suspicions = m_quarantine.snapshot(now);
+    effects.push_back(std::move(report));
 }
 
 } // namespace swiftloft::agent
--- a/src/agent/reducer.h
+++ b/src/agent/reducer.h
@@ -2,88 +2,105 @@
 
 #include "src/agent/events.h"
 
+#include <swiftloft/policy/crash-quarantine.h>
+#include <swiftloft/policy/dedup-table.h>
+#include <swiftloft/result.h>
+
 #include <cstddef>
 #include <deque>
-#include <set>
+#include <optional>
 #include <unordered_map>
-#include <vector>
 
 namespace swiftloft::agent {
 
 struct ReducerOptions {
-    /// How long a finished request's answer and key are kept for a resend.
-    seconds keepFinished { 300 };
-    /// Most finished keys kept.
-    std::size_t mostFinished { 100'000 };
-    /// How long fingerprints of a crash are reported.
-    seconds keepSuspects { 600 };
-    /// Requests that broke this long before the engine was seen to be gone were in progress at the crash.
-    seconds crashWindow { 2 };
+    BackendServerId self;
+    Incarnation incarnation;
+    /// How long a finished answer is kept for a resend or a new connection.
+    seconds keepAnswers { 300 };
+    /// Most finished answers kept.
+    std::size_t mostAnswers { 2000 };
+    policy::DedupTableOptions dedup;
+    policy::CrashQuarantineOptions quarantine;
 };
 
 /// All decisions of an agent about requests: State x Event -> Effects, on the control thread.
 ///
-/// The agent is the only way to its engine, so a key that this incarnation has seen starts at most once however often
-/// and over whichever connection it arrives.
+/// The agent is the only way to its engine, so what this incarnation has started it never starts again, however often
+/// and over whichever connection the request arrives.
 class Reducer {
 public:
-    Reducer(Incarnation incarnation, ReducerOptions options);
+    static Result<Reducer> create(ReducerOptions options, TimePoint now);
 
     /// Appends to `effects`.
     void apply(const Event& event, Effects& effects);
 
-    std::size_t running() const { return m_running; }
+    std::size_t running() const { return m_runs.size(); }
     bool isLeaving() const { return m_isLeaving; }
+    bool isEngineUp() const { return m_isEngineUp; }
 
 private:
-    struct Record {
+    /// A request that is at the engine, or held until it may go there alone.
+    struct Run {
+        policy::Ticket ticket;
         Fingerprint fingerprint;
-        /// The try that may stop the run: the latest one.
-        AttemptId attempt;
-        bool isRunning { true };
-        Verdict verdict { Verdict::MayHaveRun };
+        Tokens work;
+        TimePoint deadline;
+        bool isAlone { false };
+        bool isHeld { false };
     };
 
-    /// A finished key or a closed try, and until when it is remembered.
-    template <typename Id>
-    struct Expiry {
-        Id id;
+    struct KeptAnswer {
+        RunId run;
         TimePoint expires;
     };
 
+    /// A request that broke; whether the engine crashed with it is not known yet.
     struct BrokenRun {
+        RunId run;
         Fingerprint fingerprint;
         TimePoint at;
     };
 
+    Reducer(ReducerOptions options, policy::DedupTable dedup, policy::CrashQuarantine quarantine);
+
     void on(const RunRequested& event, Effects& effects);
     void on(const CancelRequested& event, Effects& effects);
     void on(const RunEnded& event, Effects& effects);
     void on(const EngineUp& event, Effects& effects);
     void on(const EngineDown& event, Effects& effects);
+    void on(const SuspicionsHeard& event, Effects& effects);
     void on(const LeaveRequested& event, Effects& effects);
     void on(const Tick& event, Effects& effects);
 
-    Reason reasonToRefuse(const RunRequested& event) const;
-    void takeSuspects(TimePoint now);
-    void closeAttempt(const AttemptId& attempt, TimePoint now);
+    Reason reasonToRefuse(const RunRequested& event, bool runsAlone) const;
+    bool mustRunAlone(const RunRequested& event) const;
+    void begin(const RunRequested& event, bool isAlone, Effects& effects);
+    void refuseStart(const RunRequested& event, policy::StartResult result, Effects& effects) const;
+    void releaseHeld(Effects& effects);
+    void stopLateHeld(TimePoint now, Effects& effects) const;
+    void takeCrash(TimePoint now);
+    void concludeBroken(TimePoint probedAt, Effects& effects);
     void forgetExpired(TimePoint now, Effects& effects);
-    void finishIfIdle(Effects& effects);
-    void publish(Effects& effects) const;
+    void finishIfIdle(Effects& effects) const;
+    void publish(TimePoint now, Effects& effects) const;
 
-    Incarnation m_incarnation;
     ReducerOptions m_options;
-    std::unordered_map<RequestKey, Record> m_records;
-    std::set<AttemptId> m_closedAttempts;
+    policy::DedupTable m_dedup;
+    policy::CrashQuarantine m_quarantine;
+    std::unordered_map<RunId, Run> m_runs;
+    /// The run that has, or waits for, the engine to itself.
+    std::optional<RunId> m_alone;
+    Tokens m_pending;
     /// Oldest first.
-    std::deque<Expiry<RequestKey>> m_finished;
-    std::deque<Expiry<AttemptId>> m_closed;
-    std::deque<BrokenRun> m_recentlyBroken;
-    std::size_t m_running { 0 };
+    std::deque<KeptAnswer> m_answers;
+    std::vector<BrokenRun> m_broken;
+    std::uint64_t m_crashes { 0 };
+    /// 0 while the engine is not down by a crash.
+    policy::CrashId m_crash;
     bool m_isLeaving { false };
     bool m_isEngineUp { false };
-    std::vector<Fingerprint> m_suspects;
-    TimePoint m_suspectsExpire;
+    double m_tokensPerSecond { 0 };
 };
 
 } // namespace swiftloft::agent
--- a/src/agent/run.cc
+++ b/src/agent/run.cc
@@ -96,9 +96,11 @@
 
 Run::~Run() = default;
 
-void Run::start(OnEnded onEnded)
+void Run::start()
 {
-    m_onEnded = std::move(onEnded);
+    if (m_isStopped)
+        return;
+    m_isStarted = true;
     co_spawn(m_ioContext, execute(),
         asio::bind_cancellation_slot(m_cancellation.slot(), [self = shared_from_this()](const std::exception_ptr&, RunEnd end) {
             self->finish(end);
@@ -107,7 +109,11 @@
 
 void Run::stop()
 {
+    if (m_isStopped)
+        return;
     m_isStopped = true;
+    if (!m_isStarted)
+        return finish(RunEnd::NotReached);
     m_cancellation.emit(asio::cancellation_type::terminal);
 }
 
@@ -185,12 +191,21 @@
 
 void Run::finish(RunEnd end)
 {
-    m_end = end;
-    wakeSubscribers();
+    if (end != RunEnd::Broken) {
+        m_end = end;
+        wakeSubscribers();
+    }
     if (m_onEnded)
         m_onEnded(end);
 }
 
+void Run::conclude(policy::CrashId crash)
+{
+    m_end = RunEnd::Broken;
+    m_crash = crash;
+    wakeSubscribers();
+}
+
 void Run::wakeSubscribers()
 {
     auto waiting = std::move(m_waiting);
@@ -265,7 +280,7 @@
     case RunEnd::DeadlinePassed:
         return CallOutcome { OutcomeKind::ENGINE_FAILED, Verdict::MayHaveRun, Reason::DEADLINE };
     case RunEnd::Broken:
-        return CallOutcome { OutcomeKind::ENGINE_FAILED, Verdict::MayHaveRun, Reason::ENGINE_CRASHED };
+        return CallOutcome { OutcomeKind::ENGINE_FAILED, Verdict::MayHaveRun, Reason::ENGINE_CRASHED, m_crash };
     }
     auto request = subscriber.sink.writeRequest();
     auto end = request.initFrame().initEnd();
--- a/src/agent/run.h
+++ b/src/agent/run.h
@@ -31,6 +31,7 @@
     OutcomeKind kind;
     Verdict verdict;
     Reason reason;
+    policy::CrashId crash;
 };
 
 /// One request at the engine: sends it, buffers the tail of the answer and passes it on to any number of calls, each at
@@ -42,11 +43,17 @@
     Run(boost::asio::io_context& ioContext, EngineClient& engine, EngineRequest request, TimePoint deadline, std::size_t bufferBytes);
     ~Run();
 
-    void start(OnEnded onEnded);
+    /// Called once, when the request has ended at the engine or never got there.
+    void setOnEnded(OnEnded onEnded) { m_onEnded = std::move(onEnded); }
 
-    /// Stops the request at the engine by closing its connection.
+    void start();
+
+    /// Stops the request at the engine by closing its connection; one that has not been started never will be.
     void stop();
 
+    /// A broken request gets its end: it is known whether the engine crashed with it.
+    void conclude(policy::CrashId crash);
+
     /// Sends frames from body offset `offset` on to `sink` until the answer ends.
     kj::Promise<CallOutcome> attach(std::uint64_t offset, bool needsHead, rpc::schema::FrameSink::Client sink);
 
@@ -77,6 +84,7 @@
     std::size_t m_bufferBytes;
     OnEnded m_onEnded;
     boost::asio::cancellation_signal m_cancellation;
+    bool m_isStarted { false };
     bool m_isStopped { false };
     bool m_wasSent { false };
 
@@ -84,6 +92,7 @@
     ReplayBuffer m_buffer;
     std::unique_ptr<Digest> m_digest;
     std::optional<RunEnd> m_end;
+    policy::CrashId m_crash;
 
     std::list<std::weak_ptr<Subscriber>> m_subscribers;
     /// Offset up to which the slowest attached call, or the last one that was, has been served.
--- a/src/agent/service.cc
+++ b/src/agent/service.cc
@@ -1,5 +1,7 @@
 #include "src/agent/service.h"
 
+#include "src/rpc/convert.h"
+
 #include <fmt/format.h>
 
 namespace swiftloft::agent {
@@ -10,23 +12,18 @@
 
 constexpr unsigned httpVersion11 = 11;
 
-std::string text(capnp::Text::Reader reader)
-{
-    return { reader.begin(), reader.size() };
-}
-
 EngineRequest toEngineRequest(rpc::schema::Request::Reader from, const boost::asio::ip::tcp::endpoint& engine)
 {
     EngineRequest to;
     to.isRepeatable = from.getIsRepeatable();
     auto& message = to.message;
     message.version(httpVersion11);
-    message.method_string(text(from.getMethod()));
-    message.target(text(from.getTarget()));
+    message.method_string(rpc::toString(from.getMethod()));
+    message.target(rpc::toString(from.getTarget()));
     for (auto header : from.getHeaders())
-        message.insert(text(header.getName()), text(header.getValue()));
+        message.insert(rpc::toString(header.getName()), rpc::toString(header.getValue()));
     message.set(http::field::host, fmt::format("{}:{}", engine.address().to_string(), engine.port()));
-    message.set("Swiftloft-Request-Key", text(from.getKey()));
+    message.set("Swiftloft-Request-Key", rpc::toString(from.getKey()));
     message.set("Swiftloft-Priority", std::to_string(from.getPriority()));
     auto body = from.getBody();
     message.body().assign(reinterpret_cast<const char*>(body.begin()), body.size());
@@ -34,16 +31,6 @@
     return to;
 }
 
-rpc::schema::Verdict toSchema(Verdict verdict)
-{
-    return static_cast<rpc::schema::Verdict>(verdict);
-}
-
-AttemptId toAttemptId(rpc::schema::AttemptId::Reader reader)
-{
-    return { Incarnation(reader.getEntry()), reader.getSerial() };
-}
-
 } // namespace
 
 /// A `run` call that waits for its answer.
@@ -65,7 +52,7 @@
 
     kj::Promise<void> report(ReportContext context) override
     {
-        m_service.report(context.getResults().initReport());
+        m_service.report(context);
         return kj::READY_NOW;
     }
 
@@ -91,15 +78,20 @@
     return kj::heap<Server>(*this);
 }
 
-void Service::report(rpc::schema::Report::Builder report) const
+void Service::report(ReportContext context)
 {
+    auto heard = context.getParams().getSuspicions();
+    if (heard.size() > 0)
+        m_post(SuspicionsHeard { rpc::toSuspicions(heard), Clock::now() });
+    auto report = context.getResults().initReport();
     report.setIncarnation(m_options.incarnation.value());
     report.setIsLeaving(m_report.isLeaving);
     report.setIsEngineUp(m_report.isEngineUp);
     report.setRunning(m_report.running);
-    auto suspects = report.initSuspects(m_report.suspects.size());
-    for (std::size_t n = 0; n < m_report.suspects.size(); ++n)
-        suspects.set(n, m_report.suspects[n].value());
+    report.setPendingTokens(m_report.pending.value());
+    report.setTokensPerSecond(m_report.tokensPerSecond);
+    report.setEpoch(m_report.epoch.value());
+    rpc::fillSuspicions(report, m_report.suspicions);
 }
 
 kj::Promise<void> Service::run(RunContext context)
@@ -111,9 +103,15 @@
     auto answer = kj::newPromiseAndFulfiller<CallOutcome>();
     auto call = std::make_shared<Call>(Call { kj::mv(answer.fulfiller), params.getSink(), params.getOffset(), params.getNeedsHead(), toEngineRequest(request, m_engine.endpoint()) });
     m_calls.emplace(id, call);
-    m_post(RunRequested { id, RequestKey(text(request.getKey())), toAttemptId(request.getAttempt()), Incarnation(request.getIncarnation()),
-        Fingerprint(request.getFingerprint()), request.getIsRepeatable(), request.getRunsAlone(),
-        now + milliseconds(request.getRemainingMs()), now });
+    RunRequested event;
+    event.call = id;
+    event.ticket = rpc::toTicket(request.getTicket());
+    event.fingerprint = Fingerprint(request.getFingerprint());
+    event.runsAlone = request.getRunsAlone();
+    event.work = Tokens(request.getPromptTokens()) + Tokens(request.getExpectedTokens());
+    event.deadline = now + milliseconds(request.getRemainingMs());
+    event.now = now;
+    m_post(std::move(event));
     context.releaseParams();
     // When the entry's connection goes, the promise and with it this guard are dropped: the pump must stop, while the
     // request itself goes on for a call on a new connection.
@@ -121,8 +119,9 @@
     return answer.promise.then([context](CallOutcome outcome) mutable {
                              auto result = context.getResults().initOutcome();
                              result.setKind(outcome.kind);
-                             result.setVerdict(toSchema(outcome.verdict));
+                             result.setVerdict(rpc::toSchema(outcome.verdict));
                              result.setReason(outcome.reason);
+                             result.setCrash(outcome.crash.value());
                          })
         .attach(kj::mv(guard));
 }
@@ -133,8 +132,8 @@
     auto id = nextCall();
     auto answer = kj::newPromiseAndFulfiller<Verdict>();
     m_cancels.emplace(id, kj::mv(answer.fulfiller));
-    m_post(CancelRequested { id, RequestKey(text(params.getKey())), toAttemptId(params.getAttempt()), Incarnation(params.getIncarnation()), Clock::now() });
-    return answer.promise.then([context](Verdict verdict) mutable { context.getResults().setVerdict(toSchema(verdict)); });
+    m_post(CancelRequested { id, rpc::toTicket(params.getTicket()), Clock::now() });
+    return answer.promise.then([context](Verdict verdict) mutable { context.getResults().setVerdict(rpc::toSchema(verdict)); });
 }
 
 void Service::perform(const Effect& effect)
@@ -154,15 +153,24 @@
 {
     auto call = take(effect.call);
     auto run = std::make_shared<Run>(m_ioContext, m_engine, std::move(call->request), effect.deadline, m_options.resumeBufferBytes);
-    m_runs[effect.key] = run;
-    run->start([this, key = effect.key](RunEnd end) { m_post(RunEnded { key, end, Clock::now() }); });
+    m_runs[effect.run] = run;
+    run->setOnEnded([this, id = effect.run](RunEnd end) { m_post(RunEnded { id, end, Clock::now() }); });
+    if (!effect.isHeld)
+        run->start();
     attach(call, run);
 }
 
+void Service::on(const ReleaseRun& effect)
+{
+    auto it = m_runs.find(effect.run);
+    if (it != m_runs.end())
+        it->second->start();
+}
+
 void Service::on(const AttachCall& effect)
 {
     auto call = take(effect.call);
-    auto it = m_runs.find(effect.key);
+    auto it = m_runs.find(effect.run);
     if (it != m_runs.end())
         return attach(call, it->second);
     call->fulfiller->fulfill({ OutcomeKind::REFUSED, Verdict::MayHaveRun, Reason::ANSWER_NOT_HELD });
@@ -206,14 +214,21 @@
 
 void Service::on(const StopRun& effect)
 {
-    auto it = m_runs.find(effect.key);
+    auto it = m_runs.find(effect.run);
     if (it != m_runs.end())
         it->second->stop();
 }
 
+void Service::on(const ConcludeRun& effect)
+{
+    auto it = m_runs.find(effect.run);
+    if (it != m_runs.end())
+        it->second->conclude(effect.crash);
+}
+
 void Service::on(const ForgetRun& effect)
 {
-    m_runs.erase(effect.key);
+    m_runs.erase(effect.run);
 }
 
 void Service::on(const Finish&)
--- a/src/agent/service.h
+++ b/src/agent/service.h
@@ -37,6 +37,7 @@
 
 private:
     using RunContext = capnp::CallContext<rpc::schema::Agent::RunParams, rpc::schema::Agent::RunResults>;
+    using ReportContext = capnp::CallContext<rpc::schema::Agent::ReportParams, rpc::schema::Agent::ReportResults>;
     using CancelContext = capnp::CallContext<rpc::schema::Agent::CancelParams, rpc::schema::Agent::CancelResults>;
 
     class Server;
@@ -44,13 +45,16 @@
 
     kj::Promise<void> run(RunContext context);
     kj::Promise<void> cancel(CancelContext context);
-    void report(rpc::schema::Report::Builder report) const;
+    void report(ReportContext context);
 
     void on(const StartRun& effect);
+    void on(const ReleaseRun& effect);
     void on(const AttachCall& effect);
     void on(const RefuseCall& effect);
     void on(const AnswerCancel& effect);
     void on(const StopRun& effect);
+    void on(const ProbeEngine&) { }
+    void on(const ConcludeRun& effect);
     void on(const ForgetRun& effect);
     void on(const Finish& effect);
     void on(const PublishReport& effect);
@@ -69,7 +73,7 @@
     std::uint64_t m_lastCall { 0 };
     std::unordered_map<CallId, std::shared_ptr<Call>> m_calls;
     std::unordered_map<CallId, kj::Own<kj::PromiseFulfiller<Verdict>>> m_cancels;
-    std::unordered_map<RequestKey, std::shared_ptr<Run>> m_runs;
+    std::unordered_map<RunId, std::shared_ptr<Run>> m_runs;
     PublishReport m_report;
     std::size_t m_attached { 0 };
     bool m_isFinished { false };
--- /dev/null
+++ b/src/entry/admission.cc
@@ -0,0 +1,105 @@
+#include "src/entry/admission.h"
+
+#include <algorithm>
+
+namespace swiftloft::entry {
+
+namespace {
+
+/// Work that one backend server is kept busy with: enough that its batch never runs dry between two reports.
+constexpr double secondsOfWorkPerServer = 4;
+/// Size of a model request assumed to turn the most concurrent requests into tokens.
+constexpr std::int64_t typicalRequestTokens = 512;
+/// Before any server is known nothing can start anyway; the queue wants a capacity above zero.
+constexpr std::int64_t leastCapacity = 1;
+
+Tokens capacityOf(const settings::ServiceSettings& service, const ServiceCapacity& capacity)
+{
+    auto requests = static_cast<std::int64_t>(capacity.servers) * service.maxConcurrentPerBackendServer;
+    if (service.kind == settings::ServiceKind::Plain)
+        return Tokens(std::max(leastCapacity, requests / static_cast<std::int64_t>(capacity.entries)));
+    auto most = requests * typicalRequestTokens;
+    auto busy = capacity.tokensPerSecond > 0 ? static_cast<std::int64_t>(capacity.tokensPerSecond * secondsOfWorkPerServer) : most;
+    return Tokens(std::max(typicalRequestTokens, std::min(most, busy) / static_cast<std::int64_t>(capacity.entries)));
+}
+
+policy::Priority toPolicy(settings::Priority priority)
+{
+    switch (priority) {
+    case settings::Priority::High:
+        return policy::Priority::High;
+    case settings::Priority::Low:
+        return policy::Priority::Low;
+    case settings::Priority::Normal:
+        break;
+    }
+    return policy::Priority::Normal;
+}
+
+Admission::Decisions toDecisions(const policy::AdmissionEffects& effects)
+{
+    Admission::Decisions decisions;
+    for (auto& it : effects)
+        decisions.push_back({ RequestId(it.id.value()), it.action == policy::AdmissionAction::Start, it.reason, it.retryAfter });
+    return decisions;
+}
+
+} // namespace
+
+Tokens costOf(const settings::ServiceSettings& service, const RequestInfo& info)
+{
+    return service.kind == settings::ServiceKind::Plain ? Tokens(1) : info.promptTokens + info.expectedOutput;
+}
+
+policy::AdmissionQueue& Admission::queueOf(const settings::ServiceSettings& service)
+{
+    auto it = m_queues.find(service.name);
+    if (it != m_queues.end())
+        return it->second;
+    policy::AdmissionOptions options;
+    options.capacity = capacityOf(service, {});
+    options.maximumQueued = static_cast<std::size_t>(std::max<std::int64_t>(1, service.queueLimit));
+    return m_queues.emplace(service.name, policy::AdmissionQueue::create(options).value()).first->second;
+}
+
+Admission::Decisions Admission::onArrive(RequestId id, const settings::ServiceSettings& service, const settings::OrganisationSettings& organisation, Tokens cost,
+    TimePoint latestStart, TimePoint now, policy::Generator& generator)
+{
+    auto& queue = queueOf(service);
+    queue.setWeight(organisation.name, organisation.weight.value());
+    policy::AdmissionRequest request { policy::AdmissionId(id.value()), organisation.name, toPolicy(organisation.priority), cost, latestStart };
+    return toDecisions(queue.onArrive(request, now, generator));
+}
+
+Admission::Decisions Admission::onFinish(const ServiceName& service, Tokens cost, TimePoint now, policy::Generator& generator)
+{
+    auto it = m_queues.find(service);
+    return it == m_queues.end() ? Decisions() : toDecisions(it->second.onFinish(cost, now, generator));
+}
+
+void Admission::onAbandon(const ServiceName& service, RequestId id)
+{
+    auto it = m_queues.find(service);
+    if (it != m_queues.end())
+        it->second.onAbandon(policy::AdmissionId(id.value()));
+}
+
+Admission::Decisions Admission::setCapacity(const settings::ServiceSettings& service, const ServiceCapacity& capacity, TimePoint now, policy::Generator& generator)
+{
+    return toDecisions(queueOf(service).setCapacity(capacityOf(service, capacity), now, generator));
+}
+
+Admission::Decisions Admission::onTimer(TimePoint now, policy::Generator& generator)
+{
+    Decisions all;
+    for (auto& [service, queue] : m_queues) {
+        auto next = queue.nextTimer();
+        if (!next || *next > now)
+            continue;
+        auto decisions = toDecisions(queue.onTimer(now, generator));
+        all.insert(all.end(), decisions.begin(), decisions.end());
+    }
+    return all;
+}
+
+} // namespace swiftloft::entry
--- a/src/entry/agent-link.cc
+++ b/src/entry/agent-link.cc
@@ -1,5 +1,7 @@
 #include "src/entry/agent-link.h"
 
+#include "src/rpc/convert.h"
+
 #include <algorithm>
 
 namespace swiftloft::entry {
@@ -14,8 +16,8 @@
     report.isEngineUp = from.getIsEngineUp();
     report.pending = Tokens(from.getPendingTokens());
     report.tokensPerSecond = from.getTokensPerSecond();
-    for (auto fingerprint : from.getSuspects())
-        report.suspects.emplace_back(fingerprint);
+    report.epoch = policy::MintEpoch(from.getEpoch());
+    report.suspicions = rpc::toSuspicions(from.getSuspicions());
     return report;
 }
 
@@ -76,9 +78,9 @@
         return attempt->end(AttemptEnd::Lost, Verdict::NotRun, AttemptReason::Other);
     // The order names the incarnation that was known when it was decided. A newer one must not get it under that name,
     // and the older one may not have it: nothing was sent.
-    if (m_current->incarnation != attempt->order().incarnation)
+    if (m_current->incarnation != attempt->order().ticket.agentIncarnation)
         return attempt->end(AttemptEnd::Refused, Verdict::NotRun, AttemptReason::WrongIncarnation);
-    attempt->issue(m_current->agent, m_options.entry, Clock::now());
+    attempt->issue(m_current->agent, Clock::now());
     forgetEnded();
     m_attempts.push_back(std::move(attempt));
 }
@@ -89,16 +91,19 @@
     std::erase(m_attempts, attempt);
     if (!m_current)
         return;
-    auto& order = attempt->order();
     auto call = m_current->agent.cancelRequest();
-    call.setKey(kj::StringPtr(order.key.value().data(), order.key.value().size()));
-    call.setIncarnation(order.incarnation.value());
-    auto id = call.initAttempt();
-    id.setEntry(m_options.entry.value());
-    id.setSerial(order.attempt.value());
+    rpc::fill(call.initTicket(), attempt->order().ticket);
     m_current->cancels.push_back(call.send().ignoreResult().eagerlyEvaluate([](kj::Exception&&) {}));
 }
 
+void AgentLink::setSuspicions(std::vector<policy::SuspicionMessage> suspicions, bool isUrgent)
+{
+    m_suspicions = std::move(suspicions);
+    if (!isUrgent || !m_current || m_loseAt || m_current->heartbeatDeadline)
+        return;
+    sendHeartbeat(*m_current, Clock::now());
+}
+
 void AgentLink::tick()
 {
     auto now = Clock::now();
@@ -134,6 +139,8 @@
     connection.heartbeatDeadline = now + m_options.heartbeatLimit;
     connection.nextHeartbeat = now + m_options.heartbeatInterval;
     auto call = connection.agent.reportRequest();
+    rpc::schema::Agent::ReportParams::Builder params = call;
+    rpc::fillSuspicions(params, m_suspicions);
     connection.heartbeat = call.send().then([this, &connection](auto&& answer) { onHeartbeat(connection, answer.getReport()); }, [&connection](kj::Exception&&) { connection.isBroken = true; }).eagerlyEvaluate(nullptr);
 }
 
@@ -182,8 +189,8 @@
     forgetEnded();
     auto now = Clock::now();
     for (auto& attempt : std::vector(m_attempts)) {
-        if (attempt->order().incarnation == *m_current->incarnation)
-            attempt->issue(m_current->agent, m_options.entry, now);
+        if (attempt->order().ticket.agentIncarnation == *m_current->incarnation)
+            attempt->issue(m_current->agent, now);
         else
             attempt->end(AttemptEnd::Lost, Verdict::MayHaveRun, AttemptReason::WrongIncarnation);
     }
--- a/src/entry/agent-link.h
+++ b/src/entry/agent-link.h
@@ -14,7 +14,6 @@
 namespace swiftloft::entry {
 
 struct AgentLinkOptions {
-    Incarnation entry;
     milliseconds heartbeatInterval { 250 };
     /// A heartbeat not answered for so long means that the connection has gone silent.
     milliseconds heartbeatLimit { 1000 };
@@ -44,6 +43,9 @@
 
     /// Hands a try over. Without a connection it ends at once, as not run.
     void begin(std::shared_ptr<Attempt> attempt);
+    /// What the next heartbeats tell of crashes; when urgent, one goes out at once.
+    void setSuspicions(std::vector<policy::SuspicionMessage> suspicions, bool isUrgent);
+
     /// Gives a try up and tells the agent, as far as it can be reached.
     void cancel(const std::shared_ptr<Attempt>& attempt);
 
@@ -75,6 +77,7 @@
     /// Set while the link is down: when tries in progress count as lost.
     std::optional<TimePoint> m_loseAt;
     std::vector<std::shared_ptr<Attempt>> m_attempts;
+    std::vector<policy::SuspicionMessage> m_suspicions;
     bool m_isStopped { false };
 };
 
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -1,5 +1,7 @@
 #include "src/entry/attempt.h"
 
+#include "src/rpc/convert.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -36,19 +38,6 @@
     }
 }
 
-/// An enum value that this build does not know counts as "may have run", the only safe reading.
-Verdict toVerdict(rpc::schema::Verdict verdict)
-{
-    switch (verdict) {
-    case rpc::schema::Verdict::NOT_RUN:
-        return Verdict::NotRun;
-    case rpc::schema::Verdict::RAN:
-        return Verdict::Ran;
-    default:
-        return Verdict::MayHaveRun;
-    }
-}
-
 bool isForAgent(const http::fields::value_type& field)
 {
     switch (field.name()) {
@@ -66,11 +55,6 @@
     }
 }
 
-kj::StringPtr toKj(const std::string& text)
-{
-    return { text.data(), text.size() };
-}
-
 void fillHeaders(rpc::schema::Request::Builder request, const ClientMessage& message)
 {
     auto count = std::count_if(message.begin(), message.end(), isForAgent);
@@ -79,32 +63,31 @@
     for (auto& field : message) {
         if (!isForAgent(field))
             continue;
-        headers[n].setName(toKj(std::string(field.name_string())));
-        headers[n].setValue(toKj(std::string(field.value())));
+        headers[n].setName(rpc::toText(std::string(field.name_string())));
+        headers[n].setValue(rpc::toText(std::string(field.value())));
         ++n;
     }
 }
 
-void fillRequest(rpc::schema::Request::Builder request, const AttemptOrder& order, const ClientMessage& message, Incarnation entry, TimePoint now)
+void fillRequest(rpc::schema::Request::Builder request, const AttemptOrder& order, const ClientMessage& message, TimePoint now)
 {
     auto remaining = std::chrono::duration_cast<milliseconds>(order.deadline - now).count();
-    request.setKey(toKj(order.key.value()));
-    request.setIncarnation(order.incarnation.value());
-    request.setService(toKj(order.service.value()));
-    request.setOrganisation(toKj(order.organisation.value()));
+    request.setKey(rpc::toText(order.key.value()));
+    rpc::fill(request.initTicket(), order.ticket);
+    request.setService(rpc::toText(order.service.value()));
+    request.setOrganisation(rpc::toText(order.organisation.value()));
     request.setIsRepeatable(order.isRepeatable);
     request.setRemainingMs(static_cast<std::uint32_t>(std::clamp<std::int64_t>(remaining, 0, UINT32_MAX)));
     request.setPriority(static_cast<std::int16_t>(order.priority));
     request.setFingerprint(order.fingerprint.value());
-    request.setMethod(toKj(std::string(message.method_string())));
-    request.setTarget(toKj(std::string(message.target())));
+    request.setMethod(rpc::toText(std::string(message.method_string())));
+    request.setTarget(rpc::toText(std::string(message.target())));
     fillHeaders(request, message);
     auto& body = message.body();
     request.setBody(kj::ArrayPtr<const kj::byte>(reinterpret_cast<const kj::byte*>(body.data()), body.size()));
     request.setRunsAlone(order.runsAlone);
-    auto attempt = request.initAttempt();
-    attempt.setEntry(entry.value());
-    attempt.setSerial(order.attempt.value());
+    request.setPromptTokens(order.promptTokens.value());
+    request.setExpectedTokens(order.expectedOutput.value());
 }
 
 } // namespace
@@ -159,11 +142,11 @@
 
 Attempt::~Attempt() = default;
 
-void Attempt::issue(rpc::schema::Agent::Client agent, Incarnation entry, TimePoint now)
+void Attempt::issue(rpc::schema::Agent::Client agent, TimePoint now)
 {
     ++m_issue;
     auto call = agent.runRequest();
-    fillRequest(call.initRequest(), m_order, *m_exchange->message(), entry, now);
+    fillRequest(call.initRequest(), m_order, *m_exchange->message(), now);
     call.setOffset(m_received);
     call.setNeedsHead(!m_hasHead);
     call.setSink(kj::heap<Sink>(weak_from_this(), m_issue));
@@ -200,7 +183,7 @@
     m_hasHead = true;
     AnswerHead answer;
     answer.status = head.getStatus();
-    answer.server = m_order.server;
+    answer.server = m_order.ticket.agent;
     for (auto header : head.getHeaders())
         answer.fields.insert(std::string(header.getName()), std::string(header.getValue()));
     return m_exchange->push(std::move(answer));
@@ -242,7 +225,7 @@
 
 void Attempt::onOutcome(rpc::schema::Outcome::Reader outcome)
 {
-    auto verdict = toVerdict(outcome.getVerdict());
+    auto verdict = rpc::toVerdict(outcome.getVerdict());
     auto reason = toReason(outcome.getReason());
     switch (outcome.getKind()) {
     case rpc::schema::OutcomeKind::ANSWERED:
@@ -255,16 +238,16 @@
     case rpc::schema::OutcomeKind::REFUSED:
         return end(AttemptEnd::Refused, verdict, reason);
     default:
-        return end(AttemptEnd::Failed, verdict, reason);
+        return end(AttemptEnd::Failed, verdict, reason, policy::CrashId(outcome.getCrash()));
     }
 }
 
-void Attempt::end(AttemptEnd end, Verdict verdict, AttemptReason reason)
+void Attempt::end(AttemptEnd end, Verdict verdict, AttemptReason reason, policy::CrashId crash)
 {
     if (m_hasEnded)
         return;
     m_hasEnded = true;
-    m_hooks.onEnded(end, verdict, reason);
+    m_hooks.onEnded(end, verdict, reason, crash);
 }
 
 void Attempt::abandon()
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -15,7 +15,7 @@
 public:
     struct Hooks {
         std::function<void()> onOutputBegan;
-        std::function<void(AttemptEnd, Verdict, AttemptReason)> onEnded;
+        std::function<void(AttemptEnd, Verdict, AttemptReason, policy::CrashId)> onEnded;
     };
 
     Attempt(AttemptOrder order, std::shared_ptr<Exchange> exchange, Hooks hooks);
@@ -24,14 +24,14 @@
     const AttemptOrder& order() const { return m_order; }
 
     /// Hands the request to the agent behind `agent`. Frames of an earlier issue are ignored from now on.
-    void issue(rpc::schema::Agent::Client agent, Incarnation entry, TimePoint now);
+    void issue(rpc::schema::Agent::Client agent, TimePoint now);
 
     /// True once any part of an answer has come.
     bool hasBegun() const { return m_hasHead; }
     bool hasEnded() const { return m_hasEnded; }
 
     /// Ends the try; later frames and outcomes are ignored.
-    void end(AttemptEnd end, Verdict verdict, AttemptReason reason);
+    void end(AttemptEnd end, Verdict verdict, AttemptReason reason, policy::CrashId crash = {});
 
     /// The answer is not wanted any more: ends without telling anyone.
     void abandon();
--- a/src/entry/daemon.cc
+++ b/src/entry/daemon.cc
@@ -58,6 +58,11 @@
         effect);
 }
 
+std::string utcNow()
+{
+    return fmt::format("{:%Y-%m-%dT%H:%M:%S}Z", std::chrono::time_point_cast<seconds>(std::chrono::system_clock::now()));
+}
+
 json::string toJson(std::string_view text)
 {
     return json::string(text.data(), text.size());
@@ -70,6 +75,8 @@
     , m_incarnation(incarnation)
     , m_control(1)
     , m_reducer(Reducer::create(reducerOptions(m_config, incarnation)).value())
+    , m_burn(Clock::now())
+    , m_startedAt(utcNow())
     , m_timer(m_control)
 {
 }
@@ -173,7 +180,8 @@
 {
     auto reason = answer.refusal ? std::string(infoOf(*answer.refusal).name) : answer.isGood ? "none"
                                                                                              : "slow";
-    m_metrics.count("swiftloft_requests_total", { { "service", answer.service.value() }, { "organisation", answer.organisation.value() }, { "outcome", answer.isGood ? "good" : "bad" }, { "reason", reason } });
+    m_metrics.count("swiftloft_requests_total", { { "service", answer.service.value() }, { "organisation", answer.organisation.value() }, { "outcome", answer.isGood ? "good" : "bad" }, { "reason", answer.isGood ? "" : reason } });
+    m_burn.add(Clock::now(), answer.service, answer.organisation, answer.isGood ? burn::Outcome::Good : burn::Outcome::Bad, reason);
     if (answer.refusal)
         return;
     process::Labels labels { { "service", answer.service.value() } };
@@ -208,6 +216,8 @@
         return metrics();
     if (path == "/swiftloft/v1/entries")
         return addresses(target);
+    if (path == "/swiftloft/v1/burn")
+        return burn(target);
     if (path == "/swiftloft/v1/status")
         return status();
     return { 404, "text/plain", "no such page\n" };
@@ -249,6 +259,14 @@
         { "keep_until", toJson(fmt::format("{:%Y-%m-%dT%H:%M:%S}Z", until)) }, { "keep_seconds", keep.count() } });
 }
 
+process::StatusAnswer Daemon::burn(const std::string& target) const
+{
+    auto scope = burn::scopeFromTarget(target);
+    if (!scope)
+        return { 400, "text/plain", scope.error().message + "\n" };
+    return { 200, "application/json", burn::toJson(m_burn.report(Clock::now(), InstanceId(m_config.id), m_startedAt, *scope)) };
+}
+
 process::StatusAnswer Daemon::status() const
 {
     json::object body;
--- a/src/entry/daemon.h
+++ b/src/entry/daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/burn/windows.h"
 #include "src/daemon/fleet-control.h"
 #include "src/entry/reducer.h"
 #include "src/entry/worker.h"
@@ -43,12 +44,15 @@
     process::StatusAnswer metrics();
     process::StatusAnswer addresses(const std::string& target);
     process::StatusAnswer status() const;
+    process::StatusAnswer burn(const std::string& target) const;
 
     process::ProcessConfig m_config;
     Incarnation m_incarnation;
     boost::asio::io_context m_control;
     Reducer m_reducer;
     process::Metrics m_metrics;
+    burn::BurnWindows m_burn;
+    std::string m_startedAt;
     boost::asio::steady_timer m_timer;
     std::unique_ptr<process::StopSignals> m_signals;
     std::unique_ptr<daemon::FleetControl> m_fleetControl;
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -4,7 +4,9 @@
 
 #include <swiftloft/ids.h>
 #include <swiftloft/membership/view.h>
+#include <swiftloft/policy/crash-quarantine.h>
 #include <swiftloft/policy/prefix-index.h>
+#include <swiftloft/policy/ticket.h>
 #include <swiftloft/settings/tree.h>
 #include <swiftloft/units.h>
 #include <swiftloft/verdict.h>
@@ -91,6 +93,8 @@
     Verdict verdict;
     AttemptReason reason;
     TimePoint now;
+    /// Names the crash that broke the attempt; 0 when the backend server has not crashed.
+    policy::CrashId crash {};
 };
 
 struct ClientGone {
@@ -105,7 +109,8 @@
     bool isEngineUp { false };
     Tokens pending;
     double tokensPerSecond { 0 };
-    std::vector<Fingerprint> suspects;
+    policy::MintEpoch epoch;
+    std::vector<policy::SuspicionMessage> suspicions;
 };
 
 /// A link to an agent works, or works again, and this is its newest report.
@@ -149,11 +154,12 @@
     RequestId id;
     AttemptSerial attempt;
     RequestKey key;
-    BackendServerId server;
-    Incarnation incarnation;
+    policy::Ticket ticket;
     ServiceName service;
     OrganisationName organisation;
     Fingerprint fingerprint;
+    Tokens promptTokens;
+    Tokens expectedOutput;
     int priority { 0 };
     bool isRepeatable { false };
     bool runsAlone { false };
@@ -195,6 +201,12 @@
     BackendServerId server;
 };
 
+/// What heartbeats to agents tell of crashes from now on. When it is urgent the next heartbeats go out at once.
+struct PublishSuspicions {
+    std::vector<policy::SuspicionMessage> suspicions;
+    bool isUrgent { false };
+};
+
 /// A request has got its final answer; for metrics and service-level burn.
 struct RecordAnswer {
     ServiceName service;
@@ -220,7 +232,7 @@
 struct Finish {
 };
 
-using Effect = std::variant<StartAttempt, CancelAttempt, Refuse, CutAnswer, OpenLink, CloseLink, RecordAnswer, AnnounceLeaving,
+using Effect = std::variant<StartAttempt, CancelAttempt, Refuse, CutAnswer, OpenLink, CloseLink, PublishSuspicions, RecordAnswer, AnnounceLeaving,
     CloseListeners, Finish>;
 using Effects = std::vector<Effect>;
 
--- a/src/entry/fleet.cc
+++ b/src/entry/fleet.cc
@@ -2,6 +2,8 @@
 
 #include "src/process/process-config.h"
 
+#include <algorithm>
+
 namespace swiftloft::entry {
 
 namespace {
@@ -11,6 +13,11 @@
     return member.listed && member.listed->role == membership::Role::Agent;
 }
 
+bool isUsableEntry(const membership::ViewMember& member)
+{
+    return member.listed && member.listed->role == membership::Role::Entry && member.isUsable();
+}
+
 BackendServerId idOf(const membership::ViewMember& member)
 {
     return BackendServerId(member.listed->id.value());
@@ -32,6 +39,7 @@
 void Fleet::onView(const membership::View& view, Effects& effects)
 {
     m_topology = view.topology;
+    m_entries = std::max<std::size_t>(1, std::count_if(view.members.begin(), view.members.end(), isUsableEntry));
     for (auto& member : view.members) {
         if (!isListedAgent(member))
             continue;
@@ -82,6 +90,8 @@
     server.incarnation = event.report.incarnation;
     server.isLeaving = server.isLeaving || event.report.isLeaving;
     server.isEngineUp = event.report.isEngineUp;
+    server.epoch = event.report.epoch;
+    server.tokensPerSecond = event.report.tokensPerSecond;
     server.linkedWorkers |= 1ULL << event.worker.value();
     updateRouter(server);
     if (server.handle)
@@ -148,6 +158,29 @@
     return id ? find(*id) : nullptr;
 }
 
+std::vector<BackendServerId> Fleet::usable(const ServiceName& service) const
+{
+    std::vector<BackendServerId> ids;
+    for (auto& [id, server] : m_servers) {
+        if (server.service == service && server.handle)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+ServiceCapacity Fleet::capacityOf(const ServiceName& service) const
+{
+    ServiceCapacity capacity;
+    capacity.entries = m_entries;
+    for (auto& [id, server] : m_servers) {
+        if (server.service != service || !server.handle)
+            continue;
+        ++capacity.servers;
+        capacity.tokensPerSecond += server.tokensPerSecond;
+    }
+    return capacity;
+}
+
 std::vector<BackendServerId> Fleet::listed(const ServiceName& service) const
 {
     std::vector<BackendServerId> ids;
--- a/src/entry/fleet.h
+++ b/src/entry/fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/entry/admission.h"
 #include "src/entry/events.h"
 
 #include <swiftloft/membership/view.h>
@@ -19,6 +20,8 @@
     DataCentreName dataCentre;
     boost::asio::ip::tcp::endpoint endpoint;
     std::optional<Incarnation> incarnation;
+    policy::MintEpoch epoch;
+    double tokensPerSecond { 0 };
     /// Bit n is set while the link of worker n works.
     std::uint64_t linkedWorkers { 0 };
     bool isEngineUp { false };
@@ -47,6 +50,10 @@
     const BackendServer* find(const BackendServerId& id) const;
     /// The server behind a handle of `service`'s router.
     const BackendServer* find(const ServiceName& service, policy::ServerHandle handle);
+    /// Ids of the servers of a service that may get new work.
+    std::vector<BackendServerId> usable(const ServiceName& service) const;
+    /// Servers of a service that may get new work, and their speeds added up.
+    ServiceCapacity capacityOf(const ServiceName& service) const;
     /// Ids of all listed servers of a service, leaving ones included.
     std::vector<BackendServerId> listed(const ServiceName& service) const;
 
@@ -56,6 +63,7 @@
     void add(const membership::ViewMember& member, const membership::Topology& topology, Effects& effects);
     void updateRouter(BackendServer& server);
 
+    std::size_t m_entries { 1 };
     DataCentreName m_dataCentre;
     RegionName m_region;
     membership::Topology m_topology;
--- a/src/entry/reducer.cc
+++ b/src/entry/reducer.cc
@@ -3,12 +3,15 @@
 #include <fmt/format.h>
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace swiftloft::entry {
 
 namespace {
 
 /// Comes back soon: the fleet is expected to change within seconds.
 constexpr seconds shortRetryAfter { 1 };
+constexpr milliseconds housekeepingInterval { 250 };
 
 RequestKey mintKey(Incarnation incarnation, RequestId id)
 {
@@ -81,15 +84,19 @@
     auto retryBudget = policy::RetryBudget::create({});
     if (!retryBudget)
         return retryBudget.error();
-    return Reducer(std::move(options), *retryPolicy, std::move(*retryBudget));
+    auto quarantine = policy::CrashQuarantine::create({});
+    if (!quarantine)
+        return quarantine.error();
+    return Reducer(std::move(options), *retryPolicy, std::move(*retryBudget), std::move(*quarantine));
 }
 
-Reducer::Reducer(ReducerOptions options, policy::RetryPolicy retryPolicy, policy::RetryBudget retryBudget)
+Reducer::Reducer(ReducerOptions options, policy::RetryPolicy retryPolicy, policy::RetryBudget retryBudget, policy::CrashQuarantine quarantine)
     : m_options(std::move(options))
     , m_retryPolicy(retryPolicy)
     , m_retryBudget(std::move(retryBudget))
     , m_generator(m_options.randomSeed)
     , m_fleet(m_options.dataCentre, m_options.region)
+    , m_quarantine(std::move(quarantine))
 {
 }
 
@@ -123,8 +130,33 @@
     if (clientKey)
         request.verdict = Verdict::MayHaveRun;
     m_deadlines.emplace(request.resolved.deadline, event.id);
+    request.cost = costOf(*request.resolved.service, *request.info);
     auto it = m_requests.insert_or_assign(event.id, std::move(request)).first;
-    dispatch(event.id, it->second, event.now, effects);
+    admit(event.id, it->second, event.now, effects);
+}
+
+void Reducer::admit(RequestId id, Request& request, TimePoint now, Effects& effects)
+{
+    auto& resolved = request.resolved;
+    carryOut(m_admission.onArrive(id, *resolved.service, *resolved.organisation, request.cost, resolved.deadline, now, m_generator), now, effects);
+}
+
+void Reducer::carryOut(const Admission::Decisions& decisions, TimePoint now, Effects& effects)
+{
+    for (auto& decision : decisions) {
+        auto it = m_requests.find(decision.id);
+        if (it == m_requests.end())
+            continue;
+        if (decision.isStarted) {
+            it->second.isAdmitted = true;
+            dispatch(decision.id, it->second, now, effects);
+            continue;
+        }
+        Refusal refusal;
+        refusal.reason = RefusalReason::Overloaded;
+        refusal.retryAfter = decision.retryAfter;
+        giveUp(decision.id, it->second, std::move(refusal), now, effects);
+    }
 }
 
 void Reducer::refuseArrival(const RequestArrived& event, Refusal refusal, Effects& effects) const
@@ -141,7 +173,13 @@
 
 void Reducer::dispatch(RequestId id, Request& request, TimePoint now, Effects& effects)
 {
+    if (isQuarantined(id, request, now, effects))
+        return;
     Attempt attempt;
+    if (!m_quarantine.empty() && m_quarantine.check(request.resolved.fingerprint, now).action == policy::QuarantineAction::RunAlone) {
+        if (chooseAloneServer(request, attempt))
+            return start(id, request, std::move(attempt), now, effects);
+    }
     auto isChosen = request.isBoundToHome() ? chooseHome(request, attempt) : chooseServer(request, now, attempt);
     if (isChosen)
         return start(id, request, std::move(attempt), now, effects);
@@ -151,6 +189,34 @@
     giveUp(id, request, std::move(refusal), now, effects);
 }
 
+bool Reducer::isQuarantined(RequestId id, Request& request, TimePoint now, Effects& effects)
+{
+    if (m_quarantine.empty())
+        return false;
+    auto decision = m_quarantine.check(request.resolved.fingerprint, now);
+    if (decision.action != policy::QuarantineAction::Refuse && decision.action != policy::QuarantineAction::Wait)
+        return false;
+    Refusal refusal;
+    refusal.reason = RefusalReason::Quarantined;
+    refusal.retryAfter = std::max(shortRetryAfter, std::chrono::ceil<seconds>(decision.until - now));
+    giveUp(id, request, std::move(refusal), now, effects);
+    return true;
+}
+
+// A suspect goes where every entry sends it, alone, so that a second crash hurts nobody beside it.
+bool Reducer::chooseAloneServer(const Request& request, Attempt& attempt) const
+{
+    if (request.isBoundToHome())
+        return false;
+    auto server = policy::suspectServer(request.resolved.fingerprint, m_fleet.usable(request.resolved.service->name));
+    if (!server)
+        return false;
+    attempt.server = *server;
+    attempt.isRouted = false;
+    attempt.isAlone = true;
+    return true;
+}
+
 bool Reducer::chooseServer(Request& request, TimePoint now, Attempt& attempt)
 {
     auto& service = request.resolved.service->name;
@@ -194,14 +260,19 @@
     order.id = id;
     order.attempt = attempt.serial;
     order.key = request.key;
-    order.server = attempt.server;
-    order.incarnation = *m_fleet.find(attempt.server)->incarnation;
+    auto& server = *m_fleet.find(attempt.server);
+    order.ticket = { server.id, *server.incarnation, server.epoch, m_options.incarnation, attempt.serial.value() };
     order.service = request.resolved.service->name;
     order.organisation = request.resolved.organisation->name;
     order.fingerprint = request.resolved.fingerprint;
     order.priority = static_cast<int>(request.resolved.organisation->priority);
+    order.promptTokens = request.info->promptTokens;
+    order.expectedOutput = request.info->expectedOutput;
     order.isRepeatable = request.resolved.isRepeatable;
+    order.runsAlone = attempt.isAlone;
     order.deadline = request.resolved.deadline;
+    if (attempt.isAlone)
+        m_quarantine.onStartAlone(order.fingerprint);
     request.attempt = std::move(attempt);
     effects.push_back(StartAttempt { request.worker, std::move(order) });
 }
@@ -231,6 +302,8 @@
         else
             router->onFinish(request.attempt->choice, now);
     }
+    if (request.attempt->isAlone)
+        m_quarantine.onEndAlone(request.resolved.fingerprint);
     request.attempt.reset();
 }
 
@@ -244,6 +317,10 @@
     request.verdict = combine(request.verdict, event.verdict);
     auto server = request.attempt->server;
     releaseAttempt(request, failureKind(event), event.now);
+    if (event.crash != policy::CrashId()) {
+        m_quarantine.onCrash({ event.crash, { request.resolved.fingerprint } }, event.now);
+        publishSuspicions(true, event.now, effects);
+    }
     if (takesNoWork(event)) {
         // Its report is older than its refusal. Without this the next requests would go there as well until a newer
         // report comes, each at the price of a retry. Each server can refuse so once, so this ends.
@@ -253,9 +330,11 @@
     }
     if (event.end != AttemptEnd::Answered)
         return retryOrAnswer(event.id, request, event, effects);
+    if (!m_quarantine.empty() && !m_quarantine.onSuccess(request.resolved.fingerprint, event.now).empty())
+        publishSuspicions(true, event.now, effects);
     m_retryBudget.onSuccess({ request.resolved.service->name, request.resolved.organisation->name });
     recordAnswer(request, std::nullopt, event.now, effects);
-    remove(event.id);
+    remove(event.id, event.now, effects);
 }
 
 void Reducer::retryOrAnswer(RequestId id, Request& request, const AttemptEnded& event, Effects& effects)
@@ -292,7 +371,7 @@
         effects.push_back(CutAnswer { request.worker, id, std::move(refusal) });
     else
         effects.push_back(Refuse { request.worker, id, std::move(refusal) });
-    remove(id);
+    remove(id, now, effects);
 }
 
 void Reducer::recordAnswer(const Request& request, std::optional<RefusalReason> refusal, TimePoint now, Effects& effects) const
@@ -307,11 +386,23 @@
     effects.push_back(std::move(record));
 }
 
-void Reducer::remove(RequestId id)
+void Reducer::remove(RequestId id, TimePoint now, Effects& effects)
 {
     auto it = m_requests.find(id);
-    m_deadlines.erase({ it->second.resolved.deadline, id });
+    auto request = std::move(it->second);
+    m_deadlines.erase({ request.resolved.deadline, id });
     m_requests.erase(it);
+    auto& service = request.resolved.service->name;
+    if (!request.isAdmitted)
+        return m_admission.onAbandon(service, id);
+    carryOut(m_admission.onFinish(service, request.cost, now, m_generator), now, effects);
+}
+
+void Reducer::publishSuspicions(bool isUrgent, TimePoint now, Effects& effects)
+{
+    auto suspicions = m_quarantine.snapshot(now);
+    m_hasSuspicions = !suspicions.empty();
+    effects.push_back(PublishSuspicions { std::move(suspicions), isUrgent });
 }
 
 void Reducer::on(const ClientGone& event, Effects& effects)
@@ -324,12 +415,17 @@
         effects.push_back(CancelAttempt { request.worker, event.id, request.attempt->server });
         releaseAttempt(request, std::nullopt, event.now);
     }
-    remove(event.id);
+    remove(event.id, event.now, effects);
 }
 
-void Reducer::on(const LinkReported& event, Effects&)
+void Reducer::on(const LinkReported& event, Effects& effects)
 {
     m_fleet.onReport(event);
+    auto isNews = false;
+    for (auto& message : event.report.suspicions)
+        isNews = m_quarantine.onMessage(message, event.now) || isNews;
+    if (isNews)
+        publishSuspicions(true, event.now, effects);
 }
 
 void Reducer::on(const LinkDown& event, Effects&)
@@ -365,10 +461,28 @@
 void Reducer::on(const Tick& event, Effects& effects)
 {
     startDueRetries(event.now, effects);
+    carryOut(m_admission.onTimer(event.now, m_generator), event.now, effects);
+    if (m_nextHousekeeping <= event.now) {
+        m_nextHousekeeping = event.now + housekeepingInterval;
+        m_quarantine.tick(event.now);
+        if (m_hasSuspicions)
+            publishSuspicions(false, event.now, effects);
+        updateCapacities(event.now, effects);
+    }
     endPassedDeadlines(event.now, effects);
     leaveWhenDone(event.now, effects);
 }
 
+void Reducer::updateCapacities(TimePoint now, Effects& effects)
+{
+    if (!m_resolver)
+        return;
+    for (auto& name : m_resolver->services()) {
+        auto service = m_resolver->service(name);
+        carryOut(m_admission.setCapacity(*service, m_fleet.capacityOf(name), now, m_generator), now, effects);
+    }
+}
+
 void Reducer::startDueRetries(TimePoint now, Effects& effects)
 {
     while (!m_retries.empty() && m_retries.begin()->first <= now) {
--- a/src/entry/reducer.h
+++ b/src/entry/reducer.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "src/entry/admission.h"
 #include "src/entry/events.h"
 #include "src/entry/fleet.h"
 #include "src/entry/request-resolver.h"
 
+#include <swiftloft/policy/crash-quarantine.h>
 #include <swiftloft/policy/random.h>
 #include <swiftloft/policy/retry-budget.h>
 #include <swiftloft/policy/retry-policy.h>
@@ -47,8 +49,9 @@
         AttemptSerial serial;
         BackendServerId server;
         policy::RouteChoice choice;
-        /// False for a try that was sent to its key's home without the router.
+        /// False for a try whose server was not the router's to choose: a key's home, or a suspect's place.
         bool isRouted { true };
+        bool isAlone { false };
         TimePoint startedAt;
     };
 
@@ -62,6 +65,9 @@
         /// Over all attempts, and over what other entries may have done with a client's own key.
         Verdict verdict { Verdict::NotRun };
         unsigned attempts { 0 };
+        /// Out of the queue and in the room that admission counts.
+        bool isAdmitted { false };
+        Tokens cost;
         std::optional<Attempt> attempt;
         std::vector<policy::ServerHandle> tried;
 
@@ -69,7 +75,7 @@
         bool isBoundToHome() const { return info->clientKey && !resolved.isRepeatable; }
     };
 
-    Reducer(ReducerOptions options, policy::RetryPolicy retryPolicy, policy::RetryBudget retryBudget);
+    Reducer(ReducerOptions options, policy::RetryPolicy retryPolicy, policy::RetryBudget retryBudget, policy::CrashQuarantine quarantine);
 
     void on(const RequestArrived& event, Effects& effects);
     void on(const OutputBegan& event, Effects& effects);
@@ -82,7 +88,13 @@
     void on(const LeaveRequested& event, Effects& effects);
     void on(const Tick& event, Effects& effects);
 
+    void admit(RequestId id, Request& request, TimePoint now, Effects& effects);
+    void carryOut(const Admission::Decisions& decisions, TimePoint now, Effects& effects);
+    void updateCapacities(TimePoint now, Effects& effects);
     void dispatch(RequestId id, Request& request, TimePoint now, Effects& effects);
+    bool isQuarantined(RequestId id, Request& request, TimePoint now, Effects& effects);
+    bool chooseAloneServer(const Request& request, Attempt& attempt) const;
+    void publishSuspicions(bool isUrgent, TimePoint now, Effects& effects);
     bool chooseServer(Request& request, TimePoint now, Attempt& attempt);
     bool chooseHome(const Request& request, Attempt& attempt);
     void start(RequestId id, Request& request, Attempt attempt, TimePoint now, Effects& effects);
@@ -90,7 +102,7 @@
     void retryOrAnswer(RequestId id, Request& request, const AttemptEnded& event, Effects& effects);
     void giveUp(RequestId id, Request& request, Refusal refusal, TimePoint now, Effects& effects);
     void recordAnswer(const Request& request, std::optional<RefusalReason> refusal, TimePoint now, Effects& effects) const;
-    void remove(RequestId id);
+    void remove(RequestId id, TimePoint now, Effects& effects);
     void refuseArrival(const RequestArrived& event, Refusal refusal, Effects& effects) const;
     void endPassedDeadlines(TimePoint now, Effects& effects);
     void startDueRetries(TimePoint now, Effects& effects);
@@ -102,12 +114,16 @@
     policy::RetryBudget m_retryBudget;
     policy::Generator m_generator;
     Fleet m_fleet;
+    Admission m_admission;
+    policy::CrashQuarantine m_quarantine;
     std::optional<RequestResolver> m_resolver;
     std::optional<Revision> m_revision;
     boost::unordered_flat_map<RequestId, Request, std::hash<RequestId>> m_requests;
     std::set<std::pair<TimePoint, RequestId>> m_deadlines;
     std::set<std::pair<TimePoint, RequestId>> m_retries;
     std::uint64_t m_lastAttempt { 0 };
+    TimePoint m_nextHousekeeping {};
+    bool m_hasSuspicions { false };
     std::optional<TimePoint> m_acceptUntil;
     bool m_hasClosedListeners { false };
 };
--- a/src/entry/request-resolver.h
+++ b/src/entry/request-resolver.h
@@ -11,6 +11,7 @@
 
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace swiftloft::entry {
 
@@ -34,6 +35,8 @@
     /// The request with its settings, or why it is refused; the refusal's verdict is the caller's to set.
     boost::variant2::variant<ResolvedRequest, Refusal> resolve(const RequestInfo& info, TimePoint now);
 
+    std::vector<ServiceName> services() const { return m_tree.services(); }
+
     std::shared_ptr<const settings::ServiceSettings> service(const ServiceName& name);
 
     /// The longest time that clients keep an address answer of any service.
--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -281,15 +281,15 @@
 {
     auto& order = effect.order;
     auto exchange = find(order.id);
-    auto link = m_links.find(order.server);
+    auto link = m_links.find(order.ticket.agent);
     if (!exchange || link == m_links.end()) {
         m_hooks.post(AttemptEnded { order.id, order.attempt, AttemptEnd::Lost, Verdict::NotRun, AttemptReason::Other, Clock::now() });
         return;
     }
     Attempt::Hooks hooks;
     hooks.onOutputBegan = [this, id = order.id] { m_hooks.post(OutputBegan { id, Clock::now() }); };
-    hooks.onEnded = [this, id = order.id, serial = order.attempt](AttemptEnd end, Verdict verdict, AttemptReason reason) {
-        m_hooks.post(AttemptEnded { id, serial, end, verdict, reason, Clock::now() });
+    hooks.onEnded = [this, id = order.id, serial = order.attempt](AttemptEnd end, Verdict verdict, AttemptReason reason, policy::CrashId crash) {
+        m_hooks.post(AttemptEnded { id, serial, end, verdict, reason, Clock::now(), crash });
     };
     auto attempt = std::make_shared<Attempt>(order, exchange, std::move(hooks));
     m_attempts[order.id] = attempt;
@@ -325,9 +325,7 @@
     auto index = m_options.index;
     hooks.onReport = [this, index, id = effect.server](const AgentReport& report) { m_hooks.post(LinkReported { index, id, report, Clock::now() }); };
     hooks.onDown = [this, index, id = effect.server] { m_hooks.post(LinkDown { index, id, Clock::now() }); };
-    AgentLinkOptions options;
-    options.entry = m_options.incarnation;
-    auto link = std::make_shared<AgentLink>(m_loop.ioContext(), effect.endpoint, options, std::move(hooks));
+    auto link = std::make_shared<AgentLink>(m_loop.ioContext(), effect.endpoint, AgentLinkOptions {}, std::move(hooks));
     m_links[effect.server] = link;
     link->start();
 }
@@ -342,6 +340,12 @@
     link->stop();
 }
 
+void Worker::on(const PublishSuspicions& effect)
+{
+    for (auto& [id, link] : m_links)
+        link->setSuspicions(effect.suspicions, effect.isUrgent);
+}
+
 void Worker::on(const CloseListeners&)
 {
     closeListener();
--- a/src/entry/worker.h
+++ b/src/entry/worker.h
@@ -66,6 +66,7 @@
     void on(const CutAnswer& effect);
     void on(const OpenLink& effect);
     void on(const CloseLink& effect);
+    void on(const PublishSuspicions& effect);
     void on(const RecordAnswer&) { }
     void on(const AnnounceLeaving&) { m_isLeaving = true; }
     void on(const CloseListeners& effect);
--- a/src/rpc/agent.capnp
+++ b/src/rpc/agent.capnp
@@ -19,8 +19,8 @@
 # One request as the entry hands it over. Times are relative because clocks of two instances don't agree: the receiver
 # turns them into deadlines on its own clock.
 struct Request {
-  key @0 :Text;
-  incarnation @1 :UInt64;          # the only agent incarnation that may start this request
+  key @0 :Text;                    # what the engine and the logs know the request by
+  ticket @1 :Ticket;
   service @2 :Text;
   organisation @3 :Text;
   isRepeatable @4 :Bool;
@@ -32,13 +32,26 @@
   headers @10 :List(Header);
   body @11 :Data;
   runsAlone @12 :Bool;             # suspected of crashing backend servers: nothing else may run beside it
-  attempt @13 :AttemptId;
+  promptTokens @13 :Int64;
+  expectedTokens @14 :Int64;
 }
 
-# One entry's try at a request. A key may see several tries; a cancelled or refused one never starts, the next may.
-struct AttemptId {
-  entry @0 :UInt64;                # incarnation of the entry
-  serial @1 :UInt64;
+# Names one try at a request: only the agent incarnation named in it may start it, and only once.
+struct Ticket {
+  agent @0 :Text;
+  incarnation @1 :UInt64;
+  epoch @2 :UInt64;                # the agent's epoch as the minter last heard it
+  mintedBy @3 :UInt64;             # incarnation of the entry
+  serial @4 :UInt64;
+}
+
+# News of one request fingerprint and one crash of a backend server.
+struct Suspicion {
+  fingerprint @0 :UInt64;
+  crash @1 :UInt64;
+  isCleared @2 :Bool;
+  remainingMs @3 :UInt32;
+  hops @4 :UInt32;
 }
 
 struct ResponseHead {
@@ -81,12 +94,12 @@
   none @0;
   leaving @1;
   wrongIncarnation @2;
-  tombstone @3;                    # the key was cancelled before it started
+  tombstone @3;                    # it was cancelled before it started
   overloaded @4;
   engineDown @5;
   engineCrashed @6;
   deadline @7;
-  unknownKey @8;
+  tooOld @8;                       # what was known of it has been dropped
   answerNotHeld @9;                # it ran, but the bytes asked for are no longer buffered
   quarantined @10;
 }
@@ -95,6 +108,7 @@
   kind @0 :OutcomeKind;
   verdict @1 :Verdict;
   reason @2 :Reason;
+  crash @3 :UInt64;                # names the crash that broke it; 0 when the backend server has not crashed
 }
 
 # What an agent says of itself; sent in answer to every heartbeat.
@@ -104,22 +118,21 @@
   running @2 :UInt32;              # requests in progress at the engine
   queued @3 :UInt32;
   isEngineUp @4 :Bool;
-  pendingTokens @7 :Int64;         # work accepted and not done, of all entries
-  tokensPerSecond @8 :Float64;     # 0 when not known
-  suspects @5 :List(UInt64);       # fingerprints in flight when the engine last crashed
-  convicted @6 :List(UInt64);      # fingerprints refused as crashing
+  pendingTokens @5 :Int64;         # work accepted and not done, of all entries
+  tokensPerSecond @6 :Float64;     # 0 when not known
+  epoch @7 :UInt64;                # for the tickets that name this agent
+  suspicions @8 :List(Suspicion);
 }
 
 interface Agent {
-  # Identifies the agent and doubles as heartbeat. Suspects and convictions known to the entry travel with it.
-  report @0 (entry :Text, suspects :List(UInt64), convicted :List(UInt64)) -> (report :Report);
+  # Identifies the agent and doubles as heartbeat. What either end knows of crashes travels with it.
+  report @0 (entry :Text, suspicions :List(Suspicion)) -> (report :Report);
 
   # Starts a request, or attaches to it when its key is already known: handing the same request over again, on this or
   # another connection, never starts it twice. Frames from body offset `offset` on go to sink; the head comes first when
   # it is asked for.
   run @1 (request :Request, offset :UInt64, needsHead :Bool, sink :FrameSink) -> (outcome :Outcome);
 
-  # Gives a try up. One that had not started never will, and the verdict is notRun. A request that runs is stopped
-  # unless a later try has taken it over.
-  cancel @2 (key :Text, incarnation :UInt64, attempt :AttemptId) -> (verdict :Verdict);
+  # Gives a try up. One that had not started never will, and the verdict is notRun. One that runs is stopped.
+  cancel @2 (ticket :Ticket) -> (verdict :Verdict);
 }
--- a/src/rpc/agent.capnp.h
+++ b/src/rpc/agent.capnp.h
@@ -28,7 +28,8 @@
 CAPNP_DECLARE_ENUM(Verdict, a4e42933e1ed7e1b);
 CAPNP_DECLARE_SCHEMA(e9af32ddd54de181);
 CAPNP_DECLARE_SCHEMA(9ef0f5a797c9478f);
-CAPNP_DECLARE_SCHEMA(ba289c32fb1e232b);
+CAPNP_DECLARE_SCHEMA(c7a27ab67cca4bcb);
+CAPNP_DECLARE_SCHEMA(d4a9206b8ea2d784);
 CAPNP_DECLARE_SCHEMA(8fdb481226460212);
 CAPNP_DECLARE_SCHEMA(dff5e04771d70455);
 CAPNP_DECLARE_SCHEMA(fe0e25a89b211ef6);
@@ -53,7 +54,7 @@
   ENGINE_DOWN,
   ENGINE_CRASHED,
   DEADLINE,
-  UNKNOWN_KEY,
+  TOO_OLD,
   ANSWER_NOT_HELD,
   QUARANTINED,
 };
@@ -100,22 +101,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9ef0f5a797c9478f, 3, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(9ef0f5a797c9478f, 4, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct AttemptId {
-  AttemptId() = delete;
+struct Ticket {
+  Ticket() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ba289c32fb1e232b, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(c7a27ab67cca4bcb, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Suspicion {
+  Suspicion() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d4a9206b8ea2d784, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -232,7 +248,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e720d39dd8d53be9, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e720d39dd8d53be9, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -247,7 +263,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c7c74deee6d56848, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c7c74deee6d56848, 6, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -285,7 +301,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9e9ad6c49dbdaa01, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(9e9ad6c49dbdaa01, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -345,7 +361,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(90fa89e1871a3f1f, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(90fa89e1871a3f1f, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -480,7 +496,8 @@
   inline bool hasKey() const;
   inline  ::capnp::Text::Reader getKey() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline bool hasTicket() const;
+  inline  ::swiftloft::rpc::schema::Ticket::Reader getTicket() const;
 
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
@@ -510,8 +527,9 @@
 
   inline bool getRunsAlone() const;
 
-  inline bool hasAttempt() const;
-  inline  ::swiftloft::rpc::schema::AttemptId::Reader getAttempt() const;
+  inline  ::int64_t getPromptTokens() const;
+
+  inline  ::int64_t getExpectedTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -548,8 +566,12 @@
   inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline bool hasTicket();
+  inline  ::swiftloft::rpc::schema::Ticket::Builder getTicket();
+  inline void setTicket( ::swiftloft::rpc::schema::Ticket::Reader value);
+  inline  ::swiftloft::rpc::schema::Ticket::Builder initTicket();
+  inline void adoptTicket(::capnp::Orphan< ::swiftloft::rpc::schema::Ticket>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Ticket> disownTicket();
 
   inline bool hasService();
   inline  ::capnp::Text::Builder getService();
@@ -608,12 +630,11 @@
   inline bool getRunsAlone();
   inline void setRunsAlone(bool value);
 
-  inline bool hasAttempt();
-  inline  ::swiftloft::rpc::schema::AttemptId::Builder getAttempt();
-  inline void setAttempt( ::swiftloft::rpc::schema::AttemptId::Reader value);
-  inline  ::swiftloft::rpc::schema::AttemptId::Builder initAttempt();
-  inline void adoptAttempt(::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId>&& value);
-  inline ::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId> disownAttempt();
+  inline  ::int64_t getPromptTokens();
+  inline void setPromptTokens( ::int64_t value);
+
+  inline  ::int64_t getExpectedTokens();
+  inline void setExpectedTokens( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -633,7 +654,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::swiftloft::rpc::schema::AttemptId::Pipeline getAttempt();
+  inline  ::swiftloft::rpc::schema::Ticket::Pipeline getTicket();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -642,9 +663,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class AttemptId::Reader {
+class Ticket::Reader {
 public:
-  typedef AttemptId Reads;
+  typedef Ticket Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -659,7 +680,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getEntry() const;
+  inline bool hasAgent() const;
+  inline  ::capnp::Text::Reader getAgent() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint64_t getMintedBy() const;
 
   inline  ::uint64_t getSerial() const;
 
@@ -675,9 +703,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class AttemptId::Builder {
+class Ticket::Builder {
 public:
-  typedef AttemptId Builds;
+  typedef Ticket Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -691,8 +719,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getEntry();
-  inline void setEntry( ::uint64_t value);
+  inline bool hasAgent();
+  inline  ::capnp::Text::Builder getAgent();
+  inline void setAgent( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAgent(unsigned int size);
+  inline void adoptAgent(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAgent();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getMintedBy();
+  inline void setMintedBy( ::uint64_t value);
 
   inline  ::uint64_t getSerial();
   inline void setSerial( ::uint64_t value);
@@ -707,9 +748,105 @@
 };
 
 #if !CAPNP_LITE
-class AttemptId::Pipeline {
+class Ticket::Pipeline {
+public:
+  typedef Ticket Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Suspicion::Reader {
+public:
+  typedef Suspicion Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint() const;
+
+  inline  ::uint64_t getCrash() const;
+
+  inline bool getIsCleared() const;
+
+  inline  ::uint32_t getRemainingMs() const;
+
+  inline  ::uint32_t getHops() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Suspicion::Builder {
+public:
+  typedef Suspicion Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline  ::uint64_t getCrash();
+  inline void setCrash( ::uint64_t value);
+
+  inline bool getIsCleared();
+  inline void setIsCleared(bool value);
+
+  inline  ::uint32_t getRemainingMs();
+  inline void setRemainingMs( ::uint32_t value);
+
+  inline  ::uint32_t getHops();
+  inline void setHops( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Suspicion::Pipeline {
 public:
-  typedef AttemptId Pipelines;
+  typedef Suspicion Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1242,6 +1379,8 @@
 
   inline  ::swiftloft::rpc::schema::Reason getReason() const;
 
+  inline  ::uint64_t getCrash() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1279,6 +1418,9 @@
   inline  ::swiftloft::rpc::schema::Reason getReason();
   inline void setReason( ::swiftloft::rpc::schema::Reason value);
 
+  inline  ::uint64_t getCrash();
+  inline void setCrash( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1332,16 +1474,15 @@
 
   inline bool getIsEngineUp() const;
 
-  inline bool hasSuspects() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSuspects() const;
-
-  inline bool hasConvicted() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getConvicted() const;
-
   inline  ::int64_t getPendingTokens() const;
 
   inline double getTokensPerSecond() const;
 
+  inline  ::uint64_t getEpoch() const;
+
+  inline bool hasSuspicions() const;
+  inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader getSuspicions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1385,28 +1526,22 @@
   inline bool getIsEngineUp();
   inline void setIsEngineUp(bool value);
 
-  inline bool hasSuspects();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSuspects();
-  inline void setSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setSuspects(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSuspects(unsigned int size);
-  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSuspects();
-
-  inline bool hasConvicted();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getConvicted();
-  inline void setConvicted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setConvicted(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initConvicted(unsigned int size);
-  inline void adoptConvicted(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownConvicted();
-
   inline  ::int64_t getPendingTokens();
   inline void setPendingTokens( ::int64_t value);
 
   inline double getTokensPerSecond();
   inline void setTokensPerSecond(double value);
 
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline bool hasSuspicions();
+  inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder getSuspicions();
+  inline void setSuspicions( ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder initSuspicions(unsigned int size);
+  inline void adoptSuspicions(::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>> disownSuspicions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1518,11 +1653,8 @@
   inline bool hasEntry() const;
   inline  ::capnp::Text::Reader getEntry() const;
 
-  inline bool hasSuspects() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSuspects() const;
-
-  inline bool hasConvicted() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getConvicted() const;
+  inline bool hasSuspicions() const;
+  inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader getSuspicions() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1559,21 +1691,12 @@
   inline void adoptEntry(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownEntry();
 
-  inline bool hasSuspects();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSuspects();
-  inline void setSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setSuspects(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSuspects(unsigned int size);
-  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSuspects();
-
-  inline bool hasConvicted();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getConvicted();
-  inline void setConvicted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setConvicted(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initConvicted(unsigned int size);
-  inline void adoptConvicted(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownConvicted();
+  inline bool hasSuspicions();
+  inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder getSuspicions();
+  inline void setSuspicions( ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder initSuspicions(unsigned int size);
+  inline void adoptSuspicions(::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>> disownSuspicions();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1889,13 +2012,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
-
-  inline  ::uint64_t getIncarnation() const;
-
-  inline bool hasAttempt() const;
-  inline  ::swiftloft::rpc::schema::AttemptId::Reader getAttempt() const;
+  inline bool hasTicket() const;
+  inline  ::swiftloft::rpc::schema::Ticket::Reader getTicket() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1925,22 +2043,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline bool hasAttempt();
-  inline  ::swiftloft::rpc::schema::AttemptId::Builder getAttempt();
-  inline void setAttempt( ::swiftloft::rpc::schema::AttemptId::Reader value);
-  inline  ::swiftloft::rpc::schema::AttemptId::Builder initAttempt();
-  inline void adoptAttempt(::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId>&& value);
-  inline ::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId> disownAttempt();
+  inline bool hasTicket();
+  inline  ::swiftloft::rpc::schema::Ticket::Builder getTicket();
+  inline void setTicket( ::swiftloft::rpc::schema::Ticket::Reader value);
+  inline  ::swiftloft::rpc::schema::Ticket::Builder initTicket();
+  inline void adoptTicket(::capnp::Orphan< ::swiftloft::rpc::schema::Ticket>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Ticket> disownTicket();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1960,7 +2068,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::swiftloft::rpc::schema::AttemptId::Pipeline getAttempt();
+  inline  ::swiftloft::rpc::schema::Ticket::Pipeline getTicket();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2149,361 +2257,507 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Request::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Request::Reader::hasTicket() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Request::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Request::Builder::hasTicket() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Request::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::swiftloft::rpc::schema::Ticket::Reader Request::Reader::getTicket() const {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::swiftloft::rpc::schema::Ticket::Builder Request::Builder::getTicket() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::swiftloft::rpc::schema::Ticket::Pipeline Request::Pipeline::getTicket() {
+  return  ::swiftloft::rpc::schema::Ticket::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Request::Builder::setTicket( ::swiftloft::rpc::schema::Ticket::Reader value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::swiftloft::rpc::schema::Ticket::Builder Request::Builder::initTicket() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::adoptTicket(
+    ::capnp::Orphan< ::swiftloft::rpc::schema::Ticket>&& value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::swiftloft::rpc::schema::Ticket> Request::Builder::disownTicket() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Request::Reader::hasService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Text::Reader Request::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Text::Builder Request::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void Request::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Text::Builder Request::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void Request::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Request::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasOrganisation() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Text::Reader Request::Reader::getOrganisation() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Text::Builder Request::Builder::getOrganisation() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline void Request::Builder::setOrganisation( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Text::Builder Request::Builder::initOrganisation(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void Request::Builder::adoptOrganisation(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownOrganisation() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool Request::Reader::getIsRepeatable() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool Request::Builder::getIsRepeatable() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void Request::Builder::setIsRepeatable(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t Request::Reader::getRemainingMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t Request::Builder::getRemainingMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void Request::Builder::setRemainingMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::int16_t Request::Reader::getPriority() const {
   return _reader.getDataField< ::int16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline  ::int16_t Request::Builder::getPriority() {
   return _builder.getDataField< ::int16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void Request::Builder::setPriority( ::int16_t value) {
   _builder.setDataField< ::int16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t Request::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint64_t Request::Builder::getFingerprint() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void Request::Builder::setFingerprint( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Request::Reader::hasMethod() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasMethod() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Text::Reader Request::Reader::getMethod() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Text::Builder Request::Builder::getMethod() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void Request::Builder::setMethod( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Text::Builder Request::Builder::initMethod(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void Request::Builder::adoptMethod(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownMethod() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool Request::Reader::hasTarget() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasTarget() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Text::Reader Request::Reader::getTarget() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Text::Builder Request::Builder::getTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 inline void Request::Builder::setTarget( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Text::Builder Request::Builder::initTarget(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void Request::Builder::adoptTarget(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool Request::Reader::hasHeaders() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasHeaders() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Reader Request::Reader::getHeaders() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Builder Request::Builder::getHeaders() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 inline void Request::Builder::setHeaders( ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Builder Request::Builder::initHeaders(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
 inline void Request::Builder::adoptHeaders(
     ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>> Request::Builder::disownHeaders() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
 inline bool Request::Reader::hasBody() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
 inline bool Request::Builder::hasBody() {
   return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Data::Reader Request::Reader::getBody() const {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Data::Builder Request::Builder::getBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 inline void Request::Builder::setBody( ::capnp::Data::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Data::Builder Request::Builder::initBody(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
 inline void Request::Builder::adoptBody(
     ::capnp::Orphan< ::capnp::Data>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Data> Request::Builder::disownBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
 inline bool Request::Reader::getRunsAlone() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline bool Request::Builder::getRunsAlone() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void Request::Builder::setRunsAlone(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Request::Reader::getPromptTokens() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Request::Builder::getPromptTokens() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setPromptTokens( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Request::Reader::hasAttempt() const {
+inline  ::int64_t Request::Reader::getExpectedTokens() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Request::Builder::getExpectedTokens() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setExpectedTokens( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Ticket::Reader::hasAgent() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Request::Builder::hasAttempt() {
+inline bool Ticket::Builder::hasAgent() {
   return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::swiftloft::rpc::schema::AttemptId::Reader Request::Reader::getAttempt() const {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Ticket::Reader::getAgent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::swiftloft::rpc::schema::AttemptId::Builder Request::Builder::getAttempt() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Ticket::Builder::getAgent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::swiftloft::rpc::schema::AttemptId::Pipeline Request::Pipeline::getAttempt() {
-  return  ::swiftloft::rpc::schema::AttemptId::Pipeline(_typeless.getPointerField(7));
+inline void Ticket::Builder::setAgent( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-#endif  // !CAPNP_LITE
-inline void Request::Builder::setAttempt( ::swiftloft::rpc::schema::AttemptId::Reader value) {
-  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder Ticket::Builder::initAgent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline  ::swiftloft::rpc::schema::AttemptId::Builder Request::Builder::initAttempt() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline void Ticket::Builder::adoptAgent(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Request::Builder::adoptAttempt(
-    ::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId>&& value) {
-  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::capnp::Text> Ticket::Builder::disownAgent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId> Request::Builder::disownAttempt() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Ticket::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Ticket::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Ticket::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t AttemptId::Reader::getEntry() const {
+inline  ::uint64_t Ticket::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Ticket::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Ticket::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Ticket::Reader::getMintedBy() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Ticket::Builder::getMintedBy() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Ticket::Builder::setMintedBy( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Ticket::Reader::getSerial() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Ticket::Builder::getSerial() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Ticket::Builder::setSerial( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Suspicion::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t AttemptId::Builder::getEntry() {
+inline  ::uint64_t Suspicion::Builder::getFingerprint() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AttemptId::Builder::setEntry( ::uint64_t value) {
+inline void Suspicion::Builder::setFingerprint( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t AttemptId::Reader::getSerial() const {
+inline  ::uint64_t Suspicion::Reader::getCrash() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t AttemptId::Builder::getSerial() {
+inline  ::uint64_t Suspicion::Builder::getCrash() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void AttemptId::Builder::setSerial( ::uint64_t value) {
+inline void Suspicion::Builder::setCrash( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Suspicion::Reader::getIsCleared() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Suspicion::Builder::getIsCleared() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Suspicion::Builder::setIsCleared(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Suspicion::Reader::getRemainingMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Suspicion::Builder::getRemainingMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Suspicion::Builder::setRemainingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Suspicion::Reader::getHops() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Suspicion::Builder::getHops() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Suspicion::Builder::setHops( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint16_t ResponseHead::Reader::getStatus() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2904,6 +3158,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Outcome::Reader::getCrash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Outcome::Builder::getCrash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Outcome::Builder::setCrash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Report::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2974,82 +3242,6 @@
       ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Report::Reader::hasSuspects() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Report::Builder::hasSuspects() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Report::Reader::getSuspects() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Report::Builder::getSuspects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Report::Builder::setSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline void Report::Builder::setSuspects(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Report::Builder::initSuspects(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Report::Builder::adoptSuspects(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Report::Builder::disownSuspects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Report::Reader::hasConvicted() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Report::Builder::hasConvicted() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Report::Reader::getConvicted() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Report::Builder::getConvicted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Report::Builder::setConvicted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void Report::Builder::setConvicted(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Report::Builder::initConvicted(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Report::Builder::adoptConvicted(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Report::Builder::disownConvicted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
 inline  ::int64_t Report::Reader::getPendingTokens() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
@@ -3078,6 +3270,54 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Report::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Report::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Report::Reader::hasSuspicions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasSuspicions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader Report::Reader::getSuspicions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder Report::Builder::getSuspicions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setSuspicions( ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder Report::Builder::initSuspicions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptSuspicions(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>> Report::Builder::disownSuspicions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Agent::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -3136,82 +3376,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Agent::ReportParams::Reader::hasSuspects() const {
+inline bool Agent::ReportParams::Reader::hasSuspicions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::ReportParams::Builder::hasSuspects() {
+inline bool Agent::ReportParams::Builder::hasSuspicions() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Agent::ReportParams::Reader::getSuspects() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader Agent::ReportParams::Reader::getSuspicions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Agent::ReportParams::Builder::getSuspects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder Agent::ReportParams::Builder::getSuspicions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Agent::ReportParams::Builder::setSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void Agent::ReportParams::Builder::setSuspicions( ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void Agent::ReportParams::Builder::setSuspects(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Agent::ReportParams::Builder::initSuspects(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder Agent::ReportParams::Builder::initSuspicions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Agent::ReportParams::Builder::adoptSuspects(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+inline void Agent::ReportParams::Builder::adoptSuspicions(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Agent::ReportParams::Builder::disownSuspects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>> Agent::ReportParams::Builder::disownSuspicions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Agent::ReportParams::Reader::hasConvicted() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Agent::ReportParams::Builder::hasConvicted() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Agent::ReportParams::Reader::getConvicted() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Agent::ReportParams::Builder::getConvicted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Agent::ReportParams::Builder::setConvicted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline void Agent::ReportParams::Builder::setConvicted(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Agent::ReportParams::Builder::initConvicted(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void Agent::ReportParams::Builder::adoptConvicted(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Agent::ReportParams::Builder::disownConvicted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
 inline bool Agent::ReportResults::Reader::hasReport() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3396,91 +3594,43 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Agent::CancelParams::Reader::hasKey() const {
+inline bool Agent::CancelParams::Reader::hasTicket() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::CancelParams::Builder::hasKey() {
+inline bool Agent::CancelParams::Builder::hasTicket() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Agent::CancelParams::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::swiftloft::rpc::schema::Ticket::Reader Agent::CancelParams::Reader::getTicket() const {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Agent::CancelParams::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::swiftloft::rpc::schema::Ticket::Builder Agent::CancelParams::Builder::getTicket() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Agent::CancelParams::Builder::setKey( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Agent::CancelParams::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Agent::CancelParams::Builder::adoptKey(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Agent::CancelParams::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t Agent::CancelParams::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Agent::CancelParams::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Agent::CancelParams::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Agent::CancelParams::Reader::hasAttempt() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Agent::CancelParams::Builder::hasAttempt() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::swiftloft::rpc::schema::AttemptId::Reader Agent::CancelParams::Reader::getAttempt() const {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::swiftloft::rpc::schema::AttemptId::Builder Agent::CancelParams::Builder::getAttempt() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
 #if !CAPNP_LITE
-inline  ::swiftloft::rpc::schema::AttemptId::Pipeline Agent::CancelParams::Pipeline::getAttempt() {
-  return  ::swiftloft::rpc::schema::AttemptId::Pipeline(_typeless.getPointerField(1));
+inline  ::swiftloft::rpc::schema::Ticket::Pipeline Agent::CancelParams::Pipeline::getTicket() {
+  return  ::swiftloft::rpc::schema::Ticket::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Agent::CancelParams::Builder::setAttempt( ::swiftloft::rpc::schema::AttemptId::Reader value) {
-  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Agent::CancelParams::Builder::setTicket( ::swiftloft::rpc::schema::Ticket::Reader value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::swiftloft::rpc::schema::AttemptId::Builder Agent::CancelParams::Builder::initAttempt() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::swiftloft::rpc::schema::Ticket::Builder Agent::CancelParams::Builder::initTicket() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Agent::CancelParams::Builder::adoptAttempt(
-    ::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId>&& value) {
-  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Agent::CancelParams::Builder::adoptTicket(
+    ::capnp::Orphan< ::swiftloft::rpc::schema::Ticket>&& value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId> Agent::CancelParams::Builder::disownAttempt() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::swiftloft::rpc::schema::Ticket> Agent::CancelParams::Builder::disownTicket() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline  ::swiftloft::rpc::schema::Verdict Agent::CancelResults::Reader::getVerdict() const {
--- /dev/null
+++ b/src/rpc/convert.cc
@@ -0,0 +1,71 @@
+#include "src/rpc/convert.h"
+
+namespace swiftloft::rpc {
+
+std::string toString(capnp::Text::Reader text)
+{
+    return { text.begin(), text.size() };
+}
+
+kj::StringPtr toText(const std::string& text)
+{
+    return { text.data(), text.size() };
+}
+
+Verdict toVerdict(schema::Verdict verdict)
+{
+    switch (verdict) {
+    case schema::Verdict::NOT_RUN:
+        return Verdict::NotRun;
+    case schema::Verdict::RAN:
+        return Verdict::Ran;
+    default:
+        return Verdict::MayHaveRun;
+    }
+}
+
+schema::Verdict toSchema(Verdict verdict)
+{
+    switch (verdict) {
+    case Verdict::NotRun:
+        return schema::Verdict::NOT_RUN;
+    case Verdict::Ran:
+        return schema::Verdict::RAN;
+    case Verdict::MayHaveRun:
+        break;
+    }
+    return schema::Verdict::MAY_HAVE_RUN;
+}
+
+policy::Ticket toTicket(schema::Ticket::Reader from)
+{
+    policy::Ticket ticket;
+    ticket.agent = BackendServerId(toString(from.getAgent()));
+    ticket.agentIncarnation = Incarnation(from.getIncarnation());
+    ticket.epoch = policy::MintEpoch(from.getEpoch());
+    ticket.mintedBy = Incarnation(from.getMintedBy());
+    ticket.serial = from.getSerial();
+    return ticket;
+}
+
+void fill(schema::Ticket::Builder to, const policy::Ticket& from)
+{
+    to.setAgent(toText(from.agent.value()));
+    to.setIncarnation(from.agentIncarnation.value());
+    to.setEpoch(from.epoch.value());
+    to.setMintedBy(from.mintedBy.value());
+    to.setSerial(from.serial);
+}
+
+std::vector<policy::SuspicionMessage> toSuspicions(capnp::List<schema::Suspicion>::Reader from)
+{
+    std::vector<policy::SuspicionMessage> messages;
+    for (auto it : from) {
+        if (messages.size() == mostSuspicions)
+            break;
+        messages.push_back({ Fingerprint(it.getFingerprint()), policy::CrashId(it.getCrash()), it.getIsCleared(), milliseconds(it.getRemainingMs()), it.getHops() });
+    }
+    return messages;
+}
+
+} // namespace swiftloft::rpc
