--- a/src/agent/daemon.cc
+++ b/src/agent/daemon.cc
@@ -9,12 +9,16 @@
 namespace {
 
 constexpr milliseconds tickInterval { 100 };
+/// How long after its first use a client's own key is kept from running again; docs/REFERENCE.md promises it.
+constexpr seconds keyRetention { 120 };
 
 ReducerOptions reducerOptions(const process::ProcessConfig& config, Incarnation incarnation)
 {
     ReducerOptions options;
     options.self = BackendServerId(config.id);
     options.incarnation = incarnation;
+    options.claims.refusesWhileYoung = !config.isFirstStart;
+    options.claims.retention = keyRetention;
     return options;
 }
 
@@ -53,6 +57,9 @@
 {
     daemon::FleetControl::Hooks hooks;
     hooks.onSettings = [](Revision, const settings::Tree&) {};
+    hooks.onViewChanged = [this](const std::shared_ptr<const membership::View>& view) {
+        apply(ListLearned { policy::ListRevision(view->listRevision.value()), Clock::now() });
+    };
     hooks.onLeaving = [this] { apply(LeaveRequested { Clock::now() }); };
     m_fleetControl = std::make_unique<daemon::FleetControl>(m_control, m_config, membership::Role::Agent, m_incarnation, std::move(hooks));
 }
--- a/src/agent/engine-monitor.cc
+++ b/src/agent/engine-monitor.cc
@@ -8,6 +8,8 @@
 #include <boost/beast/http.hpp>
 #include <boost/json/parse.hpp>
 
+#include <algorithm>
+
 namespace swiftloft::agent {
 
 namespace asio = boost::asio;
@@ -20,6 +22,14 @@
 constexpr milliseconds pollInterval { 200 };
 constexpr milliseconds answerLimit { 1500 };
 constexpr unsigned httpVersion11 = 11;
+/// Weight of the newest report in the running mean of an engine's speed.
+constexpr double speedWeight = 0.2;
+
+double numberIn(const boost::json::object& object, const char* name)
+{
+    auto value = object.if_contains(name);
+    return value && value->is_number() ? value->to_number<double>() : 0;
+}
 
 } // namespace
 
@@ -60,21 +70,30 @@
         beast::flat_buffer buf;
         http::response<http::string_body> response;
         co_await http::async_read(stream, buf, response, use_awaitable);
-        m_tokensPerSecond = speedIn(response.body());
+        learnSpeed(response.body());
         co_return State::Up;
     } catch (const boost::system::system_error& error) {
         co_return error.code() == beast::error::timeout ? State::Silent : State::Gone;
     }
 }
 
-// A plain server has no load page; whatever it answers, it is up.
-double EngineMonitor::speedIn(const std::string& body)
+// Engines report what they turn out now, which is little while little runs. The speed that says how long a backlog takes
+// is that of a full batch: tokens a second of one request, times the batch. A plain server has no load page; whatever it
+// answers, it is up.
+void EngineMonitor::learnSpeed(const std::string& body)
 {
     boost::json::error_code ec;
     auto value = boost::json::parse(body, ec);
     auto object = ec ? nullptr : value.if_object();
-    auto speed = object ? object->if_contains("tokens_per_second") : nullptr;
-    return speed && speed->is_number() ? speed->to_number<double>() : 0;
+    if (!object)
+        return;
+    auto running = numberIn(*object, "running");
+    auto batch = numberIn(*object, "batch");
+    auto now = numberIn(*object, "tokens_per_second");
+    if (running <= 0 || batch <= 0 || now <= 0)
+        return;
+    auto full = now / std::min(running, batch) * batch;
+    m_tokensPerSecond = m_tokensPerSecond <= 0 ? full : m_tokensPerSecond + speedWeight * (full - m_tokensPerSecond);
 }
 
 void EngineMonitor::enter(State state, TimePoint probedAt)
--- a/src/agent/engine-monitor.h
+++ b/src/agent/engine-monitor.h
@@ -34,7 +34,7 @@
     boost::asio::awaitable<void> poll();
     boost::asio::awaitable<State> probe();
     void enter(State state, TimePoint probedAt);
-    static double speedIn(const std::string& body);
+    void learnSpeed(const std::string& body);
 
     boost::asio::io_context& m_ioContext;
     boost::asio::ip::tcp::endpoint m_engine;
--- a/src/agent/events.h
+++ b/src/agent/events.h
@@ -3,12 +3,14 @@
 #include "src/rpc/agent.capnp.h"
 
 #include <swiftloft/ids.h>
+#include <swiftloft/policy/claim.h>
 #include <swiftloft/policy/crash-quarantine.h>
 #include <swiftloft/policy/ticket.h>
 #include <swiftloft/units.h>
 #include <swiftloft/verdict.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -35,6 +37,25 @@
     Tokens work;
     TimePoint deadline;
     TimePoint now;
+    /// For a request under a client's own key that may not run twice.
+    std::optional<policy::ClaimRequest> claim;
+    bool attachesOnly { false };
+};
+
+struct ClaimRequested {
+    CallId call;
+    policy::ClaimRequest request;
+    TimePoint now;
+};
+
+struct ClaimReleased {
+    policy::ClaimRequest request;
+};
+
+/// An instance list was learned, from the platform or from a peer.
+struct ListLearned {
+    policy::ListRevision revision;
+    TimePoint now;
 };
 
 struct CancelRequested {
@@ -88,7 +109,7 @@
     TimePoint now;
 };
 
-using Event = std::variant<RunRequested, CancelRequested, RunEnded, EngineUp, EngineDown, SuspicionsHeard, LeaveRequested, Tick>;
+using Event = std::variant<RunRequested, ClaimRequested, ClaimReleased, ListLearned, CancelRequested, RunEnded, EngineUp, EngineDown, SuspicionsHeard, LeaveRequested, Tick>;
 
 /// Makes the request of `call` ready. It goes to the engine at once, or, while it `isHeld`, with `ReleaseRun`.
 struct StartRun {
@@ -119,6 +140,11 @@
     Verdict verdict;
 };
 
+struct AnswerClaim {
+    CallId call;
+    policy::ClaimReply reply;
+};
+
 struct StopRun {
     RunId run;
 };
@@ -153,7 +179,7 @@
     std::vector<policy::SuspicionMessage> suspicions;
 };
 
-using Effect = std::variant<StartRun, ReleaseRun, AttachCall, RefuseCall, AnswerCancel, StopRun, ProbeEngine, ConcludeRun, ForgetRun, Finish, PublishReport>;
+using Effect = std::variant<StartRun, ReleaseRun, AttachCall, RefuseCall, AnswerCancel, AnswerClaim, StopRun, ProbeEngine, ConcludeRun, ForgetRun, Finish, PublishReport>;
 using Effects = std::vector<Effect>;
 
 } // namespace swiftloft::agent
--- a/src/agent/reducer.cc
+++ b/src/agent/reducer.cc
@@ -17,13 +17,17 @@
     auto quarantine = policy::CrashQuarantine::create(options.quarantine);
     if (!quarantine)
         return quarantine.error();
-    return Reducer(std::move(options), std::move(*dedup), std::move(*quarantine));
+    auto claims = policy::ClaimDesk::create(options.claims, options.incarnation, now);
+    if (!claims)
+        return claims.error();
+    return Reducer(std::move(options), std::move(*dedup), std::move(*quarantine), std::move(*claims));
 }
 
-Reducer::Reducer(ReducerOptions options, policy::DedupTable dedup, policy::CrashQuarantine quarantine)
+Reducer::Reducer(ReducerOptions options, policy::DedupTable dedup, policy::CrashQuarantine quarantine, policy::ClaimDesk claims)
     : m_options(std::move(options))
     , m_dedup(std::move(dedup))
     , m_quarantine(std::move(quarantine))
+    , m_claims(std::move(claims))
 {
 }
 
@@ -60,7 +64,8 @@
 {
     auto run = runIdOf(event.ticket);
     auto isAlone = mustRunAlone(event);
-    auto reason = m_runs.contains(run) ? Reason::NONE : reasonToRefuse(event, isAlone);
+    auto mayStart = !m_runs.contains(run) && !event.attachesOnly;
+    auto reason = mayStart ? reasonToRefuse(event, isAlone) : Reason::NONE;
     if (reason != Reason::NONE) {
         // "Not run" may be said only when a copy of this call, late in some connection's buffer, can't start it either.
         // The cancel leaves that mark, or says that the request has run already.
@@ -70,6 +75,8 @@
             return;
         }
     }
+    if (event.claim && settleClaim(event, effects))
+        return;
     auto result = m_dedup.start(event.ticket);
     switch (result.answer) {
     case policy::StartAnswer::Run:
@@ -83,6 +90,55 @@
     }
 }
 
+// A client's own key says nothing of who may run it, so the claim decides: it was granted here, to this entry, by this
+// incarnation, and has not ended. Without it a resend through another entry would run the request again.
+bool Reducer::settleClaim(const RunRequested& event, Effects& effects)
+{
+    auto& claim = *event.claim;
+    if (event.attachesOnly) {
+        attachToKey(event, effects);
+        return true;
+    }
+    if (event.ticket.agentIncarnation != m_options.incarnation)
+        return false;
+    switch (m_claims.onRun(claim.key, claim.claim, m_options.incarnation, event.now)) {
+    case policy::RunAnswer::Run:
+        return false;
+    case policy::RunAnswer::AlreadyRunning:
+    case policy::RunAnswer::AlreadyFinished:
+        attachToKey(event, effects);
+        return true;
+    case policy::RunAnswer::NotClaimed:
+        break;
+    }
+    effects.push_back(RefuseCall { event.call, Verdict::MayHaveRun, Reason::NOT_CLAIMED });
+    return true;
+}
+
+void Reducer::attachToKey(const RunRequested& event, Effects& effects) const
+{
+    auto it = m_runOfKey.find(event.claim->key);
+    if (it != m_runOfKey.end())
+        effects.push_back(AttachCall { event.call, it->second });
+    else
+        effects.push_back(RefuseCall { event.call, m_claims.outcomeOf(event.claim->key).value_or(Verdict::MayHaveRun), Reason::ANSWER_NOT_HELD });
+}
+
+void Reducer::on(const ClaimRequested& event, Effects& effects)
+{
+    effects.push_back(AnswerClaim { event.call, m_claims.onClaim(event.request, event.now) });
+}
+
+void Reducer::on(const ClaimReleased& event, Effects&)
+{
+    m_claims.onRelease(event.request.key, event.request.claim);
+}
+
+void Reducer::on(const ListLearned& event, Effects&)
+{
+    m_claims.onList(event.revision, event.now);
+}
+
 void Reducer::refuseStart(const RunRequested& event, policy::StartResult result, Effects& effects) const
 {
     auto reason = Reason::TOO_OLD;
@@ -99,7 +155,12 @@
 {
     auto id = runIdOf(event.ticket);
     auto isHeld = isAlone && !m_runs.empty();
-    m_runs.emplace(id, Run { event.ticket, event.fingerprint, event.work, event.deadline, isAlone, isHeld });
+    Run run { event.ticket, event.fingerprint, event.work, event.deadline, isAlone, isHeld };
+    if (event.claim) {
+        run.clientKey = event.claim->key;
+        m_runOfKey[event.claim->key] = id;
+    }
+    m_runs.emplace(id, std::move(run));
     m_pending += event.work;
     if (isAlone) {
         m_alone = id;
@@ -126,7 +187,9 @@
     m_runs.erase(it);
     m_pending -= run.work;
     m_dedup.finish(run.ticket, event.end == RunEnd::Answered ? Verdict::Ran : Verdict::MayHaveRun);
-    m_answers.push_back({ event.run, event.now + m_options.keepAnswers });
+    if (run.clientKey)
+        m_claims.onFinish(*run.clientKey, event.end == RunEnd::Answered ? Verdict::Ran : Verdict::MayHaveRun, event.now);
+    m_answers.push_back({ event.run, event.now + m_options.keepAnswers, run.clientKey });
     if (run.isAlone) {
         m_alone.reset();
         m_quarantine.onEndAlone(run.fingerprint);
@@ -229,6 +292,7 @@
     auto epoch = m_dedup.epoch();
     m_dedup.tick(event.now);
     m_quarantine.tick(event.now);
+    m_claims.tick(event.now);
     forgetExpired(event.now, effects);
     stopLateHeld(event.now, effects);
     if (m_dedup.epoch() != epoch || !m_quarantine.empty())
@@ -239,6 +303,8 @@
 {
     while (!m_answers.empty() && (m_answers.front().expires <= now || m_answers.size() > m_options.mostAnswers)) {
         effects.push_back(ForgetRun { m_answers.front().run });
+        if (m_answers.front().clientKey)
+            m_runOfKey.erase(*m_answers.front().clientKey);
         m_answers.pop_front();
     }
 }
--- a/src/agent/reducer.h
+++ b/src/agent/reducer.h
@@ -2,6 +2,7 @@
 
 #include "src/agent/events.h"
 
+#include <swiftloft/policy/claim-desk.h>
 #include <swiftloft/policy/crash-quarantine.h>
 #include <swiftloft/policy/dedup-table.h>
 #include <swiftloft/result.h>
@@ -22,6 +23,7 @@
     std::size_t mostAnswers { 2000 };
     policy::DedupTableOptions dedup;
     policy::CrashQuarantineOptions quarantine;
+    policy::ClaimDeskOptions claims;
 };
 
 /// All decisions of an agent about requests: State x Event -> Effects, on the control thread.
@@ -48,11 +50,13 @@
         TimePoint deadline;
         bool isAlone { false };
         bool isHeld { false };
+        std::optional<policy::ClientKey> clientKey;
     };
 
     struct KeptAnswer {
         RunId run;
         TimePoint expires;
+        std::optional<policy::ClientKey> clientKey;
     };
 
     /// A request that broke; whether the engine crashed with it is not known yet.
@@ -62,9 +66,12 @@
         TimePoint at;
     };
 
-    Reducer(ReducerOptions options, policy::DedupTable dedup, policy::CrashQuarantine quarantine);
+    Reducer(ReducerOptions options, policy::DedupTable dedup, policy::CrashQuarantine quarantine, policy::ClaimDesk claims);
 
     void on(const RunRequested& event, Effects& effects);
+    void on(const ClaimRequested& event, Effects& effects);
+    void on(const ClaimReleased& event, Effects& effects);
+    void on(const ListLearned& event, Effects& effects);
     void on(const CancelRequested& event, Effects& effects);
     void on(const RunEnded& event, Effects& effects);
     void on(const EngineUp& event, Effects& effects);
@@ -76,6 +83,9 @@
     Reason reasonToRefuse(const RunRequested& event, bool runsAlone) const;
     bool mustRunAlone(const RunRequested& event) const;
     void begin(const RunRequested& event, bool isAlone, Effects& effects);
+    /// True when a claim settles what becomes of the call; false when it may go on to start.
+    bool settleClaim(const RunRequested& event, Effects& effects);
+    void attachToKey(const RunRequested& event, Effects& effects) const;
     void refuseStart(const RunRequested& event, policy::StartResult result, Effects& effects) const;
     void releaseHeld(Effects& effects);
     void stopLateHeld(TimePoint now, Effects& effects) const;
@@ -88,6 +98,9 @@
     ReducerOptions m_options;
     policy::DedupTable m_dedup;
     policy::CrashQuarantine m_quarantine;
+    policy::ClaimDesk m_claims;
+    /// Runs and kept answers of client keys.
+    std::unordered_map<policy::ClientKey, RunId> m_runOfKey;
     std::unordered_map<RunId, Run> m_runs;
     /// The run that has, or waits for, the engine to itself.
     std::optional<RunId> m_alone;
--- a/src/agent/service.cc
+++ b/src/agent/service.cc
@@ -58,6 +58,13 @@
 
     kj::Promise<void> run(RunContext context) override { return m_service.run(context); }
     kj::Promise<void> cancel(CancelContext context) override { return m_service.cancel(context); }
+    kj::Promise<void> claim(ClaimContext context) override { return m_service.claim(context); }
+
+    kj::Promise<void> release(ReleaseContext context) override
+    {
+        m_service.release(context.getParams().getClaim());
+        return kj::READY_NOW;
+    }
 
 private:
     Service& m_service;
@@ -111,6 +118,9 @@
     event.work = Tokens(request.getPromptTokens()) + Tokens(request.getExpectedTokens());
     event.deadline = now + milliseconds(request.getRemainingMs());
     event.now = now;
+    if (request.hasClaim())
+        event.claim = rpc::toClaim(request.getClaim());
+    event.attachesOnly = request.getAttachesOnly() && event.claim;
     m_post(std::move(event));
     context.releaseParams();
     // When the entry's connection goes, the promise and with it this guard are dropped: the pump must stop, while the
@@ -136,6 +146,20 @@
     return answer.promise.then([context](Verdict verdict) mutable { context.getResults().setVerdict(rpc::toSchema(verdict)); });
 }
 
+kj::Promise<void> Service::claim(ClaimContext context)
+{
+    auto id = nextCall();
+    auto answer = kj::newPromiseAndFulfiller<policy::ClaimReply>();
+    m_claims.emplace(id, kj::mv(answer.fulfiller));
+    m_post(ClaimRequested { id, rpc::toClaim(context.getParams().getClaim()), Clock::now() });
+    return answer.promise.then([context](policy::ClaimReply reply) mutable { rpc::fill(context.getResults().initReply(), reply); });
+}
+
+void Service::release(rpc::schema::Claim::Reader claim)
+{
+    m_post(ClaimReleased { rpc::toClaim(claim) });
+}
+
 void Service::perform(const Effect& effect)
 {
     std::visit([this](auto& it) { on(it); }, effect);
@@ -212,6 +236,13 @@
     m_cancels.erase(it);
 }
 
+void Service::on(const AnswerClaim& effect)
+{
+    auto it = m_claims.find(effect.call);
+    it->second->fulfill(kj::cp(effect.reply));
+    m_claims.erase(it);
+}
+
 void Service::on(const StopRun& effect)
 {
     auto it = m_runs.find(effect.run);
--- a/src/agent/service.h
+++ b/src/agent/service.h
@@ -38,6 +38,7 @@
 private:
     using RunContext = capnp::CallContext<rpc::schema::Agent::RunParams, rpc::schema::Agent::RunResults>;
     using ReportContext = capnp::CallContext<rpc::schema::Agent::ReportParams, rpc::schema::Agent::ReportResults>;
+    using ClaimContext = capnp::CallContext<rpc::schema::Agent::ClaimParams, rpc::schema::Agent::ClaimResults>;
     using CancelContext = capnp::CallContext<rpc::schema::Agent::CancelParams, rpc::schema::Agent::CancelResults>;
 
     class Server;
@@ -45,6 +46,8 @@
 
     kj::Promise<void> run(RunContext context);
     kj::Promise<void> cancel(CancelContext context);
+    kj::Promise<void> claim(ClaimContext context);
+    void release(rpc::schema::Claim::Reader claim);
     void report(ReportContext context);
 
     void on(const StartRun& effect);
@@ -52,6 +55,7 @@
     void on(const AttachCall& effect);
     void on(const RefuseCall& effect);
     void on(const AnswerCancel& effect);
+    void on(const AnswerClaim& effect);
     void on(const StopRun& effect);
     void on(const ProbeEngine&) { }
     void on(const ConcludeRun& effect);
@@ -73,6 +77,7 @@
     std::uint64_t m_lastCall { 0 };
     std::unordered_map<CallId, std::shared_ptr<Call>> m_calls;
     std::unordered_map<CallId, kj::Own<kj::PromiseFulfiller<Verdict>>> m_cancels;
+    std::unordered_map<CallId, kj::Own<kj::PromiseFulfiller<policy::ClaimReply>>> m_claims;
     std::unordered_map<RunId, std::shared_ptr<Run>> m_runs;
     PublishReport m_report;
     std::size_t m_attached { 0 };
--- a/src/entry/agent-link.cc
+++ b/src/entry/agent-link.cc
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::size_t mostBackgroundCalls = 256;
+
 AgentReport toReport(rpc::schema::Report::Reader from)
 {
     AgentReport report;
@@ -39,7 +41,22 @@
     TimePoint nextHeartbeat {};
     kj::Promise<void> heartbeat { nullptr };
     kj::Promise<void> disconnect { nullptr };
-    std::vector<kj::Promise<void>> cancels;
+    /// Calls whose answers nobody waits for.
+    std::vector<kj::Promise<void>> background;
+};
+
+struct AgentLink::PendingClaim {
+    TimePoint deadline;
+    OnClaimReply onReply;
+    kj::Promise<void> call { nullptr };
+
+    void answer(std::optional<policy::ClaimReply> reply)
+    {
+        auto hook = std::move(onReply);
+        onReply = nullptr;
+        if (hook)
+            hook(std::move(reply));
+    }
 };
 
 AgentLink::AgentLink(boost::asio::io_context& ioContext, boost::asio::ip::tcp::endpoint endpoint, AgentLinkOptions options, Hooks hooks)
@@ -68,6 +85,7 @@
     m_attempts.clear();
     for (auto& attempt : attempts)
         attempt->end(AttemptEnd::Lost, Verdict::MayHaveRun, AttemptReason::Other);
+    endClaims(TimePoint::max());
     m_candidate.reset();
     m_current.reset();
 }
@@ -93,7 +111,48 @@
         return;
     auto call = m_current->agent.cancelRequest();
     rpc::fill(call.initTicket(), attempt->order().ticket);
-    m_current->cancels.push_back(call.send().ignoreResult().eagerlyEvaluate([](kj::Exception&&) {}));
+    m_current->background.push_back(call.send().ignoreResult().eagerlyEvaluate([](kj::Exception&&) {}));
+}
+
+void AgentLink::claim(const policy::ClaimRequest& request, TimePoint deadline, OnClaimReply onReply)
+{
+    if (!m_current || m_loseAt)
+        return onReply(std::nullopt);
+    auto pending = std::make_shared<PendingClaim>();
+    pending->deadline = deadline;
+    pending->onReply = std::move(onReply);
+    auto call = m_current->agent.claimRequest();
+    rpc::fill(call.initClaim(), request);
+    auto weak = std::weak_ptr(pending);
+    pending->call = call.send().then(
+                                   [weak, id = request.claim](auto&& answer) {
+                                       if (auto pending = weak.lock())
+                                           pending->answer(rpc::toClaimReply(answer.getReply(), id));
+                                   },
+                                   [weak](kj::Exception&&) {
+                                       if (auto pending = weak.lock())
+                                           pending->answer(std::nullopt);
+                                   })
+                        .eagerlyEvaluate(nullptr);
+    m_claims.push_back(std::move(pending));
+}
+
+void AgentLink::endClaims(TimePoint passed)
+{
+    for (auto& pending : std::vector(m_claims)) {
+        if (pending->deadline <= passed)
+            pending->answer(std::nullopt);
+    }
+    std::erase_if(m_claims, [](auto& pending) { return !pending->onReply; });
+}
+
+void AgentLink::release(const policy::ClaimRequest& request)
+{
+    if (!m_current)
+        return;
+    auto call = m_current->agent.releaseRequest();
+    rpc::fill(call.initClaim(), request);
+    m_current->background.push_back(call.send().ignoreResult().eagerlyEvaluate([](kj::Exception&&) {}));
 }
 
 void AgentLink::setSuspicions(std::vector<policy::SuspicionMessage> suspicions, bool isUrgent)
@@ -109,6 +168,7 @@
     auto now = Clock::now();
     checkHeartbeat(now);
     loseExpired(now);
+    endClaims(now);
     m_timer.expires_at(now + m_options.heartbeatInterval / 5);
     m_timer.async_wait([self = shared_from_this()](boost::system::error_code) {
         if (!self->m_isStopped)
@@ -129,7 +189,8 @@
             connect();
         return;
     }
-    m_current->cancels.clear();
+    if (m_current->background.size() > mostBackgroundCalls)
+        m_current->background.clear();
     if (!m_current->heartbeatDeadline && m_current->nextHeartbeat <= now)
         sendHeartbeat(*m_current, now);
 }
--- a/src/entry/agent-link.h
+++ b/src/entry/agent-link.h
@@ -43,6 +43,12 @@
 
     /// Hands a try over. Without a connection it ends at once, as not run.
     void begin(std::shared_ptr<Attempt> attempt);
+    using OnClaimReply = std::function<void(std::optional<policy::ClaimReply>)>;
+    /// Claims a client's key. `onReply` gets nothing when the agent can't be reached or does not answer by `deadline`.
+    void claim(const policy::ClaimRequest& request, TimePoint deadline, OnClaimReply onReply);
+    /// Best effort: a claim whose release is lost ends by itself.
+    void release(const policy::ClaimRequest& request);
+
     /// What the next heartbeats tell of crashes; when urgent, one goes out at once.
     void setSuspicions(std::vector<policy::SuspicionMessage> suspicions, bool isUrgent);
 
@@ -51,6 +57,7 @@
 
 private:
     struct Connection;
+    struct PendingClaim;
 
     void tick();
     void checkHeartbeat(TimePoint now);
@@ -63,6 +70,7 @@
     void loseExpired(TimePoint now);
     void endRepeatable();
     void forgetEnded();
+    void endClaims(TimePoint passed);
 
     boost::asio::io_context& m_ioContext;
     boost::asio::ip::tcp::endpoint m_endpoint;
@@ -77,6 +85,7 @@
     /// Set while the link is down: when tries in progress count as lost.
     std::optional<TimePoint> m_loseAt;
     std::vector<std::shared_ptr<Attempt>> m_attempts;
+    std::vector<std::shared_ptr<PendingClaim>> m_claims;
     std::vector<policy::SuspicionMessage> m_suspicions;
     bool m_isStopped { false };
 };
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -33,6 +33,8 @@
         return AttemptReason::AnswerNotHeld;
     case rpc::schema::Reason::QUARANTINED:
         return AttemptReason::Quarantined;
+    case rpc::schema::Reason::NOT_CLAIMED:
+        return AttemptReason::NotClaimed;
     default:
         return AttemptReason::Other;
     }
@@ -88,6 +90,9 @@
     request.setRunsAlone(order.runsAlone);
     request.setPromptTokens(order.promptTokens.value());
     request.setExpectedTokens(order.expectedOutput.value());
+    if (order.claim)
+        rpc::fill(request.initClaim(), *order.claim);
+    request.setAttachesOnly(order.attachesOnly);
 }
 
 } // namespace
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -4,6 +4,7 @@
 
 #include <swiftloft/ids.h>
 #include <swiftloft/membership/view.h>
+#include <swiftloft/policy/claim.h>
 #include <swiftloft/policy/crash-quarantine.h>
 #include <swiftloft/policy/prefix-index.h>
 #include <swiftloft/policy/ticket.h>
@@ -83,6 +84,7 @@
     DeadlinePassed,
     AnswerNotHeld,
     Quarantined,
+    NotClaimed,
     Other,
 };
 
@@ -97,6 +99,15 @@
     policy::CrashId crash {};
 };
 
+/// A home of a client's key has answered a claim; without a reply it could not be reached in time.
+struct ClaimAnswered {
+    RequestId id;
+    policy::ClaimId claim;
+    BackendServerId home;
+    std::optional<policy::ClaimReply> reply;
+    TimePoint now;
+};
+
 struct ClientGone {
     RequestId id;
     TimePoint now;
@@ -146,7 +157,7 @@
     TimePoint now;
 };
 
-using Event = std::variant<RequestArrived, OutputBegan, AttemptEnded, ClientGone, LinkReported, LinkDown, ViewChanged,
+using Event = std::variant<RequestArrived, OutputBegan, AttemptEnded, ClaimAnswered, ClientGone, LinkReported, LinkDown, ViewChanged,
     SettingsInForce, LeaveRequested, Tick>;
 
 /// What an attempt carries beside the client's own message.
@@ -164,6 +175,10 @@
     bool isRepeatable { false };
     bool runsAlone { false };
     TimePoint deadline;
+    /// For a request under a client's own key that may not run twice.
+    std::optional<policy::ClaimRequest> claim;
+    /// Never starts it: fetches the answer of a run under another claim.
+    bool attachesOnly { false };
 };
 
 struct StartAttempt {
@@ -171,6 +186,21 @@
     AttemptOrder order;
 };
 
+/// Asks a home of a client's key for it.
+struct SendClaim {
+    WorkerIndex worker;
+    RequestId id;
+    BackendServerId home;
+    policy::ClaimRequest request;
+    TimePoint deadline;
+};
+
+struct SendRelease {
+    WorkerIndex worker;
+    BackendServerId home;
+    policy::ClaimRequest request;
+};
+
 /// Gives an attempt up: its answer is not wanted any more.
 struct CancelAttempt {
     WorkerIndex worker;
@@ -232,7 +262,7 @@
 struct Finish {
 };
 
-using Effect = std::variant<StartAttempt, CancelAttempt, Refuse, CutAnswer, OpenLink, CloseLink, PublishSuspicions, RecordAnswer, AnnounceLeaving,
+using Effect = std::variant<StartAttempt, SendClaim, SendRelease, CancelAttempt, Refuse, CutAnswer, OpenLink, CloseLink, PublishSuspicions, RecordAnswer, AnnounceLeaving,
     CloseListeners, Finish>;
 using Effects = std::vector<Effect>;
 
--- a/src/entry/fleet.cc
+++ b/src/entry/fleet.cc
@@ -36,7 +36,7 @@
 {
 }
 
-void Fleet::onView(const membership::View& view, Effects& effects)
+void Fleet::onView(const membership::View& view, TimePoint now, Effects& effects)
 {
     m_topology = view.topology;
     m_entries = std::max<std::size_t>(1, std::count_if(view.members.begin(), view.members.end(), isUsableEntry));
@@ -61,6 +61,7 @@
         updateRouter(server);
         return true;
     });
+    updateHomes(view.listRevision, now);
 }
 
 void Fleet::add(const membership::ViewMember& member, const membership::Topology&, Effects& effects)
@@ -181,14 +182,28 @@
     return capacity;
 }
 
-std::vector<BackendServerId> Fleet::listed(const ServiceName& service) const
+policy::RequestHome* Fleet::homes(const ServiceName& service)
 {
-    std::vector<BackendServerId> ids;
-    for (auto& [id, server] : m_servers) {
-        if (server.service == service)
-            ids.push_back(id);
+    auto it = m_homes.find(service);
+    return it == m_homes.end() ? nullptr : &it->second;
+}
+
+void Fleet::updateHomes(Revision revision, TimePoint now)
+{
+    if (m_listRevision && revision <= *m_listRevision)
+        return;
+    m_listRevision = revision;
+    boost::unordered_flat_map<ServiceName, std::vector<BackendServerId>, std::hash<ServiceName>> agents;
+    for (auto& [id, server] : m_servers)
+        agents[server.service].push_back(id);
+    for (auto& [service, home] : m_homes)
+        agents.try_emplace(service);
+    for (auto& [service, ids] : agents) {
+        auto it = m_homes.find(service);
+        if (it == m_homes.end())
+            it = m_homes.emplace(service, policy::RequestHome::create({}).value()).first;
+        it->second.onList(policy::ListRevision(revision.value()), std::move(ids), now);
     }
-    return ids;
 }
 
 } // namespace swiftloft::entry
--- a/src/entry/fleet.h
+++ b/src/entry/fleet.h
@@ -4,6 +4,7 @@
 #include "src/entry/events.h"
 
 #include <swiftloft/membership/view.h>
+#include <swiftloft/policy/request-home.h>
 #include <swiftloft/policy/router.h>
 
 #include <boost/unordered/unordered_flat_map.hpp>
@@ -38,7 +39,7 @@
     Fleet(DataCentreName dataCentre, RegionName region);
 
     /// Opens links to servers that are new in `view` and closes those that are gone from it.
-    void onView(const membership::View& view, Effects& effects);
+    void onView(const membership::View& view, TimePoint now, Effects& effects);
     void onReport(const LinkReported& event);
     /// An agent has refused work because it is leaving or its engine is down; its next report may say otherwise.
     void onRefusal(const BackendServerId& id, AttemptReason reason);
@@ -54,14 +55,15 @@
     std::vector<BackendServerId> usable(const ServiceName& service) const;
     /// Servers of a service that may get new work, and their speeds added up.
     ServiceCapacity capacityOf(const ServiceName& service) const;
-    /// Ids of all listed servers of a service, leaving ones included.
-    std::vector<BackendServerId> listed(const ServiceName& service) const;
+    /// The homes of client keys of a service; null for a service without any listed server.
+    policy::RequestHome* homes(const ServiceName& service);
 
     const boost::unordered_flat_map<BackendServerId, BackendServer, std::hash<BackendServerId>>& servers() const { return m_servers; }
 
 private:
     void add(const membership::ViewMember& member, const membership::Topology& topology, Effects& effects);
     void updateRouter(BackendServer& server);
+    void updateHomes(Revision revision, TimePoint now);
 
     std::size_t m_entries { 1 };
     DataCentreName m_dataCentre;
@@ -69,6 +71,8 @@
     membership::Topology m_topology;
     boost::unordered_flat_map<BackendServerId, BackendServer, std::hash<BackendServerId>> m_servers;
     boost::unordered_flat_map<ServiceName, policy::Router, std::hash<ServiceName>> m_routers;
+    boost::unordered_flat_map<ServiceName, policy::RequestHome, std::hash<ServiceName>> m_homes;
+    std::optional<Revision> m_listRevision;
 };
 
 } // namespace swiftloft::entry
--- /dev/null
+++ b/src/entry/reducer-claims.cc
@@ -0,0 +1,87 @@
+#include "src/entry/reducer.h"
+
+/// The part of the entry's reducer that asks the homes of a client's own key before the request may run.
+namespace swiftloft::entry {
+
+namespace {
+
+constexpr milliseconds claimAnswerLimit { 1000 };
+constexpr seconds claimRetryAfter { 2 };
+
+} // namespace
+
+void Reducer::beginClaim(RequestId id, Request& request, TimePoint now, Effects& effects)
+{
+    policy::ClaimRequest claim;
+    claim.key = { request.resolved.organisation->name, *request.info->clientKey };
+    claim.claim = { m_options.incarnation, ++m_lastClaim };
+    std::vector<BackendServerId> homes;
+    if (auto all = m_fleet.homes(request.resolved.service->name)) {
+        homes = all->homesOf(claim.key, now);
+        claim.revision = all->revision();
+    }
+    if (!homes.empty())
+        claim.runner = homes.front();
+    request.claim.emplace(std::move(claim), std::move(homes));
+    carryOut(id, request, request.claim->start(), now, effects);
+}
+
+void Reducer::carryOut(RequestId id, Request& request, const policy::ClaimEffects& claimEffects, TimePoint now, Effects& effects)
+{
+    auto worker = request.worker;
+    auto claim = request.claim->request();
+    for (auto& effect : claimEffects) {
+        switch (effect.kind) {
+        case policy::ClaimEffectKind::SendClaim:
+            effects.push_back(SendClaim { worker, id, effect.to, claim, now + claimAnswerLimit });
+            break;
+        case policy::ClaimEffectKind::SendRelease:
+            effects.push_back(SendRelease { worker, effect.to, claim });
+            break;
+        case policy::ClaimEffectKind::SendRun:
+        case policy::ClaimEffectKind::Attach:
+            startClaimed(id, request, effect, now, effects);
+            return;
+        case policy::ClaimEffectKind::Refuse:
+            Refusal refusal;
+            refusal.reason = RefusalReason::HomeUnreachable;
+            refusal.retryAfter = claimRetryAfter;
+            refusal.details = std::string("the key can't be claimed: ") + std::string(policy::toString(effect.refusal));
+            giveUp(id, request, std::move(refusal), now, effects);
+            return;
+        }
+    }
+}
+
+void Reducer::startClaimed(RequestId id, Request& request, const policy::ClaimEffect& effect, TimePoint now, Effects& effects)
+{
+    auto isAttach = effect.kind == policy::ClaimEffectKind::Attach;
+    auto server = m_fleet.find(effect.to);
+    // The grant names the incarnation that gave it. Another one has forgotten it and must not get the request.
+    auto isKnown = server && server->incarnation && (isAttach || *server->incarnation == effect.incarnation);
+    if (!isKnown) {
+        Refusal refusal;
+        refusal.reason = RefusalReason::HomeUnreachable;
+        refusal.retryAfter = claimRetryAfter;
+        return giveUp(id, request, std::move(refusal), now, effects);
+    }
+    Attempt attempt;
+    attempt.server = server->id;
+    attempt.isRouted = false;
+    start(id, request, std::move(attempt), now, effects, request.claim->request(), isAttach);
+}
+
+void Reducer::on(const ClaimAnswered& event, Effects& effects)
+{
+    auto it = m_requests.find(event.id);
+    if (it == m_requests.end() || !it->second.claim)
+        return;
+    auto& request = it->second;
+    // A late answer to a claim that was given up says nothing of the one that followed it.
+    if (request.claim->request().claim != event.claim || request.claim->isDone())
+        return;
+    auto next = event.reply ? request.claim->onReply(event.home, *event.reply) : request.claim->onUnreachable(event.home);
+    carryOut(event.id, request, next, event.now, effects);
+}
+
+} // namespace swiftloft::entry
--- a/src/entry/reducer.cc
+++ b/src/entry/reducer.cc
@@ -31,12 +31,6 @@
     return RequestKey(fmt::format("{}/{}", organisation.value(), clientKey.value()));
 }
 
-std::uint64_t homeScore(const RequestKey& key, const BackendServerId& server)
-{
-    auto seed = XXH3_64bits(server.value().data(), server.value().size());
-    return XXH3_64bits_withSeed(key.value().data(), key.value().size(), seed);
-}
-
 std::optional<policy::FailureKind> failureKind(const AttemptEnded& event)
 {
     switch (event.end) {
@@ -175,16 +169,17 @@
 {
     if (isQuarantined(id, request, now, effects))
         return;
+    if (request.needsClaim())
+        return beginClaim(id, request, now, effects);
     Attempt attempt;
     if (!m_quarantine.empty() && m_quarantine.check(request.resolved.fingerprint, now).action == policy::QuarantineAction::RunAlone) {
         if (chooseAloneServer(request, attempt))
             return start(id, request, std::move(attempt), now, effects);
     }
-    auto isChosen = request.isBoundToHome() ? chooseHome(request, attempt) : chooseServer(request, now, attempt);
-    if (isChosen)
+    if (chooseServer(request, now, attempt))
         return start(id, request, std::move(attempt), now, effects);
     Refusal refusal;
-    refusal.reason = request.isBoundToHome() ? RefusalReason::HomeUnreachable : RefusalReason::NoBackendServer;
+    refusal.reason = RefusalReason::NoBackendServer;
     refusal.retryAfter = shortRetryAfter;
     giveUp(id, request, std::move(refusal), now, effects);
 }
@@ -206,8 +201,6 @@
 // A suspect goes where every entry sends it, alone, so that a second crash hurts nobody beside it.
 bool Reducer::chooseAloneServer(const Request& request, Attempt& attempt) const
 {
-    if (request.isBoundToHome())
-        return false;
     auto server = policy::suspectServer(request.resolved.fingerprint, m_fleet.usable(request.resolved.service->name));
     if (!server)
         return false;
@@ -233,25 +226,7 @@
     return true;
 }
 
-bool Reducer::chooseHome(const Request& request, Attempt& attempt)
-{
-    const BackendServer* home = nullptr;
-    std::uint64_t best = 0;
-    for (auto& id : m_fleet.listed(request.resolved.service->name)) {
-        auto score = homeScore(request.key, id);
-        if (home && score <= best)
-            continue;
-        best = score;
-        home = m_fleet.find(id);
-    }
-    if (!home || !home->handle)
-        return false;
-    attempt.server = home->id;
-    attempt.isRouted = false;
-    return true;
-}
-
-void Reducer::start(RequestId id, Request& request, Attempt attempt, TimePoint now, Effects& effects)
+void Reducer::start(RequestId id, Request& request, Attempt attempt, TimePoint now, Effects& effects, std::optional<policy::ClaimRequest> claim, bool attachesOnly)
 {
     attempt.serial = AttemptSerial(++m_lastAttempt);
     attempt.startedAt = now;
@@ -270,6 +245,8 @@
     order.expectedOutput = request.info->expectedOutput;
     order.isRepeatable = request.resolved.isRepeatable;
     order.runsAlone = attempt.isAlone;
+    order.claim = std::move(claim);
+    order.attachesOnly = attachesOnly;
     order.deadline = request.resolved.deadline;
     if (attempt.isAlone)
         m_quarantine.onStartAlone(order.fingerprint);
@@ -325,7 +302,7 @@
         // Its report is older than its refusal. Without this the next requests would go there as well until a newer
         // report comes, each at the price of a retry. Each server can refuse so once, so this ends.
         m_fleet.onRefusal(server, event.reason);
-        if (!request.isBoundToHome())
+        if (!request.needsClaim())
             return dispatch(event.id, request, event.now, effects);
     }
     if (event.end != AttemptEnd::Answered)
@@ -341,7 +318,7 @@
 {
     policy::FailedAttempt failed;
     failed.traffic = { request.resolved.service->name, request.resolved.organisation->name };
-    failed.verdict = request.isBoundToHome() ? request.verdict : combine(request.info->clientKey ? Verdict::NotRun : request.verdict, event.verdict);
+    failed.verdict = request.needsClaim() ? Verdict::MayHaveRun : combine(request.info->clientKey ? Verdict::NotRun : request.verdict, event.verdict);
     failed.isRepeatable = request.resolved.isRepeatable;
     failed.delivered = policy::OutputOffset(request.firstByteAt ? 1 : 0);
     failed.attempts = request.attempts;
@@ -435,7 +412,7 @@
 
 void Reducer::on(const ViewChanged& event, Effects& effects)
 {
-    m_fleet.onView(*event.view, effects);
+    m_fleet.onView(*event.view, event.now, effects);
 }
 
 void Reducer::on(const SettingsInForce& event, Effects&)
--- a/src/entry/reducer.h
+++ b/src/entry/reducer.h
@@ -5,6 +5,7 @@
 #include "src/entry/fleet.h"
 #include "src/entry/request-resolver.h"
 
+#include <swiftloft/policy/claim-protocol.h>
 #include <swiftloft/policy/crash-quarantine.h>
 #include <swiftloft/policy/random.h>
 #include <swiftloft/policy/retry-budget.h>
@@ -70,9 +71,11 @@
         Tokens cost;
         std::optional<Attempt> attempt;
         std::vector<policy::ServerHandle> tried;
+        /// Set while, and after, the homes of a client's own key are asked for it.
+        std::optional<policy::ClaimProtocol> claim;
 
-        /// Only one backend server may run it, whichever entry its resends come to.
-        bool isBoundToHome() const { return info->clientKey && !resolved.isRepeatable; }
+        /// Its key is the client's own and it may not run twice: only a claim at the key's homes lets it run.
+        bool needsClaim() const { return info->clientKey && !resolved.isRepeatable; }
     };
 
     Reducer(ReducerOptions options, policy::RetryPolicy retryPolicy, policy::RetryBudget retryBudget, policy::CrashQuarantine quarantine);
@@ -80,6 +83,7 @@
     void on(const RequestArrived& event, Effects& effects);
     void on(const OutputBegan& event, Effects& effects);
     void on(const AttemptEnded& event, Effects& effects);
+    void on(const ClaimAnswered& event, Effects& effects);
     void on(const ClientGone& event, Effects& effects);
     void on(const LinkReported& event, Effects& effects);
     void on(const LinkDown& event, Effects& effects);
@@ -96,8 +100,10 @@
     bool chooseAloneServer(const Request& request, Attempt& attempt) const;
     void publishSuspicions(bool isUrgent, TimePoint now, Effects& effects);
     bool chooseServer(Request& request, TimePoint now, Attempt& attempt);
-    bool chooseHome(const Request& request, Attempt& attempt);
-    void start(RequestId id, Request& request, Attempt attempt, TimePoint now, Effects& effects);
+    void beginClaim(RequestId id, Request& request, TimePoint now, Effects& effects);
+    void carryOut(RequestId id, Request& request, const policy::ClaimEffects& claimEffects, TimePoint now, Effects& effects);
+    void startClaimed(RequestId id, Request& request, const policy::ClaimEffect& effect, TimePoint now, Effects& effects);
+    void start(RequestId id, Request& request, Attempt attempt, TimePoint now, Effects& effects, std::optional<policy::ClaimRequest> claim = {}, bool attachesOnly = false);
     void releaseAttempt(Request& request, std::optional<policy::FailureKind> failure, TimePoint now);
     void retryOrAnswer(RequestId id, Request& request, const AttemptEnded& event, Effects& effects);
     void giveUp(RequestId id, Request& request, Refusal refusal, TimePoint now, Effects& effects);
@@ -122,6 +128,7 @@
     std::set<std::pair<TimePoint, RequestId>> m_deadlines;
     std::set<std::pair<TimePoint, RequestId>> m_retries;
     std::uint64_t m_lastAttempt { 0 };
+    std::uint64_t m_lastClaim { 0 };
     TimePoint m_nextHousekeeping {};
     bool m_hasSuspicions { false };
     std::optional<TimePoint> m_acceptUntil;
--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -296,6 +296,24 @@
     link->second->begin(attempt);
 }
 
+void Worker::on(const SendClaim& effect)
+{
+    auto onReply = [this, id = effect.id, claim = effect.request.claim, home = effect.home](std::optional<policy::ClaimReply> reply) {
+        m_hooks.post(ClaimAnswered { id, claim, home, std::move(reply), Clock::now() });
+    };
+    auto link = m_links.find(effect.home);
+    if (link == m_links.end())
+        return onReply(std::nullopt);
+    link->second->claim(effect.request, effect.deadline, std::move(onReply));
+}
+
+void Worker::on(const SendRelease& effect)
+{
+    auto link = m_links.find(effect.home);
+    if (link != m_links.end())
+        link->second->release(effect.request);
+}
+
 void Worker::on(const CancelAttempt& effect)
 {
     auto it = m_attempts.find(effect.id);
--- a/src/entry/worker.h
+++ b/src/entry/worker.h
@@ -61,6 +61,8 @@
     void watchForClose(Stream& stream, const std::shared_ptr<Exchange>& exchange);
 
     void on(const StartAttempt& effect);
+    void on(const SendClaim& effect);
+    void on(const SendRelease& effect);
     void on(const CancelAttempt& effect);
     void on(const Refuse& effect);
     void on(const CutAnswer& effect);
--- a/src/process/process-config.cc
+++ b/src/process/process-config.cc
@@ -102,12 +102,16 @@
             return assignEndpoint(m_config.rpc.emplace(), value);
         if (key == "backend-server")
             return assignEndpoint(m_config.backendServer.emplace(), value);
+        if (key == "first-start") {
+            m_config.isFirstStart = value == "yes";
+            return value == "yes" || value == "no" ? "" : "yes or no";
+        }
         if (key == "traffic-threads") {
             auto n = parseNumber(value, maxTrafficThreads);
             m_config.trafficThreads = n.value_or(0);
             return m_config.trafficThreads == 0 ? fmt::format("a number from 1 to {}", maxTrafficThreads) : "";
         }
-        return "one of the keys id, data-centre, listen, peer, rpc, platform, backend-server, traffic-threads";
+        return "one of the keys id, data-centre, listen, peer, rpc, platform, backend-server, first-start, traffic-threads";
     }
 
     static std::string assignText(std::string& target, const std::string& value)
--- a/src/process/process-config.h
+++ b/src/process/process-config.h
@@ -28,6 +28,8 @@
     /// The server whose slot an agent runs in; only agents have one.
     std::optional<Endpoint> backendServer;
     unsigned trafficThreads { 1 };
+    /// No agent has run in this fleet before, so none can have forgotten a client's key; only agents read it.
+    bool isFirstStart { false };
 };
 
 /// Reads a `[process]` section. `fileName` is used in messages, which name line, key and what was expected.
--- a/src/rpc/agent.capnp
+++ b/src/rpc/agent.capnp
@@ -34,6 +34,8 @@
   runsAlone @12 :Bool;             # suspected of crashing backend servers: nothing else may run beside it
   promptTokens @13 :Int64;
   expectedTokens @14 :Int64;
+  claim @15 :Claim;                # set for a request under a client's own key that may not run twice
+  attachesOnly @16 :Bool;          # never starts it: the key runs or ran here under another claim
 }
 
 # Names one try at a request: only the agent incarnation named in it may start it, and only once.
@@ -45,6 +47,31 @@
   serial @4 :UInt64;
 }
 
+# An entry's attempt to become the only one that runs a client's own key.
+struct Claim {
+  organisation @0 :Text;
+  key @1 :Text;
+  entry @2 :UInt64;                # incarnation; with the serial it names the claim
+  serial @3 :UInt64;
+  revision @4 :UInt64;             # of the instance list that gave the key's homes
+  runner @5 :Text;
+}
+
+enum ClaimAnswer {
+  granted @0;
+  held @1;
+  staleList @2;
+  tooYoung @3;
+  full @4;
+}
+
+struct ClaimReply {
+  answer @0 :ClaimAnswer;
+  incarnation @1 :UInt64;
+  runner @2 :Text;
+  revision @3 :UInt64;
+}
+
 # News of one request fingerprint and one crash of a backend server.
 struct Suspicion {
   fingerprint @0 :UInt64;
@@ -102,6 +129,7 @@
   tooOld @8;                       # what was known of it has been dropped
   answerNotHeld @9;                # it ran, but the bytes asked for are no longer buffered
   quarantined @10;
+  notClaimed @11;                  # the claim is not held here, or not any more
 }
 
 struct Outcome {
@@ -135,4 +163,10 @@
 
   # Gives a try up. One that had not started never will, and the verdict is notRun. One that runs is stopped.
   cancel @2 (ticket :Ticket) -> (verdict :Verdict);
+
+  # Asks for a client's key. It may run only when all its homes have granted the same claim.
+  claim @3 (claim :Claim) -> (reply :ClaimReply);
+
+  # The claim will not be used.
+  release @4 (claim :Claim);
 }
--- a/src/rpc/agent.capnp.h
+++ b/src/rpc/agent.capnp.h
@@ -29,6 +29,17 @@
 CAPNP_DECLARE_SCHEMA(e9af32ddd54de181);
 CAPNP_DECLARE_SCHEMA(9ef0f5a797c9478f);
 CAPNP_DECLARE_SCHEMA(c7a27ab67cca4bcb);
+CAPNP_DECLARE_SCHEMA(80ce5901894977c8);
+CAPNP_DECLARE_SCHEMA(f02d15774e5ea1d9);
+enum class ClaimAnswer_f02d15774e5ea1d9: uint16_t {
+  GRANTED,
+  HELD,
+  STALE_LIST,
+  TOO_YOUNG,
+  FULL,
+};
+CAPNP_DECLARE_ENUM(ClaimAnswer, f02d15774e5ea1d9);
+CAPNP_DECLARE_SCHEMA(cdf05b58cfa23007);
 CAPNP_DECLARE_SCHEMA(d4a9206b8ea2d784);
 CAPNP_DECLARE_SCHEMA(8fdb481226460212);
 CAPNP_DECLARE_SCHEMA(dff5e04771d70455);
@@ -57,6 +68,7 @@
   TOO_OLD,
   ANSWER_NOT_HELD,
   QUARANTINED,
+  NOT_CLAIMED,
 };
 CAPNP_DECLARE_ENUM(Reason, 94bb354a6c22af96);
 CAPNP_DECLARE_SCHEMA(e720d39dd8d53be9);
@@ -68,6 +80,10 @@
 CAPNP_DECLARE_SCHEMA(b1b4856eb080df26);
 CAPNP_DECLARE_SCHEMA(90fa89e1871a3f1f);
 CAPNP_DECLARE_SCHEMA(8847d64a960bcbf2);
+CAPNP_DECLARE_SCHEMA(e8b411415e1ce21c);
+CAPNP_DECLARE_SCHEMA(861d9c5fa8207683);
+CAPNP_DECLARE_SCHEMA(d1433025b11c5bf3);
+CAPNP_DECLARE_SCHEMA(bd6bbe1a4e1290b0);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -101,7 +117,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9ef0f5a797c9478f, 4, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(9ef0f5a797c9478f, 4, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -123,6 +139,38 @@
   };
 };
 
+struct Claim {
+  Claim() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(80ce5901894977c8, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+typedef ::capnp::schemas::ClaimAnswer_f02d15774e5ea1d9 ClaimAnswer;
+
+struct ClaimReply {
+  ClaimReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cdf05b58cfa23007, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Suspicion {
   Suspicion() = delete;
 
@@ -284,6 +332,10 @@
   struct RunResults;
   struct CancelParams;
   struct CancelResults;
+  struct ClaimParams;
+  struct ClaimResults;
+  struct ReleaseParams;
+  struct ReleaseResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -383,6 +435,66 @@
   };
 };
 
+struct Agent::ClaimParams {
+  ClaimParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e8b411415e1ce21c, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Agent::ClaimResults {
+  ClaimResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(861d9c5fa8207683, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Agent::ReleaseParams {
+  ReleaseParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d1433025b11c5bf3, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Agent::ReleaseResults {
+  ReleaseResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bd6bbe1a4e1290b0, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Header::Reader {
@@ -531,6 +643,11 @@
 
   inline  ::int64_t getExpectedTokens() const;
 
+  inline bool hasClaim() const;
+  inline  ::swiftloft::rpc::schema::Claim::Reader getClaim() const;
+
+  inline bool getAttachesOnly() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -636,6 +753,16 @@
   inline  ::int64_t getExpectedTokens();
   inline void setExpectedTokens( ::int64_t value);
 
+  inline bool hasClaim();
+  inline  ::swiftloft::rpc::schema::Claim::Builder getClaim();
+  inline void setClaim( ::swiftloft::rpc::schema::Claim::Reader value);
+  inline  ::swiftloft::rpc::schema::Claim::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::swiftloft::rpc::schema::Claim>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Claim> disownClaim();
+
+  inline bool getAttachesOnly();
+  inline void setAttachesOnly(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -655,6 +782,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::swiftloft::rpc::schema::Ticket::Pipeline getTicket();
+  inline  ::swiftloft::rpc::schema::Claim::Pipeline getClaim();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -764,6 +892,218 @@
 };
 #endif  // !CAPNP_LITE
 
+class Claim::Reader {
+public:
+  typedef Claim Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
+
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline  ::uint64_t getEntry() const;
+
+  inline  ::uint64_t getSerial() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasRunner() const;
+  inline  ::capnp::Text::Reader getRunner() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Claim::Builder {
+public:
+  typedef Claim Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline  ::uint64_t getEntry();
+  inline void setEntry( ::uint64_t value);
+
+  inline  ::uint64_t getSerial();
+  inline void setSerial( ::uint64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasRunner();
+  inline  ::capnp::Text::Builder getRunner();
+  inline void setRunner( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRunner(unsigned int size);
+  inline void adoptRunner(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRunner();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Claim::Pipeline {
+public:
+  typedef Claim Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ClaimReply::Reader {
+public:
+  typedef ClaimReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::swiftloft::rpc::schema::ClaimAnswer getAnswer() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool hasRunner() const;
+  inline  ::capnp::Text::Reader getRunner() const;
+
+  inline  ::uint64_t getRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ClaimReply::Builder {
+public:
+  typedef ClaimReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::swiftloft::rpc::schema::ClaimAnswer getAnswer();
+  inline void setAnswer( ::swiftloft::rpc::schema::ClaimAnswer value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool hasRunner();
+  inline  ::capnp::Text::Builder getRunner();
+  inline void setRunner( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRunner(unsigned int size);
+  inline void adoptRunner(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRunner();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ClaimReply::Pipeline {
+public:
+  typedef ClaimReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Suspicion::Reader {
 public:
   typedef Suspicion Reads;
@@ -1593,6 +1933,10 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::swiftloft::rpc::schema::Agent::CancelParams,  ::swiftloft::rpc::schema::Agent::CancelResults> cancelRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::swiftloft::rpc::schema::Agent::ClaimParams,  ::swiftloft::rpc::schema::Agent::ClaimResults> claimRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::swiftloft::rpc::schema::Agent::ReleaseParams,  ::swiftloft::rpc::schema::Agent::ReleaseResults> releaseRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1621,6 +1965,14 @@
   typedef  ::swiftloft::rpc::schema::Agent::CancelResults CancelResults;
   typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
   virtual ::kj::Promise<void> cancel(CancelContext context);
+  typedef  ::swiftloft::rpc::schema::Agent::ClaimParams ClaimParams;
+  typedef  ::swiftloft::rpc::schema::Agent::ClaimResults ClaimResults;
+  typedef ::capnp::CallContext<ClaimParams, ClaimResults> ClaimContext;
+  virtual ::kj::Promise<void> claim(ClaimContext context);
+  typedef  ::swiftloft::rpc::schema::Agent::ReleaseParams ReleaseParams;
+  typedef  ::swiftloft::rpc::schema::Agent::ReleaseResults ReleaseResults;
+  typedef ::capnp::CallContext<ReleaseParams, ReleaseResults> ReleaseContext;
+  virtual ::kj::Promise<void> release(ReleaseContext context);
 
   inline  ::swiftloft::rpc::schema::Agent::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2153,10 +2505,327 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Agent::ClaimParams::Reader {
+public:
+  typedef ClaimParams Reads;
 
-inline bool Header::Reader::hasName() const {
-  return !_reader.getPointerField(
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasClaim() const;
+  inline  ::swiftloft::rpc::schema::Claim::Reader getClaim() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Agent::ClaimParams::Builder {
+public:
+  typedef ClaimParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasClaim();
+  inline  ::swiftloft::rpc::schema::Claim::Builder getClaim();
+  inline void setClaim( ::swiftloft::rpc::schema::Claim::Reader value);
+  inline  ::swiftloft::rpc::schema::Claim::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::swiftloft::rpc::schema::Claim>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Claim> disownClaim();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::ClaimParams::Pipeline {
+public:
+  typedef ClaimParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::swiftloft::rpc::schema::Claim::Pipeline getClaim();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Agent::ClaimResults::Reader {
+public:
+  typedef ClaimResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply() const;
+  inline  ::swiftloft::rpc::schema::ClaimReply::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Agent::ClaimResults::Builder {
+public:
+  typedef ClaimResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply();
+  inline  ::swiftloft::rpc::schema::ClaimReply::Builder getReply();
+  inline void setReply( ::swiftloft::rpc::schema::ClaimReply::Reader value);
+  inline  ::swiftloft::rpc::schema::ClaimReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::swiftloft::rpc::schema::ClaimReply>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::ClaimReply> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::ClaimResults::Pipeline {
+public:
+  typedef ClaimResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::swiftloft::rpc::schema::ClaimReply::Pipeline getReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Agent::ReleaseParams::Reader {
+public:
+  typedef ReleaseParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasClaim() const;
+  inline  ::swiftloft::rpc::schema::Claim::Reader getClaim() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Agent::ReleaseParams::Builder {
+public:
+  typedef ReleaseParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasClaim();
+  inline  ::swiftloft::rpc::schema::Claim::Builder getClaim();
+  inline void setClaim( ::swiftloft::rpc::schema::Claim::Reader value);
+  inline  ::swiftloft::rpc::schema::Claim::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::swiftloft::rpc::schema::Claim>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Claim> disownClaim();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::ReleaseParams::Pipeline {
+public:
+  typedef ReleaseParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::swiftloft::rpc::schema::Claim::Pipeline getClaim();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Agent::ReleaseResults::Reader {
+public:
+  typedef ReleaseResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Agent::ReleaseResults::Builder {
+public:
+  typedef ReleaseResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::ReleaseResults::Pipeline {
+public:
+  typedef ReleaseResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool Header::Reader::hasName() const {
+  return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Header::Builder::hasName() {
@@ -2570,34 +3239,87 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Request::Reader::getPromptTokens() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::int64_t Request::Reader::getPromptTokens() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Request::Builder::getPromptTokens() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setPromptTokens( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Request::Reader::getExpectedTokens() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Request::Builder::getExpectedTokens() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setExpectedTokens( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Request::Reader::hasClaim() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasClaim() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::swiftloft::rpc::schema::Claim::Reader Request::Reader::getClaim() const {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::swiftloft::rpc::schema::Claim::Builder Request::Builder::getClaim() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::swiftloft::rpc::schema::Claim::Pipeline Request::Pipeline::getClaim() {
+  return  ::swiftloft::rpc::schema::Claim::Pipeline(_typeless.getPointerField(8));
+}
+#endif  // !CAPNP_LITE
+inline void Request::Builder::setClaim( ::swiftloft::rpc::schema::Claim::Reader value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::swiftloft::rpc::schema::Claim::Builder Request::Builder::initClaim() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::adoptClaim(
+    ::capnp::Orphan< ::swiftloft::rpc::schema::Claim>&& value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::swiftloft::rpc::schema::Claim> Request::Builder::disownClaim() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool Request::Reader::getAttachesOnly() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Request::Builder::getPromptTokens() {
-  return _builder.getDataField< ::int64_t>(
+inline bool Request::Builder::getAttachesOnly() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setPromptTokens( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void Request::Builder::setAttachesOnly(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Request::Reader::getExpectedTokens() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Request::Builder::getExpectedTokens() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Request::Builder::setExpectedTokens( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Ticket::Reader::hasAgent() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2688,6 +3410,226 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Claim::Reader::hasOrganisation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Claim::Builder::hasOrganisation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Claim::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Claim::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Claim::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Claim::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Claim::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Claim::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Claim::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Claim::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Claim::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Claim::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Claim::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Claim::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Claim::Reader::getEntry() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Claim::Builder::getEntry() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Claim::Builder::setEntry( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Claim::Reader::getSerial() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Claim::Builder::getSerial() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Claim::Builder::setSerial( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Claim::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Claim::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Claim::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Claim::Reader::hasRunner() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Claim::Builder::hasRunner() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Claim::Reader::getRunner() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Claim::Builder::getRunner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Claim::Builder::setRunner( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Claim::Builder::initRunner(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Claim::Builder::adoptRunner(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownRunner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::swiftloft::rpc::schema::ClaimAnswer ClaimReply::Reader::getAnswer() const {
+  return _reader.getDataField< ::swiftloft::rpc::schema::ClaimAnswer>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::swiftloft::rpc::schema::ClaimAnswer ClaimReply::Builder::getAnswer() {
+  return _builder.getDataField< ::swiftloft::rpc::schema::ClaimAnswer>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ClaimReply::Builder::setAnswer( ::swiftloft::rpc::schema::ClaimAnswer value) {
+  _builder.setDataField< ::swiftloft::rpc::schema::ClaimAnswer>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ClaimReply::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ClaimReply::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ClaimReply::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ClaimReply::Reader::hasRunner() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClaimReply::Builder::hasRunner() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ClaimReply::Reader::getRunner() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ClaimReply::Builder::getRunner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ClaimReply::Builder::setRunner( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ClaimReply::Builder::initRunner(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ClaimReply::Builder::adoptRunner(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ClaimReply::Builder::disownRunner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ClaimReply::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ClaimReply::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ClaimReply::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Suspicion::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3647,6 +4589,123 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Agent::ClaimParams::Reader::hasClaim() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Agent::ClaimParams::Builder::hasClaim() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::swiftloft::rpc::schema::Claim::Reader Agent::ClaimParams::Reader::getClaim() const {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::swiftloft::rpc::schema::Claim::Builder Agent::ClaimParams::Builder::getClaim() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::swiftloft::rpc::schema::Claim::Pipeline Agent::ClaimParams::Pipeline::getClaim() {
+  return  ::swiftloft::rpc::schema::Claim::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Agent::ClaimParams::Builder::setClaim( ::swiftloft::rpc::schema::Claim::Reader value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::swiftloft::rpc::schema::Claim::Builder Agent::ClaimParams::Builder::initClaim() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Agent::ClaimParams::Builder::adoptClaim(
+    ::capnp::Orphan< ::swiftloft::rpc::schema::Claim>&& value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::swiftloft::rpc::schema::Claim> Agent::ClaimParams::Builder::disownClaim() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Agent::ClaimResults::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Agent::ClaimResults::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::swiftloft::rpc::schema::ClaimReply::Reader Agent::ClaimResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::ClaimReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::swiftloft::rpc::schema::ClaimReply::Builder Agent::ClaimResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::ClaimReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::swiftloft::rpc::schema::ClaimReply::Pipeline Agent::ClaimResults::Pipeline::getReply() {
+  return  ::swiftloft::rpc::schema::ClaimReply::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Agent::ClaimResults::Builder::setReply( ::swiftloft::rpc::schema::ClaimReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::ClaimReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::swiftloft::rpc::schema::ClaimReply::Builder Agent::ClaimResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::ClaimReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Agent::ClaimResults::Builder::adoptReply(
+    ::capnp::Orphan< ::swiftloft::rpc::schema::ClaimReply>&& value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::ClaimReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::swiftloft::rpc::schema::ClaimReply> Agent::ClaimResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::ClaimReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Agent::ReleaseParams::Reader::hasClaim() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Agent::ReleaseParams::Builder::hasClaim() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::swiftloft::rpc::schema::Claim::Reader Agent::ReleaseParams::Reader::getClaim() const {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::swiftloft::rpc::schema::Claim::Builder Agent::ReleaseParams::Builder::getClaim() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::swiftloft::rpc::schema::Claim::Pipeline Agent::ReleaseParams::Pipeline::getClaim() {
+  return  ::swiftloft::rpc::schema::Claim::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Agent::ReleaseParams::Builder::setClaim( ::swiftloft::rpc::schema::Claim::Reader value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::swiftloft::rpc::schema::Claim::Builder Agent::ReleaseParams::Builder::initClaim() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Agent::ReleaseParams::Builder::adoptClaim(
+    ::capnp::Orphan< ::swiftloft::rpc::schema::Claim>&& value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::swiftloft::rpc::schema::Claim> Agent::ReleaseParams::Builder::disownClaim() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/rpc/convert.cc
+++ b/src/rpc/convert.cc
@@ -57,6 +57,46 @@
     to.setSerial(from.serial);
 }
 
+policy::ClaimRequest toClaim(schema::Claim::Reader from)
+{
+    policy::ClaimRequest claim;
+    claim.key = { OrganisationName(toString(from.getOrganisation())), RequestKey(toString(from.getKey())) };
+    claim.claim = { Incarnation(from.getEntry()), from.getSerial() };
+    claim.revision = policy::ListRevision(from.getRevision());
+    claim.runner = BackendServerId(toString(from.getRunner()));
+    return claim;
+}
+
+void fill(schema::Claim::Builder to, const policy::ClaimRequest& from)
+{
+    to.setOrganisation(toText(from.key.organisation.value()));
+    to.setKey(toText(from.key.key.value()));
+    to.setEntry(from.claim.entry.value());
+    to.setSerial(from.claim.serial);
+    to.setRevision(from.revision.value());
+    to.setRunner(toText(from.runner.value()));
+}
+
+policy::ClaimReply toClaimReply(schema::ClaimReply::Reader from, const policy::ClaimId& claim)
+{
+    policy::ClaimReply reply;
+    reply.claim = claim;
+    // An answer that this build does not know is read as the refusal it must be: only `granted` lets a request run.
+    reply.answer = from.getAnswer() <= schema::ClaimAnswer::FULL ? static_cast<policy::ClaimAnswer>(from.getAnswer()) : policy::ClaimAnswer::Full;
+    reply.agent = Incarnation(from.getIncarnation());
+    reply.runner = BackendServerId(toString(from.getRunner()));
+    reply.revision = policy::ListRevision(from.getRevision());
+    return reply;
+}
+
+void fill(schema::ClaimReply::Builder to, const policy::ClaimReply& from)
+{
+    to.setAnswer(static_cast<schema::ClaimAnswer>(from.answer));
+    to.setIncarnation(from.agent.value());
+    to.setRunner(toText(from.runner.value()));
+    to.setRevision(from.revision.value());
+}
+
 std::vector<policy::SuspicionMessage> toSuspicions(capnp::List<schema::Suspicion>::Reader from)
 {
     std::vector<policy::SuspicionMessage> messages;
--- a/src/rpc/convert.h
+++ b/src/rpc/convert.h
@@ -2,6 +2,7 @@
 
 #include "src/rpc/agent.capnp.h"
 
+#include <swiftloft/policy/claim.h>
 #include <swiftloft/policy/crash-quarantine.h>
 #include <swiftloft/policy/ticket.h>
 #include <swiftloft/verdict.h>
@@ -23,6 +24,11 @@
 policy::Ticket toTicket(schema::Ticket::Reader from);
 void fill(schema::Ticket::Builder to, const policy::Ticket& from);
 
+policy::ClaimRequest toClaim(schema::Claim::Reader from);
+void fill(schema::Claim::Builder to, const policy::ClaimRequest& from);
+policy::ClaimReply toClaimReply(schema::ClaimReply::Reader from, const policy::ClaimId& claim);
+void fill(schema::ClaimReply::Builder to, const policy::ClaimReply& from);
+
 std::vector<policy::SuspicionMessage> toSuspicions(capnp::List<schema::Suspicion>::Reader from);
 
 /// Most suspicions that one heartbeat carries.
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -87,7 +87,7 @@
     m_platform = ChildProcess::start({ builtProgram("standin/standin-platform"), "--settings", settings, "--instances", instances }, {}).value();
     for (auto& server : m_servers) {
         startBackend(server);
-        startAgent(server);
+        startAgent(server, true);
     }
     for (auto& entry : m_entries)
         startEntry(entry);
@@ -159,12 +159,12 @@
     server.backend = ChildProcess::start(std::move(command), {}).value();
 }
 
-void Fleet::startAgent(Server& server)
+void Fleet::startAgent(Server& server, bool isFirstStart)
 {
     auto n = static_cast<std::size_t>(&server - m_servers.data());
     auto file = writeFile(fmt::format("{}/{}.ini", m_folder, server.id),
-        fmt::format("[process]\nid = {}\ndata-centre = {}\nlisten = {}\npeer = {}\nrpc = {}\nplatform = {}\nbackend-server = {}\n", server.id, dataCentreOf(n),
-            server.statusAddress(), loopback(server.peerPort), loopback(server.rpcPort), platformAddress(), server.backendAddress()));
+        fmt::format("[process]\nid = {}\ndata-centre = {}\nlisten = {}\npeer = {}\nrpc = {}\nplatform = {}\nbackend-server = {}\nfirst-start = {}\n", server.id, dataCentreOf(n),
+            server.statusAddress(), loopback(server.peerPort), loopback(server.rpcPort), platformAddress(), server.backendAddress(), isFirstStart ? "yes" : "no"));
     server.agent = startDaemon("src/agent/swiftloft-agent", file);
 }
 
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -63,7 +63,8 @@
     std::size_t entryCount() const { return m_entries.size(); }
 
     void startBackend(Server& server);
-    void startAgent(Server& server);
+    /// The first agent of a server says so in its process file; later ones refuse clients' own keys for a while.
+    void startAgent(Server& server, bool isFirstStart = false);
     void startEntry(Entry& entry);
 
     /// The instance list as published now.
--- a/test/process/requests_test.cc
+++ b/test/process/requests_test.cc
@@ -120,6 +120,65 @@
     CHECK(fleet.runsOf(request.body) == 1);
 }
 
+// A caller sends an order under a key of its own. Its entry is killed while the order is being placed, and the caller
+// sends the same order again through another entry, which has never heard of it. It gets the answer of the one order.
+TEST_CASE("Requests: an order resent under its key through another entry runs once")
+{
+    Fleet fleet({ .entries = 2, .engines = 0, .plainServers = 4 });
+    REQUIRE(fleet.waitUntilReady());
+    auto first = withHeader(order(fleet.entry(0), "a banquet", 1500), "Idempotency-Key", "order-7");
+    auto answer = callLater(first);
+    REQUIRE(waitUntilRunning(fleet, first.body));
+    fleet.entry(0).process->kill();
+    answer.get();
+
+    auto second = withHeader(order(fleet.entry(1), "a banquet", 1500), "Idempotency-Key", "order-7");
+    auto got = call(second);
+    INFO(got.body);
+    CHECK(got.head.result_int() == 200);
+    CHECK(fleet.runsOf(first.body) == 1);
+}
+
+// All agents that know of an order are killed while it is being placed, and new ones start in their slots, with no
+// memory. The caller sends the order again: it is told "may have run"; the order is not placed twice.
+TEST_CASE("Requests: an order under a key is not placed again when every agent has forgotten it")
+{
+    Fleet fleet({ .entries = 2, .engines = 0, .plainServers = 3 });
+    REQUIRE(fleet.waitUntilReady());
+    auto first = withHeader(order(fleet.entry(0), "a feast", 1500), "Idempotency-Key", "order-8");
+    auto answer = callLater(first);
+    REQUIRE(waitUntilRunning(fleet, first.body));
+    for (auto& server : fleet.servers()) {
+        server.agent->kill();
+        fleet.startAgent(server);
+    }
+    CHECK(verdictOf(answer.get()) == "may-have-run");
+    REQUIRE(fleet.waitUntilReady());
+
+    auto got = call(withHeader(order(fleet.entry(1), "a feast", 1500), "Idempotency-Key", "order-8"));
+    INFO(got.body);
+    CHECK(got.head.result_int() == 503);
+    CHECK(verdictOf(got) == "may-have-run");
+    CHECK(fleet.runsOf(first.body) == 1);
+}
+
+// One request crashes whatever runs it, and its caller sends it again and again through any entry, under a new key each
+// time. At most two engines die of it; the requests of others go on.
+TEST_CASE("Requests: a request that crashes its engines kills at most two of them")
+{
+    Fleet fleet({ .entries = 2, .engines = 5, .engineOptions = { "--crash-marker", "poison" } });
+    REQUIRE(fleet.waitUntilReady());
+    for (int n = 0; n < 12; ++n) {
+        auto poison = withHeader(completion(fleet.entry(n % 2), "a poison draft", 5), "Idempotency-Key", fmt::format("try-{}", n));
+        CHECK(call(poison).head.result_int() >= 400);
+        CHECK(call(completion(fleet.entry(n % 2), fmt::format("an innocent draft {}", n), 5)).head.result_int() == 200);
+    }
+    std::size_t dead = 0;
+    for (auto& server : fleet.servers())
+        dead += !server.backend->isRunning();
+    CHECK(dead == 2);
+}
+
 // A draft is asked for; before its first word the engine dies. A draft may be made again, so another engine makes it and
 // the caller sees only one whole answer.
 TEST_CASE("Requests: a repeatable request whose engine dies is answered by another")
