--- a/include/swiftloft/policy/admission-queue.h
+++ b/include/swiftloft/policy/admission-queue.h
@@ -101,7 +101,8 @@
     /// When to call `onTimer`; nothing when no request waits.
     std::optional<TimePoint> nextTimer() const;
 
-    AdmissionEffects setCapacity(Tokens capacity, std::size_t maximumInFlight, TimePoint now, Generator& generator);
+    AdmissionEffects setCapacity(Tokens capacity, TimePoint now, Generator& generator);
+    AdmissionEffects setMaximumInFlight(std::size_t maximum, TimePoint now, Generator& generator);
     /// Weight 1 until set. Weights at or below zero count as the smallest allowed one.
     void setWeight(const OrganisationName& organisation, double weight);
     /// Drops an organisation that left the settings, once it has nothing waiting.
--- /dev/null
+++ b/src/agent/engine-monitor.cc
@@ -0,0 +1,88 @@
+#include "src/agent/engine-monitor.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json/parse.hpp>
+
+namespace swiftloft::agent {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::use_awaitable;
+
+namespace {
+
+constexpr milliseconds pollInterval { 200 };
+constexpr milliseconds answerLimit { 1500 };
+constexpr unsigned httpVersion11 = 11;
+
+} // namespace
+
+EngineMonitor::EngineMonitor(asio::io_context& ioContext, asio::ip::tcp::endpoint engine, std::function<void(const Event&)> onEvent)
+    : m_ioContext(ioContext)
+    , m_engine(std::move(engine))
+    , m_onEvent(std::move(onEvent))
+    , m_timer(ioContext)
+{
+}
+
+void EngineMonitor::start()
+{
+    co_spawn(m_ioContext, poll(), asio::detached);
+}
+
+asio::awaitable<void> EngineMonitor::poll()
+{
+    for (;;) {
+        auto probedAt = Clock::now();
+        enter(co_await probe(), probedAt);
+        m_timer.expires_at(probedAt + pollInterval);
+        boost::system::error_code ec;
+        co_await m_timer.async_wait(asio::redirect_error(use_awaitable, ec));
+    }
+}
+
+// A fresh connection each time: a kept one can go silent while the engine is well, or outlive a restart unnoticed.
+asio::awaitable<EngineMonitor::State> EngineMonitor::probe()
+{
+    try {
+        beast::tcp_stream stream(m_ioContext);
+        stream.expires_at(Clock::now() + answerLimit);
+        co_await stream.async_connect(m_engine, use_awaitable);
+        http::request<http::empty_body> request(http::verb::get, "/load", httpVersion11);
+        request.keep_alive(false);
+        co_await http::async_write(stream, request, use_awaitable);
+        beast::flat_buffer buf;
+        http::response<http::string_body> response;
+        co_await http::async_read(stream, buf, response, use_awaitable);
+        m_tokensPerSecond = speedIn(response.body());
+        co_return State::Up;
+    } catch (const boost::system::system_error& error) {
+        co_return error.code() == beast::error::timeout ? State::Silent : State::Gone;
+    }
+}
+
+// A plain server has no load page; whatever it answers, it is up.
+double EngineMonitor::speedIn(const std::string& body)
+{
+    boost::json::error_code ec;
+    auto value = boost::json::parse(body, ec);
+    auto object = ec ? nullptr : value.if_object();
+    auto speed = object ? object->if_contains("tokens_per_second") : nullptr;
+    return speed && speed->is_number() ? speed->to_number<double>() : 0;
+}
+
+void EngineMonitor::enter(State state, TimePoint probedAt)
+{
+    if (state == State::Up)
+        m_onEvent(EngineUp { m_tokensPerSecond, probedAt, Clock::now() });
+    else
+        m_onEvent(EngineDown { state == State::Gone, probedAt, Clock::now() });
+}
+
+} // namespace swiftloft::agent
--- /dev/null
+++ b/src/entry/reducer.cc
@@ -0,0 +1,518 @@
+#include "src/entry/reducer.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace swiftloft::entry {
+
+namespace {
+
+/// Comes back soon: the fleet is expected to change within seconds.
+constexpr seconds shortRetryAfter { 1 };
+constexpr milliseconds housekeepingInterval { 250 };
+
+RequestKey mintKey(Incarnation incarnation, RequestId id)
+{
+    return RequestKey(fmt::format("{:016x}-{}", incarnation.value(), id.value()));
+}
+
+/// The agent takes no work now, and did nothing for this request.
+bool takesNoWork(const AttemptEnded& event)
+{
+    return event.end == AttemptEnd::Refused && event.verdict == Verdict::NotRun
+        && (event.reason == AttemptReason::Leaving || event.reason == AttemptReason::EngineDown);
+}
+
+/// A client's own key only means something within its organisation.
+RequestKey joinKey(const OrganisationName& organisation, const RequestKey& clientKey)
+{
+    return RequestKey(fmt::format("{}/{}", organisation.value(), clientKey.value()));
+}
+
+std::uint64_t homeScore(const RequestKey& key, const BackendServerId& server)
+{
+    auto seed = XXH3_64bits(server.value().data(), server.value().size());
+    return XXH3_64bits_withSeed(key.value().data(), key.value().size(), seed);
+}
+
+std::optional<policy::FailureKind> failureKind(const AttemptEnded& event)
+{
+    switch (event.end) {
+    case AttemptEnd::Answered:
+        return std::nullopt;
+    case AttemptEnd::Refused:
+        return event.reason == AttemptReason::EngineDown ? policy::FailureKind::Unreachable : policy::FailureKind::Refused;
+    case AttemptEnd::Failed:
+        return event.reason == AttemptReason::EngineCrashed ? policy::FailureKind::Crashed : policy::FailureKind::TimedOut;
+    case AttemptEnd::Lost:
+    case AttemptEnd::Damaged:
+        return policy::FailureKind::Unreachable;
+    }
+    return policy::FailureKind::Unreachable;
+}
+
+RefusalReason refusalReason(const AttemptEnded& event)
+{
+    if (event.end == AttemptEnd::Damaged)
+        return RefusalReason::AnswerDamaged;
+    switch (event.reason) {
+    case AttemptReason::DeadlinePassed:
+        return RefusalReason::DeadlinePassed;
+    case AttemptReason::AnswerNotHeld:
+        return RefusalReason::AnswerNotHeld;
+    case AttemptReason::Quarantined:
+        return RefusalReason::Quarantined;
+    case AttemptReason::Overloaded:
+        return RefusalReason::Overloaded;
+    default:
+        break;
+    }
+    if (event.end != AttemptEnd::Refused)
+        return RefusalReason::BackendServerFailed;
+    return event.reason == AttemptReason::WrongIncarnation ? RefusalReason::HomeUnreachable : RefusalReason::NoBackendServer;
+}
+
+} // namespace
+
+Result<Reducer> Reducer::create(ReducerOptions options)
+{
+    auto retryPolicy = policy::RetryPolicy::create({});
+    if (!retryPolicy)
+        return retryPolicy.error();
+    auto retryBudget = policy::RetryBudget::create({});
+    if (!retryBudget)
+        return retryBudget.error();
+    auto quarantine = policy::CrashQuarantine::create({});
+    if (!quarantine)
+        return quarantine.error();
+    return Reducer(std::move(options), *retryPolicy, std::move(*retryBudget), std::move(*quarantine));
+}
+
+Reducer::Reducer(ReducerOptions options, policy::RetryPolicy retryPolicy, policy::RetryBudget retryBudget, policy::CrashQuarantine quarantine)
+    : m_options(std::move(options))
+    , m_retryPolicy(retryPolicy)
+    , m_retryBudget(std::move(retryBudget))
+    , m_generator(m_options.randomSeed)
+    , m_fleet(m_options.dataCentre, m_options.region)
+    , m_quarantine(std::move(quarantine))
+{
+}
+
+void Reducer::apply(const Event& event, Effects& effects)
+{
+    std::visit([&](auto& it) { on(it, effects); }, event);
+}
+
+std::shared_ptr<const settings::ServiceSettings> Reducer::service(const ServiceName& name)
+{
+    return m_resolver ? m_resolver->service(name) : nullptr;
+}
+
+void Reducer::on(const RequestArrived& event, Effects& effects)
+{
+    if (!m_resolver) {
+        Refusal refusal;
+        refusal.reason = RefusalReason::NotReady;
+        refusal.retryAfter = shortRetryAfter;
+        return refuseArrival(event, std::move(refusal), effects);
+    }
+    auto resolved = m_resolver->resolve(*event.info, event.now);
+    if (auto refusal = boost::variant2::get_if<Refusal>(&resolved))
+        return refuseArrival(event, *refusal, effects);
+    Request request { event.worker, event.info, boost::variant2::get<ResolvedRequest>(std::move(resolved)) };
+    request.arrivedAt = event.now;
+    auto& clientKey = event.info->clientKey;
+    request.key = clientKey ? joinKey(request.resolved.organisation->name, *clientKey) : mintKey(m_options.incarnation, event.id);
+    // A resend under a client's own key is the same request, and another entry may have started it: a refusal here must
+    // not say "not run".
+    if (clientKey)
+        request.verdict = Verdict::MayHaveRun;
+    m_deadlines.emplace(request.resolved.deadline, event.id);
+    request.cost = costOf(*request.resolved.service, *request.info);
+    auto it = m_requests.insert_or_assign(event.id, std::move(request)).first;
+    admit(event.id, it->second, event.now, effects);
+}
+
+void Reducer::admit(RequestId id, Request& request, TimePoint now, Effects& effects)
+{
+    auto& resolved = request.resolved;
+    carryOut(m_admission.onArrive(id, *resolved.service, *resolved.organisation, request.cost, resolved.deadline, now, m_generator), now, effects);
+}
+
+void Reducer::carryOut(const Admission::Decisions& decisions, TimePoint now, Effects& effects)
+{
+    for (auto& decision : decisions) {
+        auto it = m_requests.find(decision.id);
+        if (it == m_requests.end())
+            continue;
+        if (decision.isStarted) {
+            it->second.isAdmitted = true;
+            dispatch(decision.id, it->second, now, effects);
+            continue;
+        }
+        Refusal refusal;
+        refusal.reason = RefusalReason::Overloaded;
+        refusal.retryAfter = decision.retryAfter;
+        giveUp(decision.id, it->second, std::move(refusal), now, effects);
+    }
+}
+
+void Reducer::refuseArrival(const RequestArrived& event, Refusal refusal, Effects& effects) const
+{
+    refusal.verdict = event.info->clientKey ? Verdict::MayHaveRun : Verdict::NotRun;
+    effects.push_back(RecordAnswer { event.info->service, event.info->organisation, refusal.verdict, refusal.reason });
+    effects.push_back(Refuse { event.worker, event.id, std::move(refusal) });
+}
+
+policy::RouteRequest Reducer::routeRequest(const Request& request) const
+{
+    return { request.info->prefix, request.info->promptTokens, request.info->expectedOutput, request.resolved.isRepeatable, request.tried };
+}
+
+void Reducer::dispatch(RequestId id, Request& request, TimePoint now, Effects& effects)
+{
+    if (isQuarantined(id, request, now, effects))
+        return;
+    Attempt attempt;
+    if (!m_quarantine.empty() && m_quarantine.check(request.resolved.fingerprint, now).action == policy::QuarantineAction::RunAlone) {
+        if (chooseAloneServer(request, attempt))
+            return start(id, request, std::move(attempt), now, effects);
+    }
+    auto isChosen = request.isBoundToHome() ? chooseHome(request, attempt) : chooseServer(request, now, attempt);
+    if (isChosen)
+        return start(id, request, std::move(attempt), now, effects);
+    Refusal refusal;
+    refusal.reason = request.isBoundToHome() ? RefusalReason::HomeUnreachable : RefusalReason::NoBackendServer;
+    refusal.retryAfter = shortRetryAfter;
+    giveUp(id, request, std::move(refusal), now, effects);
+}
+
+bool Reducer::isQuarantined(RequestId id, Request& request, TimePoint now, Effects& effects)
+{
+    if (m_quarantine.empty())
+        return false;
+    auto decision = m_quarantine.check(request.resolved.fingerprint, now);
+    if (decision.action != policy::QuarantineAction::Refuse && decision.action != policy::QuarantineAction::Wait)
+        return false;
+    Refusal refusal;
+    refusal.reason = RefusalReason::Quarantined;
+    refusal.retryAfter = std::max(shortRetryAfter, std::chrono::ceil<seconds>(decision.until - now));
+    giveUp(id, request, std::move(refusal), now, effects);
+    return true;
+}
+
+// A suspect goes where every entry sends it, alone, so that a second crash hurts nobody beside it.
+bool Reducer::chooseAloneServer(const Request& request, Attempt& attempt) const
+{
+    if (request.isBoundToHome())
+        return false;
+    auto server = policy::suspectServer(request.resolved.fingerprint, m_fleet.usable(request.resolved.service->name));
+    if (!server)
+        return false;
+    attempt.server = *server;
+    attempt.isRouted = false;
+    attempt.isAlone = true;
+    return true;
+}
+
+bool Reducer::chooseServer(Request& request, TimePoint now, Attempt& attempt)
+{
+    auto& service = request.resolved.service->name;
+    auto router = m_fleet.router(service);
+    if (!router)
+        return false;
+    auto choice = router->choose(routeRequest(request), now, m_generator);
+    if (!choice)
+        return false;
+    router->onStart(*choice, routeRequest(request), now);
+    request.tried.push_back(choice->server);
+    attempt.server = *router->idOf(choice->server);
+    attempt.choice = *choice;
+    return true;
+}
+
+bool Reducer::chooseHome(const Request& request, Attempt& attempt)
+{
+    const BackendServer* home = nullptr;
+    std::uint64_t best = 0;
+    for (auto& id : m_fleet.listed(request.resolved.service->name)) {
+        auto score = homeScore(request.key, id);
+        if (home && score <= best)
+            continue;
+        best = score;
+        home = m_fleet.find(id);
+    }
+    if (!home || !home->handle)
+        return false;
+    attempt.server = home->id;
+    attempt.isRouted = false;
+    return true;
+}
+
+void Reducer::start(RequestId id, Request& request, Attempt attempt, TimePoint now, Effects& effects)
+{
+    attempt.serial = AttemptSerial(++m_lastAttempt);
+    attempt.startedAt = now;
+    ++request.attempts;
+    AttemptOrder order;
+    order.id = id;
+    order.attempt = attempt.serial;
+    order.key = request.key;
+    auto& server = *m_fleet.find(attempt.server);
+    order.ticket = { server.id, *server.incarnation, server.epoch, m_options.incarnation, attempt.serial.value() };
+    order.service = request.resolved.service->name;
+    order.organisation = request.resolved.organisation->name;
+    order.fingerprint = request.resolved.fingerprint;
+    order.priority = static_cast<int>(request.resolved.organisation->priority);
+    order.promptTokens = request.info->promptTokens;
+    order.expectedOutput = request.info->expectedOutput;
+    order.isRepeatable = request.resolved.isRepeatable;
+    order.runsAlone = attempt.isAlone;
+    order.deadline = request.resolved.deadline;
+    if (attempt.isAlone)
+        m_quarantine.onStartAlone(order.fingerprint);
+    request.attempt = std::move(attempt);
+    effects.push_back(StartAttempt { request.worker, std::move(order) });
+}
+
+void Reducer::on(const OutputBegan& event, Effects&)
+{
+    auto it = m_requests.find(event.id);
+    if (it == m_requests.end() || !it->second.attempt)
+        return;
+    auto& request = it->second;
+    request.firstByteAt = event.now;
+    if (!request.attempt->isRouted)
+        return;
+    auto observed = std::chrono::duration_cast<microseconds>(event.now - request.attempt->startedAt);
+    if (auto router = m_fleet.router(request.resolved.service->name))
+        router->onFirstByte(request.attempt->choice, observed, event.now);
+}
+
+void Reducer::releaseAttempt(Request& request, std::optional<policy::FailureKind> failure, TimePoint now)
+{
+    if (!request.attempt)
+        return;
+    auto router = m_fleet.router(request.resolved.service->name);
+    if (router && request.attempt->isRouted) {
+        if (failure)
+            router->onFail(request.attempt->choice, *failure, now);
+        else
+            router->onFinish(request.attempt->choice, now);
+    }
+    if (request.attempt->isAlone)
+        m_quarantine.onEndAlone(request.resolved.fingerprint);
+    request.attempt.reset();
+}
+
+void Reducer::on(const AttemptEnded& event, Effects& effects)
+{
+    auto it = m_requests.find(event.id);
+    // An attempt that was given up may still report its end; its request has gone on or has been answered.
+    if (it == m_requests.end() || !it->second.attempt || it->second.attempt->serial != event.attempt)
+        return;
+    auto& request = it->second;
+    request.verdict = combine(request.verdict, event.verdict);
+    auto server = request.attempt->server;
+    releaseAttempt(request, failureKind(event), event.now);
+    if (event.crash != policy::CrashId()) {
+        m_quarantine.onCrash({ event.crash, { request.resolved.fingerprint } }, event.now);
+        publishSuspicions(true, event.now, effects);
+    }
+    if (takesNoWork(event)) {
+        // Its report is older than its refusal. Without this the next requests would go there as well until a newer
+        // report comes, each at the price of a retry. Each server can refuse so once, so this ends.
+        m_fleet.onRefusal(server, event.reason);
+        if (!request.isBoundToHome())
+            return dispatch(event.id, request, event.now, effects);
+    }
+    if (event.end != AttemptEnd::Answered)
+        return retryOrAnswer(event.id, request, event, effects);
+    if (!m_quarantine.empty() && !m_quarantine.onSuccess(request.resolved.fingerprint, event.now).empty())
+        publishSuspicions(true, event.now, effects);
+    m_retryBudget.onSuccess({ request.resolved.service->name, request.resolved.organisation->name });
+    recordAnswer(request, std::nullopt, event.now, effects);
+    remove(event.id, event.now, effects);
+}
+
+void Reducer::retryOrAnswer(RequestId id, Request& request, const AttemptEnded& event, Effects& effects)
+{
+    policy::FailedAttempt failed;
+    failed.traffic = { request.resolved.service->name, request.resolved.organisation->name };
+    failed.verdict = request.isBoundToHome() ? request.verdict : combine(request.info->clientKey ? Verdict::NotRun : request.verdict, event.verdict);
+    failed.isRepeatable = request.resolved.isRepeatable;
+    failed.delivered = policy::OutputOffset(request.firstByteAt ? 1 : 0);
+    failed.attempts = request.attempts;
+    failed.deadline = request.resolved.deadline;
+    auto decision = m_retryPolicy.decide(failed, m_retryBudget, event.now, m_generator);
+    if (decision.action == policy::RetryAction::Retry) {
+        m_retries.emplace(decision.at, id);
+        return;
+    }
+    Refusal refusal;
+    refusal.reason = refusalReason(event);
+    refusal.retryAfter = decision.retryAfter;
+    giveUp(id, request, std::move(refusal), event.now, effects);
+}
+
+void Reducer::giveUp(RequestId id, Request& request, Refusal refusal, TimePoint now, Effects& effects)
+{
+    refusal.verdict = request.verdict;
+    if (request.attempt) {
+        // Its agent has it, and no word has come that it did not start.
+        refusal.verdict = combine(refusal.verdict, Verdict::MayHaveRun);
+        effects.push_back(CancelAttempt { request.worker, id, request.attempt->server });
+        releaseAttempt(request, policy::FailureKind::TimedOut, now);
+    }
+    recordAnswer(request, refusal.reason, now, effects);
+    if (request.firstByteAt)
+        effects.push_back(CutAnswer { request.worker, id, std::move(refusal) });
+    else
+        effects.push_back(Refuse { request.worker, id, std::move(refusal) });
+    remove(id, now, effects);
+}
+
+void Reducer::recordAnswer(const Request& request, std::optional<RefusalReason> refusal, TimePoint now, Effects& effects) const
+{
+    RecordAnswer record { request.resolved.service->name, request.resolved.organisation->name, request.verdict, refusal };
+    record.total = std::chrono::duration_cast<microseconds>(now - request.arrivedAt);
+    record.firstByte = std::chrono::duration_cast<microseconds>(request.firstByteAt.value_or(now) - request.arrivedAt);
+    record.attempts = request.attempts;
+    auto& objective = request.resolved.service->objective;
+    auto isInTime = request.resolved.service->kind == settings::ServiceKind::Model ? record.firstByte <= objective.firstToken : record.total <= objective.answer;
+    record.isGood = !refusal && isInTime;
+    effects.push_back(std::move(record));
+}
+
+void Reducer::remove(RequestId id, TimePoint now, Effects& effects)
+{
+    auto it = m_requests.find(id);
+    auto request = std::move(it->second);
+    m_deadlines.erase({ request.resolved.deadline, id });
+    m_requests.erase(it);
+    auto& service = request.resolved.service->name;
+    if (!request.isAdmitted)
+        return m_admission.onAbandon(service, id);
+    carryOut(m_admission.onFinish(service, request.cost, now, m_generator), now, effects);
+}
+
+void Reducer::publishSuspicions(bool isUrgent, TimePoint now, Effects& effects)
+{
+    auto suspicions = m_quarantine.snapshot(now);
+    m_hasSuspicions = !suspicions.empty();
+    effects.push_back(PublishSuspicions { std::move(suspicions), isUrgent });
+}
+
+void Reducer::on(const ClientGone& event, Effects& effects)
+{
+    auto it = m_requests.find(event.id);
+    if (it == m_requests.end())
+        return;
+    auto& request = it->second;
+    if (request.attempt) {
+        effects.push_back(CancelAttempt { request.worker, event.id, request.attempt->server });
+        releaseAttempt(request, std::nullopt, event.now);
+    }
+    remove(event.id, event.now, effects);
+}
+
+void Reducer::on(const LinkReported& event, Effects& effects)
+{
+    m_fleet.onReport(event);
+    auto isNews = false;
+    for (auto& message : event.report.suspicions)
+        isNews = m_quarantine.onMessage(message, event.now) || isNews;
+    if (isNews)
+        publishSuspicions(true, event.now, effects);
+}
+
+void Reducer::on(const LinkDown& event, Effects&)
+{
+    m_fleet.onLinkDown(event);
+}
+
+void Reducer::on(const ViewChanged& event, Effects& effects)
+{
+    m_fleet.onView(*event.view, effects);
+}
+
+void Reducer::on(const SettingsInForce& event, Effects&)
+{
+    if (m_revision && event.revision <= *m_revision)
+        return;
+    m_revision = event.revision;
+    m_resolver.emplace(event.tree);
+}
+
+void Reducer::on(const LeaveRequested& event, Effects& effects)
+{
+    if (m_acceptUntil)
+        return;
+    // Clients may hold an address answer that names this entry, given a moment ago by a peer that had not yet heard:
+    // closing sooner would refuse them.
+    auto keep = m_resolver ? m_resolver->longestKeepTime() : microseconds { 0 };
+    m_acceptUntil = event.now + std::chrono::duration_cast<Clock::duration>(keep);
+    effects.push_back(AnnounceLeaving {});
+    leaveWhenDone(event.now, effects);
+}
+
+void Reducer::on(const Tick& event, Effects& effects)
+{
+    startDueRetries(event.now, effects);
+    carryOut(m_admission.onTimer(event.now, m_generator), event.now, effects);
+    if (m_nextHousekeeping <= event.now) {
+        m_nextHousekeeping = event.now + housekeepingInterval;
+        m_quarantine.tick(event.now);
+        if (m_hasSuspicions)
+            publishSuspicions(false, event.now, effects);
+        updateCapacities(event.now, effects);
+    }
+    endPassedDeadlines(event.now, effects);
+    leaveWhenDone(event.now, effects);
+}
+
+void Reducer::updateCapacities(TimePoint now, Effects& effects)
+{
+    if (!m_resolver)
+        return;
+    for (auto& name : m_resolver->services()) {
+        auto service = m_resolver->service(name);
+        carryOut(m_admission.setCapacity(*service, m_fleet.capacityOf(name), now, m_generator), now, effects);
+    }
+}
+
+void Reducer::startDueRetries(TimePoint now, Effects& effects)
+{
+    while (!m_retries.empty() && m_retries.begin()->first <= now) {
+        auto id = m_retries.begin()->second;
+        m_retries.erase(m_retries.begin());
+        auto it = m_requests.find(id);
+        if (it != m_requests.end() && !it->second.attempt)
+            dispatch(id, it->second, now, effects);
+    }
+}
+
+void Reducer::endPassedDeadlines(TimePoint now, Effects& effects)
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        auto id = m_deadlines.begin()->second;
+        Refusal refusal;
+        refusal.reason = RefusalReason::DeadlinePassed;
+        giveUp(id, m_requests.at(id), std::move(refusal), now, effects);
+    }
+}
+
+void Reducer::leaveWhenDone(TimePoint now, Effects& effects)
+{
+    if (!m_acceptUntil || now < *m_acceptUntil)
+        return;
+    if (!m_hasClosedListeners)
+        effects.push_back(CloseListeners {});
+    m_hasClosedListeners = true;
+    if (m_requests.empty())
+        effects.push_back(Finish {});
+}
+
+} // namespace swiftloft::entry
--- /dev/null
+++ b/src/expertmap/replay/stragglers.cc
@@ -0,0 +1,198 @@
+#include "src/expertmap/replay/stragglers.h"
+
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/normal_distribution.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace swiftloft::expertmap::replay {
+
+namespace {
+
+constexpr double factorGrid[] = { 1.05, 1.08, 1.1, 1.12, 1.15, 1.2, 1.25, 1.3, 1.4, 1.5 };
+constexpr std::uint32_t persistenceGrid[] = { 1, 3, 6, 10, 40 };
+/// Spread (of the logarithm) of a rank's time for equal tokens from step to step.
+constexpr double timeSpread = 0.03;
+
+std::vector<bool> overThreshold(std::span<const double> times, double factor)
+{
+    std::vector<double> sorted(times.begin(), times.end());
+    auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+    std::nth_element(sorted.begin(), middle, sorted.end());
+    std::vector<bool> flags(times.size());
+    std::transform(times.begin(), times.end(), flags.begin(), [bound = factor * *middle](double time) { return time > bound; });
+    return flags;
+}
+
+/// One method with its persistence: the same rule for all, so that only the tests differ.
+class Detector {
+public:
+    Detector(const DetectorSetting& setting, std::size_t ranks)
+        : m_setting(setting)
+        , m_streaks(ranks, 0)
+        , m_flags(ranks, false)
+    {
+    }
+
+    const std::vector<bool>& judge(std::span<const double> times, std::span<const double> tokens)
+    {
+        auto now = test(times, tokens);
+        for (std::size_t r = 0; r < now.size(); ++r) {
+            m_streaks[r] = now[r] == m_flags[r] ? 0 : m_streaks[r] + 1;
+            if (m_streaks[r] < m_setting.persistence)
+                continue;
+            m_flags[r] = now[r];
+            m_streaks[r] = 0;
+        }
+        return m_flags;
+    }
+
+private:
+    std::vector<bool> test(std::span<const double> times, std::span<const double> tokens) const
+    {
+        if (m_setting.kind == DetectorKind::StartOnStepTime)
+            return paretoStragglers(times, m_setting.factor);
+        std::vector<double> perToken(times.size());
+        std::transform(times.begin(), times.end(), tokens.begin(), perToken.begin(), [](double time, double n) { return time / std::max(n, 1.0); });
+        if (m_setting.kind == DetectorKind::Start)
+            return paretoStragglers(perToken, m_setting.factor);
+        return overThreshold(perToken, m_setting.factor);
+    }
+
+    DetectorSetting m_setting;
+    std::vector<std::uint32_t> m_streaks;
+    std::vector<bool> m_flags;
+};
+
+/// A rank that is slow from one interval to another.
+struct Stretch {
+    std::uint32_t rank { 0 };
+    std::uint32_t from { 0 };
+    std::uint32_t to { 0 };
+    bool isFound { false };
+};
+
+/// Slow stretches of more than one interval; a stall of one interval is no slow hardware.
+std::vector<Stretch> slowStretches(const Trace& trace)
+{
+    std::vector<Stretch> stretches;
+    for (std::uint32_t rank = 0; rank < trace.shape.ranks; ++rank) {
+        std::uint32_t from = 0;
+        bool isSlow = false;
+        for (std::uint32_t t = 0; t <= trace.intervals(); ++t) {
+            bool isNow = t < trace.intervals() && trace.speedsAt(t)[rank] < 1;
+            if (isNow && !isSlow)
+                from = t;
+            if (!isNow && isSlow && t - from > 1)
+                stretches.push_back({ rank, from, t });
+            isSlow = isNow;
+        }
+    }
+    return stretches;
+}
+
+void judge(DetectionFigures& figures, std::vector<Stretch>& stretches, const std::vector<bool>& flags, std::uint32_t t, std::uint32_t step, std::uint32_t stepsPerInterval)
+{
+    for (std::uint32_t rank = 0; rank < flags.size(); ++rank) {
+        auto within = std::find_if(stretches.begin(), stretches.end(), [&](auto& it) { return it.rank == rank && t >= it.from && t < it.to; });
+        bool isSlow = within != stretches.end();
+        figures.truePositives += isSlow && flags[rank];
+        figures.falsePositives += !isSlow && flags[rank];
+        figures.falseNegatives += isSlow && !flags[rank];
+        if (isSlow && flags[rank] && !within->isFound) {
+            within->isFound = true;
+            ++figures.stretchesFound;
+            figures.stepsToDetect += (t - within->from) * stepsPerInterval + step + 1;
+        }
+    }
+}
+
+} // namespace
+
+std::vector<bool> paretoStragglers(std::span<const double> times, double k)
+{
+    std::vector<bool> flags(times.size(), false);
+    double beta = *std::min_element(times.begin(), times.end());
+    if (beta <= 0)
+        return flags;
+    double logs = 0;
+    for (auto time : times)
+        logs += std::log(time / beta);
+    double alpha = logs > 0 ? static_cast<double>(times.size()) / logs : 0;
+    if (alpha <= 1)
+        return flags;
+    double bound = k * alpha * beta / (alpha - 1);
+    std::transform(times.begin(), times.end(), flags.begin(), [bound](double time) { return time > bound; });
+    return flags;
+}
+
+double DetectionFigures::precision() const
+{
+    auto flagged = truePositives + falsePositives;
+    return flagged ? static_cast<double>(truePositives) / static_cast<double>(flagged) : 0;
+}
+
+double DetectionFigures::recall() const
+{
+    auto slow = truePositives + falseNegatives;
+    return slow ? static_cast<double>(truePositives) / static_cast<double>(slow) : 0;
+}
+
+double DetectionFigures::f1() const
+{
+    double sum = precision() + recall();
+    return sum > 0 ? 2 * precision() * recall() / sum : 0;
+}
+
+const char* toString(DetectorKind kind)
+{
+    constexpr std::array<const char*, 3> names { "START, time a token", "START, step time", "threshold on median" };
+    return names[static_cast<std::size_t>(kind)];
+}
+
+DetectionFigures detect(const Trace& trace, const DetectorSetting& setting, std::uint32_t stepsPerInterval)
+{
+    boost::random::mt19937_64 random(trace.seed);
+    boost::random::normal_distribution<double> normal;
+    auto stretches = slowStretches(trace);
+    DetectionFigures figures { setting };
+    figures.stretches = stretches.size();
+    auto& shape = trace.shape;
+    Detector detector(setting, shape.ranks);
+    for (std::uint32_t t = 0; t < trace.intervals(); ++t) {
+        auto speeds = trace.speedsAt(t);
+        std::vector<double> mean(shape.ranks, 0.0);
+        for (std::size_t n = 0; n < trace.loads[t].size(); ++n)
+            mean[(n % shape.experts) * shape.ranks / shape.experts] += trace.loads[t][n];
+        for (std::uint32_t step = 0; step < stepsPerInterval; ++step) {
+            std::vector<double> tokens(shape.ranks);
+            std::vector<double> times(shape.ranks);
+            for (std::uint32_t r = 0; r < shape.ranks; ++r) {
+                tokens[r] = std::max(1.0, mean[r] + std::sqrt(mean[r]) * normal(random));
+                times[r] = tokens[r] / speeds[r] * std::exp(timeSpread * normal(random));
+            }
+            judge(figures, stretches, detector.judge(times, tokens), t, step, stepsPerInterval);
+        }
+    }
+    if (figures.stretchesFound > 0)
+        figures.stepsToDetect /= static_cast<double>(figures.stretchesFound);
+    return figures;
+}
+
+DetectorSetting tune(DetectorKind kind, const Trace& training, std::uint32_t stepsPerInterval)
+{
+    DetectionFigures best;
+    best.setting = { kind, factorGrid[0], persistenceGrid[0] };
+    for (auto factor : factorGrid) {
+        for (auto persistence : persistenceGrid) {
+            auto figures = detect(training, { kind, factor, persistence }, stepsPerInterval);
+            if (figures.f1() > best.f1())
+                best = figures;
+        }
+    }
+    return best.setting;
+}
+
+} // namespace swiftloft::expertmap::replay
--- a/src/policy/admission-queue.cc
+++ b/src/policy/admission-queue.cc
@@ -187,10 +187,15 @@
     return *latest + microseconds(1);
 }
 
-AdmissionEffects AdmissionQueue::setCapacity(Tokens capacity, std::size_t maximumInFlight, TimePoint now, Generator& generator)
+AdmissionEffects AdmissionQueue::setCapacity(Tokens capacity, TimePoint now, Generator& generator)
 {
     m_state->options.capacity = std::max(capacity, Tokens(1));
-    m_state->options.maximumInFlight = std::max<std::size_t>(maximumInFlight, 1);
+    return onTimer(now, generator);
+}
+
+AdmissionEffects AdmissionQueue::setMaximumInFlight(std::size_t maximum, TimePoint now, Generator& generator)
+{
+    m_state->options.maximumInFlight = std::max<std::size_t>(maximum, 1);
     return onTimer(now, generator);
 }
 
--- a/test/admission-queue_test.cc
+++ b/test/admission-queue_test.cc
@@ -181,7 +181,7 @@
     large.id = AdmissionId(2);
     CHECK(queue.onArrive(large, start, generator).empty());
     CHECK(queue.onFinish(Tokens(5000), start + seconds(1), generator)[0].id == AdmissionId(2));
-    auto effects = queue.setCapacity(Tokens(9000), 10, start + seconds(1), generator);
+    auto effects = queue.setCapacity(Tokens(9000), start + seconds(1), generator);
     CHECK(effects.empty());
 }
 
@@ -196,7 +196,7 @@
         started += queue.onArrive({ AdmissionId(i), OrganisationName("a"), Priority::Normal, Tokens(10), start + seconds(60) }, start, generator).size();
     CHECK(started == 3);
     CHECK(queue.onFinish(Tokens(10), start, generator).size() == 1);
-    CHECK(queue.setCapacity(Tokens(1000), 5, start, generator).size() == 2);
+    CHECK(queue.setMaximumInFlight(5, start, generator).size() == 2);
 }
 
 TEST_CASE("AdmissionQueue: the expected wait follows the speed that is seen, not the one assumed")
