--- a/bench/expertmap-bench.cc
+++ b/bench/expertmap-bench.cc
@@ -20,8 +20,6 @@
 
 namespace {
 
-constexpr MapShape largeShape { 64, 4, 64, 2 };
-constexpr MapShape smallShape { 4, 4, 16, 5 };
 constexpr std::uint32_t dayIntervals = 288;
 
 struct Arguments {
@@ -30,9 +28,16 @@
     std::string svgFolder;
     std::string traceFile;
     std::string writeFolder;
+    std::uint64_t seeds { 1 };
+    std::uint32_t layers { 4 };
     bool isTimed { true };
 };
 
+std::vector<MapShape> shapes(const Arguments& arguments)
+{
+    return { { 64, arguments.layers, 64, 2 }, { 4, arguments.layers, 16, 5 } };
+}
+
 void printFigures(const Trace& trace, const std::vector<Figures>& runs)
 {
     auto& fixed = runs[0];
@@ -117,6 +122,54 @@
     timeDecision({ 4, 60, 16, 5 });
 }
 
+/// The goals over many seeds: the worst of each figure.
+struct Worst {
+    double viaHeRatio { 0 };
+    double viaHeBytes { 0 };
+    double rasoiWay { 1e9 };
+    double rasoiBytes { 0 };
+    std::uint64_t movedInQuietHours { 0 };
+    std::uint64_t viaHeMoved { 0 };
+};
+
+Worst worstOf(TraceKind kind, const MapShape& shape, const Arguments& arguments)
+{
+    Worst worst;
+    auto initial = ExpertMap::even(shape).value();
+    for (std::uint64_t seed = arguments.seed; seed < arguments.seed + arguments.seeds; ++seed) {
+        auto trace = generate(kind, shape, arguments.intervals, seed);
+        std::vector<Figures> runs;
+        for (auto& policy : allPolicies(initial))
+            runs.push_back(replay::replay(trace, initial, policy, {}));
+        auto& fixed = runs[0];
+        auto& repack = runs[1];
+        auto& viaHe = runs[2];
+        auto& rasoi = runs[3];
+        auto percentOfRepack = [&](auto& it) { return 100.0 * static_cast<double>(it.expertsMoved) / static_cast<double>(std::max<std::uint64_t>(repack.expertsMoved, 1)); };
+        worst.viaHeRatio = std::max(worst.viaHeRatio, viaHe.skewP99 / repack.skewP99);
+        worst.viaHeBytes = std::max(worst.viaHeBytes, percentOfRepack(viaHe));
+        worst.rasoiBytes = std::max(worst.rasoiBytes, percentOfRepack(rasoi));
+        worst.movedInQuietHours = std::max(worst.movedInQuietHours, rasoi.movedInQuietHours);
+        worst.viaHeMoved = std::max(worst.viaHeMoved, viaHe.expertsMoved);
+        if (fixed.skewP99 > 1.02 * repack.skewP99)
+            worst.rasoiWay = std::min(worst.rasoiWay, 100 * (fixed.skewP99 - rasoi.skewP99) / (fixed.skewP99 - repack.skewP99));
+    }
+    return worst;
+}
+
+void printGoals(const Arguments& arguments)
+{
+    fmt::print("worst of {} seeds from {}: via-he p99/repack, % bytes, most experts moved | rasoi % of the way, % bytes, moved in quiet hours\n", arguments.seeds, arguments.seed);
+    for (auto& shape : shapes(arguments)) {
+        for (auto kind : traceKinds) {
+            auto it = worstOf(kind, shape, arguments);
+            auto way = it.rasoiWay < 1e9 ? fmt::format("{:.0f}", it.rasoiWay) : "none";
+            fmt::print("  {:12} {:2}x{:2} x{}: {:.3f} {:5.2f} {:5} | {:>5} {:5.2f} {}\n", toString(kind), shape.ranks, shape.experts, shape.layers, it.viaHeRatio, it.viaHeBytes,
+                it.viaHeMoved, way, it.rasoiBytes, it.movedInQuietHours);
+        }
+    }
+}
+
 /// Takes a group through one change of map with ranks that do at once what they are told; counts orders and time.
 void timeCoordinator(std::uint32_t ranks)
 {
@@ -198,7 +251,11 @@
         replayAll(read(in).value(), arguments);
         return;
     }
-    for (auto& shape : { largeShape, smallShape }) {
+    if (arguments.seeds > 1) {
+        printGoals(arguments);
+        return;
+    }
+    for (auto& shape : shapes(arguments)) {
         for (auto kind : traceKinds)
             replayAll(generate(kind, shape, arguments.intervals, arguments.seed), arguments);
         compareDetectors(shape, arguments);
@@ -217,6 +274,8 @@
     Arguments arguments;
     options.add_options()("seed", "seed of the generated traces", cxxopts::value(arguments.seed)->default_value("1"));
     options.add_options()("intervals", "intervals of five minutes to generate", cxxopts::value(arguments.intervals)->default_value("288"));
+    options.add_options()("seeds", "print only the worst figures of so many seeds", cxxopts::value(arguments.seeds)->default_value("1"));
+    options.add_options()("layers", "layers of the generated traces", cxxopts::value(arguments.layers)->default_value("4"));
     options.add_options()("svg", "folder to write one plot a trace to", cxxopts::value(arguments.svgFolder)->default_value(""));
     options.add_options()("trace", "replay this file instead of generated traces", cxxopts::value(arguments.traceFile)->default_value(""));
     options.add_options()("write-traces", "write the small traces to this folder and stop", cxxopts::value(arguments.writeFolder)->default_value(""));
--- a/bench/expertmap-svg.cc
+++ b/bench/expertmap-svg.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <iterator>
 
 namespace swiftloft::expertmap::bench {
@@ -15,7 +16,10 @@
 constexpr double left = 70;
 constexpr double top = 50;
 constexpr double gap = 50;
-constexpr int ticks = 4;
+constexpr int ticks = 5;
+/// Bounds of the axis of bytes; what lies below is drawn at the lower one.
+constexpr double leastGigabytes = 0.1;
+constexpr double mostGigabytes = 1e4;
 constexpr std::array<const char*, 5> colours { "#888888", "#d95f02", "#1b9e77", "#7570b3", "#e6ab02" };
 
 struct Series {
@@ -28,7 +32,8 @@
     double top { 0 };
     double low { 0 };
     double high { 1 };
-    const char* format { "{:.2f}" };
+    /// Values are powers of ten.
+    bool isLogarithmic { false };
 };
 
 double xOf(std::size_t n, std::size_t count)
@@ -41,6 +46,11 @@
     return panel.top + panelHeight * (1 - (value - panel.low) / (panel.high - panel.low));
 }
 
+std::string labelOf(const Panel& panel, double value)
+{
+    return panel.isLogarithmic ? fmt::format("{:.3g}", std::pow(10, value)) : fmt::format("{:.2f}", value);
+}
+
 void drawAxes(const Panel& panel, std::string& out)
 {
     auto to = std::back_inserter(out);
@@ -49,7 +59,7 @@
         double value = panel.low + (panel.high - panel.low) * n / ticks;
         double y = yOf(panel, value);
         fmt::format_to(to, "<line x1=\"{0}\" y1=\"{2:.1f}\" x2=\"{1}\" y2=\"{2:.1f}\" stroke=\"#dddddd\"/>\n", left, left + width, y);
-        fmt::format_to(to, "<text x=\"{}\" y=\"{:.1f}\" text-anchor=\"end\">{}</text>\n", left - 6, y + 4, fmt::format(fmt::runtime(panel.format), value));
+        fmt::format_to(to, "<text x=\"{}\" y=\"{:.1f}\" text-anchor=\"end\">{}</text>\n", left - 6, y + 4, labelOf(panel, value));
     }
 }
 
@@ -66,7 +76,7 @@
 
 double highest(const std::vector<Series>& series)
 {
-    double value = 0;
+    double value = 1;
     for (auto& it : series)
         value = std::max(value, *std::max_element(it.values.begin(), it.values.end()));
     return value;
@@ -105,13 +115,13 @@
         for (auto& it : run.intervals) {
             sum += static_cast<double>(it.expertsMoved * bytesPerExpert.value()) / 1e9;
             skew.values.push_back(it.meanSkew);
-            moved.values.push_back(sum);
+            moved.values.push_back(std::log10(std::max(sum, leastGigabytes)));
         }
         skews.push_back(std::move(skew));
         bytes.push_back(std::move(moved));
     }
     Panel above { "skew: slowest rank over mean", top, 1, std::max(1.1, highest(skews)) };
-    Panel below { "GB moved since the start", top + panelHeight + gap, 0, std::max(1.0, highest(bytes)), "{:.0f}" };
+    Panel below { "GB moved since the start", top + panelHeight + gap, std::log10(leastGigabytes), std::log10(mostGigabytes), true };
     double height = below.top + panelHeight + 40;
     std::string out = fmt::format("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{0}\" height=\"{1}\" font-family=\"sans-serif\" font-size=\"12\">\n"
                                   "<rect width=\"{0}\" height=\"{1}\" fill=\"white\"/>\n<text x=\"{2}\" y=\"20\" font-size=\"15\">{3}</text>\n",
--- a/src/expertmap/replay/policies.cc
+++ b/src/expertmap/replay/policies.cc
@@ -6,6 +6,13 @@
 
 namespace swiftloft::expertmap::replay {
 
+namespace {
+
+/// A decision is bounded in time and may leave gains untaken; it is repeated up to so many times before the map changes.
+constexpr int decisionsPerInterval = 40;
+
+} // namespace
+
 Policy staticPolicy(const ExpertMap& initial)
 {
     return { "static", [initial](const Moment&) { return initial; } };
@@ -46,7 +53,10 @@
     return { std::move(name), [planner](const Moment& moment) {
                 planner->observe(moment.now, moment.report);
                 planner->setSpeeds(moment.speeds);
-                planner->plan(moment.now, moment.minuteOfDay);
+                for (int n = 0; n < decisionsPerInterval; ++n) {
+                    if (planner->plan(moment.now, moment.minuteOfDay).reason != PlanReason::Moved)
+                        break;
+                }
                 return planner->current();
             } };
 }
