--- a/bench/expertmap-bench.cc
+++ b/bench/expertmap-bench.cc
@@ -1,9 +1,12 @@
 #include "bench/expertmap-svg.h"
 #include "src/expertmap/replay/replay.h"
 #include "src/expertmap/replay/stragglers.h"
+#include "src/expertmap/wire.h"
 
 #include <swiftloft/expertmap/coordinator.h>
 
+#include <capnp/message.h>
+#include <capnp/serialize.h>
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <fmt/ostream.h>
@@ -224,11 +227,28 @@
     fmt::print("  {:4} ranks: {:.2f} us an idle report, {} orders and {:.0f} us a change (coordinator only)\n", ranks, idle, orders, change);
 }
 
+template <typename Schema, typename T>
+std::size_t bytesOf(const T& value)
+{
+    capnp::MallocMessageBuilder message;
+    wire::build(message.initRoot<Schema>(), value);
+    return capnp::computeSerializedSizeInWords(message) * sizeof(capnp::word);
+}
+
+void printMessageSizes()
+{
+    SwitchPoint point { MapVersion(2), StepNumber(40) };
+    EngineStatus status { Incarnation(3), true, MapVersion(1), StepNumber(39), point, true, { MapVersion(1), MapVersion(2) } };
+    fmt::print("  largest report {} bytes, largest order {}, map of 64 ranks x 60 layers {}\n", bytesOf<schema::RankReport>(RankReport { {}, Incarnation(1), {}, 1, status }),
+        bytesOf<schema::RankOrder>(RankOrder { {}, 1, {}, Incarnation(3), Admit { MapVersion(1), point } }), bytesOf<schema::ExpertMap>(ExpertMap::even({ 64, 60, 64, 2 }).value()));
+}
+
 void timeCoordinators()
 {
     fmt::print("coordinator\n");
     for (std::uint32_t ranks : { 4u, 16u, 64u, 256u })
         timeCoordinator(ranks);
+    printMessageSizes();
 }
 
 void writeTraces(const Arguments& arguments)
