--- a/include/swiftloft/expertmap/coordinator.h
+++ b/include/swiftloft/expertmap/coordinator.h
@@ -96,6 +96,8 @@
         milliseconds retryAfter { 20 };
         /// Ranks are read this often while nothing happens, to find restarted engines.
         milliseconds idleReadAfter { 1000 };
+        /// A rank that loads weights is asked this often whether it has them.
+        milliseconds stagePollAfter { 200 };
     };
 
     /// Fails with `InvalidArgument` when there is no rank, a time or lead is not positive, or the incarnation is zero.
@@ -110,19 +112,22 @@
     std::optional<SwitchPoint> pending() const;
     /// Ranks whose state is not known since this coordinator began; while any is left, no change starts.
     std::vector<RankIndex> unheardRanks() const;
+    /// Ranks that have not reported since `time`; what a status page names when the group holds.
+    std::vector<RankIndex> silentRanks(TimePoint time) const;
 
 private:
     struct RankView {
         std::optional<EngineStatus> status;
         /// Round of the report that `status` came with.
         std::uint64_t round { 0 };
+        TimePoint heardAt;
         std::optional<Order> lastOrder;
         TimePoint resendAt;
     };
 
     explicit Coordinator(const Options& options);
 
-    void onReport(const RankReport& report, coordination::Effects& effects);
+    void onReport(TimePoint now, const RankReport& report, coordination::Effects& effects);
     void onHello(TimePoint now, const RankHello& hello, coordination::Effects& effects);
     void inquireAgain(FencingNumber newer);
     void advance(TimePoint now, coordination::Effects& effects);
--- a/include/swiftloft/expertmap/planner.h
+++ b/include/swiftloft/expertmap/planner.h
@@ -73,8 +73,9 @@
         Bytes bytesPerExpert { 44'000'000 };
         /// Steps over which a gain is counted; about five minutes of 6 ms steps.
         double horizonSteps { 50'000 };
-        /// What moving one expert costs at weight 1, in steps.
-        double stepsPerExpert { 25 };
+        /// What moving one expert in every layer costs at weight 1, in steps. Counted so, the weights mean the same for
+        /// models of few and of many layers: a layer's part of the step and its part of the cost shrink alike.
+        double stepsPerExpert { 100 };
         /// Least gain of a move, as a part of its layer's time. Below it lies what noise could feign.
         double minGain { 0.002 };
         /// A slot that was filled keeps its expert at least this long.
--- a/src/expertmap/coordinator.cc
+++ b/src/expertmap/coordinator.cc
@@ -21,7 +21,7 @@
         return Error { ErrorCode::InvalidArgument, "a coordinator needs one rank and one staging rank at least" };
     if (options.leadSteps == 0 || options.maxLeadSteps < options.leadSteps)
         return Error { ErrorCode::InvalidArgument, "the lead must be one step at least and not above its bound" };
-    if (options.retryAfter <= milliseconds(0) || options.idleReadAfter <= milliseconds(0))
+    if (options.retryAfter <= milliseconds(0) || options.idleReadAfter <= milliseconds(0) || options.stagePollAfter <= milliseconds(0))
         return Error { ErrorCode::InvalidArgument, "the times of a coordinator must be positive" };
     return Coordinator(options);
 }
@@ -40,7 +40,7 @@
     if (m_phase == CoordinatorPhase::SteppedDown)
         return effects;
     if (auto* arrived = std::get_if<ReportArrived>(&event))
-        onReport(arrived->report, effects);
+        onReport(now, arrived->report, effects);
     else if (auto* hello = std::get_if<HelloArrived>(&event))
         onHello(now, hello->hello, effects);
     else if (auto* wish = std::get_if<MapWanted>(&event))
@@ -52,7 +52,7 @@
     return effects;
 }
 
-void Coordinator::onReport(const RankReport& report, Effects& effects)
+void Coordinator::onReport(TimePoint now, const RankReport& report, Effects& effects)
 {
     if (report.rank.value() >= m_ranks.size())
         return;
@@ -74,6 +74,7 @@
         return;
     view.round = report.round;
     view.status = report.status;
+    view.heardAt = now;
 }
 
 void Coordinator::onHello(TimePoint now, const RankHello& hello, Effects& effects)
@@ -102,6 +103,16 @@
     return ranks;
 }
 
+std::vector<RankIndex> Coordinator::silentRanks(TimePoint time) const
+{
+    std::vector<RankIndex> ranks;
+    for (std::uint32_t r = 0; r < m_ranks.size(); ++r) {
+        if (!m_ranks[r].status || m_ranks[r].heardAt < time)
+            ranks.push_back(RankIndex(r));
+    }
+    return ranks;
+}
+
 bool Coordinator::heardAll() const
 {
     return std::all_of(m_ranks.begin(), m_ranks.end(), [](auto& view) { return view.status.has_value(); });
@@ -306,7 +317,7 @@
     for (std::uint32_t r = 0; r < m_ranks.size() && loading < m_options.stagingRanks; ++r) {
         if (m_ranks[r].status->hasStaged(version))
             continue;
-        send(now, r, StageMap { version }, effects);
+        send(now, r, StageMap { version }, effects, m_options.stagePollAfter);
         ++loading;
     }
     return loading == 0;
--- a/src/expertmap/planner.cc
+++ b/src/expertmap/planner.cc
@@ -126,7 +126,7 @@
 /// outweigh what the move costs, each by its weight. A layer counts by its part of the step.
 double Planner::leastGain(double stepTime) const
 {
-    double cost = m_options.rebalanceWeight * m_options.stepsPerExpert;
+    double cost = m_options.rebalanceWeight * m_options.stepsPerExpert / m_current.shape().layers;
     double value = m_options.skewWeight * m_options.horizonSteps / std::max(stepTime, smallest);
     return std::max(m_options.minGain, value > 0 ? cost / value : std::numeric_limits<double>::infinity());
 }
--- a/src/expertmap/wire.cc
+++ b/src/expertmap/wire.cc
@@ -39,6 +39,8 @@
 
 FencingNumber parseFence(schema::FencingNumber::Reader in)
 {
+    // A coordinator bids one above the highest number seen; one near the end of the range would leave nothing to bid.
+    require(in.getCounter() <= maxFenceCounter, "a fencing number is out of range");
     return { in.getCounter(), Incarnation(in.getHolder()) };
 }
 
--- a/src/expertmap/wire.h
+++ b/src/expertmap/wire.h
@@ -14,6 +14,7 @@
 /// Bounds of what is taken from a peer.
 inline constexpr std::uint32_t maxRanks = 4096;
 inline constexpr std::size_t maxStagedMaps = 64;
+inline constexpr std::uint64_t maxFenceCounter = 1ULL << 62;
 
 void build(schema::RankOrder::Builder out, const RankOrder& order);
 void build(schema::RankReport::Builder out, const RankReport& report);
--- a/test/expertmap-coordinator_test.cc
+++ b/test/expertmap-coordinator_test.cc
@@ -52,6 +52,10 @@
     Coordinator coordinator { Coordinator::create({ Incarnation(9), ranks, first, ranks }).value() };
     EngineStatus statuses[ranks];
     std::vector<RankOrder> reads;
+    /// A rank that answers nothing.
+    std::optional<std::uint32_t> silent;
+
+    TimePoint now() const { return m_now; }
 
 private:
     void take(const coordination::Effects& effects, std::vector<RankOrder>& given)
@@ -63,6 +67,8 @@
             auto& order = sent->order;
             (std::holds_alternative<ReadStatus>(order.order) ? reads : given).push_back(order);
             auto r = order.rank.value();
+            if (silent == r)
+                continue;
             take(coordinator.apply(m_now, coordination::ReportArrived { { order.rank, Incarnation(70 + r), order.fence, order.round, statuses[r] } }), given);
         }
     }
@@ -157,6 +163,19 @@
     CHECK(std::get<Arm>(orders.back().order).point.version == second);
 }
 
+TEST_CASE("Coordinator names the ranks that have fallen silent")
+{
+    // A group holds and an operator has to know which agent to restart.
+    Driver driver;
+    driver.tick(2);
+    auto before = driver.now();
+    CHECK(driver.coordinator.silentRanks(before).empty());
+    driver.silent = 2;
+    driver.tick(120);
+    CHECK(driver.coordinator.silentRanks(before + milliseconds(1)) == std::vector<RankIndex> { RankIndex(2) });
+    CHECK(driver.coordinator.unheardRanks().empty());
+}
+
 TEST_CASE("Rank agent refuses an order with an older fencing number and says which is newer")
 {
     // An operator sees a rank load weights that nobody wants. A coordinator that woke up late orders it, and its engine
--- a/test/expertmap-wire_test.cc
+++ b/test/expertmap-wire_test.cc
@@ -110,6 +110,9 @@
     report = someReport();
     report.status->engine = Incarnation(0);
     CHECK(isRefused(report));
+    report = someReport();
+    report.promised.counter = wire::maxFenceCounter + 1;
+    CHECK(isRefused(report));
     RankOrder order { { 4, Incarnation(8) }, 12, RankIndex(3), std::nullopt, Arm { point } };
     auto words = wordsOf<schema::RankOrder>(order);
     CHECK(parseWords<schema::RankOrder>(words).error().message == "an order names no life of its engine");
