--- a/samples/verdict-and-retry-budget.cc
+++ b/samples/verdict-and-retry-budget.cc
@@ -1,62 +1,76 @@
-// How a client of the library answers failed attempts: a verdict says whether a request may have run, a retry policy
-// decides from it, and a budget keeps the extra work small.
+#include <swiftloft/policy/retry-budget.h>
 #include <swiftloft/policy/retry-policy.h>
+#include <swiftloft/verdict.h>
 
 #include <fmt/format.h>
 
+/// One idea: whether a failed request is sent again follows from its verdict first and from the retry budget second. A
+/// request that may have run and is not idempotent is never sent again; one that did not run is, as long as the
+/// successes of its service and organisation have paid for it.
+
 using namespace swiftloft;
 using namespace swiftloft::policy;
 
 namespace {
 
-void show(std::string_view what, const RetryDecision& decision, TimePoint now)
+constexpr int successes = 20;
+constexpr int failures = 10;
+
+const char* toString(RetryAction action)
 {
-    auto wait = std::chrono::duration_cast<milliseconds>(decision.at - now).count();
-    switch (decision.action) {
+    switch (action) {
     case RetryAction::Retry:
-        fmt::print("{}: try again in {} ms\n", what, wait);
-        return;
+        return "retry";
     case RetryAction::Resume:
-        fmt::print("{}: attach again in {} ms and go on at byte {}\n", what, wait, decision.resumeAt.value());
-        return;
+        return "resume";
     case RetryAction::Answer:
-        fmt::print("{}: answer \"{}\" now ({}), Retry-After: {}\n", what, toString(decision.verdict), toString(decision.reason), decision.retryAfter.count());
-        return;
+        break;
     }
+    return "answer";
+}
+
+FailedAttempt failedAttempt(const TrafficKey& traffic, Verdict verdict, bool isRepeatable, TimePoint now)
+{
+    FailedAttempt attempt;
+    attempt.traffic = traffic;
+    attempt.verdict = verdict;
+    attempt.isRepeatable = isRepeatable;
+    attempt.deadline = now + seconds(30);
+    return attempt;
 }
 
 } // namespace
 
 int main()
 {
-    auto policy = RetryPolicy::create({ .maximumAttempts = 3 });
-    auto budget = RetryBudget::create({ .fractionOfSuccesses = 0.5, .floorPerSecond = 0, .maximumFloor = 1 });
-    if (!policy || !budget)
-        return 1;
-    // The library reads no clock and draws no random number by itself: both come from the caller.
-    Generator generator(42);
-    TimePoint now { seconds(1) };
+    // Both take no clock and no randomness of their own, so this program prints the same on each run.
+    TimePoint now;
+    Generator generator(7);
+    RetryBudgetOptions options;
+    options.floorPerSecond = 0;
+    options.maximumFloor = 0;
+    auto budget = RetryBudget::create(options).value();
+    auto policy = RetryPolicy::create({}).value();
+    TrafficKey traffic { ServiceName("drafting"), OrganisationName("permit-office") };
 
-    FailedAttempt attempt;
-    attempt.traffic = { ServiceName("dispatch"), OrganisationName("rasoi") };
-    attempt.deadline = now + seconds(10);
-
-    attempt.verdict = Verdict::MayHaveRun;
-    attempt.isRepeatable = false;
-    show("a booking, connection broke after it was written", policy->decide(attempt, *budget, now, generator), now);
-
-    attempt.verdict = Verdict::NotRun;
-    show("a booking, the agent confirmed that it did not run", policy->decide(attempt, *budget, now, generator), now);
-    show("the same once more, and the budget is spent", policy->decide(attempt, *budget, now, generator), now);
-
-    for (int i = 0; i < 2; ++i)
-        budget->onSuccess(attempt.traffic);
-    show("after two successes of the organisation", policy->decide(attempt, *budget, now, generator), now);
-
-    attempt.verdict = Verdict::MayHaveRun;
-    attempt.isRepeatable = true;
-    attempt.delivered = OutputOffset(1200);
-    attempt.resumableFrom = OutputOffset(800);
-    show("an answer cut in the middle, its run goes on", policy->decide(attempt, *budget, now, generator), now);
-    return 0;
+    for (int n = 0; n < successes; ++n)
+        budget.onSuccess(traffic);
+
+    fmt::print("verdict       idempotent  action  reason\n");
+    for (auto verdict : { Verdict::NotRun, Verdict::MayHaveRun }) {
+        auto decision = policy.decide(failedAttempt(traffic, verdict, false, now), budget, now, generator);
+        fmt::print("{:<13} {:<11} {:<7} {}\n", swiftloft::toString(verdict), "no", toString(decision.action), toString(decision.reason));
+        bool mustRetry = verdict == Verdict::NotRun;
+        if ((decision.action == RetryAction::Retry) != mustRetry)
+            return 1;
+    }
+
+    // One of the two retries that 20 successes earned at 10% is spent; the storm gets the other and no more.
+    int retries = 0;
+    for (int n = 0; n < failures; ++n) {
+        auto decision = policy.decide(failedAttempt(traffic, Verdict::MayHaveRun, true, now), budget, now, generator);
+        retries += decision.action == RetryAction::Retry ? 1 : 0;
+    }
+    fmt::print("{} idempotent requests failed; {} sent again, the others answered at once\n", failures, retries);
+    return retries == 1 ? 0 : 1;
 }
