--- a/src/agent/daemon.cc
+++ b/src/agent/daemon.cc
@@ -9,6 +9,18 @@
 namespace {
 
 constexpr milliseconds tickInterval { 100 };
+/// How long after its first use a client's own key is kept from running again; docs/REFERENCE.md promises it.
+constexpr seconds keyRetention { 120 };
+
+ReducerOptions reducerOptions(const process::ProcessConfig& config, Incarnation incarnation)
+{
+    ReducerOptions options;
+    options.self = BackendServerId(config.id);
+    options.incarnation = incarnation;
+    options.claims.refusesWhileYoung = !config.isFirstStart;
+    options.claims.retention = keyRetention;
+    return options;
+}
 
 } // namespace
 
@@ -16,9 +28,9 @@
     : m_config(std::move(config))
     , m_incarnation(incarnation)
     , m_control(1)
-    , m_reducer(incarnation, {})
+    , m_reducer(Reducer::create(reducerOptions(m_config, incarnation), Clock::now()).value())
     , m_status(m_control, m_config.listen)
-    , m_monitor(m_control, *m_config.backendServer, [this](Event event) { apply(event); })
+    , m_monitor(m_control, *m_config.backendServer, [this](const Event& event) { apply(event); })
     , m_timer(m_control)
 {
     addStatusPages();
@@ -45,6 +57,9 @@
 {
     daemon::FleetControl::Hooks hooks;
     hooks.onSettings = [](Revision, const settings::Tree&) {};
+    hooks.onViewChanged = [this](const std::shared_ptr<const membership::View>& view) {
+        apply(ListLearned { policy::ListRevision(view->listRevision.value()), Clock::now() });
+    };
     hooks.onLeaving = [this] { apply(LeaveRequested { Clock::now() }); };
     m_fleetControl = std::make_unique<daemon::FleetControl>(m_control, m_config, membership::Role::Agent, m_incarnation, std::move(hooks));
 }
@@ -81,6 +96,10 @@
     m_reducer.apply(event, *effects);
     if (effects->empty())
         return;
+    for (auto& effect : *effects) {
+        if (std::holds_alternative<ProbeEngine>(effect))
+            m_monitor.probeNow();
+    }
     boost::asio::post(m_traffic.ioContext(), [this, effects] {
         for (auto& effect : *effects) {
             if (m_service)
--- a/src/entry/agent-link.cc
+++ b/src/entry/agent-link.cc
@@ -1,11 +1,15 @@
 #include "src/entry/agent-link.h"
 
+#include "src/rpc/convert.h"
+
 #include <algorithm>
 
 namespace swiftloft::entry {
 
 namespace {
 
+constexpr std::size_t mostBackgroundCalls = 256;
+
 AgentReport toReport(rpc::schema::Report::Reader from)
 {
     AgentReport report;
@@ -14,8 +18,8 @@
     report.isEngineUp = from.getIsEngineUp();
     report.pending = Tokens(from.getPendingTokens());
     report.tokensPerSecond = from.getTokensPerSecond();
-    for (auto fingerprint : from.getSuspects())
-        report.suspects.emplace_back(fingerprint);
+    report.epoch = policy::MintEpoch(from.getEpoch());
+    report.suspicions = rpc::toSuspicions(from.getSuspicions());
     return report;
 }
 
@@ -37,7 +41,22 @@
     TimePoint nextHeartbeat {};
     kj::Promise<void> heartbeat { nullptr };
     kj::Promise<void> disconnect { nullptr };
-    std::vector<kj::Promise<void>> cancels;
+    /// Calls whose answers nobody waits for.
+    std::vector<kj::Promise<void>> background;
+};
+
+struct AgentLink::PendingClaim {
+    TimePoint deadline;
+    OnClaimReply onReply;
+    kj::Promise<void> call { nullptr };
+
+    void answer(std::optional<policy::ClaimReply> reply)
+    {
+        auto hook = std::move(onReply);
+        onReply = nullptr;
+        if (hook)
+            hook(std::move(reply));
+    }
 };
 
 AgentLink::AgentLink(boost::asio::io_context& ioContext, boost::asio::ip::tcp::endpoint endpoint, AgentLinkOptions options, Hooks hooks)
@@ -66,6 +85,7 @@
     m_attempts.clear();
     for (auto& attempt : attempts)
         attempt->end(AttemptEnd::Lost, Verdict::MayHaveRun, AttemptReason::Other);
+    endClaims(TimePoint::max());
     m_candidate.reset();
     m_current.reset();
 }
@@ -76,9 +96,9 @@
         return attempt->end(AttemptEnd::Lost, Verdict::NotRun, AttemptReason::Other);
     // The order names the incarnation that was known when it was decided. A newer one must not get it under that name,
     // and the older one may not have it: nothing was sent.
-    if (m_current->incarnation != attempt->order().incarnation)
+    if (m_current->incarnation != attempt->order().ticket.agentIncarnation)
         return attempt->end(AttemptEnd::Refused, Verdict::NotRun, AttemptReason::WrongIncarnation);
-    attempt->issue(m_current->agent, m_options.entry, Clock::now());
+    attempt->issue(m_current->agent, Clock::now());
     forgetEnded();
     m_attempts.push_back(std::move(attempt));
 }
@@ -89,14 +109,58 @@
     std::erase(m_attempts, attempt);
     if (!m_current)
         return;
-    auto& order = attempt->order();
     auto call = m_current->agent.cancelRequest();
-    call.setKey(kj::StringPtr(order.key.value().data(), order.key.value().size()));
-    call.setIncarnation(order.incarnation.value());
-    auto id = call.initAttempt();
-    id.setEntry(m_options.entry.value());
-    id.setSerial(order.attempt.value());
-    m_current->cancels.push_back(call.send().ignoreResult().eagerlyEvaluate([](kj::Exception&&) {}));
+    rpc::fill(call.initTicket(), attempt->order().ticket);
+    m_current->background.push_back(call.send().ignoreResult().eagerlyEvaluate([](kj::Exception&&) {}));
+}
+
+void AgentLink::claim(const policy::ClaimRequest& request, TimePoint deadline, OnClaimReply onReply)
+{
+    if (!m_current || m_loseAt)
+        return onReply(std::nullopt);
+    auto pending = std::make_shared<PendingClaim>();
+    pending->deadline = deadline;
+    pending->onReply = std::move(onReply);
+    auto call = m_current->agent.claimRequest();
+    rpc::fill(call.initClaim(), request);
+    auto weak = std::weak_ptr(pending);
+    pending->call = call.send().then(
+                                   [weak, id = request.claim](auto&& answer) {
+                                       if (auto pending = weak.lock())
+                                           pending->answer(rpc::toClaimReply(answer.getReply(), id));
+                                   },
+                                   [weak](kj::Exception&&) {
+                                       if (auto pending = weak.lock())
+                                           pending->answer(std::nullopt);
+                                   })
+                        .eagerlyEvaluate(nullptr);
+    m_claims.push_back(std::move(pending));
+}
+
+void AgentLink::endClaims(TimePoint passed)
+{
+    for (auto& pending : std::vector(m_claims)) {
+        if (pending->deadline <= passed)
+            pending->answer(std::nullopt);
+    }
+    std::erase_if(m_claims, [](auto& pending) { return !pending->onReply; });
+}
+
+void AgentLink::release(const policy::ClaimRequest& request)
+{
+    if (!m_current)
+        return;
+    auto call = m_current->agent.releaseRequest();
+    rpc::fill(call.initClaim(), request);
+    m_current->background.push_back(call.send().ignoreResult().eagerlyEvaluate([](kj::Exception&&) {}));
+}
+
+void AgentLink::setSuspicions(std::vector<policy::SuspicionMessage> suspicions, bool isUrgent)
+{
+    m_suspicions = std::move(suspicions);
+    if (!isUrgent || !m_current || m_loseAt || m_current->heartbeatDeadline)
+        return;
+    sendHeartbeat(*m_current, Clock::now());
 }
 
 void AgentLink::tick()
@@ -104,6 +168,7 @@
     auto now = Clock::now();
     checkHeartbeat(now);
     loseExpired(now);
+    endClaims(now);
     m_timer.expires_at(now + m_options.heartbeatInterval / 5);
     m_timer.async_wait([self = shared_from_this()](boost::system::error_code) {
         if (!self->m_isStopped)
@@ -124,7 +189,8 @@
             connect();
         return;
     }
-    m_current->cancels.clear();
+    if (m_current->background.size() > mostBackgroundCalls)
+        m_current->background.clear();
     if (!m_current->heartbeatDeadline && m_current->nextHeartbeat <= now)
         sendHeartbeat(*m_current, now);
 }
@@ -134,6 +200,8 @@
     connection.heartbeatDeadline = now + m_options.heartbeatLimit;
     connection.nextHeartbeat = now + m_options.heartbeatInterval;
     auto call = connection.agent.reportRequest();
+    rpc::schema::Agent::ReportParams::Builder params = call;
+    rpc::fillSuspicions(params, m_suspicions);
     connection.heartbeat = call.send().then([this, &connection](auto&& answer) { onHeartbeat(connection, answer.getReport()); }, [&connection](kj::Exception&&) { connection.isBroken = true; }).eagerlyEvaluate(nullptr);
 }
 
@@ -182,8 +250,8 @@
     forgetEnded();
     auto now = Clock::now();
     for (auto& attempt : std::vector(m_attempts)) {
-        if (attempt->order().incarnation == *m_current->incarnation)
-            attempt->issue(m_current->agent, m_options.entry, now);
+        if (attempt->order().ticket.agentIncarnation == *m_current->incarnation)
+            attempt->issue(m_current->agent, now);
         else
             attempt->end(AttemptEnd::Lost, Verdict::MayHaveRun, AttemptReason::WrongIncarnation);
     }
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -4,7 +4,10 @@
 
 #include <swiftloft/ids.h>
 #include <swiftloft/membership/view.h>
+#include <swiftloft/policy/claim.h>
+#include <swiftloft/policy/crash-quarantine.h>
 #include <swiftloft/policy/prefix-index.h>
+#include <swiftloft/policy/ticket.h>
 #include <swiftloft/settings/tree.h>
 #include <swiftloft/units.h>
 #include <swiftloft/verdict.h>
@@ -81,6 +84,7 @@
     DeadlinePassed,
     AnswerNotHeld,
     Quarantined,
+    NotClaimed,
     Other,
 };
 
@@ -91,6 +95,17 @@
     Verdict verdict;
     AttemptReason reason;
     TimePoint now;
+    /// Names the crash that broke the attempt; 0 when the backend server has not crashed.
+    policy::CrashId crash {};
+};
+
+/// A home of a client's key has answered a claim; without a reply it could not be reached in time.
+struct ClaimAnswered {
+    RequestId id;
+    policy::ClaimId claim;
+    BackendServerId home;
+    std::optional<policy::ClaimReply> reply;
+    TimePoint now;
 };
 
 struct ClientGone {
@@ -105,7 +120,8 @@
     bool isEngineUp { false };
     Tokens pending;
     double tokensPerSecond { 0 };
-    std::vector<Fingerprint> suspects;
+    policy::MintEpoch epoch;
+    std::vector<policy::SuspicionMessage> suspicions;
 };
 
 /// A link to an agent works, or works again, and this is its newest report.
@@ -141,7 +157,7 @@
     TimePoint now;
 };
 
-using Event = std::variant<RequestArrived, OutputBegan, AttemptEnded, ClientGone, LinkReported, LinkDown, ViewChanged,
+using Event = std::variant<RequestArrived, OutputBegan, AttemptEnded, ClaimAnswered, ClientGone, LinkReported, LinkDown, ViewChanged,
     SettingsInForce, LeaveRequested, Tick>;
 
 /// What an attempt carries beside the client's own message.
@@ -149,15 +165,20 @@
     RequestId id;
     AttemptSerial attempt;
     RequestKey key;
-    BackendServerId server;
-    Incarnation incarnation;
+    policy::Ticket ticket;
     ServiceName service;
     OrganisationName organisation;
     Fingerprint fingerprint;
+    Tokens promptTokens;
+    Tokens expectedOutput;
     int priority { 0 };
     bool isRepeatable { false };
     bool runsAlone { false };
     TimePoint deadline;
+    /// For a request under a client's own key that may not run twice.
+    std::optional<policy::ClaimRequest> claim;
+    /// Never starts it: fetches the answer of a run under another claim.
+    bool attachesOnly { false };
 };
 
 struct StartAttempt {
@@ -165,6 +186,21 @@
     AttemptOrder order;
 };
 
+/// Asks a home of a client's key for it.
+struct SendClaim {
+    WorkerIndex worker;
+    RequestId id;
+    BackendServerId home;
+    policy::ClaimRequest request;
+    TimePoint deadline;
+};
+
+struct SendRelease {
+    WorkerIndex worker;
+    BackendServerId home;
+    policy::ClaimRequest request;
+};
+
 /// Gives an attempt up: its answer is not wanted any more.
 struct CancelAttempt {
     WorkerIndex worker;
@@ -195,6 +231,12 @@
     BackendServerId server;
 };
 
+/// What heartbeats to agents tell of crashes from now on. When it is urgent the next heartbeats go out at once.
+struct PublishSuspicions {
+    std::vector<policy::SuspicionMessage> suspicions;
+    bool isUrgent { false };
+};
+
 /// A request has got its final answer; for metrics and service-level burn.
 struct RecordAnswer {
     ServiceName service;
@@ -220,7 +262,7 @@
 struct Finish {
 };
 
-using Effect = std::variant<StartAttempt, CancelAttempt, Refuse, CutAnswer, OpenLink, CloseLink, RecordAnswer, AnnounceLeaving,
+using Effect = std::variant<StartAttempt, SendClaim, SendRelease, CancelAttempt, Refuse, CutAnswer, OpenLink, CloseLink, PublishSuspicions, RecordAnswer, AnnounceLeaving,
     CloseListeners, Finish>;
 using Effects = std::vector<Effect>;
 
--- a/src/rpc/agent.capnp.h
+++ b/src/rpc/agent.capnp.h
@@ -28,7 +28,19 @@
 CAPNP_DECLARE_ENUM(Verdict, a4e42933e1ed7e1b);
 CAPNP_DECLARE_SCHEMA(e9af32ddd54de181);
 CAPNP_DECLARE_SCHEMA(9ef0f5a797c9478f);
-CAPNP_DECLARE_SCHEMA(ba289c32fb1e232b);
+CAPNP_DECLARE_SCHEMA(c7a27ab67cca4bcb);
+CAPNP_DECLARE_SCHEMA(80ce5901894977c8);
+CAPNP_DECLARE_SCHEMA(f02d15774e5ea1d9);
+enum class ClaimAnswer_f02d15774e5ea1d9: uint16_t {
+  GRANTED,
+  HELD,
+  STALE_LIST,
+  TOO_YOUNG,
+  FULL,
+};
+CAPNP_DECLARE_ENUM(ClaimAnswer, f02d15774e5ea1d9);
+CAPNP_DECLARE_SCHEMA(cdf05b58cfa23007);
+CAPNP_DECLARE_SCHEMA(d4a9206b8ea2d784);
 CAPNP_DECLARE_SCHEMA(8fdb481226460212);
 CAPNP_DECLARE_SCHEMA(dff5e04771d70455);
 CAPNP_DECLARE_SCHEMA(fe0e25a89b211ef6);
@@ -53,9 +65,10 @@
   ENGINE_DOWN,
   ENGINE_CRASHED,
   DEADLINE,
-  UNKNOWN_KEY,
+  TOO_OLD,
   ANSWER_NOT_HELD,
   QUARANTINED,
+  NOT_CLAIMED,
 };
 CAPNP_DECLARE_ENUM(Reason, 94bb354a6c22af96);
 CAPNP_DECLARE_SCHEMA(e720d39dd8d53be9);
@@ -67,6 +80,10 @@
 CAPNP_DECLARE_SCHEMA(b1b4856eb080df26);
 CAPNP_DECLARE_SCHEMA(90fa89e1871a3f1f);
 CAPNP_DECLARE_SCHEMA(8847d64a960bcbf2);
+CAPNP_DECLARE_SCHEMA(e8b411415e1ce21c);
+CAPNP_DECLARE_SCHEMA(861d9c5fa8207683);
+CAPNP_DECLARE_SCHEMA(d1433025b11c5bf3);
+CAPNP_DECLARE_SCHEMA(bd6bbe1a4e1290b0);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -100,22 +117,69 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9ef0f5a797c9478f, 3, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(9ef0f5a797c9478f, 4, 9)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Ticket {
+  Ticket() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c7a27ab67cca4bcb, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Claim {
+  Claim() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(80ce5901894977c8, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+typedef ::capnp::schemas::ClaimAnswer_f02d15774e5ea1d9 ClaimAnswer;
+
+struct ClaimReply {
+  ClaimReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cdf05b58cfa23007, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct AttemptId {
-  AttemptId() = delete;
+struct Suspicion {
+  Suspicion() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ba289c32fb1e232b, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(d4a9206b8ea2d784, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -232,7 +296,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e720d39dd8d53be9, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e720d39dd8d53be9, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -247,7 +311,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c7c74deee6d56848, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c7c74deee6d56848, 6, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -268,6 +332,10 @@
   struct RunResults;
   struct CancelParams;
   struct CancelResults;
+  struct ClaimParams;
+  struct ClaimResults;
+  struct ReleaseParams;
+  struct ReleaseResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -285,7 +353,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9e9ad6c49dbdaa01, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(9e9ad6c49dbdaa01, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -345,7 +413,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(90fa89e1871a3f1f, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(90fa89e1871a3f1f, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -367,6 +435,66 @@
   };
 };
 
+struct Agent::ClaimParams {
+  ClaimParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e8b411415e1ce21c, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Agent::ClaimResults {
+  ClaimResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(861d9c5fa8207683, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Agent::ReleaseParams {
+  ReleaseParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d1433025b11c5bf3, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Agent::ReleaseResults {
+  ReleaseResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bd6bbe1a4e1290b0, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Header::Reader {
@@ -480,7 +608,8 @@
   inline bool hasKey() const;
   inline  ::capnp::Text::Reader getKey() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline bool hasTicket() const;
+  inline  ::swiftloft::rpc::schema::Ticket::Reader getTicket() const;
 
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
@@ -510,8 +639,14 @@
 
   inline bool getRunsAlone() const;
 
-  inline bool hasAttempt() const;
-  inline  ::swiftloft::rpc::schema::AttemptId::Reader getAttempt() const;
+  inline  ::int64_t getPromptTokens() const;
+
+  inline  ::int64_t getExpectedTokens() const;
+
+  inline bool hasClaim() const;
+  inline  ::swiftloft::rpc::schema::Claim::Reader getClaim() const;
+
+  inline bool getAttachesOnly() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -548,8 +683,12 @@
   inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline bool hasTicket();
+  inline  ::swiftloft::rpc::schema::Ticket::Builder getTicket();
+  inline void setTicket( ::swiftloft::rpc::schema::Ticket::Reader value);
+  inline  ::swiftloft::rpc::schema::Ticket::Builder initTicket();
+  inline void adoptTicket(::capnp::Orphan< ::swiftloft::rpc::schema::Ticket>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Ticket> disownTicket();
 
   inline bool hasService();
   inline  ::capnp::Text::Builder getService();
@@ -608,12 +747,21 @@
   inline bool getRunsAlone();
   inline void setRunsAlone(bool value);
 
-  inline bool hasAttempt();
-  inline  ::swiftloft::rpc::schema::AttemptId::Builder getAttempt();
-  inline void setAttempt( ::swiftloft::rpc::schema::AttemptId::Reader value);
-  inline  ::swiftloft::rpc::schema::AttemptId::Builder initAttempt();
-  inline void adoptAttempt(::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId>&& value);
-  inline ::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId> disownAttempt();
+  inline  ::int64_t getPromptTokens();
+  inline void setPromptTokens( ::int64_t value);
+
+  inline  ::int64_t getExpectedTokens();
+  inline void setExpectedTokens( ::int64_t value);
+
+  inline bool hasClaim();
+  inline  ::swiftloft::rpc::schema::Claim::Builder getClaim();
+  inline void setClaim( ::swiftloft::rpc::schema::Claim::Reader value);
+  inline  ::swiftloft::rpc::schema::Claim::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::swiftloft::rpc::schema::Claim>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Claim> disownClaim();
+
+  inline bool getAttachesOnly();
+  inline void setAttachesOnly(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -633,7 +781,8 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::swiftloft::rpc::schema::AttemptId::Pipeline getAttempt();
+  inline  ::swiftloft::rpc::schema::Ticket::Pipeline getTicket();
+  inline  ::swiftloft::rpc::schema::Claim::Pipeline getClaim();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -642,9 +791,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class AttemptId::Reader {
+class Ticket::Reader {
 public:
-  typedef AttemptId Reads;
+  typedef Ticket Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -659,7 +808,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getEntry() const;
+  inline bool hasAgent() const;
+  inline  ::capnp::Text::Reader getAgent() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint64_t getMintedBy() const;
 
   inline  ::uint64_t getSerial() const;
 
@@ -675,9 +831,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class AttemptId::Builder {
+class Ticket::Builder {
 public:
-  typedef AttemptId Builds;
+  typedef Ticket Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -691,8 +847,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getEntry();
-  inline void setEntry( ::uint64_t value);
+  inline bool hasAgent();
+  inline  ::capnp::Text::Builder getAgent();
+  inline void setAgent( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAgent(unsigned int size);
+  inline void adoptAgent(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAgent();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getMintedBy();
+  inline void setMintedBy( ::uint64_t value);
 
   inline  ::uint64_t getSerial();
   inline void setSerial( ::uint64_t value);
@@ -707,9 +876,9 @@
 };
 
 #if !CAPNP_LITE
-class AttemptId::Pipeline {
+class Ticket::Pipeline {
 public:
-  typedef AttemptId Pipelines;
+  typedef Ticket Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -723,9 +892,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ResponseHead::Reader {
+class Claim::Reader {
 public:
-  typedef ResponseHead Reads;
+  typedef Claim Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -740,10 +909,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getStatus() const;
+  inline bool hasOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
 
-  inline bool hasHeaders() const;
-  inline  ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline  ::uint64_t getEntry() const;
+
+  inline  ::uint64_t getSerial() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasRunner() const;
+  inline  ::capnp::Text::Reader getRunner() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -757,9 +936,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ResponseHead::Builder {
+class Claim::Builder {
 public:
-  typedef ResponseHead Builds;
+  typedef Claim Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -773,15 +952,35 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getStatus();
-  inline void setStatus( ::uint16_t value);
+  inline bool hasOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
 
-  inline bool hasHeaders();
-  inline  ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
-  inline void setHeaders( ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
-  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline  ::uint64_t getEntry();
+  inline void setEntry( ::uint64_t value);
+
+  inline  ::uint64_t getSerial();
+  inline void setSerial( ::uint64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasRunner();
+  inline  ::capnp::Text::Builder getRunner();
+  inline void setRunner( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRunner(unsigned int size);
+  inline void adoptRunner(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRunner();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -793,9 +992,9 @@
 };
 
 #if !CAPNP_LITE
-class ResponseHead::Pipeline {
+class Claim::Pipeline {
 public:
-  typedef ResponseHead Pipelines;
+  typedef Claim Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -809,9 +1008,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Frame::Reader {
+class ClaimReply::Reader {
 public:
-  typedef Frame Reads;
+  typedef ClaimReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -826,18 +1025,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isHead() const;
-  inline bool hasHead() const;
-  inline  ::swiftloft::rpc::schema::ResponseHead::Reader getHead() const;
+  inline  ::swiftloft::rpc::schema::ClaimAnswer getAnswer() const;
 
-  inline bool isData() const;
-  inline bool hasData() const;
-  inline  ::swiftloft::rpc::schema::Chunk::Reader getData() const;
+  inline  ::uint64_t getIncarnation() const;
 
-  inline bool isEnd() const;
-  inline bool hasEnd() const;
-  inline  ::swiftloft::rpc::schema::EndMark::Reader getEnd() const;
+  inline bool hasRunner() const;
+  inline  ::capnp::Text::Reader getRunner() const;
+
+  inline  ::uint64_t getRevision() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -851,9 +1046,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Frame::Builder {
+class ClaimReply::Builder {
 public:
-  typedef Frame Builds;
+  typedef ClaimReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -867,30 +1062,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isHead();
-  inline bool hasHead();
-  inline  ::swiftloft::rpc::schema::ResponseHead::Builder getHead();
-  inline void setHead( ::swiftloft::rpc::schema::ResponseHead::Reader value);
-  inline  ::swiftloft::rpc::schema::ResponseHead::Builder initHead();
-  inline void adoptHead(::capnp::Orphan< ::swiftloft::rpc::schema::ResponseHead>&& value);
-  inline ::capnp::Orphan< ::swiftloft::rpc::schema::ResponseHead> disownHead();
+  inline  ::swiftloft::rpc::schema::ClaimAnswer getAnswer();
+  inline void setAnswer( ::swiftloft::rpc::schema::ClaimAnswer value);
 
-  inline bool isData();
-  inline bool hasData();
-  inline  ::swiftloft::rpc::schema::Chunk::Builder getData();
-  inline void setData( ::swiftloft::rpc::schema::Chunk::Reader value);
-  inline  ::swiftloft::rpc::schema::Chunk::Builder initData();
-  inline void adoptData(::capnp::Orphan< ::swiftloft::rpc::schema::Chunk>&& value);
-  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Chunk> disownData();
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
-  inline bool isEnd();
-  inline bool hasEnd();
-  inline  ::swiftloft::rpc::schema::EndMark::Builder getEnd();
-  inline void setEnd( ::swiftloft::rpc::schema::EndMark::Reader value);
-  inline  ::swiftloft::rpc::schema::EndMark::Builder initEnd();
-  inline void adoptEnd(::capnp::Orphan< ::swiftloft::rpc::schema::EndMark>&& value);
-  inline ::capnp::Orphan< ::swiftloft::rpc::schema::EndMark> disownEnd();
+  inline bool hasRunner();
+  inline  ::capnp::Text::Builder getRunner();
+  inline void setRunner( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRunner(unsigned int size);
+  inline void adoptRunner(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRunner();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -902,9 +1088,9 @@
 };
 
 #if !CAPNP_LITE
-class Frame::Pipeline {
+class ClaimReply::Pipeline {
 public:
-  typedef Frame Pipelines;
+  typedef ClaimReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -918,9 +1104,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Chunk::Reader {
+class Suspicion::Reader {
 public:
-  typedef Chunk Reads;
+  typedef Suspicion Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -935,10 +1121,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getOffset() const;
+  inline  ::uint64_t getFingerprint() const;
 
-  inline bool hasBytes() const;
-  inline  ::capnp::Data::Reader getBytes() const;
+  inline  ::uint64_t getCrash() const;
+
+  inline bool getIsCleared() const;
+
+  inline  ::uint32_t getRemainingMs() const;
+
+  inline  ::uint32_t getHops() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -952,9 +1143,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Chunk::Builder {
+class Suspicion::Builder {
 public:
-  typedef Chunk Builds;
+  typedef Suspicion Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -968,15 +1159,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getOffset();
-  inline void setOffset( ::uint64_t value);
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
 
-  inline bool hasBytes();
-  inline  ::capnp::Data::Builder getBytes();
-  inline void setBytes( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBytes(unsigned int size);
-  inline void adoptBytes(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBytes();
+  inline  ::uint64_t getCrash();
+  inline void setCrash( ::uint64_t value);
+
+  inline bool getIsCleared();
+  inline void setIsCleared(bool value);
+
+  inline  ::uint32_t getRemainingMs();
+  inline void setRemainingMs( ::uint32_t value);
+
+  inline  ::uint32_t getHops();
+  inline void setHops( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -988,9 +1184,9 @@
 };
 
 #if !CAPNP_LITE
-class Chunk::Pipeline {
+class Suspicion::Pipeline {
 public:
-  typedef Chunk Pipelines;
+  typedef Suspicion Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1004,9 +1200,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EndMark::Reader {
+class ResponseHead::Reader {
 public:
-  typedef EndMark Reads;
+  typedef ResponseHead Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1021,9 +1217,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getLength() const;
+  inline  ::uint16_t getStatus() const;
 
-  inline  ::uint64_t getDigest() const;
+  inline bool hasHeaders() const;
+  inline  ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1037,9 +1234,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EndMark::Builder {
+class ResponseHead::Builder {
 public:
-  typedef EndMark Builds;
+  typedef ResponseHead Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1053,11 +1250,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getLength();
-  inline void setLength( ::uint64_t value);
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
 
-  inline  ::uint64_t getDigest();
-  inline void setDigest( ::uint64_t value);
+  inline bool hasHeaders();
+  inline  ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders( ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
+  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1069,9 +1270,9 @@
 };
 
 #if !CAPNP_LITE
-class EndMark::Pipeline {
+class ResponseHead::Pipeline {
 public:
-  typedef EndMark Pipelines;
+  typedef ResponseHead Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1085,61 +1286,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class FrameSink::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef FrameSink Calls;
-  typedef FrameSink Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::StreamingRequest< ::swiftloft::rpc::schema::FrameSink::WriteParams> writeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class FrameSink::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef FrameSink Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::swiftloft::rpc::schema::FrameSink::WriteParams WriteParams;
-  typedef ::capnp::StreamingCallContext<WriteParams> WriteContext;
-  virtual ::kj::Promise<void> write(WriteContext context);
-
-  inline  ::swiftloft::rpc::schema::FrameSink::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::swiftloft::rpc::schema::FrameSink>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class FrameSink::WriteParams::Reader {
+class Frame::Reader {
 public:
-  typedef WriteParams Reads;
+  typedef Frame Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1154,8 +1303,18 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFrame() const;
-  inline  ::swiftloft::rpc::schema::Frame::Reader getFrame() const;
+  inline Which which() const;
+  inline bool isHead() const;
+  inline bool hasHead() const;
+  inline  ::swiftloft::rpc::schema::ResponseHead::Reader getHead() const;
+
+  inline bool isData() const;
+  inline bool hasData() const;
+  inline  ::swiftloft::rpc::schema::Chunk::Reader getData() const;
+
+  inline bool isEnd() const;
+  inline bool hasEnd() const;
+  inline  ::swiftloft::rpc::schema::EndMark::Reader getEnd() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1169,9 +1328,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class FrameSink::WriteParams::Builder {
+class Frame::Builder {
 public:
-  typedef WriteParams Builds;
+  typedef Frame Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1185,12 +1344,30 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFrame();
-  inline  ::swiftloft::rpc::schema::Frame::Builder getFrame();
-  inline void setFrame( ::swiftloft::rpc::schema::Frame::Reader value);
-  inline  ::swiftloft::rpc::schema::Frame::Builder initFrame();
-  inline void adoptFrame(::capnp::Orphan< ::swiftloft::rpc::schema::Frame>&& value);
-  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Frame> disownFrame();
+  inline Which which();
+  inline bool isHead();
+  inline bool hasHead();
+  inline  ::swiftloft::rpc::schema::ResponseHead::Builder getHead();
+  inline void setHead( ::swiftloft::rpc::schema::ResponseHead::Reader value);
+  inline  ::swiftloft::rpc::schema::ResponseHead::Builder initHead();
+  inline void adoptHead(::capnp::Orphan< ::swiftloft::rpc::schema::ResponseHead>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::ResponseHead> disownHead();
+
+  inline bool isData();
+  inline bool hasData();
+  inline  ::swiftloft::rpc::schema::Chunk::Builder getData();
+  inline void setData( ::swiftloft::rpc::schema::Chunk::Reader value);
+  inline  ::swiftloft::rpc::schema::Chunk::Builder initData();
+  inline void adoptData(::capnp::Orphan< ::swiftloft::rpc::schema::Chunk>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Chunk> disownData();
+
+  inline bool isEnd();
+  inline bool hasEnd();
+  inline  ::swiftloft::rpc::schema::EndMark::Builder getEnd();
+  inline void setEnd( ::swiftloft::rpc::schema::EndMark::Reader value);
+  inline  ::swiftloft::rpc::schema::EndMark::Builder initEnd();
+  inline void adoptEnd(::capnp::Orphan< ::swiftloft::rpc::schema::EndMark>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::EndMark> disownEnd();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1202,15 +1379,14 @@
 };
 
 #if !CAPNP_LITE
-class FrameSink::WriteParams::Pipeline {
+class Frame::Pipeline {
 public:
-  typedef WriteParams Pipelines;
+  typedef Frame Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::swiftloft::rpc::schema::Frame::Pipeline getFrame();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1219,9 +1395,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Outcome::Reader {
+class Chunk::Reader {
 public:
-  typedef Outcome Reads;
+  typedef Chunk Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1236,11 +1412,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::swiftloft::rpc::schema::OutcomeKind getKind() const;
-
-  inline  ::swiftloft::rpc::schema::Verdict getVerdict() const;
+  inline  ::uint64_t getOffset() const;
 
-  inline  ::swiftloft::rpc::schema::Reason getReason() const;
+  inline bool hasBytes() const;
+  inline  ::capnp::Data::Reader getBytes() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1254,9 +1429,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Outcome::Builder {
+class Chunk::Builder {
 public:
-  typedef Outcome Builds;
+  typedef Chunk Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1270,14 +1445,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::swiftloft::rpc::schema::OutcomeKind getKind();
-  inline void setKind( ::swiftloft::rpc::schema::OutcomeKind value);
-
-  inline  ::swiftloft::rpc::schema::Verdict getVerdict();
-  inline void setVerdict( ::swiftloft::rpc::schema::Verdict value);
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
 
-  inline  ::swiftloft::rpc::schema::Reason getReason();
-  inline void setReason( ::swiftloft::rpc::schema::Reason value);
+  inline bool hasBytes();
+  inline  ::capnp::Data::Builder getBytes();
+  inline void setBytes( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBytes(unsigned int size);
+  inline void adoptBytes(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBytes();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1289,9 +1465,9 @@
 };
 
 #if !CAPNP_LITE
-class Outcome::Pipeline {
+class Chunk::Pipeline {
 public:
-  typedef Outcome Pipelines;
+  typedef Chunk Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1305,9 +1481,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Report::Reader {
+class EndMark::Reader {
 public:
-  typedef Report Reads;
+  typedef EndMark Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1322,25 +1498,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getIncarnation() const;
-
-  inline bool getIsLeaving() const;
-
-  inline  ::uint32_t getRunning() const;
-
-  inline  ::uint32_t getQueued() const;
-
-  inline bool getIsEngineUp() const;
-
-  inline bool hasSuspects() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSuspects() const;
-
-  inline bool hasConvicted() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getConvicted() const;
-
-  inline  ::int64_t getPendingTokens() const;
+  inline  ::uint64_t getLength() const;
 
-  inline double getTokensPerSecond() const;
+  inline  ::uint64_t getDigest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1354,9 +1514,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Report::Builder {
+class EndMark::Builder {
 public:
-  typedef Report Builds;
+  typedef EndMark Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1370,42 +1530,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline bool getIsLeaving();
-  inline void setIsLeaving(bool value);
-
-  inline  ::uint32_t getRunning();
-  inline void setRunning( ::uint32_t value);
-
-  inline  ::uint32_t getQueued();
-  inline void setQueued( ::uint32_t value);
-
-  inline bool getIsEngineUp();
-  inline void setIsEngineUp(bool value);
-
-  inline bool hasSuspects();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSuspects();
-  inline void setSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setSuspects(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSuspects(unsigned int size);
-  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSuspects();
-
-  inline bool hasConvicted();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getConvicted();
-  inline void setConvicted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setConvicted(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initConvicted(unsigned int size);
-  inline void adoptConvicted(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownConvicted();
-
-  inline  ::int64_t getPendingTokens();
-  inline void setPendingTokens( ::int64_t value);
+  inline  ::uint64_t getLength();
+  inline void setLength( ::uint64_t value);
 
-  inline double getTokensPerSecond();
-  inline void setTokensPerSecond(double value);
+  inline  ::uint64_t getDigest();
+  inline void setDigest( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1417,9 +1546,9 @@
 };
 
 #if !CAPNP_LITE
-class Report::Pipeline {
+class EndMark::Pipeline {
 public:
-  typedef Report Pipelines;
+  typedef EndMark Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1434,11 +1563,11 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Agent::Client
+class FrameSink::Client
     : public virtual ::capnp::Capability::Client {
 public:
-  typedef Agent Calls;
-  typedef Agent Reads;
+  typedef FrameSink Calls;
+  typedef FrameSink Reads;
 
   Client(decltype(nullptr));
   explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
@@ -1452,21 +1581,17 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request< ::swiftloft::rpc::schema::Agent::ReportParams,  ::swiftloft::rpc::schema::Agent::ReportResults> reportRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::swiftloft::rpc::schema::Agent::RunParams,  ::swiftloft::rpc::schema::Agent::RunResults> runRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::swiftloft::rpc::schema::Agent::CancelParams,  ::swiftloft::rpc::schema::Agent::CancelResults> cancelRequest(
+  ::capnp::StreamingRequest< ::swiftloft::rpc::schema::FrameSink::WriteParams> writeRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
 };
 
-class Agent::Server
+class FrameSink::Server
     : public virtual ::capnp::Capability::Server {
 public:
-  typedef Agent Serves;
+  typedef FrameSink Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
       uint64_t interfaceId, uint16_t methodId,
@@ -1474,22 +1599,13 @@
       override;
 
 protected:
-  typedef  ::swiftloft::rpc::schema::Agent::ReportParams ReportParams;
-  typedef  ::swiftloft::rpc::schema::Agent::ReportResults ReportResults;
-  typedef ::capnp::CallContext<ReportParams, ReportResults> ReportContext;
-  virtual ::kj::Promise<void> report(ReportContext context);
-  typedef  ::swiftloft::rpc::schema::Agent::RunParams RunParams;
-  typedef  ::swiftloft::rpc::schema::Agent::RunResults RunResults;
-  typedef ::capnp::CallContext<RunParams, RunResults> RunContext;
-  virtual ::kj::Promise<void> run(RunContext context);
-  typedef  ::swiftloft::rpc::schema::Agent::CancelParams CancelParams;
-  typedef  ::swiftloft::rpc::schema::Agent::CancelResults CancelResults;
-  typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
-  virtual ::kj::Promise<void> cancel(CancelContext context);
+  typedef  ::swiftloft::rpc::schema::FrameSink::WriteParams WriteParams;
+  typedef ::capnp::StreamingCallContext<WriteParams> WriteContext;
+  virtual ::kj::Promise<void> write(WriteContext context);
 
-  inline  ::swiftloft::rpc::schema::Agent::Client thisCap() {
+  inline  ::swiftloft::rpc::schema::FrameSink::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::swiftloft::rpc::schema::Agent>();
+        .template castAs< ::swiftloft::rpc::schema::FrameSink>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
@@ -1498,9 +1614,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::ReportParams::Reader {
+class FrameSink::WriteParams::Reader {
 public:
-  typedef ReportParams Reads;
+  typedef WriteParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1515,14 +1631,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntry() const;
-  inline  ::capnp::Text::Reader getEntry() const;
-
-  inline bool hasSuspects() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSuspects() const;
-
-  inline bool hasConvicted() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getConvicted() const;
+  inline bool hasFrame() const;
+  inline  ::swiftloft::rpc::schema::Frame::Reader getFrame() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1536,9 +1646,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::ReportParams::Builder {
+class FrameSink::WriteParams::Builder {
 public:
-  typedef ReportParams Builds;
+  typedef WriteParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1552,28 +1662,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntry();
-  inline  ::capnp::Text::Builder getEntry();
-  inline void setEntry( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEntry(unsigned int size);
-  inline void adoptEntry(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEntry();
-
-  inline bool hasSuspects();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSuspects();
-  inline void setSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setSuspects(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSuspects(unsigned int size);
-  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSuspects();
-
-  inline bool hasConvicted();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getConvicted();
-  inline void setConvicted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setConvicted(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initConvicted(unsigned int size);
-  inline void adoptConvicted(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownConvicted();
+  inline bool hasFrame();
+  inline  ::swiftloft::rpc::schema::Frame::Builder getFrame();
+  inline void setFrame( ::swiftloft::rpc::schema::Frame::Reader value);
+  inline  ::swiftloft::rpc::schema::Frame::Builder initFrame();
+  inline void adoptFrame(::capnp::Orphan< ::swiftloft::rpc::schema::Frame>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Frame> disownFrame();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1585,14 +1679,15 @@
 };
 
 #if !CAPNP_LITE
-class Agent::ReportParams::Pipeline {
+class FrameSink::WriteParams::Pipeline {
 public:
-  typedef ReportParams Pipelines;
+  typedef WriteParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::swiftloft::rpc::schema::Frame::Pipeline getFrame();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1601,9 +1696,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::ReportResults::Reader {
+class Outcome::Reader {
 public:
-  typedef ReportResults Reads;
+  typedef Outcome Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1618,8 +1713,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReport() const;
-  inline  ::swiftloft::rpc::schema::Report::Reader getReport() const;
+  inline  ::swiftloft::rpc::schema::OutcomeKind getKind() const;
+
+  inline  ::swiftloft::rpc::schema::Verdict getVerdict() const;
+
+  inline  ::swiftloft::rpc::schema::Reason getReason() const;
+
+  inline  ::uint64_t getCrash() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1633,9 +1733,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::ReportResults::Builder {
+class Outcome::Builder {
 public:
-  typedef ReportResults Builds;
+  typedef Outcome Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1649,12 +1749,17 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReport();
-  inline  ::swiftloft::rpc::schema::Report::Builder getReport();
-  inline void setReport( ::swiftloft::rpc::schema::Report::Reader value);
-  inline  ::swiftloft::rpc::schema::Report::Builder initReport();
-  inline void adoptReport(::capnp::Orphan< ::swiftloft::rpc::schema::Report>&& value);
-  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Report> disownReport();
+  inline  ::swiftloft::rpc::schema::OutcomeKind getKind();
+  inline void setKind( ::swiftloft::rpc::schema::OutcomeKind value);
+
+  inline  ::swiftloft::rpc::schema::Verdict getVerdict();
+  inline void setVerdict( ::swiftloft::rpc::schema::Verdict value);
+
+  inline  ::swiftloft::rpc::schema::Reason getReason();
+  inline void setReason( ::swiftloft::rpc::schema::Reason value);
+
+  inline  ::uint64_t getCrash();
+  inline void setCrash( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1666,15 +1771,14 @@
 };
 
 #if !CAPNP_LITE
-class Agent::ReportResults::Pipeline {
+class Outcome::Pipeline {
 public:
-  typedef ReportResults Pipelines;
+  typedef Outcome Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::swiftloft::rpc::schema::Report::Pipeline getReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1683,9 +1787,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::RunParams::Reader {
+class Report::Reader {
 public:
-  typedef RunParams Reads;
+  typedef Report Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1700,17 +1804,24 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::swiftloft::rpc::schema::Request::Reader getRequest() const;
+  inline  ::uint64_t getIncarnation() const;
 
-  inline  ::uint64_t getOffset() const;
+  inline bool getIsLeaving() const;
 
-  inline bool getNeedsHead() const;
+  inline  ::uint32_t getRunning() const;
 
-  inline bool hasSink() const;
-#if !CAPNP_LITE
-  inline  ::swiftloft::rpc::schema::FrameSink::Client getSink() const;
-#endif  // !CAPNP_LITE
+  inline  ::uint32_t getQueued() const;
+
+  inline bool getIsEngineUp() const;
+
+  inline  ::int64_t getPendingTokens() const;
+
+  inline double getTokensPerSecond() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline bool hasSuspicions() const;
+  inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader getSuspicions() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1724,9 +1835,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::RunParams::Builder {
+class Report::Builder {
 public:
-  typedef RunParams Builds;
+  typedef Report Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1740,27 +1851,36 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::swiftloft::rpc::schema::Request::Builder getRequest();
-  inline void setRequest( ::swiftloft::rpc::schema::Request::Reader value);
-  inline  ::swiftloft::rpc::schema::Request::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::swiftloft::rpc::schema::Request>&& value);
-  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Request> disownRequest();
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
-  inline  ::uint64_t getOffset();
-  inline void setOffset( ::uint64_t value);
+  inline bool getIsLeaving();
+  inline void setIsLeaving(bool value);
 
-  inline bool getNeedsHead();
-  inline void setNeedsHead(bool value);
+  inline  ::uint32_t getRunning();
+  inline void setRunning( ::uint32_t value);
 
-  inline bool hasSink();
-#if !CAPNP_LITE
-  inline  ::swiftloft::rpc::schema::FrameSink::Client getSink();
-  inline void setSink( ::swiftloft::rpc::schema::FrameSink::Client&& value);
-  inline void setSink( ::swiftloft::rpc::schema::FrameSink::Client& value);
-  inline void adoptSink(::capnp::Orphan< ::swiftloft::rpc::schema::FrameSink>&& value);
-  inline ::capnp::Orphan< ::swiftloft::rpc::schema::FrameSink> disownSink();
-#endif  // !CAPNP_LITE
+  inline  ::uint32_t getQueued();
+  inline void setQueued( ::uint32_t value);
+
+  inline bool getIsEngineUp();
+  inline void setIsEngineUp(bool value);
+
+  inline  ::int64_t getPendingTokens();
+  inline void setPendingTokens( ::int64_t value);
+
+  inline double getTokensPerSecond();
+  inline void setTokensPerSecond(double value);
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline bool hasSuspicions();
+  inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder getSuspicions();
+  inline void setSuspicions( ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder initSuspicions(unsigned int size);
+  inline void adoptSuspicions(::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>> disownSuspicions();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1772,16 +1892,14 @@
 };
 
 #if !CAPNP_LITE
-class Agent::RunParams::Pipeline {
+class Report::Pipeline {
 public:
-  typedef RunParams Pipelines;
+  typedef Report Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::swiftloft::rpc::schema::Request::Pipeline getRequest();
-  inline  ::swiftloft::rpc::schema::FrameSink::Client getSink();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1790,9 +1908,86 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::RunResults::Reader {
+#if !CAPNP_LITE
+class Agent::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef RunResults Reads;
+  typedef Agent Calls;
+  typedef Agent Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::swiftloft::rpc::schema::Agent::ReportParams,  ::swiftloft::rpc::schema::Agent::ReportResults> reportRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::swiftloft::rpc::schema::Agent::RunParams,  ::swiftloft::rpc::schema::Agent::RunResults> runRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::swiftloft::rpc::schema::Agent::CancelParams,  ::swiftloft::rpc::schema::Agent::CancelResults> cancelRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::swiftloft::rpc::schema::Agent::ClaimParams,  ::swiftloft::rpc::schema::Agent::ClaimResults> claimRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::swiftloft::rpc::schema::Agent::ReleaseParams,  ::swiftloft::rpc::schema::Agent::ReleaseResults> releaseRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Agent::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Agent Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::swiftloft::rpc::schema::Agent::ReportParams ReportParams;
+  typedef  ::swiftloft::rpc::schema::Agent::ReportResults ReportResults;
+  typedef ::capnp::CallContext<ReportParams, ReportResults> ReportContext;
+  virtual ::kj::Promise<void> report(ReportContext context);
+  typedef  ::swiftloft::rpc::schema::Agent::RunParams RunParams;
+  typedef  ::swiftloft::rpc::schema::Agent::RunResults RunResults;
+  typedef ::capnp::CallContext<RunParams, RunResults> RunContext;
+  virtual ::kj::Promise<void> run(RunContext context);
+  typedef  ::swiftloft::rpc::schema::Agent::CancelParams CancelParams;
+  typedef  ::swiftloft::rpc::schema::Agent::CancelResults CancelResults;
+  typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
+  virtual ::kj::Promise<void> cancel(CancelContext context);
+  typedef  ::swiftloft::rpc::schema::Agent::ClaimParams ClaimParams;
+  typedef  ::swiftloft::rpc::schema::Agent::ClaimResults ClaimResults;
+  typedef ::capnp::CallContext<ClaimParams, ClaimResults> ClaimContext;
+  virtual ::kj::Promise<void> claim(ClaimContext context);
+  typedef  ::swiftloft::rpc::schema::Agent::ReleaseParams ReleaseParams;
+  typedef  ::swiftloft::rpc::schema::Agent::ReleaseResults ReleaseResults;
+  typedef ::capnp::CallContext<ReleaseParams, ReleaseResults> ReleaseContext;
+  virtual ::kj::Promise<void> release(ReleaseContext context);
+
+  inline  ::swiftloft::rpc::schema::Agent::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::swiftloft::rpc::schema::Agent>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Agent::ReportParams::Reader {
+public:
+  typedef ReportParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1807,8 +2002,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome() const;
-  inline  ::swiftloft::rpc::schema::Outcome::Reader getOutcome() const;
+  inline bool hasEntry() const;
+  inline  ::capnp::Text::Reader getEntry() const;
+
+  inline bool hasSuspicions() const;
+  inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader getSuspicions() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1822,9 +2020,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::RunResults::Builder {
+class Agent::ReportParams::Builder {
 public:
-  typedef RunResults Builds;
+  typedef ReportParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1838,12 +2036,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome();
-  inline  ::swiftloft::rpc::schema::Outcome::Builder getOutcome();
-  inline void setOutcome( ::swiftloft::rpc::schema::Outcome::Reader value);
-  inline  ::swiftloft::rpc::schema::Outcome::Builder initOutcome();
-  inline void adoptOutcome(::capnp::Orphan< ::swiftloft::rpc::schema::Outcome>&& value);
-  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Outcome> disownOutcome();
+  inline bool hasEntry();
+  inline  ::capnp::Text::Builder getEntry();
+  inline void setEntry( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEntry(unsigned int size);
+  inline void adoptEntry(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEntry();
+
+  inline bool hasSuspicions();
+  inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder getSuspicions();
+  inline void setSuspicions( ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder initSuspicions(unsigned int size);
+  inline void adoptSuspicions(::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>> disownSuspicions();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1855,15 +2060,14 @@
 };
 
 #if !CAPNP_LITE
-class Agent::RunResults::Pipeline {
+class Agent::ReportParams::Pipeline {
 public:
-  typedef RunResults Pipelines;
+  typedef ReportParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::swiftloft::rpc::schema::Outcome::Pipeline getOutcome();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1872,9 +2076,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::CancelParams::Reader {
+class Agent::ReportResults::Reader {
 public:
-  typedef CancelParams Reads;
+  typedef ReportResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1889,13 +2093,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
-
-  inline  ::uint64_t getIncarnation() const;
-
-  inline bool hasAttempt() const;
-  inline  ::swiftloft::rpc::schema::AttemptId::Reader getAttempt() const;
+  inline bool hasReport() const;
+  inline  ::swiftloft::rpc::schema::Report::Reader getReport() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1909,9 +2108,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::CancelParams::Builder {
+class Agent::ReportResults::Builder {
 public:
-  typedef CancelParams Builds;
+  typedef ReportResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1925,22 +2124,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline bool hasAttempt();
-  inline  ::swiftloft::rpc::schema::AttemptId::Builder getAttempt();
-  inline void setAttempt( ::swiftloft::rpc::schema::AttemptId::Reader value);
-  inline  ::swiftloft::rpc::schema::AttemptId::Builder initAttempt();
-  inline void adoptAttempt(::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId>&& value);
-  inline ::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId> disownAttempt();
+  inline bool hasReport();
+  inline  ::swiftloft::rpc::schema::Report::Builder getReport();
+  inline void setReport( ::swiftloft::rpc::schema::Report::Reader value);
+  inline  ::swiftloft::rpc::schema::Report::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::swiftloft::rpc::schema::Report>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Report> disownReport();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1952,15 +2141,15 @@
 };
 
 #if !CAPNP_LITE
-class Agent::CancelParams::Pipeline {
+class Agent::ReportResults::Pipeline {
 public:
-  typedef CancelParams Pipelines;
+  typedef ReportResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::swiftloft::rpc::schema::AttemptId::Pipeline getAttempt();
+  inline  ::swiftloft::rpc::schema::Report::Pipeline getReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1969,9 +2158,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::CancelResults::Reader {
+class Agent::RunParams::Reader {
 public:
-  typedef CancelResults Reads;
+  typedef RunParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1986,10 +2175,601 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::swiftloft::rpc::schema::Verdict getVerdict() const;
+  inline bool hasRequest() const;
+  inline  ::swiftloft::rpc::schema::Request::Reader getRequest() const;
 
-private:
-  ::capnp::_::StructReader _reader;
+  inline  ::uint64_t getOffset() const;
+
+  inline bool getNeedsHead() const;
+
+  inline bool hasSink() const;
+#if !CAPNP_LITE
+  inline  ::swiftloft::rpc::schema::FrameSink::Client getSink() const;
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Agent::RunParams::Builder {
+public:
+  typedef RunParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest();
+  inline  ::swiftloft::rpc::schema::Request::Builder getRequest();
+  inline void setRequest( ::swiftloft::rpc::schema::Request::Reader value);
+  inline  ::swiftloft::rpc::schema::Request::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::swiftloft::rpc::schema::Request>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Request> disownRequest();
+
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
+
+  inline bool getNeedsHead();
+  inline void setNeedsHead(bool value);
+
+  inline bool hasSink();
+#if !CAPNP_LITE
+  inline  ::swiftloft::rpc::schema::FrameSink::Client getSink();
+  inline void setSink( ::swiftloft::rpc::schema::FrameSink::Client&& value);
+  inline void setSink( ::swiftloft::rpc::schema::FrameSink::Client& value);
+  inline void adoptSink(::capnp::Orphan< ::swiftloft::rpc::schema::FrameSink>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::FrameSink> disownSink();
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::RunParams::Pipeline {
+public:
+  typedef RunParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::swiftloft::rpc::schema::Request::Pipeline getRequest();
+  inline  ::swiftloft::rpc::schema::FrameSink::Client getSink();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Agent::RunResults::Reader {
+public:
+  typedef RunResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOutcome() const;
+  inline  ::swiftloft::rpc::schema::Outcome::Reader getOutcome() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Agent::RunResults::Builder {
+public:
+  typedef RunResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOutcome();
+  inline  ::swiftloft::rpc::schema::Outcome::Builder getOutcome();
+  inline void setOutcome( ::swiftloft::rpc::schema::Outcome::Reader value);
+  inline  ::swiftloft::rpc::schema::Outcome::Builder initOutcome();
+  inline void adoptOutcome(::capnp::Orphan< ::swiftloft::rpc::schema::Outcome>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Outcome> disownOutcome();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::RunResults::Pipeline {
+public:
+  typedef RunResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::swiftloft::rpc::schema::Outcome::Pipeline getOutcome();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Agent::CancelParams::Reader {
+public:
+  typedef CancelParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTicket() const;
+  inline  ::swiftloft::rpc::schema::Ticket::Reader getTicket() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Agent::CancelParams::Builder {
+public:
+  typedef CancelParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTicket();
+  inline  ::swiftloft::rpc::schema::Ticket::Builder getTicket();
+  inline void setTicket( ::swiftloft::rpc::schema::Ticket::Reader value);
+  inline  ::swiftloft::rpc::schema::Ticket::Builder initTicket();
+  inline void adoptTicket(::capnp::Orphan< ::swiftloft::rpc::schema::Ticket>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Ticket> disownTicket();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::CancelParams::Pipeline {
+public:
+  typedef CancelParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::swiftloft::rpc::schema::Ticket::Pipeline getTicket();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Agent::CancelResults::Reader {
+public:
+  typedef CancelResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::swiftloft::rpc::schema::Verdict getVerdict() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Agent::CancelResults::Builder {
+public:
+  typedef CancelResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::swiftloft::rpc::schema::Verdict getVerdict();
+  inline void setVerdict( ::swiftloft::rpc::schema::Verdict value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::CancelResults::Pipeline {
+public:
+  typedef CancelResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Agent::ClaimParams::Reader {
+public:
+  typedef ClaimParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasClaim() const;
+  inline  ::swiftloft::rpc::schema::Claim::Reader getClaim() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Agent::ClaimParams::Builder {
+public:
+  typedef ClaimParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasClaim();
+  inline  ::swiftloft::rpc::schema::Claim::Builder getClaim();
+  inline void setClaim( ::swiftloft::rpc::schema::Claim::Reader value);
+  inline  ::swiftloft::rpc::schema::Claim::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::swiftloft::rpc::schema::Claim>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Claim> disownClaim();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::ClaimParams::Pipeline {
+public:
+  typedef ClaimParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::swiftloft::rpc::schema::Claim::Pipeline getClaim();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Agent::ClaimResults::Reader {
+public:
+  typedef ClaimResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply() const;
+  inline  ::swiftloft::rpc::schema::ClaimReply::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Agent::ClaimResults::Builder {
+public:
+  typedef ClaimResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply();
+  inline  ::swiftloft::rpc::schema::ClaimReply::Builder getReply();
+  inline void setReply( ::swiftloft::rpc::schema::ClaimReply::Reader value);
+  inline  ::swiftloft::rpc::schema::ClaimReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::swiftloft::rpc::schema::ClaimReply>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::ClaimReply> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::ClaimResults::Pipeline {
+public:
+  typedef ClaimResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::swiftloft::rpc::schema::ClaimReply::Pipeline getReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Agent::ReleaseParams::Reader {
+public:
+  typedef ReleaseParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasClaim() const;
+  inline  ::swiftloft::rpc::schema::Claim::Reader getClaim() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Agent::ReleaseParams::Builder {
+public:
+  typedef ReleaseParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasClaim();
+  inline  ::swiftloft::rpc::schema::Claim::Builder getClaim();
+  inline void setClaim( ::swiftloft::rpc::schema::Claim::Reader value);
+  inline  ::swiftloft::rpc::schema::Claim::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan< ::swiftloft::rpc::schema::Claim>&& value);
+  inline ::capnp::Orphan< ::swiftloft::rpc::schema::Claim> disownClaim();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::ReleaseParams::Pipeline {
+public:
+  typedef ReleaseParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::swiftloft::rpc::schema::Claim::Pipeline getClaim();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Agent::ReleaseResults::Reader {
+public:
+  typedef ReleaseResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   template <typename, ::capnp::Kind>
@@ -2000,9 +2780,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::CancelResults::Builder {
+class Agent::ReleaseResults::Builder {
 public:
-  typedef CancelResults Builds;
+  typedef ReleaseResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2016,494 +2796,910 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::swiftloft::rpc::schema::Verdict getVerdict();
-  inline void setVerdict( ::swiftloft::rpc::schema::Verdict value);
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::ReleaseResults::Pipeline {
+public:
+  typedef ReleaseResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool Header::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Header::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Header::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Header::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setValue( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Request::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Request::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Request::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Request::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Request::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Request::Reader::hasTicket() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasTicket() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::swiftloft::rpc::schema::Ticket::Reader Request::Reader::getTicket() const {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::swiftloft::rpc::schema::Ticket::Builder Request::Builder::getTicket() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::swiftloft::rpc::schema::Ticket::Pipeline Request::Pipeline::getTicket() {
+  return  ::swiftloft::rpc::schema::Ticket::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Request::Builder::setTicket( ::swiftloft::rpc::schema::Ticket::Reader value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::swiftloft::rpc::schema::Ticket::Builder Request::Builder::initTicket() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::adoptTicket(
+    ::capnp::Orphan< ::swiftloft::rpc::schema::Ticket>&& value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::swiftloft::rpc::schema::Ticket> Request::Builder::disownTicket() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Request::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Request::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Request::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Request::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Request::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Request::Reader::hasOrganisation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasOrganisation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Request::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Request::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Request::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Request::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Request::Reader::getIsRepeatable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Request::Builder::getIsRepeatable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setIsRepeatable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Request::Reader::getRemainingMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+inline  ::uint32_t Request::Builder::getRemainingMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setRemainingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
 
-#if !CAPNP_LITE
-class Agent::CancelResults::Pipeline {
-public:
-  typedef CancelResults Pipelines;
+inline  ::int16_t Request::Reader::getPriority() const {
+  return _reader.getDataField< ::int16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+inline  ::int16_t Request::Builder::getPriority() {
+  return _builder.getDataField< ::int16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setPriority( ::int16_t value) {
+  _builder.setDataField< ::int16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
 
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
+inline  ::uint64_t Request::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
 
-// =======================================================================================
+inline  ::uint64_t Request::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
 
-inline bool Header::Reader::hasName() const {
+inline bool Request::Reader::hasMethod() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Header::Builder::hasName() {
+inline bool Request::Builder::hasMethod() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Header::Reader::getName() const {
+inline  ::capnp::Text::Reader Request::Reader::getMethod() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Header::Builder::getName() {
+inline  ::capnp::Text::Builder Request::Builder::getMethod() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setName( ::capnp::Text::Reader value) {
+inline void Request::Builder::setMethod( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder Request::Builder::initMethod(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptName(
+inline void Request::Builder::adoptMethod(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownMethod() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool Header::Reader::hasValue() const {
+inline bool Request::Reader::hasTarget() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool Header::Builder::hasValue() {
+inline bool Request::Builder::hasTarget() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Header::Reader::getValue() const {
+inline  ::capnp::Text::Reader Request::Reader::getTarget() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Header::Builder::getValue() {
+inline  ::capnp::Text::Builder Request::Builder::getTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setValue( ::capnp::Text::Reader value) {
+inline void Request::Builder::setTarget( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
+inline  ::capnp::Text::Builder Request::Builder::initTarget(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptValue(
+inline void Request::Builder::adoptTarget(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownValue() {
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool Request::Reader::hasKey() const {
+inline bool Request::Reader::hasHeaders() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool Request::Builder::hasKey() {
+inline bool Request::Builder::hasHeaders() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Request::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Reader Request::Reader::getHeaders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Request::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Builder Request::Builder::getHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setKey( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Request::Builder::setHeaders( ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Request::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Builder Request::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptKey(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Request::Builder::adoptHeaders(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>> Request::Builder::disownHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Request::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Request::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Request::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Request::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Request::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void Request::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Request::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Request::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Request::Reader::getRunsAlone() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+
+inline bool Request::Builder::getRunsAlone() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setRunsAlone(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Request::Reader::hasService() const {
+inline  ::int64_t Request::Reader::getPromptTokens() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Request::Builder::getPromptTokens() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setPromptTokens( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Request::Reader::getExpectedTokens() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Request::Builder::getExpectedTokens() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setExpectedTokens( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Request::Reader::hasClaim() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline bool Request::Builder::hasService() {
+inline bool Request::Builder::hasClaim() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Request::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::swiftloft::rpc::schema::Claim::Reader Request::Reader::getClaim() const {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Request::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::swiftloft::rpc::schema::Claim::Builder Request::Builder::getClaim() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::swiftloft::rpc::schema::Claim::Pipeline Request::Pipeline::getClaim() {
+  return  ::swiftloft::rpc::schema::Claim::Pipeline(_typeless.getPointerField(8));
+}
+#endif  // !CAPNP_LITE
+inline void Request::Builder::setClaim( ::swiftloft::rpc::schema::Claim::Reader value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-inline void Request::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline  ::swiftloft::rpc::schema::Claim::Builder Request::Builder::initClaim() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Request::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline void Request::Builder::adoptClaim(
+    ::capnp::Orphan< ::swiftloft::rpc::schema::Claim>&& value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Request::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::swiftloft::rpc::schema::Claim> Request::Builder::disownClaim() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline bool Request::Reader::getAttachesOnly() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool Request::Reader::hasOrganisation() const {
+inline bool Request::Builder::getAttachesOnly() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setAttachesOnly(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Ticket::Reader::hasAgent() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Request::Builder::hasOrganisation() {
+inline bool Ticket::Builder::hasAgent() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Request::Reader::getOrganisation() const {
+inline  ::capnp::Text::Reader Ticket::Reader::getAgent() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Request::Builder::getOrganisation() {
+inline  ::capnp::Text::Builder Ticket::Builder::getAgent() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setOrganisation( ::capnp::Text::Reader value) {
+inline void Ticket::Builder::setAgent( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Request::Builder::initOrganisation(unsigned int size) {
+inline  ::capnp::Text::Builder Ticket::Builder::initAgent(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptOrganisation(
+inline void Ticket::Builder::adoptAgent(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownOrganisation() {
+inline ::capnp::Orphan< ::capnp::Text> Ticket::Builder::disownAgent() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Request::Reader::getIsRepeatable() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Ticket::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Request::Builder::getIsRepeatable() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Ticket::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setIsRepeatable(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void Ticket::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Request::Reader::getRemainingMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Ticket::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Request::Builder::getRemainingMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Ticket::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setRemainingMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Ticket::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int16_t Request::Reader::getPriority() const {
-  return _reader.getDataField< ::int16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Ticket::Reader::getMintedBy() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int16_t Request::Builder::getPriority() {
-  return _builder.getDataField< ::int16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Ticket::Builder::getMintedBy() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setPriority( ::int16_t value) {
-  _builder.setDataField< ::int16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void Ticket::Builder::setMintedBy( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Request::Reader::getFingerprint() const {
+inline  ::uint64_t Ticket::Reader::getSerial() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Request::Builder::getFingerprint() {
+inline  ::uint64_t Ticket::Builder::getSerial() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setFingerprint( ::uint64_t value) {
+inline void Ticket::Builder::setSerial( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Request::Reader::hasMethod() const {
+inline bool Claim::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Request::Builder::hasMethod() {
+inline bool Claim::Builder::hasOrganisation() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Request::Reader::getMethod() const {
+inline  ::capnp::Text::Reader Claim::Reader::getOrganisation() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Request::Builder::getMethod() {
+inline  ::capnp::Text::Builder Claim::Builder::getOrganisation() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setMethod( ::capnp::Text::Reader value) {
+inline void Claim::Builder::setOrganisation( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Request::Builder::initMethod(unsigned int size) {
+inline  ::capnp::Text::Builder Claim::Builder::initOrganisation(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptMethod(
+inline void Claim::Builder::adoptOrganisation(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownMethod() {
+inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownOrganisation() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Request::Reader::hasTarget() const {
+inline bool Claim::Reader::hasKey() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Request::Builder::hasTarget() {
+inline bool Claim::Builder::hasKey() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Request::Reader::getTarget() const {
+inline  ::capnp::Text::Reader Claim::Reader::getKey() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Request::Builder::getTarget() {
+inline  ::capnp::Text::Builder Claim::Builder::getKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setTarget( ::capnp::Text::Reader value) {
+inline void Claim::Builder::setKey( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Request::Builder::initTarget(unsigned int size) {
+inline  ::capnp::Text::Builder Claim::Builder::initKey(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptTarget(
+inline void Claim::Builder::adoptKey(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownTarget() {
+inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownKey() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Request::Reader::hasHeaders() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+inline  ::uint64_t Claim::Reader::getEntry() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool Request::Builder::hasHeaders() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint64_t Claim::Builder::getEntry() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Reader Request::Reader::getHeaders() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline void Claim::Builder::setEntry( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Builder Request::Builder::getHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Claim::Reader::getSerial() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setHeaders( ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+
+inline  ::uint64_t Claim::Builder::getSerial() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>::Builder Request::Builder::initHeaders(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline void Claim::Builder::setSerial( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline void Request::Builder::adoptHeaders(
-    ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t Claim::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>> Request::Builder::disownHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Claim::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Claim::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Request::Reader::hasBody() const {
+inline bool Claim::Reader::hasRunner() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Request::Builder::hasBody() {
+inline bool Claim::Builder::hasRunner() {
   return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Request::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Claim::Reader::getRunner() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Request::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Claim::Builder::getRunner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Request::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+inline void Claim::Builder::setRunner( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Request::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Claim::Builder::initRunner(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Request::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+inline void Claim::Builder::adoptRunner(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Request::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownRunner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Request::Reader::getRunsAlone() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+inline  ::swiftloft::rpc::schema::ClaimAnswer ClaimReply::Reader::getAnswer() const {
+  return _reader.getDataField< ::swiftloft::rpc::schema::ClaimAnswer>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Request::Builder::getRunsAlone() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+inline  ::swiftloft::rpc::schema::ClaimAnswer ClaimReply::Builder::getAnswer() {
+  return _builder.getDataField< ::swiftloft::rpc::schema::ClaimAnswer>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Request::Builder::setRunsAlone(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+inline void ClaimReply::Builder::setAnswer( ::swiftloft::rpc::schema::ClaimAnswer value) {
+  _builder.setDataField< ::swiftloft::rpc::schema::ClaimAnswer>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ClaimReply::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ClaimReply::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ClaimReply::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Request::Reader::hasAttempt() const {
+inline bool ClaimReply::Reader::hasRunner() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Request::Builder::hasAttempt() {
+inline bool ClaimReply::Builder::hasRunner() {
   return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::swiftloft::rpc::schema::AttemptId::Reader Request::Reader::getAttempt() const {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ClaimReply::Reader::getRunner() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::swiftloft::rpc::schema::AttemptId::Builder Request::Builder::getAttempt() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ClaimReply::Builder::getRunner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::swiftloft::rpc::schema::AttemptId::Pipeline Request::Pipeline::getAttempt() {
-  return  ::swiftloft::rpc::schema::AttemptId::Pipeline(_typeless.getPointerField(7));
+inline void ClaimReply::Builder::setRunner( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-#endif  // !CAPNP_LITE
-inline void Request::Builder::setAttempt( ::swiftloft::rpc::schema::AttemptId::Reader value) {
-  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder ClaimReply::Builder::initRunner(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline  ::swiftloft::rpc::schema::AttemptId::Builder Request::Builder::initAttempt() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline void ClaimReply::Builder::adoptRunner(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Request::Builder::adoptAttempt(
-    ::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId>&& value) {
-  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::capnp::Text> ClaimReply::Builder::disownRunner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId> Request::Builder::disownAttempt() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+
+inline  ::uint64_t ClaimReply::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ClaimReply::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ClaimReply::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t AttemptId::Reader::getEntry() const {
+inline  ::uint64_t Suspicion::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t AttemptId::Builder::getEntry() {
+inline  ::uint64_t Suspicion::Builder::getFingerprint() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AttemptId::Builder::setEntry( ::uint64_t value) {
+inline void Suspicion::Builder::setFingerprint( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t AttemptId::Reader::getSerial() const {
+inline  ::uint64_t Suspicion::Reader::getCrash() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t AttemptId::Builder::getSerial() {
+inline  ::uint64_t Suspicion::Builder::getCrash() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void AttemptId::Builder::setSerial( ::uint64_t value) {
+inline void Suspicion::Builder::setCrash( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Suspicion::Reader::getIsCleared() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Suspicion::Builder::getIsCleared() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Suspicion::Builder::setIsCleared(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Suspicion::Reader::getRemainingMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Suspicion::Builder::getRemainingMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Suspicion::Builder::setRemainingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Suspicion::Reader::getHops() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Suspicion::Builder::getHops() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Suspicion::Builder::setHops( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint16_t ResponseHead::Reader::getStatus() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2904,6 +4100,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Outcome::Reader::getCrash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Outcome::Builder::getCrash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Outcome::Builder::setCrash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Report::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2974,82 +4184,6 @@
       ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Report::Reader::hasSuspects() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Report::Builder::hasSuspects() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Report::Reader::getSuspects() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Report::Builder::getSuspects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Report::Builder::setSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline void Report::Builder::setSuspects(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Report::Builder::initSuspects(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Report::Builder::adoptSuspects(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Report::Builder::disownSuspects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Report::Reader::hasConvicted() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Report::Builder::hasConvicted() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Report::Reader::getConvicted() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Report::Builder::getConvicted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Report::Builder::setConvicted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void Report::Builder::setConvicted(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Report::Builder::initConvicted(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Report::Builder::adoptConvicted(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Report::Builder::disownConvicted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
 inline  ::int64_t Report::Reader::getPendingTokens() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
@@ -3078,6 +4212,54 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Report::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Report::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Report::Reader::hasSuspicions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasSuspicions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader Report::Reader::getSuspicions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder Report::Builder::getSuspicions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setSuspicions( ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder Report::Builder::initSuspicions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptSuspicions(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>> Report::Builder::disownSuspicions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Agent::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -3136,82 +4318,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Agent::ReportParams::Reader::hasSuspects() const {
+inline bool Agent::ReportParams::Reader::hasSuspicions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::ReportParams::Builder::hasSuspects() {
+inline bool Agent::ReportParams::Builder::hasSuspicions() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Agent::ReportParams::Reader::getSuspects() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader Agent::ReportParams::Reader::getSuspicions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Agent::ReportParams::Builder::getSuspects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder Agent::ReportParams::Builder::getSuspicions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Agent::ReportParams::Builder::setSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void Agent::ReportParams::Builder::setSuspicions( ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void Agent::ReportParams::Builder::setSuspects(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Agent::ReportParams::Builder::initSuspects(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder Agent::ReportParams::Builder::initSuspicions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Agent::ReportParams::Builder::adoptSuspects(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+inline void Agent::ReportParams::Builder::adoptSuspicions(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Agent::ReportParams::Builder::disownSuspects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>> Agent::ReportParams::Builder::disownSuspicions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Agent::ReportParams::Reader::hasConvicted() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Agent::ReportParams::Builder::hasConvicted() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Agent::ReportParams::Reader::getConvicted() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Agent::ReportParams::Builder::getConvicted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Agent::ReportParams::Builder::setConvicted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline void Agent::ReportParams::Builder::setConvicted(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Agent::ReportParams::Builder::initConvicted(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void Agent::ReportParams::Builder::adoptConvicted(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Agent::ReportParams::Builder::disownConvicted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
 inline bool Agent::ReportResults::Reader::hasReport() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3396,105 +4536,174 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Agent::CancelParams::Reader::hasKey() const {
+inline bool Agent::CancelParams::Reader::hasTicket() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::CancelParams::Builder::hasKey() {
+inline bool Agent::CancelParams::Builder::hasTicket() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Agent::CancelParams::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::swiftloft::rpc::schema::Ticket::Reader Agent::CancelParams::Reader::getTicket() const {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Agent::CancelParams::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::swiftloft::rpc::schema::Ticket::Builder Agent::CancelParams::Builder::getTicket() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Agent::CancelParams::Builder::setKey( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::swiftloft::rpc::schema::Ticket::Pipeline Agent::CancelParams::Pipeline::getTicket() {
+  return  ::swiftloft::rpc::schema::Ticket::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Agent::CancelParams::Builder::setTicket( ::swiftloft::rpc::schema::Ticket::Reader value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Agent::CancelParams::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::swiftloft::rpc::schema::Ticket::Builder Agent::CancelParams::Builder::initTicket() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Agent::CancelParams::Builder::adoptKey(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Agent::CancelParams::Builder::adoptTicket(
+    ::capnp::Orphan< ::swiftloft::rpc::schema::Ticket>&& value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Agent::CancelParams::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::swiftloft::rpc::schema::Ticket> Agent::CancelParams::Builder::disownTicket() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Ticket>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Agent::CancelParams::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::swiftloft::rpc::schema::Verdict Agent::CancelResults::Reader::getVerdict() const {
+  return _reader.getDataField< ::swiftloft::rpc::schema::Verdict>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Agent::CancelParams::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::swiftloft::rpc::schema::Verdict Agent::CancelResults::Builder::getVerdict() {
+  return _builder.getDataField< ::swiftloft::rpc::schema::Verdict>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Agent::CancelParams::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Agent::CancelResults::Builder::setVerdict( ::swiftloft::rpc::schema::Verdict value) {
+  _builder.setDataField< ::swiftloft::rpc::schema::Verdict>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Agent::CancelParams::Reader::hasAttempt() const {
+inline bool Agent::ClaimParams::Reader::hasClaim() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::CancelParams::Builder::hasAttempt() {
+inline bool Agent::ClaimParams::Builder::hasClaim() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::swiftloft::rpc::schema::AttemptId::Reader Agent::CancelParams::Reader::getAttempt() const {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::swiftloft::rpc::schema::Claim::Reader Agent::ClaimParams::Reader::getClaim() const {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::swiftloft::rpc::schema::AttemptId::Builder Agent::CancelParams::Builder::getAttempt() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::swiftloft::rpc::schema::Claim::Builder Agent::ClaimParams::Builder::getClaim() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::swiftloft::rpc::schema::AttemptId::Pipeline Agent::CancelParams::Pipeline::getAttempt() {
-  return  ::swiftloft::rpc::schema::AttemptId::Pipeline(_typeless.getPointerField(1));
+inline  ::swiftloft::rpc::schema::Claim::Pipeline Agent::ClaimParams::Pipeline::getClaim() {
+  return  ::swiftloft::rpc::schema::Claim::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Agent::CancelParams::Builder::setAttempt( ::swiftloft::rpc::schema::AttemptId::Reader value) {
-  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Agent::ClaimParams::Builder::setClaim( ::swiftloft::rpc::schema::Claim::Reader value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::swiftloft::rpc::schema::AttemptId::Builder Agent::CancelParams::Builder::initAttempt() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::swiftloft::rpc::schema::Claim::Builder Agent::ClaimParams::Builder::initClaim() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Agent::CancelParams::Builder::adoptAttempt(
-    ::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId>&& value) {
-  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Agent::ClaimParams::Builder::adoptClaim(
+    ::capnp::Orphan< ::swiftloft::rpc::schema::Claim>&& value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::swiftloft::rpc::schema::AttemptId> Agent::CancelParams::Builder::disownAttempt() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::AttemptId>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::swiftloft::rpc::schema::Claim> Agent::ClaimParams::Builder::disownClaim() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::swiftloft::rpc::schema::Verdict Agent::CancelResults::Reader::getVerdict() const {
-  return _reader.getDataField< ::swiftloft::rpc::schema::Verdict>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Agent::ClaimResults::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Agent::ClaimResults::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::swiftloft::rpc::schema::ClaimReply::Reader Agent::ClaimResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::ClaimReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::swiftloft::rpc::schema::ClaimReply::Builder Agent::ClaimResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::ClaimReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::swiftloft::rpc::schema::ClaimReply::Pipeline Agent::ClaimResults::Pipeline::getReply() {
+  return  ::swiftloft::rpc::schema::ClaimReply::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Agent::ClaimResults::Builder::setReply( ::swiftloft::rpc::schema::ClaimReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::ClaimReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::swiftloft::rpc::schema::ClaimReply::Builder Agent::ClaimResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::ClaimReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Agent::ClaimResults::Builder::adoptReply(
+    ::capnp::Orphan< ::swiftloft::rpc::schema::ClaimReply>&& value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::ClaimReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::swiftloft::rpc::schema::ClaimReply> Agent::ClaimResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::ClaimReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::swiftloft::rpc::schema::Verdict Agent::CancelResults::Builder::getVerdict() {
-  return _builder.getDataField< ::swiftloft::rpc::schema::Verdict>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Agent::ReleaseParams::Reader::hasClaim() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Agent::CancelResults::Builder::setVerdict( ::swiftloft::rpc::schema::Verdict value) {
-  _builder.setDataField< ::swiftloft::rpc::schema::Verdict>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool Agent::ReleaseParams::Builder::hasClaim() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::swiftloft::rpc::schema::Claim::Reader Agent::ReleaseParams::Reader::getClaim() const {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::swiftloft::rpc::schema::Claim::Builder Agent::ReleaseParams::Builder::getClaim() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::swiftloft::rpc::schema::Claim::Pipeline Agent::ReleaseParams::Pipeline::getClaim() {
+  return  ::swiftloft::rpc::schema::Claim::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Agent::ReleaseParams::Builder::setClaim( ::swiftloft::rpc::schema::Claim::Reader value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::swiftloft::rpc::schema::Claim::Builder Agent::ReleaseParams::Builder::initClaim() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Agent::ReleaseParams::Builder::adoptClaim(
+    ::capnp::Orphan< ::swiftloft::rpc::schema::Claim>&& value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::swiftloft::rpc::schema::Claim> Agent::ReleaseParams::Builder::disownClaim() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::rpc::schema::Claim>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 }  // namespace
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -60,9 +60,11 @@
     Server& plain(std::size_t n) { return m_servers[m_options.engines + n]; }
     std::vector<Server>& servers() { return m_servers; }
     Entry& entry(std::size_t n = 0) { return m_entries[n]; }
+    std::size_t entryCount() const { return m_entries.size(); }
 
     void startBackend(Server& server);
-    void startAgent(Server& server);
+    /// The first agent of a server says so in its process file; later ones refuse clients' own keys for a while.
+    void startAgent(Server& server, bool isFirstStart = false);
     void startEntry(Entry& entry);
 
     /// The instance list as published now.
