--- a/src/membership/detector-probes.cc
+++ b/src/membership/detector-probes.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t maxRelays = 256;
+constexpr int neighbourAttempts = 8;
 
 } // namespace
 
@@ -21,9 +22,27 @@
             send(seed, makeMessage(MessageKind::Ping));
         return;
     }
+    probe(*m_table.find(*key), now);
+}
+
+void Detector::probe(const MemberRecord& record, TimePoint now)
+{
     auto nonce = m_random.next();
-    m_probes[nonce] = PendingProbe { *key, now, now + m_options.directTimeout };
-    sendAbout(*m_table.find(*key), MessageKind::Ping, nonce);
+    m_probes[nonce] = PendingProbe { record.key, now, now + m_options.directTimeout };
+    sendAbout(record, MessageKind::Ping, nonce);
+}
+
+// What takes one member of a data centre often takes its neighbours: a rack, a switch, the site. One more of them is
+// probed at once for each that is newly suspect; were they left to their turns, the last of a hundred would be found
+// after some ten seconds. With one member dead this is one ping.
+void Detector::probeNeighbour(const MemberRecord& suspect, TimePoint now)
+{
+    for (int i = 0; i < neighbourAttempts; ++i) {
+        auto* neighbour = m_table.pick(suspect.locality, m_random);
+        if (!neighbour || neighbour->health != Health::Alive || neighbour->listed->dataCentre != suspect.listed->dataCentre)
+            continue;
+        return probe(*neighbour, now);
+    }
 }
 
 /// A data centre of another region that has begun to miss probes and is not yet held unreachable.
@@ -91,8 +110,10 @@
         return;
     }
     auto hasHeardOthers = m_lastHeard > probe.sentAt;
-    if (record->health == Health::Alive)
-        suspect(*record, !hasHeardOthers, now);
+    if (record->health != Health::Alive)
+        return;
+    suspect(*record, !hasHeardOthers, now);
+    probeNeighbour(*record, now);
 }
 
 void Detector::suspect(MemberRecord& record, bool isLocalMark, TimePoint now)
--- a/src/membership/detector.h
+++ b/src/membership/detector.h
@@ -123,6 +123,8 @@
     void noticePause(TimePoint now);
     void endRefresh(TimePoint now);
     void startProbe(TimePoint now);
+    void probe(const MemberRecord& record, TimePoint now);
+    void probeNeighbour(const MemberRecord& suspect, TimePoint now);
     void expireProbes(TimePoint now);
     void askOthers(std::uint64_t nonce, PendingProbe& probe, TimePoint now);
     void failProbe(const PendingProbe& probe, TimePoint now);
