--- a/bench/policy-cost.cc
+++ b/bench/policy-cost.cc
@@ -170,6 +170,19 @@
     RequestHome m_homes = RequestHome::create({}).value();
 };
 
+/// A key's homes when its slot is asked for the first time under a list, in microseconds.
+double firstHomesCost(std::size_t servers)
+{
+    std::vector<BackendServerId> ids;
+    for (std::size_t i = 0; i < servers; ++i)
+        ids.emplace_back(fmt::format("engine-{}", i));
+    auto homes = RequestHome::create({}).value();
+    homes.onList(ListRevision(1), ids, TimePoint {});
+    std::size_t serial = 0;
+    // Few enough that nearly every call meets a new slot.
+    return nanosecondsPer(50, [&](std::size_t) { homes.homesOf({ OrganisationName("a"), RequestKey(std::to_string(++serial)) }, TimePoint {}); }) / 1000;
+}
+
 /// Heap that one entry's decisions hold.
 std::size_t heapOf(Size size)
 {
@@ -224,6 +237,7 @@
     fmt::print("largest / smallest {:.2f}\n", largest / smallest);
     auto base = heapOf({ 12, 10, 6 });
     fmt::print("heap: {} KB at 12 servers and 10 organisations; {} bytes a server, {} bytes an organisation\n", base / 1024, (heapOf({ 5500, 10, 6 }) - base) / 5488, (heapOf({ 12, 1800, 6 }) - base) / 1790);
+    fmt::print("homes of a key, first of its slot: {:.1f} us at 12 servers, {:.1f} us at 5500\n", firstHomesCost(12), firstHomesCost(5500));
     fmt::print("agent: dedup {:.0f} ns, ticket encode and decode {:.0f} ns a request\n", dedupCost(calls), ticketCost(calls));
     return 0;
 }
--- a/include/swiftloft/policy/organisation-limits.h
+++ b/include/swiftloft/policy/organisation-limits.h
@@ -89,6 +89,9 @@
     std::size_t peersAsked { 2 };
     milliseconds askInterval { 20 };
     milliseconds longestAskInterval { 200 };
+    /// Peers asked in a second over all organisations: bounds what lending takes of the control traffic when many are
+    /// short at once.
+    double asksPerSecond { 40 };
 };
 
 /// Limits of organisations in requests and tokens, held by one entry without shared state.
--- a/src/policy/organisation-limits.cc
+++ b/src/policy/organisation-limits.cc
@@ -85,14 +85,15 @@
     bool ask(LimitedOrganisation& organisation, const OrganisationName& name, double tokens, TimePoint now, LimitEffects& effects)
     {
         std::erase_if(organisation.pending, [&](auto& it) { return it.askedAt + options.lease <= now; });
-        if (now < organisation.nextAskAt || peers.empty())
+        auto n = std::min({ options.peersAsked, peers.size(), allowedAsks(now) });
+        if (now < organisation.nextAskAt || !n)
             return !organisation.pending.empty();
+        askAllowance -= static_cast<double>(n);
         auto interval = std::clamp(organisation.askInterval * 2, options.askInterval, options.longestAskInterval);
         organisation.askInterval = interval;
         organisation.nextAskAt = now + interval;
         auto missingRequests = shortageOf(organisation.requests, 1);
         auto missingTokens = shortageOf(organisation.tokens, tokens);
-        auto n = std::min(options.peersAsked, peers.size());
         for (std::size_t i = 0; i < n; ++i) {
             // In turn, so that each peer hears soon which of its grants are used up.
             auto& peer = peers[organisation.nextPeer++ % peers.size()];
@@ -104,6 +105,14 @@
         return true;
     }
 
+    std::size_t allowedAsks(TimePoint now)
+    {
+        auto elapsed = std::chrono::duration<double>(now - askAllowanceAt).count();
+        askAllowanceAt = std::max(askAllowanceAt, now);
+        askAllowance = std::min(askAllowance + std::max(0.0, elapsed) * options.asksPerSecond, std::max(options.asksPerSecond, 1.0));
+        return static_cast<std::size_t>(askAllowance);
+    }
+
     static double shortageOf(const LentBucket& bucket, double needed)
     {
         auto available = bucket.available();
@@ -150,6 +159,8 @@
     FleetShare share;
     std::vector<InstanceId> peers;
     std::uint64_t lastSerial { 0 };
+    double askAllowance { 0 };
+    TimePoint askAllowanceAt {};
     boost::unordered_flat_map<OrganisationName, LimitedOrganisation, std::hash<OrganisationName>> organisations;
     boost::unordered_flat_map<InstanceId, Borrower, std::hash<InstanceId>> borrowers;
 };
@@ -169,8 +180,8 @@
         return share.error();
     if (options.lease.count() <= 0 || options.lease * (1 + options.clockDrift) > options.share.window)
         return Error { ErrorCode::InvalidArgument, "limits: the lease must be positive and, with the drift, at most the window" };
-    if (!(options.clockDrift >= 0) || !(options.lenderReserve >= 0 && options.lenderReserve <= 1) || !(options.idleLenderReserve >= 0 && options.idleLenderReserve <= 1) || options.askInterval.count() <= 0)
-        return Error { ErrorCode::InvalidArgument, "limits: drift must not be negative, reserve must be 0 to 1, ask interval positive" };
+    if (!(options.clockDrift >= 0) || !(options.lenderReserve >= 0 && options.lenderReserve <= 1) || !(options.idleLenderReserve >= 0 && options.idleLenderReserve <= 1) || options.askInterval.count() <= 0 || !(options.asksPerSecond >= 0))
+        return Error { ErrorCode::InvalidArgument, "limits: drift must not be negative, reserve must be 0 to 1, ask interval positive, asks a second not negative" };
     options.longestAskInterval = std::max(options.longestAskInterval, options.askInterval);
     return OrganisationLimits(std::make_unique<State>(options, std::move(self), incarnation, std::move(*share)));
 }
--- a/test/organisation-limits_test.cc
+++ b/test/organisation-limits_test.cc
@@ -194,6 +194,26 @@
     CHECK(accepted > 500);
 }
 
+TEST_CASE("OrganisationLimits: many organisations short at once do not flood the peers with requests")
+{
+    // A morning rush: two hundred organisations at their limits, each refused a hundred times a second. If each asked
+    // peers on its own, lending would take many times what an entry may spend on control traffic.
+    auto limits = makeLimits(0);
+    limits.onList({ nameOf(0), nameOf(1), nameOf(2) }, start);
+    std::vector<OrganisationName> names;
+    for (int i = 0; i < 200; ++i) {
+        names.emplace_back(std::to_string(i));
+        limits.setLimit(names.back(), { .tokensPerSecond = 1 }, start);
+    }
+    LimitEffects effects;
+    for (int step = 0; step < 500; ++step) {
+        for (auto& name : names)
+            limits.admit(name, Tokens(100), start + seconds(10) + milliseconds(10 * step), effects);
+    }
+    CHECK(effects.size() <= 40 * 6);
+    CHECK(effects.size() >= 40 * 4);
+}
+
 TEST_CASE("OrganisationLimits: a grant is used once, by the incarnation that asked, within its lease")
 {
     auto lender = makeLimits(0);
