Limit organisations over all entries, with unused shares lent between them

Entries exchange loans as notes of the control nodes: small datagrams that may be lost, doubled or late. A request over its entry's share waits for one grant, 60 ms at most, and is refused at once otherwise. Cause of the first failures: a view from before the first list was read as a list that lacks this entry, which takes its share for 30 s; and a limit known only from its first use began empty and refused that use. Ruled out the window itself. Each fleet has a new folder now and removes it.

--- a/include/swiftloft/membership/message.h
+++ b/include/swiftloft/membership/message.h
@@ -58,6 +58,7 @@
     PingRequest, ///< Asks the receiver to ping `target` on the sender's behalf.
     News, ///< Carries updates and announcements; no answer.
     SyncRequest, ///< Asks for all that is out of the ordinary; answered by `News`.
+    Note, ///< Carries `note` for the embedding process.
 };
 
 /// One datagram. `from` to `isReady` describe the sender.
@@ -72,6 +73,7 @@
     NodeKey target;
     std::vector<MemberUpdate> updates;
     std::vector<Announcement> announcements;
+    std::string note; ///< For the embedding process; at most `maxNoteBytes`.
 
     friend bool operator==(const Message&, const Message&) = default;
 };
@@ -79,6 +81,7 @@
 /// Most updates one datagram carries; keeps it under 1,200 bytes, so that no network on the way fragments it.
 inline constexpr std::size_t maxUpdatesPerMessage = 24;
 inline constexpr std::size_t maxDatagramBytes = 1200;
+inline constexpr std::size_t maxNoteBytes = 900;
 
 std::vector<std::byte> encode(const Message& message);
 
--- a/include/swiftloft/policy/organisation-limits.h
+++ b/include/swiftloft/policy/organisation-limits.h
@@ -107,7 +107,9 @@
     OrganisationLimits& operator=(OrganisationLimits&&) noexcept;
     ~OrganisationLimits();
 
-    void setLimit(const OrganisationName& organisation, const OrganisationLimit& limit, TimePoint now);
+    /// `isUnusedSinceStart`: this entry has admitted nothing for the organisation since it was created, so what its share
+    /// has yielded since then, up to the burst, is there to be used. Without it a new limit starts empty.
+    void setLimit(const OrganisationName& organisation, const OrganisationLimit& limit, TimePoint now, bool isUnusedSinceStart = false);
     void forget(const OrganisationName& organisation);
     /// The instance list was read; `entries` are the live entry instances.
     void onList(const std::vector<InstanceId>& entries, TimePoint now);
--- a/src/daemon/fleet-control.cc
+++ b/src/daemon/fleet-control.cc
@@ -55,6 +55,7 @@
     hooks.onViewChanged = m_hooks.onViewChanged;
     hooks.onLeaving = m_hooks.onLeaving;
     hooks.onReady = m_hooks.onReady;
+    hooks.onNote = m_hooks.onNote;
     return hooks;
 }
 
--- a/src/daemon/fleet-control.h
+++ b/src/daemon/fleet-control.h
@@ -31,6 +31,8 @@
         /// The published list or a peer says that this process is leaving.
         std::function<void()> onLeaving;
         std::function<void()> onReady;
+        /// Bytes that another process of the fleet sent with `sendNote`.
+        std::function<void(std::string_view)> onNote;
     };
 
     /// Throws `Exception` when the peer address can't be bound.
@@ -38,6 +40,8 @@
 
     void leave() { m_node->leave(); }
     void stop() { m_node->stop(); }
+    /// Best effort; see `spread::ControlNode::sendNote`.
+    void sendNote(const std::string& to, std::string note) { m_node->sendNote(membership::NodeId(to), std::move(note)); }
 
     std::shared_ptr<const membership::View> view() const { return m_node->view(); }
     const spread::ControlNode& node() const { return *m_node; }
--- a/src/entry/daemon.cc
+++ b/src/entry/daemon.cc
@@ -25,6 +25,9 @@
     ReducerOptions options;
     options.incarnation = incarnation;
     options.dataCentre = config.dataCentre;
+    options.self = InstanceId(config.id);
+    options.isFirstStart = config.isFirstStart;
+    options.startedAt = Clock::now();
     options.randomSeed = static_cast<std::uint32_t>(incarnation.value());
     return options;
 }
@@ -121,6 +124,11 @@
     daemon::FleetControl::Hooks hooks;
     hooks.onSettings = [this](Revision revision, const settings::Tree& tree) { apply(SettingsInForce { revision, tree, Clock::now() }); };
     hooks.onViewChanged = [this](const std::shared_ptr<const membership::View>& view) { apply(ViewChanged { view, Clock::now() }); };
+    hooks.onNote = [this](std::string_view note) {
+        auto loan = decodeLoan(note);
+        if (loan)
+            apply(LoanArrived { std::move(*loan), Clock::now() });
+    };
     hooks.onLeaving = [this] { apply(LeaveRequested { Clock::now() }); };
     m_fleetControl = std::make_unique<daemon::FleetControl>(m_control, m_config, membership::Role::Entry, m_incarnation, std::move(hooks));
 }
@@ -161,6 +169,10 @@
             record(*answer);
             continue;
         }
+        if (auto loan = std::get_if<SendLoan>(&effect)) {
+            m_fleetControl->sendNote(loan->to.value(), encode(loan->loan));
+            continue;
+        }
         if (std::holds_alternative<Finish>(effect))
             m_finishedWorkers = 0;
         if (auto worker = workerOf(effect)) {
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/entry/loan.h"
 #include "src/entry/refusal.h"
 
 #include <swiftloft/ids.h>
@@ -143,6 +144,11 @@
     TimePoint now;
 };
 
+struct LoanArrived {
+    Loan loan;
+    TimePoint now;
+};
+
 struct SettingsInForce {
     Revision revision;
     settings::Tree tree;
@@ -158,7 +164,7 @@
 };
 
 using Event = std::variant<RequestArrived, OutputBegan, AttemptEnded, ClaimAnswered, ClientGone, LinkReported, LinkDown, ViewChanged,
-    SettingsInForce, LeaveRequested, Tick>;
+    LoanArrived, SettingsInForce, LeaveRequested, Tick>;
 
 /// What an attempt carries beside the client's own message.
 struct AttemptOrder {
@@ -250,6 +256,12 @@
     unsigned attempts { 0 };
 };
 
+/// A message of the lending protocol for another entry; best effort.
+struct SendLoan {
+    InstanceId to;
+    Loan loan;
+};
+
 /// From now on each answer tells its client to ask for addresses again.
 struct AnnounceLeaving {
 };
@@ -262,7 +274,7 @@
 struct Finish {
 };
 
-using Effect = std::variant<StartAttempt, SendClaim, SendRelease, CancelAttempt, Refuse, CutAnswer, OpenLink, CloseLink, PublishSuspicions, RecordAnswer, AnnounceLeaving,
+using Effect = std::variant<StartAttempt, SendLoan, SendClaim, SendRelease, CancelAttempt, Refuse, CutAnswer, OpenLink, CloseLink, PublishSuspicions, RecordAnswer, AnnounceLeaving,
     CloseListeners, Finish>;
 using Effects = std::vector<Effect>;
 
--- /dev/null
+++ b/src/entry/limits.cc
@@ -0,0 +1,131 @@
+#include "src/entry/limits.h"
+
+#include <algorithm>
+
+namespace swiftloft::entry {
+
+namespace {
+
+/// Names have no blanks, so this stands in none.
+constexpr std::string_view separator = " at ";
+
+policy::OrganisationLimit toPolicy(const settings::OrganisationSettings& settings)
+{
+    policy::OrganisationLimit limit;
+    limit.requestsPerSecond = settings.requestsPerSecond.value();
+    limit.tokensPerSecond = settings.tokensPerSecond.value();
+    limit.burstSeconds = std::chrono::duration<double>(settings.burst).count();
+    return limit;
+}
+
+RefusalReason toReason(policy::LimitOutcome outcome)
+{
+    return outcome == policy::LimitOutcome::TokenLimit ? RefusalReason::TokenLimit : RefusalReason::RequestLimit;
+}
+
+bool isLiveEntry(const membership::ViewMember& member)
+{
+    return member.listed && member.listed->role == membership::Role::Entry && member.listed->state == membership::ListedState::Live;
+}
+
+} // namespace
+
+Limits::Limits(InstanceId self, Incarnation incarnation, bool isFirstStart, TimePoint now)
+    : m_self(std::move(self))
+    , m_isFirstStart(isFirstStart)
+    // On the first start of a fleet no entry can hold a share from before, so this one begins as if it had watched the
+    // list for a whole window.
+    , m_limits(policy::OrganisationLimits::create({}, m_self, incarnation, isFirstStart ? now - policy::FleetShareOptions().window : now).value())
+{
+}
+
+std::optional<policy::TrafficKey> Limits::trafficOf(const OrganisationName& limitName)
+{
+    auto& text = limitName.value();
+    auto at = text.find(separator);
+    if (at == std::string::npos)
+        return std::nullopt;
+    return policy::TrafficKey { ServiceName(text.substr(at + separator.size())), OrganisationName(text.substr(0, at)) };
+}
+
+void Limits::prepare(const std::shared_ptr<const settings::OrganisationSettings>& settings, TimePoint now)
+{
+    known(settings, now);
+}
+
+OrganisationName Limits::limitName(const settings::OrganisationSettings& settings)
+{
+    return OrganisationName(settings.name.value() + std::string(separator) + settings.service.value());
+}
+
+Limits::Known& Limits::known(const std::shared_ptr<const settings::OrganisationSettings>& settings, TimePoint now)
+{
+    auto name = limitName(*settings);
+    auto [it, isNew] = m_known.try_emplace(name);
+    if (it->second.settings != settings) {
+        it->second.settings = settings;
+        m_limits.setLimit(name, toPolicy(*settings), now, isNew);
+    }
+    return it->second;
+}
+
+Limits::Decision Limits::admit(const std::shared_ptr<const settings::OrganisationSettings>& settings, Tokens estimate, TimePoint now, Effects& effects)
+{
+    auto& known = this->known(settings, now);
+    // Each entry allows its part; at least one, so that a small limit can be used at all.
+    auto inFlightLimit = std::max<std::int64_t>(1, settings->maxInFlight / static_cast<std::int64_t>(m_entries));
+    if (known.inFlight >= inFlightLimit)
+        return { RefusalReason::InFlightLimit, now + seconds(1), false };
+    policy::LimitEffects lending;
+    auto decision = m_limits.admit(limitName(*settings), estimate, now, lending);
+    send(lending, effects);
+    if (decision.outcome != policy::LimitOutcome::Admitted)
+        return { toReason(decision.outcome), decision.retryAt, decision.isBorrowing };
+    ++known.inFlight;
+    return {};
+}
+
+void Limits::finish(const settings::OrganisationSettings& settings, Tokens estimate, Verdict verdict, TimePoint now)
+{
+    auto it = m_known.find(limitName(settings));
+    if (it == m_known.end())
+        return;
+    --it->second.inFlight;
+    if (verdict == Verdict::NotRun)
+        m_limits.settle(it->first, estimate, Tokens(0), now);
+}
+
+void Limits::onView(const membership::View& view, TimePoint now)
+{
+    // A view from before the first list names nobody. Taken for a list, it would say that this entry has been dropped.
+    if (view.listRevision == Revision(0))
+        return;
+    std::vector<InstanceId> entries;
+    for (auto& member : view.members) {
+        if (isLiveEntry(member))
+            entries.emplace_back(member.listed->id.value());
+    }
+    m_entries = std::max<std::size_t>(1, entries.size());
+    if (m_isFirstStart)
+        m_limits.onList(entries, now - policy::FleetShareOptions().window);
+    m_isFirstStart = false;
+    m_limits.onList(entries, now);
+}
+
+void Limits::onLoan(const Loan& loan, TimePoint now, Effects& effects)
+{
+    if (auto request = std::get_if<policy::LendRequest>(&loan))
+        send(m_limits.onLendRequest(*request, now), effects);
+    else
+        m_limits.onLendGrant(std::get<policy::LendGrant>(loan), now);
+}
+
+void Limits::send(const policy::LimitEffects& from, Effects& effects)
+{
+    for (auto& it : from) {
+        auto loan = it.kind == policy::LimitEffectKind::SendLendRequest ? Loan(it.request) : Loan(it.grant);
+        effects.push_back(SendLoan { it.to, std::move(loan) });
+    }
+}
+
+} // namespace swiftloft::entry
--- /dev/null
+++ b/src/entry/loan.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <swiftloft/policy/organisation-limits.h>
+#include <swiftloft/result.h>
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace swiftloft::entry {
+
+/// A message of the lending protocol between entries.
+using Loan = std::variant<policy::LendRequest, policy::LendGrant>;
+
+std::string encode(const Loan& loan);
+
+/// Fails with `MalformedInput` on bytes that are no loan, and on amounts that are negative or no numbers. Any bytes are
+/// safe to pass.
+Result<Loan> decodeLoan(std::string_view bytes);
+
+} // namespace swiftloft::entry
--- a/src/entry/reducer.cc
+++ b/src/entry/reducer.cc
@@ -12,6 +12,8 @@
 /// Comes back soon: the fleet is expected to change within seconds.
 constexpr seconds shortRetryAfter { 1 };
 constexpr milliseconds housekeepingInterval { 250 };
+/// How long a request over its entry's share waits for a peer's grant: a few round trips within a region.
+constexpr milliseconds grantWait { 60 };
 
 RequestKey mintKey(Incarnation incarnation, RequestId id)
 {
@@ -90,6 +92,7 @@
     , m_retryBudget(std::move(retryBudget))
     , m_generator(m_options.randomSeed)
     , m_fleet(m_options.dataCentre, m_options.region)
+    , m_limits(m_options.self, m_options.incarnation, m_options.isFirstStart, m_options.startedAt)
     , m_quarantine(std::move(quarantine))
 {
 }
@@ -126,7 +129,36 @@
     m_deadlines.emplace(request.resolved.deadline, event.id);
     request.cost = costOf(*request.resolved.service, *request.info);
     auto it = m_requests.insert_or_assign(event.id, std::move(request)).first;
-    admit(event.id, it->second, event.now, effects);
+    limit(event.id, it->second, event.now, effects);
+}
+
+void Reducer::limit(RequestId id, Request& request, TimePoint now, Effects& effects)
+{
+    auto decision = m_limits.admit(request.resolved.organisation, request.cost, now, effects);
+    if (!decision.refusal) {
+        request.isLimited = true;
+        return admit(id, request, now, effects);
+    }
+    // One round trip to a peer may bring what is missing here. It is no holding back: the wait is bounded by the time
+    // that the grant itself takes.
+    if (decision.isBorrowing && now < request.arrivedAt + grantWait) {
+        m_awaitingGrant.emplace(request.arrivedAt + grantWait, id);
+        return;
+    }
+    Refusal refusal;
+    refusal.reason = *decision.refusal;
+    refusal.retryAfter = policy::retryAfter({}, decision.retryAt, now, m_generator);
+    giveUp(id, request, std::move(refusal), now, effects);
+}
+
+void Reducer::limitWaiting(TimePoint now, Effects& effects)
+{
+    auto waiting = std::exchange(m_awaitingGrant, {});
+    for (auto& [until, id] : waiting) {
+        auto it = m_requests.find(id);
+        if (it != m_requests.end())
+            limit(id, it->second, now, effects);
+    }
 }
 
 void Reducer::admit(RequestId id, Request& request, TimePoint now, Effects& effects)
@@ -370,6 +402,8 @@
     m_deadlines.erase({ request.resolved.deadline, id });
     m_requests.erase(it);
     auto& service = request.resolved.service->name;
+    if (request.isLimited)
+        m_limits.finish(*request.resolved.organisation, request.cost, request.verdict, now);
     if (!request.isAdmitted)
         return m_admission.onAbandon(service, id);
     carryOut(m_admission.onFinish(service, request.cost, now, m_generator), now, effects);
@@ -413,6 +447,18 @@
 void Reducer::on(const ViewChanged& event, Effects& effects)
 {
     m_fleet.onView(*event.view, event.now, effects);
+    m_limits.onView(*event.view, event.now);
+}
+
+void Reducer::on(const LoanArrived& event, Effects& effects)
+{
+    auto request = std::get_if<policy::LendRequest>(&event.loan);
+    auto traffic = request && m_resolver ? Limits::trafficOf(request->organisation) : std::nullopt;
+    auto organisation = traffic ? m_resolver->organisation(*traffic) : nullptr;
+    if (organisation)
+        m_limits.prepare(organisation, event.now);
+    m_limits.onLoan(event.loan, event.now, effects);
+    limitWaiting(event.now, effects);
 }
 
 void Reducer::on(const SettingsInForce& event, Effects&)
@@ -438,6 +484,8 @@
 void Reducer::on(const Tick& event, Effects& effects)
 {
     startDueRetries(event.now, effects);
+    if (!m_awaitingGrant.empty() && m_awaitingGrant.begin()->first <= event.now)
+        limitWaiting(event.now, effects);
     carryOut(m_admission.onTimer(event.now, m_generator), event.now, effects);
     if (m_nextHousekeeping <= event.now) {
         m_nextHousekeeping = event.now + housekeepingInterval;
--- a/src/entry/reducer.h
+++ b/src/entry/reducer.h
@@ -3,6 +3,7 @@
 #include "src/entry/admission.h"
 #include "src/entry/events.h"
 #include "src/entry/fleet.h"
+#include "src/entry/limits.h"
 #include "src/entry/request-resolver.h"
 
 #include <swiftloft/policy/claim-protocol.h>
@@ -26,6 +27,10 @@
     DataCentreName dataCentre;
     RegionName region;
     std::uint32_t randomSeed { 0 };
+    InstanceId self;
+    /// No entry has run in this fleet before.
+    bool isFirstStart { false };
+    TimePoint startedAt;
 };
 
 /// All decisions of an entry about requests: State x Event -> Effects, on the control thread.
@@ -68,6 +73,8 @@
         unsigned attempts { 0 };
         /// Out of the queue and in the room that admission counts.
         bool isAdmitted { false };
+        /// Counted against its organisation's limits.
+        bool isLimited { false };
         Tokens cost;
         std::optional<Attempt> attempt;
         std::vector<policy::ServerHandle> tried;
@@ -88,10 +95,13 @@
     void on(const LinkReported& event, Effects& effects);
     void on(const LinkDown& event, Effects& effects);
     void on(const ViewChanged& event, Effects& effects);
+    void on(const LoanArrived& event, Effects& effects);
     void on(const SettingsInForce& event, Effects& effects);
     void on(const LeaveRequested& event, Effects& effects);
     void on(const Tick& event, Effects& effects);
 
+    void limit(RequestId id, Request& request, TimePoint now, Effects& effects);
+    void limitWaiting(TimePoint now, Effects& effects);
     void admit(RequestId id, Request& request, TimePoint now, Effects& effects);
     void carryOut(const Admission::Decisions& decisions, TimePoint now, Effects& effects);
     void updateCapacities(TimePoint now, Effects& effects);
@@ -120,6 +130,9 @@
     policy::RetryBudget m_retryBudget;
     policy::Generator m_generator;
     Fleet m_fleet;
+    Limits m_limits;
+    /// Requests over this entry's share that wait a moment for a peer's grant, by when they are refused.
+    std::set<std::pair<TimePoint, RequestId>> m_awaitingGrant;
     Admission m_admission;
     policy::CrashQuarantine m_quarantine;
     std::optional<RequestResolver> m_resolver;
--- a/src/entry/request-resolver.h
+++ b/src/entry/request-resolver.h
@@ -42,9 +42,10 @@
     /// The longest time that clients keep an address answer of any service.
     microseconds longestKeepTime() const;
 
-private:
+    /// Null when the settings name no such organisation or service.
     std::shared_ptr<const settings::OrganisationSettings> organisation(const policy::TrafficKey& key);
 
+private:
     settings::Tree m_tree;
     boost::unordered_flat_map<ServiceName, std::shared_ptr<const settings::ServiceSettings>, std::hash<ServiceName>> m_services;
     boost::unordered_flat_map<policy::TrafficKey, std::shared_ptr<const settings::OrganisationSettings>> m_organisations;
--- a/src/entry/worker.h
+++ b/src/entry/worker.h
@@ -69,6 +69,7 @@
     void on(const OpenLink& effect);
     void on(const CloseLink& effect);
     void on(const PublishSuspicions& effect);
+    void on(const SendLoan&) { }
     void on(const RecordAnswer&) { }
     void on(const AnnounceLeaving&) { m_isLeaving = true; }
     void on(const CloseListeners& effect);
--- a/src/membership/detector.cc
+++ b/src/membership/detector.cc
@@ -201,6 +201,7 @@
     case MessageKind::SyncRequest:
         return answerSync(event);
     case MessageKind::News:
+    case MessageKind::Note:
         return;
     }
 }
--- a/src/membership/gossip.capnp
+++ b/src/membership/gossip.capnp
@@ -11,6 +11,7 @@
   pingRequest @2;
   news @3;
   syncRequest @4;
+  note @5;                         # for the embedding process; see Message.note
 }
 
 enum Health {
@@ -53,4 +54,5 @@
   isReady @8 :Bool;
   updates @9 :List(Update);
   announcements @10 :List(Announcement);
+  note @11 :Data;
 }
--- a/src/membership/gossip.capnp.h
+++ b/src/membership/gossip.capnp.h
@@ -23,6 +23,7 @@
   PING_REQUEST,
   NEWS,
   SYNC_REQUEST,
+  NOTE,
 };
 CAPNP_DECLARE_ENUM(Kind, b4c052b2d0829886);
 CAPNP_DECLARE_SCHEMA(c7da94ec4406c4bc);
@@ -93,7 +94,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d33bdfefbb0d5d64, 6, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(d33bdfefbb0d5d64, 6, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -340,6 +341,9 @@
   inline bool hasAnnouncements() const;
   inline  ::capnp::List< ::swiftloft::membership::schema::Announcement,  ::capnp::Kind::STRUCT>::Reader getAnnouncements() const;
 
+  inline bool hasNote() const;
+  inline  ::capnp::Data::Reader getNote() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -409,6 +413,13 @@
   inline void adoptAnnouncements(::capnp::Orphan< ::capnp::List< ::swiftloft::membership::schema::Announcement,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::swiftloft::membership::schema::Announcement,  ::capnp::Kind::STRUCT>> disownAnnouncements();
 
+  inline bool hasNote();
+  inline  ::capnp::Data::Builder getNote();
+  inline void setNote( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initNote(unsigned int size);
+  inline void adoptNote(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownNote();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -785,6 +796,40 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::hasNote() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasNote() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Message::Reader::getNote() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Message::Builder::getNote() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setNote( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Message::Builder::initNote(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Message::Builder::adoptNote(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Message::Builder::disownNote() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/membership/message.cc
+++ b/src/membership/message.cc
@@ -53,6 +53,8 @@
     to.setIsReady(message.isReady);
     to.setNonce(message.nonce);
     to.setTarget(message.target.value());
+    if (!message.note.empty())
+        to.setNote(kj::ArrayPtr<const kj::byte>(reinterpret_cast<const kj::byte*>(message.note.data()), message.note.size()));
     auto updates = to.initUpdates(static_cast<unsigned>(message.updates.size()));
     for (unsigned i = 0; i < updates.size(); ++i)
         write(updates[i], message.updates[i]);
@@ -91,7 +93,7 @@
 
 Result<Message> read(schema::Message::Reader from)
 {
-    if (static_cast<std::uint16_t>(from.getKind()) > static_cast<std::uint16_t>(MessageKind::SyncRequest))
+    if (static_cast<std::uint16_t>(from.getKind()) > static_cast<std::uint16_t>(MessageKind::Note))
         return malformed("unknown kind");
     if (from.getUpdates().size() > maxUpdatesPerMessage)
         return malformed("too many updates");
@@ -106,6 +108,10 @@
     message.isReady = from.getIsReady();
     message.nonce = from.getNonce();
     message.target = NodeKey(from.getTarget());
+    auto note = from.getNote();
+    if (note.size() > maxNoteBytes)
+        return malformed("a note that is too long");
+    message.note.assign(reinterpret_cast<const char*>(note.begin()), note.size());
     for (auto update : from.getUpdates())
         message.updates.push_back(read(update));
     for (auto announcement : from.getAnnouncements()) {
--- a/src/policy/organisation-limits.cc
+++ b/src/policy/organisation-limits.cc
@@ -186,7 +186,7 @@
     return OrganisationLimits(std::make_unique<State>(options, std::move(self), incarnation, std::move(*share)));
 }
 
-void OrganisationLimits::setLimit(const OrganisationName& organisation, const OrganisationLimit& limit, TimePoint now)
+void OrganisationLimits::setLimit(const OrganisationName& organisation, const OrganisationLimit& limit, TimePoint now, bool isUnusedSinceStart)
 {
     auto [entry, isNew] = m_state->organisations.try_emplace(organisation);
     auto& it = entry->second;
@@ -194,8 +194,9 @@
     if (isNew)
         it.nextPeer = std::hash<InstanceId> {}(m_state->self) ^ std::hash<OrganisationName> {}(organisation);
     auto yield = m_state->share.yieldUntil(now);
-    it.requests.setRate(limit.requestsPerSecond, limit.burstSeconds, yield);
-    it.tokens.setRate(limit.tokensPerSecond, limit.burstSeconds, yield);
+    auto countedFrom = isNew && isUnusedSinceStart ? 0 : yield;
+    it.requests.setRate(limit.requestsPerSecond, limit.burstSeconds, countedFrom);
+    it.tokens.setRate(limit.tokensPerSecond, limit.burstSeconds, countedFrom);
 }
 
 void OrganisationLimits::forget(const OrganisationName& organisation)
--- a/src/process/process-config.h
+++ b/src/process/process-config.h
@@ -28,7 +28,8 @@
     /// The server whose slot an agent runs in; only agents have one.
     std::optional<Endpoint> backendServer;
     unsigned trafficThreads { 1 };
-    /// No agent has run in this fleet before, so none can have forgotten a client's key; only agents read it.
+    /// No process has run in this fleet before: no agent can have forgotten a client's key, and no entry can hold a
+    /// share of a limit from before.
     bool isFirstStart { false };
 };
 
--- a/src/spread/control-node.cc
+++ b/src/spread/control-node.cc
@@ -114,6 +114,17 @@
         return status;
     }
 
+    void sendNote(const membership::NodeId& to, std::string note) override
+    {
+        auto member = view()->find(to);
+        if (!m_udp || !member || note.size() > membership::maxNoteBytes)
+            return;
+        membership::Message message;
+        message.kind = membership::MessageKind::Note;
+        message.note = std::move(note);
+        m_udp->send(member->listed->peer, message);
+    }
+
 private:
     void scheduleTick()
     {
@@ -129,6 +140,11 @@
 
     void onDatagram(const PeerAddress& from, const membership::Message& message)
     {
+        if (message.kind == membership::MessageKind::Note) {
+            if (m_hooks.onNote && !m_isStopped)
+                m_hooks.onNote(message.note);
+            return;
+        }
         step(DatagramArrived { from, message, Clock::now() });
     }
 
--- a/src/spread/control-node.h
+++ b/src/spread/control-node.h
@@ -44,6 +44,8 @@
     std::function<void()> onReady;
     /// The list or a peer says that this process is leaving, or `leave()` was called. Called once.
     std::function<void()> onLeaving;
+    /// Bytes that another process of the fleet sent with `sendNote`. They may be lost, doubled, late and reordered.
+    std::function<void(std::string_view note)> onNote;
     /// A published tree was refused; the last good one stays in force.
     std::function<void(Revision, const std::string& problem)> onSettingsRefused;
     /// Pulls parts from a peer over a transport of the embedder's, who then answers its peers with `serve()`. When empty,
@@ -75,6 +77,8 @@
     virtual Result<void> start(boost::asio::io_context& io) = 0;
     /// Tells the fleet at once that this process takes no new work. The node goes on until `stop`.
     virtual void leave() = 0;
+    /// Sends bytes, `membership::maxNoteBytes` at most, to a listed process; best effort.
+    virtual void sendNote(const membership::NodeId& to, std::string note) = 0;
     /// Ends all I/O of the node. No hook is called any more.
     virtual void stop() = 0;
     /// Answers a peer's pull that came over the embedder's transport.
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -5,8 +5,10 @@
 #include <fmt/format.h>
 #include <xxhash.h>
 
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <stdexcept>
 
 namespace swiftloft::process_test {
 
@@ -39,6 +41,15 @@
     return ChildProcess::start({ builtProgram(program), "--config", file }, options).value();
 }
 
+/// A folder that no other fleet has had: an engine would count what an earlier one's run log holds as its own runs.
+std::string newFolder()
+{
+    auto name = (std::filesystem::temp_directory_path() / "swiftloft-fleet-XXXXXX").string();
+    if (!mkdtemp(name.data()))
+        throw std::runtime_error("no folder for a fleet can be made: " + name);
+    return name;
+}
+
 bool answersOk(const std::string& address, const std::string& target)
 {
     auto answer = call({ address, "GET", target, "", {}, milliseconds(500) });
@@ -64,9 +75,8 @@
 
 Fleet::Fleet(Options options)
     : m_options(std::move(options))
-    , m_folder(fmt::format("{}/swiftloft-fleet-{}", std::filesystem::temp_directory_path().string(), freePort()))
+    , m_folder(newFolder())
 {
-    std::filesystem::create_directories(m_folder);
     for (std::size_t n = 0; n < m_options.engines + m_options.plainServers; ++n) {
         auto isEngine = n < m_options.engines;
         Server server;
@@ -90,7 +100,15 @@
         startAgent(server, true);
     }
     for (auto& entry : m_entries)
-        startEntry(entry);
+        startEntry(entry, true);
+}
+
+Fleet::~Fleet()
+{
+    m_entries.clear();
+    m_servers.clear();
+    std::error_code ec;
+    std::filesystem::remove_all(m_folder, ec);
 }
 
 std::string Fleet::writeFile(const std::string& name, const std::string& text)
@@ -168,12 +186,12 @@
     server.agent = startDaemon("src/agent/swiftloft-agent", file);
 }
 
-void Fleet::startEntry(Entry& entry)
+void Fleet::startEntry(Entry& entry, bool isFirstStart)
 {
     auto n = static_cast<std::size_t>(&entry - m_entries.data());
     auto file = writeFile(fmt::format("{}/{}.ini", m_folder, entry.id),
-        fmt::format("[process]\nid = {}\ndata-centre = {}\nlisten = {}\npeer = {}\nplatform = {}\n", entry.id, dataCentreOf(n), entry.address(),
-            loopback(entry.peerPort), platformAddress()));
+        fmt::format("[process]\nid = {}\ndata-centre = {}\nlisten = {}\npeer = {}\nplatform = {}\nfirst-start = {}\n", entry.id, dataCentreOf(n), entry.address(),
+            loopback(entry.peerPort), platformAddress(), isFirstStart ? "yes" : "no"));
     entry.process = startDaemon("src/entry/swiftloft-entry", file);
 }
 
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -29,6 +29,9 @@
     };
 
     explicit Fleet(Options options);
+    ~Fleet();
+    Fleet(const Fleet&) = delete;
+    Fleet& operator=(const Fleet&) = delete;
 
     struct Server {
         std::string id;
@@ -63,9 +66,10 @@
     std::size_t entryCount() const { return m_entries.size(); }
 
     void startBackend(Server& server);
-    /// The first agent of a server says so in its process file; later ones refuse clients' own keys for a while.
+    /// The first processes of a fleet say so in their files. Later agents refuse clients' own keys for a while, later
+    /// entries have no share of the limits of their own for a while.
     void startAgent(Server& server, bool isFirstStart = false);
-    void startEntry(Entry& entry);
+    void startEntry(Entry& entry, bool isFirstStart = false);
 
     /// The instance list as published now.
     std::string instancesJson() const;
--- a/test/process/requests_test.cc
+++ b/test/process/requests_test.cc
@@ -316,3 +316,35 @@
         CHECK(call(completion(fleet.entry(), fmt::format("after the mark {}", n), 3)).head.result_int() == 200);
     CHECK(fleet.runsAt(fleet.engine(0)) == before);
 }
+
+// An organisation may send 20 requests a second. It sends all of them to one of three entries: the others lend their
+// shares, so it is not held to a third. Sending three times as much to all entries at once, it gets no more than its
+// limit and its saved-up burst.
+TEST_CASE("Limits: unused shares are lent, and the sum over entries keeps the limit")
+{
+    Fleet fleet({ .entries = 3, .engines = 0, .plainServers = 2, .settings = "[organisation limited]\nrequests-per-second = 20/s\nburst = 1s\nmax-in-flight = 1000\n" });
+    REQUIRE(fleet.waitUntilReady());
+    auto send = [&](std::size_t entry) {
+        auto request = order(fleet.entry(entry), "counted");
+        request.headers[1].second = "limited";
+        return call(request).head.result_int();
+    };
+    auto sendFor = [&](milliseconds length, std::size_t entries, milliseconds gap) {
+        std::size_t answered = 0;
+        auto until = Clock::now() + length;
+        for (std::size_t n = 0; Clock::now() < until; ++n) {
+            answered += send(n % entries) == 200;
+            std::this_thread::sleep_for(gap);
+        }
+        return answered;
+    };
+
+    auto atOne = sendFor(milliseconds(3000), 1, milliseconds(100));
+    INFO("answered at one entry, of about 30 sent in 3 s: " << atOne);
+    CHECK(atOne >= 24);
+    auto startedAt = Clock::now();
+    auto atAll = sendFor(milliseconds(3000), 3, milliseconds(10));
+    auto allowed = 20 * std::chrono::duration<double>(Clock::now() - startedAt).count() + 20;
+    INFO("answered at all entries: " << atAll << ", allowed: " << allowed);
+    CHECK(static_cast<double>(atAll) <= allowed);
+}
