--- a/include/swiftloft/policy/admission-queue.h
+++ b/include/swiftloft/policy/admission-queue.h
@@ -65,7 +65,7 @@
 
 enum class AdmissionAction {
     Start,
-    /// Answer at once with `retryAfter`; the request is not held back and has not run.
+    /// Answer at once with `retryAfter`. This attempt has not run; the verdict of a resend also depends on earlier ones.
     Refuse,
 };
 
--- a/include/swiftloft/policy/crash-quarantine.h
+++ b/include/swiftloft/policy/crash-quarantine.h
@@ -49,9 +49,9 @@
     Admit,
     /// A suspect: send it to `suspectServer`, alone.
     RunAlone,
-    /// A suspect of which a copy is running: refuse for now, it has not run.
+    /// A suspect of which a copy is running: refuse for now. This attempt has not run; a resend's earlier ones may have.
     Wait,
-    /// Convicted: refuse until `until`, it has not run.
+    /// Convicted: refuse until `until`. This attempt has not run; a resend's earlier ones may have.
     Refuse,
 };
 
