Explain routing with swiftloft-ctl route

Cause: an operator could not ask why a request would go where.

Router::explain() has had the figures; src/entry/route-page.cc turns them into a page and swiftloft-ctl route shows it. A test joins the two ends: the page's own text is what the command reads.

--- a/src/ctl/status-report.cc
+++ b/src/ctl/status-report.cc
@@ -1,5 +1,7 @@
 #include "src/ctl/status-report.h"
 
+#include "src/ctl/json-fields.h"
+
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
@@ -9,22 +11,9 @@
 
 namespace json = boost::json;
 
-const json::value* find(const json::object& object, const char* key)
-{
-    auto value = object.if_contains(key);
-    return value && !value->is_null() ? value : nullptr;
-}
-
-std::string textOf(const json::object& object, const char* key)
-{
-    auto value = find(object, key);
-    return value ? std::string(value->as_string()) : std::string();
-}
-
 std::optional<Revision> revisionOf(const json::object& object, const char* key)
 {
-    auto value = find(object, key);
-    auto number = value ? value->to_number<std::uint64_t>() : 0;
+    auto number = numberField<std::uint64_t>(object, key);
     if (number == 0)
         return std::nullopt;
     return Revision(number);
@@ -33,11 +22,11 @@
 BackendServerStatus backendServerFrom(const json::object& object)
 {
     BackendServerStatus server;
-    server.id = BackendServerId(textOf(object, "id"));
-    server.service = ServiceName(textOf(object, "service"));
-    server.dataCentre = DataCentreName(textOf(object, "data_centre"));
-    server.state = textOf(object, "state");
-    if (auto load = find(object, "load"))
+    server.id = BackendServerId(textField(object, "id"));
+    server.service = ServiceName(textField(object, "service"));
+    server.dataCentre = DataCentreName(textField(object, "data_centre"));
+    server.state = textField(object, "state");
+    if (auto load = findField(object, "load"))
         server.load = load->to_number<double>();
     return server;
 }
@@ -45,16 +34,15 @@
 StatusReport reportFrom(const json::object& object)
 {
     StatusReport report;
-    report.instance = InstanceId(textOf(object, "instance"));
-    report.role = textOf(object, "role");
-    report.dataCentre = DataCentreName(textOf(object, "data_centre"));
-    report.state = textOf(object, "state");
+    report.instance = InstanceId(textField(object, "instance"));
+    report.role = textField(object, "role");
+    report.dataCentre = DataCentreName(textField(object, "data_centre"));
+    report.state = textField(object, "state");
     report.settingsRevision = revisionOf(object, "settings_revision");
     report.refusedRevision = revisionOf(object, "refused_revision");
-    report.refusedReason = textOf(object, "refused_reason");
-    if (auto inFlight = find(object, "in_flight"))
-        report.inFlight = inFlight->to_number<std::uint64_t>();
-    if (auto servers = find(object, "backend_servers")) {
+    report.refusedReason = textField(object, "refused_reason");
+    report.inFlight = numberField<std::uint64_t>(object, "in_flight");
+    if (auto servers = findField(object, "backend_servers")) {
         for (auto& server : servers->as_array())
             report.backendServers.push_back(backendServerFrom(server.as_object()));
     }
--- a/test/ctl-fleet_test.cc
+++ b/test/ctl-fleet_test.cc
@@ -1,5 +1,6 @@
 #include "src/burn/windows.h"
 #include "src/ctl/fetch.h"
+#include "src/entry/route-page.h"
 #include "test/ctl-runner.h"
 
 #include <boost/asio.hpp>
@@ -7,6 +8,7 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <array>
 #include <atomic>
 #include <filesystem>
 #include <fstream>
@@ -134,3 +136,35 @@
     auto report = boost::json::parse(ran({ "burn", "--json", "--settings", viaHe, "--entry", second.address() }).out);
     CHECK(report.at("rows").at(0).at("burn").at(0).at("bad") == 10);
 }
+
+TEST_CASE("CtlFleet: route says where each entry would send the next request, in the words of the entry's own page")
+{
+    policy::RouteExplanation ejected;
+    ejected.id = BackendServerId("engine-2");
+    ejected.state = policy::ServerState::Ejected;
+    policy::RouteExplanation good;
+    good.id = BackendServerId("engine-1");
+    good.expectedFirstByte = std::chrono::microseconds(12500);
+    good.isLocal = false;
+    std::array rows { good, ejected };
+    Server entry(entry::toJson({ InstanceId("e1"), DataCentreName("tay-ho"), ServiceName("drafting"), rows }));
+    auto result = ran({ "route", "--service", "drafting", "--entry", entry.address() });
+    CHECK(result.code == ExitCode::Ok);
+    CHECK_THAT(result.out, Contains("e1: the next request goes to engine-1, first byte expected in 12.5 ms, in another data centre") && Contains("ejected"));
+}
+
+TEST_CASE("CtlFleet: route finds fault with an entry that has nowhere to send a request, and with one that is missing")
+{
+    policy::RouteExplanation ejected;
+    ejected.id = BackendServerId("engine-2");
+    ejected.state = policy::ServerState::Ejected;
+    std::array rows { ejected };
+    Server entry(entry::toJson({ InstanceId("e1"), DataCentreName("tay-ho"), ServiceName("drafting"), rows }));
+    auto result = ran({ "route", "--service", "drafting", "--entry", entry.address(), "--entry", closedAddress() });
+    CHECK(result.code == ExitCode::Finding);
+    CHECK_THAT(result.out, Contains("no backend server of drafting can take a request"));
+    CHECK_THAT(result.err, Contains("Connection refused"));
+    CHECK(ran({ "route", "--service", "drafting", "--entry", closedAddress() }).code == ExitCode::Unreachable);
+    CHECK(ran({ "route", "--entry", closedAddress() }).code == ExitCode::Usage);
+    CHECK(ran({ "route", "--service", "no such name", "--entry", closedAddress() }).code == ExitCode::Usage);
+}
