--- a/src/entry/fleet.cc
+++ b/src/entry/fleet.cc
@@ -146,6 +146,12 @@
     return it == m_routers.end() ? nullptr : &it->second;
 }
 
+const policy::Router* Fleet::router(const ServiceName& service) const
+{
+    auto it = m_routers.find(service);
+    return it == m_routers.end() ? nullptr : &it->second;
+}
+
 const BackendServer* Fleet::find(const BackendServerId& id) const
 {
     auto it = m_servers.find(id);
--- a/src/entry/fleet.h
+++ b/src/entry/fleet.h
@@ -46,6 +46,7 @@
     void onLinkDown(const LinkDown& event);
 
     /// Null for a service without any listed server.
+    const policy::Router* router(const ServiceName& service) const;
     policy::Router* router(const ServiceName& service);
     /// Null when the server is not listed any more.
     const BackendServer* find(const BackendServerId& id) const;
