--- a/src/entry/admission.cc
+++ b/src/entry/admission.cc
@@ -23,6 +23,16 @@
     return Tokens(std::max(typicalRequestTokens, std::min(most, busy) / static_cast<std::int64_t>(capacity.entries)));
 }
 
+Admission::Decisions toDecisions(const policy::AdmissionEffects& effects)
+{
+    Admission::Decisions decisions;
+    for (auto& it : effects)
+        decisions.push_back({ RequestId(it.id.value()), it.action == policy::AdmissionAction::Start, it.reason, it.retryAfter });
+    return decisions;
+}
+
+} // namespace
+
 policy::Priority toPolicy(settings::Priority priority)
 {
     switch (priority) {
@@ -36,16 +46,6 @@
     return policy::Priority::Normal;
 }
 
-Admission::Decisions toDecisions(const policy::AdmissionEffects& effects)
-{
-    Admission::Decisions decisions;
-    for (auto& it : effects)
-        decisions.push_back({ RequestId(it.id.value()), it.action == policy::AdmissionAction::Start, it.reason, it.retryAfter });
-    return decisions;
-}
-
-} // namespace
-
 Tokens costOf(const settings::ServiceSettings& service, const RequestInfo& info)
 {
     return service.kind == settings::ServiceKind::Plain ? Tokens(1) : info.promptTokens + info.expectedOutput;
@@ -86,7 +86,12 @@
 
 Admission::Decisions Admission::setCapacity(const settings::ServiceSettings& service, const ServiceCapacity& capacity, TimePoint now, policy::Generator& generator)
 {
-    return toDecisions(queueOf(service).setCapacity(capacityOf(service, capacity), now, generator));
+    auto& queue = queueOf(service);
+    auto mostInFlight = std::max<std::size_t>(1, capacity.servers * static_cast<std::size_t>(service.maxConcurrentPerBackendServer) / capacity.entries);
+    auto decisions = toDecisions(queue.setMaximumInFlight(mostInFlight, now, generator));
+    auto more = toDecisions(queue.setCapacity(capacityOf(service, capacity), now, generator));
+    decisions.insert(decisions.end(), more.begin(), more.end());
+    return decisions;
 }
 
 Admission::Decisions Admission::onTimer(TimePoint now, policy::Generator& generator)
--- a/src/entry/admission.h
+++ b/src/entry/admission.h
@@ -49,6 +49,9 @@
     boost::unordered_flat_map<ServiceName, policy::AdmissionQueue, std::hash<ServiceName>> m_queues;
 };
 
+/// High first, as queues and engines count.
+policy::Priority toPolicy(settings::Priority priority);
+
 /// Work of one request for fair shares: prompt and expected output of a model request, one of a plain one.
 Tokens costOf(const settings::ServiceSettings& service, const RequestInfo& info);
 
--- a/src/entry/fleet.cc
+++ b/src/entry/fleet.cc
@@ -30,22 +30,20 @@
 
 } // namespace
 
-Fleet::Fleet(DataCentreName dataCentre, RegionName region)
+Fleet::Fleet(DataCentreName dataCentre)
     : m_dataCentre(std::move(dataCentre))
-    , m_region(std::move(region))
 {
 }
 
 void Fleet::onView(const membership::View& view, TimePoint now, Effects& effects)
 {
-    m_topology = view.topology;
     m_entries = std::max<std::size_t>(1, std::count_if(view.members.begin(), view.members.end(), isUsableEntry));
     for (auto& member : view.members) {
         if (!isListedAgent(member))
             continue;
         auto it = m_servers.find(idOf(member));
         if (it == m_servers.end()) {
-            add(member, view.topology, effects);
+            add(member, effects);
             continue;
         }
         if (isSaidToLeave(member))
@@ -64,7 +62,7 @@
     updateHomes(view.listRevision, now);
 }
 
-void Fleet::add(const membership::ViewMember& member, const membership::Topology&, Effects& effects)
+void Fleet::add(const membership::ViewMember& member, Effects& effects)
 {
     auto endpoint = process::parseEndpoint(member.listed->address.value());
     if (!endpoint)
@@ -134,7 +132,7 @@
     if (it == m_routers.end()) {
         policy::RouterOptions options;
         options.dataCentre = m_dataCentre;
-        options.region = m_region;
+        options.region = m_topology.regionOf(m_dataCentre);
         it = m_routers.emplace(server.service, policy::Router::create(options).value()).first;
     }
     server.handle = it->second.add({ server.id, server.dataCentre, m_topology.regionOf(server.dataCentre) });
--- a/src/entry/fleet.h
+++ b/src/entry/fleet.h
@@ -36,7 +36,7 @@
 /// Whichever says so first wins; within one incarnation nothing takes it back.
 class Fleet {
 public:
-    Fleet(DataCentreName dataCentre, RegionName region);
+    explicit Fleet(DataCentreName dataCentre);
 
     /// Opens links to servers that are new in `view` and closes those that are gone from it.
     void onView(const membership::View& view, TimePoint now, Effects& effects);
@@ -46,8 +46,10 @@
     void onLinkDown(const LinkDown& event);
 
     /// Null for a service without any listed server.
-    const policy::Router* router(const ServiceName& service) const;
     policy::Router* router(const ServiceName& service);
+    const policy::Router* router(const ServiceName& service) const;
+    /// Regions of the data centres, from the settings. Routers that exist keep what they were made with.
+    void setTopology(membership::Topology topology) { m_topology = std::move(topology); }
     /// Null when the server is not listed any more.
     const BackendServer* find(const BackendServerId& id) const;
     /// The server behind a handle of `service`'s router.
@@ -62,13 +64,12 @@
     const boost::unordered_flat_map<BackendServerId, BackendServer, std::hash<BackendServerId>>& servers() const { return m_servers; }
 
 private:
-    void add(const membership::ViewMember& member, const membership::Topology& topology, Effects& effects);
+    void add(const membership::ViewMember& member, Effects& effects);
     void updateRouter(BackendServer& server);
     void updateHomes(Revision revision, TimePoint now);
 
     std::size_t m_entries { 1 };
     DataCentreName m_dataCentre;
-    RegionName m_region;
     membership::Topology m_topology;
     boost::unordered_flat_map<BackendServerId, BackendServer, std::hash<BackendServerId>> m_servers;
     boost::unordered_flat_map<ServiceName, policy::Router, std::hash<ServiceName>> m_routers;
--- a/src/entry/reducer.cc
+++ b/src/entry/reducer.cc
@@ -1,5 +1,7 @@
 #include "src/entry/reducer.h"
 
+#include <swiftloft/membership/address-answer.h>
+
 #include <fmt/format.h>
 #include <xxhash.h>
 
@@ -74,24 +76,16 @@
 
 Result<Reducer> Reducer::create(ReducerOptions options)
 {
-    auto retryPolicy = policy::RetryPolicy::create({});
-    if (!retryPolicy)
-        return retryPolicy.error();
-    auto retryBudget = policy::RetryBudget::create({});
-    if (!retryBudget)
-        return retryBudget.error();
     auto quarantine = policy::CrashQuarantine::create({});
     if (!quarantine)
         return quarantine.error();
-    return Reducer(std::move(options), *retryPolicy, std::move(*retryBudget), std::move(*quarantine));
+    return Reducer(std::move(options), std::move(*quarantine));
 }
 
-Reducer::Reducer(ReducerOptions options, policy::RetryPolicy retryPolicy, policy::RetryBudget retryBudget, policy::CrashQuarantine quarantine)
+Reducer::Reducer(ReducerOptions options, policy::CrashQuarantine quarantine)
     : m_options(std::move(options))
-    , m_retryPolicy(retryPolicy)
-    , m_retryBudget(std::move(retryBudget))
     , m_generator(m_options.randomSeed)
-    , m_fleet(m_options.dataCentre, m_options.region)
+    , m_fleet(m_options.dataCentre)
     , m_limits(m_options.self, m_options.incarnation, m_options.isFirstStart, m_options.startedAt)
     , m_quarantine(std::move(quarantine))
 {
@@ -272,7 +266,7 @@
     order.service = request.resolved.service->name;
     order.organisation = request.resolved.organisation->name;
     order.fingerprint = request.resolved.fingerprint;
-    order.priority = static_cast<int>(request.resolved.organisation->priority);
+    order.priority = static_cast<int>(toPolicy(request.resolved.organisation->priority));
     order.promptTokens = request.info->promptTokens;
     order.expectedOutput = request.info->expectedOutput;
     order.isRepeatable = request.resolved.isRepeatable;
@@ -341,7 +335,7 @@
         return retryOrAnswer(event.id, request, event, effects);
     if (!m_quarantine.empty() && !m_quarantine.onSuccess(request.resolved.fingerprint, event.now).empty())
         publishSuspicions(true, event.now, effects);
-    m_retryBudget.onSuccess({ request.resolved.service->name, request.resolved.organisation->name });
+    m_retryDesk.onSuccess({ request.resolved.service->name, request.resolved.organisation->name });
     recordAnswer(request, std::nullopt, event.now, effects);
     remove(event.id, event.now, effects);
 }
@@ -355,7 +349,7 @@
     failed.delivered = policy::OutputOffset(request.firstByteAt ? 1 : 0);
     failed.attempts = request.attempts;
     failed.deadline = request.resolved.deadline;
-    auto decision = m_retryPolicy.decide(failed, m_retryBudget, event.now, m_generator);
+    auto decision = m_retryDesk.decide(failed, event.now, m_generator);
     if (decision.action == policy::RetryAction::Retry) {
         m_retries.emplace(decision.at, id);
         return;
@@ -467,6 +461,9 @@
         return;
     m_revision = event.revision;
     m_resolver.emplace(event.tree);
+    m_fleet.setTopology(m_resolver->topology());
+    for (auto& name : m_resolver->services())
+        m_retryDesk.setOptions(*m_resolver->service(name));
 }
 
 void Reducer::on(const LeaveRequested& event, Effects& effects)
@@ -475,8 +472,9 @@
         return;
     // Clients may hold an address answer that names this entry, given a moment ago by a peer that had not yet heard:
     // closing sooner would refuse them.
-    auto keep = m_resolver ? m_resolver->longestKeepTime() : microseconds { 0 };
-    m_acceptUntil = event.now + std::chrono::duration_cast<Clock::duration>(keep);
+    membership::AddressAnswerOptions answers;
+    answers.keepFor = std::chrono::duration_cast<milliseconds>(m_resolver ? m_resolver->longestKeepTime() : microseconds { 0 });
+    m_acceptUntil = membership::acceptUntil(event.now, answers);
     effects.push_back(AnnounceLeaving {});
     leaveWhenDone(event.now, effects);
 }
--- a/src/entry/reducer.h
+++ b/src/entry/reducer.h
@@ -5,11 +5,11 @@
 #include "src/entry/fleet.h"
 #include "src/entry/limits.h"
 #include "src/entry/request-resolver.h"
+#include "src/entry/retry-desk.h"
 
 #include <swiftloft/policy/claim-protocol.h>
 #include <swiftloft/policy/crash-quarantine.h>
 #include <swiftloft/policy/random.h>
-#include <swiftloft/policy/retry-budget.h>
 #include <swiftloft/policy/retry-policy.h>
 #include <swiftloft/policy/router.h>
 
@@ -25,7 +25,6 @@
 struct ReducerOptions {
     Incarnation incarnation;
     DataCentreName dataCentre;
-    RegionName region;
     std::uint32_t randomSeed { 0 };
     InstanceId self;
     /// No entry has run in this fleet before.
@@ -85,7 +84,7 @@
         bool needsClaim() const { return info->clientKey && !resolved.isRepeatable; }
     };
 
-    Reducer(ReducerOptions options, policy::RetryPolicy retryPolicy, policy::RetryBudget retryBudget, policy::CrashQuarantine quarantine);
+    Reducer(ReducerOptions options, policy::CrashQuarantine quarantine);
 
     void on(const RequestArrived& event, Effects& effects);
     void on(const OutputBegan& event, Effects& effects);
@@ -126,8 +125,7 @@
     policy::RouteRequest routeRequest(const Request& request) const;
 
     ReducerOptions m_options;
-    policy::RetryPolicy m_retryPolicy;
-    policy::RetryBudget m_retryBudget;
+    RetryDesk m_retryDesk;
     policy::Generator m_generator;
     Fleet m_fleet;
     Limits m_limits;
--- a/src/entry/request-resolver.cc
+++ b/src/entry/request-resolver.cc
@@ -76,6 +76,14 @@
     return request;
 }
 
+membership::Topology RequestResolver::topology() const
+{
+    membership::Topology topology;
+    for (auto& name : m_tree.dataCentres())
+        topology.regions[name] = m_tree.dataCentre(name)->region;
+    return topology;
+}
+
 microseconds RequestResolver::longestKeepTime() const
 {
     microseconds longest { 0 };
--- a/src/entry/request-resolver.h
+++ b/src/entry/request-resolver.h
@@ -2,6 +2,7 @@
 
 #include "src/entry/events.h"
 
+#include <swiftloft/membership/types.h>
 #include <swiftloft/policy/retry-budget.h>
 #include <swiftloft/result.h>
 #include <swiftloft/settings/tree.h>
@@ -35,6 +36,9 @@
     /// The request with its settings, or why it is refused; the refusal's verdict is the caller's to set.
     boost::variant2::variant<ResolvedRequest, Refusal> resolve(const RequestInfo& info, TimePoint now);
 
+    /// Regions of the data centres.
+    membership::Topology topology() const;
+
     std::vector<ServiceName> services() const { return m_tree.services(); }
 
     std::shared_ptr<const settings::ServiceSettings> service(const ServiceName& name);
--- /dev/null
+++ b/src/entry/retry-desk.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <swiftloft/policy/random.h>
+#include <swiftloft/policy/retry-budget.h>
+#include <swiftloft/policy/retry-policy.h>
+#include <swiftloft/settings/views.h>
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+namespace swiftloft::entry {
+
+/// Retry policy and budget of each service, as its settings say.
+class RetryDesk {
+public:
+    /// Options of a service changed or are new. What its organisations have earned stays unless the ratio changes.
+    void setOptions(const settings::ServiceSettings& service);
+
+    policy::RetryDecision decide(const policy::FailedAttempt& attempt, TimePoint now, policy::Generator& generator);
+    void onSuccess(const policy::TrafficKey& traffic);
+
+private:
+    struct Desk {
+        settings::Ratio ratio;
+        policy::RetryPolicy policy;
+        policy::RetryBudget budget;
+    };
+
+    Desk& deskOf(const ServiceName& service);
+
+    boost::unordered_flat_map<ServiceName, Desk, std::hash<ServiceName>> m_desks;
+};
+
+} // namespace swiftloft::entry
