Name the requests that ran twice; give each test fleet a folder of its own

A fleet that took over the folder of an earlier one read that one's run logs, and the replay counted its runs as doubled: the two runs of one key were 65 s apart. Folders are now new each time and removed.

--- a/src/replay/judge.cc
+++ b/src/replay/judge.cc
@@ -54,10 +54,14 @@
     for (auto& [identity, group] : groupRequests(records, counts)) {
         // Without a key each line of the trace is a request of its own and may run once.
         auto mayRun = identity.starts_with("key ") ? 1 : static_cast<int>(group.lines);
-        if (!group.isRepeatable && group.runs > mayRun)
+        if (!group.isRepeatable && group.runs > mayRun) {
             ++summary.doubled;
-        if (group.saidNotRun == group.lines && group.runs > 0)
+            summary.broken.push_back(fmt::format("{} ran {} times", identity, group.runs));
+        }
+        if (group.saidNotRun == group.lines && group.runs > 0) {
             ++summary.falseNotRun;
+            summary.broken.push_back(fmt::format("{} was called not run and ran", identity));
+        }
     }
 }
 
--- a/src/replay/judge.h
+++ b/src/replay/judge.h
@@ -25,6 +25,8 @@
     std::size_t doubled { 0 };
     std::size_t falseNotRun { 0 };
     std::size_t unexpected { 0 };
+    /// Keys, or hashes of bodies, of the doubled requests and of those wrongly called not run.
+    std::vector<std::string> broken;
     std::map<std::string, std::size_t> refusedBy;
     std::map<std::string, std::size_t> lostBy;
     std::map<std::string, std::size_t> answeredBy;
--- a/src/replay/report.cc
+++ b/src/replay/report.cc
@@ -88,6 +88,8 @@
     text += latencyLine("total", summary.total);
     if (summary.tokenGap.count() > 0)
         text += latencyLine("token gap", summary.tokenGap);
+    for (auto& broken : summary.broken)
+        text += fmt::format("broken: {}\n", broken);
     return text + countLines("refused", summary.refusedBy) + countLines("lost", summary.lostBy);
 }
 
@@ -110,6 +112,7 @@
         { "first_byte", latencyJson(summary.firstByte) },
         { "total", latencyJson(summary.total) },
         { "token_gap", latencyJson(summary.tokenGap) },
+        { "broken", json::value_from(summary.broken) },
         { "refused_by_reason", countsJson(summary.refusedBy) },
         { "lost_by_cause", countsJson(summary.lostBy) },
         { "answered_by_backend_server", countsJson(summary.answeredBy) },
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -5,7 +5,6 @@
 #include <fmt/format.h>
 #include <xxhash.h>
 
-#include <filesystem>
 #include <fstream>
 
 namespace swiftloft::process_test {
@@ -64,9 +63,7 @@
 
 Fleet::Fleet(Options options)
     : m_options(std::move(options))
-    , m_folder(fmt::format("{}/swiftloft-fleet-{}", std::filesystem::temp_directory_path().string(), freePort()))
 {
-    std::filesystem::create_directories(m_folder);
     for (std::size_t n = 0; n < m_options.engines + m_options.plainServers; ++n) {
         auto isEngine = n < m_options.engines;
         Server server;
@@ -82,8 +79,8 @@
     }
     for (std::size_t n = 0; n < m_options.entries; ++n)
         m_entries.push_back({ fmt::format("entry-{}", n + 1), freePort(), freePort(), nullptr });
-    auto settings = writeFile(m_folder + "/settings.ini", settingsText());
-    auto instances = writeFile(m_folder + "/instances.json", instancesJson());
+    auto settings = writeFile(m_folder.path() + "/settings.ini", settingsText());
+    auto instances = writeFile(m_folder.path() + "/instances.json", instancesJson());
     m_platform = ChildProcess::start({ builtProgram("standin/standin-platform"), "--settings", settings, "--instances", instances }, {}).value();
     for (auto& server : m_servers) {
         startBackend(server);
@@ -153,7 +150,7 @@
     auto isEngine = server.service == "model";
     std::vector<std::string> command { builtProgram(isEngine ? "standin/standin-engine" : "standin/standin-plain"), "--listen", server.backendAddress() };
     if (isEngine) {
-        command.insert(command.end(), { "--run-log", fmt::format("{}/{}.runs", m_folder, server.id) });
+        command.insert(command.end(), { "--run-log", fmt::format("{}/{}.runs", m_folder.path(), server.id) });
         command.insert(command.end(), m_options.engineOptions.begin(), m_options.engineOptions.end());
     }
     server.backend = ChildProcess::start(std::move(command), {}).value();
@@ -162,7 +159,7 @@
 void Fleet::startAgent(Server& server)
 {
     auto n = static_cast<std::size_t>(&server - m_servers.data());
-    auto file = writeFile(fmt::format("{}/{}.ini", m_folder, server.id),
+    auto file = writeFile(fmt::format("{}/{}.ini", m_folder.path(), server.id),
         fmt::format("[process]\nid = {}\ndata-centre = {}\nlisten = {}\npeer = {}\nrpc = {}\nplatform = {}\nbackend-server = {}\n", server.id, dataCentreOf(n),
             server.statusAddress(), loopback(server.peerPort), loopback(server.rpcPort), platformAddress(), server.backendAddress()));
     server.agent = startDaemon("src/agent/swiftloft-agent", file);
@@ -171,7 +168,7 @@
 void Fleet::startEntry(Entry& entry)
 {
     auto n = static_cast<std::size_t>(&entry - m_entries.data());
-    auto file = writeFile(fmt::format("{}/{}.ini", m_folder, entry.id),
+    auto file = writeFile(fmt::format("{}/{}.ini", m_folder.path(), entry.id),
         fmt::format("[process]\nid = {}\ndata-centre = {}\nlisten = {}\npeer = {}\nplatform = {}\n", entry.id, dataCentreOf(n), entry.address(),
             loopback(entry.peerPort), platformAddress()));
     entry.process = startDaemon("src/entry/swiftloft-entry", file);
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -85,7 +85,9 @@
     static std::string writeFile(const std::string& name, const std::string& text);
 
     Options m_options;
-    std::string m_folder;
+    /// Before the processes, which write into it: removed after they have ended. A folder that a later fleet took over
+    /// would hand it the run logs of this one, whose runs would count as doubled.
+    TemporaryFolder m_folder;
     std::unique_ptr<ChildProcess> m_platform;
     std::vector<Server> m_servers;
     std::vector<Entry> m_entries;
--- a/test/process/process-harness.cc
+++ b/test/process/process-harness.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
+#include <filesystem>
 #include <thread>
 
 #include <arpa/inet.h>
@@ -159,6 +161,19 @@
     return !reap(WNOHANG);
 }
 
+TemporaryFolder::TemporaryFolder()
+    : m_path((std::filesystem::temp_directory_path() / "swiftloft-test-XXXXXX").string())
+{
+    if (!::mkdtemp(m_path.data()))
+        throw Exception({ ErrorCode::Internal, "no temporary folder" });
+}
+
+TemporaryFolder::~TemporaryFolder()
+{
+    std::error_code ec;
+    std::filesystem::remove_all(m_path, ec);
+}
+
 std::string builtProgram(const std::string& path)
 {
     return std::string(SWIFTLOFT_BUILD_DIR "/") + path;
--- a/test/process/process-harness.h
+++ b/test/process/process-harness.h
@@ -54,6 +54,20 @@
     std::optional<int> m_exitStatus;
 };
 
+/// A new folder of its own, removed with all it holds.
+class TemporaryFolder {
+public:
+    TemporaryFolder();
+    ~TemporaryFolder();
+    TemporaryFolder(const TemporaryFolder&) = delete;
+    TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+
+    const std::string& path() const { return m_path; }
+
+private:
+    std::string m_path;
+};
+
 /// Path of a program in the build directory, such as "standin/standin-engine".
 std::string builtProgram(const std::string& path);
 
--- a/test/process/standins_test.cc
+++ b/test/process/standins_test.cc
@@ -7,7 +7,6 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
-#include <filesystem>
 #include <future>
 
 using namespace swiftloft;
@@ -95,13 +94,13 @@
 
 TEST_CASE("Engine stand-in: the run log outlives a crash")
 {
-    auto file = std::filesystem::temp_directory_path() / fmt::format("swiftloft-runs-{}", ::getpid());
-    auto engine = startStandin("engine", { "--crash-marker", "poison", "--run-log", file.string() });
+    TemporaryFolder folder;
+    auto file = folder.path() + "/runs";
+    auto engine = startStandin("engine", { "--crash-marker", "poison", "--run-log", file });
     CHECK(call(completion(engine->address(), "a poison prompt", 4)).end == replay::ExchangeEnd::Cut);
     CHECK(engine->waitForExit(Clock::now() + patience) == 1);
-    auto next = startStandin("engine", { "--run-log", file.string() });
+    auto next = startStandin("engine", { "--run-log", file });
     CHECK(outcomeOfRun(next->address(), 0) == "lost");
-    std::filesystem::remove(file);
 }
 
 TEST_CASE("Engine stand-in: an order with an old fencing number is refused, unless the engine does not check")
