--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -29,6 +29,8 @@
     };
 
     explicit Fleet(Options options);
+    Fleet(const Fleet&) = delete;
+    Fleet& operator=(const Fleet&) = delete;
 
     struct Server {
         std::string id;
@@ -63,9 +65,10 @@
     std::size_t entryCount() const { return m_entries.size(); }
 
     void startBackend(Server& server);
-    /// The first agent of a server says so in its process file; later ones refuse clients' own keys for a while.
+    /// The first processes of a fleet say so in their files. Later agents refuse clients' own keys for a while, later
+    /// entries have no share of the limits of their own for a while.
     void startAgent(Server& server, bool isFirstStart = false);
-    void startEntry(Entry& entry);
+    void startEntry(Entry& entry, bool isFirstStart = false);
 
     /// The instance list as published now.
     std::string instancesJson() const;
@@ -86,7 +89,9 @@
     static std::string writeFile(const std::string& name, const std::string& text);
 
     Options m_options;
-    std::string m_folder;
+    /// Before the processes, which write into it: removed after they have ended. A folder that a later fleet took over
+    /// would hand it the run logs of this one, whose runs would count as doubled.
+    TemporaryFolder m_folder;
     std::unique_ptr<ChildProcess> m_platform;
     std::vector<Server> m_servers;
     std::vector<Entry> m_entries;
