--- /dev/null
+++ b/test/entry-reducer_test.cc
@@ -0,0 +1,261 @@
+#include "src/entry/reducer.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+using namespace swiftloft;
+using namespace swiftloft::entry;
+
+namespace {
+
+constexpr auto settingsText = R"([defaults]
+requires-key = no
+requests-per-second = 100000/s
+tokens-per-second = 10000000/s
+entries-keep-time = 2s
+[data-centre north]
+region = home
+[service model]
+kind = model
+repeatable-methods = GET, POST
+[service plain]
+kind = plain
+[organisation caller]
+)";
+
+/// An entry's reducer with a clock of its own, two servers of each service, and what became of its requests.
+class Entry {
+public:
+    Entry()
+        : m_reducer(Reducer::create(options(m_now)).value())
+    {
+        give(SettingsInForce { Revision(1), settings::Tree::parse(settingsText).result().value(), m_now });
+        give(ViewChanged { view(), m_now });
+        for (auto id : { "model-1", "model-2", "plain-1", "plain-2" })
+            report(id);
+        pass(milliseconds(300));
+    }
+
+    Effects give(const Event& event)
+    {
+        Effects effects;
+        m_reducer.apply(event, effects);
+        return effects;
+    }
+
+    void report(const std::string& id, std::uint64_t incarnation = 1, bool isLeaving = false)
+    {
+        AgentReport report;
+        report.incarnation = Incarnation(incarnation);
+        report.isEngineUp = true;
+        report.isLeaving = isLeaving;
+        report.epoch = policy::MintEpoch(1);
+        give(LinkReported { WorkerIndex(0), BackendServerId(id), report, m_now });
+    }
+
+    Effects arrive(std::uint64_t id, const std::string& service, std::optional<RequestKey> key = {})
+    {
+        auto info = std::make_shared<RequestInfo>();
+        info->service = ServiceName(service);
+        info->organisation = OrganisationName("caller");
+        info->method = "POST";
+        info->clientKey = std::move(key);
+        info->bodyHash = id;
+        return give(RequestArrived { RequestId(id), WorkerIndex(0), info, m_now });
+    }
+
+    Effects end(const AttemptOrder& order, AttemptEnd end, Verdict verdict, AttemptReason reason = AttemptReason::None, std::uint64_t crash = 0)
+    {
+        return give(AttemptEnded { order.id, order.attempt, end, verdict, reason, m_now, policy::CrashId(crash) });
+    }
+
+    Effects pass(milliseconds time)
+    {
+        m_now += time;
+        return give(Tick { m_now });
+    }
+
+    TimePoint now() const { return m_now; }
+
+private:
+    static ReducerOptions options(TimePoint now)
+    {
+        ReducerOptions options;
+        options.incarnation = Incarnation(9);
+        options.self = InstanceId("entry-1");
+        options.dataCentre = DataCentreName("north");
+        options.isFirstStart = true;
+        options.startedAt = now;
+        return options;
+    }
+
+    static membership::ViewMember member(const std::string& id, membership::Role role, const std::string& service)
+    {
+        auto listed = std::make_shared<membership::ListedInstance>();
+        listed->id = membership::NodeId(id);
+        listed->role = role;
+        listed->address = membership::TrafficAddress("127.0.0.1:1");
+        listed->dataCentre = DataCentreName("north");
+        listed->service = ServiceName(service);
+        membership::ViewMember member;
+        member.listed = std::move(listed);
+        return member;
+    }
+
+    static std::shared_ptr<const membership::View> view()
+    {
+        auto view = std::make_shared<membership::View>();
+        view->listRevision = Revision(1);
+        view->members = { member("entry-1", membership::Role::Entry, ""), member("model-1", membership::Role::Agent, "model"),
+            member("model-2", membership::Role::Agent, "model"), member("plain-1", membership::Role::Agent, "plain"), member("plain-2", membership::Role::Agent, "plain") };
+        return view;
+    }
+
+    TimePoint m_now { seconds(1000) };
+    Reducer m_reducer;
+};
+
+template <typename T>
+std::vector<T> all(const Effects& effects)
+{
+    std::vector<T> found;
+    for (auto& effect : effects) {
+        if (auto it = std::get_if<T>(&effect))
+            found.push_back(*it);
+    }
+    return found;
+}
+
+AttemptOrder started(const Effects& effects)
+{
+    REQUIRE(all<StartAttempt>(effects).size() == 1);
+    return all<StartAttempt>(effects)[0].order;
+}
+
+Refusal refused(const Effects& effects)
+{
+    REQUIRE(all<Refuse>(effects).size() == 1);
+    return all<Refuse>(effects)[0].refusal;
+}
+
+} // namespace
+
+TEST_CASE("Entry: a request goes to a server of its service, under a ticket for the incarnation that reported")
+{
+    Entry entry;
+    auto order = started(entry.arrive(1, "model"));
+    CHECK(order.ticket.agentIncarnation == Incarnation(1));
+    CHECK(order.ticket.mintedBy == Incarnation(9));
+    CHECK(order.ticket.agent.value().starts_with("model-"));
+}
+
+// The only agent that took an order is lost with it. The order may have run and may not run twice: its caller is told so
+// at once, and no other server gets it.
+TEST_CASE("Entry: a request that may not repeat is not tried again once it may have run")
+{
+    Entry entry;
+    auto order = started(entry.arrive(1, "plain"));
+    auto effects = entry.end(order, AttemptEnd::Lost, Verdict::MayHaveRun);
+    CHECK(all<StartAttempt>(effects).empty());
+    CHECK(refused(effects).verdict == Verdict::MayHaveRun);
+    CHECK(refused(effects).retryAfter.has_value());
+}
+
+TEST_CASE("Entry: a request that no agent has begun goes to another server")
+{
+    Entry entry;
+    auto order = started(entry.arrive(1, "plain"));
+    auto next = started(entry.end(order, AttemptEnd::Refused, Verdict::NotRun, AttemptReason::Leaving));
+    CHECK(next.ticket.agent != order.ticket.agent);
+    CHECK(next.attempt != order.attempt);
+}
+
+// An agent refuses because it is leaving; its last report, which said nothing of it, is a moment old. The next requests
+// must not go there as well.
+TEST_CASE("Entry: a server that refused as leaving gets nothing more, though its report is older")
+{
+    Entry entry;
+    auto order = started(entry.arrive(1, "plain"));
+    entry.end(order, AttemptEnd::Refused, Verdict::NotRun, AttemptReason::Leaving);
+    for (std::uint64_t n = 2; n < 12; ++n)
+        CHECK(started(entry.arrive(n, "plain")).ticket.agent != order.ticket.agent);
+}
+
+// A server leaves and a new process starts in its slot, under the same name. It is not leaving.
+TEST_CASE("Entry: a new incarnation of a server that was leaving gets work again")
+{
+    Entry entry;
+    entry.report("plain-1", 1, true);
+    entry.report("plain-2", 1, true);
+    CHECK(refused(entry.arrive(1, "plain")).reason == RefusalReason::NoBackendServer);
+    entry.report("plain-1", 2);
+    CHECK(started(entry.arrive(2, "plain")).ticket.agentIncarnation == Incarnation(2));
+}
+
+// An attempt was given up at its deadline and its caller answered. Its end is reported afterwards, and must change
+// nothing, nor be taken for the end of a later attempt.
+TEST_CASE("Entry: the late end of an attempt that was given up is ignored")
+{
+    Entry entry;
+    auto order = started(entry.arrive(1, "plain"));
+    Effects effects;
+    for (int n = 0; n < 200 && all<Refuse>(effects).empty(); ++n)
+        effects = entry.pass(milliseconds(1000));
+    CHECK(refused(effects).reason == RefusalReason::DeadlinePassed);
+    CHECK(refused(effects).verdict == Verdict::MayHaveRun);
+    CHECK(all<CancelAttempt>(effects).size() == 1);
+    CHECK(entry.end(order, AttemptEnd::Answered, Verdict::Ran).empty());
+}
+
+// A request crashes the engine that runs it. It is tried once more, alone, and crashes that one too; then it is refused,
+// also when its caller sends it again under another key.
+TEST_CASE("Entry: a request that crashed two servers is refused at once")
+{
+    Entry entry;
+    auto first = started(entry.arrive(1, "model"));
+    entry.end(first, AttemptEnd::Failed, Verdict::MayHaveRun, AttemptReason::EngineCrashed, 71);
+    Effects retried;
+    for (int n = 0; n < 50 && all<StartAttempt>(retried).empty(); ++n)
+        retried = entry.pass(milliseconds(20));
+    auto second = started(retried);
+    CHECK(second.runsAlone);
+    auto effects = entry.end(second, AttemptEnd::Failed, Verdict::MayHaveRun, AttemptReason::EngineCrashed, 72);
+    CHECK(all<PublishSuspicions>(effects).size() == 1);
+    auto again = entry.arrive(1, "model", RequestKey("another"));
+    CHECK(all<StartAttempt>(again).empty());
+    CHECK(refused(again).reason == RefusalReason::Quarantined);
+}
+
+// A caller's own key may have been used through another entry, so nothing that this entry refuses may be called not run.
+TEST_CASE("Entry: a refusal of a request under the client's own key never says not-run")
+{
+    Entry entry;
+    for (auto id : { "plain-1", "plain-2" })
+        entry.give(LinkDown { WorkerIndex(0), BackendServerId(id), entry.now() });
+    auto effects = entry.arrive(1, "plain", RequestKey("mine"));
+    for (auto& claim : all<SendClaim>(effects))
+        effects = entry.give(ClaimAnswered { claim.id, claim.request.claim, claim.home, std::nullopt, entry.now() });
+    CHECK(refused(effects).verdict == Verdict::MayHaveRun);
+}
+
+TEST_CASE("Entry: a leaving entry takes requests while clients may hold its address, and then finishes")
+{
+    Entry entry;
+    auto effects = entry.give(LeaveRequested { entry.now() });
+    CHECK(all<AnnounceLeaving>(effects).size() == 1);
+    CHECK(all<CloseListeners>(effects).empty());
+    auto order = started(entry.arrive(1, "model"));
+    effects = entry.pass(seconds(10));
+    CHECK(all<CloseListeners>(effects).size() == 1);
+    CHECK(all<Finish>(effects).empty());
+    entry.end(order, AttemptEnd::Answered, Verdict::Ran);
+    CHECK(all<Finish>(entry.pass(milliseconds(10))).size() == 1);
+}
+
+TEST_CASE("Entry: an older revision of the settings is not taken")
+{
+    Entry entry;
+    entry.give(SettingsInForce { Revision(5), settings::Tree::parse("[service other]\nkind = plain\n").result().value(), entry.now() });
+    entry.give(SettingsInForce { Revision(4), settings::Tree::parse(settingsText).result().value(), entry.now() });
+    CHECK(refused(entry.arrive(1, "model")).reason == RefusalReason::UnknownService);
+}
