--- a/src/entry/agent-link.cc
+++ b/src/entry/agent-link.cc
@@ -46,6 +46,7 @@
 };
 
 struct AgentLink::PendingClaim {
+    policy::ClaimRequest request;
     TimePoint deadline;
     OnClaimReply onReply;
     kj::Promise<void> call { nullptr };
@@ -116,16 +117,24 @@
 
 void AgentLink::claim(const policy::ClaimRequest& request, TimePoint deadline, OnClaimReply onReply)
 {
-    if (!m_current || m_loseAt)
-        return onReply(std::nullopt);
     auto pending = std::make_shared<PendingClaim>();
+    pending->request = request;
     pending->deadline = deadline;
     pending->onReply = std::move(onReply);
+    m_claims.push_back(pending);
+    if (m_current && !m_loseAt)
+        return issue(pending);
+    // Most often the agent is well and only its connection has gone: a fresh one is there in a moment.
+    pending->deadline = std::min(deadline, Clock::now() + m_options.freshConnectionLimit);
+}
+
+void AgentLink::issue(const std::shared_ptr<PendingClaim>& pending)
+{
     auto call = m_current->agent.claimRequest();
-    rpc::fill(call.initClaim(), request);
+    rpc::fill(call.initClaim(), pending->request);
     auto weak = std::weak_ptr(pending);
     pending->call = call.send().then(
-                                   [weak, id = request.claim](auto&& answer) {
+                                   [weak, id = pending->request.claim](auto&& answer) {
                                        if (auto pending = weak.lock())
                                            pending->answer(rpc::toClaimReply(answer.getReply(), id));
                                    },
@@ -134,7 +143,6 @@
                                            pending->answer(std::nullopt);
                                    })
                         .eagerlyEvaluate(nullptr);
-    m_claims.push_back(std::move(pending));
 }
 
 void AgentLink::endClaims(TimePoint passed)
@@ -256,6 +264,9 @@
             attempt->end(AttemptEnd::Lost, Verdict::MayHaveRun, AttemptReason::WrongIncarnation);
     }
     forgetEnded();
+    // Claiming again is safe: a home that has granted a claim grants the same one again.
+    for (auto& pending : m_claims)
+        issue(pending);
 }
 
 void AgentLink::goDown(TimePoint now)
--- a/src/entry/agent-link.h
+++ b/src/entry/agent-link.h
@@ -72,6 +72,7 @@
     void loseExpired(TimePoint now);
     void endRepeatable();
     void forgetEnded();
+    void issue(const std::shared_ptr<PendingClaim>& pending);
     void endClaims(TimePoint passed);
 
     boost::asio::io_context& m_ioContext;
