--- a/src/agent/daemon.cc
+++ b/src/agent/daemon.cc
@@ -58,12 +58,26 @@
     daemon::FleetControl::Hooks hooks;
     hooks.onSettings = [](Revision, const settings::Tree&) {};
     hooks.onViewChanged = [this](const std::shared_ptr<const membership::View>& view) {
+        if (auto self = view->find(membership::NodeId(m_config.id)))
+            m_serviceName = self->listed->service;
+        applySettings();
         apply(ListLearned { policy::ListRevision(view->listRevision.value()), Clock::now() });
     };
     hooks.onLeaving = [this] { apply(LeaveRequested { Clock::now() }); };
     m_fleetControl = std::make_unique<daemon::FleetControl>(m_control, m_config, membership::Role::Agent, m_incarnation, std::move(hooks));
 }
 
+void Daemon::applySettings()
+{
+    auto service = m_settings ? m_settings->service(m_serviceName) : Result<settings::ServiceSettings>(Error {});
+    if (!service)
+        return;
+    boost::asio::post(m_traffic.ioContext(), [this, size = service->resumeBuffer] {
+        if (m_service)
+            m_service->setResumeBuffer(size);
+    });
+}
+
 void Daemon::leave()
 {
     apply(LeaveRequested { Clock::now() });
--- a/src/agent/daemon.h
+++ b/src/agent/daemon.h
@@ -14,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 #include <thread>
 
 namespace swiftloft::agent {
@@ -31,6 +32,7 @@
     void apply(const Event& event);
     void startFleetControl();
     void leave();
+    void applySettings();
     void tick();
     void addStatusPages();
     void runTraffic();
@@ -45,6 +47,9 @@
     boost::asio::steady_timer m_timer;
     std::unique_ptr<process::StopSignals> m_signals;
     std::unique_ptr<daemon::FleetControl> m_fleetControl;
+    std::optional<settings::Tree> m_settings;
+    /// The service that the published list says this backend server is of.
+    ServiceName m_serviceName;
 
     rpc::EventLoop m_traffic;
     std::unique_ptr<Service> m_service;
--- a/src/agent/service.h
+++ b/src/agent/service.h
@@ -32,6 +32,9 @@
     /// Carries out an effect of the reducer; on the traffic thread.
     void perform(const Effect& effect);
 
+    /// Tail of each answer kept for a new connection; holds for requests that start from now on.
+    void setResumeBuffer(Bytes size) { m_options.resumeBufferBytes = size.value(); }
+
     /// Called once when the reducer has finished and every attached call has got its answer.
     void setOnDrained(std::function<void()> onDrained) { m_onDrained = std::move(onDrained); }
 
