--- a/src/agent/daemon.cc
+++ b/src/agent/daemon.cc
@@ -56,7 +56,10 @@
 void Daemon::startFleetControl()
 {
     daemon::FleetControl::Hooks hooks;
-    hooks.onSettings = [](Revision, const settings::Tree&) {};
+    hooks.onSettings = [this](Revision, const settings::Tree& tree) {
+        m_settings = tree;
+        applySettings();
+    };
     hooks.onViewChanged = [this](const std::shared_ptr<const membership::View>& view) {
         if (auto self = view->find(membership::NodeId(m_config.id)))
             m_serviceName = self->listed->service;
