--- a/src/entry/agent-link.cc
+++ b/src/entry/agent-link.cc
@@ -65,7 +65,6 @@
     , m_endpoint(std::move(endpoint))
     , m_options(options)
     , m_hooks(std::move(hooks))
-    , m_timer(ioContext)
 {
 }
 
@@ -74,13 +73,11 @@
 void AgentLink::start()
 {
     connect();
-    tick();
 }
 
 void AgentLink::stop()
 {
     m_isStopped = true;
-    m_timer.cancel();
     m_connecting.reset();
     auto attempts = std::move(m_attempts);
     m_attempts.clear();
@@ -171,17 +168,11 @@
     sendHeartbeat(*m_current, Clock::now());
 }
 
-void AgentLink::tick()
+void AgentLink::tick(TimePoint now)
 {
-    auto now = Clock::now();
     checkHeartbeat(now);
     loseExpired(now);
     endClaims(now);
-    m_timer.expires_at(now + m_options.heartbeatInterval / 5);
-    m_timer.async_wait([self = shared_from_this()](boost::system::error_code) {
-        if (!self->m_isStopped)
-            self->tick();
-    });
 }
 
 void AgentLink::checkHeartbeat(TimePoint now)
--- a/src/entry/agent-link.h
+++ b/src/entry/agent-link.h
@@ -4,7 +4,6 @@
 #include "src/rpc/connection.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -40,6 +39,9 @@
     ~AgentLink();
 
     void start();
+    /// Looks after deadlines; to be called several times in a heartbeat interval. One timer for all links of a thread
+    /// takes less than one each.
+    void tick(TimePoint now);
     /// Ends all; tries in progress count as lost.
     void stop();
 
@@ -61,7 +63,6 @@
     struct Connection;
     struct PendingClaim;
 
-    void tick();
     void checkHeartbeat(TimePoint now);
     void sendHeartbeat(Connection& connection, TimePoint now);
     void onHeartbeat(Connection& connection, rpc::schema::Report::Reader report);
@@ -79,7 +80,6 @@
     boost::asio::ip::tcp::endpoint m_endpoint;
     AgentLinkOptions m_options;
     Hooks m_hooks;
-    boost::asio::steady_timer m_timer;
     std::unique_ptr<Connection> m_current;
     /// Connected, but not yet heard: takes over with its first heartbeat.
     std::unique_ptr<Connection> m_candidate;
--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -21,6 +21,7 @@
 
 namespace {
 
+constexpr milliseconds linkTickInterval { 50 };
 constexpr seconds idleLimit { 75 };
 /// A client that takes no byte for so long is gone.
 constexpr seconds writeStallLimit { 20 };
@@ -72,6 +73,7 @@
 Worker::Worker(WorkerOptions options, Hooks hooks)
     : m_options(std::move(options))
     , m_hooks(std::move(hooks))
+    , m_linkTimer(m_loop.ioContext())
 {
     listen();
 }
@@ -90,18 +92,36 @@
 
 void Worker::run()
 {
-    m_loop.run([this] { accept(); },
+    m_loop.run(
+        [this] {
+            accept();
+            tickLinks();
+        },
         [this] {
             for (auto& [id, link] : m_links)
                 link->stop();
             for (auto& [id, exchange] : m_exchanges)
                 exchange->setGone();
+            m_linkTimer.cancel();
             m_attempts.clear();
             m_links.clear();
             m_acceptor.reset();
         });
 }
 
+void Worker::tickLinks()
+{
+    auto now = Clock::now();
+    // A link may end a try and so change what it holds, but never the set of links.
+    for (auto& [id, link] : m_links)
+        link->tick(now);
+    m_linkTimer.expires_at(now + linkTickInterval);
+    m_linkTimer.async_wait([this](boost::system::error_code ec) {
+        if (!ec)
+            tickLinks();
+    });
+}
+
 void Worker::perform(std::shared_ptr<const Effects> effects)
 {
     asio::post(m_loop.ioContext(), [this, effects = std::move(effects)] {
--- a/src/entry/worker.h
+++ b/src/entry/worker.h
@@ -7,6 +7,7 @@
 #include "src/rpc/event-loop.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
@@ -50,6 +51,7 @@
 private:
     using Stream = boost::beast::tcp_stream;
 
+    void tickLinks();
     void listen();
     void accept();
     void closeListener();
@@ -83,6 +85,7 @@
     Hooks m_hooks;
     swiftloft::rpc::EventLoop m_loop;
     std::unique_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
+    boost::asio::steady_timer m_linkTimer;
     std::uint64_t m_lastRequest { 0 };
     bool m_isLeaving { false };
     std::unordered_map<RequestId, std::shared_ptr<Exchange>> m_exchanges;
