Process tests: a call that found nobody reads as status 0, not 200

With the entry's keep time taken out, the "late caller" of the shutdown test found a closed port and still passed `CHECK( late.head.result_int() == 200 )`: a fresh response head says "200 OK". It now begins at status 0, so every check of a status in the process tests needs an answer. With it, keep time out fails at that line, with `0 == 200`.

The agent's shutdown test stopped the agent before the answer had begun, when another engine may make it: with the agent ending at once it passed. It now waits until the answer streams and counts the runs; agent ending at once fails `CHECK( got.end == replay::ExchangeEnd::Whole )`, with `1 == 3`.

--- a/src/replay/http-client.h
+++ b/src/replay/http-client.h
@@ -41,6 +41,9 @@
     /// What the system says of a failure.
     std::string failure;
 
+    /// A new head says "200 OK"; until one has been read the status is 0.
+    ExchangeResult() { head.result(0U); }
+
     bool hasHead() const { return head.result_int() != 0 && firstByteAt != TimePoint(); }
 };
 
--- a/test/process/requests_test.cc
+++ b/test/process/requests_test.cc
@@ -243,7 +243,7 @@
 }
 
 // An agent is told to stop while it streams an answer. The answer goes on to its end, new requests go elsewhere at once,
-// and then the agent ends by itself.
+// and then the agent ends by itself. The stop comes when the answer has begun: earlier, another engine could have made it.
 TEST_CASE("Shutdown: an agent told to stop finishes its answers and takes no new work")
 {
     Fleet fleet({ .engines = 2 });
@@ -252,6 +252,7 @@
     auto answer = callLater(request);
     REQUIRE(waitUntilRunning(fleet, request.body));
     auto& leaving = serverThatRuns(fleet);
+    std::this_thread::sleep_for(milliseconds(300));
     leaving.agent->terminate();
     std::this_thread::sleep_for(milliseconds(100));
 
@@ -263,6 +264,7 @@
     INFO("failure: " << got.failure << "; end of body: " << got.body.substr(got.body.size() - std::min<std::size_t>(got.body.size(), 200)));
     CHECK(got.end == replay::ExchangeEnd::Whole);
     CHECK(textOf(got) == expectedText("the last draft", 300));
+    CHECK(fleet.runsOf(request.body) == 1);
     CHECK(leaving.agent->waitForExit(Clock::now() + seconds(10)) == 0);
 }
 
