--- a/src/entry/daemon.cc
+++ b/src/entry/daemon.cc
@@ -1,5 +1,6 @@
 #include "src/entry/daemon.h"
 
+#include "src/entry/route-page.h"
 #include "src/log/logger.h"
 
 #include <swiftloft/membership/address-answer.h>
@@ -230,6 +231,8 @@
         return addresses(target);
     if (path == "/swiftloft/v1/burn")
         return burn(target);
+    if (path == "/swiftloft/v1/route")
+        return route(target);
     if (path == "/swiftloft/v1/status")
         return status();
     return { 404, "text/plain", "no such page\n" };
@@ -279,6 +282,16 @@
     return { 200, "application/json", burn::toJson(m_burn.report(Clock::now(), InstanceId(m_config.id), m_startedAt, *scope)) };
 }
 
+process::StatusAnswer Daemon::route(const std::string& target)
+{
+    ServiceName name(queryValue(target, "service"));
+    if (!m_reducer.service(name))
+        return jsonAnswer({ { "message", "no such service in the settings; ask with ?service=NAME" } }, 404);
+    auto router = m_reducer.fleet().router(name);
+    auto rows = router ? router->explain({}, Clock::now()) : std::vector<policy::RouteExplanation>();
+    return { 200, "application/json", toJson(RoutePage { InstanceId(m_config.id), m_config.dataCentre, name, rows }) };
+}
+
 process::StatusAnswer Daemon::status() const
 {
     json::object body;
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -5,10 +5,7 @@
 #include <fmt/format.h>
 #include <xxhash.h>
 
-#include <cstdlib>
-#include <filesystem>
 #include <fstream>
-#include <stdexcept>
 
 namespace swiftloft::process_test {
 
@@ -41,15 +38,6 @@
     return ChildProcess::start({ builtProgram(program), "--config", file }, options).value();
 }
 
-/// A folder that no other fleet has had: an engine would count what an earlier one's run log holds as its own runs.
-std::string newFolder()
-{
-    auto name = (std::filesystem::temp_directory_path() / "swiftloft-fleet-XXXXXX").string();
-    if (!mkdtemp(name.data()))
-        throw std::runtime_error("no folder for a fleet can be made: " + name);
-    return name;
-}
-
 bool answersOk(const std::string& address, const std::string& target)
 {
     auto answer = call({ address, "GET", target, "", {}, milliseconds(500) });
@@ -75,7 +63,6 @@
 
 Fleet::Fleet(Options options)
     : m_options(std::move(options))
-    , m_folder(newFolder())
 {
     for (std::size_t n = 0; n < m_options.engines + m_options.plainServers; ++n) {
         auto isEngine = n < m_options.engines;
@@ -92,8 +79,8 @@
     }
     for (std::size_t n = 0; n < m_options.entries; ++n)
         m_entries.push_back({ fmt::format("entry-{}", n + 1), freePort(), freePort(), nullptr });
-    auto settings = writeFile(m_folder + "/settings.ini", settingsText());
-    auto instances = writeFile(m_folder + "/instances.json", instancesJson());
+    auto settings = writeFile(m_folder.path() + "/settings.ini", settingsText());
+    auto instances = writeFile(m_folder.path() + "/instances.json", instancesJson());
     m_platform = ChildProcess::start({ builtProgram("standin/standin-platform"), "--settings", settings, "--instances", instances }, {}).value();
     for (auto& server : m_servers) {
         startBackend(server);
@@ -103,14 +90,6 @@
         startEntry(entry, true);
 }
 
-Fleet::~Fleet()
-{
-    m_entries.clear();
-    m_servers.clear();
-    std::error_code ec;
-    std::filesystem::remove_all(m_folder, ec);
-}
-
 std::string Fleet::writeFile(const std::string& name, const std::string& text)
 {
     std::ofstream(name) << text;
@@ -171,7 +150,7 @@
     auto isEngine = server.service == "model";
     std::vector<std::string> command { builtProgram(isEngine ? "standin/standin-engine" : "standin/standin-plain"), "--listen", server.backendAddress() };
     if (isEngine) {
-        command.insert(command.end(), { "--run-log", fmt::format("{}/{}.runs", m_folder, server.id) });
+        command.insert(command.end(), { "--run-log", fmt::format("{}/{}.runs", m_folder.path(), server.id) });
         command.insert(command.end(), m_options.engineOptions.begin(), m_options.engineOptions.end());
     }
     server.backend = ChildProcess::start(std::move(command), {}).value();
@@ -180,7 +159,7 @@
 void Fleet::startAgent(Server& server, bool isFirstStart)
 {
     auto n = static_cast<std::size_t>(&server - m_servers.data());
-    auto file = writeFile(fmt::format("{}/{}.ini", m_folder, server.id),
+    auto file = writeFile(fmt::format("{}/{}.ini", m_folder.path(), server.id),
         fmt::format("[process]\nid = {}\ndata-centre = {}\nlisten = {}\npeer = {}\nrpc = {}\nplatform = {}\nbackend-server = {}\nfirst-start = {}\n", server.id, dataCentreOf(n),
             server.statusAddress(), loopback(server.peerPort), loopback(server.rpcPort), platformAddress(), server.backendAddress(), isFirstStart ? "yes" : "no"));
     server.agent = startDaemon("src/agent/swiftloft-agent", file);
@@ -189,7 +168,7 @@
 void Fleet::startEntry(Entry& entry, bool isFirstStart)
 {
     auto n = static_cast<std::size_t>(&entry - m_entries.data());
-    auto file = writeFile(fmt::format("{}/{}.ini", m_folder, entry.id),
+    auto file = writeFile(fmt::format("{}/{}.ini", m_folder.path(), entry.id),
         fmt::format("[process]\nid = {}\ndata-centre = {}\nlisten = {}\npeer = {}\nplatform = {}\nfirst-start = {}\n", entry.id, dataCentreOf(n), entry.address(),
             loopback(entry.peerPort), platformAddress(), isFirstStart ? "yes" : "no"));
     entry.process = startDaemon("src/entry/swiftloft-entry", file);
