Replays: faults strike while an order is in progress

Three replays passed with the guard that they are about taken out: their faults came after a number of answers, and seldom met a request that they could harm. A fault may now wait until some engine runs a request that may not repeat, the engines take a second for a thousand prompt tokens, and a replay whose faults never struck fails.

--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -219,6 +219,17 @@
     return callJson({ server.backendAddress(), "GET", "/admin/runs" }).as_array().size();
 }
 
+std::vector<std::string> Fleet::keysInProgress(const Server& server)
+{
+    std::vector<std::string> keys;
+    auto runs = callJson({ server.backendAddress(), "GET", "/admin/runs" });
+    for (auto& run : runs.as_array()) {
+        if (run.at("finished").as_int64() == 0)
+            keys.push_back(json::value_to<std::string>(run.at("idempotency_key")));
+    }
+    return keys;
+}
+
 HttpCall completion(const Fleet::Entry& entry, const std::string& prompt, int tokens, bool isStream)
 {
     json::object body { { "prompt", prompt }, { "max_tokens", tokens }, { "stream", isStream } };
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -84,6 +84,8 @@
     /// Runs that the engines and plain servers logged under a request body, over the whole fleet.
     std::size_t runsOf(const std::string& body);
     std::size_t runsAt(const Server& server);
+    /// Callers' keys of what runs at a server now.
+    std::vector<std::string> keysInProgress(const Server& server);
 
 private:
     static std::string writeFile(const std::string& name, const std::string& text);
--- a/test/process/replay_test.cc
+++ b/test/process/replay_test.cc
@@ -8,6 +8,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace swiftloft;
 using namespace swiftloft::process_test;
 using namespace swiftloft::replay;
@@ -18,10 +20,21 @@
 namespace {
 
 struct Fault {
+    /// Since the fault before.
     std::size_t afterAnswers;
-    std::function<void()> inject;
+    /// False when there was nothing to harm yet: it is tried again at the next answer.
+    std::function<bool()> inject;
 };
 
+/// A fault that strikes at once.
+Fault faultAfter(std::size_t answers, std::function<void()> inject)
+{
+    return { answers, [inject = std::move(inject)] {
+                inject();
+                return true;
+            } };
+}
+
 /// The firm's mix for the fleet's services; `expected` holds for each request.
 Trace mixOf(Firm firm, ExpectedOutcome expected)
 {
@@ -57,14 +70,14 @@
     boost::asio::io_context io(1);
     Runner runner(io, options);
     std::size_t answers = 0;
+    auto nextFault = faults.begin();
     std::string notAnswered;
     runner.onRecord = [&](const Record& record) {
-        ++answers;
         if (record.fate != Fate::Answered)
             notAnswered += tableRow(record);
-        for (auto& fault : faults) {
-            if (fault.afterAnswers == answers)
-                fault.inject();
+        if (nextFault != faults.end() && ++answers >= nextFault->afterAnswers && nextFault->inject()) {
+            answers = 0;
+            ++nextFault;
         }
     };
     auto records = runner.run([&, n = std::size_t(0)]() mutable -> std::optional<TraceRequest> {
@@ -73,6 +86,7 @@
     auto counts = countRuns(fleet);
     auto summary = summarize(records, counts);
     INFO(summaryText(summary) << notAnswered);
+    CHECK(nextFault == faults.end());
     CHECK(counts.unreachable.empty());
     for (auto& failure : judge(summary, withDefaults({ { Measure::AnsweredShare, Bound::AtLeast, leastAnswered } })))
         FAIL_CHECK(failure.what);
@@ -87,6 +101,30 @@
     return options;
 }
 
+/// The engines take long to begin an answer, so that what a fault meets has seldom begun.
+Fleet::Options slowFleet()
+{
+    auto options = smallFleet();
+    options.engineOptions = { "--prompt-ms-per-1k", "1000" };
+    return options;
+}
+
+/// An engine that runs a request which may not repeat; null when there is none now.
+Fleet::Server* engineWithOrder(Fleet& fleet, const Trace& trace)
+{
+    auto isOrder = [&](const std::string& key) {
+        return std::any_of(trace.requests.begin(), trace.requests.end(), [&](auto& it) { return it.key.value() == key && !it.isRepeatable; });
+    };
+    for (auto& server : fleet.servers()) {
+        if (server.service != "model" || !server.backend->isRunning())
+            continue;
+        auto keys = fleet.keysInProgress(server);
+        if (std::any_of(keys.begin(), keys.end(), isOrder))
+            return &server;
+    }
+    return nullptr;
+}
+
 } // namespace
 
 TEST_CASE("Replay: a healthy fleet answers every request of both firms")
@@ -97,36 +135,68 @@
     checkReplay(fleet, mixOf(firm, ExpectedOutcome::Answered), {}, 1);
 }
 
-// An entry is killed while callers hold its address. Answers in progress there are cut; their callers send them again,
+// Two entries are killed while callers hold their addresses. Answers in progress there are cut; their callers send them again,
 // under the same key, to the next address. A redraft that was running must not run a second time.
 TEST_CASE("Replay: an entry is killed and callers go on at another")
 {
-    Fleet fleet(smallFleet());
+    Fleet fleet(slowFleet());
     REQUIRE(fleet.waitUntilReady());
-    auto kill = [&] { fleet.entry(0).process->kill(); };
-    checkReplay(fleet, mixOf(Firm::RasoiRahdari, ExpectedOutcome::Honest), { { 30, kill } }, 0.9);
+    auto trace = mixOf(Firm::RasoiRahdari, ExpectedOutcome::Honest);
+    auto killAt = [&](std::size_t entry) {
+        return [&, entry] {
+            if (!engineWithOrder(fleet, trace))
+                return false;
+            fleet.entry(entry).process->kill();
+            return true;
+        };
+    };
+    checkReplay(fleet, trace, { { 20, killAt(0) }, { 20, killAt(1) } }, 0.9);
 }
 
 // An engine dies with requests in its batch and comes back empty. What may be repeated runs elsewhere if nothing of it
 // was sent; the rest is refused as "may have run" or visibly cut, and never runs twice.
 TEST_CASE("Replay: an engine is killed and comes back")
 {
-    Fleet fleet(smallFleet());
+    Fleet fleet(slowFleet());
     REQUIRE(fleet.waitUntilReady());
-    auto kill = [&] { fleet.engine(0).backend->kill(); };
-    auto restart = [&] { fleet.startBackend(fleet.engine(0)); };
-    checkReplay(fleet, mixOf(Firm::RasoiRahdari, ExpectedOutcome::Honest), { { 30, kill }, { 60, restart } }, 0.8);
+    auto trace = mixOf(Firm::RasoiRahdari, ExpectedOutcome::Honest);
+    Fleet::Server* victim = nullptr;
+    auto kill = [&] {
+        victim = engineWithOrder(fleet, trace);
+        if (victim)
+            victim->backend->kill();
+        return victim != nullptr;
+    };
+    auto restart = [&] { fleet.startBackend(*victim); };
+    checkReplay(fleet, trace, { { 15, kill }, faultAfter(15, restart), { 10, kill }, faultAfter(10, restart) }, 0.8);
 }
 
-// An agent dies while its engine goes on, and another agent starts in the slot. The new one knows nothing of the keys
+// An agent dies with an order while its engine goes on, and another agent starts in the slot at once. The new one knows nothing of the keys
 // the old one had started, so nothing under those keys may start again.
 TEST_CASE("Replay: an agent is killed and another starts in its slot")
+{
+    Fleet fleet(slowFleet());
+    REQUIRE(fleet.waitUntilReady());
+    auto trace = mixOf(Firm::RasoiRahdari, ExpectedOutcome::Honest);
+    auto replace = [&] {
+        auto victim = engineWithOrder(fleet, trace);
+        if (!victim)
+            return false;
+        victim->agent->kill();
+        fleet.startAgent(*victim);
+        return true;
+    };
+    checkReplay(fleet, trace, { { 20, replace } }, 0.8);
+}
+
+// The same, and the slot stands empty for a while before the new agent starts.
+TEST_CASE("Replay: an agent is killed and its slot stands empty for a while")
 {
     Fleet fleet(smallFleet());
     REQUIRE(fleet.waitUntilReady());
     auto kill = [&] { fleet.engine(1).agent->kill(); };
     auto restart = [&] { fleet.startAgent(fleet.engine(1)); };
-    checkReplay(fleet, mixOf(Firm::RasoiRahdari, ExpectedOutcome::Honest), { { 30, kill }, { 50, restart } }, 0.8);
+    checkReplay(fleet, mixOf(Firm::RasoiRahdari, ExpectedOutcome::Honest), { faultAfter(30, kill), faultAfter(20, restart) }, 0.8);
 }
 
 // Something between entries and agents forgets its connections: they stay open and carry nothing more, while new ones
@@ -141,7 +211,7 @@
         for (auto& server : fleet.servers())
             server.relay->silenceConnections();
     };
-    checkReplay(fleet, mixOf(Firm::ViaHe, ExpectedOutcome::Honest), { { 30, silence } }, 0.95);
+    checkReplay(fleet, mixOf(Firm::ViaHe, ExpectedOutcome::Honest), { faultAfter(30, silence) }, 0.95);
 }
 
 // Two at once: the platform stops answering, and then an entry and an engine die. Nobody can learn of it from the
@@ -156,5 +226,5 @@
         fleet.engine(2).backend->kill();
     };
     auto restart = [&] { fleet.startBackend(fleet.engine(2)); };
-    checkReplay(fleet, mixOf(Firm::ViaHe, ExpectedOutcome::Honest), { { 20, platformDown }, { 35, killBoth }, { 70, restart } }, 0.8);
+    checkReplay(fleet, mixOf(Firm::ViaHe, ExpectedOutcome::Honest), { faultAfter(20, platformDown), faultAfter(15, killBoth), faultAfter(35, restart) }, 0.8);
 }
