--- a/test/process/requests_test.cc
+++ b/test/process/requests_test.cc
@@ -243,7 +243,7 @@
 }
 
 // An agent is told to stop while it streams an answer. The answer goes on to its end, new requests go elsewhere at once,
-// and then the agent ends by itself.
+// and then the agent ends by itself. The stop comes when the answer has begun: earlier, another engine could have made it.
 TEST_CASE("Shutdown: an agent told to stop finishes its answers and takes no new work")
 {
     Fleet fleet({ .engines = 2 });
@@ -252,6 +252,7 @@
     auto answer = callLater(request);
     REQUIRE(waitUntilRunning(fleet, request.body));
     auto& leaving = serverThatRuns(fleet);
+    std::this_thread::sleep_for(milliseconds(300));
     leaving.agent->terminate();
     std::this_thread::sleep_for(milliseconds(100));
 
@@ -263,19 +264,22 @@
     INFO("failure: " << got.failure << "; end of body: " << got.body.substr(got.body.size() - std::min<std::size_t>(got.body.size(), 200)));
     CHECK(got.end == replay::ExchangeEnd::Whole);
     CHECK(textOf(got) == expectedText("the last draft", 300));
+    CHECK(fleet.runsOf(request.body) == 1);
     CHECK(leaving.agent->waitForExit(Clock::now() + seconds(10)) == 0);
 }
 
 // An entry is told to stop while it streams an answer to one caller, and another caller comes with an address it was
-// given a moment ago. Both are served; then the entry ends by itself.
+// given a moment ago, and a third when the word of the stop has long spread but answers given before it may still be kept.
+// All are served; then the entry ends by itself.
 TEST_CASE("Shutdown: an entry told to stop serves late callers and cuts nothing")
 {
-    Fleet fleet({ .engines = 1, .keepTime = "2s" });
+    Fleet fleet({ .engines = 1, .keepTime = "4s" });
     REQUIRE(fleet.waitUntilReady());
     auto request = completion(fleet.entry(), "a draft in progress", 500, true);
     auto answer = callLater(request);
     REQUIRE(waitUntilRunning(fleet, request.body));
     fleet.entry().process->terminate();
+    auto leftAt = Clock::now();
     std::this_thread::sleep_for(milliseconds(500));
 
     auto late = call(completion(fleet.entry(), "a late caller", 3));
@@ -286,6 +290,8 @@
     INFO("failure: " << got.failure << "; end of body: " << got.body.substr(got.body.size() - std::min<std::size_t>(got.body.size(), 200)));
     CHECK(got.end == replay::ExchangeEnd::Whole);
     CHECK(textOf(got) == expectedText("a draft in progress", 500));
+    std::this_thread::sleep_until(leftAt + milliseconds(6500));
+    CHECK(call(completion(fleet.entry(), "the last caller", 3)).head.result_int() == 200);
     CHECK(fleet.entry().process->waitForExit(Clock::now() + seconds(10)) == 0);
 }
 
