--- a/src/agent/engine-monitor.cc
+++ b/src/agent/engine-monitor.cc
@@ -2,10 +2,13 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/json/parse.hpp>
+
+#include <algorithm>
 
 namespace swiftloft::agent {
 
@@ -19,13 +22,22 @@
 constexpr milliseconds pollInterval { 200 };
 constexpr milliseconds answerLimit { 1500 };
 constexpr unsigned httpVersion11 = 11;
+/// Weight of the newest report in the running mean of an engine's speed.
+constexpr double speedWeight = 0.2;
+
+double numberIn(const boost::json::object& object, const char* name)
+{
+    auto value = object.if_contains(name);
+    return value && value->is_number() ? value->to_number<double>() : 0;
+}
 
 } // namespace
 
-EngineMonitor::EngineMonitor(asio::io_context& ioContext, asio::ip::tcp::endpoint engine, std::function<void(Event)> onEvent)
+EngineMonitor::EngineMonitor(asio::io_context& ioContext, asio::ip::tcp::endpoint engine, std::function<void(const Event&)> onEvent)
     : m_ioContext(ioContext)
     , m_engine(std::move(engine))
     , m_onEvent(std::move(onEvent))
+    , m_timer(ioContext)
 {
 }
 
@@ -36,11 +48,12 @@
 
 asio::awaitable<void> EngineMonitor::poll()
 {
-    asio::steady_timer timer(m_ioContext);
     for (;;) {
-        enter(co_await probe());
-        timer.expires_at(Clock::now() + pollInterval);
-        co_await timer.async_wait(use_awaitable);
+        auto probedAt = Clock::now();
+        enter(co_await probe(), probedAt);
+        m_timer.expires_at(probedAt + pollInterval);
+        boost::system::error_code ec;
+        co_await m_timer.async_wait(asio::redirect_error(use_awaitable, ec));
     }
 }
 
@@ -57,21 +70,38 @@
         beast::flat_buffer buf;
         http::response<http::string_body> response;
         co_await http::async_read(stream, buf, response, use_awaitable);
+        learnSpeed(response.body());
         co_return State::Up;
     } catch (const boost::system::system_error& error) {
         co_return error.code() == beast::error::timeout ? State::Silent : State::Gone;
     }
 }
 
-void EngineMonitor::enter(State state)
+// Engines report what they turn out now, which is little while little runs. The speed that says how long a backlog takes
+// is that of a full batch: tokens a second of one request, times the batch. A plain server has no load page; whatever it
+// answers, it is up.
+void EngineMonitor::learnSpeed(const std::string& body)
 {
-    if (state == m_state)
+    boost::json::error_code ec;
+    auto value = boost::json::parse(body, ec);
+    auto object = ec ? nullptr : value.if_object();
+    if (!object)
         return;
-    m_state = state;
+    auto running = numberIn(*object, "running");
+    auto batch = numberIn(*object, "batch");
+    auto now = numberIn(*object, "tokens_per_second");
+    if (running <= 0 || batch <= 0 || now <= 0)
+        return;
+    auto full = now / std::min(running, batch) * batch;
+    m_tokensPerSecond = m_tokensPerSecond <= 0 ? full : m_tokensPerSecond + speedWeight * (full - m_tokensPerSecond);
+}
+
+void EngineMonitor::enter(State state, TimePoint probedAt)
+{
     if (state == State::Up)
-        m_onEvent(EngineUp { Clock::now() });
+        m_onEvent(EngineUp { m_tokensPerSecond, probedAt, Clock::now() });
     else
-        m_onEvent(EngineDown { state == State::Gone, Clock::now() });
+        m_onEvent(EngineDown { state == State::Gone, probedAt, Clock::now() });
 }
 
 } // namespace swiftloft::agent
--- a/src/entry/fleet.cc
+++ b/src/entry/fleet.cc
@@ -2,6 +2,8 @@
 
 #include "src/process/process-config.h"
 
+#include <algorithm>
+
 namespace swiftloft::entry {
 
 namespace {
@@ -11,6 +13,11 @@
     return member.listed && member.listed->role == membership::Role::Agent;
 }
 
+bool isUsableEntry(const membership::ViewMember& member)
+{
+    return member.listed && member.listed->role == membership::Role::Entry && member.isUsable();
+}
+
 BackendServerId idOf(const membership::ViewMember& member)
 {
     return BackendServerId(member.listed->id.value());
@@ -29,9 +36,10 @@
 {
 }
 
-void Fleet::onView(const membership::View& view, Effects& effects)
+void Fleet::onView(const membership::View& view, TimePoint now, Effects& effects)
 {
     m_topology = view.topology;
+    m_entries = std::max<std::size_t>(1, std::count_if(view.members.begin(), view.members.end(), isUsableEntry));
     for (auto& member : view.members) {
         if (!isListedAgent(member))
             continue;
@@ -53,6 +61,7 @@
         updateRouter(server);
         return true;
     });
+    updateHomes(view.listRevision, now);
 }
 
 void Fleet::add(const membership::ViewMember& member, const membership::Topology&, Effects& effects)
@@ -82,12 +91,26 @@
     server.incarnation = event.report.incarnation;
     server.isLeaving = server.isLeaving || event.report.isLeaving;
     server.isEngineUp = event.report.isEngineUp;
+    server.epoch = event.report.epoch;
+    server.tokensPerSecond = event.report.tokensPerSecond;
     server.linkedWorkers |= 1ULL << event.worker.value();
     updateRouter(server);
     if (server.handle)
         m_routers.at(server.service).onReport(*server.handle, { event.now, event.report.pending, event.report.tokensPerSecond });
 }
 
+void Fleet::onRefusal(const BackendServerId& id, AttemptReason reason)
+{
+    auto it = m_servers.find(id);
+    if (it == m_servers.end())
+        return;
+    if (reason == AttemptReason::Leaving)
+        it->second.isLeaving = true;
+    else
+        it->second.isEngineUp = false;
+    updateRouter(it->second);
+}
+
 void Fleet::onLinkDown(const LinkDown& event)
 {
     auto it = m_servers.find(event.server);
@@ -136,14 +159,51 @@
     return id ? find(*id) : nullptr;
 }
 
-std::vector<BackendServerId> Fleet::listed(const ServiceName& service) const
+std::vector<BackendServerId> Fleet::usable(const ServiceName& service) const
 {
     std::vector<BackendServerId> ids;
     for (auto& [id, server] : m_servers) {
-        if (server.service == service)
+        if (server.service == service && server.handle)
             ids.push_back(id);
     }
     return ids;
 }
 
+ServiceCapacity Fleet::capacityOf(const ServiceName& service) const
+{
+    ServiceCapacity capacity;
+    capacity.entries = m_entries;
+    for (auto& [id, server] : m_servers) {
+        if (server.service != service || !server.handle)
+            continue;
+        ++capacity.servers;
+        capacity.tokensPerSecond += server.tokensPerSecond;
+    }
+    return capacity;
+}
+
+policy::RequestHome* Fleet::homes(const ServiceName& service)
+{
+    auto it = m_homes.find(service);
+    return it == m_homes.end() ? nullptr : &it->second;
+}
+
+void Fleet::updateHomes(Revision revision, TimePoint now)
+{
+    if (m_listRevision && revision <= *m_listRevision)
+        return;
+    m_listRevision = revision;
+    boost::unordered_flat_map<ServiceName, std::vector<BackendServerId>, std::hash<ServiceName>> agents;
+    for (auto& [id, server] : m_servers)
+        agents[server.service].push_back(id);
+    for (auto& [service, home] : m_homes)
+        agents.try_emplace(service);
+    for (auto& [service, ids] : agents) {
+        auto it = m_homes.find(service);
+        if (it == m_homes.end())
+            it = m_homes.emplace(service, policy::RequestHome::create({}).value()).first;
+        it->second.onList(policy::ListRevision(revision.value()), std::move(ids), now);
+    }
+}
+
 } // namespace swiftloft::entry
--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -118,7 +118,7 @@
         if (!ec) {
             socket.set_option(tcp::no_delay(true), ec);
             // A connection that ends in an error is closed like any other.
-            co_spawn(m_loop.ioContext(), serve(Stream(std::move(socket))), [](std::exception_ptr) {});
+            co_spawn(m_loop.ioContext(), serve(Stream(std::move(socket))), [](const std::exception_ptr&) {});
         }
         accept();
     });
@@ -138,7 +138,7 @@
         m_acceptor->accept(socket, ec);
         if (ec)
             break;
-        co_spawn(m_loop.ioContext(), serve(Stream(std::move(socket))), [](std::exception_ptr) {});
+        co_spawn(m_loop.ioContext(), serve(Stream(std::move(socket))), [](const std::exception_ptr&) {});
     }
     m_acceptor.reset();
 }
@@ -281,21 +281,39 @@
 {
     auto& order = effect.order;
     auto exchange = find(order.id);
-    auto link = m_links.find(order.server);
+    auto link = m_links.find(order.ticket.agent);
     if (!exchange || link == m_links.end()) {
         m_hooks.post(AttemptEnded { order.id, order.attempt, AttemptEnd::Lost, Verdict::NotRun, AttemptReason::Other, Clock::now() });
         return;
     }
     Attempt::Hooks hooks;
     hooks.onOutputBegan = [this, id = order.id] { m_hooks.post(OutputBegan { id, Clock::now() }); };
-    hooks.onEnded = [this, id = order.id, serial = order.attempt](AttemptEnd end, Verdict verdict, AttemptReason reason) {
-        m_hooks.post(AttemptEnded { id, serial, end, verdict, reason, Clock::now() });
+    hooks.onEnded = [this, id = order.id, serial = order.attempt](AttemptEnd end, Verdict verdict, AttemptReason reason, policy::CrashId crash) {
+        m_hooks.post(AttemptEnded { id, serial, end, verdict, reason, Clock::now(), crash });
     };
     auto attempt = std::make_shared<Attempt>(order, exchange, std::move(hooks));
     m_attempts[order.id] = attempt;
     link->second->begin(attempt);
 }
 
+void Worker::on(const SendClaim& effect)
+{
+    auto onReply = [this, id = effect.id, claim = effect.request.claim, home = effect.home](std::optional<policy::ClaimReply> reply) {
+        m_hooks.post(ClaimAnswered { id, claim, home, std::move(reply), Clock::now() });
+    };
+    auto link = m_links.find(effect.home);
+    if (link == m_links.end())
+        return onReply(std::nullopt);
+    link->second->claim(effect.request, effect.deadline, std::move(onReply));
+}
+
+void Worker::on(const SendRelease& effect)
+{
+    auto link = m_links.find(effect.home);
+    if (link != m_links.end())
+        link->second->release(effect.request);
+}
+
 void Worker::on(const CancelAttempt& effect)
 {
     auto it = m_attempts.find(effect.id);
@@ -325,9 +343,7 @@
     auto index = m_options.index;
     hooks.onReport = [this, index, id = effect.server](const AgentReport& report) { m_hooks.post(LinkReported { index, id, report, Clock::now() }); };
     hooks.onDown = [this, index, id = effect.server] { m_hooks.post(LinkDown { index, id, Clock::now() }); };
-    AgentLinkOptions options;
-    options.entry = m_options.incarnation;
-    auto link = std::make_shared<AgentLink>(m_loop.ioContext(), effect.endpoint, options, std::move(hooks));
+    auto link = std::make_shared<AgentLink>(m_loop.ioContext(), effect.endpoint, AgentLinkOptions {}, std::move(hooks));
     m_links[effect.server] = link;
     link->start();
 }
@@ -342,6 +358,12 @@
     link->stop();
 }
 
+void Worker::on(const PublishSuspicions& effect)
+{
+    for (auto& [id, link] : m_links)
+        link->setSuspicions(effect.suspicions, effect.isUrgent);
+}
+
 void Worker::on(const CloseListeners&)
 {
     closeListener();
--- a/src/entry/worker.h
+++ b/src/entry/worker.h
@@ -61,11 +61,14 @@
     void watchForClose(Stream& stream, const std::shared_ptr<Exchange>& exchange);
 
     void on(const StartAttempt& effect);
+    void on(const SendClaim& effect);
+    void on(const SendRelease& effect);
     void on(const CancelAttempt& effect);
     void on(const Refuse& effect);
     void on(const CutAnswer& effect);
     void on(const OpenLink& effect);
     void on(const CloseLink& effect);
+    void on(const PublishSuspicions& effect);
     void on(const RecordAnswer&) { }
     void on(const AnnounceLeaving&) { m_isLeaving = true; }
     void on(const CloseListeners& effect);
--- a/src/replay/sender.h
+++ b/src/replay/sender.h
@@ -34,9 +34,8 @@
 
     AddressBook& book(const ServiceName&);
     Message messageOf(const TraceRequest&) const;
-    boost::asio::awaitable<ExchangeEnd> attempt(std::shared_ptr<Record>, const Message&, const std::string& address, TimePoint deadline);
+    boost::asio::awaitable<ExchangeEnd> attempt(std::shared_ptr<Record>, const Message&, const std::string& address, TimePoint deadline, AddressBook&);
 
-    boost::asio::io_context& m_io;
     SenderOptions m_options;
     HttpClient m_client;
     std::map<ServiceName, std::unique_ptr<AddressBook>> m_books;
--- a/test/spreader_test.cc
+++ b/test/spreader_test.cc
@@ -133,21 +133,37 @@
     auto document = documentOf(1, largeTree(500));
     Spreader spreader(Topic::Settings, {}, nullptr, 1);
     auto effects = hear(spreader, "bad:1", announcementOf(*document));
-    auto pull = first<PullBlobs>(effects);
-    REQUIRE(pull);
-    BlobsPulled reply;
-    reply.ticket = pull->ticket;
-    reply.status = PullStatus::Ok;
-    reply.blobs = { std::string(*document->blob(document->digest())) };
-    reply.blobs[0][40] ^= 1;
-    reply.now = now;
-    effects.clear();
-    spreader.step(reply, effects);
-    CHECK(effects.empty());
+    for (auto isDamaged : { false, true }) {
+        auto pull = first<PullBlobs>(effects);
+        REQUIRE(pull);
+        BlobsPulled reply;
+        reply.ticket = pull->ticket;
+        reply.status = PullStatus::Ok;
+        reply.now = now;
+        for (auto& digest : pull->digests)
+            reply.blobs.emplace_back(document->blob(digest).value());
+        if (isDamaged)
+            reply.blobs.back()[40] ^= 1;
+        effects.clear();
+        spreader.step(reply, effects);
+    }
+    CHECK_FALSE(first<PullBlobs>(effects));
     CHECK_FALSE(spreader.document());
     CHECK(spreader.counters().failedPulls == 1);
     serveAll(spreader, hear(spreader, "good:1", announcementOf(*document)), *document);
-    CHECK(spreader.document());
+    REQUIRE(spreader.document());
+    CHECK(*spreader.document()->body() == *document->body());
+}
+
+TEST_CASE("Spreader: a document larger than any may be is refused", "[spread]")
+{
+    // A tree in parts adds up to more than any node would take from a peer. Taken here it would be in force at the few
+    // watchers and nowhere else.
+    Spreader spreader(Topic::Settings, {}, nullptr, 1);
+    SpreadEffects effects;
+    spreader.step(PlatformAnswered { { PlatformOutcome::Body, Revision(8), std::string(maxDocumentBytes + 1, 'x'), "" }, now }, effects);
+    CHECK(first<DocumentRefused>(effects));
+    CHECK_FALSE(spreader.document());
 }
 
 TEST_CASE("Spreader: a lower revision is never taken, whoever brings it", "[spread]")
@@ -188,6 +204,40 @@
     CHECK(first<CallPlatform>(effects));
 }
 
+TEST_CASE("Spreader: polls of a fleet at the design size are spread over its fair interval", "[spread]")
+{
+    // The platform hangs and 6,170 processes poll it for two documents. Were each to ask every few seconds, they would
+    // use up the service's 2,000 calls a second and keep it down.
+    constexpr std::size_t fleetSize = 6170;
+    constexpr int processes = 500;
+    const SpreadOptions options;
+    auto fair = fleetSize * membership::topicCount / options.fleetCallsPerSecond;
+    int early = 0;
+    for (int i = 0; i < processes; ++i) {
+        Spreader spreader(Topic::Settings, options, nullptr, static_cast<std::uint64_t>(i));
+        SpreadEffects effects;
+        auto answer = [&](PlatformOutcome outcome, TimePoint at) { spreader.step(PlatformAnswered { { outcome, Revision(1), "x", "" }, at }, effects); };
+        auto waitForCall = [&](TimePoint from) {
+            effects.clear();
+            for (auto it = from; it < from + seconds(300); it += milliseconds(100)) {
+                spreader.step(SpreadTick { it, false, fleetSize }, effects);
+                if (first<CallPlatform>(effects))
+                    return std::chrono::duration<double>(it - from).count();
+            }
+            return 300.0;
+        };
+        answer(PlatformOutcome::Body, now);
+        auto silent = now + options.silenceLimit + milliseconds(1);
+        auto waited = waitForCall(silent);
+        early += waited < fair / 5;
+        CHECK(waited <= fair + 1);
+        answer(PlatformOutcome::Failed, silent + seconds(30));
+        CHECK(waitForCall(silent + seconds(30)) >= fair / 2);
+    }
+    CHECK(early < processes * 0.3);
+    CHECK(early > processes * 0.13);
+}
+
 TEST_CASE("ServeBudget: bounds what is served and refills", "[spread]")
 {
     ServeBudget budget(Bytes(1000), Bytes(100));
