Run the coordinator and the rank agents in the agent processes

The protocol and the planner of expert maps ran in their test rig only. An agent whose listed row names a group and a rank now runs the rank agent of its engine, that of rank 0 also the coordinator and the planner with the settings of the group. Orders go to the engine as JSON over one HTTP connection; messages between agents are Cap'n Proto datagrams to the rpc address: the protocol repeats what is lost, and no connection can go silent. Calls over the RPC connections were ruled out, as they would cross to the traffic thread and find a dead connection only after a timeout; the notes of the fleet, as they are no request and answer and spread slower than a step.

Stand-in engines of a group step in lock-step with the engine of rank 0 as the barrier and log step and map version.

Three tests with real processes: a change while stepping, with engines that check fencing numbers and that don't; the coordinator killed while ranks load; the coordinator killed while ranks are armed and another agent is frozen. A first form of the last expected the change to go through; it can't, as the engine of the frozen agent enters the switch step unarmed, and the change is put off.

--- a/src/agent/daemon.cc
+++ b/src/agent/daemon.cc
@@ -31,6 +31,7 @@
     , m_reducer(Reducer::create(reducerOptions(m_config, incarnation), Clock::now()).value())
     , m_status(m_control, m_config.listen)
     , m_monitor(m_control, *m_config.backendServer, [this](const Event& event) { apply(event); })
+    , m_maps(m_control, { m_config.id, incarnation, *m_config.rpc, *m_config.backendServer })
     , m_timer(m_control)
 {
     addStatusPages();
@@ -49,6 +50,7 @@
     m_monitor.start();
     tick();
     m_control.run();
+    m_maps.stop();
     m_fleetControl->stop();
     traffic.join();
 }
@@ -56,9 +58,10 @@
 void Daemon::startFleetControl()
 {
     daemon::FleetControl::Hooks hooks;
-    hooks.onSettings = [](Revision, const settings::Tree&) {};
+    hooks.onSettings = [this](Revision, const settings::Tree& tree) { m_maps.setSettings(tree); };
     hooks.onViewChanged = [this](const std::shared_ptr<const membership::View>& view) {
         apply(ListLearned { policy::ListRevision(view->listRevision.value()), Clock::now() });
+        m_maps.setView(view);
     };
     hooks.onLeaving = [this] { apply(LeaveRequested { Clock::now() }); };
     m_fleetControl = std::make_unique<daemon::FleetControl>(m_control, m_config, membership::Role::Agent, m_incarnation, std::move(hooks));
@@ -126,6 +129,7 @@
             return process::StatusAnswer { 503, "text/plain", "leaving\n" };
         return process::StatusAnswer { 200, "text/plain", "ready\n" };
     });
+    m_status.add("/swiftloft/v1/maps", [this] { return process::StatusAnswer { 200, "application/json", m_maps.toJson() }; });
     m_status.add("/metrics", [this] {
         m_metrics.set("swiftloft_agent_running", {}, static_cast<double>(m_reducer.running()));
         return process::StatusAnswer { 200, "text/plain; version=0.0.4", m_metrics.text() };
--- a/src/agent/daemon.h
+++ b/src/agent/daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/agent/engine-monitor.h"
+#include "src/agent/map-control.h"
 #include "src/agent/reducer.h"
 #include "src/agent/service.h"
 #include "src/daemon/fleet-control.h"
@@ -42,6 +43,7 @@
     process::Metrics m_metrics;
     process::StatusServer m_status;
     EngineMonitor m_monitor;
+    MapControl m_maps;
     boost::asio::steady_timer m_timer;
     std::unique_ptr<process::StopSignals> m_signals;
     std::unique_ptr<daemon::FleetControl> m_fleetControl;
--- /dev/null
+++ b/src/agent/group-transport.cc
@@ -0,0 +1,140 @@
+#include "src/agent/group-transport.h"
+
+#include "src/expertmap/wire.h"
+
+#include <capnp/serialize.h>
+
+#include <boost/asio/buffer.hpp>
+#include <fmt/format.h>
+
+namespace swiftloft::agent {
+
+namespace asio = boost::asio;
+namespace schema = expertmap::schema;
+namespace wire = expertmap::wire;
+using asio::ip::udp;
+
+namespace {
+
+/// Writes a message into the union of a datagram.
+struct MessageBuilder {
+    schema::GroupMessage::Builder out;
+
+    void operator()(const expertmap::RankOrder& it) { wire::build(out.initOrder(), it); }
+    void operator()(const expertmap::RankReport& it) { wire::build(out.initReport(), it); }
+    void operator()(const expertmap::RankHello& it) { wire::build(out.initHello(), it); }
+    void operator()(const MapWantedFrom& it) { out.setMapWanted(it.version.value()); }
+    void operator()(const expertmap::ExpertMap& it) { wire::build(out.initMap(), it); }
+};
+
+template <typename T>
+std::optional<GroupMessage> messageFrom(Result<T> parsed)
+{
+    if (!parsed)
+        return std::nullopt;
+    return GroupMessage(std::move(*parsed));
+}
+
+std::optional<GroupMessage> messageIn(schema::GroupMessage::Reader in)
+{
+    switch (in.which()) {
+    case schema::GroupMessage::ORDER:
+        return messageFrom(wire::parse(in.getOrder()));
+    case schema::GroupMessage::REPORT:
+        return messageFrom(wire::parse(in.getReport()));
+    case schema::GroupMessage::HELLO:
+        return messageFrom(wire::parse(in.getHello()));
+    case schema::GroupMessage::MAP_WANTED:
+        return MapWantedFrom { MapVersion(in.getMapWanted()) };
+    case schema::GroupMessage::MAP:
+        return messageFrom(wire::parse(in.getMap()));
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+GroupTransport::GroupTransport(asio::io_context& ioContext, std::string group, Handler handler)
+    : m_socket(ioContext)
+    , m_group(std::move(group))
+    , m_handler(std::move(handler))
+    , m_buffer(maxDatagram / sizeof(std::uint64_t) + 1)
+{
+}
+
+Result<std::shared_ptr<GroupTransport>> GroupTransport::create(asio::io_context& ioContext, const Endpoint& endpoint, std::string group, Handler handler)
+{
+    std::shared_ptr<GroupTransport> transport(new GroupTransport(ioContext, std::move(group), std::move(handler)));
+    boost::system::error_code ec;
+    transport->m_socket.open(endpoint.protocol(), ec);
+    if (!ec)
+        transport->m_socket.bind(endpoint, ec);
+    if (!ec)
+        transport->m_socket.non_blocking(true, ec);
+    if (ec)
+        return Error { ErrorCode::Unavailable, fmt::format("can't bind UDP {}:{}: {}", endpoint.address().to_string(), endpoint.port(), ec.message()) };
+    transport->receive();
+    return transport;
+}
+
+void GroupTransport::send(const Endpoint& to, const GroupMessage& message)
+{
+    capnp::MallocMessageBuilder builder;
+    auto root = builder.initRoot<schema::GroupMessage>();
+    root.setGroup(m_group);
+    std::visit(MessageBuilder { root }, message);
+    auto words = capnp::messageToFlatArray(builder);
+    auto bytes = words.asBytes();
+    if (bytes.size() > maxDatagram)
+        return;
+    boost::system::error_code ec;
+    m_socket.send_to(asio::buffer(bytes.begin(), bytes.size()), to, 0, ec);
+}
+
+void GroupTransport::stop()
+{
+    m_handler = nullptr;
+    boost::system::error_code ec;
+    m_socket.close(ec);
+}
+
+void GroupTransport::receive()
+{
+    auto buffer = asio::buffer(m_buffer.data(), m_buffer.size() * sizeof(std::uint64_t));
+    m_socket.async_receive_from(buffer, m_sender, [self = shared_from_this()](boost::system::error_code ec, std::size_t size) {
+        if (!self->m_handler || ec == asio::error::operation_aborted)
+            return;
+        // Other errors tell of an earlier datagram that found no receiver; the socket goes on.
+        if (!ec)
+            self->take(size);
+        if (self->m_handler)
+            self->receive();
+    });
+}
+
+void GroupTransport::take(std::size_t size)
+{
+    auto message = decode(size);
+    if (!message)
+        return;
+    // A copy: the handler may stop the transport, which lets go of it.
+    auto handler = m_handler;
+    handler(m_sender, *message);
+}
+
+std::optional<GroupMessage> GroupTransport::decode(std::size_t size) const
+{
+    try {
+        auto* words = reinterpret_cast<const capnp::word*>(m_buffer.data());
+        capnp::FlatArrayMessageReader reader(kj::arrayPtr(words, size / sizeof(capnp::word)));
+        auto root = reader.getRoot<schema::GroupMessage>();
+        // Failure: an address changed hands and still gets messages of another group. Its orders speak of other engines.
+        if (root.getGroup() != m_group.c_str())
+            return std::nullopt;
+        return messageIn(root);
+    } catch (const kj::Exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace swiftloft::agent
--- /dev/null
+++ b/src/agent/map-planning.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <swiftloft/expertmap/planner.h>
+#include <swiftloft/settings/views.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/thread_pool.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace swiftloft::agent {
+
+/// A map that is worth changing to.
+struct PlannedMap {
+    expertmap::ExpertMap map;
+    std::size_t experts { 0 };
+    Bytes bytes;
+};
+
+/// Reads the tokens of each expert from the engine of rank 0 and plans the group's next map. Belongs to the control
+/// thread; decisions, which may take 50 ms each, are made on a thread of their own.
+class MapPlanning {
+public:
+    using OnPlanned = std::function<void(const PlannedMap&)>;
+
+    MapPlanning(boost::asio::io_context& ioContext, boost::asio::ip::tcp::endpoint engine, OnPlanned onPlanned);
+    ~MapPlanning();
+
+    /// Begins anew from `current`. An option out of range leaves the group without plans, and is returned.
+    std::optional<Error> begin(const settings::GroupSettings& settings, const expertmap::ExpertMap& current);
+    void stop();
+    bool isActive() const { return m_planner != nullptr; }
+    /// While false, reports are taken but nothing is planned.
+    void setMayPlan(bool mayPlan) { m_mayPlan = mayPlan; }
+
+private:
+    boost::asio::awaitable<void> poll();
+    boost::asio::awaitable<std::vector<double>> readTokens();
+    void observe(std::vector<double> total);
+    void plan(std::vector<double> tokens);
+
+    boost::asio::io_context& m_ioContext;
+    boost::asio::ip::tcp::endpoint m_engine;
+    OnPlanned m_onPlanned;
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<expertmap::Planner> m_planner;
+    settings::QuietHours m_quietHours;
+    milliseconds m_reportEvery { 0 };
+    std::vector<double> m_lastTotal;
+    bool m_mayPlan { false };
+    bool m_isPlanning { false };
+    bool m_isPolling { false };
+    boost::asio::thread_pool m_pool { 1 };
+};
+
+} // namespace swiftloft::agent
--- a/src/expertmap/expert-map.capnp
+++ b/src/expertmap/expert-map.capnp
@@ -68,6 +68,18 @@
   slots @4 :List(UInt16);          # by layer, rank and slot; 0xffff is an empty slot
 }
 
+# One datagram between two agents of a rank group.
+struct GroupMessage {
+  group @0 :Text;                  # a message of another group, to an address that changed hands, is dropped
+  union {
+    order @1 :RankOrder;
+    report @2 :RankReport;
+    hello @3 :RankHello;
+    mapWanted @4 :UInt64;          # asks for the content of a map, by version
+    map @5 :ExpertMap;             # the answer; its version is its digest
+  }
+}
+
 # The agent in the slot of a rank.
 interface RankMember {
   order @0 (order :RankOrder) -> ();
--- a/src/expertmap/expert-map.capnp.h
+++ b/src/expertmap/expert-map.capnp.h
@@ -28,6 +28,7 @@
 CAPNP_DECLARE_SCHEMA(9f22ac8d76a5b791);
 CAPNP_DECLARE_SCHEMA(e901b061a173d1c7);
 CAPNP_DECLARE_SCHEMA(bf5ab155a5cc57d5);
+CAPNP_DECLARE_SCHEMA(ec56ac79917f511a);
 CAPNP_DECLARE_SCHEMA(e913f15fa41daf4f);
 CAPNP_DECLARE_SCHEMA(f4d4a06fe9e8fc09);
 CAPNP_DECLARE_SCHEMA(bf81e7614738ef7e);
@@ -191,6 +192,28 @@
   };
 };
 
+struct GroupMessage {
+  GroupMessage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  enum Which: uint16_t {
+    ORDER,
+    REPORT,
+    HELLO,
+    MAP_WANTED,
+    MAP,
+  };
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ec56ac79917f511a, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct RankMember {
   RankMember() = delete;
 
@@ -1258,6 +1281,144 @@
 };
 #endif  // !CAPNP_LITE
 
+class GroupMessage::Reader {
+public:
+  typedef GroupMessage Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
+
+  inline bool isOrder() const;
+  inline bool hasOrder() const;
+  inline  ::swiftloft::expertmap::schema::RankOrder::Reader getOrder() const;
+
+  inline bool isReport() const;
+  inline bool hasReport() const;
+  inline  ::swiftloft::expertmap::schema::RankReport::Reader getReport() const;
+
+  inline bool isHello() const;
+  inline bool hasHello() const;
+  inline  ::swiftloft::expertmap::schema::RankHello::Reader getHello() const;
+
+  inline bool isMapWanted() const;
+  inline  ::uint64_t getMapWanted() const;
+
+  inline bool isMap() const;
+  inline bool hasMap() const;
+  inline  ::swiftloft::expertmap::schema::ExpertMap::Reader getMap() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GroupMessage::Builder {
+public:
+  typedef GroupMessage Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+
+  inline bool isOrder();
+  inline bool hasOrder();
+  inline  ::swiftloft::expertmap::schema::RankOrder::Builder getOrder();
+  inline void setOrder( ::swiftloft::expertmap::schema::RankOrder::Reader value);
+  inline  ::swiftloft::expertmap::schema::RankOrder::Builder initOrder();
+  inline void adoptOrder(::capnp::Orphan< ::swiftloft::expertmap::schema::RankOrder>&& value);
+  inline ::capnp::Orphan< ::swiftloft::expertmap::schema::RankOrder> disownOrder();
+
+  inline bool isReport();
+  inline bool hasReport();
+  inline  ::swiftloft::expertmap::schema::RankReport::Builder getReport();
+  inline void setReport( ::swiftloft::expertmap::schema::RankReport::Reader value);
+  inline  ::swiftloft::expertmap::schema::RankReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::swiftloft::expertmap::schema::RankReport>&& value);
+  inline ::capnp::Orphan< ::swiftloft::expertmap::schema::RankReport> disownReport();
+
+  inline bool isHello();
+  inline bool hasHello();
+  inline  ::swiftloft::expertmap::schema::RankHello::Builder getHello();
+  inline void setHello( ::swiftloft::expertmap::schema::RankHello::Reader value);
+  inline  ::swiftloft::expertmap::schema::RankHello::Builder initHello();
+  inline void adoptHello(::capnp::Orphan< ::swiftloft::expertmap::schema::RankHello>&& value);
+  inline ::capnp::Orphan< ::swiftloft::expertmap::schema::RankHello> disownHello();
+
+  inline bool isMapWanted();
+  inline  ::uint64_t getMapWanted();
+  inline void setMapWanted( ::uint64_t value);
+
+  inline bool isMap();
+  inline bool hasMap();
+  inline  ::swiftloft::expertmap::schema::ExpertMap::Builder getMap();
+  inline void setMap( ::swiftloft::expertmap::schema::ExpertMap::Reader value);
+  inline  ::swiftloft::expertmap::schema::ExpertMap::Builder initMap();
+  inline void adoptMap(::capnp::Orphan< ::swiftloft::expertmap::schema::ExpertMap>&& value);
+  inline ::capnp::Orphan< ::swiftloft::expertmap::schema::ExpertMap> disownMap();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GroupMessage::Pipeline {
+public:
+  typedef GroupMessage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class RankMember::Client
     : public virtual ::capnp::Capability::Client {
@@ -2894,6 +3055,291 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::swiftloft::expertmap::schema::GroupMessage::Which GroupMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::swiftloft::expertmap::schema::GroupMessage::Which GroupMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool GroupMessage::Reader::hasGroup() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GroupMessage::Builder::hasGroup() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader GroupMessage::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GroupMessage::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GroupMessage::Builder::setGroup( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GroupMessage::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void GroupMessage::Builder::adoptGroup(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GroupMessage::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GroupMessage::Reader::isOrder() const {
+  return which() == GroupMessage::ORDER;
+}
+inline bool GroupMessage::Builder::isOrder() {
+  return which() == GroupMessage::ORDER;
+}
+inline bool GroupMessage::Reader::hasOrder() const {
+  if (which() != GroupMessage::ORDER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GroupMessage::Builder::hasOrder() {
+  if (which() != GroupMessage::ORDER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::swiftloft::expertmap::schema::RankOrder::Reader GroupMessage::Reader::getOrder() const {
+  KJ_IREQUIRE((which() == GroupMessage::ORDER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankOrder>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::swiftloft::expertmap::schema::RankOrder::Builder GroupMessage::Builder::getOrder() {
+  KJ_IREQUIRE((which() == GroupMessage::ORDER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankOrder>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GroupMessage::Builder::setOrder( ::swiftloft::expertmap::schema::RankOrder::Reader value) {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::ORDER);
+  ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankOrder>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::swiftloft::expertmap::schema::RankOrder::Builder GroupMessage::Builder::initOrder() {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::ORDER);
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankOrder>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GroupMessage::Builder::adoptOrder(
+    ::capnp::Orphan< ::swiftloft::expertmap::schema::RankOrder>&& value) {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::ORDER);
+  ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankOrder>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::swiftloft::expertmap::schema::RankOrder> GroupMessage::Builder::disownOrder() {
+  KJ_IREQUIRE((which() == GroupMessage::ORDER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankOrder>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool GroupMessage::Reader::isReport() const {
+  return which() == GroupMessage::REPORT;
+}
+inline bool GroupMessage::Builder::isReport() {
+  return which() == GroupMessage::REPORT;
+}
+inline bool GroupMessage::Reader::hasReport() const {
+  if (which() != GroupMessage::REPORT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GroupMessage::Builder::hasReport() {
+  if (which() != GroupMessage::REPORT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::swiftloft::expertmap::schema::RankReport::Reader GroupMessage::Reader::getReport() const {
+  KJ_IREQUIRE((which() == GroupMessage::REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankReport>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::swiftloft::expertmap::schema::RankReport::Builder GroupMessage::Builder::getReport() {
+  KJ_IREQUIRE((which() == GroupMessage::REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankReport>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GroupMessage::Builder::setReport( ::swiftloft::expertmap::schema::RankReport::Reader value) {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::REPORT);
+  ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankReport>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::swiftloft::expertmap::schema::RankReport::Builder GroupMessage::Builder::initReport() {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::REPORT);
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankReport>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GroupMessage::Builder::adoptReport(
+    ::capnp::Orphan< ::swiftloft::expertmap::schema::RankReport>&& value) {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::REPORT);
+  ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::swiftloft::expertmap::schema::RankReport> GroupMessage::Builder::disownReport() {
+  KJ_IREQUIRE((which() == GroupMessage::REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool GroupMessage::Reader::isHello() const {
+  return which() == GroupMessage::HELLO;
+}
+inline bool GroupMessage::Builder::isHello() {
+  return which() == GroupMessage::HELLO;
+}
+inline bool GroupMessage::Reader::hasHello() const {
+  if (which() != GroupMessage::HELLO) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GroupMessage::Builder::hasHello() {
+  if (which() != GroupMessage::HELLO) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::swiftloft::expertmap::schema::RankHello::Reader GroupMessage::Reader::getHello() const {
+  KJ_IREQUIRE((which() == GroupMessage::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankHello>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::swiftloft::expertmap::schema::RankHello::Builder GroupMessage::Builder::getHello() {
+  KJ_IREQUIRE((which() == GroupMessage::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankHello>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GroupMessage::Builder::setHello( ::swiftloft::expertmap::schema::RankHello::Reader value) {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::HELLO);
+  ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankHello>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::swiftloft::expertmap::schema::RankHello::Builder GroupMessage::Builder::initHello() {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::HELLO);
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankHello>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GroupMessage::Builder::adoptHello(
+    ::capnp::Orphan< ::swiftloft::expertmap::schema::RankHello>&& value) {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::HELLO);
+  ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankHello>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::swiftloft::expertmap::schema::RankHello> GroupMessage::Builder::disownHello() {
+  KJ_IREQUIRE((which() == GroupMessage::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankHello>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool GroupMessage::Reader::isMapWanted() const {
+  return which() == GroupMessage::MAP_WANTED;
+}
+inline bool GroupMessage::Builder::isMapWanted() {
+  return which() == GroupMessage::MAP_WANTED;
+}
+inline  ::uint64_t GroupMessage::Reader::getMapWanted() const {
+  KJ_IREQUIRE((which() == GroupMessage::MAP_WANTED),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GroupMessage::Builder::getMapWanted() {
+  KJ_IREQUIRE((which() == GroupMessage::MAP_WANTED),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GroupMessage::Builder::setMapWanted( ::uint64_t value) {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::MAP_WANTED);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GroupMessage::Reader::isMap() const {
+  return which() == GroupMessage::MAP;
+}
+inline bool GroupMessage::Builder::isMap() {
+  return which() == GroupMessage::MAP;
+}
+inline bool GroupMessage::Reader::hasMap() const {
+  if (which() != GroupMessage::MAP) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GroupMessage::Builder::hasMap() {
+  if (which() != GroupMessage::MAP) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::swiftloft::expertmap::schema::ExpertMap::Reader GroupMessage::Reader::getMap() const {
+  KJ_IREQUIRE((which() == GroupMessage::MAP),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::ExpertMap>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::swiftloft::expertmap::schema::ExpertMap::Builder GroupMessage::Builder::getMap() {
+  KJ_IREQUIRE((which() == GroupMessage::MAP),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::ExpertMap>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GroupMessage::Builder::setMap( ::swiftloft::expertmap::schema::ExpertMap::Reader value) {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::MAP);
+  ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::ExpertMap>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::swiftloft::expertmap::schema::ExpertMap::Builder GroupMessage::Builder::initMap() {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::MAP);
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::ExpertMap>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GroupMessage::Builder::adoptMap(
+    ::capnp::Orphan< ::swiftloft::expertmap::schema::ExpertMap>&& value) {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::MAP);
+  ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::ExpertMap>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::swiftloft::expertmap::schema::ExpertMap> GroupMessage::Builder::disownMap() {
+  KJ_IREQUIRE((which() == GroupMessage::MAP),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::ExpertMap>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline RankMember::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/standin/engine-main.cc
+++ b/standin/engine-main.cc
@@ -28,9 +28,28 @@
     addOption<std::string>(options, "check-fencing", "yes: refuse orders with an old fencing number; no: take all", "yes");
     addOption<std::string>(options, "crash-marker", "a prompt with this text crashes the engine", "");
     addOption<std::string>(options, "run-log", "file that keeps the run log over a crash", "");
+    addOption<std::uint32_t>(options, "rank", "rank in the group", "0");
+    addOption<std::vector<std::string>>(options, "group-peers", "IP:PORT,... of the group's engines by rank, this one too; empty for no group", "");
+    addOption<int>(options, "map-load-ms", "time that loading an expert map takes", "50");
     return options;
 }
 
+std::optional<RankGroupOptions> groupOptions(const cxxopts::ParseResult& parsed)
+{
+    RankGroupOptions group;
+    group.rank = parsed["rank"].as<std::uint32_t>();
+    group.peers = parsed["group-peers"].as<std::vector<std::string>>();
+    std::erase(group.peers, "");
+    group.stepMs = parsed["step-ms"].as<double>();
+    group.checksFencing = parsed["check-fencing"].as<std::string>() != "no";
+    group.mapLoadTime = milliseconds(parsed["map-load-ms"].as<int>());
+    if (group.peers.empty())
+        return std::nullopt;
+    if (group.rank >= group.peers.size())
+        throw Exception({ ErrorCode::InvalidArgument, "--rank must be below the number of --group-peers" });
+    return group;
+}
+
 EngineOptions engineOptions(const cxxopts::ParseResult& parsed)
 {
     EngineOptions options;
@@ -44,6 +63,7 @@
     options.checksFencing = parsed["check-fencing"].as<std::string>() != "no";
     options.crashMarker = parsed["crash-marker"].as<std::string>();
     options.runLogFile = parsed["run-log"].as<std::string>();
+    options.group = groupOptions(parsed);
     return options;
 }
 
--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -40,6 +40,10 @@
     , m_rateSince(steady_clock::now())
 {
     m_batch.onFirstStep = [this](const Generation& generation) { crashIfMarked(generation); };
+    if (!m_options.group)
+        return;
+    m_group = std::make_unique<RankGroup>(io, *m_options.group);
+    m_group->start();
 }
 
 awaitable<void> Engine::handle(Exchange& exchange)
@@ -73,10 +77,30 @@
         co_await exchange.replyJson(HttpStatus::ok, m_runLog.toJson());
     else if (path == "/admin/orders")
         co_await exchange.replyJson(HttpStatus::ok, json::serialize(m_orders));
+    else if (m_group)
+        co_await dispatchToGroup(exchange);
     else
         co_await exchange.reply(HttpStatus::not_found, "text/plain", "no such path\n");
 }
 
+awaitable<void> Engine::dispatchToGroup(Exchange& exchange)
+{
+    auto path = exchange.path();
+    if (path == "/map/orders")
+        co_await m_group->takeOrder(exchange);
+    else if (path == "/map/load")
+        co_await exchange.replyJson(HttpStatus::ok, m_group->loadJson());
+    else if (path == "/group/entered")
+        co_await m_group->awaitOthers(exchange);
+    else if (path == "/admin/steps")
+        co_await exchange.replyJson(HttpStatus::ok, m_group->stepsJson());
+    else if (path == "/admin/demand") {
+        m_group->setDemand(exchange.request().body());
+        co_await exchange.replyJson(HttpStatus::ok, "{}");
+    } else
+        co_await exchange.reply(HttpStatus::not_found, "text/plain", "no such path\n");
+}
+
 awaitable<void> Engine::generate(Exchange& exchange, bool isChat)
 {
     auto asked = parseCompletionRequest(exchange.request().body(), isChat);
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -2,12 +2,15 @@
 
 #include "standin/batch.h"
 #include "standin/http-server.h"
+#include "standin/rank-group.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 
 #include <chrono>
 #include <deque>
+#include <memory>
+#include <optional>
 #include <string>
 
 namespace swiftloft::standin {
@@ -20,6 +23,8 @@
     /// A prompt that holds this text crashes the engine; empty for none.
     std::string crashMarker;
     std::string runLogFile;
+    /// Set when the engine is a rank of a group.
+    std::optional<RankGroupOptions> group;
 };
 
 /// A model engine behind HTTP: streamed answers, load report, orders and faults on command.
@@ -36,6 +41,7 @@
     };
 
     boost::asio::awaitable<void> dispatch(Exchange&);
+    boost::asio::awaitable<void> dispatchToGroup(Exchange&);
     boost::asio::awaitable<void> generate(Exchange&, bool isChat);
     boost::asio::awaitable<void> streamAnswer(Exchange&, std::shared_ptr<Generation>, bool isChat);
     boost::asio::awaitable<void> wholeAnswer(Exchange&, std::shared_ptr<Generation>, bool isChat);
@@ -68,6 +74,7 @@
     std::uint64_t m_highestFencing { 0 };
     std::uint64_t m_mapVersion { 0 };
     boost::json::array m_orders;
+    std::unique_ptr<RankGroup> m_group;
 };
 
 } // namespace swiftloft::standin
--- /dev/null
+++ b/test/process/expert-maps_test.cc
@@ -0,0 +1,170 @@
+#include "test/process/fleet.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <thread>
+
+using namespace swiftloft;
+using namespace swiftloft::process_test;
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t ranks = 4;
+constexpr seconds patience { 20 };
+
+/// Four engines that step as one group, two experts a rank and one spare slot each, with reports that count at once.
+Fleet::Options groupOf(std::vector<std::string> engineOptions)
+{
+    Fleet::Options options;
+    options.engines = ranks;
+    options.isRankGroup = true;
+    options.engineOptions = std::move(engineOptions);
+    options.settings = R"([group ranks]
+parent = service model
+data-centre = north
+ranks = 4
+experts = 8
+layers = 1
+spare-slots-per-rank = 1
+load-half-life = 400ms
+)";
+    return options;
+}
+
+json::value mapsPage(const Fleet::Server& server)
+{
+    auto answer = call({ server.statusAddress(), "GET", "/swiftloft/v1/maps", "", {}, milliseconds(500) });
+    return answer.end == replay::ExchangeEnd::Whole ? json::parse(answer.body) : json::value(nullptr);
+}
+
+std::string phaseOf(const Fleet::Server& server)
+{
+    auto page = mapsPage(server);
+    auto* object = page.if_object();
+    auto* coordinator = object ? object->if_contains("coordinator") : nullptr;
+    return coordinator && coordinator->is_object() ? json::value_to<std::string>(coordinator->at("phase")) : "";
+}
+
+std::size_t loadedMaps(const Fleet::Server& server)
+{
+    auto page = mapsPage(server);
+    auto* object = page.if_object();
+    auto* engine = object ? object->if_contains("engine") : nullptr;
+    return engine && engine->is_object() ? engine->at("staged").as_array().size() : 0;
+}
+
+/// The maps that the group's engines entered each step with.
+std::map<std::uint64_t, std::set<std::uint64_t>> mapsOfSteps(Fleet& fleet)
+{
+    std::map<std::uint64_t, std::set<std::uint64_t>> maps;
+    for (auto& server : fleet.servers()) {
+        auto steps = callJson({ server.backendAddress(), "GET", "/admin/steps" });
+        for (auto& row : steps.as_array())
+            maps[row.at("step").to_number<std::uint64_t>()].insert(row.at("map_version").to_number<std::uint64_t>());
+    }
+    return maps;
+}
+
+std::size_t mixedSteps(Fleet& fleet)
+{
+    auto maps = mapsOfSteps(fleet);
+    return static_cast<std::size_t>(std::count_if(maps.begin(), maps.end(), [](auto& it) { return it.second.size() > 1; }));
+}
+
+std::uint64_t newestStep(Fleet& fleet)
+{
+    auto maps = mapsOfSteps(fleet);
+    return maps.empty() ? 0 : maps.rbegin()->first;
+}
+
+std::set<std::uint64_t> mapsUsed(Fleet& fleet)
+{
+    std::set<std::uint64_t> used;
+    for (auto& [step, maps] : mapsOfSteps(fleet))
+        used.insert(maps.begin(), maps.end());
+    return used;
+}
+
+bool waitUntilStepping(Fleet& fleet)
+{
+    auto begin = newestStep(fleet);
+    return waitUntil(Clock::now() + patience, [&] { return newestStep(fleet) > begin + 20; });
+}
+
+/// One expert of the eight gets half of all tokens from now on: worth a replica.
+void makeOneExpertHot(Fleet& fleet)
+{
+    callJson({ fleet.engine(0).backendAddress(), "POST", "/admin/demand", R"({"tokens":[7000,1000,1000,1000,1000,1000,1000,1000]})" });
+}
+
+} // namespace
+
+// Demand for one expert rises while a group of four steps. The group is to give it a replica without standing, and no
+// step may be run with the old map by one rank and the new one by another: its tokens would meet the wrong experts.
+TEST_CASE("Expert maps: a group changes its map while stepping and mixes none")
+{
+    auto checksFencing = GENERATE("yes", "no");
+    Fleet fleet(groupOf({ "--check-fencing", checksFencing }));
+    REQUIRE(waitUntilStepping(fleet));
+    auto before = mapsUsed(fleet);
+    REQUIRE(before.size() == 1);
+
+    makeOneExpertHot(fleet);
+    REQUIRE(waitUntil(Clock::now() + patience, [&] { return mapsUsed(fleet).size() > 1; }));
+    CHECK(waitUntilStepping(fleet));
+    CHECK(mixedSteps(fleet) == 0);
+}
+
+// The agent of rank 0 is killed while the ranks load a new map, and starts anew with no memory of the change. The group
+// steps on meanwhile, as loading holds nobody, and changes later; every step has one map.
+TEST_CASE("Expert maps: the coordinator is killed while ranks load and the group mixes no maps")
+{
+    Fleet fleet(groupOf({ "--map-load-ms", "150" }));
+    REQUIRE(waitUntilStepping(fleet));
+    makeOneExpertHot(fleet);
+    auto& first = fleet.engine(0);
+    REQUIRE(waitUntil(Clock::now() + patience, [&] { return phaseOf(first) == "staging"; }));
+    first.agent->kill();
+    CHECK(waitUntilStepping(fleet));
+    CHECK(mapsUsed(fleet).size() == 1);
+    fleet.startAgent(first);
+
+    CHECK(waitUntil(Clock::now() + patience, [&] { return mapsUsed(fleet).size() > 1; }));
+    CHECK(waitUntilStepping(fleet));
+    CHECK(mixedSteps(fleet) == 0);
+}
+
+// The agent of rank 1 freezes just after its engine has loaded the new map. The other engines are armed and wait at the
+// switch step; that of rank 1 is not and enters it with the old map. Then the agent of rank 0 is killed. The one that
+// starts in its place has no memory and finds armed engines: before it has heard rank 1 it may let none of them go, and
+// then only with the old map. The change comes later.
+TEST_CASE("Expert maps: the coordinator is killed while ranks are armed and the group mixes no maps")
+{
+    Fleet fleet(groupOf({ "--map-load-ms", "150", "--check-fencing", "no" }));
+    REQUIRE(waitUntilStepping(fleet));
+    makeOneExpertHot(fleet);
+    auto& first = fleet.engine(0);
+    auto& second = fleet.engine(1);
+    REQUIRE(waitUntil(Clock::now() + patience, [&] { return loadedMaps(second) > 1; }));
+    second.agent->pause();
+    REQUIRE(waitUntil(Clock::now() + patience, [&] { return phaseOf(first) == "arming"; }));
+    std::this_thread::sleep_for(milliseconds(500));
+    first.agent->kill();
+    auto heldAt = newestStep(fleet);
+    fleet.startAgent(first);
+    REQUIRE(waitUntil(Clock::now() + patience, [&] { return phaseOf(first) == "inquiring"; }));
+    std::this_thread::sleep_for(milliseconds(500));
+    CHECK(newestStep(fleet) == heldAt);
+    second.agent->resume();
+
+    CHECK(waitUntilStepping(fleet));
+    CHECK(waitUntil(Clock::now() + patience, [&] { return mapsUsed(fleet).size() > 1; }));
+    CHECK(waitUntilStepping(fleet));
+    CHECK(mixedSteps(fleet) == 0);
+}
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -3,6 +3,7 @@
 #include "standin/answer-text.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <xxhash.h>
 
 #include <filesystem>
@@ -133,6 +134,10 @@
         if (server.relay)
             row["address"] = server.relay->address();
         row["service"] = server.service;
+        if (m_options.isRankGroup && n < m_options.engines) {
+            row["group"] = "ranks";
+            row["rank"] = n;
+        }
         rows.push_back(std::move(row));
     }
     return json::serialize(json::object { { "revision", 1 }, { "instances", std::move(rows) } });
@@ -156,6 +161,12 @@
         command.insert(command.end(), { "--run-log", fmt::format("{}/{}.runs", m_folder, server.id) });
         command.insert(command.end(), m_options.engineOptions.begin(), m_options.engineOptions.end());
     }
+    if (isEngine && m_options.isRankGroup) {
+        std::vector<std::string> peers;
+        for (std::size_t n = 0; n < m_options.engines; ++n)
+            peers.push_back(m_servers[n].backendAddress());
+        command.insert(command.end(), { "--rank", std::to_string(&server - m_servers.data()), "--group-peers", fmt::format("{}", fmt::join(peers, ",")) });
+    }
     server.backend = ChildProcess::start(std::move(command), {}).value();
 }
 
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -22,6 +22,8 @@
         /// Puts a relay between the entries and each agent.
         bool hasRelays { false };
         std::vector<std::string> engineOptions;
+        /// The engines are the ranks of the group "ranks", which needs its section in `settings`.
+        bool isRankGroup { false };
         /// Extra settings, appended to the tree.
         std::string settings;
         /// How long clients may keep an address answer, as a settings value.
