--- a/src/agent/group-transport.h
+++ b/src/agent/group-transport.h
@@ -9,7 +9,7 @@
 
 #include <functional>
 #include <memory>
-#include <span>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -43,6 +43,8 @@
     void send(const Endpoint& to, const GroupMessage& message);
     void stop();
 
+    Endpoint localEndpoint() const { return m_socket.local_endpoint(); }
+
 private:
     GroupTransport(boost::asio::io_context& ioContext, std::string group, Handler handler);
 
--- a/src/agent/map-control.cc
+++ b/src/agent/map-control.cc
@@ -64,6 +64,7 @@
 std::vector<std::uint32_t> plain(const std::vector<RankIndex>& ranks)
 {
     std::vector<std::uint32_t> values;
+    values.reserve(ranks.size());
     for (auto rank : ranks)
         values.push_back(rank.value());
     return values;
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -28,6 +28,7 @@
 ExitCode runEvents(const Command&, const Arguments&, const Console&);
 ExitCode runKeys(const Command&, const Arguments&, const Console&);
 ExitCode runStatus(const Command&, const Arguments&, const Console&);
+ExitCode runMaps(const Command&, const Arguments&, const Console&);
 ExitCode runBurn(const Command&, const Arguments&, const Console&);
 
 std::span<const Command> commands();
--- a/src/ctl/run.cc
+++ b/src/ctl/run.cc
@@ -18,6 +18,7 @@
     Command { "keys", "", "print the settings keys as the rows of the reference page", runKeys },
     Command { "events", "", "print the catalogue of log events", runEvents },
     Command { "status", "--entry IP:PORT...", "state, settings revision and backend servers of running entries", runStatus },
+    Command { "maps", "--agent IP:PORT...", "expert map, step and change in progress of rank groups from running agents", runMaps },
     Command { "burn", "--entry IP:PORT... --settings FILE", "service-level burn by service and organisation from running entries", runBurn },
 };
 
--- a/test/ctl-fleet_test.cc
+++ b/test/ctl-fleet_test.cc
@@ -101,6 +101,21 @@
     CHECK_THAT(result.out, Contains("e1") && Contains("no answer in time") && Contains("Connection refused") && Contains("b1"));
 }
 
+TEST_CASE("CtlFleet: maps shows a held group and names the ranks that are silent")
+{
+    // The agent of rank 1 hangs while its group is armed. The operator must see that the group stands, at which step and
+    // for whom.
+    Server first(R"({"group":"g","rank":0,"ranks":2,"is_waiting":true,"engine":{"map_version":16,"step":40,"armed":{"map_version":17,"step":41}},"coordinator":{"phase":"arming","silent_ranks":[1],"held_step":40}})");
+    Server second(std::nullopt);
+    auto result = ran({ "maps", "--timeout", "200ms", "--agent", first.address(), "--agent", second.address() });
+    CHECK(result.code == ExitCode::Finding);
+    CHECK_THAT(result.out, Contains("0000000000000011 at 41") && Contains("arming") && Contains("no answer in time"));
+    Server idle(R"({"group":"g","rank":0,"ranks":2,"is_waiting":false,"engine":{"map_version":16,"step":40,"armed":null},"coordinator":{"phase":"idle","silent_ranks":[],"held_step":null}})");
+    CHECK(ran({ "maps", "--agent", idle.address() }).code == ExitCode::Ok);
+    Server older("{}");
+    CHECK(ran({ "maps", "--agent", older.address() }).code == ExitCode::Finding);
+}
+
 TEST_CASE("CtlFleet: status says when an entry refuses a revision or runs another one")
 {
     Server first(R"({"instance":"e1","state":"ready","settings_revision":7,"refused_revision":8,"refused_reason":"settings:3: bad"})");
