Hear all ranks of a group while some load; split the status page from the map control

While ranks loaded, the coordinator read only those that did. The rest had not been heard for minutes and would have been named silent on the new status page. They are now read as often as in an idle group. A first form read them whenever a change was about to start as well: read and arm then followed each other without end, which the tests of the coordinator found at once (segmentation fault by recursion in their driver).

A part in a group that can't begin says why on the page.

--- a/src/agent/map-control.cc
+++ b/src/agent/map-control.cc
@@ -1,18 +1,14 @@
 #include "src/agent/map-control.h"
 
+#include "src/agent/map-part.h"
 #include "src/log/logger.h"
 #include "src/process/process-config.h"
 
-#include <boost/asio/post.hpp>
-#include <boost/json.hpp>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
-#include <algorithm>
-
 namespace swiftloft::agent {
 
-namespace json = boost::json;
 using namespace expertmap;
 
 namespace {
@@ -21,84 +17,23 @@
 constexpr milliseconds idleTick { 100 };
 /// An engine on a busy machine may take this long for an answer; then it is read again.
 constexpr milliseconds engineTimeout { 200 };
-/// A group that stands for this long is held, and says so this often.
-constexpr milliseconds holdNoticedAfter { 1000 };
+/// A held group says so this often.
 constexpr milliseconds holdLoggedEvery { 5000 };
-constexpr milliseconds silentAfter { 3000 };
 /// A stepped-down coordinator starts anew after this long, so that two processes that both run rank 0 don't outbid each
 /// other in turn without a pause.
 constexpr milliseconds newCoordinatorAfter { 1000 };
 /// Coordinators whose addresses are remembered.
 constexpr std::size_t mostHolders = 16;
 
-std::optional<MapShape> shapeOf(const settings::GroupSettings& settings)
+MapShape shapeOf(const settings::GroupSettings& settings)
 {
-    if (settings.ranks == 0)
-        return std::nullopt;
+    // The schema keeps ranks above 0.
     auto evenShare = (settings.experts + settings.ranks - 1) / settings.ranks;
-    return MapShape { settings.ranks, settings.layers, settings.experts, evenShare + settings.spareSlotsPerRank };
-}
-
-json::value pointJson(const std::optional<SwitchPoint>& point)
-{
-    if (!point)
-        return nullptr;
-    return json::object { { "map_version", point->version.value() }, { "step", point->step.value() } };
-}
-
-json::object statusJson(const EngineStatus& status)
-{
-    json::array staged;
-    for (auto version : status.staged)
-        staged.push_back(version.value());
-    return {
-        { "is_admitted", status.isAdmitted },
-        { "map_version", status.current.value() },
-        { "step", status.entered.value() },
-        { "armed", pointJson(status.armed) },
-        { "is_released", status.isReleased },
-        { "staged", std::move(staged) },
-    };
-}
-
-std::vector<std::uint32_t> plain(const std::vector<RankIndex>& ranks)
-{
-    std::vector<std::uint32_t> values;
-    values.reserve(ranks.size());
-    for (auto rank : ranks)
-        values.push_back(rank.value());
-    return values;
+    return { settings.ranks, settings.layers, settings.experts, evenShare + settings.spareSlotsPerRank };
 }
 
 } // namespace
 
-struct MapControl::Part {
-    EngineGroupName group;
-    RankIndex rank;
-    MapShape shape;
-    settings::GroupSettings settings;
-    MapVersion initial;
-    RankAgent agent;
-    MapStore maps;
-    std::shared_ptr<GroupTransport> transport;
-    std::unique_ptr<EngineOrders> engine;
-    /// Address of each rank's agent; unset while the published list lacks the rank.
-    std::vector<std::optional<GroupTransport::Endpoint>> addresses;
-    /// Where the coordinators that gave orders are.
-    std::map<Incarnation, GroupTransport::Endpoint> holders;
-    /// Rank asked last for the content of a map.
-    std::uint32_t fetchedFrom { 0 };
-
-    // At rank 0 only.
-    std::optional<Coordinator> coordinator;
-    std::optional<TimePoint> coordinatorDueAt;
-    std::optional<MapVersion> wanted;
-    std::unique_ptr<MapPlanning> planning;
-    StepNumber stepSeen;
-    TimePoint stepSeenAt;
-    TimePoint holdLoggedAt;
-};
-
 MapControl::MapControl(boost::asio::io_context& ioContext, const Options& options)
     : m_ioContext(ioContext)
     , m_options(options)
@@ -147,20 +82,29 @@
     if (!self || self->listed->group.value().empty() || !self->listed->rank)
         return;
     auto settings = m_settings->group(self->listed->group);
-    auto shape = settings ? shapeOf(*settings) : std::nullopt;
-    if (!shape || self->listed->rank->value() >= shape->ranks)
+    if (settings)
+        begin(*self->listed, *settings);
+    else
+        m_problem = settings.error().message;
+}
+
+void MapControl::begin(const membership::ListedInstance& listed, const settings::GroupSettings& settings)
+{
+    auto shape = shapeOf(settings);
+    auto initial = ExpertMap::even(shape);
+    auto agent = RankAgent::create({ *listed.rank, m_options.incarnation, settings.checksFencing, engineTimeout });
+    if (!initial || !agent || listed.rank->value() >= shape.ranks) {
+        m_problem = !initial ? initial.error().message : !agent ? agent.error().message
+                                                                : fmt::format("rank {} of the list is not below the {} ranks of the settings", listed.rank->value(), shape.ranks);
         return;
-    auto initial = ExpertMap::even(*shape);
-    RankAgent::Options options { *self->listed->rank, m_options.incarnation, settings->checksFencing, engineTimeout };
-    auto agent = RankAgent::create(options);
+    }
+    m_problem.clear();
     GroupTransport::Endpoint endpoint(m_options.rpc.address(), m_options.rpc.port());
     auto onMessage = [this](const GroupTransport::Endpoint& from, const GroupMessage& message) { this->onMessage(from, message); };
-    auto transport = GroupTransport::create(m_ioContext, endpoint, self->listed->group.value(), onMessage);
-    if (!initial || !agent || !transport)
-        return;
-    m_part.reset(new Part { self->listed->group, *self->listed->rank, *shape, *settings, initial->version(), std::move(*agent), {}, std::move(*transport) });
+    auto transport = GroupTransport::create(m_ioContext, endpoint, listed.group.value(), onMessage).value();
+    m_part.reset(new Part { listed.group, *listed.rank, shape, settings, initial->version(), std::move(*agent), {}, std::move(transport) });
     m_part->maps.add(*initial);
-    m_part->addresses.resize(shape->ranks);
+    m_part->addresses.resize(shape.ranks);
     EngineOrders::Hooks hooks;
     hooks.onAnswered = [this](const rank::EngineAnswered& answered) { onRankEvent(answered); };
     hooks.onLost = [this] { onRankEvent(rank::EngineLost {}); };
@@ -364,8 +308,10 @@
     auto* current = m_part->maps.find(status->current);
     if (!current)
         fetchMap(status->current);
+    else if (auto error = m_part->planning->begin(m_part->settings, *current))
+        m_problem = error->message;
     else
-        m_part->planning->begin(m_part->settings, *current);
+        m_problem.clear();
 }
 
 void MapControl::logAdmission(const std::optional<EngineStatus>& before)
@@ -387,41 +333,11 @@
         m_part->stepSeenAt = now;
         return;
     }
-    if (now < m_part->stepSeenAt + holdNoticedAfter || now < m_part->holdLoggedAt + holdLoggedEvery)
+    if (!m_part->isHeld(now) || now < m_part->holdLoggedAt + holdLoggedEvery)
         return;
     m_part->holdLoggedAt = now;
     log::write(log::Event::GroupHeld, "group={} phase={} step={} silent-ranks={}", m_part->group.value(), toString(m_part->coordinator->phase()), step.value(),
-        fmt::join(plain(m_part->coordinator->silentRanks(now - silentAfter)), ","));
-}
-
-json::object MapControl::coordinatorJson() const
-{
-    auto& coordinator = *m_part->coordinator;
-    auto now = Clock::now();
-    bool isHeld = now >= m_part->stepSeenAt + holdNoticedAfter;
-    json::object out {
-        { "phase", toString(coordinator.phase()) },
-        { "fence", coordinator.fence().counter },
-        { "wanted", nullptr },
-        { "pending", pointJson(coordinator.pending()) },
-        { "silent_ranks", json::value_from(plain(coordinator.silentRanks(now - silentAfter))) },
-        { "held_step", nullptr },
-    };
-    if (coordinator.wanted())
-        out["wanted"] = coordinator.wanted()->value();
-    if (isHeld)
-        out["held_step"] = m_part->stepSeen.value();
-    return out;
-}
-
-std::string MapControl::toJson() const
-{
-    if (!m_part)
-        return R"({"group":null})";
-    json::object out { { "group", m_part->group.value() }, { "rank", m_part->rank.value() }, { "ranks", m_part->shape.ranks }, { "is_waiting", m_part->agent.isWaiting() } };
-    out["engine"] = m_part->agent.status() ? json::value(statusJson(*m_part->agent.status())) : json::value(nullptr);
-    out["coordinator"] = m_part->coordinator ? json::value(coordinatorJson()) : json::value(nullptr);
-    return json::serialize(out);
+        fmt::join(m_part->silentRanks(now), ","));
 }
 
 } // namespace swiftloft::agent
--- a/src/agent/map-control.h
+++ b/src/agent/map-control.h
@@ -39,6 +39,7 @@
     MapControl(boost::asio::io_context& ioContext, const Options& options);
     ~MapControl();
 
+    /// These two throw `Exception` when the address for messages of the group can't be bound.
     void setSettings(const settings::Tree& tree);
     void setView(const std::shared_ptr<const membership::View>& view);
     void stop();
@@ -51,6 +52,7 @@
     struct Part;
 
     void beginIfKnown();
+    void begin(const membership::ListedInstance& listed, const settings::GroupSettings& settings);
     void learnAddresses();
     void startCoordinator();
     void carryOut(const expertmap::rank::Effects& effects);
@@ -81,6 +83,8 @@
     std::shared_ptr<const membership::View> m_view;
     std::optional<settings::Tree> m_settings;
     bool m_isStopped { false };
+    /// Why there is no part in the group, or no plans; empty when all is well.
+    std::string m_problem;
     std::unique_ptr<Part> m_part;
 };
 
--- a/src/expertmap/coordinator.cc
+++ b/src/expertmap/coordinator.cc
@@ -313,14 +313,22 @@
 
 bool Coordinator::stage(TimePoint now, MapVersion version, Effects& effects)
 {
+    std::vector<std::uint32_t> others;
     std::uint32_t loading = 0;
-    for (std::uint32_t r = 0; r < m_ranks.size() && loading < m_options.stagingRanks; ++r) {
-        if (m_ranks[r].status->hasStaged(version))
+    for (std::uint32_t r = 0; r < m_ranks.size(); ++r) {
+        if (m_ranks[r].status->hasStaged(version) || loading == m_options.stagingRanks) {
+            others.push_back(r);
             continue;
+        }
         send(now, r, StageMap { version }, effects, m_options.stagePollAfter);
         ++loading;
     }
-    return loading == 0;
+    if (loading == 0)
+        return true;
+    // Failure: loading takes minutes, in which the other ranks would not be heard and would pass for silent.
+    for (auto r : others)
+        send(now, r, ReadStatus {}, effects, m_options.idleReadAfter);
+    return false;
 }
 
 void Coordinator::startChange(TimePoint now, MapVersion version, Effects& effects)
--- a/test/expertmap-coordinator_test.cc
+++ b/test/expertmap-coordinator_test.cc
@@ -176,6 +176,19 @@
     CHECK(driver.coordinator.unheardRanks().empty());
 }
 
+TEST_CASE("Coordinator hears all ranks while some load")
+{
+    // Two ranks load for minutes from a slow weight store. The third, which has its weights, must not pass for silent:
+    // the operator would restart a healthy agent.
+    Driver driver;
+    driver.tick(2);
+    driver.statuses[2].staged.push_back(second);
+    driver.want(second);
+    driver.tick(250);
+    CHECK(driver.coordinator.phase() == CoordinatorPhase::Staging);
+    CHECK(driver.coordinator.silentRanks(driver.now() - seconds(3)).empty());
+}
+
 TEST_CASE("Rank agent refuses an order with an older fencing number and says which is newer")
 {
     // An operator sees a rank load weights that nobody wants. A coordinator that woke up late orders it, and its engine
