--- a/include/swiftloft/policy/organisation-limits.h
+++ b/include/swiftloft/policy/organisation-limits.h
@@ -89,6 +89,9 @@
     std::size_t peersAsked { 2 };
     milliseconds askInterval { 20 };
     milliseconds longestAskInterval { 200 };
+    /// Peers asked in a second over all organisations: bounds what lending takes of the control traffic when many are
+    /// short at once.
+    double asksPerSecond { 40 };
 };
 
 /// Limits of organisations in requests and tokens, held by one entry without shared state.
@@ -104,7 +107,9 @@
     OrganisationLimits& operator=(OrganisationLimits&&) noexcept;
     ~OrganisationLimits();
 
-    void setLimit(const OrganisationName& organisation, const OrganisationLimit& limit, TimePoint now);
+    /// `isUnusedSinceStart`: this entry has admitted nothing for the organisation since it was created, so what its share
+    /// has yielded since then, up to the burst, is there to be used. Without it a new limit starts empty.
+    void setLimit(const OrganisationName& organisation, const OrganisationLimit& limit, TimePoint now, bool isUnusedSinceStart = false);
     void forget(const OrganisationName& organisation);
     /// The instance list was read; `entries` are the live entry instances.
     void onList(const std::vector<InstanceId>& entries, TimePoint now);
--- a/src/entry/agent-link.h
+++ b/src/entry/agent-link.h
@@ -17,6 +17,8 @@
     milliseconds heartbeatInterval { 250 };
     /// A heartbeat not answered for so long means that the connection has gone silent.
     milliseconds heartbeatLimit { 1000 };
+    /// Repeatable requests wait this long for a fresh connection before they go to another backend server.
+    milliseconds freshConnectionLimit { 300 };
     /// Requests in progress wait this long for a new connection before they count as lost.
     milliseconds reattachLimit { 2000 };
 };
@@ -70,6 +72,7 @@
     void loseExpired(TimePoint now);
     void endRepeatable();
     void forgetEnded();
+    void issue(const std::shared_ptr<PendingClaim>& pending);
     void endClaims(TimePoint passed);
 
     boost::asio::io_context& m_ioContext;
@@ -84,6 +87,8 @@
     TimePoint m_connectDeadline;
     /// Set while the link is down: when tries in progress count as lost.
     std::optional<TimePoint> m_loseAt;
+    /// While the link is down: when repeatable tries go elsewhere.
+    TimePoint m_moveAt;
     std::vector<std::shared_ptr<Attempt>> m_attempts;
     std::vector<std::shared_ptr<PendingClaim>> m_claims;
     std::vector<policy::SuspicionMessage> m_suspicions;
--- a/src/entry/daemon.cc
+++ b/src/entry/daemon.cc
@@ -1,5 +1,6 @@
 #include "src/entry/daemon.h"
 
+#include "src/entry/route-page.h"
 #include "src/log/logger.h"
 
 #include <swiftloft/membership/address-answer.h>
@@ -25,6 +26,9 @@
     ReducerOptions options;
     options.incarnation = incarnation;
     options.dataCentre = config.dataCentre;
+    options.self = InstanceId(config.id);
+    options.isFirstStart = config.isFirstStart;
+    options.startedAt = Clock::now();
     options.randomSeed = static_cast<std::uint32_t>(incarnation.value());
     return options;
 }
@@ -121,6 +125,11 @@
     daemon::FleetControl::Hooks hooks;
     hooks.onSettings = [this](Revision revision, const settings::Tree& tree) { apply(SettingsInForce { revision, tree, Clock::now() }); };
     hooks.onViewChanged = [this](const std::shared_ptr<const membership::View>& view) { apply(ViewChanged { view, Clock::now() }); };
+    hooks.onNote = [this](std::string_view note) {
+        auto loan = decodeLoan(note);
+        if (loan)
+            apply(LoanArrived { std::move(*loan), Clock::now() });
+    };
     hooks.onLeaving = [this] { apply(LeaveRequested { Clock::now() }); };
     m_fleetControl = std::make_unique<daemon::FleetControl>(m_control, m_config, membership::Role::Entry, m_incarnation, std::move(hooks));
 }
@@ -161,6 +170,10 @@
             record(*answer);
             continue;
         }
+        if (auto loan = std::get_if<SendLoan>(&effect)) {
+            m_fleetControl->sendNote(loan->to.value(), encode(loan->loan));
+            continue;
+        }
         if (std::holds_alternative<Finish>(effect))
             m_finishedWorkers = 0;
         if (auto worker = workerOf(effect)) {
@@ -218,6 +231,8 @@
         return addresses(target);
     if (path == "/swiftloft/v1/burn")
         return burn(target);
+    if (path == "/swiftloft/v1/route")
+        return route(target);
     if (path == "/swiftloft/v1/status")
         return status();
     return { 404, "text/plain", "no such page\n" };
@@ -267,6 +282,16 @@
     return { 200, "application/json", burn::toJson(m_burn.report(Clock::now(), InstanceId(m_config.id), m_startedAt, *scope)) };
 }
 
+process::StatusAnswer Daemon::route(const std::string& target)
+{
+    ServiceName name(queryValue(target, "service"));
+    if (!m_reducer.service(name))
+        return jsonAnswer({ { "message", "no such service in the settings; ask with ?service=NAME" } }, 404);
+    auto router = m_reducer.fleet().router(name);
+    auto rows = router ? router->explain({}, Clock::now()) : std::vector<policy::RouteExplanation>();
+    return { 200, "application/json", toJson(RoutePage { InstanceId(m_config.id), m_config.dataCentre, name, rows }) };
+}
+
 process::StatusAnswer Daemon::status() const
 {
     json::object body;
--- a/src/entry/daemon.h
+++ b/src/entry/daemon.h
@@ -44,6 +44,7 @@
     process::StatusAnswer metrics();
     process::StatusAnswer addresses(const std::string& target);
     process::StatusAnswer status() const;
+    process::StatusAnswer route(const std::string& target);
     process::StatusAnswer burn(const std::string& target) const;
 
     process::ProcessConfig m_config;
--- a/src/entry/reducer.cc
+++ b/src/entry/reducer.cc
@@ -1,5 +1,7 @@
 #include "src/entry/reducer.h"
 
+#include <swiftloft/membership/address-answer.h>
+
 #include <fmt/format.h>
 #include <xxhash.h>
 
@@ -12,6 +14,8 @@
 /// Comes back soon: the fleet is expected to change within seconds.
 constexpr seconds shortRetryAfter { 1 };
 constexpr milliseconds housekeepingInterval { 250 };
+/// How long a request over its entry's share waits for a peer's grant: a few round trips within a region.
+constexpr milliseconds grantWait { 60 };
 
 RequestKey mintKey(Incarnation incarnation, RequestId id)
 {
@@ -72,24 +76,17 @@
 
 Result<Reducer> Reducer::create(ReducerOptions options)
 {
-    auto retryPolicy = policy::RetryPolicy::create({});
-    if (!retryPolicy)
-        return retryPolicy.error();
-    auto retryBudget = policy::RetryBudget::create({});
-    if (!retryBudget)
-        return retryBudget.error();
     auto quarantine = policy::CrashQuarantine::create({});
     if (!quarantine)
         return quarantine.error();
-    return Reducer(std::move(options), *retryPolicy, std::move(*retryBudget), std::move(*quarantine));
+    return Reducer(std::move(options), std::move(*quarantine));
 }
 
-Reducer::Reducer(ReducerOptions options, policy::RetryPolicy retryPolicy, policy::RetryBudget retryBudget, policy::CrashQuarantine quarantine)
+Reducer::Reducer(ReducerOptions options, policy::CrashQuarantine quarantine)
     : m_options(std::move(options))
-    , m_retryPolicy(retryPolicy)
-    , m_retryBudget(std::move(retryBudget))
     , m_generator(m_options.randomSeed)
-    , m_fleet(m_options.dataCentre, m_options.region)
+    , m_fleet(m_options.dataCentre)
+    , m_limits(m_options.self, m_options.incarnation, m_options.isFirstStart, m_options.startedAt)
     , m_quarantine(std::move(quarantine))
 {
 }
@@ -126,7 +123,36 @@
     m_deadlines.emplace(request.resolved.deadline, event.id);
     request.cost = costOf(*request.resolved.service, *request.info);
     auto it = m_requests.insert_or_assign(event.id, std::move(request)).first;
-    admit(event.id, it->second, event.now, effects);
+    limit(event.id, it->second, event.now, effects);
+}
+
+void Reducer::limit(RequestId id, Request& request, TimePoint now, Effects& effects)
+{
+    auto decision = m_limits.admit(request.resolved.organisation, request.cost, now, effects);
+    if (!decision.refusal) {
+        request.isLimited = true;
+        return admit(id, request, now, effects);
+    }
+    // One round trip to a peer may bring what is missing here. It is no holding back: the wait is bounded by the time
+    // that the grant itself takes.
+    if (decision.isBorrowing && now < request.arrivedAt + grantWait) {
+        m_awaitingGrant.emplace(request.arrivedAt + grantWait, id);
+        return;
+    }
+    Refusal refusal;
+    refusal.reason = *decision.refusal;
+    refusal.retryAfter = policy::retryAfter({}, decision.retryAt, now, m_generator);
+    giveUp(id, request, std::move(refusal), now, effects);
+}
+
+void Reducer::limitWaiting(TimePoint now, Effects& effects)
+{
+    auto waiting = std::exchange(m_awaitingGrant, {});
+    for (auto& [until, id] : waiting) {
+        auto it = m_requests.find(id);
+        if (it != m_requests.end())
+            limit(id, it->second, now, effects);
+    }
 }
 
 void Reducer::admit(RequestId id, Request& request, TimePoint now, Effects& effects)
@@ -240,7 +266,7 @@
     order.service = request.resolved.service->name;
     order.organisation = request.resolved.organisation->name;
     order.fingerprint = request.resolved.fingerprint;
-    order.priority = static_cast<int>(request.resolved.organisation->priority);
+    order.priority = static_cast<int>(toPolicy(request.resolved.organisation->priority));
     order.promptTokens = request.info->promptTokens;
     order.expectedOutput = request.info->expectedOutput;
     order.isRepeatable = request.resolved.isRepeatable;
@@ -309,7 +335,7 @@
         return retryOrAnswer(event.id, request, event, effects);
     if (!m_quarantine.empty() && !m_quarantine.onSuccess(request.resolved.fingerprint, event.now).empty())
         publishSuspicions(true, event.now, effects);
-    m_retryBudget.onSuccess({ request.resolved.service->name, request.resolved.organisation->name });
+    m_retryDesk.onSuccess({ request.resolved.service->name, request.resolved.organisation->name });
     recordAnswer(request, std::nullopt, event.now, effects);
     remove(event.id, event.now, effects);
 }
@@ -323,7 +349,7 @@
     failed.delivered = policy::OutputOffset(request.firstByteAt ? 1 : 0);
     failed.attempts = request.attempts;
     failed.deadline = request.resolved.deadline;
-    auto decision = m_retryPolicy.decide(failed, m_retryBudget, event.now, m_generator);
+    auto decision = m_retryDesk.decide(failed, event.now, m_generator);
     if (decision.action == policy::RetryAction::Retry) {
         m_retries.emplace(decision.at, id);
         return;
@@ -370,6 +396,8 @@
     m_deadlines.erase({ request.resolved.deadline, id });
     m_requests.erase(it);
     auto& service = request.resolved.service->name;
+    if (request.isLimited)
+        m_limits.finish(*request.resolved.organisation, request.cost, request.verdict, now);
     if (!request.isAdmitted)
         return m_admission.onAbandon(service, id);
     carryOut(m_admission.onFinish(service, request.cost, now, m_generator), now, effects);
@@ -413,6 +441,18 @@
 void Reducer::on(const ViewChanged& event, Effects& effects)
 {
     m_fleet.onView(*event.view, event.now, effects);
+    m_limits.onView(*event.view, event.now);
+}
+
+void Reducer::on(const LoanArrived& event, Effects& effects)
+{
+    auto request = std::get_if<policy::LendRequest>(&event.loan);
+    auto traffic = request && m_resolver ? Limits::trafficOf(request->organisation) : std::nullopt;
+    auto organisation = traffic ? m_resolver->organisation(*traffic) : nullptr;
+    if (organisation)
+        m_limits.prepare(organisation, event.now);
+    m_limits.onLoan(event.loan, event.now, effects);
+    limitWaiting(event.now, effects);
 }
 
 void Reducer::on(const SettingsInForce& event, Effects&)
@@ -421,6 +461,9 @@
         return;
     m_revision = event.revision;
     m_resolver.emplace(event.tree);
+    m_fleet.setTopology(m_resolver->topology());
+    for (auto& name : m_resolver->services())
+        m_retryDesk.setOptions(*m_resolver->service(name));
 }
 
 void Reducer::on(const LeaveRequested& event, Effects& effects)
@@ -429,8 +472,9 @@
         return;
     // Clients may hold an address answer that names this entry, given a moment ago by a peer that had not yet heard:
     // closing sooner would refuse them.
-    auto keep = m_resolver ? m_resolver->longestKeepTime() : microseconds { 0 };
-    m_acceptUntil = event.now + std::chrono::duration_cast<Clock::duration>(keep);
+    membership::AddressAnswerOptions answers;
+    answers.keepFor = std::chrono::duration_cast<milliseconds>(m_resolver ? m_resolver->longestKeepTime() : microseconds { 0 });
+    m_acceptUntil = membership::acceptUntil(event.now, answers);
     effects.push_back(AnnounceLeaving {});
     leaveWhenDone(event.now, effects);
 }
@@ -438,6 +482,8 @@
 void Reducer::on(const Tick& event, Effects& effects)
 {
     startDueRetries(event.now, effects);
+    if (!m_awaitingGrant.empty() && m_awaitingGrant.begin()->first <= event.now)
+        limitWaiting(event.now, effects);
     carryOut(m_admission.onTimer(event.now, m_generator), event.now, effects);
     if (m_nextHousekeeping <= event.now) {
         m_nextHousekeeping = event.now + housekeepingInterval;
--- a/src/entry/reducer.h
+++ b/src/entry/reducer.h
@@ -3,12 +3,13 @@
 #include "src/entry/admission.h"
 #include "src/entry/events.h"
 #include "src/entry/fleet.h"
+#include "src/entry/limits.h"
 #include "src/entry/request-resolver.h"
+#include "src/entry/retry-desk.h"
 
 #include <swiftloft/policy/claim-protocol.h>
 #include <swiftloft/policy/crash-quarantine.h>
 #include <swiftloft/policy/random.h>
-#include <swiftloft/policy/retry-budget.h>
 #include <swiftloft/policy/retry-policy.h>
 #include <swiftloft/policy/router.h>
 
@@ -24,8 +25,11 @@
 struct ReducerOptions {
     Incarnation incarnation;
     DataCentreName dataCentre;
-    RegionName region;
     std::uint32_t randomSeed { 0 };
+    InstanceId self;
+    /// No entry has run in this fleet before.
+    bool isFirstStart { false };
+    TimePoint startedAt;
 };
 
 /// All decisions of an entry about requests: State x Event -> Effects, on the control thread.
@@ -68,6 +72,8 @@
         unsigned attempts { 0 };
         /// Out of the queue and in the room that admission counts.
         bool isAdmitted { false };
+        /// Counted against its organisation's limits.
+        bool isLimited { false };
         Tokens cost;
         std::optional<Attempt> attempt;
         std::vector<policy::ServerHandle> tried;
@@ -78,7 +84,7 @@
         bool needsClaim() const { return info->clientKey && !resolved.isRepeatable; }
     };
 
-    Reducer(ReducerOptions options, policy::RetryPolicy retryPolicy, policy::RetryBudget retryBudget, policy::CrashQuarantine quarantine);
+    Reducer(ReducerOptions options, policy::CrashQuarantine quarantine);
 
     void on(const RequestArrived& event, Effects& effects);
     void on(const OutputBegan& event, Effects& effects);
@@ -88,10 +94,13 @@
     void on(const LinkReported& event, Effects& effects);
     void on(const LinkDown& event, Effects& effects);
     void on(const ViewChanged& event, Effects& effects);
+    void on(const LoanArrived& event, Effects& effects);
     void on(const SettingsInForce& event, Effects& effects);
     void on(const LeaveRequested& event, Effects& effects);
     void on(const Tick& event, Effects& effects);
 
+    void limit(RequestId id, Request& request, TimePoint now, Effects& effects);
+    void limitWaiting(TimePoint now, Effects& effects);
     void admit(RequestId id, Request& request, TimePoint now, Effects& effects);
     void carryOut(const Admission::Decisions& decisions, TimePoint now, Effects& effects);
     void updateCapacities(TimePoint now, Effects& effects);
@@ -116,10 +125,12 @@
     policy::RouteRequest routeRequest(const Request& request) const;
 
     ReducerOptions m_options;
-    policy::RetryPolicy m_retryPolicy;
-    policy::RetryBudget m_retryBudget;
+    RetryDesk m_retryDesk;
     policy::Generator m_generator;
     Fleet m_fleet;
+    Limits m_limits;
+    /// Requests over this entry's share that wait a moment for a peer's grant, by when they are refused.
+    std::set<std::pair<TimePoint, RequestId>> m_awaitingGrant;
     Admission m_admission;
     policy::CrashQuarantine m_quarantine;
     std::optional<RequestResolver> m_resolver;
--- a/src/entry/request-resolver.h
+++ b/src/entry/request-resolver.h
@@ -2,6 +2,7 @@
 
 #include "src/entry/events.h"
 
+#include <swiftloft/membership/types.h>
 #include <swiftloft/policy/retry-budget.h>
 #include <swiftloft/result.h>
 #include <swiftloft/settings/tree.h>
@@ -35,6 +36,9 @@
     /// The request with its settings, or why it is refused; the refusal's verdict is the caller's to set.
     boost::variant2::variant<ResolvedRequest, Refusal> resolve(const RequestInfo& info, TimePoint now);
 
+    /// Regions of the data centres.
+    membership::Topology topology() const;
+
     std::vector<ServiceName> services() const { return m_tree.services(); }
 
     std::shared_ptr<const settings::ServiceSettings> service(const ServiceName& name);
@@ -42,9 +46,10 @@
     /// The longest time that clients keep an address answer of any service.
     microseconds longestKeepTime() const;
 
-private:
+    /// Null when the settings name no such organisation or service.
     std::shared_ptr<const settings::OrganisationSettings> organisation(const policy::TrafficKey& key);
 
+private:
     settings::Tree m_tree;
     boost::unordered_flat_map<ServiceName, std::shared_ptr<const settings::ServiceSettings>, std::hash<ServiceName>> m_services;
     boost::unordered_flat_map<policy::TrafficKey, std::shared_ptr<const settings::OrganisationSettings>> m_organisations;
