--- a/src/agent/daemon.cc
+++ b/src/agent/daemon.cc
@@ -58,8 +58,15 @@
 void Daemon::startFleetControl()
 {
     daemon::FleetControl::Hooks hooks;
-    hooks.onSettings = [this](Revision, const settings::Tree& tree) { m_maps.setSettings(tree); };
+    hooks.onSettings = [this](Revision, const settings::Tree& tree) {
+        m_settings = tree;
+        applySettings();
+        m_maps.setSettings(tree);
+    };
     hooks.onViewChanged = [this](const std::shared_ptr<const membership::View>& view) {
+        if (auto self = view->find(membership::NodeId(m_config.id)))
+            m_serviceName = self->listed->service;
+        applySettings();
         apply(ListLearned { policy::ListRevision(view->listRevision.value()), Clock::now() });
         m_maps.setView(view);
     };
@@ -67,6 +74,17 @@
     m_fleetControl = std::make_unique<daemon::FleetControl>(m_control, m_config, membership::Role::Agent, m_incarnation, std::move(hooks));
 }
 
+void Daemon::applySettings()
+{
+    auto service = m_settings ? m_settings->service(m_serviceName) : Result<settings::ServiceSettings>(Error {});
+    if (!service)
+        return;
+    boost::asio::post(m_traffic.ioContext(), [this, size = service->resumeBuffer] {
+        if (m_service)
+            m_service->setResumeBuffer(size);
+    });
+}
+
 void Daemon::leave()
 {
     apply(LeaveRequested { Clock::now() });
