--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -29,6 +29,7 @@
 ExitCode runKeys(const Command&, const Arguments&, const Console&);
 ExitCode runStatus(const Command&, const Arguments&, const Console&);
 ExitCode runRoute(const Command&, const Arguments&, const Console&);
+ExitCode runMaps(const Command&, const Arguments&, const Console&);
 ExitCode runBurn(const Command&, const Arguments&, const Console&);
 
 std::span<const Command> commands();
