Let requests wait while suspects have the servers to themselves

Cause: an agent that runs a suspect alone refused its neighbours at once, looked idle and so drew more of them; refusals were taken from the retry budget. Agents now say that they are reserved; entries route around them, and what finds all of them reserved looks again every 50 ms until its deadline. Ruled out sending such refusals elsewhere alone: when all servers were reserved it ended as no-backend-server. Also: the part of the entry's reducer that follows attempts has a file of its own.

--- a/src/agent/events.h
+++ b/src/agent/events.h
@@ -172,6 +172,8 @@
 struct PublishReport {
     bool isLeaving { false };
     bool isEngineUp { false };
+    /// A suspect has, or waits for, the engine to itself.
+    bool isReserved { false };
     std::uint32_t running { 0 };
     Tokens pending;
     double tokensPerSecond { 0 };
--- a/src/agent/reducer.cc
+++ b/src/agent/reducer.cc
@@ -320,6 +320,7 @@
     PublishReport report;
     report.isLeaving = m_isLeaving;
     report.isEngineUp = m_isEngineUp;
+    report.isReserved = m_alone.has_value();
     report.running = static_cast<std::uint32_t>(m_runs.size());
     report.pending = m_pending;
     report.tokensPerSecond = m_tokensPerSecond;
--- a/src/agent/service.cc
+++ b/src/agent/service.cc
@@ -94,6 +94,7 @@
     report.setIncarnation(m_options.incarnation.value());
     report.setIsLeaving(m_report.isLeaving);
     report.setIsEngineUp(m_report.isEngineUp);
+    report.setIsReserved(m_report.isReserved);
     report.setRunning(m_report.running);
     report.setPendingTokens(m_report.pending.value());
     report.setTokensPerSecond(m_report.tokensPerSecond);
--- a/src/entry/agent-link.cc
+++ b/src/entry/agent-link.cc
@@ -16,6 +16,7 @@
     report.incarnation = Incarnation(from.getIncarnation());
     report.isLeaving = from.getIsLeaving();
     report.isEngineUp = from.getIsEngineUp();
+    report.isReserved = from.getIsReserved();
     report.pending = Tokens(from.getPendingTokens());
     report.tokensPerSecond = from.getTokensPerSecond();
     report.epoch = policy::MintEpoch(from.getEpoch());
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -119,6 +119,8 @@
     Incarnation incarnation;
     bool isLeaving { false };
     bool isEngineUp { false };
+    /// A suspect has, or waits for, the engine to itself.
+    bool isReserved { false };
     Tokens pending;
     double tokensPerSecond { 0 };
     policy::MintEpoch epoch;
--- a/src/entry/fleet.cc
+++ b/src/entry/fleet.cc
@@ -18,6 +18,11 @@
     return member.listed && member.listed->role == membership::Role::Entry && member.isUsable();
 }
 
+bool isUp(const BackendServer& server)
+{
+    return server.linkedWorkers != 0 && server.isEngineUp && !server.isLeaving;
+}
+
 BackendServerId idOf(const membership::ViewMember& member)
 {
     return BackendServerId(member.listed->id.value());
@@ -89,6 +94,7 @@
     server.incarnation = event.report.incarnation;
     server.isLeaving = server.isLeaving || event.report.isLeaving;
     server.isEngineUp = event.report.isEngineUp;
+    server.isReserved = event.report.isReserved;
     server.epoch = event.report.epoch;
     server.tokensPerSecond = event.report.tokensPerSecond;
     server.linkedWorkers |= 1ULL << event.worker.value();
@@ -104,6 +110,8 @@
         return;
     if (reason == AttemptReason::Leaving)
         it->second.isLeaving = true;
+    else if (reason == AttemptReason::Overloaded)
+        it->second.isReserved = true;
     else
         it->second.isEngineUp = false;
     updateRouter(it->second);
@@ -120,7 +128,7 @@
 
 void Fleet::updateRouter(BackendServer& server)
 {
-    auto mayGetWork = server.linkedWorkers != 0 && server.isEngineUp && !server.isLeaving;
+    auto mayGetWork = isUp(server) && !server.isReserved;
     if (mayGetWork == server.handle.has_value())
         return;
     if (!mayGetWork) {
@@ -163,16 +171,23 @@
     return id ? find(*id) : nullptr;
 }
 
-std::vector<BackendServerId> Fleet::usable(const ServiceName& service) const
+std::vector<BackendServerId> Fleet::upServers(const ServiceName& service) const
 {
     std::vector<BackendServerId> ids;
     for (auto& [id, server] : m_servers) {
-        if (server.service == service && server.handle)
+        if (server.service == service && isUp(server))
             ids.push_back(id);
     }
     return ids;
 }
 
+bool Fleet::hasReserved(const ServiceName& service) const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(), [&](auto& entry) {
+        return entry.second.service == service && isUp(entry.second) && entry.second.isReserved;
+    });
+}
+
 ServiceCapacity Fleet::capacityOf(const ServiceName& service) const
 {
     ServiceCapacity capacity;
--- a/src/entry/fleet.h
+++ b/src/entry/fleet.h
@@ -26,6 +26,8 @@
     /// Bit n is set while the link of worker n works.
     std::uint64_t linkedWorkers { 0 };
     bool isEngineUp { false };
+    /// A suspect has the engine to itself: nothing else may go there for now.
+    bool isReserved { false };
     bool isLeaving { false };
     std::optional<policy::ServerHandle> handle;
 };
@@ -41,7 +43,8 @@
     /// Opens links to servers that are new in `view` and closes those that are gone from it.
     void onView(const membership::View& view, TimePoint now, Effects& effects);
     void onReport(const LinkReported& event);
-    /// An agent has refused work because it is leaving or its engine is down; its next report may say otherwise.
+    /// An agent has refused work because it is leaving, its engine is down or a suspect has it to itself; its next report
+    /// may say otherwise.
     void onRefusal(const BackendServerId& id, AttemptReason reason);
     void onLinkDown(const LinkDown& event);
 
@@ -54,8 +57,10 @@
     const BackendServer* find(const BackendServerId& id) const;
     /// The server behind a handle of `service`'s router.
     const BackendServer* find(const ServiceName& service, policy::ServerHandle handle);
-    /// Ids of the servers of a service that may get new work.
-    std::vector<BackendServerId> usable(const ServiceName& service) const;
+    /// Ids of the servers of a service that are up and not leaving, reserved ones included.
+    std::vector<BackendServerId> upServers(const ServiceName& service) const;
+    /// True when a server of the service gets no work only because a suspect has it to itself.
+    bool hasReserved(const ServiceName& service) const;
     /// Servers of a service that may get new work, and their speeds added up.
     ServiceCapacity capacityOf(const ServiceName& service) const;
     /// The homes of client keys of a service; null for a service without any listed server.
--- /dev/null
+++ b/src/entry/reducer-attempts.cc
@@ -0,0 +1,136 @@
+#include "src/entry/reducer.h"
+
+/// The part of the entry's reducer that follows attempts: their first bytes, their ends, and what comes of a failed one.
+namespace swiftloft::entry {
+
+namespace {
+
+/// The agent takes no work now, and did nothing for this request.
+bool takesNoWork(const AttemptEnded& event)
+{
+    return event.end == AttemptEnd::Refused && event.verdict == Verdict::NotRun
+        && (event.reason == AttemptReason::Leaving || event.reason == AttemptReason::EngineDown || event.reason == AttemptReason::Overloaded);
+}
+
+std::optional<policy::FailureKind> failureKind(const AttemptEnded& event)
+{
+    switch (event.end) {
+    case AttemptEnd::Answered:
+        return std::nullopt;
+    case AttemptEnd::Refused:
+        return event.reason == AttemptReason::EngineDown ? policy::FailureKind::Unreachable : policy::FailureKind::Refused;
+    case AttemptEnd::Failed:
+        return event.reason == AttemptReason::EngineCrashed ? policy::FailureKind::Crashed : policy::FailureKind::TimedOut;
+    case AttemptEnd::Lost:
+    case AttemptEnd::Damaged:
+        return policy::FailureKind::Unreachable;
+    }
+    return policy::FailureKind::Unreachable;
+}
+
+RefusalReason refusalReason(const AttemptEnded& event)
+{
+    if (event.end == AttemptEnd::Damaged)
+        return RefusalReason::AnswerDamaged;
+    switch (event.reason) {
+    case AttemptReason::DeadlinePassed:
+        return RefusalReason::DeadlinePassed;
+    case AttemptReason::AnswerNotHeld:
+        return RefusalReason::AnswerNotHeld;
+    case AttemptReason::Quarantined:
+        return RefusalReason::Quarantined;
+    case AttemptReason::Overloaded:
+        return RefusalReason::Overloaded;
+    default:
+        break;
+    }
+    if (event.end != AttemptEnd::Refused)
+        return RefusalReason::BackendServerFailed;
+    return event.reason == AttemptReason::WrongIncarnation ? RefusalReason::HomeUnreachable : RefusalReason::NoBackendServer;
+}
+
+} // namespace
+
+void Reducer::on(const OutputBegan& event, Effects&)
+{
+    auto it = m_requests.find(event.id);
+    if (it == m_requests.end() || !it->second.attempt)
+        return;
+    auto& request = it->second;
+    request.firstByteAt = event.now;
+    if (!request.attempt->isRouted)
+        return;
+    auto observed = std::chrono::duration_cast<microseconds>(event.now - request.attempt->startedAt);
+    if (auto router = m_fleet.router(request.resolved.service->name))
+        router->onFirstByte(request.attempt->choice, observed, event.now);
+}
+
+void Reducer::releaseAttempt(Request& request, std::optional<policy::FailureKind> failure, TimePoint now)
+{
+    if (!request.attempt)
+        return;
+    auto router = m_fleet.router(request.resolved.service->name);
+    if (router && request.attempt->isRouted) {
+        if (failure)
+            router->onFail(request.attempt->choice, *failure, now);
+        else
+            router->onFinish(request.attempt->choice, now);
+    }
+    if (request.attempt->isAlone)
+        m_quarantine.onEndAlone(request.resolved.fingerprint);
+    request.attempt.reset();
+}
+
+void Reducer::on(const AttemptEnded& event, Effects& effects)
+{
+    auto it = m_requests.find(event.id);
+    // An attempt that was given up may still report its end; its request has gone on or has been answered.
+    if (it == m_requests.end() || !it->second.attempt || it->second.attempt->serial != event.attempt)
+        return;
+    auto& request = it->second;
+    request.verdict = combine(request.verdict, event.verdict);
+    auto server = request.attempt->server;
+    releaseAttempt(request, failureKind(event), event.now);
+    if (event.crash != policy::CrashId()) {
+        m_quarantine.onCrash({ event.crash, { request.resolved.fingerprint } }, event.now);
+        publishSuspicions(true, event.now, effects);
+    }
+    if (takesNoWork(event)) {
+        // Its report is older than its refusal. Without this the next requests would go there as well until a newer
+        // report comes, each at the price of a retry. Each server can refuse so once, so this ends.
+        m_fleet.onRefusal(server, event.reason);
+        if (!request.needsClaim() && event.reason == AttemptReason::Overloaded)
+            return waitForReserved(event.id, event.now);
+        if (!request.needsClaim())
+            return dispatch(event.id, request, event.now, effects);
+    }
+    if (event.end != AttemptEnd::Answered)
+        return retryOrAnswer(event.id, request, event, effects);
+    if (!m_quarantine.empty() && !m_quarantine.onSuccess(request.resolved.fingerprint, event.now).empty())
+        publishSuspicions(true, event.now, effects);
+    m_retryDesk.onSuccess({ request.resolved.service->name, request.resolved.organisation->name });
+    recordAnswer(request, std::nullopt, event.now, effects);
+    remove(event.id, event.now, effects);
+}
+
+void Reducer::retryOrAnswer(RequestId id, Request& request, const AttemptEnded& event, Effects& effects)
+{
+    policy::FailedAttempt failed;
+    failed.traffic = { request.resolved.service->name, request.resolved.organisation->name };
+    failed.verdict = request.needsClaim() ? Verdict::MayHaveRun : combine(request.info->clientKey ? Verdict::NotRun : request.verdict, event.verdict);
+    failed.isRepeatable = request.resolved.isRepeatable;
+    failed.delivered = policy::OutputOffset(request.firstByteAt ? 1 : 0);
+    failed.attempts = request.attempts;
+    failed.deadline = request.resolved.deadline;
+    auto decision = m_retryDesk.decide(failed, event.now, m_generator);
+    if (decision.action == policy::RetryAction::Retry) {
+        m_retries.emplace(decision.at, id);
+        return;
+    }
+    Refusal refusal;
+    refusal.reason = refusalReason(event);
+    refusal.retryAfter = decision.retryAfter;
+    giveUp(id, request, std::move(refusal), event.now, effects);
+}
+
+} // namespace swiftloft::entry
--- a/src/entry/reducer.cc
+++ b/src/entry/reducer.cc
@@ -14,6 +14,8 @@
 /// Comes back soon: the fleet is expected to change within seconds.
 constexpr seconds shortRetryAfter { 1 };
 constexpr milliseconds housekeepingInterval { 250 };
+/// Between two looks whether a server that a suspect has to itself is free again.
+constexpr milliseconds reservedWait { 50 };
 /// How long a request over its entry's share waits for a peer's grant: a few round trips within a region.
 constexpr milliseconds grantWait { 60 };
 
@@ -22,56 +24,12 @@
     return RequestKey(fmt::format("{:016x}-{}", incarnation.value(), id.value()));
 }
 
-/// The agent takes no work now, and did nothing for this request.
-bool takesNoWork(const AttemptEnded& event)
-{
-    return event.end == AttemptEnd::Refused && event.verdict == Verdict::NotRun
-        && (event.reason == AttemptReason::Leaving || event.reason == AttemptReason::EngineDown);
-}
-
 /// A client's own key only means something within its organisation.
 RequestKey joinKey(const OrganisationName& organisation, const RequestKey& clientKey)
 {
     return RequestKey(fmt::format("{}/{}", organisation.value(), clientKey.value()));
 }
 
-std::optional<policy::FailureKind> failureKind(const AttemptEnded& event)
-{
-    switch (event.end) {
-    case AttemptEnd::Answered:
-        return std::nullopt;
-    case AttemptEnd::Refused:
-        return event.reason == AttemptReason::EngineDown ? policy::FailureKind::Unreachable : policy::FailureKind::Refused;
-    case AttemptEnd::Failed:
-        return event.reason == AttemptReason::EngineCrashed ? policy::FailureKind::Crashed : policy::FailureKind::TimedOut;
-    case AttemptEnd::Lost:
-    case AttemptEnd::Damaged:
-        return policy::FailureKind::Unreachable;
-    }
-    return policy::FailureKind::Unreachable;
-}
-
-RefusalReason refusalReason(const AttemptEnded& event)
-{
-    if (event.end == AttemptEnd::Damaged)
-        return RefusalReason::AnswerDamaged;
-    switch (event.reason) {
-    case AttemptReason::DeadlinePassed:
-        return RefusalReason::DeadlinePassed;
-    case AttemptReason::AnswerNotHeld:
-        return RefusalReason::AnswerNotHeld;
-    case AttemptReason::Quarantined:
-        return RefusalReason::Quarantined;
-    case AttemptReason::Overloaded:
-        return RefusalReason::Overloaded;
-    default:
-        break;
-    }
-    if (event.end != AttemptEnd::Refused)
-        return RefusalReason::BackendServerFailed;
-    return event.reason == AttemptReason::WrongIncarnation ? RefusalReason::HomeUnreachable : RefusalReason::NoBackendServer;
-}
-
 } // namespace
 
 Result<Reducer> Reducer::create(ReducerOptions options)
@@ -204,6 +162,8 @@
     }
     if (chooseServer(request, now, attempt))
         return start(id, request, std::move(attempt), now, effects);
+    if (m_fleet.hasReserved(request.resolved.service->name))
+        return waitForReserved(id, now);
     Refusal refusal;
     refusal.reason = RefusalReason::NoBackendServer;
     refusal.retryAfter = shortRetryAfter;
@@ -224,10 +184,18 @@
     return true;
 }
 
+// While suspects have the servers to themselves, one after the other, the rest waits its turn, until its deadline at the
+// latest. Taking this from the retry budget, or refusing it, turned a crash with several requests at the engine into
+// refusals of a sixth of all requests.
+void Reducer::waitForReserved(RequestId id, TimePoint now)
+{
+    m_retries.emplace(now + reservedWait, id);
+}
+
 // A suspect goes where every entry sends it, alone, so that a second crash hurts nobody beside it.
 bool Reducer::chooseAloneServer(const Request& request, Attempt& attempt) const
 {
-    auto server = policy::suspectServer(request.resolved.fingerprint, m_fleet.usable(request.resolved.service->name));
+    auto server = policy::suspectServer(request.resolved.fingerprint, m_fleet.upServers(request.resolved.service->name));
     if (!server)
         return false;
     attempt.server = *server;
@@ -280,86 +248,6 @@
     effects.push_back(StartAttempt { request.worker, std::move(order) });
 }
 
-void Reducer::on(const OutputBegan& event, Effects&)
-{
-    auto it = m_requests.find(event.id);
-    if (it == m_requests.end() || !it->second.attempt)
-        return;
-    auto& request = it->second;
-    request.firstByteAt = event.now;
-    if (!request.attempt->isRouted)
-        return;
-    auto observed = std::chrono::duration_cast<microseconds>(event.now - request.attempt->startedAt);
-    if (auto router = m_fleet.router(request.resolved.service->name))
-        router->onFirstByte(request.attempt->choice, observed, event.now);
-}
-
-void Reducer::releaseAttempt(Request& request, std::optional<policy::FailureKind> failure, TimePoint now)
-{
-    if (!request.attempt)
-        return;
-    auto router = m_fleet.router(request.resolved.service->name);
-    if (router && request.attempt->isRouted) {
-        if (failure)
-            router->onFail(request.attempt->choice, *failure, now);
-        else
-            router->onFinish(request.attempt->choice, now);
-    }
-    if (request.attempt->isAlone)
-        m_quarantine.onEndAlone(request.resolved.fingerprint);
-    request.attempt.reset();
-}
-
-void Reducer::on(const AttemptEnded& event, Effects& effects)
-{
-    auto it = m_requests.find(event.id);
-    // An attempt that was given up may still report its end; its request has gone on or has been answered.
-    if (it == m_requests.end() || !it->second.attempt || it->second.attempt->serial != event.attempt)
-        return;
-    auto& request = it->second;
-    request.verdict = combine(request.verdict, event.verdict);
-    auto server = request.attempt->server;
-    releaseAttempt(request, failureKind(event), event.now);
-    if (event.crash != policy::CrashId()) {
-        m_quarantine.onCrash({ event.crash, { request.resolved.fingerprint } }, event.now);
-        publishSuspicions(true, event.now, effects);
-    }
-    if (takesNoWork(event)) {
-        // Its report is older than its refusal. Without this the next requests would go there as well until a newer
-        // report comes, each at the price of a retry. Each server can refuse so once, so this ends.
-        m_fleet.onRefusal(server, event.reason);
-        if (!request.needsClaim())
-            return dispatch(event.id, request, event.now, effects);
-    }
-    if (event.end != AttemptEnd::Answered)
-        return retryOrAnswer(event.id, request, event, effects);
-    if (!m_quarantine.empty() && !m_quarantine.onSuccess(request.resolved.fingerprint, event.now).empty())
-        publishSuspicions(true, event.now, effects);
-    m_retryDesk.onSuccess({ request.resolved.service->name, request.resolved.organisation->name });
-    recordAnswer(request, std::nullopt, event.now, effects);
-    remove(event.id, event.now, effects);
-}
-
-void Reducer::retryOrAnswer(RequestId id, Request& request, const AttemptEnded& event, Effects& effects)
-{
-    policy::FailedAttempt failed;
-    failed.traffic = { request.resolved.service->name, request.resolved.organisation->name };
-    failed.verdict = request.needsClaim() ? Verdict::MayHaveRun : combine(request.info->clientKey ? Verdict::NotRun : request.verdict, event.verdict);
-    failed.isRepeatable = request.resolved.isRepeatable;
-    failed.delivered = policy::OutputOffset(request.firstByteAt ? 1 : 0);
-    failed.attempts = request.attempts;
-    failed.deadline = request.resolved.deadline;
-    auto decision = m_retryDesk.decide(failed, event.now, m_generator);
-    if (decision.action == policy::RetryAction::Retry) {
-        m_retries.emplace(decision.at, id);
-        return;
-    }
-    Refusal refusal;
-    refusal.reason = refusalReason(event);
-    refusal.retryAfter = decision.retryAfter;
-    giveUp(id, request, std::move(refusal), event.now, effects);
-}
-
 void Reducer::giveUp(RequestId id, Request& request, Refusal refusal, TimePoint now, Effects& effects)
 {
     refusal.verdict = request.verdict;
--- a/src/entry/reducer.h
+++ b/src/entry/reducer.h
@@ -106,6 +106,7 @@
     void updateCapacities(TimePoint now, Effects& effects);
     void dispatch(RequestId id, Request& request, TimePoint now, Effects& effects);
     bool isQuarantined(RequestId id, Request& request, TimePoint now, Effects& effects);
+    void waitForReserved(RequestId id, TimePoint now);
     bool chooseAloneServer(const Request& request, Attempt& attempt) const;
     void publishSuspicions(bool isUrgent, TimePoint now, Effects& effects);
     bool chooseServer(Request& request, TimePoint now, Attempt& attempt);
--- a/src/rpc/agent.capnp
+++ b/src/rpc/agent.capnp
@@ -145,6 +145,7 @@
   tokensPerSecond @6 :Float64;     # 0 when not known
   epoch @7 :UInt64;                # for the tickets that name this agent
   suspicions @8 :List(Suspicion);
+  isReserved @9 :Bool;             # a suspect has, or waits for, the engine to itself
 }
 
 interface Agent {
--- a/src/rpc/agent.capnp.h
+++ b/src/rpc/agent.capnp.h
@@ -1715,6 +1715,8 @@
   inline bool hasSuspicions() const;
   inline  ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader getSuspicions() const;
 
+  inline bool getIsReserved() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1774,6 +1776,9 @@
   inline void adoptSuspicions(::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::swiftloft::rpc::schema::Suspicion,  ::capnp::Kind::STRUCT>> disownSuspicions();
 
+  inline bool getIsReserved();
+  inline void setIsReserved(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4059,6 +4064,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Report::Reader::getIsReserved() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+
+inline bool Report::Builder::getIsReserved() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setIsReserved(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Agent::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/test/process/replay_test.cc
+++ b/test/process/replay_test.cc
@@ -228,3 +228,24 @@
     auto restart = [&] { fleet.startBackend(fleet.engine(2)); };
     checkReplay(fleet, mixOf(Firm::ViaHe, ExpectedOutcome::Honest), { faultAfter(20, platformDown), faultAfter(15, killBoth), faultAfter(35, restart) }, 0.8);
 }
+
+// An engine dies with several requests at once while the platform is down. All of them are suspects then, and each runs
+// alone for a while; their neighbours wait their turn and are not refused.
+TEST_CASE("Replay: an engine with several requests dies while the platform is down")
+{
+    Fleet fleet(slowFleet());
+    REQUIRE(fleet.waitUntilReady());
+    auto platformDown = [&] { callJson({ fleet.platformAddress(), "POST", "/admin/fault", R"({"kind":"down"})" }); };
+    auto killBusy = [&] {
+        constexpr std::size_t several = 2;
+        for (auto& server : fleet.servers()) {
+            if (server.service != "model" || fleet.keysInProgress(server).size() < several)
+                continue;
+            server.backend->kill();
+            fleet.startBackend(server);
+            return true;
+        }
+        return false;
+    };
+    checkReplay(fleet, mixOf(Firm::ViaHe, ExpectedOutcome::Honest), { faultAfter(15, platformDown), { 5, killBusy } }, 0.95);
+}
