--- a/src/agent/service.cc
+++ b/src/agent/service.cc
@@ -153,7 +153,7 @@
     auto answer = kj::newPromiseAndFulfiller<policy::ClaimReply>();
     m_claims.emplace(id, kj::mv(answer.fulfiller));
     m_post(ClaimRequested { id, rpc::toClaim(context.getParams().getClaim()), Clock::now() });
-    return answer.promise.then([context](policy::ClaimReply reply) mutable { rpc::fill(context.getResults().initReply(), reply); });
+    return answer.promise.then([context](const policy::ClaimReply& reply) mutable { rpc::fill(context.getResults().initReply(), reply); });
 }
 
 void Service::release(rpc::schema::Claim::Reader claim)
