--- a/src/agent/engine-monitor.cc
+++ b/src/agent/engine-monitor.cc
@@ -1,11 +1,12 @@
 #include "src/agent/engine-monitor.h"
 
+#include "src/agent/fetch-page.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/core/error.hpp>
 #include <boost/json/parse.hpp>
 
 #include <algorithm>
@@ -14,14 +15,12 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = beast::http;
 using asio::use_awaitable;
 
 namespace {
 
 constexpr milliseconds pollInterval { 200 };
 constexpr milliseconds answerLimit { 1500 };
-constexpr unsigned httpVersion11 = 11;
 /// Weight of the newest report in the running mean of an engine's speed.
 constexpr double speedWeight = 0.2;
 
@@ -57,20 +56,10 @@
     }
 }
 
-// A fresh connection each time: a kept one can go silent while the engine is well, or outlive a restart unnoticed.
 asio::awaitable<EngineMonitor::State> EngineMonitor::probe()
 {
     try {
-        beast::tcp_stream stream(m_ioContext);
-        stream.expires_at(Clock::now() + answerLimit);
-        co_await stream.async_connect(m_engine, use_awaitable);
-        http::request<http::empty_body> request(http::verb::get, "/load", httpVersion11);
-        request.keep_alive(false);
-        co_await http::async_write(stream, request, use_awaitable);
-        beast::flat_buffer buf;
-        http::response<http::string_body> response;
-        co_await http::async_read(stream, buf, response, use_awaitable);
-        learnSpeed(response.body());
+        learnSpeed(co_await fetchPage(m_ioContext, m_engine, "/load", Clock::now() + answerLimit));
         co_return State::Up;
     } catch (const boost::system::system_error& error) {
         co_return error.code() == beast::error::timeout ? State::Silent : State::Gone;
--- a/src/agent/map-planning.cc
+++ b/src/agent/map-planning.cc
@@ -1,12 +1,12 @@
 #include "src/agent/map-planning.h"
 
+#include "src/agent/fetch-page.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -14,8 +14,6 @@
 namespace swiftloft::agent {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
 using asio::use_awaitable;
 
 namespace {
@@ -28,7 +26,6 @@
 constexpr int slowOverFast = 8;
 /// Decisions made at once; each leaves what its bound of predictions did not reach to the next.
 constexpr int mostDecisions = 40;
-constexpr unsigned httpVersion11 = 11;
 
 std::uint32_t minuteOfDay(std::chrono::minutes utcOffset)
 {
@@ -122,16 +119,8 @@
 asio::awaitable<std::vector<double>> MapPlanning::readTokens()
 {
     try {
-        beast::tcp_stream stream(m_ioContext);
-        stream.expires_at(Clock::now() + answerLimit);
-        co_await stream.async_connect(m_engine, use_awaitable);
-        http::request<http::empty_body> request(http::verb::get, "/map/load", httpVersion11);
-        request.keep_alive(false);
-        co_await http::async_write(stream, request, use_awaitable);
-        beast::flat_buffer buf;
-        http::response<http::string_body> response;
-        co_await http::async_read(stream, buf, response, use_awaitable);
-        co_return boost::json::value_to<std::vector<double>>(boost::json::parse(response.body()).at("tokens"));
+        auto body = co_await fetchPage(m_ioContext, m_engine, "/map/load", Clock::now() + answerLimit);
+        co_return boost::json::value_to<std::vector<double>>(boost::json::parse(body).at("tokens"));
     } catch (const std::exception&) {
         co_return std::vector<double> {};
     }
--- a/src/agent/run.cc
+++ b/src/agent/run.cc
@@ -7,8 +7,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include <xxhash.h>
-
 #include <algorithm>
 
 namespace swiftloft::agent {
@@ -67,21 +65,6 @@
 
 } // namespace
 
-class Run::Digest {
-public:
-    Digest()
-        : m_state(XXH3_createState(), &XXH3_freeState)
-    {
-        XXH3_64bits_reset(m_state.get());
-    }
-
-    void add(std::string_view bytes) { XXH3_64bits_update(m_state.get(), bytes.data(), bytes.size()); }
-    std::uint64_t value() const { return XXH3_64bits_digest(m_state.get()); }
-
-private:
-    std::unique_ptr<XXH3_state_t, XXH_errorcode (*)(XXH3_state_t*)> m_state;
-};
-
 Run::Run(asio::io_context& ioContext, EngineClient& engine, EngineRequest request, TimePoint deadline, std::size_t bufferBytes)
     : m_ioContext(ioContext)
     , m_engine(engine)
@@ -89,7 +72,6 @@
     , m_deadline(deadline)
     , m_bufferBytes(bufferBytes)
     , m_buffer(bufferBytes)
-    , m_digest(std::make_unique<Digest>())
     , m_room(ioContext)
 {
 }
@@ -154,7 +136,7 @@
         if (ec && ec != http::error::need_buffer)
             throw boost::system::system_error(ec);
         std::string_view bytes(chunk.data(), chunk.size() - parser.get().body().size);
-        m_digest->add(bytes);
+        m_digest.add({ reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size() });
         m_buffer.append(bytes);
         wakeSubscribers();
     }
@@ -261,7 +243,7 @@
     if (isLast) {
         auto end = frame.initEnd();
         end.setLength(m_buffer.end());
-        end.setDigest(m_digest->value());
+        end.setDigest(m_digest.value());
     }
     subscriber.offset += bytes.size();
     m_served = subscriber.offset;
--- a/src/agent/run.h
+++ b/src/agent/run.h
@@ -3,6 +3,7 @@
 #include "src/agent/engine-client.h"
 #include "src/agent/events.h"
 #include "src/agent/replay-buffer.h"
+#include "src/rpc/body-digest.h"
 
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -63,7 +64,6 @@
         std::uint64_t offset;
         bool needsHead;
     };
-    class Digest;
 
     boost::asio::awaitable<RunEnd> execute();
     boost::asio::awaitable<void> readBody(boost::beast::tcp_stream& stream);
@@ -89,7 +89,7 @@
 
     std::optional<boost::beast::http::response_header<>> m_head;
     ReplayBuffer m_buffer;
-    std::unique_ptr<Digest> m_digest;
+    rpc::BodyDigest m_digest;
     std::optional<RunEnd> m_end;
     policy::CrashId m_crash;
 
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -2,8 +2,6 @@
 
 #include "src/rpc/convert.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 
 namespace swiftloft::entry {
@@ -97,21 +95,6 @@
 
 } // namespace
 
-class Attempt::Digest {
-public:
-    Digest()
-        : m_state(XXH3_createState(), &XXH3_freeState)
-    {
-        XXH3_64bits_reset(m_state.get());
-    }
-
-    void add(kj::ArrayPtr<const kj::byte> bytes) { XXH3_64bits_update(m_state.get(), bytes.begin(), bytes.size()); }
-    std::uint64_t value() const { return XXH3_64bits_digest(m_state.get()); }
-
-private:
-    std::unique_ptr<XXH3_state_t, XXH_errorcode (*)(XXH3_state_t*)> m_state;
-};
-
 /// Takes frames of one issue. Outlived by the attempt or not: a connection that was given up may hold it for long.
 class Attempt::Sink final : public rpc::schema::FrameSink::Server {
 public:
@@ -140,7 +123,6 @@
     : m_order(std::move(order))
     , m_exchange(std::move(exchange))
     , m_hooks(std::move(hooks))
-    , m_digest(std::make_unique<Digest>())
 {
     m_exchange->dropHeldHead();
 }
@@ -204,7 +186,7 @@
     if (m_received == 0)
         m_hooks.onOutputBegan();
     m_received += fresh.size();
-    m_digest->add(fresh);
+    m_digest.add({ fresh.begin(), fresh.size() });
     return m_exchange->push(AnswerData { std::string(reinterpret_cast<const char*>(fresh.begin()), fresh.size()) });
 }
 
@@ -212,7 +194,7 @@
 {
     if (m_hasEnded)
         return kj::READY_NOW;
-    if (length != m_received || digest != m_digest->value()) {
+    if (length != m_received || digest != m_digest.value()) {
         end(AttemptEnd::Damaged, Verdict::Ran, AttemptReason::Other);
         return kj::READY_NOW;
     }
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -3,6 +3,7 @@
 #include "src/entry/events.h"
 #include "src/entry/exchange.h"
 #include "src/rpc/agent.capnp.h"
+#include "src/rpc/body-digest.h"
 
 #include <functional>
 #include <memory>
@@ -38,7 +39,6 @@
 
 private:
     class Sink;
-    class Digest;
 
     kj::Promise<void> onFrame(rpc::schema::Frame::Reader frame);
     void takeHead(rpc::schema::ResponseHead::Reader head);
@@ -51,7 +51,7 @@
     Hooks m_hooks;
     kj::Promise<void> m_call { nullptr };
     unsigned m_issue { 0 };
-    std::unique_ptr<Digest> m_digest;
+    rpc::BodyDigest m_digest;
     std::uint64_t m_received { 0 };
     bool m_hasHead { false };
     bool m_isWhole { false };
