--- a/test/entry-reducer_test.cc
+++ b/test/entry-reducer_test.cc
@@ -207,6 +207,19 @@
     CHECK(entry.end(order, AttemptEnd::Answered, Verdict::Ran).empty());
 }
 
+// A server refuses a request, and it goes to another. Word of the first attempt comes once more, doubled. Taken for the end
+// of the second, it would answer a request that is still running.
+TEST_CASE("Entry: the doubled end of an earlier attempt does not end the next one")
+{
+    Entry entry;
+    auto first = started(entry.arrive(1, "plain"));
+    auto second = started(entry.end(first, AttemptEnd::Refused, Verdict::NotRun, AttemptReason::Leaving));
+    CHECK(entry.end(first, AttemptEnd::Lost, Verdict::MayHaveRun).empty());
+    auto answered = entry.end(second, AttemptEnd::Answered, Verdict::Ran);
+    REQUIRE(all<RecordAnswer>(answered).size() == 1);
+    CHECK(all<RecordAnswer>(answered)[0].verdict == Verdict::Ran);
+}
+
 // A request crashes the engine that runs it. It is tried once more, alone, and crashes that one too; then it is refused,
 // also when its caller sends it again under another key.
 TEST_CASE("Entry: a request that crashed two servers is refused at once")
