Drop a hook, an accessor and an include that nothing uses

Found on reading the whole change again: the ready hook and the node accessor of FleetControl have no caller, and the entry's reducer hashes nothing since claims took the place of homes.

--- a/src/daemon/fleet-control.cc
+++ b/src/daemon/fleet-control.cc
@@ -54,7 +54,6 @@
     hooks.onSettingsRefused = [this](Revision revision, const std::string& problem) { m_refused = RefusedRevision { revision, problem }; };
     hooks.onViewChanged = m_hooks.onViewChanged;
     hooks.onLeaving = m_hooks.onLeaving;
-    hooks.onReady = m_hooks.onReady;
     hooks.onNote = m_hooks.onNote;
     return hooks;
 }
--- a/src/daemon/fleet-control.h
+++ b/src/daemon/fleet-control.h
@@ -30,7 +30,6 @@
         std::function<void(const std::shared_ptr<const membership::View>&)> onViewChanged;
         /// The published list or a peer says that this process is leaving.
         std::function<void()> onLeaving;
-        std::function<void()> onReady;
         /// Bytes that another process of the fleet sent with `sendNote`.
         std::function<void(std::string_view)> onNote;
     };
@@ -44,7 +43,6 @@
     void sendNote(const std::string& to, std::string note) { m_node->sendNote(membership::NodeId(to), std::move(note)); }
 
     std::shared_ptr<const membership::View> view() const { return m_node->view(); }
-    const spread::ControlNode& node() const { return *m_node; }
     /// The newest revision that was refused and has not been followed by a good one.
     const std::optional<RefusedRevision>& refused() const { return m_refused; }
 
--- a/src/entry/reducer.cc
+++ b/src/entry/reducer.cc
@@ -3,7 +3,6 @@
 #include <swiftloft/membership/address-answer.h>
 
 #include <fmt/format.h>
-#include <xxhash.h>
 
 #include <algorithm>
 
