--- a/include/swiftloft/expertmap/expert-map.h
+++ b/include/swiftloft/expertmap/expert-map.h
@@ -50,6 +50,14 @@
     std::vector<ExpertIndex> m_slots;
 };
 
+/// A map with the name under which its group runs it: its digest, or a number where engines ask for rising ones.
+struct VersionedMap {
+    MapVersion version;
+    ExpertMap map;
+
+    friend bool operator==(const VersionedMap&, const VersionedMap&) = default;
+};
+
 /// Counts the experts that ranks must load to go from one map to the other: those that a rank holds in `to` and not in
 /// `from`. The maps have one shape.
 std::uint64_t expertsMoved(const ExpertMap& from, const ExpertMap& to);
--- a/include/swiftloft/expertmap/protocol.h
+++ b/include/swiftloft/expertmap/protocol.h
@@ -134,6 +134,19 @@
     std::optional<EngineStatus> status;
 };
 
+/// What the engine of a rank counted and holds, for the planner at rank 0.
+struct RankLoads {
+    RankIndex rank;
+    /// Counts begin anew with each life of the engine.
+    Incarnation engine;
+    /// Map that the rank runs.
+    MapVersion map;
+    /// Its experts by layer and slot; `noExpert` for an empty slot.
+    std::vector<ExpertIndex> held;
+    /// How often its requests chose each expert, by layer and expert, since the life began.
+    std::vector<std::uint64_t> tokens;
+};
+
 /// Rank agent to whoever is at the address of rank 0: "I have just started", or "my engine waits; what holds?".
 struct RankHello {
     RankIndex rank;
--- /dev/null
+++ b/include/swiftloft/expertmap/replica-planner.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <swiftloft/expertmap/expert-map.h>
+#include <swiftloft/expertmap/planner.h>
+#include <swiftloft/result.h>
+#include <swiftloft/units.h>
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace swiftloft::expertmap {
+
+/// Plans maps for engines that split an expert's tokens evenly among its replicas, where demand shifts within seconds.
+///
+/// `Planner` is for demand that drifts over minutes and for engines that split tokens as told. This one reacts to one
+/// shift at a time: it keeps a short memory, and takes from the rank with the most tokens what gains most for one copy,
+/// by a replica in a spare slot, a replica in the place of one that is no longer needed, or a swap. Pure: the time comes
+/// with each call.
+class ReplicaPlanner {
+public:
+    struct Options {
+        /// Memory of the token counts. Long against the time between reports, short against the time between shifts.
+        milliseconds halfLife { 500 };
+        /// Tokens a layer must have seen within the memory before anything is planned.
+        double minTokens { 2000 };
+        /// Most experts of one layer that a rank takes in with one change.
+        std::uint32_t newPerRankAndLayer { 4 };
+        /// Most experts that a rank takes in with one change, over all layers: copying time, as ranks copy side by side.
+        std::uint32_t newPerRank { 4 };
+        /// A layer whose most loaded rank has at most so many times the mean is left alone.
+        double evenEnough { 1.08 };
+        /// Least part of the step time that a copy must save.
+        double minGainPerCopy { 0.002 };
+        /// Least part of the step time that a change must save in all.
+        double minGain { 0.04 };
+    };
+
+    /// Fails with `InvalidArgument` when a bound or time is not positive.
+    static Result<ReplicaPlanner> create(const MapShape& shape, const Options& options);
+
+    /// Takes tokens by layer and expert counted since the last report.
+    std::optional<Error> observe(TimePoint now, std::span<const double> tokens);
+    /// The next map, from `current`. No map when nothing is worth a change.
+    Plan plan(const ExpertMap& current) const;
+    /// Tokens of the most loaded rank over the mean, averaged over the layers; 1 is even. 0 while nothing is known.
+    double imbalance(const ExpertMap& map) const;
+    bool isKnown() const;
+
+private:
+    ReplicaPlanner(const MapShape& shape, const Options& options);
+
+    std::span<const double> layerTokens(std::uint32_t layer) const;
+
+    MapShape m_shape;
+    Options m_options;
+    /// Decayed token counts by layer and expert.
+    std::vector<double> m_tokens;
+    TimePoint m_observedAt;
+};
+
+} // namespace swiftloft::expertmap
--- a/src/agent/group-transport.cc
+++ b/src/agent/group-transport.cc
@@ -24,7 +24,8 @@
     void operator()(const expertmap::RankReport& it) { wire::build(out.initReport(), it); }
     void operator()(const expertmap::RankHello& it) { wire::build(out.initHello(), it); }
     void operator()(const MapWantedFrom& it) { out.setMapWanted(it.version.value()); }
-    void operator()(const expertmap::ExpertMap& it) { wire::build(out.initMap(), it); }
+    void operator()(const expertmap::VersionedMap& it) { wire::build(out.initMap(), it); }
+    void operator()(const expertmap::RankLoads& it) { wire::build(out.initLoads(), it); }
 };
 
 template <typename T>
@@ -48,6 +49,8 @@
         return MapWantedFrom { MapVersion(in.getMapWanted()) };
     case schema::GroupMessage::MAP:
         return messageFrom(wire::parse(in.getMap()));
+    case schema::GroupMessage::LOADS:
+        return messageFrom(wire::parse(in.getLoads()));
     }
     return std::nullopt;
 }
--- a/src/agent/group-transport.h
+++ b/src/agent/group-transport.h
@@ -22,7 +22,7 @@
 };
 
 /// What the agents of a rank group tell each other.
-using GroupMessage = std::variant<expertmap::RankOrder, expertmap::RankReport, expertmap::RankHello, MapWantedFrom, expertmap::ExpertMap>;
+using GroupMessage = std::variant<expertmap::RankOrder, expertmap::RankReport, expertmap::RankHello, MapWantedFrom, expertmap::VersionedMap, expertmap::RankLoads>;
 
 /// Cap'n Proto datagrams between the agents of a rank group. Belongs to the control thread.
 ///
--- /dev/null
+++ b/src/agent/load-planning.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <swiftloft/expertmap/protocol.h>
+#include <swiftloft/expertmap/replica-planner.h>
+
+#include <optional>
+#include <vector>
+
+namespace swiftloft::agent {
+
+/// Gathers what the ranks of a group counted and plans its next map. Pure: the time comes with each call.
+class LoadPlanning {
+public:
+    LoadPlanning(const expertmap::MapShape& shape, expertmap::ReplicaPlanner planner);
+
+    void onLoads(const expertmap::RankLoads& loads);
+    /// Hands what was counted since the last call to the planner.
+    void observe(TimePoint now);
+    /// The map that all ranks run; nothing while that is not known of each, or while they differ.
+    std::optional<expertmap::VersionedMap> current() const;
+    const expertmap::ReplicaPlanner& planner() const { return m_planner; }
+
+private:
+    expertmap::MapShape m_shape;
+    expertmap::ReplicaPlanner m_planner;
+    std::vector<std::optional<expertmap::RankLoads>> m_loads;
+    /// Tokens by layer and expert since the last call of `observe`.
+    std::vector<double> m_pending;
+};
+
+} // namespace swiftloft::agent
--- a/src/agent/map-status.cc
+++ b/src/agent/map-status.cc
@@ -1,4 +1,4 @@
-#include "src/agent/map-part.h"
+#include "src/agent/map-control.h"
 
 #include <boost/json.hpp>
 
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// Three of the coordinator's reads of an idle group.
-constexpr milliseconds silentAfter { 3000 };
-
 json::value pointJson(const std::optional<SwitchPoint>& point)
 {
     if (!point)
@@ -34,44 +31,36 @@
     };
 }
 
-} // namespace
-
-std::vector<std::uint32_t> MapControl::Part::silentRanks(TimePoint now) const
-{
-    auto ranks = coordinator->silentRanks(now - silentAfter);
-    std::vector<std::uint32_t> values;
-    values.reserve(ranks.size());
-    for (auto rank : ranks)
-        values.push_back(rank.value());
-    return values;
-}
-
-json::object MapControl::coordinatorJson() const
+json::object coordinatorJson(const GroupMember& member)
 {
-    auto& coordinator = *m_part->coordinator;
+    auto& coordinator = *member.coordinator();
     auto now = Clock::now();
     json::object out {
         { "phase", toString(coordinator.phase()) },
         { "fence", coordinator.fence().counter },
         { "wanted", nullptr },
         { "pending", pointJson(coordinator.pending()) },
-        { "silent_ranks", json::value_from(m_part->silentRanks(now)) },
+        { "silent_ranks", json::value_from(member.silentRanks(now)) },
         { "held_step", nullptr },
     };
     if (coordinator.wanted())
         out["wanted"] = coordinator.wanted()->value();
-    if (m_part->isHeld(now))
-        out["held_step"] = m_part->stepSeen.value();
+    if (auto step = member.heldStep(now))
+        out["held_step"] = step->value();
     return out;
 }
 
+} // namespace
+
 std::string MapControl::toJson() const
 {
-    if (!m_part)
+    if (!m_member)
         return json::serialize(json::object { { "group", nullptr }, { "problem", m_problem } });
-    json::object out { { "group", m_part->group.value() }, { "rank", m_part->rank.value() }, { "ranks", m_part->shape.ranks }, { "is_waiting", m_part->agent.isWaiting() }, { "problem", m_problem } };
-    out["engine"] = m_part->agent.status() ? json::value(statusJson(*m_part->agent.status())) : json::value(nullptr);
-    out["coordinator"] = m_part->coordinator ? json::value(coordinatorJson()) : json::value(nullptr);
+    auto& options = m_member->options();
+    auto& agent = m_member->agent();
+    json::object out { { "group", options.group.value() }, { "rank", options.rank.value() }, { "ranks", options.shape.ranks }, { "is_waiting", agent.isWaiting() }, { "problem", m_problem } };
+    out["engine"] = agent.status() ? json::value(statusJson(*agent.status())) : json::value(nullptr);
+    out["coordinator"] = m_member->coordinator() ? json::value(coordinatorJson(*m_member)) : json::value(nullptr);
     return json::serialize(out);
 }
 
--- a/src/agent/map-store.h
+++ b/src/agent/map-store.h
@@ -9,11 +9,11 @@
 /// The contents of the newest few maps that an agent has made or been sent, by version.
 class MapStore {
 public:
-    void add(const expertmap::ExpertMap& map)
+    void add(const expertmap::VersionedMap& named)
     {
-        if (find(map.version()))
+        if (find(named.version))
             return;
-        m_maps.push_front(map);
+        m_maps.push_front(named);
         if (m_maps.size() > mostMaps)
             m_maps.pop_back();
     }
@@ -21,9 +21,9 @@
     /// Null when the map is not held.
     const expertmap::ExpertMap* find(MapVersion version) const
     {
-        for (auto& map : m_maps) {
-            if (map.version() == version)
-                return &map;
+        for (auto& named : m_maps) {
+            if (named.version == version)
+                return &named.map;
         }
         return nullptr;
     }
@@ -32,7 +32,7 @@
     /// A change is between two maps; a few more spare a fetch after a change that was put off.
     static constexpr std::size_t mostMaps = 8;
 
-    std::deque<expertmap::ExpertMap> m_maps;
+    std::deque<expertmap::VersionedMap> m_maps;
 };
 
 } // namespace swiftloft::agent
--- /dev/null
+++ b/src/agent/rank-daemon.cc
@@ -0,0 +1,326 @@
+#include "src/agent/rank-daemon.h"
+
+#include "src/log/logger.h"
+#include "src/process/signals.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <fmt/format.h>
+
+#include <random>
+
+namespace swiftloft::agent {
+
+namespace asio = boost::asio;
+using namespace expertmap;
+using gateway::GroupBrief;
+using gateway::RankNews;
+
+namespace {
+
+/// The engine is read this often. Demand shifts within seconds, so a tenth of a second of delay costs little, and reading
+/// one's own engine is cheap.
+constexpr milliseconds lookEvery { 100 };
+constexpr milliseconds answerWithin { 60 };
+/// Entries are told of the engine this often.
+constexpr milliseconds tellEntriesEvery { 500 };
+/// An entry that has sent no brief for this long is not told any more.
+constexpr milliseconds entryFor { 5000 };
+/// A map that is not in force after this long is given up: a rank can't load it, or the group stands.
+constexpr milliseconds wishFor { 4000 };
+/// Pause between two changes, in which the counts come to show what the last one did.
+constexpr milliseconds planPause { 150 };
+/// A map's number is a count in the high bits and a random part below, so that coordinators that don't know of each other
+/// never give one number to two maps.
+constexpr unsigned versionRandomBits = 12;
+/// Steps between the newest known one and the switch: arming all ranks takes two exchanges, a tenth of a step or so.
+constexpr std::uint64_t leadSteps = 2;
+constexpr std::uint64_t maxLeadSteps = 64;
+
+Coordinator::Options coordinationOf(std::uint32_t ranks)
+{
+    Coordinator::Options options;
+    options.initial = MapVersion(0);
+    options.stagingRanks = ranks;
+    options.leadSteps = leadSteps;
+    options.maxLeadSteps = maxLeadSteps;
+    options.retryAfter = milliseconds(25);
+    options.idleReadAfter = milliseconds(1000);
+    options.stagePollAfter = milliseconds(30);
+    return options;
+}
+
+std::uint64_t firstFence()
+{
+    // The agent that ran here before counted from an earlier time.
+    auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
+}
+
+} // namespace
+
+RankDaemon::RankDaemon(asio::io_context& ioContext, const gateway::AgentSettings& settings, const EnginePort& port, Incarnation incarnation)
+    : m_ioContext(ioContext)
+    , m_settings(settings)
+    , m_port(port)
+    , m_incarnation(incarnation)
+    , m_timer(ioContext)
+    , m_generator(std::random_device {}())
+    , m_lastFence(firstFence())
+{
+    auto onNews = [this](const gateway::NewsSocket::UdpEndpoint& from, gateway::NewsMessage message) { this->onNews(from, std::move(message)); };
+    m_news = gateway::NewsSocket::create(ioContext, settings.news, onNews).value();
+    co_spawn(ioContext, poll(), asio::detached);
+}
+
+void RankDaemon::stop()
+{
+    m_isStopped = true;
+    m_timer.cancel();
+    endGroup();
+    m_news->stop();
+}
+
+void RankDaemon::onNews(const gateway::NewsSocket::UdpEndpoint& from, gateway::NewsMessage message)
+{
+    auto* brief = std::get_if<GroupBrief>(&message);
+    if (!brief || m_isStopped)
+        return;
+    m_entries[gateway::Endpoint(from.address(), from.port())] = Clock::now();
+    bool isOurs = m_view && brief->group == m_view->group && brief->epoch.value() == m_view->epoch;
+    if (!isOurs)
+        return;
+    // Briefs of several entries add up: each knows the ranks that told it of themselves.
+    if (!m_brief || m_brief->epoch != brief->epoch)
+        m_brief = *brief;
+    if (m_member) {
+        for (auto& rank : brief->ranks)
+            m_member->setAddress(rank.rank, { rank.address.address(), m_settings.group.port() });
+    }
+    beginIfKnown();
+}
+
+asio::awaitable<void> RankDaemon::poll()
+{
+    while (!m_isStopped) {
+        auto dueAt = Clock::now() + lookEvery;
+        try {
+            co_await look();
+        } catch (const std::exception&) {
+            // The engine is down, restarting or its group has ended: nothing is said of it until it answers again.
+            if (m_view)
+                log::write(log::Event::EngineSilent, "engine={}:{}", m_settings.engine.address().to_string(), m_settings.engine.port());
+            m_view.reset();
+            endGroup();
+        }
+        m_timer.expires_at(dueAt);
+        boost::system::error_code ec;
+        co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
+asio::awaitable<void> RankDaemon::look()
+{
+    auto view = co_await m_port.read(Clock::now() + answerWithin);
+    onView(view);
+    auto now = Clock::now();
+    tellEntries(now);
+    if (!m_member)
+        co_return;
+    if (!m_isOrderInProgress) {
+        auto engine = m_engine;
+        m_isOrderInProgress = true;
+        try {
+            co_await engine->mend(view);
+        } catch (const std::exception&) {
+            // Tried again at the next look.
+        }
+        m_isOrderInProgress = false;
+    }
+    co_await tellCounts();
+    planIfIdle(Clock::now());
+}
+
+void RankDaemon::onView(const EngineView& view)
+{
+    bool isSame = m_view && m_view->group == view.group && m_view->epoch == view.epoch && m_view->isOpen == view.isOpen;
+    m_view = view;
+    if (isSame)
+        return;
+    log::write(log::Event::GroupSeen, "group={} epoch={} rank={} ranks={} state={}", view.group.value(), view.epoch, view.rank.value(), view.ranks, view.isOpen ? "open" : "broken");
+    endGroup();
+    m_brief.reset();
+    m_tellEntriesAt = Clock::now();
+}
+
+MapShape RankDaemon::shapeOf(const GroupBrief& brief) const
+{
+    return { m_view->ranks, brief.traits.layers, brief.traits.experts, brief.traits.slotsPerRank };
+}
+
+void RankDaemon::beginIfKnown()
+{
+    if (m_member || !m_brief || !m_view || !m_view->isOpen || m_isStopped)
+        return;
+    GroupMember::Options options;
+    options.group = EngineGroupName(fmt::format("{}/{}", m_view->group.value(), m_view->epoch));
+    options.rank = m_view->rank;
+    options.shape = shapeOf(*m_brief);
+    options.incarnation = m_incarnation;
+    options.checksFences = true;
+    options.endpoint = { m_settings.group.address(), m_settings.group.port() };
+    options.coordination = coordinationOf(m_view->ranks);
+    GroupMember::Hooks hooks;
+    hooks.writeEngine = [this](const EngineOrder& order, const ExpertMap* map) {
+        co_spawn(m_ioContext, perform(order, map ? std::optional(*map) : std::nullopt), asio::detached);
+    };
+    hooks.onLoads = [this](const RankLoads& loads) {
+        if (m_planning)
+            m_planning->onLoads(loads);
+    };
+    hooks.onChanged = [this](const SwitchPoint&) {
+        m_wishUntil.reset();
+        m_planAgainAt = Clock::now() + planPause;
+    };
+    auto member = GroupMember::create(m_ioContext, options, std::move(hooks));
+    if (!member) {
+        log::write(log::Event::StartFailed, "problem=\"{}\"", member.error().message);
+        return;
+    }
+    m_lastFence += 1;
+    m_engine = std::make_shared<RankEngine>(m_port, m_view->epoch, m_lastFence);
+    m_member = std::move(*member);
+    for (auto& rank : m_brief->ranks)
+        m_member->setAddress(rank.rank, { rank.address.address(), m_settings.group.port() });
+    if (m_view->rank == RankIndex(0)) {
+        ReplicaPlanner::Options planning;
+        planning.newPerRankAndLayer = std::max(m_brief->traits.spareSlots, 1U);
+        m_planning.emplace(options.shape, ReplicaPlanner::create(options.shape, planning).value());
+    }
+    m_member->start();
+}
+
+void RankDaemon::endGroup()
+{
+    if (m_engine)
+        m_lastFence = m_engine->fence();
+    m_planning.reset();
+    m_wishUntil.reset();
+    m_engine.reset();
+    m_countsToldAt = StepNumber();
+    // Its callbacks may be on the stack: it goes when they have returned.
+    if (m_member) {
+        m_member->stop();
+        asio::post(m_ioContext, [member = std::shared_ptr<GroupMember>(std::move(m_member))] {});
+    }
+}
+
+asio::awaitable<void> RankDaemon::perform(EngineOrder order, std::optional<ExpertMap> map)
+{
+    auto engine = m_engine;
+    if (!engine)
+        co_return;
+    std::optional<EngineStatus> status;
+    while (m_isOrderInProgress) {
+        asio::steady_timer pause(m_ioContext, Clock::now() + milliseconds(1));
+        co_await pause.async_wait(asio::use_awaitable);
+    }
+    m_isOrderInProgress = true;
+    try {
+        status = co_await engine->perform(order.order, std::move(map));
+    } catch (const std::exception& error) {
+        log::write(log::Event::EngineOrderLost, "order={} problem=\"{}\"", nameOf(order.order), error.what());
+    }
+    m_isOrderInProgress = false;
+    if (engine != m_engine || !m_member)
+        co_return;
+    if (status)
+        m_member->onEngine(rank::EngineAnswered { order.id, *status, FencingNumber {} });
+    else
+        m_member->onEngine(rank::EngineLost {});
+}
+
+/// Counts are read at the own engine, where that is free, and sent to rank 0: read from afar they stop the group.
+asio::awaitable<void> RankDaemon::tellCounts()
+{
+    if (!m_member || !m_view || m_view->step == m_countsToldAt)
+        co_return;
+    m_countsToldAt = m_view->step;
+    auto counts = co_await m_port.readCounts(Clock::now() + answerWithin);
+    if (!m_member || !m_view)
+        co_return;
+    auto& shape = m_member->options().shape;
+    RankLoads loads { m_view->rank, RankEngine::lifeOf(*m_view), counts.map, {}, std::move(counts.tokens) };
+    loads.held.assign(static_cast<std::size_t>(shape.layers) * shape.slotsPerRank, noExpert);
+    for (std::size_t layer = 0; layer < counts.experts.size() && layer < shape.layers; ++layer) {
+        auto& experts = counts.experts[layer];
+        auto n = std::min<std::size_t>(experts.size(), shape.slotsPerRank);
+        std::copy(experts.begin(), experts.begin() + static_cast<std::ptrdiff_t>(n), loads.held.begin() + static_cast<std::ptrdiff_t>(layer * shape.slotsPerRank));
+    }
+    m_member->sendLoads(loads);
+}
+
+void RankDaemon::tellEntries(TimePoint now)
+{
+    if (!m_view || now < m_tellEntriesAt)
+        return;
+    m_tellEntriesAt = now + tellEntriesEvery;
+    RankNews news { m_settings.engine, m_view->group, gateway::GroupEpoch(m_view->epoch), m_view->rank, m_view->ranks, m_view->isOpen, m_view->pace };
+    std::erase_if(m_entries, [&](auto& it) { return it.second + entryFor < now; });
+    auto bytes = encode(gateway::NewsMessage(news));
+    for (auto& [address, heardAt] : m_entries)
+        m_news->sendEncoded(address, bytes);
+}
+
+void RankDaemon::planIfIdle(TimePoint now)
+{
+    if (!m_planning || !m_member || !m_member->coordinator())
+        return;
+    m_planning->observe(now);
+    if (m_wishUntil && now >= *m_wishUntil) {
+        log::write(log::Event::MapChangeGivenUp, "group={} phase={}", m_member->options().group.value(), toString(m_member->coordinator()->phase()));
+        m_wishUntil.reset();
+        m_member->withdraw();
+    }
+    bool isIdle = m_member->coordinator()->phase() == CoordinatorPhase::Idle;
+    if (!isIdle || m_wishUntil || now < m_planAgainAt)
+        return;
+    auto current = m_planning->current();
+    if (!current)
+        return;
+    auto plan = m_planning->planner().plan(current->map);
+    if (!plan.map)
+        return;
+    VersionedMap next { nextVersion(*current), *plan.map };
+    log::write(log::Event::MapChangeWanted, "group={} version={:016x} experts={} gain={:.3f} imbalance={:.2f} planned={:.2f}", m_member->options().group.value(),
+        next.version.value(), plan.moves.size(), plan.gain, m_planning->planner().imbalance(current->map), m_planning->planner().imbalance(next.map));
+    m_wishUntil = now + wishFor;
+    m_member->want(next);
+}
+
+MapVersion RankDaemon::nextVersion(const VersionedMap& current)
+{
+    auto highest = std::max(m_lastVersion, current.version.value());
+    if (m_view && m_view->prepared)
+        highest = std::max(highest, m_view->prepared->value());
+    boost::random::uniform_int_distribution<std::uint64_t> random(0, (1U << versionRandomBits) - 1);
+    m_lastVersion = (((highest >> versionRandomBits) + 1) << versionRandomBits) + random(m_generator);
+    return MapVersion(m_lastVersion);
+}
+
+void runRankAgent(const gateway::AgentSettings& settings, const EnginePortFactory& makePort, Incarnation incarnation)
+{
+    asio::io_context ioContext(1);
+    RankDaemon daemon(ioContext, settings, makePort(ioContext), incarnation);
+    process::StopSignals stop(ioContext, [&](int) {
+        log::write(log::Event::ProcessStopping, "");
+        daemon.stop();
+        ioContext.stop();
+    });
+    ioContext.run();
+}
+
+} // namespace swiftloft::agent
--- /dev/null
+++ b/src/agent/rank-daemon.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "src/agent/engine-port.h"
+#include "src/agent/group-member.h"
+#include "src/agent/load-planning.h"
+#include "src/agent/rank-engine.h"
+#include "src/gateway/news.h"
+#include "src/gateway/settings.h"
+
+#include <swiftloft/expertmap/replica-planner.h>
+#include <swiftloft/policy/random.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace swiftloft::agent {
+
+/// Makes the calls to the engine.
+using EnginePortFactory = std::function<EnginePort(boost::asio::io_context& ioContext)>;
+
+/// An agent in the slot of a rank: follows its engine, takes part in the group's changes of map and, at rank 0, plans
+/// them. Entries tell it who the other ranks are, and get told how the engine is. Belongs to the control thread.
+class RankDaemon {
+public:
+    RankDaemon(boost::asio::io_context& ioContext, const gateway::AgentSettings& settings, const EnginePort& port, Incarnation incarnation);
+
+    void stop();
+
+private:
+    boost::asio::awaitable<void> poll();
+    boost::asio::awaitable<void> look();
+    boost::asio::awaitable<void> perform(expertmap::EngineOrder order, std::optional<expertmap::ExpertMap> map);
+    void onNews(const gateway::NewsSocket::UdpEndpoint& from, gateway::NewsMessage message);
+    void onView(const EngineView& view);
+    void beginIfKnown();
+    void endGroup();
+    boost::asio::awaitable<void> tellCounts();
+    void tellEntries(TimePoint now);
+    void planIfIdle(TimePoint now);
+    MapVersion nextVersion(const expertmap::VersionedMap& current);
+    expertmap::MapShape shapeOf(const gateway::GroupBrief& brief) const;
+
+    boost::asio::io_context& m_ioContext;
+    const gateway::AgentSettings& m_settings;
+    EnginePort m_port;
+    Incarnation m_incarnation;
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<gateway::NewsSocket> m_news;
+    policy::Generator m_generator;
+    bool m_isStopped { false };
+
+    std::optional<EngineView> m_view;
+    std::optional<gateway::GroupBrief> m_brief;
+    /// Entries that sent a brief, and when.
+    std::map<gateway::Endpoint, TimePoint> m_entries;
+    TimePoint m_tellEntriesAt;
+    std::uint64_t m_lastFence { 0 };
+
+    // While the engine's group is open and its members are known.
+    std::unique_ptr<GroupMember> m_member;
+    std::shared_ptr<RankEngine> m_engine;
+    bool m_isOrderInProgress { false };
+    /// Step of the last counts told; they say nothing new before the next.
+    StepNumber m_countsToldAt;
+    std::optional<LoadPlanning> m_planning;
+    /// At rank 0: until when a wanted map must be in force, else it is given up.
+    std::optional<TimePoint> m_wishUntil;
+    std::uint64_t m_lastVersion { 0 };
+    TimePoint m_planAgainAt;
+};
+
+/// Runs an agent until it is told to stop. Throws `Exception` when an address can't be bound.
+void runRankAgent(const gateway::AgentSettings& settings, const EnginePortFactory& makePort, Incarnation incarnation);
+
+} // namespace swiftloft::agent
--- /dev/null
+++ b/src/agent/rank-engine.cc
@@ -0,0 +1,150 @@
+#include "src/agent/rank-engine.h"
+
+#include <swiftloft/result.h>
+
+#include <xxhash.h>
+
+namespace swiftloft::agent {
+
+namespace asio = boost::asio;
+using namespace expertmap;
+
+namespace {
+
+/// The engine is on the same instance: an answer takes about a millisecond, also from a busy one.
+constexpr milliseconds answerWithin { 40 };
+/// Weights that are not loaded after this long are asked for again: the command was lost, or gave way to another.
+constexpr milliseconds prepareAgainAfter { 2500 };
+/// Commands of an earlier agent of this slot can have fences at most so much higher, when the time of day was set back
+/// between the two.
+constexpr std::uint64_t fenceJump = 10'000'000;
+
+} // namespace
+
+RankEngine::RankEngine(const EnginePort& port, std::uint64_t epoch, std::uint64_t firstFence)
+    : m_port(port)
+    , m_epoch(epoch)
+    , m_fence(firstFence)
+{
+}
+
+Incarnation RankEngine::lifeOf(const EngineView& view)
+{
+    auto& group = view.group.value();
+    auto life = XXH3_64bits_withSeed(group.data(), group.size(), view.epoch);
+    return Incarnation(life == 0 ? 1 : life);
+}
+
+asio::awaitable<EngineView> RankEngine::read()
+{
+    auto view = co_await m_port.read(Clock::now() + answerWithin);
+    if (!view.isOpen || view.epoch != m_epoch)
+        throw Exception({ ErrorCode::Stale, "the group of the engine has ended" });
+    co_return view;
+}
+
+EngineStatus RankEngine::statusOf(const EngineView& view) const
+{
+    EngineStatus status;
+    status.engine = lifeOf(view);
+    status.isAdmitted = true;
+    status.current = view.map;
+    status.entered = view.step;
+    status.armed = view.armed;
+    status.isReleased = view.armed && view.heldAt != view.armed->step && m_released == view.armed;
+    status.staged.push_back(view.map);
+    if (view.prepared && *view.prepared != view.map)
+        status.staged.push_back(*view.prepared);
+    return status;
+}
+
+asio::awaitable<bool> RankEngine::command(EngineCommand::Kind kind, MapVersion version, StepNumber step, const ExpertMap* map)
+{
+    EngineCommand command { kind, m_epoch, ++m_fence, version, step, map };
+    auto end = co_await m_port.command(command, Clock::now() + answerWithin);
+    if (end == CommandEnd::Fenced)
+        m_fence += fenceJump;
+    co_return end == CommandEnd::Done;
+}
+
+asio::awaitable<EngineStatus> RankEngine::perform(Order order, std::optional<ExpertMap> map)
+{
+    if (auto* stage = std::get_if<StageMap>(&order); stage && map)
+        co_await prepare(stage->version, *map);
+    else if (auto* armed = std::get_if<Arm>(&order))
+        co_await arm(armed->point);
+    else if (auto* released = std::get_if<Go>(&order))
+        co_await go(released->point);
+    else if (auto* cancelled = std::get_if<Cancel>(&order))
+        co_await cancel(cancelled->point);
+    // Others are reads here: engines are admitted when their group opens, and drop a loaded map for the next one.
+    auto view = co_await read();
+    co_return statusOf(view);
+}
+
+asio::awaitable<void> RankEngine::prepare(MapVersion version, const ExpertMap& map)
+{
+    auto view = co_await read();
+    auto now = Clock::now();
+    bool isUnderWay = m_preparing == version && now < m_prepareAgainAt;
+    if (view.map == version || view.prepared == version || view.armed || isUnderWay)
+        co_return;
+    if (co_await command(EngineCommand::Kind::Prepare, version, StepNumber(0), &map)) {
+        m_preparing = version;
+        m_prepareAgainAt = now + prepareAgainAfter;
+    }
+}
+
+asio::awaitable<void> RankEngine::arm(SwitchPoint point)
+{
+    auto view = co_await read();
+    bool isFit = view.prepared == point.version && view.step < point.step && (!view.armed || view.armed == point);
+    if (!isFit)
+        co_return;
+    // Failure: a rank that is armed and not held would switch on its own before the others are armed. The hold comes
+    // first, and is confirmed.
+    if (view.heldAt != point.step && !co_await command(EngineCommand::Kind::Hold, point.version, point.step))
+        co_return;
+    if (!view.armed)
+        co_await command(EngineCommand::Kind::Arm, point.version, point.step);
+}
+
+asio::awaitable<void> RankEngine::go(SwitchPoint point)
+{
+    auto view = co_await read();
+    if (view.armed != point)
+        co_return;
+    m_released = point;
+    if (view.heldAt == point.step)
+        co_await command(EngineCommand::Kind::Release, point.version, point.step);
+}
+
+asio::awaitable<void> RankEngine::cancel(SwitchPoint point)
+{
+    auto view = co_await read();
+    bool isReleased = m_released == point && view.heldAt != point.step;
+    if (view.armed != point || isReleased)
+        co_return;
+    // Failure: released first, the rank would enter the step with the new map.
+    if (co_await command(EngineCommand::Kind::Disarm, point.version, point.step))
+        co_await command(EngineCommand::Kind::Release, point.version, point.step);
+}
+
+asio::awaitable<void> RankEngine::mend(EngineView view)
+{
+    if (!view.isOpen || view.epoch != m_epoch)
+        co_return;
+    // Failure: the answer to a hold was lost and the hold came seconds later, or the agent died between the hold and the
+    // switch. The group would stand at that step for good. A rank that is not armed has nothing to wait for.
+    if (view.heldAt && !view.armed) {
+        co_await command(EngineCommand::Kind::Release, view.map, *view.heldAt);
+        co_return;
+    }
+    // Failure: this agent has just started and finds a switch without a hold. Its predecessor may have released it, or a
+    // late copy of its command may have armed the rank alone. Held again, the rank waits for the coordinator's word.
+    bool isUnheld = view.armed && view.heldAt != view.armed->step && m_released != view.armed;
+    if (isUnheld)
+        co_await command(EngineCommand::Kind::Hold, view.armed->version, view.armed->step);
+}
+
+} // namespace swiftloft::agent
--- /dev/null
+++ b/src/agent/rank-engine.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "src/agent/engine-port.h"
+
+#include <swiftloft/expertmap/rank-agent.h>
+
+#include <functional>
+#include <optional>
+
+namespace swiftloft::agent {
+
+/// Carries out a rank agent's orders on an engine whose commands are plainer than the orders: it holds the whole group
+/// from one rank, and does not refuse by state what comes late. Belongs to the control thread.
+///
+/// An armed rank is one that is armed and holds its step; so the group begins that step only when every rank that is
+/// armed has been released, which is what the protocol asks of engines. Commands go one at a time, each with a higher
+/// fence than the one before: once a command is answered, no copy of an earlier one can be carried out any more.
+class RankEngine {
+public:
+    RankEngine(const EnginePort& port, std::uint64_t epoch, std::uint64_t firstFence);
+
+    /// Carries `order` out and returns the engine's state afterwards. Throws when the engine does not answer.
+    boost::asio::awaitable<expertmap::EngineStatus> perform(expertmap::Order order, std::optional<expertmap::ExpertMap> map);
+    /// Mends what a lost answer or an agent that died left behind: a hold without a switch, a switch without a hold.
+    /// Call it while no order is in progress.
+    boost::asio::awaitable<void> mend(EngineView view);
+
+    /// Fence of the last command.
+    std::uint64_t fence() const { return m_fence; }
+
+    static Incarnation lifeOf(const EngineView& view);
+
+private:
+    boost::asio::awaitable<EngineView> read();
+    boost::asio::awaitable<bool> command(EngineCommand::Kind kind, MapVersion version, StepNumber step, const expertmap::ExpertMap* map = nullptr);
+    boost::asio::awaitable<void> prepare(MapVersion version, const expertmap::ExpertMap& map);
+    boost::asio::awaitable<void> arm(expertmap::SwitchPoint point);
+    boost::asio::awaitable<void> go(expertmap::SwitchPoint point);
+    boost::asio::awaitable<void> cancel(expertmap::SwitchPoint point);
+    expertmap::EngineStatus statusOf(const EngineView& view) const;
+
+    const EnginePort& m_port;
+    std::uint64_t m_epoch;
+    std::uint64_t m_fence;
+    /// Map whose weights are being loaded, and until when that is not asked for again.
+    std::optional<MapVersion> m_preparing;
+    TimePoint m_prepareAgainAt;
+    /// Switch that this agent has released the rank for.
+    std::optional<expertmap::SwitchPoint> m_released;
+};
+
+} // namespace swiftloft::agent
--- a/src/expertmap/expert-map.capnp
+++ b/src/expertmap/expert-map.capnp
@@ -66,6 +66,16 @@
   experts @2 :UInt32;
   slotsPerRank @3 :UInt32;
   slots @4 :List(UInt16);          # by layer, rank and slot; 0xffff is an empty slot
+  version @5 :UInt64;              # the name under which the group runs it
+}
+
+# What a rank counted and holds, for the planner at rank 0.
+struct RankLoads {
+  rank @0 :UInt32;
+  engine @1 :UInt64;               # life of the engine; counts begin anew with each
+  map @2 :UInt64;                  # version that the rank runs
+  held @3 :List(UInt16);           # its experts by layer and slot; 0xffff is an empty slot
+  tokens @4 :List(UInt64);         # by layer and expert, since the life began
 }
 
 # One datagram between two agents of a rank group.
@@ -76,7 +86,8 @@
     report @2 :RankReport;
     hello @3 :RankHello;
     mapWanted @4 :UInt64;          # asks for the content of a map, by version
-    map @5 :ExpertMap;             # the answer; its version is its digest
+    map @5 :ExpertMap;             # the answer, or a map that will be ordered soon
+    loads @6 :RankLoads;
   }
 }
 
--- a/src/expertmap/expert-map.capnp.h
+++ b/src/expertmap/expert-map.capnp.h
@@ -28,6 +28,7 @@
 CAPNP_DECLARE_SCHEMA(9f22ac8d76a5b791);
 CAPNP_DECLARE_SCHEMA(e901b061a173d1c7);
 CAPNP_DECLARE_SCHEMA(bf5ab155a5cc57d5);
+CAPNP_DECLARE_SCHEMA(e74caab2000cb1c8);
 CAPNP_DECLARE_SCHEMA(ec56ac79917f511a);
 CAPNP_DECLARE_SCHEMA(e913f15fa41daf4f);
 CAPNP_DECLARE_SCHEMA(f4d4a06fe9e8fc09);
@@ -185,7 +186,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bf5ab155a5cc57d5, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(bf5ab155a5cc57d5, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RankLoads {
+  RankLoads() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e74caab2000cb1c8, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -204,6 +220,7 @@
     HELLO,
     MAP_WANTED,
     MAP,
+    LOADS,
   };
 
   struct _capnpPrivate {
@@ -1207,6 +1224,8 @@
   inline bool hasSlots() const;
   inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getSlots() const;
 
+  inline  ::uint64_t getVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1255,6 +1274,9 @@
   inline void adoptSlots(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownSlots();
 
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1281,6 +1303,114 @@
 };
 #endif  // !CAPNP_LITE
 
+class RankLoads::Reader {
+public:
+  typedef RankLoads Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getRank() const;
+
+  inline  ::uint64_t getEngine() const;
+
+  inline  ::uint64_t getMap() const;
+
+  inline bool hasHeld() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getHeld() const;
+
+  inline bool hasTokens() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getTokens() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RankLoads::Builder {
+public:
+  typedef RankLoads Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getRank();
+  inline void setRank( ::uint32_t value);
+
+  inline  ::uint64_t getEngine();
+  inline void setEngine( ::uint64_t value);
+
+  inline  ::uint64_t getMap();
+  inline void setMap( ::uint64_t value);
+
+  inline bool hasHeld();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getHeld();
+  inline void setHeld( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setHeld(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initHeld(unsigned int size);
+  inline void adoptHeld(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownHeld();
+
+  inline bool hasTokens();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getTokens();
+  inline void setTokens( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTokens(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initTokens(unsigned int size);
+  inline void adoptTokens(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTokens();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RankLoads::Pipeline {
+public:
+  typedef RankLoads Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class GroupMessage::Reader {
 public:
   typedef GroupMessage Reads;
@@ -1321,6 +1451,10 @@
   inline bool hasMap() const;
   inline  ::swiftloft::expertmap::schema::ExpertMap::Reader getMap() const;
 
+  inline bool isLoads() const;
+  inline bool hasLoads() const;
+  inline  ::swiftloft::expertmap::schema::RankLoads::Reader getLoads() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1393,6 +1527,14 @@
   inline void adoptMap(::capnp::Orphan< ::swiftloft::expertmap::schema::ExpertMap>&& value);
   inline ::capnp::Orphan< ::swiftloft::expertmap::schema::ExpertMap> disownMap();
 
+  inline bool isLoads();
+  inline bool hasLoads();
+  inline  ::swiftloft::expertmap::schema::RankLoads::Builder getLoads();
+  inline void setLoads( ::swiftloft::expertmap::schema::RankLoads::Reader value);
+  inline  ::swiftloft::expertmap::schema::RankLoads::Builder initLoads();
+  inline void adoptLoads(::capnp::Orphan< ::swiftloft::expertmap::schema::RankLoads>&& value);
+  inline ::capnp::Orphan< ::swiftloft::expertmap::schema::RankLoads> disownLoads();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3055,6 +3197,138 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ExpertMap::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ExpertMap::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ExpertMap::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RankLoads::Reader::getRank() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RankLoads::Builder::getRank() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RankLoads::Builder::setRank( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RankLoads::Reader::getEngine() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RankLoads::Builder::getEngine() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RankLoads::Builder::setEngine( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RankLoads::Reader::getMap() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RankLoads::Builder::getMap() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RankLoads::Builder::setMap( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RankLoads::Reader::hasHeld() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RankLoads::Builder::hasHeld() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader RankLoads::Reader::getHeld() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder RankLoads::Builder::getHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RankLoads::Builder::setHeld( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void RankLoads::Builder::setHeld(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder RankLoads::Builder::initHeld(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RankLoads::Builder::adoptHeld(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> RankLoads::Builder::disownHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RankLoads::Reader::hasTokens() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RankLoads::Builder::hasTokens() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader RankLoads::Reader::getTokens() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder RankLoads::Builder::getTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RankLoads::Builder::setTokens( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void RankLoads::Builder::setTokens(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder RankLoads::Builder::initTokens(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RankLoads::Builder::adoptTokens(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> RankLoads::Builder::disownTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::swiftloft::expertmap::schema::GroupMessage::Which GroupMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3340,6 +3614,60 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool GroupMessage::Reader::isLoads() const {
+  return which() == GroupMessage::LOADS;
+}
+inline bool GroupMessage::Builder::isLoads() {
+  return which() == GroupMessage::LOADS;
+}
+inline bool GroupMessage::Reader::hasLoads() const {
+  if (which() != GroupMessage::LOADS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GroupMessage::Builder::hasLoads() {
+  if (which() != GroupMessage::LOADS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::swiftloft::expertmap::schema::RankLoads::Reader GroupMessage::Reader::getLoads() const {
+  KJ_IREQUIRE((which() == GroupMessage::LOADS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankLoads>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::swiftloft::expertmap::schema::RankLoads::Builder GroupMessage::Builder::getLoads() {
+  KJ_IREQUIRE((which() == GroupMessage::LOADS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankLoads>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GroupMessage::Builder::setLoads( ::swiftloft::expertmap::schema::RankLoads::Reader value) {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::LOADS);
+  ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankLoads>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::swiftloft::expertmap::schema::RankLoads::Builder GroupMessage::Builder::initLoads() {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::LOADS);
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankLoads>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GroupMessage::Builder::adoptLoads(
+    ::capnp::Orphan< ::swiftloft::expertmap::schema::RankLoads>&& value) {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::LOADS);
+  ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankLoads>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::swiftloft::expertmap::schema::RankLoads> GroupMessage::Builder::disownLoads() {
+  KJ_IREQUIRE((which() == GroupMessage::LOADS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::RankLoads>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline RankMember::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- /dev/null
+++ b/src/expertmap/replica-planner.cc
@@ -0,0 +1,192 @@
+#include <swiftloft/expertmap/replica-planner.h>
+
+#include "src/expertmap/replica-layer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace swiftloft::expertmap {
+
+using internal::ReplicaLayer;
+
+Result<ReplicaPlanner> ReplicaPlanner::create(const MapShape& shape, const Options& options)
+{
+    if (options.halfLife <= milliseconds(0) || options.newPerRankAndLayer == 0 || options.newPerRank == 0)
+        return Error { ErrorCode::InvalidArgument, "the memory and the experts that a rank takes in must be positive" };
+    return ReplicaPlanner(shape, options);
+}
+
+ReplicaPlanner::ReplicaPlanner(const MapShape& shape, const Options& options)
+    : m_shape(shape)
+    , m_options(options)
+    , m_tokens(static_cast<std::size_t>(shape.layers) * shape.experts)
+{
+}
+
+std::optional<Error> ReplicaPlanner::observe(TimePoint now, std::span<const double> tokens)
+{
+    if (tokens.size() != m_tokens.size())
+        return Error { ErrorCode::InvalidArgument, "a report has not one value for each layer and expert" };
+    if (std::any_of(tokens.begin(), tokens.end(), [](double it) { return !std::isfinite(it) || it < 0; }))
+        return Error { ErrorCode::InvalidArgument, "a token count is negative or not a number" };
+    auto elapsed = std::chrono::duration<double, std::milli>(std::max(now - m_observedAt, Clock::duration(0))).count();
+    auto keep = std::exp2(-elapsed / static_cast<double>(m_options.halfLife.count()));
+    for (std::size_t n = 0; n < tokens.size(); ++n)
+        m_tokens[n] = m_tokens[n] * keep + tokens[n];
+    m_observedAt = now;
+    return std::nullopt;
+}
+
+std::span<const double> ReplicaPlanner::layerTokens(std::uint32_t layer) const
+{
+    return std::span(m_tokens).subspan(static_cast<std::size_t>(layer) * m_shape.experts, m_shape.experts);
+}
+
+bool ReplicaPlanner::isKnown() const
+{
+    auto first = layerTokens(0);
+    return std::accumulate(first.begin(), first.end(), 0.0) >= m_options.minTokens;
+}
+
+double ReplicaPlanner::imbalance(const ExpertMap& map) const
+{
+    double sum = 0;
+    for (std::uint32_t n = 0; n < m_shape.layers; ++n)
+        sum += ReplicaLayer(m_shape, map.layer(LayerIndex(n)), layerTokens(n)).peak();
+    return sum / m_shape.layers;
+}
+
+namespace {
+
+/// The search over all layers, with what each rank has taken in so far.
+class Search {
+public:
+    Search(const MapShape& shape, const ReplicaPlanner::Options& options, std::vector<ReplicaLayer> layers)
+        : m_shape(shape)
+        , m_options(options)
+        , m_layers(std::move(layers))
+        , m_isDone(shape.layers)
+        , m_takenByRank(shape.ranks)
+        , m_takenByLayer(shape.layers, std::vector<std::uint32_t>(shape.ranks))
+    {
+    }
+
+    /// Sum of the layers' peaks: what a step takes.
+    double stepTime() const
+    {
+        return std::accumulate(m_layers.begin(), m_layers.end(), 0.0, [](double sum, auto& it) { return sum + it.peak(); });
+    }
+
+    void run()
+    {
+        while (auto layer = worstLayer())
+            improve(*layer);
+    }
+
+    std::vector<ExpertIndex> slots() const
+    {
+        std::vector<ExpertIndex> slots;
+        for (auto& layer : m_layers)
+            slots.insert(slots.end(), layer.slots().begin(), layer.slots().end());
+        return slots;
+    }
+
+private:
+    /// The layer that is farthest from even comes first, as a rank can take in so many experts only.
+    std::optional<std::uint32_t> worstLayer() const
+    {
+        std::optional<std::uint32_t> worst;
+        for (std::uint32_t n = 0; n < m_shape.layers; ++n) {
+            if (!m_isDone[n] && (!worst || m_layers[n].peak() > m_layers[*worst].peak()))
+                worst = n;
+        }
+        return worst;
+    }
+
+    void improve(std::uint32_t layer)
+    {
+        auto found = m_layers[layer].peak() > m_options.evenEnough ? m_layers[layer].best(mayTake(layer)) : std::nullopt;
+        if (!found) {
+            m_isDone[layer] = true;
+            return;
+        }
+        take(layer, found->change.slot);
+        if (found->change.backSlot)
+            take(layer, *found->change.backSlot);
+        m_layers[layer].make(found->change);
+    }
+
+    std::vector<std::uint32_t> mayTake(std::uint32_t layer) const
+    {
+        std::vector<std::uint32_t> left(m_shape.ranks);
+        for (std::uint32_t r = 0; r < m_shape.ranks; ++r) {
+            auto ofLayer = m_options.newPerRankAndLayer - std::min(m_takenByLayer[layer][r], m_options.newPerRankAndLayer);
+            auto ofRank = m_options.newPerRank - std::min(m_takenByRank[r], m_options.newPerRank);
+            left[r] = std::min(ofLayer, ofRank);
+        }
+        return left;
+    }
+
+    void take(std::uint32_t layer, std::uint32_t slot)
+    {
+        auto rank = m_layers[layer].rankOf(slot);
+        ++m_takenByRank[rank];
+        ++m_takenByLayer[layer][rank];
+    }
+
+    const MapShape& m_shape;
+    const ReplicaPlanner::Options& m_options;
+    std::vector<ReplicaLayer> m_layers;
+    std::vector<bool> m_isDone;
+    std::vector<std::uint32_t> m_takenByRank;
+    std::vector<std::vector<std::uint32_t>> m_takenByLayer;
+};
+
+/// The experts that ranks hold in `to` and not in `from`.
+std::vector<ExpertMove> movesBetween(const ExpertMap& from, const ExpertMap& to)
+{
+    auto& shape = to.shape();
+    std::vector<ExpertMove> moves;
+    for (std::uint32_t layer = 0; layer < shape.layers; ++layer) {
+        auto before = from.layer(LayerIndex(layer));
+        auto after = to.layer(LayerIndex(layer));
+        for (std::uint32_t slot = 0; slot < after.size(); ++slot) {
+            auto rank = slot / shape.slotsPerRank;
+            auto held = before.subspan(static_cast<std::size_t>(rank) * shape.slotsPerRank, shape.slotsPerRank);
+            bool isNew = after[slot] != noExpert && std::find(held.begin(), held.end(), after[slot]) == held.end();
+            if (isNew)
+                moves.push_back({ LayerIndex(layer), after[slot], RankIndex(rank) });
+        }
+    }
+    return moves;
+}
+
+} // namespace
+
+Plan ReplicaPlanner::plan(const ExpertMap& current) const
+{
+    Plan plan;
+    plan.reason = PlanReason::NotKnown;
+    if (!isKnown())
+        return plan;
+    std::vector<ReplicaLayer> layers;
+    for (std::uint32_t n = 0; n < m_shape.layers; ++n)
+        layers.emplace_back(m_shape, current.layer(LayerIndex(n)), layerTokens(n));
+    Search search(m_shape, m_options, std::move(layers));
+    double before = search.stepTime();
+    search.run();
+    auto map = ExpertMap::create(m_shape, search.slots()).value();
+    auto moves = movesBetween(current, map);
+    plan.gain = (before - search.stepTime()) / before;
+    plan.reason = PlanReason::NoGain;
+    bool isWorth = !moves.empty() && plan.gain >= m_options.minGain && plan.gain >= m_options.minGainPerCopy * static_cast<double>(moves.size());
+    if (!isWorth)
+        return plan;
+    plan.reason = PlanReason::Moved;
+    plan.moves = std::move(moves);
+    plan.map = std::move(map);
+    return plan;
+}
+
+} // namespace swiftloft::expertmap
--- a/src/expertmap/wire.cc
+++ b/src/expertmap/wire.cc
@@ -176,16 +176,30 @@
     out.setAgent(hello.agent.value());
 }
 
-void build(schema::ExpertMap::Builder out, const ExpertMap& map)
+void build(schema::ExpertMap::Builder out, const VersionedMap& named)
 {
-    auto& shape = map.shape();
+    auto& shape = named.map.shape();
     out.setRanks(shape.ranks);
     out.setLayers(shape.layers);
     out.setExperts(shape.experts);
     out.setSlotsPerRank(shape.slotsPerRank);
-    auto slots = out.initSlots(static_cast<unsigned>(map.slots().size()));
+    out.setVersion(named.version.value());
+    auto slots = out.initSlots(static_cast<unsigned>(named.map.slots().size()));
     for (unsigned n = 0; n < slots.size(); ++n)
-        slots.set(n, static_cast<std::uint16_t>(map.slots()[n].value()));
+        slots.set(n, static_cast<std::uint16_t>(named.map.slots()[n].value()));
+}
+
+void build(schema::RankLoads::Builder out, const RankLoads& loads)
+{
+    out.setRank(loads.rank.value());
+    out.setEngine(loads.engine.value());
+    out.setMap(loads.map.value());
+    auto held = out.initHeld(static_cast<unsigned>(loads.held.size()));
+    for (unsigned n = 0; n < held.size(); ++n)
+        held.set(n, static_cast<std::uint16_t>(loads.held[n].value()));
+    auto tokens = out.initTokens(static_cast<unsigned>(loads.tokens.size()));
+    for (unsigned n = 0; n < tokens.size(); ++n)
+        tokens.set(n, loads.tokens[n]);
 }
 
 Result<RankOrder> parse(schema::RankOrder::Reader in)
@@ -224,14 +238,15 @@
     return guarded<RankHello>([&] { return RankHello { parseRank(in.getRank()), parseIncarnation(in.getAgent()) }; });
 }
 
-Result<ExpertMap> parse(schema::ExpertMap::Reader in)
+Result<VersionedMap> parse(schema::ExpertMap::Reader in)
 {
     struct Content {
+        MapVersion version;
         MapShape shape;
         std::vector<ExpertIndex> slots;
     };
     auto content = guarded<Content>([&] {
-        Content read { { in.getRanks(), in.getLayers(), in.getExperts(), in.getSlotsPerRank() }, {} };
+        Content read { MapVersion(in.getVersion()), { in.getRanks(), in.getLayers(), in.getExperts(), in.getSlotsPerRank() }, {} };
         auto sent = in.getSlots();
         read.slots.reserve(sent.size());
         for (auto expert : sent)
@@ -243,7 +258,19 @@
     auto map = ExpertMap::create(content->shape, std::move(content->slots));
     if (!map)
         return Error { ErrorCode::MalformedInput, map.error().message };
-    return map;
+    return VersionedMap { content->version, std::move(*map) };
+}
+
+Result<RankLoads> parse(schema::RankLoads::Reader in)
+{
+    return guarded<RankLoads>([&] {
+        RankLoads loads { parseRank(in.getRank()), parseIncarnation(in.getEngine()), MapVersion(in.getMap()), {}, {} };
+        for (auto expert : in.getHeld())
+            loads.held.emplace_back(expert);
+        for (auto tokens : in.getTokens())
+            loads.tokens.push_back(tokens);
+        return loads;
+    });
 }
 
 } // namespace swiftloft::expertmap::wire
--- a/src/expertmap/wire.h
+++ b/src/expertmap/wire.h
@@ -19,11 +19,13 @@
 void build(schema::RankOrder::Builder out, const RankOrder& order);
 void build(schema::RankReport::Builder out, const RankReport& report);
 void build(schema::RankHello::Builder out, const RankHello& hello);
-void build(schema::ExpertMap::Builder out, const ExpertMap& map);
+void build(schema::ExpertMap::Builder out, const VersionedMap& map);
+void build(schema::RankLoads::Builder out, const RankLoads& loads);
 
 Result<RankOrder> parse(schema::RankOrder::Reader in);
 Result<RankReport> parse(schema::RankReport::Reader in);
 Result<RankHello> parse(schema::RankHello::Reader in);
-Result<ExpertMap> parse(schema::ExpertMap::Reader in);
+Result<VersionedMap> parse(schema::ExpertMap::Reader in);
+Result<RankLoads> parse(schema::RankLoads::Reader in);
 
 } // namespace swiftloft::expertmap::wire
--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -240,11 +240,18 @@
 
 void ControlState::sendBriefs(TimePoint now, Effects& effects)
 {
-    for (auto& [address, rank] : m_ranks) {
-        if (rank.heardAt + rankNewsFor <= now)
+    if (!m_configuration)
+        return;
+    for (auto& server : m_servers.servers()) {
+        auto* service = m_configuration->findService(server.service);
+        bool hasMap = service && service->engine && service->engine->layers > 0;
+        if (!hasMap)
             continue;
-        if (auto brief = briefFor(now, rank.news))
-            effects.push_back(SendBrief { address, *brief });
+        auto rank = m_ranks.find(server.address);
+        bool isHeard = rank != m_ranks.end() && rank->second.heardAt + rankNewsFor > now;
+        // One that has not been heard of gets an empty brief: it learns whom to tell of itself.
+        auto brief = isHeard ? briefFor(now, rank->second.news) : std::nullopt;
+        effects.push_back(SendBrief { server.address, brief.value_or(GroupBrief {}) });
     }
 }
 
--- a/test/expertmap-agent_test.cc
+++ b/test/expertmap-agent_test.cc
@@ -96,10 +96,11 @@
     SECTION("the largest map of today's plans")
     {
         auto map = ExpertMap::even({ 64, 60, 64, 2 }).value();
-        pair.send(map);
+        VersionedMap named { MapVersion(41), map };
+        pair.send(named);
         auto got = pair.received(patience);
         REQUIRE(got.size() == 1);
-        CHECK(std::get<ExpertMap>(got[0]).version() == map.version());
+        CHECK(std::get<VersionedMap>(got[0]) == named);
     }
 }
 
--- a/test/expertmap-wire_test.cc
+++ b/test/expertmap-wire_test.cc
@@ -86,7 +86,7 @@
     auto got = parseWords<schema::RankReport>(words);
     REQUIRE(got.has_value());
     CHECK(got->status == someReport().status);
-    auto map = ExpertMap::even({ 4, 3, 8, 3 }).value();
+    VersionedMap map { MapVersion(41), ExpertMap::even({ 4, 3, 8, 3 }).value() };
     words = wordsOf<schema::ExpertMap>(map);
     CHECK(parseWords<schema::ExpertMap>(words).value() == map);
 }
@@ -124,5 +124,5 @@
     damageAndParse<schema::RankReport>(someReport(), random);
     damageAndParse<schema::RankOrder>(RankOrder { { 4, Incarnation(8) }, 12, RankIndex(3), Incarnation(50), Admit { MapVersion(6), point } }, random);
     damageAndParse<schema::RankHello>(RankHello { RankIndex(3), Incarnation(9) }, random);
-    damageAndParse<schema::ExpertMap>(ExpertMap::even({ 4, 3, 8, 3 }).value(), random);
+    damageAndParse<schema::ExpertMap>(VersionedMap { MapVersion(41), ExpertMap::even({ 4, 3, 8, 3 }).value() }, random);
 }
