--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -320,6 +320,7 @@
         daemon.stop();
         ioContext.stop();
     });
+    process::HangUpSignal hangUp(ioContext, [] { log::write(log::Event::SettingsFileChanged, ""); });
     ioContext.run();
 }
 
--- a/src/gateway/entry-daemon.cc
+++ b/src/gateway/entry-daemon.cc
@@ -10,7 +10,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <random>
@@ -49,7 +48,7 @@
         , m_state(selfOf(settings, incarnation), settings.seeds, settings.leastEntries, protocol, policy::Generator(std::random_device {}()), Clock::now())
         , m_pages(m_ioContext, settings.peers)
         , m_stop(m_ioContext, [this](int count) { onStop(count); })
-        , m_hangUp(m_ioContext, SIGHUP)
+        , m_hangUp(m_ioContext, [] { log::write(log::Event::SettingsFileChanged, ""); })
         , m_timer(m_ioContext)
         , m_configuration(m_ioContext, m_store, Topic::Configuration, [this](auto& event) { apply(event); })
         , m_servers(m_ioContext, m_store, Topic::Servers, [this](auto& event) { apply(event); })
@@ -57,7 +56,6 @@
         m_news = NewsSocket::create(m_ioContext, settings.peers, [this](auto&, NewsMessage message) { onNews(std::move(message)); }).value();
         for (auto topic : { Topic::Configuration, Topic::Servers })
             m_pages.add(pageOf(topic), [this, topic] { return publishedPage(topic); });
-        waitForHangUp();
         m_configuration.start();
         m_servers.start();
         tick();
@@ -141,16 +139,6 @@
         m_traffic.stop(Clock::now() + m_settings.stopWithin - stopMargin);
     }
 
-    void waitForHangUp()
-    {
-        m_hangUp.async_wait([this](boost::system::error_code ec, int) {
-            if (ec)
-                return;
-            log::write(log::Event::SettingsFileChanged, "");
-            waitForHangUp();
-        });
-    }
-
     void tick()
     {
         apply(control::Ticked {});
@@ -168,7 +156,7 @@
     ControlState m_state;
     process::StatusServer m_pages;
     process::StopSignals m_stop;
-    asio::signal_set m_hangUp;
+    process::HangUpSignal m_hangUp;
     asio::steady_timer m_timer;
     StoreFollower m_configuration;
     StoreFollower m_servers;
--- a/src/process/signals.cc
+++ b/src/process/signals.cc
@@ -21,4 +21,21 @@
     });
 }
 
+HangUpSignal::HangUpSignal(boost::asio::io_context& ioContext, std::function<void()> onHangUp)
+    : m_signals(ioContext, SIGHUP)
+    , m_onHangUp(std::move(onHangUp))
+{
+    wait();
+}
+
+void HangUpSignal::wait()
+{
+    m_signals.async_wait([this](boost::system::error_code ec, int) {
+        if (ec)
+            return;
+        m_onHangUp();
+        wait();
+    });
+}
+
 } // namespace swiftloft::process
--- a/src/process/signals.h
+++ b/src/process/signals.h
@@ -20,4 +20,16 @@
     int m_count { 0 };
 };
 
+/// Calls `onHangUp` for each SIGHUP, which without it would end the process.
+class HangUpSignal {
+public:
+    HangUpSignal(boost::asio::io_context& ioContext, std::function<void()> onHangUp);
+
+private:
+    void wait();
+
+    boost::asio::signal_set m_signals;
+    std::function<void()> m_onHangUp;
+};
+
 } // namespace swiftloft::process
