Close clients' connections in order, so that the last bytes of an answer arrive

Ruled out: a crash on the way out (clean under a memory checker), a stop before the last request was done.

--- a/src/gateway/client-stream.cc
+++ b/src/gateway/client-stream.cc
@@ -22,6 +22,10 @@
 /// A client that takes nothing of its answer for this long is gone: links deliver in milliseconds.
 constexpr milliseconds writeTimeout { 5000 };
 
+/// A client that got its last answer closes within a few round trips.
+constexpr milliseconds lingerFor { 400 };
+constexpr std::size_t readSize = 4096;
+
 ReadProblem problemOf(const boost::system::error_code& ec, bool hasBegun)
 {
     if (ec == http::error::header_limit)
@@ -52,7 +56,7 @@
     m_isIdle = true;
     if (m_buffer.size() == 0) {
         m_stream.expires_at(Clock::now() + limits.idleTimeout);
-        auto bytes = co_await m_stream.async_read_some(m_buffer.prepare(4096), redirect_error(use_awaitable, ec));
+        auto bytes = co_await m_stream.async_read_some(m_buffer.prepare(readSize), redirect_error(use_awaitable, ec));
         m_buffer.commit(bytes);
         if (ec)
             co_return ReadProblem::Closed;
@@ -129,10 +133,17 @@
     m_stream.socket().close(ec);
 }
 
-void ClientStream::close()
+/// Failure: closed at once, a connection on which the client has sent more is reset, and a reset or the end of the process
+/// can overtake the last bytes of the answer: the client sees a whole answer cut.
+asio::awaitable<void> ClientStream::close()
 {
     boost::system::error_code ec;
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    m_stream.expires_at(Clock::now() + lingerFor);
+    while (!ec) {
+        m_buffer.clear();
+        co_await m_stream.async_read_some(m_buffer.prepare(readSize), redirect_error(use_awaitable, ec));
+    }
     m_stream.socket().close(ec);
 }
 
--- a/src/gateway/client-stream.h
+++ b/src/gateway/client-stream.h
@@ -45,7 +45,8 @@
     /// Ends the connection so that an answer in progress looks cut.
     void reset();
     bool isIdle() const { return m_isIdle; }
-    void close();
+    /// Ends the connection in order: says that no more comes and waits until the client has closed too, or a moment.
+    boost::asio::awaitable<void> close();
     bool wantsClose() const { return m_wantsClose; }
     void setWantsClose() { m_wantsClose = true; }
 
--- a/src/gateway/traffic.cc
+++ b/src/gateway/traffic.cc
@@ -126,13 +126,13 @@
             client.setWantsClose();
         if (problem != ReadProblem::None) {
             co_await m_server.refuseUnread(client, problem);
-            co_return client.close();
+            co_return co_await client.close();
         }
         bool isOpen = co_await m_server.serve(client, std::move(request));
         if (!isOpen)
             co_return;
         if (client.wantsClose())
-            co_return client.close();
+            co_return co_await client.close();
     }
 }
 
@@ -148,7 +148,7 @@
         auto answer = pageFor(request);
         co_await client.write(answer);
         if (client.wantsClose())
-            co_return client.close();
+            co_return co_await client.close();
     }
 }
 
