--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -197,6 +197,9 @@
         m_member->setAddress(rank.rank, { rank.address.address(), m_settings.group.port() });
     if (m_view->rank == RankIndex(0)) {
         ReplicaPlanner::Options planning;
+        planning.halfLife = m_settings.loadHalfLife;
+        planning.minGain = m_settings.leastGain;
+        planning.newPerRank = m_settings.expertsAtOnce;
         planning.newPerRankAndLayer = std::max(m_brief->traits.spareSlots, 1U);
         m_planning.emplace(options.shape, ReplicaPlanner::create(options.shape, planning).value());
     }
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -84,6 +84,8 @@
     unsigned attempts { 0 };
     std::string servers;
     std::optional<TimePoint> firstByteAt;
+    TimePoint lastEventAt;
+    milliseconds longestPause { 0 };
     bool mustClose { false };
 };
 
@@ -381,10 +383,13 @@
     }
     if (out.empty())
         co_return true;
+    auto now = Clock::now();
     if (!call.firstByteAt) {
-        call.firstByteAt = Clock::now();
+        call.firstByteAt = now;
         call.ticket->answerBegan();
-    }
+    } else
+        call.longestPause = std::max(call.longestPause, std::chrono::duration_cast<milliseconds>(now - call.lastEventAt));
+    call.lastEventAt = now;
     co_await call.client.writeChunk(std::move(out));
     co_return true;
 }
@@ -431,9 +436,9 @@
 {
     auto now = Clock::now();
     auto sinceArrival = [&](TimePoint time) { return std::chrono::duration_cast<milliseconds>(time - call.arrivedAt).count(); };
-    log::write(log::Event::RequestEnded, "id={} route={} organisation={} status={} reason={} attempts={} servers={} configuration={} first-ms={} ms={}", call.head.id,
+    log::write(log::Event::RequestEnded, "id={} route={} organisation={} status={} reason={} attempts={} servers={} configuration={} first-ms={} pause-ms={} ms={}", call.head.id,
         call.route ? call.route->name : "-", call.organisation ? call.organisation->value() : "-", call.status, call.reason, call.attempts, call.servers,
-        call.configuration ? call.configuration->version().value() : 0, call.firstByteAt ? sinceArrival(*call.firstByteAt) : -1, sinceArrival(now));
+        call.configuration ? call.configuration->version().value() : 0, call.firstByteAt ? sinceArrival(*call.firstByteAt) : -1, call.longestPause.count(), sinceArrival(now));
 }
 
 } // namespace swiftloft::gateway
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -138,10 +138,11 @@
         { "engine", endpointInto(settings.engine) },
         { "news", endpointInto(settings.news) },
         { "group", endpointInto(settings.group) },
-        { "skew-weight", numberInto([&](double weight) { settings.skewWeight = weight; }, 0, 1000) },
-        { "rebalance-weight", numberInto([&](double weight) { settings.rebalanceWeight = weight; }, 0, 1000) },
+        { "load-half-life-seconds", secondsInto(settings.loadHalfLife, 0.01, mostSeconds) },
+        { "least-gain", numberInto([&](double gain) { settings.leastGain = gain; }, 0, 1) },
+        { "experts-at-once", numberInto([&](double n) { settings.expertsAtOnce = static_cast<std::uint32_t>(n); }, 1, 1000) },
     };
-    auto read = readSection(text, fileName, "agent", setters, { "skew-weight", "rebalance-weight" });
+    auto read = readSection(text, fileName, "agent", setters, { "load-half-life-seconds", "least-gain", "experts-at-once" });
     if (!read)
         return read.error();
     return settings;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -49,9 +49,12 @@
     Endpoint news;
     /// Datagrams between the agents of a rank group; the same port at all of them.
     Endpoint group;
-    /// Weight of saved step time against that of moving experts, for the planner.
-    double skewWeight { 1 };
-    double rebalanceWeight { 1 };
+    /// Half-life of the planner's memory of what experts are in demand.
+    milliseconds loadHalfLife { 500 };
+    /// Least part of the step time that a change of the expert map must save.
+    double leastGain { 0.04 };
+    /// Most experts that a rank takes in with one change.
+    std::uint32_t expertsAtOnce { 4 };
 };
 
 Result<EntrySettings> parseEntrySettings(const std::string& text, const std::string& fileName);
