Send nothing to a server whose address another one has, and let requests wait for their group to form

Ruled out: the listing (the store drops dead ids after three heartbeats, nothing to gain there), too few tries. Change: an answer of another server ends the old id for good; the agents' word closes a group for the router; what was lost with its server and may run again waits 1.5 s at most for one that can take it.

--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -25,7 +25,7 @@
 
 bool isServerSuspect(AttemptEnd end)
 {
-    return end == AttemptEnd::NotSent || end == AttemptEnd::Misdirected || end == AttemptEnd::Lost || end == AttemptEnd::TimedOut || end == AttemptEnd::ServerError;
+    return end == AttemptEnd::NotSent || end == AttemptEnd::Lost || end == AttemptEnd::TimedOut || end == AttemptEnd::ServerError;
 }
 
 } // namespace
@@ -126,13 +126,15 @@
 
 bool Dispatcher::tryStart(CallId id, Call& call, TimePoint now, Effects& effects)
 {
-    // A request may run on so many servers and no more; one that it ran on may get it again.
-    bool mayReachNewServer = call.ranOn.size() < std::max(call.request.route->maximumServers, 1U);
-    std::optional<BackendServer> server;
-    if (mayReachNewServer)
-        server = m_loads.choose(call.service, call.tried, now, m_generator);
+    LoadBoard::Choice choice { call.service, call.tried, std::nullopt };
+    // A request may run on so many servers and no more; those that it ran on may get it again.
+    if (call.ranOn.size() >= std::max(call.request.route->maximumServers, 1U))
+        choice = { call.service, {}, call.ranOn };
+    auto server = m_loads.choose(choice, now, m_generator);
     if (!server)
         return false;
+    if (call.sends > 0 && !m_retries.tryTake(call.service, now))
+        return false;
     ++call.sends;
     call.runningOn = server->id;
     call.hasBegun = false;
@@ -152,8 +154,10 @@
             still.push_back(id);
             continue;
         }
-        auto reason = m_loads.hasServer(call.service) ? RefusalReason::Overloaded : RefusalReason::NoServer;
-        refuse(id, call, reason, comeBackAt(call, now), effects);
+        if (call.lastEnd)
+            giveUp(id, call, *call.lastEnd, now, effects);
+        else
+            refuse(id, call, m_loads.hasServer(call.service) ? RefusalReason::Overloaded : RefusalReason::NoServer, comeBackAt(call, now), effects);
     }
     m_waiting = std::move(still);
 }
@@ -187,26 +191,45 @@
         m_loads.onSuccess(server);
         return;
     }
-    if (isServerSuspect(event.end))
-        m_loads.onFailure(now, server);
+    noteServer(now, server, event.end);
+    call.lastEnd = event.end;
     call.tried.push_back(server);
     if (!isWithoutRun(event.end)) {
         call.ranOn.push_back(server);
         call.verdict = combine(call.verdict, event.end == AttemptEnd::ServerError ? Verdict::Ran : Verdict::MayHaveRun);
     }
-    if (mayTryAgain(call, event.end, now) && tryStart(event.call, call, now, effects))
+    if (!mayTryAgain(call, event.end, now)) {
+        giveUp(event.call, call, event.end, now, effects);
+        return;
+    }
+    if (tryStart(event.call, call, now, effects))
+        return;
+    if (event.end == AttemptEnd::ServerError) {
+        giveUp(event.call, call, event.end, now, effects);
         return;
-    giveUp(event.call, call, event.end, now, effects);
+    }
+    // Its servers may be back in a moment. It goes before what has not begun: somebody has waited for it already. What
+    // has not run waits no longer than one that has just come.
+    if (call.verdict != Verdict::NotRun)
+        call.waitUntil = std::min(now + m_options.recoveryWait, call.request.deadline);
+    call.tried.clear();
+    m_waiting.insert(m_waiting.begin(), event.call);
 }
 
-bool Dispatcher::mayTryAgain(Call& call, AttemptEnd end, TimePoint now)
+void Dispatcher::noteServer(TimePoint now, const BackendServerId& server, AttemptEnd end)
+{
+    if (end == AttemptEnd::Misdirected)
+        m_loads.onReplaced(server);
+    else if (isServerSuspect(end))
+        m_loads.onFailure(now, server);
+}
+
+bool Dispatcher::mayTryAgain(const Call& call, AttemptEnd end, TimePoint now) const
 {
     bool isSafe = call.request.route->isIdempotent || call.verdict == Verdict::NotRun;
     if (!isSafe || end == AttemptEnd::TimedOut || call.sends >= m_options.maximumSends)
         return false;
-    if (now + leastTimeForTry >= call.request.deadline)
-        return false;
-    return m_retries.tryTake(call.service, now);
+    return now + leastTimeForTry < call.request.deadline;
 }
 
 void Dispatcher::giveUp(CallId id, Call& call, AttemptEnd end, TimePoint now, Effects& effects)
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -127,6 +127,9 @@
     double waitShare { 0.4 };
     /// Where no objective is set.
     milliseconds defaultWait { 100 };
+    /// A request that a server lost, and that may run again, waits so long at most for one that can take it: a rank group
+    /// that lost a rank is whole again by then or not soon, and clients give up a stream that pauses for two seconds.
+    milliseconds recoveryWait { 1500 };
     /// Sends of one request, also where none of them ran: bounds the harm of a service that turns everything away.
     unsigned maximumSends { 4 };
 };
@@ -158,6 +161,8 @@
         std::optional<BackendServerId> runningOn;
         bool hasBegun { false };
         TimePoint waitUntil;
+        /// The last try ended so; unset before the first.
+        std::optional<AttemptEnd> lastEnd;
     };
 
     void onArrived(TimePoint now, const dispatch::Arrived& event, dispatch::Effects& effects);
@@ -166,7 +171,8 @@
     void onClosed(CallId id);
     ServiceName drawService(const Route& route);
     void endAttempt(Call& call);
-    bool mayTryAgain(Call& call, AttemptEnd end, TimePoint now);
+    void noteServer(TimePoint now, const BackendServerId& server, AttemptEnd end);
+    bool mayTryAgain(const Call& call, AttemptEnd end, TimePoint now) const;
     void giveUp(CallId id, Call& call, AttemptEnd end, TimePoint now, dispatch::Effects& effects);
     /// False when there is no room for it now.
     bool tryStart(CallId id, Call& call, TimePoint now, dispatch::Effects& effects);
--- a/src/gateway/load-board.cc
+++ b/src/gateway/load-board.cc
@@ -21,11 +21,18 @@
 void LoadBoard::setServers(TimePoint, const Snapshot& snapshot)
 {
     std::map<BackendServerId, Server> servers;
+    std::map<Endpoint, TimePoint> closed;
+    for (auto& rank : snapshot.ranks) {
+        if (!rank.news.isOpen)
+            closed[rank.news.address] = rank.heardAt;
+    }
     for (auto& listed : snapshot.servers) {
         auto it = m_servers.find(listed.id);
         Server server = it == m_servers.end() ? Server {} : it->second;
         server.server = listed;
         server.hash = hashOf(listed.id);
+        auto isClosed = closed.find(listed.address);
+        server.closedSince = isClosed == closed.end() ? std::nullopt : std::optional(isClosed->second);
         auto* service = snapshot.configuration ? snapshot.configuration->findService(listed.service) : nullptr;
         server.isEngine = service && service->engine;
         if (server.isEngine) {
@@ -118,15 +125,31 @@
     return server.avoidedUntil > now ? cost + avoidedCost : cost;
 }
 
-std::optional<BackendServer> LoadBoard::choose(const ServiceName& service, std::span<const BackendServerId> excluded, TimePoint now, policy::Generator& generator) const
+void LoadBoard::onReplaced(const BackendServerId& id)
+{
+    auto it = m_servers.find(id);
+    if (it != m_servers.end())
+        it->second.isReplaced = true;
+}
+
+bool LoadBoard::mayGetWork(const Server& server, TimePoint now) const
+{
+    // Failure: a rank is lost, and its whole group turns requests away until it has formed again.
+    bool isClosed = server.closedSince && *server.closedSince + closedFor > now;
+    return server.server.state == ServerState::Ready && !server.isReplaced && !isClosed;
+}
+
+std::optional<BackendServer> LoadBoard::choose(const Choice& choice, TimePoint now, policy::Generator& generator) const
 {
     const Server* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
+    auto isIn = [](std::span<const BackendServerId> ids, const BackendServerId& id) { return std::find(ids.begin(), ids.end(), id) != ids.end(); };
     // Equal loads are told apart at random: all entries that saw the same idle server would otherwise meet there.
     boost::random::uniform_real_distribution<double> tieBreak(0, 1);
     for (auto& [id, server] : m_servers) {
-        bool isExcluded = std::find(excluded.begin(), excluded.end(), id) != excluded.end();
-        if (server.server.service != service || server.server.state != ServerState::Ready || isExcluded)
+        if (server.server.service != choice.service || !mayGetWork(server, now))
+            continue;
+        if (isIn(choice.excluded, id) || (choice.only && !isIn(*choice.only, id)))
             continue;
         auto load = totalLoad(server, now);
         if (load.running >= server.server.slots)
@@ -142,7 +165,8 @@
 
 bool LoadBoard::hasServer(const ServiceName& service) const
 {
-    return std::any_of(m_servers.begin(), m_servers.end(), [&](auto& it) { return it.second.server.service == service && it.second.server.state == ServerState::Ready; });
+    auto isUsable = [&](auto& it) { return it.second.server.service == service && it.second.server.state == ServerState::Ready && !it.second.isReplaced; };
+    return std::any_of(m_servers.begin(), m_servers.end(), isUsable);
 }
 
 double LoadBoard::occupancy(const ServiceName& service, TimePoint now) const
@@ -150,7 +174,7 @@
     double running = 0;
     double places = 0;
     for (auto& [id, server] : m_servers) {
-        if (server.server.service != service || server.server.state != ServerState::Ready)
+        if (server.server.service != service || !mayGetWork(server, now))
             continue;
         running += totalLoad(server, now).running;
         places += server.server.slots;
--- a/src/gateway/load-board.h
+++ b/src/gateway/load-board.h
@@ -24,6 +24,8 @@
     /// has no requests any more.
     static constexpr milliseconds peerLoadFor { 600 };
     static constexpr milliseconds toldEvery { 150 };
+    /// The word of an agent that its group is closed counts for this long; agents repeat it every half second.
+    static constexpr milliseconds closedFor { 1200 };
     /// A server that was silent or lost an answer is left out for this long, doubled with each failure in a row.
     static constexpr milliseconds avoidedFor { 400 };
     static constexpr milliseconds avoidedForAtMost { 3200 };
@@ -37,9 +39,19 @@
     void onEnd(const BackendServerId& id, const WorkSize& work, bool hasBegun);
     void onFailure(TimePoint now, const BackendServerId& id);
     void onSuccess(const BackendServerId& id);
+    /// Another server answers at its address.
+    void onReplaced(const BackendServerId& id);
 
-    /// The best server of `service` with room, none of `excluded`. Servers that failed of late come last.
-    std::optional<BackendServer> choose(const ServiceName& service, std::span<const BackendServerId> excluded, TimePoint now, policy::Generator& generator) const;
+    /// Which servers a request may go to.
+    struct Choice {
+        ServiceName service;
+        /// Tried in vain.
+        std::span<const BackendServerId> excluded;
+        /// When set, none but these.
+        std::optional<std::span<const BackendServerId>> only;
+    };
+    /// The best server with room. Servers that failed of late come last.
+    std::optional<BackendServer> choose(const Choice& choice, TimePoint now, policy::Generator& generator) const;
     /// True while the service has a server that may get work, with room or not.
     bool hasServer(const ServiceName& service) const;
     /// Requests that run at the servers of a service, as far as known, over the places that they have.
@@ -58,6 +70,10 @@
         Load own;
         unsigned failures { 0 };
         TimePoint avoidedUntil;
+        /// Its process has ended: an answer came from another one at its address.
+        bool isReplaced { false };
+        /// Its rank group does not take requests, by the word of its agent at the given time.
+        std::optional<TimePoint> closedSince;
         /// Prompt tokens that cost as much time as one running request does; zero for a plain server.
         double tokensPerRequest { 0 };
         bool isEngine { false };
@@ -68,6 +84,7 @@
         std::map<ServerHash, Load> loads;
     };
 
+    bool mayGetWork(const Server& server, TimePoint now) const;
     Load totalLoad(const Server& server, TimePoint now) const;
     double costOf(const Server& server, const Load& load, TimePoint now) const;
 
