Hold a neighbour first, let another rank carry a stuck change forward, and reset abandoned requests

Requests given up while a server stood still were run when it woke (GONE). Ruled out: a hold at rank 0 only, no hold at all (a lost arm would mix maps), shorter leads. Change: the first command that can stop a group goes to the next rank's engine and stands alone for 8 ms; that engine's agent releases a hold without a switch. Connections given up with a request on them are reset. Open: 4 machines frozen with requests in their queues still break GONE.

--- a/src/agent/engine-port.h
+++ b/src/agent/engine-port.h
@@ -58,7 +58,8 @@
 
     Kind kind { Kind::Hold };
     std::uint64_t epoch { 0 };
-    /// Rises with each command: an engine that checks it refuses a late copy of an older one.
+    /// Rises with each command: an engine that checks it refuses a late copy of an older one. 0 for a command without one,
+    /// which is never refused for its fence.
     std::uint64_t fence { 0 };
     MapVersion version;
     StepNumber step;
--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -40,6 +40,9 @@
 constexpr std::uint64_t leadSteps = 2;
 constexpr std::uint64_t maxLeadSteps = 64;
 
+/// Above all that an agent counts up to by its own commands and by clocks that were set back.
+constexpr std::uint64_t standInFence = 1'000'000;
+
 Coordinator::Options coordinationOf(std::uint32_t ranks)
 {
     Coordinator::Options options;
@@ -62,10 +65,11 @@
 
 } // namespace
 
-RankDaemon::RankDaemon(asio::io_context& ioContext, const gateway::AgentSettings& settings, const EnginePort& port, Incarnation incarnation)
+RankDaemon::RankDaemon(asio::io_context& ioContext, const gateway::AgentSettings& settings, EnginePortFactory makePort, Incarnation incarnation)
     : m_ioContext(ioContext)
     , m_settings(settings)
-    , m_port(port)
+    , m_makePort(std::move(makePort))
+    , m_port(m_makePort(ioContext, settings.engine))
     , m_incarnation(incarnation)
     , m_timer(ioContext)
     , m_generator(std::random_device {}())
@@ -96,13 +100,32 @@
     // Briefs of several entries add up: each knows the ranks that told it of themselves.
     if (!m_brief || m_brief->epoch != brief->epoch)
         m_brief = *brief;
-    if (m_member) {
-        for (auto& rank : brief->ranks)
-            m_member->setAddress(rank.rank, { rank.address.address(), m_settings.group.port() });
-    }
+    if (m_member)
+        learnAddresses(*brief);
     beginIfKnown();
 }
 
+void RankDaemon::learnAddresses(const GroupBrief& brief)
+{
+    for (auto& rank : brief.ranks) {
+        m_member->setAddress(rank.rank, { rank.address.address(), m_settings.group.port() });
+        bool isNew = m_engines.emplace(rank.rank, rank.address).second;
+        // The first rank is the one that a coordinator arms first.
+        if (isNew && m_view->rank == RankIndex(0) && rank.rank == RankIndex(1))
+            m_engine->setNeighbour(m_makePort(m_ioContext, rank.address));
+    }
+}
+
+/// The engine of another rank. Fences of one that stands in lie above those of the agent that it stands in for, so that
+/// what the other had sent, or sends when it wakes, is refused.
+std::shared_ptr<RankEngine> RankDaemon::engineOf(RankIndex rank)
+{
+    auto it = m_engines.find(rank);
+    if (it == m_engines.end() || !m_view)
+        return nullptr;
+    return std::make_shared<RankEngine>(m_makePort(m_ioContext, it->second), m_view->epoch, firstFence() + standInFence);
+}
+
 asio::awaitable<void> RankDaemon::poll()
 {
     while (!m_isStopped) {
@@ -185,6 +208,8 @@
         m_wishUntil.reset();
         m_planAgainAt = Clock::now() + planPause;
     };
+    if (m_settings.engineChecksFences)
+        hooks.engineOf = [this](RankIndex rank) { return engineOf(rank); };
     auto member = GroupMember::create(m_ioContext, options, std::move(hooks));
     if (!member) {
         log::write(log::Event::StartFailed, "problem=\"{}\"", member.error().message);
@@ -193,8 +218,7 @@
     m_lastFence += 1;
     m_engine = std::make_shared<RankEngine>(m_port, m_view->epoch, m_lastFence);
     m_member = std::move(*member);
-    for (auto& rank : m_brief->ranks)
-        m_member->setAddress(rank.rank, { rank.address.address(), m_settings.group.port() });
+    learnAddresses(*m_brief);
     if (m_view->rank == RankIndex(0)) {
         ReplicaPlanner::Options planning;
         planning.halfLife = m_settings.loadHalfLife;
@@ -213,6 +237,7 @@
     m_planning.reset();
     m_wishUntil.reset();
     m_engine.reset();
+    m_engines.clear();
     m_countsToldAt = StepNumber();
     // Its callbacks may be on the stack: it goes when they have returned.
     if (m_member) {
@@ -317,7 +342,7 @@
 void runRankAgent(const gateway::AgentSettings& settings, const EnginePortFactory& makePort, Incarnation incarnation)
 {
     asio::io_context ioContext(1);
-    RankDaemon daemon(ioContext, settings, makePort(ioContext), incarnation);
+    RankDaemon daemon(ioContext, settings, makePort, incarnation);
     process::StopSignals stop(ioContext, [&](int) {
         log::write(log::Event::ProcessStopping, "");
         daemon.stop();
--- a/src/agent/rank-daemon.h
+++ b/src/agent/rank-daemon.h
@@ -22,13 +22,13 @@
 namespace swiftloft::agent {
 
 /// Makes the calls to the engine.
-using EnginePortFactory = std::function<EnginePort(boost::asio::io_context& ioContext)>;
+using EnginePortFactory = std::function<EnginePort(boost::asio::io_context& ioContext, const gateway::Endpoint& engine)>;
 
 /// An agent in the slot of a rank: follows its engine, takes part in the group's changes of map and, at rank 0, plans
 /// them. Entries tell it who the other ranks are, and get told how the engine is. Belongs to the control thread.
 class RankDaemon {
 public:
-    RankDaemon(boost::asio::io_context& ioContext, const gateway::AgentSettings& settings, const EnginePort& port, Incarnation incarnation);
+    RankDaemon(boost::asio::io_context& ioContext, const gateway::AgentSettings& settings, EnginePortFactory makePort, Incarnation incarnation);
 
     void stop();
 
@@ -44,10 +44,13 @@
     void tellEntries(TimePoint now);
     void planIfIdle(TimePoint now);
     MapVersion nextVersion(const expertmap::VersionedMap& current);
+    void learnAddresses(const gateway::GroupBrief& brief);
+    std::shared_ptr<RankEngine> engineOf(RankIndex rank);
     expertmap::MapShape shapeOf(const gateway::GroupBrief& brief) const;
 
     boost::asio::io_context& m_ioContext;
     const gateway::AgentSettings& m_settings;
+    EnginePortFactory m_makePort;
     EnginePort m_port;
     Incarnation m_incarnation;
     boost::asio::steady_timer m_timer;
@@ -65,6 +68,8 @@
     // While the engine's group is open and its members are known.
     std::unique_ptr<GroupMember> m_member;
     std::shared_ptr<RankEngine> m_engine;
+    /// Addresses of the engines of the group's ranks.
+    std::map<RankIndex, gateway::Endpoint> m_engines;
     bool m_isOrderInProgress { false };
     /// Step of the last counts told; they say nothing new before the next.
     StepNumber m_countsToldAt;
--- a/src/agent/rank-engine.cc
+++ b/src/agent/rank-engine.cc
@@ -1,7 +1,13 @@
 #include "src/agent/rank-engine.h"
 
+#include "src/log/logger.h"
+
 #include <swiftloft/result.h>
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/system/system_error.hpp>
 #include <xxhash.h>
 
 namespace swiftloft::agent {
@@ -18,11 +24,16 @@
 /// Commands of an earlier agent of this slot can have fences at most so much higher, when the time of day was set back
 /// between the two.
 constexpr std::uint64_t fenceJump = 10'000'000;
+/// An agent that wakes after another has stood in for it leaves what it finds half done alone for this long: the other
+/// is done within a second.
+constexpr milliseconds mendPause { 3000 };
+/// Time for which only the neighbour is held: a few round trips between instances. Changes take so much longer.
+constexpr milliseconds neighbourPause { 8 };
 
 } // namespace
 
-RankEngine::RankEngine(const EnginePort& port, std::uint64_t epoch, std::uint64_t firstFence, Now now)
-    : m_port(port)
+RankEngine::RankEngine(EnginePort port, std::uint64_t epoch, std::uint64_t firstFence, Now now)
+    : m_port(std::move(port))
     , m_epoch(epoch)
     , m_fence(firstFence)
     , m_now(std::move(now))
@@ -63,8 +74,10 @@
 {
     EngineCommand command { kind, m_epoch, ++m_fence, version, step, map };
     auto end = co_await m_port.command(command, m_now() + answerWithin);
-    if (end == CommandEnd::Fenced)
+    if (end == CommandEnd::Fenced) {
         m_fence += fenceJump;
+        m_mendNotBefore = m_now() + mendPause;
+    }
     co_return end == CommandEnd::Done;
 }
 
@@ -102,6 +115,8 @@
     bool isFit = view.prepared == point.version && view.step < point.step && (!view.armed || view.armed == point);
     if (!isFit)
         co_return;
+    if (m_neighbour && !view.armed && view.heldAt != point.step)
+        co_await holdNeighbour(point.step);
     // Failure: a rank that is armed and not held would switch on its own before the others are armed. The hold comes
     // first, and is confirmed.
     if (view.heldAt != point.step && !co_await command(EngineCommand::Kind::Hold, point.version, point.step))
@@ -110,6 +125,22 @@
         co_await command(EngineCommand::Kind::Arm, point.version, point.step);
 }
 
+/// Failure: the coordinator's machine, and with it the way to its engine, stands still for seconds right after it has begun
+/// to hold the group; nobody can release the engine, and every stream of the group pauses until the machine wakes. Held
+/// first, another engine shows for a moment whether this machine goes on. If it does not, that engine's agent finds a
+/// hold without a switch and releases it within a tenth of a second.
+asio::awaitable<void> RankEngine::holdNeighbour(StepNumber step)
+{
+    try {
+        // Without a fence: the commands of that engine's own agent must not be refused for this one.
+        co_await m_neighbour->command({ EngineCommand::Kind::Hold, m_epoch, 0, MapVersion(0), step, nullptr }, m_now() + answerWithin);
+    } catch (const boost::system::system_error& error) {
+        log::write(log::Event::EngineOrderLost, "order=hold-neighbour problem=\"{}\"", error.what());
+    }
+    asio::steady_timer pause(co_await asio::this_coro::executor, Clock::now() + neighbourPause);
+    co_await pause.async_wait(asio::use_awaitable);
+}
+
 asio::awaitable<void> RankEngine::go(SwitchPoint point)
 {
     auto view = co_await read();
@@ -133,7 +164,7 @@
 
 asio::awaitable<void> RankEngine::mend(EngineView view)
 {
-    if (!view.isOpen || view.epoch != m_epoch)
+    if (!view.isOpen || view.epoch != m_epoch || m_now() < m_mendNotBefore)
         co_return;
     // Failure: the answer to a hold was lost and the hold came seconds later, or the agent died between the hold and the
     // switch. The group would stand at that step for good. A rank that is not armed has nothing to wait for.
--- a/src/agent/rank-engine.h
+++ b/src/agent/rank-engine.h
@@ -19,7 +19,12 @@
 public:
     using Now = std::function<TimePoint()>;
 
-    RankEngine(const EnginePort& port, std::uint64_t epoch, std::uint64_t firstFence, Now now = Clock::now);
+    RankEngine(EnginePort port, std::uint64_t epoch, std::uint64_t firstFence, Now now = Clock::now);
+
+    /// Before this rank is armed, the engine of another one is held first, and for a moment only this. For the rank that a
+    /// coordinator arms first: should its machine stand still just as it begins to hold the group, what it holds is an
+    /// engine whose own agent is there to release it.
+    void setNeighbour(EnginePort port) { m_neighbour = std::move(port); }
 
     /// Carries `order` out and returns the engine's state afterwards. Throws when the engine does not answer.
     boost::asio::awaitable<expertmap::EngineStatus> perform(expertmap::Order order, std::optional<expertmap::ExpertMap> map);
@@ -37,14 +42,18 @@
     boost::asio::awaitable<bool> command(EngineCommand::Kind kind, MapVersion version, StepNumber step, const expertmap::ExpertMap* map = nullptr);
     boost::asio::awaitable<void> prepare(MapVersion version, const expertmap::ExpertMap& map);
     boost::asio::awaitable<void> arm(expertmap::SwitchPoint point);
+    boost::asio::awaitable<void> holdNeighbour(StepNumber step);
     boost::asio::awaitable<void> go(expertmap::SwitchPoint point);
     boost::asio::awaitable<void> cancel(expertmap::SwitchPoint point);
     expertmap::EngineStatus statusOf(const EngineView& view) const;
 
-    const EnginePort& m_port;
+    EnginePort m_port;
+    std::optional<EnginePort> m_neighbour;
     std::uint64_t m_epoch;
     std::uint64_t m_fence;
     Now m_now;
+    /// Set when another agent has given this engine commands: until when this one leaves mending to it.
+    TimePoint m_mendNotBefore;
     /// Map whose weights are being loaded, and until when that is not asked for again.
     std::optional<MapVersion> m_preparing;
     TimePoint m_prepareAgainAt;
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -233,6 +233,7 @@
     auto& stream = connection->stream;
     stream.expires_at(call.deadline - answerMargin);
     boost::system::error_code ec;
+    connection->isInUse = true;
     co_await http::async_write(stream, request, redirect_error(use_awaitable, ec));
     if (ec)
         co_return ec == beast::error::timeout ? AttemptEnd::TimedOut : AttemptEnd::Lost;
@@ -398,6 +399,7 @@
 {
     // Failure: bytes behind a whole answer belong to no request; the next one on this connection would get them.
     bool isClean = parser.is_done() && parser.keep_alive() && !parser.need_eof() && connection->buffer.size() == 0;
+    connection->isInUse = !parser.is_done();
     if (!isClean)
         return;
     m_pool.putBack(std::move(connection), Clock::now() + UpstreamPool::idleFor);
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -73,6 +73,14 @@
     };
 }
 
+Setter flagInto(bool& target)
+{
+    return [&target](const std::string& value) {
+        target = value == "true";
+        return std::string(value == "true" || value == "false" ? "" : "true or false");
+    };
+}
+
 Setter secondsInto(milliseconds& target, double least, double most)
 {
     return numberInto([&target](double seconds) { target = milliseconds(std::llround(seconds * 1000)); }, least, most);
@@ -138,11 +146,12 @@
         { "engine", endpointInto(settings.engine) },
         { "news", endpointInto(settings.news) },
         { "group", endpointInto(settings.group) },
+        { "engine-checks-fences", flagInto(settings.engineChecksFences) },
         { "load-half-life-seconds", secondsInto(settings.loadHalfLife, 0.01, mostSeconds) },
         { "least-gain", numberInto([&](double gain) { settings.leastGain = gain; }, 0, 1) },
         { "experts-at-once", numberInto([&](double n) { settings.expertsAtOnce = static_cast<std::uint32_t>(n); }, 1, 1000) },
     };
-    auto read = readSection(text, fileName, "agent", setters, { "load-half-life-seconds", "least-gain", "experts-at-once" });
+    auto read = readSection(text, fileName, "agent", setters, { "engine-checks-fences", "load-half-life-seconds", "least-gain", "experts-at-once" });
     if (!read)
         return read.error();
     return settings;
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -21,6 +21,16 @@
 
 } // namespace
 
+/// Failure: a client leaves while the server stands still. Closed in order, the server reads the request when it wakes,
+/// and works for nobody. A reset takes back what it has not read.
+UpstreamConnection::~UpstreamConnection()
+{
+    if (!isInUse)
+        return;
+    boost::system::error_code ec;
+    stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+}
+
 UpstreamPool::UpstreamPool(asio::io_context& ioContext)
     : m_ioContext(ioContext)
 {
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -19,10 +19,13 @@
         : stream(ioContext)
     {
     }
+    ~UpstreamConnection();
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     BackendServerId server;
+    /// A request was written and its answer not read to the end.
+    bool isInUse { false };
     /// It has carried a request before.
     bool isReused { false };
 };
