--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -26,7 +26,7 @@
 constexpr milliseconds lookEvery { 50 };
 constexpr milliseconds answerWithin { 60 };
 /// Entries are told of the engine this often.
-constexpr milliseconds tellEntriesEvery { 500 };
+constexpr milliseconds tellEntriesEvery { 400 };
 /// An entry that has sent no brief for this long is not told any more.
 constexpr milliseconds entryFor { 5000 };
 /// A map that is not in force after this long is given up: a rank can't load it, or the group stands.
@@ -302,6 +302,12 @@
     auto bytes = encode(gateway::NewsMessage(news));
     for (auto& [address, heardAt] : m_entries)
         m_news->sendEncoded(address, bytes);
+    // Until an entry has spoken, those of the settings are told: after a loss of power all begin at once, and the group
+    // has no map of its own before its ranks know each other.
+    if (!m_entries.empty())
+        return;
+    for (auto& address : m_settings.entries)
+        m_news->sendEncoded(address, bytes);
 }
 
 void RankDaemon::planIfIdle(TimePoint now)
--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -44,7 +44,7 @@
         m_entries.onHello(hello->hello, now);
         pullIfBehind(now, hello->hello, effects);
     } else if (auto* rank = std::get_if<RankNewsArrived>(&event))
-        onRankNews(now, rank->news, effects);
+        onRankNews(now, rank->news);
     else if (auto* answered = std::get_if<PeerAnswered>(&event))
         onPeerAnswered(now, *answered);
     else if (auto* pullFailed = std::get_if<PullFailed>(&event))
@@ -208,16 +208,14 @@
     m_servers.tick(now);
 }
 
-void ControlState::onRankNews(TimePoint now, const RankNews& news, Effects& effects)
+void ControlState::onRankNews(TimePoint now, const RankNews& news)
 {
     auto it = m_ranks.find(news.address);
     bool isNew = it == m_ranks.end() || it->second.news.epoch != news.epoch || it->second.news.group != news.group;
     m_isChanged = m_isChanged || isNew || it->second.news.isOpen != news.isOpen;
     m_ranks[news.address] = { news, now };
-    if (!isNew)
-        return;
-    if (auto brief = briefFor(now, news))
-        effects.push_back(SendBrief { news.address, *brief });
+    if (isNew && news.isOpen)
+        m_briefAt = std::min(m_briefAt, now + briefSoon);
 }
 
 std::optional<GroupBrief> ControlState::briefFor(TimePoint now, const RankNews& news) const
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -73,7 +73,7 @@
 /// no clock and does no I/O. Versions and revisions only go up within its life.
 class ControlState {
 public:
-    static constexpr milliseconds tickEvery { 100 };
+    static constexpr milliseconds tickEvery { 50 };
     /// Between hellos: news of a peer's newer configuration travels within it, and an entry that stops is known to all
     /// after it.
     static constexpr milliseconds helloEvery { 400 };
@@ -82,8 +82,10 @@
     static constexpr milliseconds storeWaitAtStart { 1500 };
     /// A pull that was neither answered nor failed is repeated after this long.
     static constexpr milliseconds pullTimeout { 1000 };
-    /// Agents are told of their group this often, and at once when it has a new epoch.
+    /// Agents are told of their group this often.
     static constexpr milliseconds briefEvery { 1000 };
+    /// And so soon after a rank has come up in a new epoch: the others come up in the same moment and go into one brief.
+    static constexpr milliseconds briefSoon { 40 };
 
     using Decoders = Protocol;
 
@@ -109,7 +111,7 @@
     void takeServer(const PublishedItem& item, TimePoint now);
     std::vector<BackendServer> decodeServers(const PublishedItems& items);
     void pullIfBehind(TimePoint now, const Hello& hello, control::Effects& effects);
-    void onRankNews(TimePoint now, const RankNews& news, control::Effects& effects);
+    void onRankNews(TimePoint now, const RankNews& news);
     void sendBriefs(TimePoint now, control::Effects& effects);
     std::optional<GroupBrief> briefFor(TimePoint now, const RankNews& news) const;
     void tick(TimePoint now, control::Effects& effects);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -151,7 +151,7 @@
         auto& call = m_calls[id];
         if (now >= call.retryAt && tryStart(id, call, now, effects))
             continue;
-        if (now < call.waitUntil && m_loads.hasServer(call.service)) {
+        if (now < waitUntil(call, now) && m_loads.hasServer(call.service)) {
             still.push_back(id);
             continue;
         }
@@ -163,6 +163,16 @@
     m_waiting = std::move(still);
 }
 
+/// While a whole service forms anew, all its room is about to be free at once. Turned away, a client would come back when
+/// the rush is on; kept for the moment that it takes, it is served first.
+TimePoint Dispatcher::waitUntil(const Call& call, TimePoint now) const
+{
+    if (!m_loads.isForming(call.service, now))
+        return call.waitUntil;
+    auto formed = std::min(call.request.arrivedAt + m_options.recoveryWait, call.request.deadline);
+    return std::max(call.waitUntil, formed);
+}
+
 void Dispatcher::endAttempt(Call& call)
 {
     if (!call.runningOn)
@@ -278,7 +288,8 @@
         auto it = m_calls.find(id);
         auto& call = it->second;
         // One whose pause is over and that found no room waits for an event.
-        auto due = call.retryAt > m_appliedAt ? std::min(call.retryAt, call.waitUntil) : call.waitUntil;
+        auto until = waitUntil(call, m_appliedAt);
+        auto due = call.retryAt > m_appliedAt ? std::min(call.retryAt, until) : until;
         if (!next || due < *next)
             next = due;
     }
--- a/src/gateway/load-board.cc
+++ b/src/gateway/load-board.cc
@@ -169,6 +169,12 @@
     return std::any_of(m_servers.begin(), m_servers.end(), isUsable);
 }
 
+bool LoadBoard::isForming(const ServiceName& service, TimePoint now) const
+{
+    auto mayServe = [&](auto& it) { return it.second.server.service == service && mayGetWork(it.second, now); };
+    return hasServer(service) && std::none_of(m_servers.begin(), m_servers.end(), mayServe);
+}
+
 double LoadBoard::occupancy(const ServiceName& service, TimePoint now) const
 {
     double running = 0;
--- a/src/gateway/load-board.h
+++ b/src/gateway/load-board.h
@@ -54,6 +54,8 @@
     std::optional<BackendServer> choose(const Choice& choice, TimePoint now, policy::Generator& generator) const;
     /// True while the service has a server that may get work, with room or not.
     bool hasServer(const ServiceName& service) const;
+    /// True while the service has servers and all of them belong to groups that are forming.
+    bool isForming(const ServiceName& service, TimePoint now) const;
     /// Requests that run at the servers of a service, as far as known, over the places that they have.
     double occupancy(const ServiceName& service, TimePoint now) const;
 
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -146,12 +146,13 @@
         { "engine", endpointInto(settings.engine) },
         { "news", endpointInto(settings.news) },
         { "group", endpointInto(settings.group) },
+        { "entries", endpointsInto(settings.entries) },
         { "engine-checks-fences", flagInto(settings.engineChecksFences) },
         { "load-half-life-seconds", secondsInto(settings.loadHalfLife, 0.01, mostSeconds) },
         { "least-gain", numberInto([&](double gain) { settings.leastGain = gain; }, 0, 1) },
         { "experts-at-once", numberInto([&](double n) { settings.expertsAtOnce = static_cast<std::uint32_t>(n); }, 1, 1000) },
     };
-    auto read = readSection(text, fileName, "agent", setters, { "engine-checks-fences", "load-half-life-seconds", "least-gain", "experts-at-once" });
+    auto read = readSection(text, fileName, "agent", setters, { "entries", "engine-checks-fences", "load-half-life-seconds", "least-gain", "experts-at-once" });
     if (!read)
         return read.error();
     return settings;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -47,6 +47,8 @@
     Endpoint engine;
     /// Datagrams of entries.
     Endpoint news;
+    /// `peers` addresses of some entries, which are told of the engine from the start; may be stale.
+    std::vector<Endpoint> entries;
     /// Datagrams between the agents of a rank group; the same port at all of them.
     Endpoint group;
     /// Engines refuse commands with a lower fence than one they have seen. Only then may an agent stand in for another.
