Let two entries of a data centre follow the store and tell the others

Change: entries after the first two of their data centre cease once three others are answered by the store, and begin again when those are not; changes of the server list go to peers at once, as configurations did. Ruled out: longer waits of each watch (a silent connection would keep a revoked key too long).

--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -53,21 +53,46 @@
         m_isLeaving = true;
         m_helloAt = now;
     }
-    auto version = m_configuration ? m_configuration->version() : ConfigurationVersion(0);
     updateReadiness(now);
+    chooseWatching(now, effects);
     tick(now, effects);
-    // A newer configuration is told to peers at once: some of them may be turned away by the store just now.
-    if (m_isChanged && version != m_toldVersion) {
-        m_toldVersion = version;
-        m_helloAt = now;
-        sendHello(now, effects);
-    }
+    tellNews(now, effects);
     if (m_isChanged)
         effects.push_back(Publish {});
     m_isChanged = false;
     return effects;
 }
 
+/// A newer configuration, or a change of the server list, is told to peers at once: most of them don't follow the store,
+/// and some may be turned away by it just now.
+void ControlState::tellNews(TimePoint now, Effects& effects)
+{
+    auto version = m_configuration ? m_configuration->version() : ConfigurationVersion(0);
+    if (version == m_toldVersion && m_serversChangedAt == m_toldServers)
+        return;
+    m_toldVersion = version;
+    m_toldServers = m_serversChangedAt;
+    sendHello(now, effects);
+}
+
+void ControlState::chooseWatching(TimePoint now, Effects& effects)
+{
+    bool isAnswered = m_isWatching && m_hasStoreAnswered && !m_isStoreAway[Topic::Configuration] && !m_isStoreAway[Topic::Servers];
+    m_entries.setWatching(isAnswered);
+    bool isNeeded = m_entries.shouldWatch(now) || !m_isReady || (m_isWatching && now < m_watchAtLeastUntil);
+    if (isNeeded == m_isWatching)
+        return;
+    m_isWatching = isNeeded;
+    m_watchAtLeastUntil = now + watchAtLeast;
+    log::write(log::Event::StoreWatchChanged, "watching={}", isNeeded ? "yes" : "no");
+    if (!isNeeded) {
+        // From here on peers judge what the store's absence means.
+        m_isStoreAway.clear();
+        m_servers.onStoreRegained(now);
+    }
+    effects.emplace_back(SetWatching { isNeeded });
+}
+
 void ControlState::onStoreAnswered(TimePoint now, Topic topic)
 {
     m_hasStoreAnswered = true;
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -59,12 +59,16 @@
     Endpoint from;
     Topic topic { Topic::Configuration };
 };
+/// Begin or cease to follow the store. Ceasing comes only once both topics are known.
+struct SetWatching {
+    bool isOn { false };
+};
 struct SendBrief {
     Endpoint to;
     GroupBrief brief;
 };
 
-using Effect = std::variant<Publish, SendHello, Pull, SendBrief>;
+using Effect = std::variant<Publish, SendHello, Pull, SetWatching, SendBrief>;
 using Effects = std::vector<Effect>;
 
 } // namespace control
@@ -77,6 +81,7 @@
     /// Between hellos: news of a peer's newer configuration travels within it, and an entry that stops is known to all
     /// after it.
     static constexpr milliseconds helloEvery { 400 };
+    static constexpr milliseconds watchAtLeast { 3000 };
     /// An entry that starts takes the word of its peers when the store has not answered for this long: a healthy store
     /// answers in milliseconds, and one that is down must not keep the fleet from starting.
     static constexpr milliseconds storeWaitAtStart { 1500 };
@@ -115,6 +120,8 @@
     void sendBriefs(TimePoint now, control::Effects& effects);
     std::optional<GroupBrief> briefFor(TimePoint now, const RankNews& news) const;
     void tick(TimePoint now, control::Effects& effects);
+    void chooseWatching(TimePoint now, control::Effects& effects);
+    void tellNews(TimePoint now, control::Effects& effects);
     void sendHello(TimePoint now, control::Effects& effects);
     void updateReadiness(TimePoint now);
 
@@ -140,8 +147,13 @@
     std::map<Endpoint, Snapshot::Rank> m_ranks;
     bool m_isLeaving { false };
     bool m_isReady { false };
-    /// Version that peers were last told at once.
+    /// What peers were last told at once.
     ConfigurationVersion m_toldVersion;
+    std::uint64_t m_toldServers { 0 };
+    bool m_isWatching { true };
+    /// An entry that has watched since less than this ago goes on, so that a short quiet of its peers does not make it
+    /// list everything twice.
+    TimePoint m_watchAtLeastUntil;
     bool m_isChanged { true };
 };
 
--- a/src/gateway/entry-book.cc
+++ b/src/gateway/entry-book.cc
@@ -70,6 +70,20 @@
     return targets;
 }
 
+bool EntryBook::shouldWatch(TimePoint now) const
+{
+    std::size_t before = 0;
+    std::size_t watching = 0;
+    for (auto& member : alive(now)) {
+        if (member.state == EntryState::Leaving)
+            continue;
+        before += member.dataCentre == m_self.dataCentre && member.control < m_self.control ? 1 : 0;
+        watching += member.isWatching ? 1 : 0;
+    }
+    // Failure: the store turns the watchers away and serves others. They say so, and the others begin to watch.
+    return before < watchersPerDataCentre || watching < leastWatchers;
+}
+
 std::vector<EntryMember> EntryBook::alive(TimePoint now) const
 {
     std::vector<EntryMember> members;
--- a/src/gateway/entry-book.h
+++ b/src/gateway/entry-book.h
@@ -25,10 +25,21 @@
     static constexpr std::size_t membersPerHello { 40 };
     static constexpr std::size_t hellosPerRound { 10 };
 
+    /// A waiting watch counts as a call at the store, whose rates grow more slowly than the fleet. Two a data centre
+    /// survive each other.
+    static constexpr std::size_t watchersPerDataCentre { 2 };
+    static constexpr std::size_t leastWatchers { 3 };
+
     EntryBook(EntryMember self, std::vector<Endpoint> seeds);
 
     void onHello(const Hello& hello, TimePoint now);
     void setState(EntryState state) { m_self.state = state; }
+    void setWatching(bool isWatching) { m_self.isWatching = isWatching; }
+    /// True when this entry is one of those that follow the platform's store: the first `watchersPerDataCentre` of its data
+    /// centre, by address, or any while fewer than `leastWatchers` others say that the store answers them.
+    ///
+    /// Views differ, and nothing depends on their agreeing: too many watchers cost calls, and too few make all others watch.
+    bool shouldWatch(TimePoint now) const;
     /// The next hello to send; counts the own heartbeat up.
     Hello nextHello(policy::Generator& generator);
     /// Whom to send it to: a random few of the entries known, and the seeds that are not known or silent.
--- a/src/gateway/entry-daemon.cc
+++ b/src/gateway/entry-daemon.cc
@@ -94,6 +94,12 @@
         m_news->send(Endpoint(effect.to.address(), m_settings.agentPort), effect.brief);
     }
 
+    void perform(const control::SetWatching& effect)
+    {
+        m_configuration.setActive(effect.isOn);
+        m_servers.setActive(effect.isOn);
+    }
+
     void perform(const control::Pull& effect)
     {
         co_spawn(m_ioContext, pull(effect), asio::detached);
--- a/src/gateway/news.capnp
+++ b/src/gateway/news.capnp
@@ -14,6 +14,7 @@
   clients @3 :Text;                # IP:PORT for clients
   dataCentre @4 :Text;
   state @5 :UInt8;                 # as in EntryState
+  isWatching @6 :Bool;             # it follows the platform's store, and the store answers it
 }
 
 struct Hello {
--- a/src/gateway/news.capnp.h
+++ b/src/gateway/news.capnp.h
@@ -224,6 +224,8 @@
 
   inline  ::uint8_t getState() const;
 
+  inline bool getIsWatching() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -282,6 +284,9 @@
   inline  ::uint8_t getState();
   inline void setState( ::uint8_t value);
 
+  inline bool getIsWatching();
+  inline void setIsWatching(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1364,6 +1369,20 @@
       ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Member::Reader::getIsWatching() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<136>() * ::capnp::ELEMENTS);
+}
+
+inline bool Member::Builder::getIsWatching() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<136>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setIsWatching(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<136>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Hello::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/gateway/news.cc
+++ b/src/gateway/news.cc
@@ -44,6 +44,7 @@
     out.setClients(textOf(member.clients));
     out.setDataCentre(member.dataCentre.value());
     out.setState(static_cast<std::uint8_t>(member.state));
+    out.setIsWatching(member.isWatching);
 }
 
 EntryMember parse(schema::Member::Reader in)
@@ -51,7 +52,7 @@
     if (in.getState() > static_cast<std::uint8_t>(EntryState::Leaving))
         throw Malformed {};
     return { endpointFrom(in.getControl()), Incarnation(in.getIncarnation()), in.getHeartbeat(), endpointFrom(in.getClients()),
-        DataCentreName(in.getDataCentre().cStr()), static_cast<EntryState>(in.getState()) };
+        DataCentreName(in.getDataCentre().cStr()), static_cast<EntryState>(in.getState()), in.getIsWatching() };
 }
 
 /// Writes a message into the union of a datagram.
--- a/src/gateway/news.h
+++ b/src/gateway/news.h
@@ -37,6 +37,8 @@
     Endpoint clients;
     DataCentreName dataCentre;
     EntryState state { EntryState::Starting };
+    /// It follows the platform's store, and the store answers it.
+    bool isWatching { false };
 };
 
 struct Hello {
--- a/src/gateway/store-follower.cc
+++ b/src/gateway/store-follower.cc
@@ -25,6 +25,13 @@
     co_spawn(m_ioContext, follow(), asio::detached);
 }
 
+void StoreFollower::setActive(bool isActive)
+{
+    m_isActive = isActive;
+    m_knownTo.reset();
+    m_timer.cancel();
+}
+
 void StoreFollower::stop()
 {
     m_isStopped = true;
@@ -34,6 +41,12 @@
 asio::awaitable<void> StoreFollower::follow()
 {
     while (!m_isStopped) {
+        if (!m_isActive) {
+            m_timer.expires_at(TimePoint::max());
+            boost::system::error_code ec;
+            co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            continue;
+        }
         std::string problem;
         try {
             co_await step();
@@ -48,6 +61,8 @@
         }
         if (!std::exchange(m_isFailing, true))
             log::write(log::Event::PlatformUnreachable, "topic={} problem=\"{}\"", m_topic == Topic::Configuration ? "configuration" : "servers", problem);
+        if (!m_isActive)
+            continue;
         m_onEvent(control::StoreFailed { m_topic });
         co_await pauseAfterFailure();
     }
@@ -58,12 +73,16 @@
     auto now = Clock::now();
     if (!m_knownTo) {
         auto items = co_await m_store.list(m_topic, now + answerWithin);
+        if (!m_isActive)
+            co_return;
         m_knownTo = items.asOf;
         m_onEvent(control::StoreListed { m_topic, std::move(items) });
         co_return;
     }
     auto waitUntil = now + watchFor;
     auto changes = co_await m_store.watch(m_topic, *m_knownTo, waitUntil, waitUntil + answerWithin);
+    if (!m_isActive || !m_knownTo)
+        co_return;
     m_knownTo = std::max(*m_knownTo, changes.asOf);
     m_onEvent(control::StoreChanged { m_topic, std::move(changes) });
 }
--- a/src/gateway/store-follower.h
+++ b/src/gateway/store-follower.h
@@ -30,6 +30,8 @@
     StoreFollower(boost::asio::io_context& ioContext, const Store& store, Topic topic, OnEvent onEvent);
 
     void start();
+    /// While off, no call is made; on again, the topic is listed anew.
+    void setActive(bool isActive);
     void stop();
 
 private:
@@ -46,6 +48,7 @@
     std::optional<std::uint64_t> m_knownTo;
     milliseconds m_pause { firstPause };
     bool m_isFailing { false };
+    bool m_isActive { true };
     bool m_isStopped { false };
 };
 
--- a/test/control-state_test.cc
+++ b/test/control-state_test.cc
@@ -164,6 +164,42 @@
     }
 }
 
+// All watchers of a data centre are turned away by the store. Entries that rely on them would serve a revoked key until the
+// store lets them in.
+TEST_CASE("ControlState: an entry that others watch for begins to watch when they can't")
+{
+    Rig rig;
+    rig.listBoth(7);
+    rig.now += ControlState::watchAtLeast;
+    auto tell = [&](bool isWatching, std::uint64_t heartbeat) {
+        for (unsigned n = 2; n < 6; ++n) {
+            auto peer = member(n);
+            peer.control = endpoint(0, static_cast<unsigned short>(n));
+            peer.isWatching = isWatching;
+            peer.heartbeat = heartbeat;
+            rig.take(HelloArrived { { peer, 7, 10, {} } });
+        }
+    };
+    bool isOn = true;
+    auto note = [&] {
+        for (auto& effect : rig.last) {
+            if (auto* it = std::get_if<SetWatching>(&effect))
+                isOn = it->isOn;
+        }
+    };
+    tell(true, 1);
+    rig.take(Ticked {});
+    note();
+    rig.now += ControlState::watchAtLeast;
+    tell(true, 2);
+    note();
+    CHECK_FALSE(isOn);
+    rig.now += ControlState::watchAtLeast;
+    tell(false, 3);
+    note();
+    CHECK(isOn);
+}
+
 // A server leaves while this entry can't reach the store. The peer's list no longer has it.
 TEST_CASE("ControlState: the server list is pulled when a peer knows a later change")
 {
--- a/test/entry-book_test.cc
+++ b/test/entry-book_test.cc
@@ -78,3 +78,27 @@
     CHECK(book.nextHello(generator).members.size() == EntryBook::membersPerHello);
     CHECK(book.nextTargets(start, generator).size() == EntryBook::hellosPerRound);
 }
+
+// A fleet of hundreds of entries that each watch the store would use up its reads. The first two of a data centre watch
+// for the others, and the others begin when too few are left whom the store answers.
+TEST_CASE("EntryBook: two entries of a data centre follow the store, more when those can't")
+{
+    EntryBook book(member(9), {});
+    CHECK(book.shouldWatch(start));
+    auto watching = [](unsigned n, const std::string& dataCentre, bool isWatching) {
+        auto out = member(n);
+        out.dataCentre = DataCentreName(dataCentre);
+        out.isWatching = isWatching;
+        return out;
+    };
+    book.onHello(helloOf(watching(1, "a", true)), start);
+    CHECK(book.shouldWatch(start));
+    book.onHello(helloOf(watching(2, "a", true)), start);
+    book.onHello(helloOf(watching(20, "b", true)), start);
+    CHECK_FALSE(book.shouldWatch(start));
+    // The store turns one of them away.
+    auto turnedAway = watching(2, "a", false);
+    turnedAway.heartbeat = 2;
+    book.onHello(helloOf(turnedAway), start + milliseconds(1));
+    CHECK(book.shouldWatch(start + milliseconds(1)));
+}
--- a/test/news_test.cc
+++ b/test/news_test.cc
@@ -31,7 +31,7 @@
 
 EntryMember member(unsigned n)
 {
-    return { endpoint(n), Incarnation(n), 40, endpoint(n + 100), DataCentreName("dc"), EntryState::Leaving };
+    return { endpoint(n), Incarnation(n), 40, endpoint(n + 100), DataCentreName("dc"), EntryState::Leaving, true };
 }
 
 std::vector<NewsMessage> samples()
@@ -55,6 +55,7 @@
     auto hello = std::get<Hello>(throughWire(all[0]));
     CHECK(hello.sender.clients == endpoint(101));
     CHECK(hello.sender.state == EntryState::Leaving);
+    CHECK(hello.sender.isWatching);
     CHECK(hello.configuration == 7);
     CHECK(hello.members.size() == 2);
     auto load = std::get<LoadNews>(throughWire(all[1]));
