--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -73,11 +73,13 @@
     , m_port(m_makePort(ioContext, settings.engine))
     , m_incarnation(incarnation)
     , m_timer(ioContext)
+    , m_pages(ioContext, settings.metrics)
     , m_generator(std::random_device {}())
     , m_lastFence(firstFence())
 {
     auto onNews = [this](const gateway::NewsSocket::UdpEndpoint& from, gateway::NewsMessage message) { this->onNews(from, std::move(message)); };
     m_news = gateway::NewsSocket::create(ioContext, settings.news, onNews).value();
+    m_pages.add("/metrics", [this] { return process::StatusAnswer { 200, "text/plain; version=0.0.4", m_metrics.text() }; });
     co_spawn(ioContext, poll(), asio::detached);
 }
 
@@ -87,6 +89,7 @@
     m_timer.cancel();
     endGroup();
     m_news->stop();
+    m_pages.close();
 }
 
 void RankDaemon::onNews(const gateway::NewsSocket::UdpEndpoint& from, gateway::NewsMessage message)
@@ -206,6 +209,7 @@
             m_planning->onLoads(loads);
     };
     hooks.onChanged = [this](const SwitchPoint&) {
+        m_metrics.count("swiftloft_agent_map_changes_total", {});
         m_wishUntil.reset();
         m_planAgainAt = Clock::now() + planPause;
     };
@@ -261,6 +265,7 @@
     try {
         status = co_await engine->perform(order.order, std::move(map));
     } catch (const std::exception& error) {
+        m_metrics.count("swiftloft_agent_orders_lost_total", {});
         log::write(log::Event::EngineOrderLost, "order={} problem=\"{}\"", nameOf(order.order), error.what());
     }
     m_isOrderInProgress = false;
@@ -332,6 +337,8 @@
     VersionedMap next { nextVersion(*current), *plan.map };
     log::write(log::Event::MapChangeWanted, "group={} version={:016x} experts={} gain={:.3f} imbalance={:.2f} planned={:.2f}", m_member->options().group.value(),
         next.version.value(), plan.moves.size(), plan.gain, m_planning->planner().imbalance(current->map), m_planning->planner().imbalance(next.map));
+    m_metrics.count("swiftloft_agent_experts_moved_total", {}, static_cast<double>(plan.moves.size()));
+    m_metrics.set("swiftloft_agent_rank_imbalance", {}, m_planning->planner().imbalance(current->map));
     m_wishUntil = now + wishFor;
     m_member->want(next);
 }
--- a/src/agent/rank-daemon.h
+++ b/src/agent/rank-daemon.h
@@ -6,6 +6,8 @@
 #include "src/agent/rank-engine.h"
 #include "src/gateway/news.h"
 #include "src/gateway/settings.h"
+#include "src/process/metrics.h"
+#include "src/process/status-server.h"
 
 #include <swiftloft/expertmap/replica-planner.h>
 #include <swiftloft/policy/random.h>
@@ -54,6 +56,8 @@
     EnginePort m_port;
     Incarnation m_incarnation;
     boost::asio::steady_timer m_timer;
+    process::Metrics m_metrics;
+    process::StatusServer m_pages;
     std::shared_ptr<gateway::NewsSocket> m_news;
     policy::Generator m_generator;
     bool m_isStopped { false };
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -30,6 +30,7 @@
 ExitCode runStatus(const Command&, const Arguments&, const Console&);
 ExitCode runRoute(const Command&, const Arguments&, const Console&);
 ExitCode runMaps(const Command&, const Arguments&, const Console&);
+ExitCode runExplain(const Command&, const Arguments&, const Console&);
 ExitCode runBurn(const Command&, const Arguments&, const Console&);
 
 std::span<const Command> commands();
--- /dev/null
+++ b/src/ctl/explain.cc
@@ -0,0 +1,163 @@
+#include "src/ctl/command.h"
+#include "src/ctl/log-line.h"
+#include "src/ctl/options.h"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <set>
+
+namespace swiftloft::ctl {
+
+namespace {
+
+/// What happened to servers, groups and configurations counts as context of a request from so long before its first line
+/// to as long behind its last. Logs have whole seconds.
+constexpr std::chrono::seconds contextAround { 5 };
+
+using Lines = std::vector<LogLine>;
+
+void readLines(std::istream& in, Lines& lines)
+{
+    std::string text;
+    while (std::getline(in, text)) {
+        if (auto line = parseLogLine(text))
+            lines.push_back(std::move(*line));
+    }
+}
+
+Lines readAll(const Arguments& files)
+{
+    Lines lines;
+    if (files.empty())
+        readLines(std::cin, lines);
+    for (auto& name : files) {
+        std::ifstream in(name);
+        if (!in)
+            throw UsageError(fmt::format("{}: can't be read", name));
+        readLines(in, lines);
+    }
+    // Files of several processes come one behind the other.
+    std::stable_sort(lines.begin(), lines.end(), [](auto& a, auto& b) { return a.time < b.time; });
+    return lines;
+}
+
+std::set<std::string> serversOf(const Lines& own)
+{
+    std::set<std::string> servers;
+    for (auto& line : own) {
+        auto list = line.field("servers") + "," + line.field("server");
+        std::istringstream in(list);
+        for (std::string server; std::getline(in, server, ',');) {
+            if (!server.empty())
+                servers.insert(server);
+        }
+    }
+    return servers;
+}
+
+bool isContext(const LogLine& line, const std::set<std::string>& servers, const std::string& entry)
+{
+    if (line.field("id").empty() && servers.contains(line.field("server")))
+        return true;
+    if (line.event == "GroupSeen" || line.event == "GroupHeld" || line.event == "EngineSilent")
+        return true;
+    bool isOfEntry = line.process == entry;
+    bool isBelief = line.event == "SettingsInForce" || line.event == "PlatformUnreachable" || line.event == "PlatformReachable" || line.event == "ProcessStarted"
+        || line.event == "ProcessStopping" || line.event == "LinesDropped";
+    return isOfEntry && isBelief;
+}
+
+/// Why a request ended as it did, from its last line.
+std::string causeOf(const LogLine& end)
+{
+    auto reason = end.field("reason");
+    auto part = [&](const char* name) { return end.field(name); };
+    if (end.event == "RequestServed")
+        return fmt::format("answered by the last of {} in {} ms, the first byte after {} ms", part("servers"), part("ms"), part("first-ms"));
+    if (reason == "overloaded")
+        return fmt::format("refused for want of room: {} of the places of {} were taken and {} requests waited at the entry; it has not run", part("occupancy"), part("service"), part("waiting"));
+    if (reason == "no-server")
+        return fmt::format("refused: {} had no backend server that may get work; it has not run", part("service"));
+    if (reason == "tries-spent")
+        return fmt::format("refused after {} tries, none of which ran it; the tries say why", part("attempts"));
+    if (reason == "lost")
+        return fmt::format("its backend server broke off after the request was sent; it may have run at {}", part("servers"));
+    if (reason == "timed-out")
+        return fmt::format("not answered by {} before the deadline; it may have run", part("servers"));
+    if (reason == "server-error")
+        return fmt::format("the backend server answered with status {}; passed on", part("status"));
+    if (reason == "client-left")
+        return "the client left before the end; what was in progress was cancelled";
+    if (reason == "unknown key" || reason == "no such route")
+        return fmt::format("{} in configuration {}", reason, part("configuration"));
+    return fmt::format("answered by the entry: {}", reason);
+}
+
+struct Explanation {
+    Lines own;
+    Lines context;
+    std::string cause;
+};
+
+std::optional<Explanation> explain(const std::string& id, const Lines& lines)
+{
+    Explanation out;
+    std::copy_if(lines.begin(), lines.end(), std::back_inserter(out.own), [&](auto& line) { return line.field("id") == id; });
+    if (out.own.empty())
+        return std::nullopt;
+    auto servers = serversOf(out.own);
+    auto from = out.own.front().time - contextAround;
+    auto until = out.own.back().time + contextAround;
+    for (auto& line : lines) {
+        if (line.time >= from && line.time <= until && isContext(line, servers, out.own.back().process))
+            out.context.push_back(line);
+    }
+    out.cause = causeOf(out.own.back());
+    return out;
+}
+
+void print(const std::string& id, const Explanation& explanation, bool isJson, const Console& console)
+{
+    auto texts = [](const Lines& lines) {
+        boost::json::array out;
+        for (auto& line : lines)
+            out.emplace_back(line.text);
+        return out;
+    };
+    if (isJson) {
+        boost::json::object out { { "id", id }, { "cause", explanation.cause }, { "lines", texts(explanation.own) }, { "context", texts(explanation.context) } };
+        console.out(boost::json::serialize(out) + "\n");
+        return;
+    }
+    console.out(fmt::format("request {}: {}\n\nits lines\n", id, explanation.cause));
+    for (auto& line : explanation.own)
+        console.out(fmt::format("  {}\n", line.text));
+    console.out("\nmeanwhile\n");
+    for (auto& line : explanation.context)
+        console.out(fmt::format("  {}\n", line.text));
+}
+
+} // namespace
+
+ExitCode runExplain(const Command& command, const Arguments& arguments, const Console& console)
+{
+    Options options(command);
+    if (!options.parse(arguments, console))
+        return ExitCode::Ok;
+    constexpr std::size_t mostFiles = 10'000;
+    auto operands = options.operands(1, mostFiles);
+    auto id = operands.front();
+    auto explanation = explain(id, readAll(Arguments(operands.begin() + 1, operands.end())));
+    if (!explanation) {
+        console.err(fmt::format("swiftloft-ctl: no line of these logs is about request {}; give the logs of all entries of that time\n", id));
+        return ExitCode::Finding;
+    }
+    print(id, *explanation, options.isJson(), console);
+    return ExitCode::Ok;
+}
+
+} // namespace swiftloft::ctl
--- a/src/ctl/run.cc
+++ b/src/ctl/run.cc
@@ -20,6 +20,7 @@
     Command { "status", "--entry IP:PORT...", "state, settings revision and backend servers of running entries", runStatus },
     Command { "route", "--entry IP:PORT... --service NAME", "where running entries would send the next request of a service, and why", runRoute },
     Command { "maps", "--agent IP:PORT...", "expert map, step and change in progress of rank groups from running agents", runMaps },
+    Command { "explain", "ID [LOG...]", "what happened to a request and why, from the logs of entries and agents (files, or standard input)", runExplain },
     Command { "burn", "--entry IP:PORT... --settings FILE", "service-level burn by service and organisation from running entries", runBurn },
 };
 
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -106,7 +106,7 @@
     call.service = drawService(*event.request.route);
     m_retries.onRequest(call.service, now);
     if (!m_loads.hasServer(call.service)) {
-        refuse(event.call, call, RefusalReason::NoServer, comeBackAt(call, now), effects);
+        refuse(now, event.call, call, RefusalReason::NoServer, comeBackAt(call, now), effects);
         return;
     }
     // What waits already is older or more urgent, unless this one is more urgent than all of it.
@@ -139,8 +139,8 @@
     ++call.sends;
     call.runningOn = server->id;
     call.hasBegun = false;
+    effects.push_back(StartAttempt { id, *server, m_loads.running(server->id, now) });
     m_loads.onStart(server->id, { call.request.promptTokens });
-    effects.push_back(StartAttempt { id, *server });
     return true;
 }
 
@@ -158,7 +158,7 @@
         if (call.lastEnd)
             giveUp(id, call, *call.lastEnd, now, effects);
         else
-            refuse(id, call, m_loads.hasServer(call.service) ? RefusalReason::Overloaded : RefusalReason::NoServer, comeBackAt(call, now), effects);
+            refuse(now, id, call, m_loads.hasServer(call.service) ? RefusalReason::Overloaded : RefusalReason::NoServer, comeBackAt(call, now), effects);
     }
     m_waiting = std::move(still);
 }
@@ -254,15 +254,15 @@
         return;
     }
     if (call.verdict == Verdict::NotRun) {
-        refuse(id, call, RefusalReason::TriesSpent, comeBackAt(call, now), effects);
+        refuse(now, id, call, RefusalReason::TriesSpent, comeBackAt(call, now), effects);
         return;
     }
-    refuse(id, call, end == AttemptEnd::TimedOut ? RefusalReason::TimedOut : RefusalReason::Lost, std::nullopt, effects);
+    refuse(now, id, call, end == AttemptEnd::TimedOut ? RefusalReason::TimedOut : RefusalReason::Lost, std::nullopt, effects);
 }
 
-void Dispatcher::refuse(CallId id, Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, Effects& effects)
+void Dispatcher::refuse(TimePoint now, CallId id, const Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, Effects& effects)
 {
-    effects.push_back(Refuse { id, reason, call.verdict, retryAt });
+    effects.push_back(Refuse { id, reason, call.verdict, retryAt, call.service, m_loads.occupancy(call.service, now), m_waiting.size() });
 }
 
 TimePoint Dispatcher::comeBackAt(const Call&, TimePoint now)
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -101,6 +101,8 @@
 struct StartAttempt {
     CallId call;
     BackendServer server;
+    /// Requests that ran there already, as far as known, for the log.
+    std::uint32_t running { 0 };
 };
 /// Answer the client now. For a stream that has begun: cut it.
 struct Refuse {
@@ -109,6 +111,10 @@
     Verdict verdict { Verdict::NotRun };
     /// When to come back; unset where coming back is of no use.
     std::optional<TimePoint> retryAt;
+    /// What decided it, for the log: the service, the part of its places that is taken, and how many requests wait here.
+    ServiceName service {};
+    double occupancy { 0 };
+    std::size_t waiting { 0 };
 };
 /// Pass the failure that the server answered with on to the client.
 struct PassOn {
@@ -182,7 +188,7 @@
     bool tryStart(CallId id, Call& call, TimePoint now, dispatch::Effects& effects);
     TimePoint waitUntil(const Call& call, TimePoint now) const;
     void startWaiting(TimePoint now, dispatch::Effects& effects);
-    void refuse(CallId id, Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, dispatch::Effects& effects);
+    void refuse(TimePoint now, CallId id, const Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, dispatch::Effects& effects);
     TimePoint comeBackAt(const Call& call, TimePoint now);
 
     DispatcherOptions m_options;
--- a/src/gateway/entry-daemon.cc
+++ b/src/gateway/entry-daemon.cc
@@ -5,6 +5,7 @@
 #include "src/gateway/traffic.h"
 #include "src/log/logger.h"
 #include "src/process/fetch-page.h"
+#include "src/process/metrics.h"
 #include "src/process/signals.h"
 #include "src/process/status-server.h"
 
@@ -41,12 +42,13 @@
 /// The control thread: carries out the effects of `ControlState` and feeds it events.
 class EntryControl {
 public:
-    EntryControl(const EntrySettings& settings, const Protocol& protocol, const StoreFactory& makeStore, Incarnation incarnation, Traffic& traffic)
+    EntryControl(const EntrySettings& settings, const Protocol& protocol, const StoreFactory& makeStore, const process::SharedMetrics& metrics, Incarnation incarnation, Traffic& traffic)
         : m_settings(settings)
         , m_traffic(traffic)
         , m_store(makeStore(m_ioContext))
         , m_state(selfOf(settings, incarnation), settings.seeds, settings.leastEntries, protocol, policy::Generator(std::random_device {}()), Clock::now())
         , m_pages(m_ioContext, settings.peers)
+        , m_metricsPages(m_ioContext, settings.metrics)
         , m_stop(m_ioContext, [this](int count) { onStop(count); })
         , m_hangUp(m_ioContext, [] { log::write(log::Event::SettingsFileChanged, ""); })
         , m_timer(m_ioContext)
@@ -56,6 +58,7 @@
         m_news = NewsSocket::create(m_ioContext, settings.peers, [this](auto&, NewsMessage message) { onNews(std::move(message)); }).value();
         for (auto topic : { Topic::Configuration, Topic::Servers })
             m_pages.add(pageOf(topic), [this, topic] { return publishedPage(topic); });
+        m_metricsPages.add("/metrics", [&metrics] { return process::StatusAnswer { 200, "text/plain; version=0.0.4", metrics.text() }; });
         m_configuration.start();
         m_servers.start();
         tick();
@@ -161,6 +164,7 @@
     Store m_store;
     ControlState m_state;
     process::StatusServer m_pages;
+    process::StatusServer m_metricsPages;
     process::StopSignals m_stop;
     process::HangUpSignal m_hangUp;
     asio::steady_timer m_timer;
@@ -173,8 +177,9 @@
 
 void runEntry(const EntrySettings& settings, const Protocol& protocol, const StoreFactory& makeStore, Incarnation incarnation)
 {
-    Traffic traffic(settings, protocol, incarnation);
-    EntryControl control(settings, protocol, makeStore, incarnation, traffic);
+    process::SharedMetrics metrics;
+    Traffic traffic(settings, protocol, metrics, incarnation);
+    EntryControl control(settings, protocol, makeStore, metrics, incarnation, traffic);
     std::thread thread([&] {
         traffic.run();
         control.end();
--- a/src/gateway/load-board.cc
+++ b/src/gateway/load-board.cc
@@ -188,6 +188,12 @@
     return places > 0 ? running / places : 1;
 }
 
+std::uint32_t LoadBoard::running(const BackendServerId& id, TimePoint now) const
+{
+    auto it = m_servers.find(id);
+    return it == m_servers.end() ? 0 : totalLoad(it->second, now).running;
+}
+
 std::vector<ServerLoad> LoadBoard::ownLoads() const
 {
     std::vector<ServerLoad> loads;
--- a/src/gateway/load-board.h
+++ b/src/gateway/load-board.h
@@ -59,6 +59,9 @@
     /// Requests that run at the servers of a service, as far as known, over the places that they have.
     double occupancy(const ServiceName& service, TimePoint now) const;
 
+    /// Requests that run at a server, as far as known.
+    std::uint32_t running(const BackendServerId& id, TimePoint now) const;
+
     std::vector<ServerLoad> ownLoads() const;
 
 private:
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -36,6 +36,8 @@
 /// Clients of an entry that knows nothing yet come back after this long; it starts within a second or two.
 constexpr milliseconds notReadyRetryAfter { 500 };
 
+constexpr std::string_view answeredReason = "answered";
+
 constexpr std::array hopByHop { http::field::connection, http::field::keep_alive, http::field::proxy_authenticate, http::field::proxy_authorization,
     http::field::te, http::field::trailer, http::field::transfer_encoding, http::field::upgrade, http::field::proxy_connection };
 
@@ -78,9 +80,12 @@
     /// Fields that a resumed answer repeats.
     bool isComplete { false };
 
-    // For the log.
+    // For the log and the metrics.
+    ServiceName service;
+    /// What decided a refusal.
+    std::string inputs;
     unsigned status { 0 };
-    std::string_view reason { "answered" };
+    std::string_view reason { answeredReason };
     unsigned attempts { 0 };
     std::string servers;
     std::optional<TimePoint> firstByteAt;
@@ -89,10 +94,11 @@
     bool mustClose { false };
 };
 
-RequestServer::RequestServer(CallDesk& desk, UpstreamPool& pool, const Protocol& protocol, SnapshotSource snapshot)
+RequestServer::RequestServer(CallDesk& desk, UpstreamPool& pool, const Protocol& protocol, process::SharedMetrics& metrics, SnapshotSource snapshot)
     : m_desk(desk)
     , m_pool(pool)
     , m_protocol(protocol)
+    , m_metrics(metrics)
     , m_snapshot(std::move(snapshot))
 {
 }
@@ -176,8 +182,8 @@
     CallRequest request { configuration, call.route, priority, call.arrivedAt, call.deadline, call.head.promptTokens, call.head.outputTokens };
     auto decision = co_await call.ticket->arrive(std::move(request));
     while (auto* start = std::get_if<dispatch::StartAttempt>(&decision)) {
-        auto server = start->server;
-        decision = co_await attempt(call, server);
+        auto next = *start;
+        decision = co_await attempt(call, std::move(next));
         if (call.isComplete)
             co_return;
     }
@@ -187,9 +193,14 @@
         co_await passOn(call);
 }
 
-asio::awaitable<CallDecision> RequestServer::attempt(Call& call, BackendServer server)
+asio::awaitable<CallDecision> RequestServer::attempt(Call& call, dispatch::StartAttempt start)
 {
+    auto& server = start.server;
     ++call.attempts;
+    call.service = server.service;
+    if (call.attempts > 1)
+        log::write(log::Event::AttemptStarted, "id={} server={} attempt={} running={} behind-event={}", call.head.id, server.id.value(), call.attempts, start.running,
+            call.lastEvent.value_or(0));
     call.servers += fmt::format("{}{}", call.servers.empty() ? "" : ",", server.id.value());
     call.splitter.reset();
     auto end = co_await exchange(call, server);
@@ -408,6 +419,8 @@
 asio::awaitable<void> RequestServer::finish(Call& call, const dispatch::Refuse& refusal)
 {
     call.reason = toString(refusal.reason);
+    call.service = refusal.service;
+    call.inputs = fmt::format(" verdict={} occupancy={:.2f} waiting={}", toString(refusal.verdict), refusal.occupancy, refusal.waiting);
     if (call.hasBegun) {
         // What has gone out can't be taken back: the answer ends without its end mark, so that it looks cut.
         call.mustClose = true;
@@ -438,9 +451,24 @@
 {
     auto now = Clock::now();
     auto sinceArrival = [&](TimePoint time) { return std::chrono::duration_cast<milliseconds>(time - call.arrivedAt).count(); };
-    log::write(log::Event::RequestEnded, "id={} route={} organisation={} status={} reason={} attempts={} servers={} configuration={} first-ms={} pause-ms={} ms={}", call.head.id,
-        call.route ? call.route->name : "-", call.organisation ? call.organisation->value() : "-", call.status, call.reason, call.attempts, call.servers,
-        call.configuration ? call.configuration->version().value() : 0, call.firstByteAt ? sinceArrival(*call.firstByteAt) : -1, call.longestPause.count(), sinceArrival(now));
+    bool isServed = call.isComplete && call.reason == answeredReason;
+    log::write(isServed ? log::Event::RequestServed : log::Event::RequestFailed, "id={} route={} organisation={} status={} reason={} attempts={} service={} servers={} configuration={} first-ms={} pause-ms={} ms={}{}", call.head.id,
+        call.route ? call.route->name : "-", call.organisation ? call.organisation->value() : "-", call.status, call.reason, call.attempts, call.service.value(), call.servers,
+        call.configuration ? call.configuration->version().value() : 0, call.firstByteAt ? sinceArrival(*call.firstByteAt) : -1, call.longestPause.count(), sinceArrival(now), call.inputs);
+    count(call, isServed, now);
+}
+
+void RequestServer::count(const Call& call, bool isServed, TimePoint now) const
+{
+    auto seconds = [&](TimePoint time) { return std::chrono::duration<double>(time - call.arrivedAt).count(); };
+    process::Labels service { { "service", call.service.value() } };
+    m_metrics.count("swiftloft_entry_requests_total", { { "service", call.service.value() }, { "outcome", std::string(call.reason) } });
+    m_metrics.count("swiftloft_entry_attempts_total", service, call.attempts);
+    if (!isServed)
+        return;
+    m_metrics.addTo("swiftloft_entry_request_seconds", service, seconds(now));
+    if (call.firstByteAt)
+        m_metrics.addTo("swiftloft_entry_first_byte_seconds", service, seconds(*call.firstByteAt));
 }
 
 } // namespace swiftloft::gateway
--- a/src/gateway/request-server.h
+++ b/src/gateway/request-server.h
@@ -5,6 +5,7 @@
 #include "src/gateway/event-splitter.h"
 #include "src/gateway/protocol.h"
 #include "src/gateway/upstream.h"
+#include "src/process/metrics.h"
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -20,7 +21,7 @@
 public:
     using SnapshotSource = std::function<std::shared_ptr<const Snapshot>()>;
 
-    RequestServer(CallDesk& desk, UpstreamPool& pool, const Protocol& protocol, SnapshotSource snapshot);
+    RequestServer(CallDesk& desk, UpstreamPool& pool, const Protocol& protocol, process::SharedMetrics& metrics, SnapshotSource snapshot);
 
     /// Answers `request`. Throws when the client's connection breaks; the connection must be closed when this returns false.
     boost::asio::awaitable<bool> serve(ClientStream& client, ClientRequest request);
@@ -32,7 +33,7 @@
 
     boost::asio::awaitable<void> answer(Call& call, http::status status, std::string_view reason, std::optional<TimePoint> retryAt = std::nullopt);
     boost::asio::awaitable<void> run(Call& call);
-    boost::asio::awaitable<CallDecision> attempt(Call& call, BackendServer server);
+    boost::asio::awaitable<CallDecision> attempt(Call& call, dispatch::StartAttempt start);
     boost::asio::awaitable<AttemptEnd> exchange(Call& call, const BackendServer& server);
     boost::asio::awaitable<UpstreamConnectionPtr> connectionFor(Call& call, const BackendServer& server);
     boost::asio::awaitable<AttemptEnd> readAnswer(Call& call, UpstreamConnectionPtr connection);
@@ -43,10 +44,12 @@
     boost::asio::awaitable<void> finish(Call& call, const dispatch::Refuse& refusal);
     boost::asio::awaitable<void> passOn(Call& call);
     void logEnd(const Call& call) const;
+    void count(const Call& call, bool isServed, TimePoint now) const;
 
     CallDesk& m_desk;
     UpstreamPool& m_pool;
     const Protocol& m_protocol;
+    process::SharedMetrics& m_metrics;
     SnapshotSource m_snapshot;
 };
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -26,6 +26,8 @@
     Endpoint load;
     /// Port at which agents listen for news.
     unsigned short agentPort { 0 };
+    /// Counters and histograms, as text over HTTP.
+    Endpoint metrics;
     /// `peers` addresses of some entries; may be stale.
     std::vector<Endpoint> seeds;
     /// The platform's store.
@@ -47,6 +49,8 @@
     Endpoint engine;
     /// Datagrams of entries.
     Endpoint news;
+    /// Counters, as text over HTTP.
+    Endpoint metrics;
     /// `peers` addresses of some entries, which are told of the engine from the start; may be stale.
     std::vector<Endpoint> entries;
     /// Datagrams between the agents of a rank group; the same port at all of them.
--- a/src/gateway/traffic.cc
+++ b/src/gateway/traffic.cc
@@ -36,13 +36,13 @@
 
 } // namespace
 
-Traffic::Traffic(const EntrySettings& settings, const Protocol& protocol, Incarnation incarnation)
+Traffic::Traffic(const EntrySettings& settings, const Protocol& protocol, process::SharedMetrics& metrics, Incarnation incarnation)
     : m_settings(settings)
     , m_protocol(protocol)
     , m_incarnation(incarnation)
     , m_desk(m_ioContext, DispatcherOptions { settings.retries }, seeded())
     , m_pool(m_ioContext)
-    , m_server(m_desk, m_pool, protocol, [this] { return m_snapshot; })
+    , m_server(m_desk, m_pool, protocol, metrics, [this] { return m_snapshot; })
     , m_snapshot(std::make_shared<Snapshot>())
     , m_clients(m_ioContext)
     , m_ready(m_ioContext)
@@ -62,6 +62,21 @@
     listen(m_clients, settings.clients, [this](asio::ip::tcp::socket socket) { return serveClient(std::move(socket)); });
 }
 
+Traffic::~Traffic()
+{
+    for (auto* acceptor : { &m_clients, &m_ready, &m_directory }) {
+        boost::system::error_code ec;
+        acceptor->close(ec);
+    }
+    m_news->stop();
+    m_pool.closeAll();
+    m_desk.setOnLoadChanged(nullptr);
+    for (auto* client : std::set<ClientStream*>(m_clientStreams))
+        client->reset();
+    m_ioContext.restart();
+    m_ioContext.poll();
+}
+
 void Traffic::run()
 {
     m_ioContext.run();
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -20,7 +20,10 @@
 /// tells other entries of its load.
 class Traffic {
 public:
-    Traffic(const EntrySettings& settings, const Protocol& protocol, Incarnation incarnation);
+    Traffic(const EntrySettings& settings, const Protocol& protocol, process::SharedMetrics& metrics, Incarnation incarnation);
+
+    /// Ends what is left: coroutines that still wait hold on to parts of this object, so they are woken and unwound first.
+    ~Traffic();
 
     /// Runs until stopped.
     void run();
--- a/src/log/logger.cc
+++ b/src/log/logger.cc
@@ -20,6 +20,7 @@
 struct Output {
     std::mutex mutex;
     LineSink sink = [](std::string_view line) { fmt::print(stderr, "{}\n", line); };
+    LineFilter filter;
     Level threshold { Level::Info };
     std::string processName { "swiftloft" };
 };
@@ -58,6 +59,12 @@
     output().sink = std::move(sink);
 }
 
+void setFilter(LineFilter filter)
+{
+    std::scoped_lock lock(output().mutex);
+    output().filter = std::move(filter);
+}
+
 void setThreshold(Level level)
 {
     std::scoped_lock lock(output().mutex);
@@ -74,6 +81,9 @@
 {
     auto& info = infoOf(event);
     auto& out = output();
+    // Not under the lock: a filter may write a line of its own.
+    if (out.filter && !out.filter(event))
+        return;
     std::scoped_lock lock(out.mutex);
     if (info.level < out.threshold)
         return;
--- a/src/log/logger.h
+++ b/src/log/logger.h
@@ -40,6 +40,10 @@
 using LineSink = std::function<void(std::string_view line)>;
 void setLineSink(LineSink sink);
 
+/// Asked before each line; one that it says no to is dropped. Called from any thread.
+using LineFilter = std::function<bool(Event event)>;
+void setFilter(LineFilter filter);
+
 /// Lines below `level` are dropped.
 void setThreshold(Level level);
 
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <mutex>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,11 +47,31 @@
     Accumulator m_accumulator;
 };
 
+/// Counts of values by fixed upper bounds; those of several processes add up.
+class Histogram {
+public:
+    /// Seconds, from a millisecond to the longest deadlines, each about twice the one before.
+    static const std::vector<double>& bounds();
+
+    void add(double value);
+    std::uint64_t count() const { return m_count; }
+    double sum() const { return m_sum; }
+    /// Values at or below `bounds()[n]`.
+    std::uint64_t atMost(std::size_t n) const;
+
+private:
+    std::vector<std::uint64_t> m_counts = std::vector<std::uint64_t>(bounds().size());
+    std::uint64_t m_count { 0 };
+    double m_sum { 0 };
+};
+
 class Metrics {
 public:
     void count(const std::string& name, const Labels& labels, double n = 1);
     void set(const std::string& name, const Labels& labels, double value);
     void observe(const std::string& name, const Labels& labels, double value);
+    /// Adds a value to a histogram.
+    void addTo(const std::string& name, const Labels& labels, double value);
 
     /// Prometheus text exposition format.
     std::string text() const;
@@ -62,6 +83,20 @@
     std::map<std::string, Family<double>> m_counters;
     std::map<std::string, Family<double>> m_gauges;
     std::map<std::string, Family<Summary>> m_summaries;
+    std::map<std::string, Family<Histogram>> m_histograms;
+};
+
+/// Metrics that one thread writes and another prints.
+class SharedMetrics {
+public:
+    void count(const std::string& name, const Labels& labels, double n = 1);
+    void set(const std::string& name, const Labels& labels, double value);
+    void addTo(const std::string& name, const Labels& labels, double value);
+    std::string text() const;
+
+private:
+    mutable std::mutex m_mutex;
+    Metrics m_metrics;
 };
 
 } // namespace swiftloft::process
--- a/test/gateway-settings_test.cc
+++ b/test/gateway-settings_test.cc
@@ -15,6 +15,7 @@
 peers = 10.0.0.1:83
 load = 10.0.0.1:84
 agent-port = 85
+metrics = 10.0.0.1:86
 seeds = 10.0.0.1:83,10.0.0.2:83
 store = 10.0.0.9:90
 retry-ratio = 0.2
@@ -56,7 +57,7 @@
     auto text = entryText + "least-entries = many\n";
     auto settings = parseEntrySettings(text, "entry.ini");
     REQUIRE_FALSE(settings.has_value());
-    CHECK(settings.error().message == "entry.ini:17: key 'least-entries' has value 'many'; expected a number from 1 to 100000");
+    CHECK(settings.error().message == "entry.ini:18: key 'least-entries' has value 'many'; expected a number from 1 to 100000");
     CHECK_FALSE(parseEntrySettings(without("store") + "store = somewhere\n", "entry.ini").has_value());
     CHECK_FALSE(parseEntrySettings(entryText + "colour = red\n", "entry.ini").has_value());
     CHECK_FALSE(parseEntrySettings(entryText + "id = twice\n", "entry.ini").has_value());
@@ -69,7 +70,7 @@
 
 TEST_CASE("Agent settings: the planner's keys may be left out")
 {
-    const std::string text = "[agent]\nid = a1\ndata-centre = dc\nengine = 10.0.0.5:80\nnews = 10.0.0.5:81\ngroup = 10.0.0.5:82\n";
+    const std::string text = "[agent]\nid = a1\ndata-centre = dc\nengine = 10.0.0.5:80\nnews = 10.0.0.5:81\nmetrics = 10.0.0.5:83\ngroup = 10.0.0.5:82\n";
     auto settings = parseAgentSettings(text, "agent.ini").value();
     CHECK(settings.expertsAtOnce == AgentSettings().expertsAtOnce);
     CHECK(parseAgentSettings(text + "least-gain = 0.1\n", "agent.ini").value().leastGain == 0.1);
--- /dev/null
+++ b/test/soak/soak.cc
@@ -0,0 +1,389 @@
+#include "test/soak/soak.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+
+#include <fstream>
+
+namespace swiftloft::soak {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr milliseconds answerWithin { 5000 };
+/// Promises of the settings file and the store's stand-in, with room for a busy machine.
+constexpr milliseconds drainWithin { 3000 };
+constexpr milliseconds configurationWithin { 3500 };
+constexpr seconds stopWithin { 5 };
+constexpr seconds recoverWithin { 15 };
+/// A client that was not served comes back after this long.
+constexpr milliseconds retryPause { 40 };
+
+/// One connection of a client, used until it breaks.
+class KeptClient {
+public:
+    explicit KeptClient(const std::string& address)
+        : m_endpoint(standin::parseEndpoint(address).value())
+    {
+    }
+
+    /// Sends the request and reads what comes. Fills `status`, `body` and `isWhole`.
+    void exchange(Outcome& outcome)
+    {
+        m_io.restart();
+        bool isDone = false;
+        asio::co_spawn(m_io, perform(outcome, isDone), asio::detached);
+        m_io.run();
+        if (!isDone)
+            m_stream.reset();
+    }
+
+private:
+    asio::awaitable<void> perform(Outcome& outcome, bool& isKept)
+    {
+        auto deadline = Clock::now() + answerWithin;
+        http::response_parser<http::string_body> parser;
+        try {
+            if (!m_stream) {
+                m_stream = std::make_unique<beast::tcp_stream>(m_io);
+                m_buffer.clear();
+                m_stream->expires_at(deadline);
+                co_await m_stream->async_connect(m_endpoint, asio::use_awaitable);
+            }
+            m_stream->expires_at(deadline);
+            http::request<http::string_body> request(http::verb::post, fmt::format("/{}/x", outcome.kind), 11);
+            request.set(http::field::host, "h.example");
+            request.set("X-Request-Id", outcome.id);
+            request.set("X-Api-Key", outcome.key);
+            request.set("X-Deadline-Ms", "4000");
+            request.body() = "work";
+            request.prepare_payload();
+            co_await http::async_write(*m_stream, request, asio::use_awaitable);
+            co_await http::async_read(*m_stream, m_buffer, parser, asio::use_awaitable);
+            outcome.isWhole = true;
+            isKept = parser.get().keep_alive();
+        } catch (const boost::system::system_error&) {
+            // What came is judged as it is.
+        }
+        if (parser.is_header_done()) {
+            outcome.status = parser.get().result_int();
+            outcome.body = parser.get().body();
+        }
+    }
+
+    asio::io_context m_io;
+    asio::ip::tcp::endpoint m_endpoint;
+    std::unique_ptr<beast::tcp_stream> m_stream;
+    beast::flat_buffer m_buffer;
+};
+
+int pick(std::mt19937_64& random, int least, int most)
+{
+    return std::uniform_int_distribution<int>(least, most)(random);
+}
+
+std::string wholeStream(const std::string& id)
+{
+    std::string out;
+    for (int n = 1; n <= UsersPlatform::eventsOfStream; ++n)
+        out += fmt::format("id: {}\ndata: {} part {}\n\n", n, id, n);
+    return out;
+}
+
+} // namespace
+
+Soak::Soak(const SoakOptions& options)
+    : m_options(options)
+    , m_platform(options.servers, 8)
+    , m_entries(static_cast<std::size_t>(options.entries))
+    , m_began(Clock::now())
+{
+    m_key = "key-0";
+    m_platform.publish(m_key, "org-key-0");
+    for (std::size_t n = 0; n < m_platform.servers(); ++n) {
+        m_serverRelays.push_back(std::make_unique<process_test::Relay>(m_platform.addressOf(n)));
+        m_platform.listAt(n, m_serverRelays.back()->address());
+    }
+    auto loopback = [](int port) { return fmt::format("127.0.0.1:{}", port); };
+    auto firstPeers = loopback(process_test::freePort());
+    // Entries of one machine can't share the port for news of load: each has an address of its own in the loopback net.
+    for (std::size_t n = 0; n < m_entries.size(); ++n) {
+        auto& entry = m_entries[n];
+        auto ip = fmt::format("127.0.0.{}", n + 1);
+        auto at = [&](int port) { return fmt::format("{}:{}", ip, port); };
+        entry.store = std::make_unique<process_test::Relay>(m_platform.storeAddress());
+        entry.clients = at(process_test::freePort());
+        entry.settings = fmt::format("{}/entry-{}.ini", m_folder.path(), n);
+        std::ofstream(entry.settings) << fmt::format("[entry]\nid = e{}\ndata-centre = dc\nclients = {}\nready = {}\ndirectory = {}\npeers = {}\nload = {}\nagent-port = 9\n"
+                                                     "metrics = {}\nseeds = {}\nstore = {}\nretry-ratio = 0.2\nretry-slack = 100\nretry-window-seconds = 10\n"
+                                                     "stop-within-seconds = 4\ndirectory-kept-seconds = 1\n",
+            n, entry.clients, at(process_test::freePort()), at(process_test::freePort()), n == 0 ? firstPeers : at(process_test::freePort()), at(19'465), at(process_test::freePort()),
+            firstPeers, entry.store->address());
+    }
+}
+
+Soak::~Soak() = default;
+
+void Soak::startEntry(std::size_t index)
+{
+    auto& entry = m_entries[index];
+    entry.isPaused = false;
+    entry.process = process_test::ChildProcess::start({ m_options.program, "--config", entry.settings }, { .waitsForListening = false }).value();
+}
+
+void Soak::note(const std::string& text)
+{
+    std::scoped_lock lock(m_mutex);
+    m_events.push_back(fmt::format("{:6} ms {}", std::chrono::duration_cast<milliseconds>(Clock::now() - m_began).count(), text));
+}
+
+std::string Soak::currentKey()
+{
+    std::scoped_lock lock(m_mutex);
+    return m_key;
+}
+
+void Soak::clientLoop(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    std::vector<std::unique_ptr<KeptClient>> clients;
+    for (auto& entry : m_entries)
+        clients.push_back(std::make_unique<KeptClient>(entry.clients));
+    constexpr const char* kinds[] = { "stream", "once", "safe" };
+    std::string oldKey = currentKey();
+    for (int n = 0; !m_isOver; ++n) {
+        Outcome outcome;
+        outcome.id = fmt::format("{}-{}", seed, n);
+        outcome.kind = kinds[pick(random, 0, 2)];
+        // Now and then a client goes on with a key that was valid when it began.
+        outcome.key = pick(random, 0, 9) == 0 ? oldKey : currentKey();
+        outcome.sentAt = Clock::now();
+        clients[static_cast<std::size_t>(pick(random, 0, static_cast<int>(clients.size()) - 1))]->exchange(outcome);
+        bool isServed = outcome.status == 200;
+        {
+            std::scoped_lock lock(m_mutex);
+            m_outcomes.push_back(std::move(outcome));
+        }
+        if (!isServed)
+            std::this_thread::sleep_for(retryPause);
+    }
+}
+
+void Soak::stopGracefully(std::size_t index)
+{
+    auto& process = *m_entries[index].process;
+    process.terminate();
+    auto status = process.waitForExit(Clock::now() + stopWithin + seconds(2));
+    if (status != 0)
+        m_broken.push_back(fmt::format("entry {} was told to stop and ended with {}, expected 0 within {} s", index, status ? *status : -1, stopWithin.count()));
+}
+
+void Soak::disturbEntry(std::mt19937_64& random)
+{
+    auto index = static_cast<std::size_t>(pick(random, 0, m_options.entries - 1));
+    auto& entry = m_entries[index];
+    switch (pick(random, 0, 3)) {
+    case 0:
+        note(fmt::format("kill entry {}", index));
+        entry.process->kill();
+        startEntry(index);
+        break;
+    case 1:
+        note(fmt::format("stop entry {}", index));
+        stopGracefully(index);
+        startEntry(index);
+        break;
+    default:
+        note(fmt::format("pause entry {}", index));
+        entry.process->pause();
+        std::this_thread::sleep_for(milliseconds(pick(random, 50, 1500)));
+        entry.process->resume();
+    }
+}
+
+void Soak::disturbStore(std::mt19937_64& random)
+{
+    Span span { Clock::now(), {} };
+    auto& relay = *m_entries[static_cast<std::size_t>(pick(random, 0, m_options.entries - 1))].store;
+    auto what = pick(random, 0, 4);
+    note(fmt::format("store disturbed, kind {}", what));
+    if (what == 0)
+        m_platform.setStoreMode(StoreMode::Refusing);
+    else if (what == 1)
+        m_platform.setStoreMode(StoreMode::Silent);
+    else if (what == 2)
+        relay.silenceConnections();
+    else if (what == 3)
+        relay.setRefusing(true);
+    else
+        relay.setDelay(milliseconds(pick(random, 20, 200)));
+    // A configuration comes just then, and with it a key goes.
+    if (pick(random, 0, 1) == 0) {
+        std::scoped_lock lock(m_mutex);
+        m_revokedAt[m_key] = Clock::now();
+        m_key = fmt::format("key-{}", ++m_lastKey);
+        m_platform.publish(m_key, "org-" + m_key);
+    }
+    std::this_thread::sleep_for(milliseconds(pick(random, 100, 1500)));
+    m_platform.setStoreMode(StoreMode::Normal);
+    relay.setRefusing(false);
+    relay.setDelay(milliseconds(0));
+    span.end = Clock::now();
+    std::scoped_lock lock(m_mutex);
+    m_storeDisturbances.push_back(span);
+}
+
+void Soak::disturbServer(std::mt19937_64& random)
+{
+    auto index = static_cast<std::size_t>(pick(random, 0, m_options.servers - 1));
+    auto what = pick(random, 0, 7);
+    note(fmt::format("server {} disturbed, kind {}", index, what));
+    if (what < 4) {
+        constexpr ServerMode modes[] = { ServerMode::LosingAnswers, ServerMode::Full, ServerMode::BreakingStreams, ServerMode::Mixing };
+        m_platform.setServerMode(index, modes[what]);
+        std::this_thread::sleep_for(milliseconds(pick(random, 100, 800)));
+        m_platform.setServerMode(index, ServerMode::Normal);
+    } else if (what == 4)
+        m_serverRelays[index]->cutConnections();
+    else if (what == 5)
+        m_serverRelays[index]->silenceConnections();
+    else if (what == 6) {
+        m_serverRelays[index]->setDelay(milliseconds(pick(random, 10, 150)));
+        std::this_thread::sleep_for(milliseconds(pick(random, 100, 800)));
+        m_serverRelays[index]->setDelay(milliseconds(0));
+    } else
+        m_platform.drain(index);
+}
+
+void Soak::disturb(std::mt19937_64& random)
+{
+    switch (pick(random, 0, 2)) {
+    case 0:
+        return disturbEntry(random);
+    case 1:
+        return disturbStore(random);
+    default:
+        return disturbServer(random);
+    }
+}
+
+bool Soak::servesAgain()
+{
+    return process_test::waitUntil(Clock::now() + recoverWithin, [&] {
+        std::size_t good = 0;
+        for (std::size_t n = 0; n < m_entries.size(); ++n) {
+            Outcome outcome { fmt::format("last-{}-{}", n, Clock::now().time_since_epoch().count()), "safe", currentKey(), Clock::now() };
+            KeptClient(m_entries[n].clients).exchange(outcome);
+            good += outcome.status == 200 ? 1 : 0;
+        }
+        return good == m_entries.size();
+    });
+}
+
+std::vector<std::string> Soak::run()
+{
+    for (std::size_t n = 0; n < m_entries.size(); ++n)
+        startEntry(n);
+    if (!servesAgain())
+        return { "the entries did not begin to serve" };
+    std::vector<std::thread> clients;
+    for (int n = 0; n < m_options.clients; ++n)
+        clients.emplace_back([this, n] { clientLoop(m_options.seed * 1000 + static_cast<std::uint64_t>(n)); });
+    // Two at a time, so that faults overlap.
+    auto end = Clock::now() + m_options.length;
+    auto disturbUntilEnd = [&](std::uint64_t seed, void (Soak::*fault)(std::mt19937_64&)) {
+        std::mt19937_64 random(seed);
+        while (Clock::now() < end) {
+            (this->*fault)(random);
+            std::this_thread::sleep_for(milliseconds(pick(random, 50, 700)));
+        }
+    };
+    std::thread second([&] { disturbUntilEnd(m_options.seed * 2 + 1, &Soak::disturbServer); });
+    std::thread third([&] { disturbUntilEnd(m_options.seed * 2 + 2, &Soak::disturbStore); });
+    disturbUntilEnd(m_options.seed * 2, &Soak::disturbEntry);
+    second.join();
+    third.join();
+    note("calm");
+    if (!servesAgain())
+        m_broken.emplace_back("after all faults had ended the entries did not serve again");
+    m_isOver = true;
+    for (auto& client : clients)
+        client.join();
+    for (std::size_t n = 0; n < m_entries.size(); ++n)
+        stopGracefully(n);
+    return check();
+}
+
+std::size_t Soak::served() const
+{
+    return static_cast<std::size_t>(std::count_if(m_outcomes.begin(), m_outcomes.end(), [](auto& it) { return it.status == 200 && it.isWhole; }));
+}
+
+bool Soak::wasStoreDisturbed(TimePoint from, TimePoint to) const
+{
+    return std::any_of(m_storeDisturbances.begin(), m_storeDisturbances.end(), [&](auto& span) { return span.begin <= to && span.end + seconds(2) >= from; });
+}
+
+void Soak::checkRuns(const Outcome& outcome, const std::vector<Run>& runs, std::vector<std::string>& broken) const
+{
+    auto say = [&](const std::string& text) { broken.push_back(fmt::format("{} request {}: {}", outcome.kind, outcome.id, text)); };
+    if (outcome.kind == "once" && runs.size() > 1)
+        say(fmt::format("ran {} times, expected once at most", runs.size()));
+    bool isPromise = outcome.status == 503 || outcome.status == 429 || outcome.status == 401;
+    if (isPromise && !runs.empty())
+        say(fmt::format("was answered {} and ran at {}, expected no run", outcome.status, runs.front().server));
+    for (auto& run : runs) {
+        if (run.organisation != "org-" + outcome.key)
+            say(fmt::format("ran for '{}', expected 'org-{}'", run.organisation, outcome.key));
+        auto revoked = m_revokedAt.find(outcome.key);
+        bool isLate = revoked != m_revokedAt.end() && outcome.sentAt > revoked->second + configurationWithin;
+        if (isLate && !wasStoreDisturbed(revoked->second, outcome.sentAt))
+            say(fmt::format("ran {} ms after its key was revoked", std::chrono::duration_cast<milliseconds>(outcome.sentAt - revoked->second).count()));
+    }
+}
+
+void Soak::checkBody(const Outcome& outcome, std::vector<std::string>& broken) const
+{
+    if (outcome.status != 200)
+        return;
+    auto expected = outcome.kind == "stream" ? wholeStream(outcome.id) : UsersPlatform::plainBody(outcome.id);
+    bool isGood = outcome.isWhole ? outcome.body == expected : expected.starts_with(outcome.body);
+    if (!isGood)
+        broken.push_back(fmt::format("{} request {}: a {} answer was '{}', expected '{}'", outcome.kind, outcome.id, outcome.isWhole ? "whole" : "cut", outcome.body, expected));
+}
+
+void Soak::checkDrains(std::vector<std::string>& broken) const
+{
+    auto drained = m_platform.drainedAt();
+    for (auto& [id, runs] : m_platform.runs()) {
+        for (auto& run : runs) {
+            auto it = drained.find(run.server);
+            if (it == drained.end() || run.at <= it->second + drainWithin || wasStoreDisturbed(it->second, run.at))
+                continue;
+            broken.push_back(fmt::format("request {} reached {} {} ms after it was told to go", id, run.server, std::chrono::duration_cast<milliseconds>(run.at - it->second).count()));
+        }
+    }
+}
+
+std::vector<std::string> Soak::check()
+{
+    auto broken = m_broken;
+    auto runs = m_platform.runs();
+    for (auto& outcome : m_outcomes) {
+        checkRuns(outcome, runs[outcome.id], broken);
+        checkBody(outcome, broken);
+    }
+    checkDrains(broken);
+    if (served() * 4 < m_outcomes.size())
+        broken.push_back(fmt::format("{} of {} requests were served, expected a quarter at least", served(), m_outcomes.size()));
+    return broken;
+}
+
+} // namespace swiftloft::soak
--- /dev/null
+++ b/test/soak/users-platform.cc
@@ -0,0 +1,278 @@
+#include "test/soak/users-platform.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <future>
+
+namespace swiftloft::soak {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using standin::Exchange;
+using standin::HttpStatus;
+
+namespace {
+
+constexpr milliseconds eventEvery { 15 };
+constexpr milliseconds plainWork { 8 };
+constexpr milliseconds watchPoll { 15 };
+
+std::string toBase64(const std::string& text)
+{
+    std::string out((text.size() + 2) / 3 * 4 + 1, '\0');
+    auto size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()), reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
+    out.resize(static_cast<std::size_t>(size));
+    return out;
+}
+
+asio::awaitable<void> pause(milliseconds time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, Clock::now() + time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+std::string eventText(const std::string& id, int n)
+{
+    return fmt::format("id: {}\ndata: {} part {}\n\n", n, id, n);
+}
+
+} // namespace
+
+std::string UsersPlatform::plainBody(const std::string& id)
+{
+    return "answer to " + id;
+}
+
+UsersPlatform::UsersPlatform(int servers, int slots)
+    : m_slots(slots)
+{
+    m_store = standin::HttpServer::create(m_io, "127.0.0.1:0", [this](Exchange& exchange) { return serveStore(exchange); }).value();
+    m_storeAddress = fmt::format("127.0.0.1:{}", m_store->endpoint().port());
+    m_servers.resize(static_cast<std::size_t>(servers));
+    for (std::size_t n = 0; n < m_servers.size(); ++n) {
+        auto& server = m_servers[n];
+        server.http = standin::HttpServer::create(m_io, "127.0.0.1:0", [this, n](Exchange& exchange) { return serveRequest(n, exchange); }).value();
+        server.address = fmt::format("127.0.0.1:{}", server.http->endpoint().port());
+        server.ownAddress = server.address;
+        server.id = fmt::format("i-{}", ++m_lastId);
+        list(n);
+    }
+    m_thread = std::thread([this] { m_io.run(); });
+}
+
+UsersPlatform::~UsersPlatform()
+{
+    m_io.stop();
+    m_thread.join();
+}
+
+void UsersPlatform::setServerMode(std::size_t server, ServerMode mode)
+{
+    std::scoped_lock lock(m_mutex);
+    m_servers[server].mode = mode;
+}
+
+void UsersPlatform::listAt(std::size_t server, const std::string& address)
+{
+    std::scoped_lock lock(m_mutex);
+    m_servers[server].address = address;
+    list(server);
+}
+
+void UsersPlatform::put(const std::string& key, const std::string& value)
+{
+    m_items[key] = { value, ++m_revision, false };
+}
+
+void UsersPlatform::list(std::size_t index)
+{
+    auto& server = m_servers[index];
+    json::object entry { { "service", "model" }, { "address", server.address }, { "zone", "dc" }, { "slots", m_slots }, { "state", server.state } };
+    put("servers/" + server.id, json::serialize(entry));
+}
+
+std::uint64_t UsersPlatform::publish(const std::string& key, const std::string& organisation)
+{
+    std::scoped_lock lock(m_mutex);
+    auto route = [](const char* name, const char* kind, int timeout) {
+        return json::object { { "name", name }, { "host", "h.example" }, { "prefix", fmt::format("/{}/", name) }, { "kind", kind }, { "timeoutMs", timeout }, { "targetLatencyMs", 300 },
+            { "priority", 1 }, { "service", "model" }, { "maxAttempts", 2 }, { "public", false }, { "resumable", true } };
+    };
+    json::object limits { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", 100'000 }, { "headerTimeoutMs", 3000 }, { "idleTimeoutMs", 15000 } };
+    json::object organisations { { "name", organisation }, { "apiKeys", json::array { key } } };
+    json::object configuration { { "version", ++m_version }, { "routes", json::array { route("stream", "streaming", 4000), route("once", "unsafe", 1500), route("safe", "safe", 1500) } },
+        { "services", json::array { json::object { { "name", "model" } } } }, { "limits", limits }, { "tenants", json::array { organisations } } };
+    put("op/config", json::serialize(configuration));
+    return m_version;
+}
+
+std::string UsersPlatform::drain(std::size_t index)
+{
+    std::scoped_lock lock(m_mutex);
+    auto& server = m_servers[index];
+    auto old = server.id;
+    server.state = "draining";
+    list(index);
+    m_drainedAt[old] = Clock::now();
+    // Its successor is at the same address; what still names the old one is turned away.
+    asio::post(m_io, [this, index, old] {
+        asio::co_spawn(
+            m_io, [this, index, old]() -> asio::awaitable<void> {
+                co_await pause(seconds(2));
+                std::scoped_lock inner(m_mutex);
+                m_items["servers/" + old] = { "", ++m_revision, true };
+                m_servers[index].id = fmt::format("i-{}", ++m_lastId);
+                m_servers[index].state = "ready";
+                list(index);
+            },
+            asio::detached);
+    });
+    return old;
+}
+
+std::map<std::string, std::vector<Run>> UsersPlatform::runs() const
+{
+    std::scoped_lock lock(m_mutex);
+    return m_runs;
+}
+
+std::map<std::string, TimePoint> UsersPlatform::drainedAt() const
+{
+    std::scoped_lock lock(m_mutex);
+    return m_drainedAt;
+}
+
+json::array UsersPlatform::itemsSince(const std::string& prefix, std::uint64_t after, bool withRemoved) const
+{
+    json::array out;
+    for (auto& [key, item] : m_items) {
+        bool isAsked = key.starts_with(prefix) && item.revision > after && (withRemoved || !item.isRemoved);
+        if (!isAsked)
+            continue;
+        json::object entry { { "key", key }, { "revision", item.revision } };
+        if (item.isRemoved)
+            entry["tombstone"] = true;
+        else
+            entry["value"] = toBase64(item.value);
+        out.push_back(std::move(entry));
+    }
+    return out;
+}
+
+std::string UsersPlatform::listBody(const std::string& prefix) const
+{
+    std::scoped_lock lock(m_mutex);
+    return json::serialize(json::object { { "items", itemsSince(prefix, 0, false) }, { "truncated", false }, { "asOf", m_revision } });
+}
+
+/// Empty while there are no changes, unless `isDue`.
+std::string UsersPlatform::watchBody(const std::string& prefix, std::uint64_t after, bool isDue) const
+{
+    std::scoped_lock lock(m_mutex);
+    auto events = itemsSince(prefix, after, true);
+    if (events.empty() && !isDue)
+        return {};
+    return json::serialize(json::object { { "events", events }, { "asOf", m_revision } });
+}
+
+asio::awaitable<void> UsersPlatform::serveStore(Exchange& exchange)
+{
+    if (m_storeMode == StoreMode::Refusing)
+        co_return co_await exchange.reply(HttpStatus::service_unavailable, "text/plain", "");
+    auto prefix = exchange.query("prefix");
+    if (exchange.path() == "/v1/kv-range") {
+        auto body = listBody(prefix);
+        while (m_storeMode == StoreMode::Silent)
+            co_await pause(watchPoll);
+        co_return co_await exchange.replyJson(HttpStatus::ok, body);
+    }
+    auto after = std::stoull(exchange.query("after"));
+    auto until = Clock::now() + milliseconds(std::stoll(exchange.query("waitMs")));
+    for (;;) {
+        auto body = watchBody(prefix, after, Clock::now() >= until);
+        if (!body.empty() && m_storeMode != StoreMode::Silent)
+            co_return co_await exchange.replyJson(HttpStatus::ok, body);
+        co_await pause(watchPoll);
+    }
+}
+
+asio::awaitable<void> UsersPlatform::serveRequest(std::size_t index, Exchange& exchange)
+{
+    ServerMode mode {};
+    {
+        std::scoped_lock lock(m_mutex);
+        auto& server = m_servers[index];
+        mode = server.mode;
+        exchange.setHeader("X-Instance-Id", server.id);
+        if (exchange.header("X-Expect-Instance") != server.id) {
+            exchange.setHeader("X-Not-Executed", "1");
+            mode = ServerMode::Full;
+        } else if (mode != ServerMode::Full && server.running < m_slots) {
+            m_runs[exchange.header("X-Request-Id")].push_back({ server.id, std::string(exchange.path()), exchange.header("X-Tenant"), Clock::now(), m_version });
+            ++server.running;
+        } else
+            mode = ServerMode::Full;
+    }
+    if (mode == ServerMode::Full) {
+        exchange.setHeader("X-Not-Executed", "1");
+        co_return co_await exchange.reply(HttpStatus::service_unavailable, "text/plain", "");
+    }
+    std::exception_ptr failure;
+    try {
+        co_await answer(index, exchange, mode);
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    std::scoped_lock lock(m_mutex);
+    --m_servers[index].running;
+    if (failure)
+        std::rethrow_exception(failure);
+}
+
+asio::awaitable<void> UsersPlatform::answer(std::size_t, Exchange& exchange, ServerMode mode)
+{
+    auto id = exchange.header("X-Request-Id");
+    if (mode == ServerMode::Mixing)
+        id += "-other";
+    exchange.setHeader("X-Request-Id", id);
+    exchange.setHeader("X-Response-Stamp", "signed");
+    if (exchange.path().starts_with("/stream/"))
+        co_return co_await stream(exchange, mode);
+    co_await pause(plainWork);
+    if (mode == ServerMode::LosingAnswers) {
+        exchange.drop();
+        co_return;
+    }
+    auto body = plainBody(id);
+    co_await exchange.reply(HttpStatus::ok, "text/plain", std::move(body));
+}
+
+asio::awaitable<void> UsersPlatform::stream(Exchange& exchange, ServerMode mode)
+{
+    auto id = exchange.header("X-Request-Id");
+    auto last = exchange.header("Last-Event-Id");
+    int first = last.empty() ? 1 : std::stoi(last) + 1;
+    co_await exchange.startStream("text/event-stream");
+    for (int n = first; n <= eventsOfStream; ++n) {
+        co_await pause(eventEvery);
+        auto text = eventText(id, n);
+        bool isBroken = mode == ServerMode::LosingAnswers || (mode == ServerMode::BreakingStreams && n == first + 3);
+        if (isBroken) {
+            co_await exchange.sendChunk(text.substr(0, text.size() / 2));
+            exchange.drop();
+            co_return;
+        }
+        co_await exchange.sendChunk(text);
+    }
+    co_await exchange.finishStream();
+}
+
+} // namespace swiftloft::soak
--- /dev/null
+++ b/test/soak/users-platform.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "standin/http-server.h"
+
+#include <swiftloft/units.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+/// The users' platform on the loopback address: its store, and backend servers that remember what they ran. Runs on a
+/// thread of its own; all calls may come from any thread.
+namespace swiftloft::soak {
+
+enum class StoreMode {
+    Normal,
+    /// Answers 503.
+    Refusing,
+    /// Takes calls and never answers.
+    Silent,
+};
+
+enum class ServerMode {
+    Normal,
+    /// Runs requests and drops the connection instead of answering.
+    LosingAnswers,
+    /// Turns requests away without running them.
+    Full,
+    /// Breaks streams off in the middle of an event.
+    BreakingStreams,
+    /// Sends the answer to another request before the right one.
+    Mixing,
+};
+
+/// One run of a request at a server.
+struct Run {
+    std::string server;
+    std::string path;
+    std::string organisation;
+    TimePoint at;
+    std::uint64_t configuration { 0 };
+};
+
+class UsersPlatform {
+public:
+    /// `servers` of the one service, each of `slots`.
+    UsersPlatform(int servers, int slots);
+    ~UsersPlatform();
+
+    std::string storeAddress() const { return m_storeAddress; }
+    void setStoreMode(StoreMode mode) { m_storeMode = mode; }
+    void setServerMode(std::size_t server, ServerMode mode);
+    /// Publishes a configuration in which `key` belongs to `organisation`; returns its version.
+    std::uint64_t publish(const std::string& key, const std::string& organisation);
+    /// The server is listed as draining; a new one with another id takes its place and its address after a moment.
+    std::string drain(std::size_t server);
+    std::size_t servers() const { return m_servers.size(); }
+    std::string addressOf(std::size_t server) const { return m_servers[server].http ? m_servers[server].ownAddress : ""; }
+    /// Lists the server at another address, such as that of a relay before it.
+    void listAt(std::size_t server, const std::string& address);
+
+    /// All runs so far, by request id.
+    std::map<std::string, std::vector<Run>> runs() const;
+    /// When each server that drains was listed so.
+    std::map<std::string, TimePoint> drainedAt() const;
+
+    /// What a server answers to a plain request, and the events of its streams.
+    static std::string plainBody(const std::string& id);
+    static constexpr int eventsOfStream { 12 };
+
+private:
+    struct Server {
+        std::string id;
+        /// As listed, and where it listens.
+        std::string address;
+        std::string ownAddress;
+        std::unique_ptr<standin::HttpServer> http;
+        ServerMode mode { ServerMode::Normal };
+        std::string state { "ready" };
+        int running { 0 };
+    };
+    struct Item {
+        std::string value;
+        std::uint64_t revision { 0 };
+        bool isRemoved { false };
+    };
+
+    boost::asio::awaitable<void> serveStore(standin::Exchange& exchange);
+    boost::asio::awaitable<void> serveRequest(std::size_t index, standin::Exchange& exchange);
+    boost::asio::awaitable<void> answer(std::size_t index, standin::Exchange& exchange, ServerMode mode);
+    boost::asio::awaitable<void> stream(standin::Exchange& exchange, ServerMode mode);
+    void put(const std::string& key, const std::string& value);
+    void list(std::size_t index);
+    std::string listBody(const std::string& prefix) const;
+    std::string watchBody(const std::string& prefix, std::uint64_t after, bool isDue) const;
+    boost::json::array itemsSince(const std::string& prefix, std::uint64_t after, bool withRemoved) const;
+
+    boost::asio::io_context m_io;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work { m_io.get_executor() };
+    mutable std::recursive_mutex m_mutex;
+    std::unique_ptr<standin::HttpServer> m_store;
+    std::string m_storeAddress;
+    std::atomic<StoreMode> m_storeMode { StoreMode::Normal };
+    std::map<std::string, Item> m_items;
+    std::uint64_t m_revision { 10 };
+    std::uint64_t m_version { 0 };
+    std::vector<Server> m_servers;
+    int m_slots;
+    int m_lastId { 0 };
+    std::map<std::string, std::vector<Run>> m_runs;
+    std::map<std::string, TimePoint> m_drainedAt;
+    std::thread m_thread;
+};
+
+} // namespace swiftloft::soak
