Tell peers with each hello which servers leave

Change: hellos carry the servers that leave, for 6 s; no pull is needed. Ruled out: the store's answer (the watchers had it), the local list (a newer one was taken at once when it came).

--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -42,6 +42,7 @@
         onStoreFailed(now, failed->topic);
     else if (auto* hello = std::get_if<HelloArrived>(&event)) {
         m_entries.onHello(hello->hello, now);
+        takeLeaving(now, hello->hello);
         pullIfBehind(now, hello->hello, effects);
     } else if (auto* rank = std::get_if<RankNewsArrived>(&event))
         onRankNews(now, rank->news);
@@ -167,6 +168,7 @@
     if (item.isRemoved) {
         // One that may have lapsed only stays in use for a while, and its document with it.
         if (m_servers.remove(now, ListRevision(item.revision), id)) {
+            noteLeaving(hashOf(id), now + leavingToldFor);
             m_serverItems.erase(item.name);
             m_isChanged = true;
         }
@@ -179,12 +181,35 @@
         return;
     }
     m_serverItems[item.name] = item;
+    if (server->state == ServerState::Draining)
+        noteLeaving(hashOf(id), now + leavingToldFor);
     if (!m_servers.put(ListRevision(item.revision), *server))
         return;
     m_isChanged = true;
     log::write(log::Event::ServerListed, "server={} state={} revision={}", item.name, server->state == ServerState::Ready ? "ready" : "draining", item.revision);
 }
 
+void ControlState::noteLeaving(ServerHash server, TimePoint until)
+{
+    auto [it, isNew] = m_leaving.try_emplace(server, until);
+    if (!isNew)
+        return;
+    m_isChanged = true;
+    // Told at once, as a newer list is.
+    m_toldServers = 0;
+}
+
+/// Failure: this entry does not follow the store, and the peers from which it would pull the new list are about to stop.
+/// The word itself is short enough to come with every hello.
+void ControlState::takeLeaving(TimePoint now, const Hello& hello)
+{
+    for (auto& it : hello.leaving) {
+        auto remaining = std::min(it.remaining, leavingToldFor);
+        if (remaining > helloEvery)
+            noteLeaving(it.server, now + remaining);
+    }
+}
+
 std::vector<BackendServer> ControlState::decodeServers(const PublishedItems& items)
 {
     std::vector<BackendServer> servers;
@@ -299,6 +324,7 @@
 {
     if (m_servers.tick(now))
         m_isChanged = true;
+    std::erase_if(m_leaving, [&](auto& it) { return it.second <= now; });
     if (now >= m_briefAt) {
         m_briefAt = now + briefEvery;
         sendBriefs(now, effects);
@@ -315,6 +341,8 @@
     auto hello = m_entries.nextHello(m_generator);
     hello.configuration = m_configuration ? m_configuration->version().value() : 0;
     hello.servers = m_serversChangedAt;
+    for (auto& [server, until] : m_leaving)
+        hello.leaving.push_back({ server, std::chrono::duration_cast<milliseconds>(until - now) });
     effects.push_back(SendHello { m_entries.nextTargets(now, m_generator), std::move(hello) });
 }
 
@@ -323,6 +351,10 @@
     Snapshot snapshot;
     snapshot.configuration = m_configuration;
     snapshot.servers = m_servers.servers();
+    for (auto& server : snapshot.servers) {
+        if (m_leaving.contains(hashOf(server.id)))
+            server.state = ServerState::Draining;
+    }
     snapshot.entries = m_entries.alive(now);
     snapshot.entriesThatMayExist = std::max(m_leastEntries, m_entries.mostKnown());
     snapshot.isReady = m_isReady;
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -82,6 +82,8 @@
     /// after it.
     static constexpr milliseconds helloEvery { 400 };
     static constexpr milliseconds watchAtLeast { 3000 };
+    /// Word that a server leaves is passed on for this long: several rounds of hellos, and longer than any list lags.
+    static constexpr milliseconds leavingToldFor { 6000 };
     /// An entry that starts takes the word of its peers when the store has not answered for this long: a healthy store
     /// answers in milliseconds, and one that is down must not keep the fleet from starting.
     static constexpr milliseconds storeWaitAtStart { 1500 };
@@ -120,6 +122,8 @@
     void sendBriefs(TimePoint now, control::Effects& effects);
     std::optional<GroupBrief> briefFor(TimePoint now, const RankNews& news) const;
     void tick(TimePoint now, control::Effects& effects);
+    void noteLeaving(ServerHash server, TimePoint until);
+    void takeLeaving(TimePoint now, const Hello& hello);
     void chooseWatching(TimePoint now, control::Effects& effects);
     void tellNews(TimePoint now, control::Effects& effects);
     void sendHello(TimePoint now, control::Effects& effects);
@@ -138,6 +142,9 @@
     std::uint64_t m_serversChangedAt { 0 };
     bool m_hasServers { false };
 
+    /// Servers that leave or have gone, and until when that is passed on and believed.
+    std::map<ServerHash, TimePoint> m_leaving;
+
     std::map<Topic, bool> m_isStoreAway;
     bool m_hasStoreAnswered { false };
     TimePoint m_storeAwaitedUntil;
--- a/src/gateway/news.capnp
+++ b/src/gateway/news.capnp
@@ -22,6 +22,13 @@
   configuration @1 :UInt64;        # version in force; 0 is none
   servers @2 :UInt64;              # revision of the last change of the server list; 0 is none
   members @3 :List(Member);
+  leaving @4 :List(LeavingServer);
+}
+
+# A server that is told to go or has gone.
+struct LeavingServer {
+  server @0 :UInt64;               # hash of the id
+  remainingMs @1 :UInt32;          # how long this word is still passed on
 }
 
 # Work that an entry has at a backend server.
--- a/src/gateway/news.capnp.h
+++ b/src/gateway/news.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(dfd205ecdbaacb20);
 CAPNP_DECLARE_SCHEMA(da33220f171a1d9c);
+CAPNP_DECLARE_SCHEMA(d0f29347453be8dc);
 CAPNP_DECLARE_SCHEMA(ceb616b525bb90a7);
 CAPNP_DECLARE_SCHEMA(dcfcb5c952e3e94a);
 CAPNP_DECLARE_SCHEMA(9c859b3a1d49d789);
@@ -57,7 +58,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da33220f171a1d9c, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(da33220f171a1d9c, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LeavingServer {
+  LeavingServer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d0f29347453be8dc, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -340,6 +356,9 @@
   inline bool hasMembers() const;
   inline  ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
+  inline bool hasLeaving() const;
+  inline  ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>::Reader getLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -388,6 +407,13 @@
   inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>> disownMembers();
 
+  inline bool hasLeaving();
+  inline  ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>::Builder getLeaving();
+  inline void setLeaving( ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>::Builder initLeaving(unsigned int size);
+  inline void adoptLeaving(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>> disownLeaving();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -415,6 +441,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class LeavingServer::Reader {
+public:
+  typedef LeavingServer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getServer() const;
+
+  inline  ::uint32_t getRemainingMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeavingServer::Builder {
+public:
+  typedef LeavingServer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getServer();
+  inline void setServer( ::uint64_t value);
+
+  inline  ::uint32_t getRemainingMs();
+  inline void setRemainingMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeavingServer::Pipeline {
+public:
+  typedef LeavingServer Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ServerLoad::Reader {
 public:
   typedef ServerLoad Reads;
@@ -1484,6 +1591,68 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Hello::Reader::hasLeaving() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasLeaving() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>::Reader Hello::Reader::getLeaving() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::getLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setLeaving( ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::initLeaving(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptLeaving(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>> Hello::Builder::disownLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t LeavingServer::Reader::getServer() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeavingServer::Builder::getServer() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LeavingServer::Builder::setServer( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LeavingServer::Reader::getRemainingMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LeavingServer::Builder::getRemainingMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LeavingServer::Builder::setRemainingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ServerLoad::Reader::getServer() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/news.cc
+++ b/src/gateway/news.cc
@@ -68,6 +68,11 @@
         auto members = hello.initMembers(static_cast<unsigned>(it.members.size()));
         for (unsigned n = 0; n < members.size(); ++n)
             build(members[n], it.members[n]);
+        auto leaving = hello.initLeaving(static_cast<unsigned>(it.leaving.size()));
+        for (unsigned n = 0; n < leaving.size(); ++n) {
+            leaving[n].setServer(it.leaving[n].server.value());
+            leaving[n].setRemainingMs(static_cast<std::uint32_t>(it.leaving[n].remaining.count()));
+        }
     }
     void operator()(const LoadNews& it)
     {
@@ -113,7 +118,9 @@
 
 Hello parse(schema::Hello::Reader in)
 {
-    Hello hello { parse(in.getSender()), in.getConfiguration(), in.getServers(), {} };
+    Hello hello { parse(in.getSender()), in.getConfiguration(), in.getServers(), {}, {} };
+    for (auto leaving : in.getLeaving())
+        hello.leaving.push_back({ ServerHash(leaving.getServer()), milliseconds(leaving.getRemainingMs()) });
     for (auto member : in.getMembers())
         hello.members.push_back(parse(member));
     return hello;
--- a/src/gateway/news.h
+++ b/src/gateway/news.h
@@ -41,6 +41,17 @@
     bool isWatching { false };
 };
 
+/// Names a server by a hash of its id, to keep datagrams small.
+using ServerHash = Strong<struct ServerHashTag, std::uint64_t>;
+ServerHash hashOf(const BackendServerId& id);
+
+/// A server that is told to go or has gone.
+struct LeavingServer {
+    ServerHash server;
+    /// How long this word is still passed on; there is no common clock.
+    milliseconds remaining { 0 };
+};
+
 struct Hello {
     EntryMember sender;
     /// Version of the configuration in force; 0 for none.
@@ -48,12 +59,9 @@
     /// Revision of the last change of the server list; 0 for none.
     std::uint64_t servers { 0 };
     std::vector<EntryMember> members;
+    std::vector<LeavingServer> leaving;
 };
 
-/// Names a server by a hash of its id, to keep datagrams small.
-using ServerHash = Strong<struct ServerHashTag, std::uint64_t>;
-ServerHash hashOf(const BackendServerId& id);
-
 struct ServerLoad {
     ServerHash server;
     std::uint16_t running { 0 };
--- a/test/control-state_test.cc
+++ b/test/control-state_test.cc
@@ -51,7 +51,7 @@
         list(Topic::Configuration, { { "", std::to_string(version), 5, false } }, 10);
         list(Topic::Servers, { { "s1", "ready", 6, false } }, 10);
     }
-    Hello hello(std::uint64_t configuration, std::uint64_t servers) { return { member(2), configuration, servers, {} }; }
+    Hello hello(std::uint64_t configuration, std::uint64_t servers) { return { member(2), configuration, servers, {}, {} }; }
     std::uint64_t version() const
     {
         auto snapshot = state.snapshot(now);
@@ -170,36 +170,50 @@
 {
     Rig rig;
     rig.listBoth(7);
-    rig.now += ControlState::watchAtLeast;
+    bool isOn = true;
     auto tell = [&](bool isWatching, std::uint64_t heartbeat) {
+        rig.now += ControlState::watchAtLeast;
         for (unsigned n = 2; n < 6; ++n) {
             auto peer = member(n);
             peer.control = endpoint(0, static_cast<unsigned short>(n));
             peer.isWatching = isWatching;
             peer.heartbeat = heartbeat;
-            rig.take(HelloArrived { { peer, 7, 10, {} } });
-        }
-    };
-    bool isOn = true;
-    auto note = [&] {
-        for (auto& effect : rig.last) {
-            if (auto* it = std::get_if<SetWatching>(&effect))
-                isOn = it->isOn;
+            rig.take(HelloArrived { { peer, 7, 10, {}, {} } });
+            for (auto& effect : rig.last) {
+                if (auto* it = std::get_if<SetWatching>(&effect))
+                    isOn = it->isOn;
+            }
         }
     };
     tell(true, 1);
-    rig.take(Ticked {});
-    note();
-    rig.now += ControlState::watchAtLeast;
-    tell(true, 2);
-    note();
     CHECK_FALSE(isOn);
-    rig.now += ControlState::watchAtLeast;
-    tell(false, 3);
-    note();
+    tell(false, 2);
     CHECK(isOn);
 }
 
+// A server is told to go while half of the entries are restarted. An entry that learns of it only by pulling the list from
+// peers that are about to stop sends it requests for seconds.
+TEST_CASE("ControlState: word that a server leaves comes with each hello and is passed on")
+{
+    Rig rig;
+    rig.listBoth(7);
+    auto hello = rig.hello(7, 10);
+    hello.leaving = { { hashOf(BackendServerId("s1")), milliseconds(3000) } };
+    rig.take(HelloArrived { hello });
+    REQUIRE(rig.state.snapshot(rig.now).servers.size() == 1);
+    CHECK(rig.state.snapshot(rig.now).servers[0].state == ServerState::Draining);
+    rig.now += ControlState::helloEvery;
+    rig.take(Ticked {});
+    for (auto& effect : rig.last) {
+        auto* it = std::get_if<SendHello>(&effect);
+        if (!it)
+            continue;
+        REQUIRE(it->hello.leaving.size() == 1);
+        // The word does not live longer for being passed on.
+        CHECK(it->hello.leaving[0].remaining < milliseconds(3000));
+    }
+}
+
 // A server leaves while this entry can't reach the store. The peer's list no longer has it.
 TEST_CASE("ControlState: the server list is pulled when a peer knows a later change")
 {
--- a/test/entry-book_test.cc
+++ b/test/entry-book_test.cc
@@ -21,7 +21,7 @@
 
 Hello helloOf(const EntryMember& sender, std::vector<EntryMember> others = {})
 {
-    return { sender, 0, 0, std::move(others) };
+    return { sender, 0, 0, std::move(others), {} };
 }
 
 std::size_t aliveAt(const EntryBook& book, TimePoint time)
--- a/test/news_test.cc
+++ b/test/news_test.cc
@@ -40,7 +40,7 @@
     brief.traits.layers = 3;
     brief.traits.spareSlots = 4;
     return {
-        Hello { member(1), 7, 12, { member(2), member(3) } },
+        Hello { member(1), 7, 12, { member(2), member(3) }, { { ServerHash(5), milliseconds(900) } } },
         LoadNews { Incarnation(9), 3, { { ServerHash(77), 4, Tokens(900) } } },
         RankNews { endpoint(5), EngineGroupName("g"), GroupEpoch(4), RankIndex(3), 12, true, 1.5 },
         brief,
@@ -58,6 +58,8 @@
     CHECK(hello.sender.isWatching);
     CHECK(hello.configuration == 7);
     CHECK(hello.members.size() == 2);
+    CHECK(hello.leaving.at(0).server == ServerHash(5));
+    CHECK(hello.leaving.at(0).remaining == milliseconds(900));
     auto load = std::get<LoadNews>(throughWire(all[1]));
     CHECK(load.servers.at(0).running == 4);
     CHECK(load.servers.at(0).promptTokens == Tokens(900));
