--- a/src/agent/group-member.cc
+++ b/src/agent/group-member.cc
@@ -2,8 +2,6 @@
 
 #include "src/log/logger.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
@@ -33,7 +31,6 @@
     : m_options(std::move(options))
     , m_hooks(std::move(hooks))
     , m_agent(std::move(agent))
-    , m_ioContext(ioContext)
     , m_timer(ioContext)
     , m_addresses(m_options.shape.ranks)
 {
@@ -88,7 +85,6 @@
 void GroupMember::startCoordinator()
 {
     m_coordinatorDueAt.reset();
-    m_unanswered.clear();
     m_coordinator = Coordinator::create(m_options.coordination).value();
     if (m_wanted)
         onCoordinatorEvent(coordination::MapWanted { *m_wanted });
@@ -163,14 +159,7 @@
 
 void GroupMember::perform(const coordination::SendOrder& effect)
 {
-    auto rank = effect.order.rank;
-    m_unanswered.try_emplace(rank, Clock::now());
-    if (m_standIns.contains(rank)) {
-        m_holders[m_options.incarnation] = m_transport->localEndpoint();
-        onStandIn(rank, rank::OrderArrived { effect.order });
-        return;
-    }
-    sendToRank(rank, effect.order);
+    sendToRank(effect.order.rank, effect.order);
 }
 
 void GroupMember::perform(const coordination::ChangeFinished& effect)
@@ -205,10 +194,9 @@
             m_holders.clear();
         m_holders[order->fence.holder] = from;
         onEngine(rank::OrderArrived { *order });
-    } else if (auto* report = std::get_if<RankReport>(&message)) {
-        m_unanswered.erase(report->rank);
+    } else if (auto* report = std::get_if<RankReport>(&message))
         onCoordinatorEvent(coordination::ReportArrived { *report });
-    } else if (auto* hello = std::get_if<RankHello>(&message))
+    else if (auto* hello = std::get_if<RankHello>(&message))
         onCoordinatorEvent(coordination::HelloArrived { *hello });
     else if (auto* wanted = std::get_if<MapWantedFrom>(&message)) {
         if (auto* map = m_maps.find(wanted->version))
@@ -268,12 +256,8 @@
     if (m_coordinatorDueAt && now >= *m_coordinatorDueAt)
         startCoordinator();
     onCoordinatorEvent(coordination::Ticked {});
-    rescueIfStuck(now);
-    if (m_coordinator) {
+    if (m_coordinator)
         noticeHold(now);
-        standInForSilent(now);
-        endRescueIfDone();
-    }
     bool isIdle = !m_agent.isWaiting() && (!m_coordinator || m_coordinator->phase() == CoordinatorPhase::Idle);
     m_timer.expires_at(now + (isIdle ? idleTick : busyTick));
     m_timer.async_wait([this](boost::system::error_code ec) {
@@ -282,105 +266,6 @@
     });
 }
 
-/// Failure: the agent of rank 0 stands still in the middle of a change, and the group with it, as armed ranks wait for its
-/// word. It shows as a rank that waits far longer than a change takes. Another rank becomes the coordinator: it learns
-/// what each engine holds and carries the change forward. When the frozen one wakes, its fencing number is the lower one.
-void GroupMember::rescueIfStuck(TimePoint now)
-{
-    auto& status = m_agent.status();
-    bool isWaiting = status && status->armed && !status->isReleased;
-    if (!isWaiting) {
-        m_waitingSince.reset();
-        return;
-    }
-    if (!m_waitingSince)
-        m_waitingSince = now;
-    auto patience = rescueAfter + m_options.rank.value() * rescueStagger;
-    if (m_coordinator || !m_hooks.engineOf || now < *m_waitingSince + patience)
-        return;
-    log::write(log::Event::ChangeTakenOver, "group={} rank={} step={}", m_options.group.value(), m_options.rank.value(), status->entered.value());
-    startCoordinator();
-}
-
-void GroupMember::standInForSilent(TimePoint now)
-{
-    if (!m_hooks.engineOf || !m_coordinator)
-        return;
-    bool isRescue = m_options.rank != RankIndex(0);
-    auto phase = m_coordinator->phase();
-    // An inquiry after a start waits for agents that start as well; only one that took a change over knows that it is
-    // urgent.
-    bool isUrgent = m_coordinator->pending() || (isRescue && phase == CoordinatorPhase::Inquiring);
-    if (!isUrgent || phase == CoordinatorPhase::SteppedDown)
-        return;
-    for (auto& [rank, since] : m_unanswered) {
-        if (rank == m_options.rank || m_standIns.contains(rank) || now < since + standInAfter)
-            continue;
-        auto engine = m_hooks.engineOf(rank);
-        auto agent = RankAgent::create({ rank, m_options.incarnation, m_options.checksFences, m_options.engineTimeout });
-        if (!engine || !agent)
-            continue;
-        log::write(log::Event::StandInStarted, "group={} rank={} for-rank={}", m_options.group.value(), m_options.rank.value(), rank.value());
-        auto& standIn = m_standIns.emplace(rank, StandIn { std::move(*agent), std::move(engine) }).first->second;
-        carryOut(rank, standIn.agent.start(now));
-    }
-}
-
-void GroupMember::endRescueIfDone()
-{
-    auto phase = m_coordinator->phase();
-    bool isDone = phase == CoordinatorPhase::SteppedDown || (phase != CoordinatorPhase::Inquiring && !m_coordinator->pending());
-    if (!isDone)
-        return;
-    m_standIns.clear();
-    if (m_options.rank != RankIndex(0)) {
-        m_coordinator.reset();
-        m_coordinatorDueAt.reset();
-    }
-}
-
-void GroupMember::onStandIn(RankIndex rank, const rank::Event& event)
-{
-    auto it = m_standIns.find(rank);
-    if (it == m_standIns.end() || m_isStopped)
-        return;
-    carryOut(rank, it->second.agent.apply(Clock::now(), event));
-}
-
-void GroupMember::carryOut(RankIndex rank, const rank::Effects& effects)
-{
-    for (auto& effect : effects) {
-        if (auto* write = std::get_if<rank::WriteEngine>(&effect)) {
-            auto* stage = std::get_if<StageMap>(&write->order.order);
-            auto* map = stage ? m_maps.find(stage->version) : nullptr;
-            co_spawn(m_ioContext, perform(rank, write->order, map ? std::optional(*map) : std::nullopt), boost::asio::detached);
-        } else if (auto* report = std::get_if<rank::SendReport>(&effect))
-            m_transport->send(m_transport->localEndpoint(), report->report);
-    }
-}
-
-boost::asio::awaitable<void> GroupMember::perform(RankIndex rank, EngineOrder order, std::optional<ExpertMap> map)
-{
-    auto it = m_standIns.find(rank);
-    if (it == m_standIns.end())
-        co_return;
-    auto engine = it->second.engine;
-    auto alive = std::weak_ptr<GroupTransport>(m_transport);
-    std::optional<EngineStatus> status;
-    try {
-        status = co_await engine->perform(order.order, std::move(map));
-    } catch (const std::exception& error) {
-        log::write(log::Event::EngineOrderLost, "order={} problem=\"{}\"", nameOf(order.order), error.what());
-    }
-    // This object may be gone by now, and its transport with it.
-    if (alive.expired())
-        co_return;
-    if (status)
-        onStandIn(rank, rank::EngineAnswered { order.id, *status, FencingNumber {} });
-    else
-        onStandIn(rank, rank::EngineLost {});
-}
-
 void GroupMember::logAdmission(const std::optional<EngineStatus>& before)
 {
     auto& status = m_agent.status();
--- a/src/agent/group-member.h
+++ b/src/agent/group-member.h
@@ -2,7 +2,6 @@
 
 #include "src/agent/group-transport.h"
 #include "src/agent/map-store.h"
-#include "src/agent/rank-engine.h"
 
 #include <swiftloft/expertmap/coordinator.h>
 #include <swiftloft/expertmap/rank-agent.h>
@@ -43,18 +42,8 @@
         std::function<void(const expertmap::RankLoads& loads)> onLoads;
         /// At rank 0: all ranks run a new map.
         std::function<void(const expertmap::SwitchPoint& point)> onChanged;
-        /// The engine of another rank, to stand in for its agent. Unset, or null for a rank, where that is not possible.
-        std::function<std::shared_ptr<RankEngine>(RankIndex rank)> engineOf;
     };
 
-    /// A rank that has waited for the coordinator's word for this long takes the change over, later for each rank behind
-    /// the first. Changes take some 30 ms; with every third command lost, some 200.
-    static constexpr milliseconds rescueAfter { 250 };
-    static constexpr milliseconds rescueStagger { 50 };
-    /// The agent of a rank that has left orders without an answer for this long, while the group may stand, has one that
-    /// stands in for it.
-    static constexpr milliseconds standInAfter { 200 };
-
     /// Fails with `Unavailable` when the address can't be bound, and as `RankAgent::create` and `Coordinator::create` do.
     static Result<std::unique_ptr<GroupMember>> create(boost::asio::io_context& ioContext, Options options, Hooks hooks);
     ~GroupMember();
@@ -75,8 +64,6 @@
     /// Sends what the engine counted to rank 0.
     void sendLoads(const expertmap::RankLoads& loads);
 
-    /// Ranks that this agent stands in for at the moment.
-    std::size_t standIns() const { return m_standIns.size(); }
     const Options& options() const { return m_options; }
     const expertmap::RankAgent& agent() const { return m_agent; }
     /// Null at ranks other than 0.
@@ -89,19 +76,7 @@
 private:
     GroupMember(boost::asio::io_context& ioContext, Options options, Hooks hooks, expertmap::RankAgent agent);
 
-    /// What stands in for the agent of another rank: the same part in the protocol, at its engine from afar.
-    struct StandIn {
-        expertmap::RankAgent agent;
-        std::shared_ptr<RankEngine> engine;
-    };
-
     void startCoordinator();
-    void rescueIfStuck(TimePoint now);
-    void standInForSilent(TimePoint now);
-    void endRescueIfDone();
-    boost::asio::awaitable<void> perform(RankIndex rank, expertmap::EngineOrder order, std::optional<expertmap::ExpertMap> map);
-    void onStandIn(RankIndex rank, const expertmap::rank::Event& event);
-    void carryOut(RankIndex rank, const expertmap::rank::Effects& effects);
     void carryOut(const expertmap::rank::Effects& effects);
     void carryOut(const expertmap::coordination::Effects& effects);
     void perform(const expertmap::rank::WriteEngine& effect);
@@ -122,7 +97,6 @@
     Options m_options;
     Hooks m_hooks;
     expertmap::RankAgent m_agent;
-    boost::asio::io_context& m_ioContext;
     boost::asio::steady_timer m_timer;
     std::shared_ptr<GroupTransport> m_transport;
     MapStore m_maps;
@@ -134,15 +108,8 @@
     std::uint32_t m_fetchedFrom { 0 };
     bool m_isStopped { false };
 
-    // At rank 0, and at another one while it takes a change over.
-    std::optional<expertmap::Coordinator> m_coordinator;
-    std::map<RankIndex, StandIn> m_standIns;
-    /// Ranks that owe the coordinator an answer, and since when.
-    std::map<RankIndex, TimePoint> m_unanswered;
-    /// Since when this rank has waited for the coordinator's word.
-    std::optional<TimePoint> m_waitingSince;
-
     // At rank 0 only.
+    std::optional<expertmap::Coordinator> m_coordinator;
     std::optional<TimePoint> m_coordinatorDueAt;
     std::optional<MapVersion> m_wanted;
     /// Step of rank 0 seen last, and since when the group may be held at it.
--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -43,9 +43,6 @@
 constexpr std::uint64_t leadSteps = 2;
 constexpr std::uint64_t maxLeadSteps = 64;
 
-/// Above all that an agent counts up to by its own commands and by clocks that were set back.
-constexpr std::uint64_t standInFence = 1'000'000;
-
 Coordinator::Options coordinationOf(std::uint32_t ranks)
 {
     Coordinator::Options options;
@@ -133,16 +130,6 @@
     }
 }
 
-/// The engine of another rank. Fences of one that stands in lie above those of the agent that it stands in for, so that
-/// what the other had sent, or sends when it wakes, is refused.
-std::shared_ptr<RankEngine> RankDaemon::engineOf(RankIndex rank)
-{
-    auto it = m_engines.find(rank);
-    if (it == m_engines.end() || !m_view)
-        return nullptr;
-    return std::make_shared<RankEngine>(m_makePort(m_ioContext, it->second), m_view->epoch, firstFence() + standInFence);
-}
-
 asio::awaitable<void> RankDaemon::poll()
 {
     while (!m_isStopped) {
@@ -226,8 +213,6 @@
         m_wishUntil.reset();
         m_planAgainAt = Clock::now() + planPause;
     };
-    if (m_settings.engineChecksFences)
-        hooks.engineOf = [this](RankIndex rank) { return engineOf(rank); };
     auto member = GroupMember::create(m_ioContext, options, std::move(hooks));
     if (!member) {
         log::write(log::Event::StartFailed, "problem=\"{}\"", member.error().message);
--- a/src/agent/rank-daemon.h
+++ b/src/agent/rank-daemon.h
@@ -47,7 +47,6 @@
     void planIfIdle(TimePoint now);
     MapVersion nextVersion(const expertmap::VersionedMap& current);
     void learnAddresses(const gateway::GroupBrief& brief);
-    std::shared_ptr<RankEngine> engineOf(RankIndex rank);
     expertmap::MapShape shapeOf(const gateway::GroupBrief& brief) const;
 
     boost::asio::io_context& m_ioContext;
--- a/src/agent/rank-engine.cc
+++ b/src/agent/rank-engine.cc
@@ -24,9 +24,6 @@
 /// Commands of an earlier agent of this slot can have fences at most so much higher, when the time of day was set back
 /// between the two.
 constexpr std::uint64_t fenceJump = 10'000'000;
-/// An agent that wakes after another has stood in for it leaves what it finds half done alone for this long: the other
-/// is done within a second.
-constexpr milliseconds mendPause { 3000 };
 /// Time for which only the neighbour is held: a few round trips between instances. Changes take so much longer.
 constexpr milliseconds neighbourPause { 8 };
 
@@ -74,10 +71,8 @@
 {
     EngineCommand command { kind, m_epoch, ++m_fence, version, step, map };
     auto end = co_await m_port.command(command, m_now() + answerWithin);
-    if (end == CommandEnd::Fenced) {
+    if (end == CommandEnd::Fenced)
         m_fence += fenceJump;
-        m_mendNotBefore = m_now() + mendPause;
-    }
     co_return end == CommandEnd::Done;
 }
 
@@ -164,7 +159,7 @@
 
 asio::awaitable<void> RankEngine::mend(EngineView view)
 {
-    if (!view.isOpen || view.epoch != m_epoch || m_now() < m_mendNotBefore)
+    if (!view.isOpen || view.epoch != m_epoch)
         co_return;
     // Failure: the answer to a hold was lost and the hold came seconds later, or the agent died between the hold and the
     // switch. The group would stand at that step for good. A rank that is not armed has nothing to wait for.
--- a/src/agent/rank-engine.h
+++ b/src/agent/rank-engine.h
@@ -52,8 +52,6 @@
     std::uint64_t m_epoch;
     std::uint64_t m_fence;
     Now m_now;
-    /// Set when another agent has given this engine commands: until when this one leaves mending to it.
-    TimePoint m_mendNotBefore;
     /// Map whose weights are being loaded, and until when that is not asked for again.
     std::optional<MapVersion> m_preparing;
     TimePoint m_prepareAgainAt;
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -73,14 +73,6 @@
     };
 }
 
-Setter flagInto(bool& target)
-{
-    return [&target](const std::string& value) {
-        target = value == "true";
-        return std::string(value == "true" || value == "false" ? "" : "true or false");
-    };
-}
-
 Setter secondsInto(milliseconds& target, double least, double most)
 {
     return numberInto([&target](double seconds) { target = milliseconds(std::llround(seconds * 1000)); }, least, most);
@@ -149,12 +141,11 @@
         { "metrics", endpointInto(settings.metrics) },
         { "group", endpointInto(settings.group) },
         { "entries", endpointsInto(settings.entries) },
-        { "engine-checks-fences", flagInto(settings.engineChecksFences) },
         { "load-half-life-seconds", secondsInto(settings.loadHalfLife, 0.01, mostSeconds) },
         { "least-gain", numberInto([&](double gain) { settings.leastGain = gain; }, 0, 1) },
         { "copy-within-seconds", secondsInto(settings.copyWithin, 0.001, mostSeconds) },
     };
-    auto read = readSection(text, fileName, "agent", setters, { "entries", "engine-checks-fences", "load-half-life-seconds", "least-gain", "copy-within-seconds" });
+    auto read = readSection(text, fileName, "agent", setters, { "entries", "load-half-life-seconds", "least-gain", "copy-within-seconds" });
     if (!read)
         return read.error();
     return settings;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -55,8 +55,6 @@
     std::vector<Endpoint> entries;
     /// Datagrams between the agents of a rank group; the same port at all of them.
     Endpoint group;
-    /// Engines refuse commands with a lower fence than one they have seen. Only then may an agent stand in for another.
-    bool engineChecksFences { false };
     /// Half-life of the planner's memory of what experts are in demand.
     milliseconds loadHalfLife { 500 };
     /// Least part of the step time that a change of the expert map must save. With 0.04, a third more copies kept the ranks
