--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -119,6 +119,7 @@
     if (route.services.size() == 1)
         return route.services.front().service;
     std::vector<double> weights;
+    weights.reserve(route.services.size());
     for (auto& it : route.services)
         weights.push_back(std::max(it.weight, 0.0));
     boost::random::discrete_distribution<std::size_t> draw(weights);
--- a/src/gateway/entry-book.cc
+++ b/src/gateway/entry-book.cc
@@ -55,6 +55,7 @@
 std::vector<Endpoint> EntryBook::nextTargets(TimePoint now, policy::Generator& generator) const
 {
     std::vector<Endpoint> targets;
+    targets.reserve(m_peers.size() + m_seeds.size());
     for (auto& [endpoint, peer] : m_peers)
         targets.push_back(endpoint);
     std::shuffle(targets.begin(), targets.end(), generator);
--- a/src/gateway/server-book.cc
+++ b/src/gateway/server-book.cc
@@ -107,6 +107,7 @@
 std::vector<BackendServer> ServerBook::servers() const
 {
     std::vector<BackendServer> out;
+    out.reserve(m_entries.size());
     for (auto& [id, entry] : m_entries)
         out.push_back(entry.server);
     return out;
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -107,6 +107,7 @@
 {
     m_key = "key-0";
     m_platform.publish(m_key, "org-key-0");
+    m_serverRelays.reserve(m_platform.servers());
     for (std::size_t n = 0; n < m_platform.servers(); ++n) {
         m_serverRelays.push_back(std::make_unique<process_test::Relay>(m_platform.addressOf(n)));
         m_platform.listAt(n, m_serverRelays.back()->address());
@@ -294,6 +295,7 @@
     if (!servesAgain())
         return { "the entries did not begin to serve" };
     std::vector<std::thread> clients;
+    clients.reserve(static_cast<std::size_t>(m_options.clients));
     for (int n = 0; n < m_options.clients; ++n)
         clients.emplace_back([this, n] { clientLoop(m_options.seed * 1000 + static_cast<std::uint64_t>(n)); });
     // Two at a time, so that faults overlap.
