--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -155,6 +155,7 @@
 {
     std::mt19937_64 random(seed);
     std::vector<std::unique_ptr<KeptClient>> clients;
+    clients.reserve(m_entries.size());
     for (auto& entry : m_entries)
         clients.push_back(std::make_unique<KeptClient>(entry.clients));
     constexpr const char* kinds[] = { "stream", "once", "safe" };
