--- a/include/swiftloft/expertmap/coordinator.h
+++ b/include/swiftloft/expertmap/coordinator.h
@@ -93,6 +93,9 @@
         std::uint64_t leadSteps { 32 };
         /// Bound of that doubling.
         std::uint64_t maxLeadSteps { 4096 };
+        /// When positive, takes the place of `leadSteps` once the time of a step is known: the lead is as many steps as
+        /// last at least this long. What the lead is for, arming all ranks, takes time and not steps.
+        milliseconds leadTime { 0 };
         milliseconds retryAfter { 20 };
         /// Ranks are read this often while nothing happens, to find restarted engines.
         milliseconds idleReadAfter { 1000 };
@@ -148,6 +151,8 @@
 
     MapVersion groupMap() const;
     StepNumber newestStep() const;
+    void measureStep(TimePoint now, StepNumber newest);
+    std::uint64_t leadSteps() const;
     void send(TimePoint now, std::uint32_t rank, const Order& order, coordination::Effects& effects, std::optional<milliseconds> every = std::nullopt);
 
     Options m_options;
@@ -158,7 +163,12 @@
     std::optional<MapVersion> m_wanted;
     /// The switch point this coordinator armed or found armed last.
     std::optional<SwitchPoint> m_point;
-    std::uint64_t m_lead;
+    /// Doubled with each switch step that was reached too soon.
+    std::uint64_t m_leadFactor { 1 };
+    /// Newest step known, since when, and how long the steps before it took each.
+    StepNumber m_stepSeen;
+    TimePoint m_stepSeenAt;
+    std::optional<Clock::duration> m_stepTime;
     /// Engines seen waiting to be admitted; they are, once every rank has reported in a round after `m_freshRound`.
     std::vector<Incarnation> m_waiting;
     std::uint64_t m_freshRound { 0 };
--- a/include/swiftloft/expertmap/protocol.h
+++ b/include/swiftloft/expertmap/protocol.h
@@ -145,8 +145,8 @@
     MapVersion map;
     /// Its experts by layer and slot; `noExpert` for an empty slot.
     std::vector<ExpertIndex> held;
-    /// How often its requests chose each expert, by layer and expert, since the life began, modulo 2^32: receivers take
-    /// differences.
+    /// How often its requests chose each expert, by layer and expert, since the life began, modulo 2^16: receivers take
+    /// differences. Empty from a rank that tells only what it holds.
     std::vector<std::uint32_t> tokens;
 };
 
--- a/include/swiftloft/expertmap/replica-planner.h
+++ b/include/swiftloft/expertmap/replica-planner.h
@@ -15,16 +15,24 @@
 /// Plans maps for engines that split an expert's tokens evenly among its replicas, where demand shifts within seconds.
 ///
 /// `Planner` is for demand that drifts over minutes and for engines that split tokens as told. This one reacts to one
-/// shift at a time: it keeps a short memory, and takes from the rank with the most tokens what gains most for one copy,
-/// by a replica in a spare slot, a replica in the place of one that is no longer needed, or a swap. Pure: the time comes
-/// with each call.
+/// shift at a time: it keeps a short memory that ends where demand shifts, and takes from the rank with the most tokens
+/// what gains most for one copy, by a replica in a spare slot, a replica in the place of one that is no longer needed, or
+/// a swap. Pure: the time comes with each call.
 class ReplicaPlanner {
 public:
     struct Options {
         /// Memory of the token counts. Long against the time between reports, short against the time between shifts.
         milliseconds halfLife { 500 };
-        /// Tokens a layer must have seen within the memory before anything is planned.
+        /// Tokens a layer must have seen within the memory before anything is planned, and within a report before it is
+        /// compared with the memory.
         double minTokens { 2000 };
+        /// A report that is so many times as unlike the memory as reports usually are tells of a shift. Unlikeness is 1
+        /// less the cosine of the two demands, averaged over the layers. Counts of 50 ms: usually 0.015 with 24 ranks and
+        /// 0.03 with 12, 0.045 and 0.08 in the worst of twenty; 0.05 and more with both demands of a shift in one report,
+        /// 0.3 to 0.8 behind it.
+        double shiftAbove { 3 };
+        /// What passes for usual before reports have shown it; never less than a third of it.
+        double usualUnlikeness { 0.03 };
         /// Most experts of one layer that a rank takes in with one change.
         std::uint32_t newPerRankAndLayer { 4 };
         /// Most experts that a rank takes in with one change, over all layers: copying time, as ranks copy side by side.
@@ -47,17 +55,26 @@
     /// Tokens of the most loaded rank over the mean, averaged over the layers; 1 is even. 0 while nothing is known.
     double imbalance(const ExpertMap& map) const;
     bool isKnown() const;
+    /// When a report last told of a shift. Around a shift reports hold tokens of both demands, so the first one after it
+    /// is no good ground for a plan; a second one like it is. Unset before the first shift.
+    std::optional<TimePoint> shiftedAt() const { return m_shiftedAt; }
 
 private:
     ReplicaPlanner(const MapShape& shape, const Options& options);
 
     std::span<const double> layerTokens(std::uint32_t layer) const;
+    bool noteUnlikeness();
 
     MapShape m_shape;
     Options m_options;
     /// Decayed token counts by layer and expert.
     std::vector<double> m_tokens;
     TimePoint m_observedAt;
+    /// Tokens reported since the last comparison with the memory.
+    std::vector<double> m_recent;
+    std::optional<TimePoint> m_shiftedAt;
+    /// Mean unlikeness of the reports that told of no shift.
+    double m_usualUnlikeness { 0 };
 };
 
 } // namespace swiftloft::expertmap
--- a/src/agent/group-member.cc
+++ b/src/agent/group-member.cc
@@ -204,12 +204,25 @@
     } else if (auto* named = std::get_if<VersionedMap>(&message)) {
         if (named->map.shape() == m_options.shape)
             m_maps.add(*named);
-    } else if (auto* loads = std::get_if<RankLoads>(&message)) {
+    } else if (auto* difference = std::get_if<MapDifference>(&message))
+        takeDifference(*difference);
+    else if (auto* loads = std::get_if<RankLoads>(&message)) {
         if (m_hooks.onLoads)
             m_hooks.onLoads(*loads);
     }
 }
 
+void GroupMember::takeDifference(const MapDifference& difference)
+{
+    auto* base = m_maps.find(difference.base);
+    if (!base)
+        return;
+    if (auto map = applied(*base, difference))
+        m_maps.add(*map);
+    else
+        log::write(log::Event::MapUnreadable, "group={} version={:016x} problem=\"{}\"", m_options.group.value(), difference.version.value(), map.error().message);
+}
+
 /// Asks one rank after the other, from rank 0 on: any that holds the map will do, as no version ever names two maps.
 void GroupMember::fetchMap(MapVersion version)
 {
@@ -221,13 +234,17 @@
 {
     if (m_isStopped)
         return;
-    m_maps.add(named);
-    m_wanted = named.version;
-    // Sent ahead of the orders, which name it only: a rank that has it need not ask first.
+    // Sent ahead of the orders, which name it only: a rank that has it need not ask first. One that lacks the map that the
+    // difference is from does ask.
+    auto* base = m_lastTold ? m_maps.find(*m_lastTold) : nullptr;
+    auto message = base ? GroupMessage(differenceBetween({ *m_lastTold, *base }, named)) : GroupMessage(named);
     for (std::uint32_t r = 0; r < m_options.shape.ranks; ++r) {
         if (RankIndex(r) != m_options.rank)
-            sendToRank(RankIndex(r), named);
+            sendToRank(RankIndex(r), message);
     }
+    m_maps.add(named);
+    m_wanted = named.version;
+    m_lastTold = named.version;
     onCoordinatorEvent(coordination::MapWanted { named.version });
 }
 
--- a/src/agent/group-member.h
+++ b/src/agent/group-member.h
@@ -89,6 +89,7 @@
     void perform(const expertmap::coordination::SteppedDown& effect);
     void onMessage(const GroupTransport::Endpoint& from, const GroupMessage& message);
     void onCoordinatorEvent(const expertmap::coordination::Event& event);
+    void takeDifference(const MapDifference& difference);
     void sendToRank(RankIndex rank, const GroupMessage& message);
     void tick();
     void logAdmission(const std::optional<expertmap::EngineStatus>& before);
@@ -112,6 +113,8 @@
     std::optional<expertmap::Coordinator> m_coordinator;
     std::optional<TimePoint> m_coordinatorDueAt;
     std::optional<MapVersion> m_wanted;
+    /// Map that all ranks were told last.
+    std::optional<MapVersion> m_lastTold;
     /// Step of rank 0 seen last, and since when the group may be held at it.
     StepNumber m_stepSeen;
     TimePoint m_stepSeenAt;
--- a/src/agent/group-transport.cc
+++ b/src/agent/group-transport.cc
@@ -26,8 +26,34 @@
     void operator()(const MapWantedFrom& it) { out.setMapWanted(it.version.value()); }
     void operator()(const expertmap::VersionedMap& it) { wire::build(out.initMap(), it); }
     void operator()(const expertmap::RankLoads& it) { wire::build(out.initLoads(), it); }
+    void operator()(const MapDifference& it) { build(out.initDifference(), it); }
+
+    static void build(schema::MapDifference::Builder difference, const MapDifference& it)
+    {
+        difference.setBase(it.base.value());
+        difference.setVersion(it.version.value());
+        auto size = static_cast<unsigned>(it.slots.size());
+        auto places = difference.initPlaces(size);
+        auto experts = difference.initExperts(size);
+        for (unsigned n = 0; n < size; ++n) {
+            places.set(n, it.slots[n].index);
+            experts.set(n, static_cast<std::uint16_t>(it.slots[n].expert.value()));
+        }
+    }
 };
 
+std::optional<GroupMessage> differenceIn(schema::MapDifference::Reader in)
+{
+    MapDifference difference { MapVersion(in.getBase()), MapVersion(in.getVersion()), {} };
+    auto places = in.getPlaces();
+    auto experts = in.getExperts();
+    if (places.size() != experts.size())
+        return std::nullopt;
+    for (unsigned n = 0; n < places.size(); ++n)
+        difference.slots.push_back({ places[n], ExpertIndex(experts[n]) });
+    return difference;
+}
+
 template <typename T>
 std::optional<GroupMessage> messageFrom(Result<T> parsed)
 {
@@ -51,6 +77,8 @@
         return messageFrom(wire::parse(in.getMap()));
     case schema::GroupMessage::LOADS:
         return messageFrom(wire::parse(in.getLoads()));
+    case schema::GroupMessage::DIFFERENCE:
+        return differenceIn(in.getDifference());
     }
     return std::nullopt;
 }
--- a/src/agent/group-transport.h
+++ b/src/agent/group-transport.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "src/agent/map-difference.h"
+
 #include <swiftloft/expertmap/expert-map.h>
 #include <swiftloft/expertmap/protocol.h>
 #include <swiftloft/result.h>
@@ -22,7 +24,7 @@
 };
 
 /// What the agents of a rank group tell each other.
-using GroupMessage = std::variant<expertmap::RankOrder, expertmap::RankReport, expertmap::RankHello, MapWantedFrom, expertmap::VersionedMap, expertmap::RankLoads>;
+using GroupMessage = std::variant<expertmap::RankOrder, expertmap::RankReport, expertmap::RankHello, MapWantedFrom, expertmap::VersionedMap, expertmap::RankLoads, MapDifference>;
 
 /// Cap'n Proto datagrams between the agents of a rank group. Belongs to the control thread.
 ///
--- a/src/agent/load-planning.cc
+++ b/src/agent/load-planning.cc
@@ -6,17 +6,27 @@
 
 using namespace expertmap;
 
+namespace {
+
+/// Steps after which a count, told modulo 2^16, may have gone round: the hottest expert of a layer gets up to 1,400 tokens
+/// of one rank in a step.
+constexpr std::uint64_t mostStepsBetween = 40;
+
+} // namespace
+
 LoadPlanning::LoadPlanning(const MapShape& shape, ReplicaPlanner planner)
     : m_shape(shape)
     , m_planner(std::move(planner))
     , m_loads(shape.ranks)
+    , m_hasCounted(shape.ranks)
     , m_pending(static_cast<std::size_t>(shape.layers) * shape.experts)
 {
 }
 
 void LoadPlanning::onLoads(const RankLoads& loads)
 {
-    bool isFit = loads.rank.value() < m_loads.size() && loads.tokens.size() == m_pending.size()
+    bool hasTokens = !loads.tokens.empty();
+    bool isFit = loads.rank.value() < m_loads.size() && (!hasTokens || loads.tokens.size() == m_pending.size())
         && loads.held.size() == static_cast<std::size_t>(m_shape.layers) * m_shape.slotsPerRank;
     if (!isFit)
         return;
@@ -25,16 +35,26 @@
     bool isSameLife = last && last->engine == loads.engine;
     if (isSameLife && loads.step <= last->step)
         return;
-    for (std::size_t n = 0; n < m_pending.size() && isSameLife; ++n)
-        m_pending[n] += static_cast<double>(loads.tokens[n] - last->tokens[n]);
+    // Failure: after a long silence counts may have gone round, and their differences say nothing.
+    bool isRecent = isSameLife && hasTokens && !last->tokens.empty() && loads.step.value() - last->step.value() <= mostStepsBetween;
+    for (std::size_t n = 0; n < m_pending.size() && isRecent; ++n)
+        m_pending[n] += static_cast<std::uint16_t>(loads.tokens[n] - last->tokens[n]);
     last = loads;
+    m_hasCounted[loads.rank.value()] = hasTokens;
 }
 
 void LoadPlanning::observe(TimePoint now)
 {
+    // Failure: the requests of a few ranks ask for other experts than those of all, which would pass for a shift of
+    // demand; those of half the ranks that count are alike.
+    auto counted = std::count(m_hasCounted.begin(), m_hasCounted.end(), true);
+    auto counting = std::count_if(m_loads.begin(), m_loads.end(), [](auto& it) { return it && !it->tokens.empty(); });
+    if (2 * counted < counting)
+        return;
     // Every value is a sum of counts, so the planner has nothing to refuse.
     m_planner.observe(now, m_pending);
     std::fill(m_pending.begin(), m_pending.end(), 0.0);
+    std::fill(m_hasCounted.begin(), m_hasCounted.end(), false);
 }
 
 std::optional<VersionedMap> LoadPlanning::current() const
--- a/src/agent/load-planning.h
+++ b/src/agent/load-planning.h
@@ -13,8 +13,9 @@
 public:
     LoadPlanning(const expertmap::MapShape& shape, expertmap::ReplicaPlanner planner);
 
+    /// A report without tokens tells only what the rank holds.
     void onLoads(const expertmap::RankLoads& loads);
-    /// Hands what was counted since the last call to the planner.
+    /// Hands what was counted to the planner, once half of the ranks that count have told.
     void observe(TimePoint now);
     /// The map that all ranks run; nothing while that is not known of each, or while they differ.
     std::optional<expertmap::VersionedMap> current() const;
@@ -24,8 +25,9 @@
     expertmap::MapShape m_shape;
     expertmap::ReplicaPlanner m_planner;
     std::vector<std::optional<expertmap::RankLoads>> m_loads;
-    /// Tokens by layer and expert since the last call of `observe`.
+    /// Tokens by layer and expert that the planner has not got yet, and the ranks that told of them.
     std::vector<double> m_pending;
+    std::vector<bool> m_hasCounted;
 };
 
 } // namespace swiftloft::agent
--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -10,6 +10,8 @@
 #include <boost/random/uniform_int_distribution.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <iterator>
 #include <random>
 
 namespace swiftloft::agent {
@@ -25,8 +27,13 @@
 /// Every 100 ms instead cost a tenth of the score of a busy day; reading one's own engine takes a thousandth of a core.
 constexpr milliseconds lookEvery { 50 };
 constexpr milliseconds answerWithin { 60 };
-/// Counts sent to rank 0 in a second at most, of four bytes each: what control may send is 25 KB a second.
-constexpr std::uint32_t countsPerSecond = 6000;
+/// Counts sent to rank 0 in a second at most, of two bytes each: what control may send is 25 KB a second.
+constexpr std::uint32_t countsPerSecond = 12000;
+/// Ranks whose counts rank 0 gets at that rate; all ranks of a group are asked for the same experts, and those of twelve
+/// tell as much. Of 24 ranks they came to 5 Mbit/s of the 8 that its link has, and orders and reports waited behind them.
+constexpr std::uint32_t ranksThatCount = 12;
+/// The others tell only which experts they hold, a tenth of the bytes, this often: rank 0 plans when it knows all.
+constexpr milliseconds heldToldEvery { 100 };
 /// Entries are told of the engine this often.
 constexpr milliseconds tellEntriesEvery { 400 };
 /// An entry that has sent no brief for this long is not told any more.
@@ -35,12 +42,16 @@
 constexpr milliseconds wishFor { 4000 };
 /// Pause between two changes, in which the counts come to show what the last one did.
 constexpr milliseconds planPause { 60 };
+/// Nothing is planned for so long after a shift of demand: the reports of one more look tell whether it is over.
+constexpr milliseconds settleFor { 45 };
 /// A map's number is a count in the high bits and a random part below, so that coordinators that don't know of each other
 /// never give one number to two maps.
 constexpr unsigned versionRandomBits = 12;
-/// Steps between the newest known one and the switch: arming all ranks takes two exchanges, a tenth of a step or so. With
-/// one step the group stood at the switch more often than a step of delay costs (score of busy days 0.66 for 0.82).
+/// Steps between the newest known one and the switch while it is not known how long steps take.
 constexpr std::uint64_t leadSteps = 2;
+/// Time from the choice of the switch step until all ranks are armed: two exchanges with an engine and one between
+/// agents, with the pause after the neighbour's hold.
+constexpr milliseconds leadTime { 85 };
 constexpr std::uint64_t maxLeadSteps = 64;
 
 Coordinator::Options coordinationOf(std::uint32_t ranks)
@@ -50,6 +61,7 @@
     options.stagingRanks = ranks;
     options.leadSteps = leadSteps;
     options.maxLeadSteps = maxLeadSteps;
+    options.leadTime = leadTime;
     options.retryAfter = milliseconds(25);
     options.idleReadAfter = milliseconds(1000);
     options.stagePollAfter = milliseconds(20);
@@ -67,6 +79,25 @@
     return std::max(1U, static_cast<std::uint32_t>(static_cast<double>(time.count()) / expertMs));
 }
 
+/// True for every rank of a small group, and for one of so many of a large one.
+bool isCounting(RankIndex rank, std::uint32_t ranks)
+{
+    auto stride = (ranks + ranksThatCount - 1) / ranksThatCount;
+    return rank.value() % stride == 0;
+}
+
+/// The experts that a rank holds, by layer and slot.
+std::vector<ExpertIndex> heldIn(const EngineCounts& counts, const MapShape& shape)
+{
+    std::vector<ExpertIndex> held(static_cast<std::size_t>(shape.layers) * shape.slotsPerRank, noExpert);
+    for (std::size_t layer = 0; layer < counts.experts.size() && layer < shape.layers; ++layer) {
+        auto& experts = counts.experts[layer];
+        auto n = std::min<std::size_t>(experts.size(), shape.slotsPerRank);
+        std::copy_n(experts.begin(), n, held.begin() + static_cast<std::ptrdiff_t>(layer * shape.slotsPerRank));
+    }
+    return held;
+}
+
 std::uint64_t firstFence()
 {
     // The agent that ran here before counted from an earlier time.
@@ -282,21 +313,15 @@
     if (!m_member || !m_view || m_view->step == m_countsToldAt || now < m_tellCountsAt)
         co_return;
     m_countsToldAt = m_view->step;
-    auto& sizes = m_member->options().shape;
-    m_tellCountsAt = now + milliseconds(sizes.layers * sizes.experts * 1000 / countsPerSecond);
+    auto shape = m_member->options().shape;
+    bool tellsTokens = isCounting(m_view->rank, shape.ranks);
+    m_tellCountsAt = now + (tellsTokens ? milliseconds(shape.layers * shape.experts * 1000 / countsPerSecond) : heldToldEvery);
     auto counts = co_await m_port.readCounts(Clock::now() + answerWithin);
     if (!m_member || !m_view)
         co_return;
-    auto& shape = m_member->options().shape;
-    RankLoads loads { m_view->rank, RankEngine::lifeOf(*m_view), m_countsToldAt, counts.map, {}, {} };
-    for (auto count : counts.tokens)
-        loads.tokens.push_back(static_cast<std::uint32_t>(count));
-    loads.held.assign(static_cast<std::size_t>(shape.layers) * shape.slotsPerRank, noExpert);
-    for (std::size_t layer = 0; layer < counts.experts.size() && layer < shape.layers; ++layer) {
-        auto& experts = counts.experts[layer];
-        auto n = std::min<std::size_t>(experts.size(), shape.slotsPerRank);
-        std::copy(experts.begin(), experts.begin() + static_cast<std::ptrdiff_t>(n), loads.held.begin() + static_cast<std::ptrdiff_t>(layer * shape.slotsPerRank));
-    }
+    RankLoads loads { m_view->rank, RankEngine::lifeOf(*m_view), m_countsToldAt, counts.map, heldIn(counts, shape), {} };
+    if (tellsTokens)
+        std::transform(counts.tokens.begin(), counts.tokens.end(), std::back_inserter(loads.tokens), [](auto count) { return static_cast<std::uint32_t>(count); });
     m_member->sendLoads(loads);
 }
 
@@ -329,7 +354,9 @@
         m_member->withdraw();
     }
     bool isIdle = m_member->coordinator()->phase() == CoordinatorPhase::Idle;
-    if (!isIdle || m_wishUntil || now < m_planAgainAt)
+    auto shiftedAt = m_planning->planner().shiftedAt();
+    bool isSettled = !shiftedAt || *shiftedAt + settleFor <= now;
+    if (!isIdle || m_wishUntil || now < m_planAgainAt || !isSettled)
         return;
     auto current = m_planning->current();
     if (!current)
--- a/src/agent/rank-engine.cc
+++ b/src/agent/rank-engine.cc
@@ -27,6 +27,23 @@
 /// Time for which only the neighbour is held: a few round trips between instances. Changes take so much longer.
 constexpr milliseconds neighbourPause { 8 };
 
+std::string_view nameOf(EngineCommand::Kind kind)
+{
+    switch (kind) {
+    case EngineCommand::Kind::Prepare:
+        return "prepare";
+    case EngineCommand::Kind::Arm:
+        return "arm";
+    case EngineCommand::Kind::Disarm:
+        return "disarm";
+    case EngineCommand::Kind::Hold:
+        return "hold";
+    case EngineCommand::Kind::Release:
+        return "release";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 RankEngine::RankEngine(EnginePort port, std::uint64_t epoch, std::uint64_t firstFence, Now now)
@@ -71,6 +88,9 @@
 {
     EngineCommand command { kind, m_epoch, ++m_fence, version, step, map };
     auto end = co_await m_port.command(command, m_now() + answerWithin);
+    if (end != CommandEnd::Done)
+        log::write(log::Event::EngineOrderRefused, "order={} version={:016x} step={} fence={} reason={}", nameOf(kind), version.value(), step.value(), command.fence,
+            end == CommandEnd::Fenced ? "fence" : "state");
     if (end == CommandEnd::Fenced)
         m_fence += fenceJump;
     co_return end == CommandEnd::Done;
--- a/src/expertmap/coordinator.cc
+++ b/src/expertmap/coordinator.cc
@@ -30,7 +30,6 @@
     : m_options(options)
     , m_fence { 1, options.incarnation }
     , m_ranks(options.ranks)
-    , m_lead(options.leadSteps)
 {
 }
 
@@ -75,6 +74,7 @@
     view.round = report.round;
     view.status = report.status;
     view.heardAt = now;
+    measureStep(now, report.status->entered);
 }
 
 void Coordinator::onHello(TimePoint now, const RankHello& hello, Effects& effects)
@@ -338,19 +338,39 @@
         return;
     m_phase = CoordinatorPhase::Arming;
     if (!m_point)
-        m_point = SwitchPoint { version, StepNumber(newestStep().value() + m_lead) };
+        m_point = SwitchPoint { version, StepNumber(newestStep().value() + leadSteps()) };
     // Failure: see "Rank 0 is armed first" in docs/design/expert-maps.md. A successor must find this switch point armed
     // at rank 0 whenever any rank could have been told to go.
     send(now, 0, Arm { *m_point }, effects);
 }
 
+void Coordinator::measureStep(TimePoint now, StepNumber newest)
+{
+    if (newest <= m_stepSeen)
+        return;
+    if (m_stepSeenAt != TimePoint {})
+        m_stepTime = (now - m_stepSeenAt) / static_cast<Clock::rep>(newest.value() - m_stepSeen.value());
+    m_stepSeen = newest;
+    m_stepSeenAt = now;
+}
+
+/// Failure: a lead too short and the group waits at the switch until the last rank is armed; too long and it goes on with
+/// a map that no longer fits. Uneven steps are slow ones, so a lead counted in steps is longest when a change is due most.
+std::uint64_t Coordinator::leadSteps() const
+{
+    auto steps = m_options.leadSteps;
+    if (m_options.leadTime > milliseconds(0) && m_stepTime && *m_stepTime > Clock::duration(0))
+        steps = static_cast<std::uint64_t>((m_options.leadTime + *m_stepTime - Clock::duration(1)) / *m_stepTime);
+    return std::min(std::max<std::uint64_t>(steps, 1) * m_leadFactor, m_options.maxLeadSteps);
+}
+
 void Coordinator::finishChange(Effects& effects)
 {
     auto point = *m_point;
     bool allTaken = std::all_of(m_ranks.begin(), m_ranks.end(), [&](auto& view) { return view.status->hasTaken(point); });
     if (allTaken) {
         effects.push_back(ChangeFinished { point });
-        m_lead = m_options.leadSteps;
+        m_leadFactor = 1;
         m_point.reset();
         return;
     }
@@ -358,7 +378,7 @@
     if (!isPassed)
         return;
     effects.push_back(ChangePostponed { point });
-    m_lead = std::min(m_lead * 2, m_options.maxLeadSteps);
+    m_leadFactor = std::min(m_leadFactor * 2, m_options.maxLeadSteps);
     m_point.reset();
 }
 
--- a/src/expertmap/expert-map.capnp
+++ b/src/expertmap/expert-map.capnp
@@ -69,13 +69,21 @@
   version @5 :UInt64;              # the name under which the group runs it
 }
 
+# A map told by what differs from another one. Places are by layer, rank and slot, one expert for each.
+struct MapDifference {
+  base @0 :UInt64;
+  version @1 :UInt64;
+  places @2 :List(UInt32);
+  experts @3 :List(UInt16);        # 0xffff empties the place
+}
+
 # What a rank counted and holds, for the planner at rank 0.
 struct RankLoads {
   rank @0 :UInt32;
   engine @1 :UInt64;               # life of the engine; counts begin anew with each
   map @2 :UInt64;                  # version that the rank runs
   held @3 :List(UInt16);           # its experts by layer and slot; 0xffff is an empty slot
-  tokens @4 :List(UInt32);         # by layer and expert, since the life began, modulo 2^32
+  tokens @4 :List(UInt16);         # by layer and expert, since the life began, modulo 2^16
   step @5 :UInt64;                 # at which it was read
 }
 
@@ -89,6 +97,7 @@
     mapWanted @4 :UInt64;          # asks for the content of a map, by version
     map @5 :ExpertMap;             # the answer, or a map that will be ordered soon
     loads @6 :RankLoads;
+    difference @7 :MapDifference;  # a map that will be ordered soon
   }
 }
 
--- a/src/expertmap/expert-map.capnp.h
+++ b/src/expertmap/expert-map.capnp.h
@@ -28,6 +28,7 @@
 CAPNP_DECLARE_SCHEMA(9f22ac8d76a5b791);
 CAPNP_DECLARE_SCHEMA(e901b061a173d1c7);
 CAPNP_DECLARE_SCHEMA(bf5ab155a5cc57d5);
+CAPNP_DECLARE_SCHEMA(bbe6d7fc5320fc48);
 CAPNP_DECLARE_SCHEMA(e74caab2000cb1c8);
 CAPNP_DECLARE_SCHEMA(ec56ac79917f511a);
 CAPNP_DECLARE_SCHEMA(e913f15fa41daf4f);
@@ -193,6 +194,21 @@
   };
 };
 
+struct MapDifference {
+  MapDifference() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bbe6d7fc5320fc48, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct RankLoads {
   RankLoads() = delete;
 
@@ -221,6 +237,7 @@
     MAP_WANTED,
     MAP,
     LOADS,
+    DIFFERENCE,
   };
 
   struct _capnpPrivate {
@@ -1303,6 +1320,109 @@
 };
 #endif  // !CAPNP_LITE
 
+class MapDifference::Reader {
+public:
+  typedef MapDifference Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBase() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasPlaces() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getPlaces() const;
+
+  inline bool hasExperts() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getExperts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class MapDifference::Builder {
+public:
+  typedef MapDifference Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBase();
+  inline void setBase( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasPlaces();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getPlaces();
+  inline void setPlaces( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setPlaces(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initPlaces(unsigned int size);
+  inline void adoptPlaces(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownPlaces();
+
+  inline bool hasExperts();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getExperts();
+  inline void setExperts( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setExperts(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initExperts(unsigned int size);
+  inline void adoptExperts(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownExperts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class MapDifference::Pipeline {
+public:
+  typedef MapDifference Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RankLoads::Reader {
 public:
   typedef RankLoads Reads;
@@ -1330,7 +1450,7 @@
   inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getHeld() const;
 
   inline bool hasTokens() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTokens() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getTokens() const;
 
   inline  ::uint64_t getStep() const;
 
@@ -1380,12 +1500,12 @@
   inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownHeld();
 
   inline bool hasTokens();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTokens();
-  inline void setTokens( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setTokens(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTokens(unsigned int size);
-  inline void adoptTokens(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTokens();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getTokens();
+  inline void setTokens( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTokens(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initTokens(unsigned int size);
+  inline void adoptTokens(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownTokens();
 
   inline  ::uint64_t getStep();
   inline void setStep( ::uint64_t value);
@@ -1460,6 +1580,10 @@
   inline bool hasLoads() const;
   inline  ::swiftloft::expertmap::schema::RankLoads::Reader getLoads() const;
 
+  inline bool isDifference() const;
+  inline bool hasDifference() const;
+  inline  ::swiftloft::expertmap::schema::MapDifference::Reader getDifference() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1540,6 +1664,14 @@
   inline void adoptLoads(::capnp::Orphan< ::swiftloft::expertmap::schema::RankLoads>&& value);
   inline ::capnp::Orphan< ::swiftloft::expertmap::schema::RankLoads> disownLoads();
 
+  inline bool isDifference();
+  inline bool hasDifference();
+  inline  ::swiftloft::expertmap::schema::MapDifference::Builder getDifference();
+  inline void setDifference( ::swiftloft::expertmap::schema::MapDifference::Reader value);
+  inline  ::swiftloft::expertmap::schema::MapDifference::Builder initDifference();
+  inline void adoptDifference(::capnp::Orphan< ::swiftloft::expertmap::schema::MapDifference>&& value);
+  inline ::capnp::Orphan< ::swiftloft::expertmap::schema::MapDifference> disownDifference();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3216,6 +3348,110 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t MapDifference::Reader::getBase() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MapDifference::Builder::getBase() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void MapDifference::Builder::setBase( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MapDifference::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MapDifference::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void MapDifference::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MapDifference::Reader::hasPlaces() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool MapDifference::Builder::hasPlaces() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader MapDifference::Reader::getPlaces() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder MapDifference::Builder::getPlaces() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void MapDifference::Builder::setPlaces( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void MapDifference::Builder::setPlaces(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder MapDifference::Builder::initPlaces(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void MapDifference::Builder::adoptPlaces(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> MapDifference::Builder::disownPlaces() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool MapDifference::Reader::hasExperts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool MapDifference::Builder::hasExperts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader MapDifference::Reader::getExperts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder MapDifference::Builder::getExperts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void MapDifference::Builder::setExperts( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void MapDifference::Builder::setExperts(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder MapDifference::Builder::initExperts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void MapDifference::Builder::adoptExperts(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> MapDifference::Builder::disownExperts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t RankLoads::Reader::getRank() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3304,33 +3540,33 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader RankLoads::Reader::getTokens() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader RankLoads::Reader::getTokens() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder RankLoads::Builder::getTokens() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder RankLoads::Builder::getTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RankLoads::Builder::setTokens( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void RankLoads::Builder::setTokens( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void RankLoads::Builder::setTokens(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void RankLoads::Builder::setTokens(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder RankLoads::Builder::initTokens(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder RankLoads::Builder::initTokens(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void RankLoads::Builder::adoptTokens(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> RankLoads::Builder::disownTokens() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> RankLoads::Builder::disownTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -3687,6 +3923,60 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool GroupMessage::Reader::isDifference() const {
+  return which() == GroupMessage::DIFFERENCE;
+}
+inline bool GroupMessage::Builder::isDifference() {
+  return which() == GroupMessage::DIFFERENCE;
+}
+inline bool GroupMessage::Reader::hasDifference() const {
+  if (which() != GroupMessage::DIFFERENCE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GroupMessage::Builder::hasDifference() {
+  if (which() != GroupMessage::DIFFERENCE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::swiftloft::expertmap::schema::MapDifference::Reader GroupMessage::Reader::getDifference() const {
+  KJ_IREQUIRE((which() == GroupMessage::DIFFERENCE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::MapDifference>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::swiftloft::expertmap::schema::MapDifference::Builder GroupMessage::Builder::getDifference() {
+  KJ_IREQUIRE((which() == GroupMessage::DIFFERENCE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::MapDifference>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GroupMessage::Builder::setDifference( ::swiftloft::expertmap::schema::MapDifference::Reader value) {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::DIFFERENCE);
+  ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::MapDifference>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::swiftloft::expertmap::schema::MapDifference::Builder GroupMessage::Builder::initDifference() {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::DIFFERENCE);
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::MapDifference>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GroupMessage::Builder::adoptDifference(
+    ::capnp::Orphan< ::swiftloft::expertmap::schema::MapDifference>&& value) {
+  _builder.setDataField<GroupMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, GroupMessage::DIFFERENCE);
+  ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::MapDifference>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::swiftloft::expertmap::schema::MapDifference> GroupMessage::Builder::disownDifference() {
+  KJ_IREQUIRE((which() == GroupMessage::DIFFERENCE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::swiftloft::expertmap::schema::MapDifference>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline RankMember::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/expertmap/replica-planner.cc
+++ b/src/expertmap/replica-planner.cc
@@ -4,12 +4,38 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <numeric>
 
 namespace swiftloft::expertmap {
 
 using internal::ReplicaLayer;
 
+namespace {
+
+/// Of a report in the mean unlikeness: twenty reports or so make it, a second of them.
+constexpr double unlikenessWeight = 0.05;
+
+std::span<const double> layerOf(std::span<const double> tokens, std::uint32_t layer, const MapShape& shape)
+{
+    return tokens.subspan(static_cast<std::size_t>(layer) * shape.experts, shape.experts);
+}
+
+double tokensOf(std::span<const double> tokens)
+{
+    return std::accumulate(tokens.begin(), tokens.end(), 0.0);
+}
+
+/// Cosine of two demands: 1 when they ask for the experts in the same proportions. Layers without tokens are alike.
+double likeness(std::span<const double> one, std::span<const double> other)
+{
+    double product = std::inner_product(one.begin(), one.end(), other.begin(), 0.0);
+    double squares = std::inner_product(one.begin(), one.end(), one.begin(), 0.0) * std::inner_product(other.begin(), other.end(), other.begin(), 0.0);
+    return squares > 0 ? product / std::sqrt(squares) : 1;
+}
+
+} // namespace
+
 Result<ReplicaPlanner> ReplicaPlanner::create(const MapShape& shape, const Options& options)
 {
     if (options.halfLife <= milliseconds(0) || options.newPerRankAndLayer == 0 || options.newPerRank == 0)
@@ -21,6 +47,8 @@
     : m_shape(shape)
     , m_options(options)
     , m_tokens(static_cast<std::size_t>(shape.layers) * shape.experts)
+    , m_recent(m_tokens.size())
+    , m_usualUnlikeness(options.usualUnlikeness)
 {
 }
 
@@ -32,21 +60,49 @@
         return Error { ErrorCode::InvalidArgument, "a token count is negative or not a number" };
     auto elapsed = std::chrono::duration<double, std::milli>(std::max(now - m_observedAt, Clock::duration(0))).count();
     auto keep = std::exp2(-elapsed / static_cast<double>(m_options.halfLife.count()));
-    for (std::size_t n = 0; n < tokens.size(); ++n)
-        m_tokens[n] = m_tokens[n] * keep + tokens[n];
     m_observedAt = now;
+    for (std::size_t n = 0; n < tokens.size(); ++n) {
+        m_tokens[n] *= keep;
+        m_recent[n] += tokens[n];
+    }
+    if (tokensOf(layerOf(m_recent, 0, m_shape)) < m_options.minTokens)
+        return std::nullopt;
+    // Failure: demand shifts at once, and a plan from a mixture of the old and the new demand copies experts that nobody
+    // needs; while they are copied every stream is slow. Forgotten, the old demand spoils no plan (a first map right
+    // after each shift instead of the second).
+    if (noteUnlikeness()) {
+        m_shiftedAt = now;
+        std::fill(m_tokens.begin(), m_tokens.end(), 0.0);
+    }
+    std::transform(m_tokens.begin(), m_tokens.end(), m_recent.begin(), m_tokens.begin(), std::plus<>());
+    std::fill(m_recent.begin(), m_recent.end(), 0.0);
     return std::nullopt;
 }
 
+/// True when what was reported last is so unlike the memory that demand must have shifted.
+bool ReplicaPlanner::noteUnlikeness()
+{
+    if (!isKnown())
+        return false;
+    double sum = 0;
+    for (std::uint32_t n = 0; n < m_shape.layers; ++n)
+        sum += 1 - likeness(layerTokens(n), layerOf(m_recent, n, m_shape));
+    double unlikeness = sum / m_shape.layers;
+    double usual = std::max(m_usualUnlikeness, m_options.usualUnlikeness / 3);
+    if (unlikeness > m_options.shiftAbove * usual)
+        return true;
+    m_usualUnlikeness += (unlikeness - m_usualUnlikeness) * unlikenessWeight;
+    return false;
+}
+
 std::span<const double> ReplicaPlanner::layerTokens(std::uint32_t layer) const
 {
-    return std::span(m_tokens).subspan(static_cast<std::size_t>(layer) * m_shape.experts, m_shape.experts);
+    return layerOf(m_tokens, layer, m_shape);
 }
 
 bool ReplicaPlanner::isKnown() const
 {
-    auto first = layerTokens(0);
-    return std::accumulate(first.begin(), first.end(), 0.0) >= m_options.minTokens;
+    return tokensOf(layerTokens(0)) >= m_options.minTokens;
 }
 
 double ReplicaPlanner::imbalance(const ExpertMap& map) const
--- a/src/expertmap/wire.cc
+++ b/src/expertmap/wire.cc
@@ -200,7 +200,7 @@
         held.set(n, static_cast<std::uint16_t>(loads.held[n].value()));
     auto tokens = out.initTokens(static_cast<unsigned>(loads.tokens.size()));
     for (unsigned n = 0; n < tokens.size(); ++n)
-        tokens.set(n, loads.tokens[n]);
+        tokens.set(n, static_cast<std::uint16_t>(loads.tokens[n]));
 }
 
 Result<RankOrder> parse(schema::RankOrder::Reader in)
--- a/test/expertmap-coordinator_test.cc
+++ b/test/expertmap-coordinator_test.cc
@@ -16,8 +16,12 @@
 /// A coordinator whose ranks answer each order with the status that the test sets.
 class Driver {
 public:
-    Driver()
+    explicit Driver(milliseconds leadTime = milliseconds(0))
     {
+        Coordinator::Options options { Incarnation(9), ranks, first, ranks };
+        options.leadTime = leadTime;
+        options.stagePollAfter = milliseconds(20);
+        coordinator = Coordinator::create(options).value();
         for (std::uint32_t r = 0; r < ranks; ++r) {
             statuses[r].engine = Incarnation(50 + r);
             statuses[r].isAdmitted = true;
@@ -222,3 +226,38 @@
     REQUIRE(effects.size() == 1);
     CHECK(std::holds_alternative<rank::SendHello>(effects[0]));
 }
+
+namespace {
+
+/// Steps from the newest one to the switch that is armed, in a group whose steps take `stepTime`.
+std::uint64_t leadAt(milliseconds stepTime)
+{
+    Driver driver(milliseconds(85));
+    auto begin = driver.now();
+    driver.want(second);
+    // Ranks load the map for a second, and are read meanwhile.
+    for (int n = 0; n < 100; ++n) {
+        StepNumber newest(10 + static_cast<std::uint64_t>((driver.now() - begin) / stepTime));
+        for (auto& status : driver.statuses) {
+            status.entered = newest;
+            if (n == 50)
+                status.staged.push_back(second);
+        }
+        for (auto& order : driver.tick()) {
+            if (auto* arm = std::get_if<Arm>(&order.order))
+                return arm->point.step.value() - newest.value();
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+// Demand has shifted, and steps take three times as long until the map has followed. A lead counted in steps is then three
+// times as long as well, just when each moment with the old map costs most.
+TEST_CASE("Coordinator: the lead is as many steps as arming all ranks takes")
+{
+    CHECK(leadAt(milliseconds(20)) == 5);
+    CHECK(leadAt(milliseconds(40)) == 3);
+    CHECK(leadAt(milliseconds(200)) == 1);
+}
--- a/test/load-planning_test.cc
+++ b/test/load-planning_test.cc
@@ -75,3 +75,49 @@
     it.onLoads(loads(1, 2, { 0, 32, 0, 0 }));
     CHECK(imbalanceOf(it) == Approx(1));
 }
+
+// One rank's requests happen to ask for one expert. Alone in a window they would pass for a shift of the whole demand.
+TEST_CASE("LoadPlanning: the planner sees nothing before half of the ranks that count have told")
+{
+    ReplicaPlanner::Options options;
+    options.minTokens = 1;
+    MapShape four { 4, 1, 4, 3 };
+    LoadPlanning it(four, ReplicaPlanner::create(four, options).value());
+    auto tell = [&](std::uint32_t rank, std::uint64_t step, std::uint32_t count) {
+        RankLoads out { RankIndex(rank), Incarnation(1), StepNumber(step), MapVersion(0), { ExpertIndex(rank), noExpert, noExpert }, { count, 0, 0, 0 } };
+        it.onLoads(out);
+    };
+    for (std::uint32_t rank = 0; rank < 4; ++rank)
+        tell(rank, 1, 0);
+    it.observe(start);
+    tell(0, 2, 100);
+    it.observe(start);
+    CHECK_FALSE(it.planner().isKnown());
+    tell(1, 2, 100);
+    it.observe(start);
+    CHECK(it.planner().isKnown());
+}
+
+// A rank outside the sample tells only what it holds; the map is known with it and its counts are not missed.
+TEST_CASE("LoadPlanning: a report without counts tells what the rank holds")
+{
+    auto it = planning();
+    it.onLoads(loads(0, 1, { 0, 0, 0, 0 }));
+    it.onLoads(loads(1, 1, {}));
+    REQUIRE(it.current().has_value());
+    it.onLoads(loads(0, 2, { 9, 0, 0, 0 }));
+    CHECK(imbalanceOf(it) == Approx(2));
+}
+
+// Datagrams of a rank are lost for seconds. Its counts have gone round meanwhile and their difference is chance.
+TEST_CASE("LoadPlanning: counts behind a long silence are a new beginning")
+{
+    auto it = planning();
+    it.onLoads(loads(0, 1, { 0, 0, 0, 0 }));
+    it.onLoads(loads(1, 1, { 0, 0, 0, 0 }));
+    it.onLoads(loads(0, 1000, { 60'000, 0, 0, 0 }));
+    it.onLoads(loads(1, 1000, { 0, 5, 0, 0 }));
+    it.onLoads(loads(0, 1001, { 60'010, 0, 0, 0 }));
+    it.onLoads(loads(1, 1001, { 0, 15, 0, 0 }));
+    CHECK(imbalanceOf(it) == Approx(1));
+}
--- /dev/null
+++ b/test/map-difference_test.cc
@@ -0,0 +1,41 @@
+#include "src/agent/map-difference.h"
+
+#include <catch2/catch.hpp>
+
+using namespace swiftloft;
+using namespace swiftloft::agent;
+using namespace swiftloft::expertmap;
+
+namespace {
+
+const MapShape shape { 2, 1, 4, 3 };
+
+VersionedMap mapOf(std::uint64_t version, ExpertIndex last)
+{
+    std::vector slots { ExpertIndex(0), ExpertIndex(2), noExpert, ExpertIndex(1), ExpertIndex(3), last };
+    return { MapVersion(version), ExpertMap::create(shape, slots).value() };
+}
+
+} // namespace
+
+TEST_CASE("MapDifference: a map put together from its difference is the same map")
+{
+    auto base = mapOf(4, noExpert);
+    auto next = mapOf(5, ExpertIndex(0));
+    auto difference = differenceBetween(base, next);
+    REQUIRE(difference.slots == std::vector<MapDifference::Slot> { { 5, ExpertIndex(0) } });
+    auto map = applied(base.map, difference);
+    REQUIRE(map.has_value());
+    CHECK(map->version == next.version);
+    CHECK(std::equal(map->map.slots().begin(), map->map.slots().end(), next.map.slots().begin(), next.map.slots().end()));
+}
+
+// A damaged datagram names a place outside the map, or takes the last copy of an expert away. Run as a map, tokens of that
+// expert would have nowhere to go.
+TEST_CASE("MapDifference: one that does not fit its map is refused")
+{
+    auto base = mapOf(4, noExpert);
+    CHECK_FALSE(applied(base.map, { base.version, MapVersion(5), { { 6, ExpertIndex(0) } } }).has_value());
+    CHECK_FALSE(applied(base.map, { base.version, MapVersion(5), { { 0, ExpertIndex(1) } } }).has_value());
+    CHECK_FALSE(applied(base.map, { base.version, MapVersion(5), { { 0, ExpertIndex(4) } } }).has_value());
+}
--- a/test/replica-planner_test.cc
+++ b/test/replica-planner_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
 #include <numeric>
 #include <random>
@@ -120,3 +121,58 @@
     options.newPerRank = 0;
     CHECK_FALSE(ReplicaPlanner::create(shape, options).has_value());
 }
+
+// Steps are slow for half a second after each shift of demand. The planner's memory still holds the old demand, the first
+// plan suits neither demand, and ranks load experts for it that nobody asks for; only the second plan helps.
+TEST_CASE("ReplicaPlanner: a shift of demand ends the memory at once")
+{
+    auto planner = plannerFor(1);
+    auto now = start;
+    for (int n = 0; n < 20; ++n)
+        planner.observe(now += milliseconds(50), demand(1));
+    CHECK_FALSE(planner.shiftedAt().has_value());
+    planner.observe(now += milliseconds(50), demand(2));
+    REQUIRE(planner.shiftedAt() == now);
+    auto map = planner.plan(inTurn()).map;
+    auto onlyNew = plannerFor(2).plan(inTurn()).map;
+    REQUIRE(map.has_value());
+    REQUIRE(onlyNew.has_value());
+    CHECK(std::equal(map->slots().begin(), map->slots().end(), onlyNew->slots().begin(), onlyNew->slots().end()));
+}
+
+// A report straddles the shift: half of it is of the old demand. Taken for the new demand, it would be planned for.
+TEST_CASE("ReplicaPlanner: a report with both demands is told from the one behind it")
+{
+    auto planner = plannerFor(1);
+    auto now = start;
+    for (int n = 0; n < 20; ++n)
+        planner.observe(now += milliseconds(50), demand(1));
+    auto both = demand(1);
+    auto other = demand(2);
+    std::transform(both.begin(), both.end(), other.begin(), both.begin(), [](double one, double two) { return (one + two) / 2; });
+    planner.observe(now += milliseconds(50), both);
+    CHECK(planner.shiftedAt() == now);
+    planner.observe(now += milliseconds(50), demand(2));
+    CHECK(planner.shiftedAt() == now);
+    planner.observe(now += milliseconds(50), demand(2));
+    CHECK(planner.shiftedAt() == now - milliseconds(50));
+}
+
+// Counts of few ranks differ from report to report by the requests that these ranks happen to run. Taken for shifts, maps
+// would be planned from single reports: 72 changes instead of 26 on a day of calm.
+TEST_CASE("ReplicaPlanner: reports that are always unlike each other tell of no shift")
+{
+    auto planner = plannerFor(1);
+    std::mt19937 random(7);
+    std::uniform_real_distribution<double> noise(0.55, 1.45);
+    auto now = start;
+    int shifts = 0;
+    for (int n = 0; n < 200; ++n) {
+        auto tokens = demand(1);
+        for (auto& it : tokens)
+            it *= noise(random);
+        planner.observe(now += milliseconds(50), tokens);
+        shifts += planner.shiftedAt() == now;
+    }
+    CHECK(shifts == 0);
+}
