End an entry in time also when calls wait that nothing wakes

Cause: a call whose client has sent more and whose server is silent is suspended on things that neither closing the client's socket nor polling wakes. It was destroyed with the I/O context, after the set of clients and the table of calls that it signs off from.

Waiting coroutines are now destroyed first, while what they sign off from still stands.

--- a/src/gateway/call-desk.cc
+++ b/src/gateway/call-desk.cc
@@ -70,6 +70,8 @@
 
 void CallDesk::apply(const dispatch::Event& event)
 {
+    if (m_isClosed)
+        return;
     auto effects = m_dispatcher.apply(Clock::now(), event);
     for (auto& effect : effects)
         std::visit([this](auto& it) { deliver(it.call, it); }, effect);
--- a/src/gateway/call-desk.h
+++ b/src/gateway/call-desk.h
@@ -43,6 +43,8 @@
 
     CallId nextId() { return CallId(++m_lastId); }
     void apply(const dispatch::Event& event);
+    /// From here on events have no effect: there is nobody left to carry out what follows from them.
+    void close() { m_isClosed = true; }
     const Dispatcher& dispatcher() const { return m_dispatcher; }
     /// Called when requests began or ended, so that other entries can be told.
     void setOnLoadChanged(std::function<void()> hook) { m_onLoadChanged = std::move(hook); }
@@ -68,6 +70,7 @@
     std::map<CallId, std::shared_ptr<Waiter>> m_waiters;
     std::function<void()> m_onLoadChanged;
     std::uint64_t m_lastId { 0 };
+    bool m_isClosed { false };
 };
 
 } // namespace swiftloft::gateway
--- a/src/gateway/traffic.cc
+++ b/src/gateway/traffic.cc
@@ -75,6 +75,11 @@
         client->reset();
     m_ioContext.restart();
     m_ioContext.poll();
+    // Failure: a call that nothing wakes, such as one whose client has sent more and whose server is silent, is still
+    // suspended here. Destroyed with the context, after the tables that it signs off from, it walks freed memory: the
+    // process never ends, or dies of signal 11.
+    m_desk.close();
+    m_ioContext.shutdown();
 }
 
 void Traffic::run()
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -46,7 +46,14 @@
     void tellLoadsBy(TimePoint time);
     void endIfIdle();
 
-    boost::asio::io_context m_ioContext { 1 };
+    /// One whose waiting coroutines can be destroyed before anything else of this object.
+    class IoContext : public boost::asio::io_context {
+    public:
+        using boost::asio::execution_context::shutdown;
+        using boost::asio::io_context::io_context;
+    };
+
+    IoContext m_ioContext { 1 };
     const EntrySettings& m_settings;
     const Protocol& m_protocol;
     Incarnation m_incarnation;
--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -3,6 +3,10 @@
 #include "test/process/process-harness.h"
 #include "test/soak/users-platform.h"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
@@ -123,6 +127,35 @@
     CHECK_THAT(rig.log(), Contains("ProcessStopped"));
 }
 
+// An upgrade replaces an entry, which is told to stop and does not end: the platform kills it after its grace, with what
+// it still had. Requests wait at servers that say nothing, and their callers have sent more behind them, so that neither
+// side's connection ends. What still waited was destroyed after the tables that it signs off from.
+TEST_CASE("Platform entry: one told to stop ends in time while requests wait at silent servers")
+{
+    EntryRig rig;
+    rig.start();
+    REQUIRE(rig.isReady());
+    for (std::size_t n = 0; n < rig.platform.servers(); ++n)
+        rig.platform.setServerMode(n, ServerMode::Silent);
+    boost::asio::io_context io;
+    std::vector<boost::asio::ip::tcp::socket> callers;
+    auto colon = rig.clients.find(':');
+    boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address(rig.clients.substr(0, colon)), static_cast<unsigned short>(std::stoi(rig.clients.substr(colon + 1))));
+    auto request = [](std::size_t n, const char* part) {
+        return fmt::format("POST /stream/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: s{}{}\r\nX-Api-Key: k1\r\nX-Deadline-Ms: 30000\r\nContent-Length: 4\r\n\r\nwork", n, part);
+    };
+    for (std::size_t n = 0; n < 12; ++n) {
+        callers.emplace_back(io).connect(address);
+        boost::asio::write(callers.back(), boost::asio::buffer(request(n, "a")));
+    }
+    REQUIRE(waitUntil(Clock::now() + seconds(5), [&] { return rig.platform.runs().size() >= 12; }));
+    for (std::size_t n = 0; n < callers.size(); ++n)
+        boost::asio::write(callers[n], boost::asio::buffer(request(n, "b")));
+    rig.process->terminate();
+    CHECK(rig.process->waitForExit(Clock::now() + seconds(6)) == 0);
+    CHECK_THAT(rig.log(), Contains("ProcessStopped"));
+}
+
 TEST_CASE("Platform entry: a hang-up does not end it")
 {
     EntryRig rig;
--- a/test/soak/users-platform.cc
+++ b/test/soak/users-platform.cc
@@ -23,6 +23,7 @@
 
 constexpr milliseconds eventEvery { 15 };
 constexpr milliseconds plainWork { 8 };
+constexpr milliseconds silentFor { 60'000 };
 constexpr milliseconds watchPoll { 15 };
 
 std::string toBase64(const std::string& text)
@@ -244,6 +245,8 @@
         id += "-other";
     exchange.setHeader("X-Request-Id", id);
     exchange.setHeader("X-Response-Stamp", "signed");
+    if (mode == ServerMode::Silent)
+        co_await pause(silentFor);
     if (exchange.path().starts_with("/stream/"))
         co_return co_await stream(exchange, mode);
     co_await pause(plainWork);
--- a/test/soak/users-platform.h
+++ b/test/soak/users-platform.h
@@ -39,6 +39,8 @@
     BreakingStreams,
     /// Sends the answer to another request before the right one.
     Mixing,
+    /// Runs requests and answers them only after a minute.
+    Silent,
 };
 
 /// One run of a request at a server.
