Serve again sooner after a loss of power: newest server of an address, groups known at start, return when something serves

Requests tried two to four old ids (421) or engines of groups that were still forming (503) and were refused after 20 ms as tries-spent, told to return in 0.5 to 1.2 s, and refused again: clients return once. Entries heard of closed groups only a second after their start, as the first round of briefs went out before configuration and servers were known.

Ruled out: more tries (the retry budget of all entries would be spent in a second); holding requests of an entry that knows nothing.

--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -138,7 +138,10 @@
     auto* brief = std::get_if<GroupBrief>(&message);
     if (!brief || m_isStopped)
         return;
-    m_entries[gateway::Endpoint(from.address(), from.port())] = Clock::now();
+    bool isNewEntry = m_entries.insert_or_assign(gateway::Endpoint(from.address(), from.port()), Clock::now()).second;
+    // Failure: after a loss of power entries send requests to groups that are still forming, until they hear of them.
+    if (isNewEntry)
+        m_tellEntriesAt = Clock::now();
     bool isOurs = m_view && brief->group == m_view->group && brief->epoch.value() == m_view->epoch;
     if (!isOurs)
         return;
--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -270,7 +270,7 @@
 
 std::optional<GroupBrief> ControlState::briefFor(TimePoint now, const RankNews& news) const
 {
-    auto servers = m_servers.servers();
+    auto servers = usableServers();
     auto server = std::find_if(servers.begin(), servers.end(), [&](auto& it) { return it.address == news.address; });
     if (server == servers.end() || !m_configuration)
         return std::nullopt;
@@ -286,11 +286,26 @@
     return brief;
 }
 
+/// Failure: many servers lose power at once and are back within a second, under new ids at their old addresses, while their
+/// old entries stay listed until their heartbeats are missed. Requests sent to the old ids are turned away one after the
+/// other until their tries are spent. An address belongs to the server that was listed there last.
+std::vector<BackendServer> ControlState::usableServers() const
+{
+    auto servers = m_servers.servers();
+    auto revisionOf = [this](const BackendServer& server) {
+        auto it = m_serverItems.find(server.id.value());
+        return it == m_serverItems.end() ? 0 : it->second.revision;
+    };
+    std::map<Endpoint, std::uint64_t> newest;
+    for (auto& server : servers)
+        newest[server.address] = std::max(newest[server.address], revisionOf(server));
+    std::erase_if(servers, [&](auto& server) { return server.address.port() != 0 && revisionOf(server) < newest[server.address]; });
+    return servers;
+}
+
 void ControlState::sendBriefs(TimePoint now, Effects& effects)
 {
-    if (!m_configuration)
-        return;
-    for (auto& server : m_servers.servers()) {
+    for (auto& server : usableServers()) {
         auto* service = m_configuration->findService(server.service);
         bool hasMap = service && service->engine && service->engine->layers > 0;
         if (!hasMap)
@@ -325,7 +340,9 @@
     if (m_servers.tick(now))
         m_isChanged = true;
     std::erase_if(m_leaving, [&](auto& it) { return it.second <= now; });
-    if (now >= m_briefAt) {
+    // Right after a start both have yet to come: agents tell an entry of their groups only once it has spoken.
+    bool knowsServers = m_configuration && m_hasServers;
+    if (now >= m_briefAt && knowsServers) {
         m_briefAt = now + briefEvery;
         sendBriefs(now, effects);
     }
@@ -350,7 +367,7 @@
 {
     Snapshot snapshot;
     snapshot.configuration = m_configuration;
-    snapshot.servers = m_servers.servers();
+    snapshot.servers = usableServers();
     for (auto& server : snapshot.servers) {
         if (m_leaving.contains(hashOf(server.id)))
             server.state = ServerState::Draining;
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -126,6 +126,7 @@
     void takeLeaving(TimePoint now, const Hello& hello);
     void chooseWatching(TimePoint now, control::Effects& effects);
     void tellNews(TimePoint now, control::Effects& effects);
+    std::vector<BackendServer> usableServers() const;
     void sendHello(TimePoint now, control::Effects& effects);
     void updateReadiness(TimePoint now);
 
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/random/discrete_distribution.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
 
 namespace swiftloft::gateway {
 
@@ -15,6 +16,12 @@
 /// are ready to wait.
 constexpr milliseconds comeBackAfter { 500 };
 constexpr milliseconds comeBackSpread { 700 };
+/// While a service has no server, or all are forming their groups, it takes about this long until it serves again: engines
+/// that restart together were back after 1.4 to 2.3 s. A client that is told to come back sooner is turned away again,
+/// and most come back only once.
+constexpr milliseconds backInServiceAfter { 1800 };
+/// Clients wait for at most a third of the time they have left; a little less, so that their clock agrees.
+constexpr double partOfTimeLeft { 0.3 };
 /// A try that can't last this long is not begun: connecting alone takes a few milliseconds.
 constexpr milliseconds leastTimeForTry { 15 };
 
@@ -266,8 +273,20 @@
     effects.push_back(Refuse { id, reason, call.verdict, retryAt, call.service, m_loads.occupancy(call.service, now), m_waiting.size() });
 }
 
-TimePoint Dispatcher::comeBackAt(const Call&, TimePoint now)
+TimePoint comeBackWhenServing(TimePoint now, TimePoint deadline, policy::Generator& generator)
 {
+    auto left = std::max(deadline - now, Clock::duration(0));
+    auto patience = std::chrono::duration_cast<Clock::duration>(partOfTimeLeft * left);
+    // Spread, so that the clients of a whole outage don't return in one moment.
+    boost::random::uniform_real_distribution<double> spread(0.8, 1.0);
+    auto wait = std::min<Clock::duration>(backInServiceAfter, patience);
+    return now + std::chrono::duration_cast<Clock::duration>(spread(generator) * wait);
+}
+
+TimePoint Dispatcher::comeBackAt(const Call& call, TimePoint now)
+{
+    if (!m_loads.hasServer(call.service) || m_loads.isForming(call.service, now))
+        return comeBackWhenServing(now, call.request.deadline, m_generator);
     boost::random::uniform_int_distribution<int> spread(0, static_cast<int>(comeBackSpread.count()));
     return now + comeBackAfter + milliseconds(spread(m_generator));
 }
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -142,6 +142,10 @@
     unsigned maximumSends { 4 };
 };
 
+/// When a client may return to what can't be served at all for now, such as right after a loss of power: late enough that it
+/// can be by then, within what clients wait for before `deadline`.
+TimePoint comeBackWhenServing(TimePoint now, TimePoint deadline, policy::Generator& generator);
+
 /// The traffic thread's reducer over the requests of one entry: which backend server a request goes to and when, what
 /// follows a failed try, and what is refused. Events in, effects out as data; reads no clock and does no I/O.
 class Dispatcher {
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -33,8 +33,8 @@
 constexpr int silenceInObjectives = 3;
 /// What is left of the deadline for the entry's own final answer.
 constexpr milliseconds answerMargin { 20 };
-/// Clients of an entry that knows nothing yet come back after this long; it starts within a second or two.
-constexpr milliseconds notReadyRetryAfter { 500 };
+/// How long a client is taken to wait that did not say.
+constexpr milliseconds defaultPatience { 5000 };
 
 constexpr std::string_view answeredReason = "answered";
 
@@ -156,7 +156,8 @@
     auto snapshot = m_snapshot();
     auto& configuration = snapshot->configuration;
     if (!configuration || (!snapshot->isReady && !snapshot->isLeaving)) {
-        co_await answer(call, http::status::service_unavailable, "not-ready", call.arrivedAt + notReadyRetryAfter);
+        auto deadline = call.head.clientDeadline.value_or(call.arrivedAt + defaultPatience);
+        co_await answer(call, http::status::service_unavailable, "not-ready", comeBackWhenServing(call.arrivedAt, deadline, m_generator));
         co_return;
     }
     call.configuration = configuration;
--- a/src/gateway/request-server.h
+++ b/src/gateway/request-server.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <random>
 
 namespace swiftloft::gateway {
 
@@ -51,6 +52,7 @@
     const Protocol& m_protocol;
     process::SharedMetrics& m_metrics;
     SnapshotSource m_snapshot;
+    policy::Generator m_generator { std::random_device {}() };
 };
 
 } // namespace swiftloft::gateway
--- a/test/control-state_test.cc
+++ b/test/control-state_test.cc
@@ -24,6 +24,9 @@
             return Error { ErrorCode::MalformedInput, "broken" };
         ConfigurationParts parts;
         parts.version = ConfigurationVersion(std::stoull(std::string(document)));
+        EngineTraits traits;
+        traits.layers = 1;
+        parts.services.push_back({ ServiceName("model"), "/health", 0, traits });
         return Configuration::create(parts);
     };
     protocol.decodeServer = [](std::string_view id, std::string_view document) -> Result<BackendServer> {
@@ -31,6 +34,11 @@
             return Error { ErrorCode::MalformedInput, "broken" };
         BackendServer server;
         server.id = BackendServerId(std::string(id));
+        // "ID@N" is an engine at an address of its own.
+        if (auto at = id.find('@'); at != std::string_view::npos) {
+            server.address = endpoint(static_cast<unsigned>(std::stoul(std::string(id.substr(at + 1)))));
+            server.service = ServiceName("model");
+        }
         server.state = document == "ready" ? ServerState::Ready : ServerState::Draining;
         return server;
     };
@@ -254,3 +262,38 @@
             CHECK(it->hello.sender.state == EntryState::Leaving);
     }
 }
+
+// All racks lose power for a second. The servers are back with new ids, the list still holds the old ones, and drafts are
+// refused after four tries at servers that are no more, though each address has a server that would take them.
+TEST_CASE("ControlState: an address belongs to the server that was listed there last")
+{
+    Rig rig;
+    auto idsInUse = [&] {
+        std::vector<std::string> ids;
+        for (auto& server : rig.state.snapshot(rig.now).servers)
+            ids.push_back(server.id.value());
+        return ids;
+    };
+    rig.list(Topic::Configuration, { { "", "1", 5, false } }, 10);
+    rig.list(Topic::Servers, { { "z-old@3", "ready", 6, false }, { "b@4", "ready", 7, false } }, 10);
+    rig.take(StoreChanged { Topic::Servers, { { { "a-new@3", "ready", 12, false } }, 12 } });
+    CHECK(idsInUse() == std::vector<std::string> { "a-new@3", "b@4" });
+    // The old entry lapses later; that says nothing of the new one.
+    rig.take(StoreChanged { Topic::Servers, { { { "z-old@3", "", 14, true } }, 14 } });
+    CHECK(idsInUse() == std::vector<std::string> { "a-new@3", "b@4" });
+}
+
+// The same loss of power: entries come up beside the agents and hear of closed groups only a second later.
+TEST_CASE("ControlState: agents are spoken to as soon as configuration and servers are known")
+{
+    Rig rig;
+    rig.take(Ticked {});
+    CHECK(rig.count<SendBrief>() == 0);
+    rig.now += milliseconds(60);
+    rig.list(Topic::Configuration, { { "", "1", 5, false } }, 10);
+    rig.list(Topic::Servers, { { "a@3", "ready", 6, false } }, 10);
+    CHECK(rig.count<SendBrief>() == 1);
+    rig.now += ControlState::tickEvery;
+    rig.take(Ticked {});
+    CHECK(rig.count<SendBrief>() == 0);
+}
--- a/test/dispatcher_test.cc
+++ b/test/dispatcher_test.cc
@@ -263,3 +263,20 @@
     CHECK(sent > 420);
     CHECK(sent < 480);
 }
+
+// All racks have lost power and the service has no server for two seconds. Clients that are told to return after half a
+// second are turned away a second time, and that was their last try.
+TEST_CASE("Dispatcher: while nothing serves, clients are told to return when something may, within their patience")
+{
+    Rig rig({});
+    rig.route.timeout = seconds(8);
+    rig.arrive(1);
+    REQUIRE(rig.refusal(1));
+    CHECK(rig.refusal(1)->reason == RefusalReason::NoServer);
+    CHECK(rig.refusal(1)->verdict == Verdict::NotRun);
+    CHECK(*rig.refusal(1)->retryAt - rig.now >= milliseconds(1440));
+    CHECK(*rig.refusal(1)->retryAt - rig.now <= milliseconds(1800));
+    rig.route.timeout = milliseconds(600);
+    rig.arrive(2);
+    CHECK(*rig.refusal(2)->retryAt - rig.now <= milliseconds(180));
+}
