--- a/include/swiftloft/expertmap/coordinator.h
+++ b/include/swiftloft/expertmap/coordinator.h
@@ -93,14 +93,14 @@
         std::uint64_t leadSteps { 32 };
         /// Bound of that doubling.
         std::uint64_t maxLeadSteps { 4096 };
-        /// When positive, takes the place of `leadSteps` once the time of a step is known: the lead is as many steps as
-        /// last at least this long. What the lead is for, arming all ranks, takes time and not steps.
-        milliseconds leadTime { 0 };
         milliseconds retryAfter { 20 };
         /// Ranks are read this often while nothing happens, to find restarted engines.
         milliseconds idleReadAfter { 1000 };
         /// A rank that loads weights is asked this often whether it has them.
         milliseconds stagePollAfter { 200 };
+        /// When positive, takes the place of `leadSteps` once the time of a step is known: the lead is as many steps as
+        /// last at least this long. What the lead is for, arming all ranks, takes time and not steps.
+        milliseconds leadTime { 0 };
     };
 
     /// Fails with `InvalidArgument` when there is no rank, a time or lead is not positive, or the incarnation is zero.
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -114,7 +114,9 @@
     }
     auto loopback = [](int port) { return fmt::format("127.0.0.1:{}", port); };
     auto firstPeers = loopback(process_test::freePort());
-    // Entries of one machine can't share the port for news of load: each has an address of its own in the loopback net.
+    // Entries of one machine can't share the port for news of load: each has an address of its own in the loopback net. The
+    // port is one that is free now: two soaks at a time on a fixed one kept each other's entries from starting.
+    auto loadPort = process_test::freePort();
     for (std::size_t n = 0; n < m_entries.size(); ++n) {
         auto& entry = m_entries[n];
         auto ip = fmt::format("127.0.0.{}", n + 1);
@@ -125,7 +127,7 @@
         std::ofstream(entry.settings) << fmt::format("[entry]\nid = e{}\ndata-centre = dc\nclients = {}\nready = {}\ndirectory = {}\npeers = {}\nload = {}\nagent-port = 9\n"
                                                      "metrics = {}\nseeds = {}\nstore = {}\nretry-ratio = 0.2\nretry-slack = 100\nretry-window-seconds = 10\n"
                                                      "stop-within-seconds = 4\ndirectory-kept-seconds = 1\n",
-            n, entry.clients, at(process_test::freePort()), at(process_test::freePort()), n == 0 ? firstPeers : at(process_test::freePort()), at(19'465), at(process_test::freePort()),
+            n, entry.clients, at(process_test::freePort()), at(process_test::freePort()), n == 0 ? firstPeers : at(process_test::freePort()), at(loadPort), at(process_test::freePort()),
             firstPeers, entry.store->address());
     }
 }
