Brief agents from the list at hand; drop a map that only said whether the neighbour is set

Each round of briefs put the list of usable servers together once more for every engine, only to find the service that the caller had found already: the round now uses what it has. RankDaemon::m_engines was left of a rescue that is gone; RankEngine says itself whether its neighbour is set.

--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -157,9 +157,9 @@
 {
     for (auto& rank : brief.ranks) {
         m_member->setAddress(rank.rank, { rank.address.address(), m_settings.group.port() });
-        bool isNew = m_engines.emplace(rank.rank, rank.address).second;
         // The first rank is the one that a coordinator arms first.
-        if (isNew && m_view->rank == RankIndex(0) && rank.rank == RankIndex(1))
+        bool isNeighbour = m_view->rank == RankIndex(0) && rank.rank == RankIndex(1);
+        if (isNeighbour && !m_engine->hasNeighbour())
             m_engine->setNeighbour(m_makePort(m_ioContext, rank.address));
     }
 }
@@ -274,7 +274,6 @@
     m_planning.reset();
     m_wishUntil.reset();
     m_engine.reset();
-    m_engines.clear();
     m_countsToldAt = StepNumber();
     // Its callbacks may be on the stack: it goes when they have returned.
     if (m_member) {
--- a/src/agent/rank-daemon.h
+++ b/src/agent/rank-daemon.h
@@ -71,8 +71,6 @@
     // While the engine's group is open and its members are known.
     std::unique_ptr<GroupMember> m_member;
     std::shared_ptr<RankEngine> m_engine;
-    /// Addresses of the engines of the group's ranks.
-    std::map<RankIndex, gateway::Endpoint> m_engines;
     bool m_isOrderInProgress { false };
     /// Step of the last counts told; they say nothing new before the next.
     StepNumber m_countsToldAt;
--- a/src/agent/rank-engine.h
+++ b/src/agent/rank-engine.h
@@ -25,6 +25,7 @@
     /// coordinator arms first: should its machine stand still just as it begins to hold the group, what it holds is an
     /// engine whose own agent is there to release it.
     void setNeighbour(EnginePort port) { m_neighbour = std::move(port); }
+    bool hasNeighbour() const { return m_neighbour.has_value(); }
 
     /// Carries `order` out and returns the engine's state afterwards. Throws when the engine does not answer.
     boost::asio::awaitable<expertmap::EngineStatus> perform(expertmap::Order order, std::optional<expertmap::ExpertMap> map);
--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -268,16 +268,9 @@
         m_briefAt = std::min(m_briefAt, now + briefSoon);
 }
 
-std::optional<GroupBrief> ControlState::briefFor(TimePoint now, const RankNews& news) const
+GroupBrief ControlState::briefFor(TimePoint now, const EngineTraits& traits, const RankNews& news) const
 {
-    auto servers = usableServers();
-    auto server = std::find_if(servers.begin(), servers.end(), [&](auto& it) { return it.address == news.address; });
-    if (server == servers.end() || !m_configuration)
-        return std::nullopt;
-    auto* service = m_configuration->findService(server->service);
-    if (!service || !service->engine || service->engine->layers == 0)
-        return std::nullopt;
-    GroupBrief brief { news.group, news.epoch, *service->engine, {} };
+    GroupBrief brief { news.group, news.epoch, traits, {} };
     for (auto& [address, rank] : m_ranks) {
         bool isMember = rank.news.group == news.group && rank.news.epoch == news.epoch && rank.heardAt + rankNewsFor > now;
         if (isMember)
@@ -313,8 +306,8 @@
         auto rank = m_ranks.find(server.address);
         bool isHeard = rank != m_ranks.end() && rank->second.heardAt + rankNewsFor > now;
         // One that has not been heard of gets an empty brief: it learns whom to tell of itself.
-        auto brief = isHeard ? briefFor(now, rank->second.news) : std::nullopt;
-        effects.push_back(SendBrief { server.address, brief.value_or(GroupBrief {}) });
+        auto brief = isHeard ? briefFor(now, *service->engine, rank->second.news) : GroupBrief {};
+        effects.push_back(SendBrief { server.address, std::move(brief) });
     }
 }
 
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -120,7 +120,7 @@
     void pullIfBehind(TimePoint now, const Hello& hello, control::Effects& effects);
     void onRankNews(TimePoint now, const RankNews& news);
     void sendBriefs(TimePoint now, control::Effects& effects);
-    std::optional<GroupBrief> briefFor(TimePoint now, const RankNews& news) const;
+    GroupBrief briefFor(TimePoint now, const EngineTraits& traits, const RankNews& news) const;
     void tick(TimePoint now, control::Effects& effects);
     void noteLeaving(ServerHash server, TimePoint until);
     void takeLeaving(TimePoint now, const Hello& hello);
