--- a/src/agent/engine-port.h
+++ b/src/agent/engine-port.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "src/gateway/model.h"
+
 #include <swiftloft/expertmap/expert-map.h>
 #include <swiftloft/expertmap/rank-agent.h>
 #include <swiftloft/ids.h>
@@ -16,6 +18,8 @@
 
 /// What the engine of a rank says of itself.
 struct EngineView {
+    /// Start of its process; a later one has forgotten all commands and fences.
+    gateway::ServerStart startedAt;
     EngineGroupName group;
     /// Counts the formations of the group; it ends whenever a rank is lost.
     std::uint64_t epoch { 0 };
--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -207,11 +207,15 @@
 
 void RankDaemon::onView(const EngineView& view)
 {
-    bool isSame = m_view && m_view->group == view.group && m_view->epoch == view.epoch && m_view->isOpen == view.isOpen;
+    // Failure: the engine starts again under its id and forgets its fences, its counts and its map; what this agent holds
+    // of it is of no use, also before the group's new epoch shows. Differences of counts would be wild, and the switch
+    // that was last released would pass for one of the new life.
+    bool isSameLife = m_view && m_view->startedAt == view.startedAt;
+    bool isSame = isSameLife && m_view->group == view.group && m_view->epoch == view.epoch && m_view->isOpen == view.isOpen;
     m_view = view;
     if (isSame)
         return;
-    log::write(log::Event::GroupSeen, "group={} epoch={} rank={} ranks={} state={}", view.group.value(), view.epoch, view.rank.value(), view.ranks, view.isOpen ? "open" : "broken");
+    log::write(log::Event::GroupSeen, "group={} epoch={} rank={} ranks={} state={} started={}", view.group.value(), view.epoch, view.rank.value(), view.ranks, view.isOpen ? "open" : "broken", view.startedAt.value());
     endGroup();
     m_brief.reset();
     m_tellEntriesAt = Clock::now();
@@ -332,7 +336,7 @@
     if (!m_view || now < m_tellEntriesAt)
         return;
     m_tellEntriesAt = now + tellEntriesEvery;
-    RankNews news { m_settings.engine, m_view->group, gateway::GroupEpoch(m_view->epoch), m_view->rank, m_view->ranks, m_view->isOpen, m_view->pace };
+    RankNews news { m_settings.engine, m_view->group, gateway::GroupEpoch(m_view->epoch), m_view->rank, m_view->ranks, m_view->isOpen, m_view->pace, m_view->startedAt };
     std::erase_if(m_entries, [&](auto& it) { return it.second + entryFor < now; });
     auto bytes = encode(gateway::NewsMessage(news));
     for (auto& [address, heardAt] : m_entries)
--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -17,6 +17,18 @@
 
 /// News of a rank older than this is not passed on: its agent is gone or cut off.
 constexpr milliseconds rankNewsFor { 3000 };
+/// Entries of the list that were refused and logged; further ones are refused without a line.
+constexpr std::size_t mostRefusedRemembered = 256;
+constexpr std::size_t mostPrinted = 80;
+
+/// What others wrote, cut short and without anything that could pass for another field or line of the log.
+std::string printable(std::string_view text)
+{
+    std::string out(text.substr(0, mostPrinted));
+    std::replace_if(
+        out.begin(), out.end(), [](unsigned char it) { return it < 0x20 || it > 0x7e || it == '"'; }, '?');
+    return out;
+}
 
 } // namespace
 
@@ -119,13 +131,12 @@
             takeConfiguration(item, "store");
         return;
     }
-    if (!m_servers.setAll(now, ListRevision(event.items.asOf), decodeServers(event.items)))
+    auto servers = decodeServers(event.items);
+    if (!m_servers.setAll(now, ListRevision(event.items.asOf), servers))
         return;
-    m_serverItems.clear();
-    for (auto& item : event.items.items) {
-        m_serverItems[item.name] = item;
+    keepDocuments(event.items, servers);
+    for (auto& item : event.items.items)
         m_serversChangedAt = std::max(m_serversChangedAt, item.revision);
-    }
     m_hasServers = true;
     m_isChanged = true;
 }
@@ -166,24 +177,35 @@
     m_serversChangedAt = std::max(m_serversChangedAt, item.revision);
     BackendServerId id(item.name);
     if (item.isRemoved) {
+        m_refused.erase(item.name);
+        auto hash = hashOfKnown(id);
         // One that may have lapsed only stays in use for a while, and its document with it.
         if (m_servers.remove(now, ListRevision(item.revision), id)) {
-            noteLeaving(hashOf(id), now + leavingToldFor);
+            noteLeaving(hash, now + leavingToldFor);
             m_serverItems.erase(item.name);
             m_isChanged = true;
         }
         log::write(log::Event::ServerListed, "server={} state=gone revision={}", item.name, item.revision);
         return;
     }
-    auto server = m_decoders.decodeServer(item.name, item.document);
+    auto server = decodeServer(item);
     if (!server) {
-        log::write(log::Event::DocumentRefused, "kind=server name={} revision={} problem=\"{}\"", item.name, item.revision, server.error().message);
+        logRefused(item, server.error().message);
+        if (m_servers.dropUnreadable(ListRevision(item.revision), id)) {
+            m_serverItems.erase(item.name);
+            m_isChanged = true;
+        }
         return;
     }
-    m_serverItems[item.name] = item;
+    if (!isServiceKnown(*server))
+        logRefused(item, "it names a service that the configuration has not");
     if (server->state == ServerState::Draining)
-        noteLeaving(hashOf(id), now + leavingToldFor);
-    if (!m_servers.put(ListRevision(item.revision), *server))
+        noteLeaving(hashOf(server->life()), now + leavingToldFor);
+    bool isNew = m_servers.put(ListRevision(item.revision), *server);
+    auto* known = m_servers.find(id);
+    if (known && *known == *server)
+        m_serverItems[item.name] = item;
+    if (!isNew)
         return;
     m_isChanged = true;
     log::write(log::Event::ServerListed, "server={} state={} revision={}", item.name, server->state == ServerState::Ready ? "ready" : "draining", item.revision);
@@ -210,19 +232,71 @@
     }
 }
 
+Result<BackendServer> ControlState::decodeServer(const PublishedItem& item) const
+{
+    if (!item.problem.empty())
+        return Error { ErrorCode::MalformedInput, item.problem };
+    return m_decoders.decodeServer(item.name, item.document);
+}
+
 std::vector<BackendServer> ControlState::decodeServers(const PublishedItems& items)
 {
     std::vector<BackendServer> servers;
     for (auto& item : items.items) {
-        auto server = m_decoders.decodeServer(item.name, item.document);
-        if (server)
-            servers.push_back(*server);
-        else
-            log::write(log::Event::DocumentRefused, "kind=server name={} revision={} problem=\"{}\"", item.name, item.revision, server.error().message);
+        auto server = decodeServer(item);
+        if (!server) {
+            logRefused(item, server.error().message);
+            continue;
+        }
+        if (!isServiceKnown(*server))
+            logRefused(item, "it names a service that the configuration has not");
+        servers.push_back(*server);
     }
     return servers;
 }
 
+/// Keeps for each server that is in use the document that says what is believed of it: the newest, but not one about a life
+/// that has ended.
+void ControlState::keepDocuments(const PublishedItems& items, const std::vector<BackendServer>& decoded)
+{
+    std::map<std::string, PublishedItem> kept;
+    for (auto& server : m_servers.servers()) {
+        auto& name = server.id.value();
+        bool isInList = std::find(decoded.begin(), decoded.end(), server) != decoded.end();
+        auto listed = std::find_if(items.items.begin(), items.items.end(), [&](auto& it) { return it.name == name; });
+        auto before = m_serverItems.find(name);
+        if (isInList && listed != items.items.end())
+            kept[name] = *listed;
+        else if (before != m_serverItems.end())
+            kept[name] = before->second;
+    }
+    m_serverItems = std::move(kept);
+}
+
+/// Failure: another writer fills the list with what can't be used, and each reading of the list logs all of it. One line for
+/// a name and revision, with as much of the name as is safe to print.
+void ControlState::logRefused(const PublishedItem& item, std::string_view problem)
+{
+    auto it = m_refused.find(item.name);
+    bool isLogged = it != m_refused.end() && it->second == item.revision;
+    if (isLogged || (it == m_refused.end() && m_refused.size() >= mostRefusedRemembered))
+        return;
+    m_refused[item.name] = item.revision;
+    log::write(log::Event::DocumentRefused, "kind=server name=\"{}\" revision={} problem=\"{}\"", printable(item.name), item.revision, printable(problem));
+}
+
+/// True also while no configuration is known: then nothing is sent anywhere.
+bool ControlState::isServiceKnown(const BackendServer& server) const
+{
+    return !m_configuration || m_configuration->findService(server.service);
+}
+
+ServerHash ControlState::hashOfKnown(const BackendServerId& id) const
+{
+    auto* server = m_servers.find(id);
+    return hashOf(server ? server->life() : ServerLife { id, {} });
+}
+
 void ControlState::pullIfBehind(TimePoint now, const Hello& hello, Effects& effects)
 {
     auto pull = [&](Topic topic) {
@@ -247,11 +321,10 @@
             takeConfiguration(item, "peer");
         return;
     }
-    if (!m_servers.setAllFromPeer(ListRevision(event.items.asOf), decodeServers(event.items)))
+    auto servers = decodeServers(event.items);
+    if (!m_servers.setAllFromPeer(ListRevision(event.items.asOf), servers))
         return;
-    m_serverItems.clear();
-    for (auto& item : event.items.items)
-        m_serverItems[item.name] = item;
+    keepDocuments(event.items, servers);
     m_serversChangedAt = std::max(m_serversChangedAt, event.items.asOf);
     m_hasServers = true;
     m_isChanged = true;
@@ -261,6 +334,10 @@
 void ControlState::onRankNews(TimePoint now, const RankNews& news)
 {
     auto it = m_ranks.find(news.address);
+    // Failure: a late datagram about the life before would close or open a rank that has started again since.
+    bool isOfEndedLife = it != m_ranks.end() && news.startedAt < it->second.news.startedAt;
+    if (isOfEndedLife)
+        return;
     bool isNew = it == m_ranks.end() || it->second.news.epoch != news.epoch || it->second.news.group != news.group;
     m_isChanged = m_isChanged || isNew || it->second.news.isOpen != news.isOpen;
     m_ranks[news.address] = { news, now };
@@ -285,6 +362,9 @@
 std::vector<BackendServer> ControlState::usableServers() const
 {
     auto servers = m_servers.servers();
+    // Failure: an entry of another writer names a service that does not exist and the address of a server that does. By its
+    // later revision it would take the address from that server.
+    std::erase_if(servers, [this](auto& server) { return !isServiceKnown(server); });
     auto revisionOf = [this](const BackendServer& server) {
         auto it = m_serverItems.find(server.id.value());
         return it == m_serverItems.end() ? 0 : it->second.revision;
@@ -362,7 +442,7 @@
     snapshot.configuration = m_configuration;
     snapshot.servers = usableServers();
     for (auto& server : snapshot.servers) {
-        if (m_leaving.contains(hashOf(server.id)))
+        if (m_leaving.contains(hashOf(server.life())))
             server.state = ServerState::Draining;
     }
     snapshot.entries = m_entries.alive(now);
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -116,7 +116,12 @@
     void onPeerAnswered(TimePoint now, const control::PeerAnswered& event);
     void takeConfiguration(const PublishedItem& item, std::string_view source);
     void takeServer(const PublishedItem& item, TimePoint now);
+    Result<BackendServer> decodeServer(const PublishedItem& item) const;
     std::vector<BackendServer> decodeServers(const PublishedItems& items);
+    void keepDocuments(const PublishedItems& items, const std::vector<BackendServer>& decoded);
+    void logRefused(const PublishedItem& item, std::string_view problem);
+    bool isServiceKnown(const BackendServer& server) const;
+    ServerHash hashOfKnown(const BackendServerId& id) const;
     void pullIfBehind(TimePoint now, const Hello& hello, control::Effects& effects);
     void onRankNews(TimePoint now, const RankNews& news);
     void sendBriefs(TimePoint now, control::Effects& effects);
@@ -139,6 +144,8 @@
     std::shared_ptr<const Configuration> m_configuration;
     PublishedItem m_configurationItem;
     std::map<std::string, PublishedItem> m_serverItems;
+    /// Entries of the list that name no server, by name, with the revision that was logged last.
+    std::map<std::string, std::uint64_t> m_refused;
     /// Revision of the last change of the server list that is known.
     std::uint64_t m_serversChangedAt { 0 };
     bool m_hasServers { false };
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -145,10 +145,10 @@
     if (call.sends > 0 && !m_retries.tryTake(call.service, now))
         return false;
     ++call.sends;
-    call.runningOn = server->id;
+    call.runningOn = server->life();
     call.hasBegun = false;
-    effects.push_back(StartAttempt { id, *server, m_loads.running(server->id, now) });
-    m_loads.onStart(server->id, { call.request.promptTokens });
+    effects.push_back(StartAttempt { id, *server, m_loads.running(server->life(), now) });
+    m_loads.onStart(server->life(), { call.request.promptTokens });
     return true;
 }
 
@@ -236,7 +236,7 @@
     m_waiting.insert(m_waiting.begin(), event.call);
 }
 
-void Dispatcher::noteServer(TimePoint now, const BackendServerId& server, AttemptEnd end)
+void Dispatcher::noteServer(TimePoint now, const ServerLife& server, AttemptEnd end)
 {
     if (end == AttemptEnd::Misdirected)
         m_loads.onReplaced(server);
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -166,11 +166,11 @@
         ServiceName service;
         Verdict verdict { Verdict::NotRun };
         /// Servers that may have run it.
-        std::vector<BackendServerId> ranOn;
+        std::vector<ServerLife> ranOn;
         /// Servers that it was sent to in vain.
-        std::vector<BackendServerId> tried;
+        std::vector<ServerLife> tried;
         unsigned sends { 0 };
-        std::optional<BackendServerId> runningOn;
+        std::optional<ServerLife> runningOn;
         bool hasBegun { false };
         TimePoint waitUntil;
         /// No try before; in the past until all servers that may run it have failed.
@@ -185,7 +185,7 @@
     void onClosed(CallId id);
     ServiceName drawService(const Route& route);
     void endAttempt(Call& call);
-    void noteServer(TimePoint now, const BackendServerId& server, AttemptEnd end);
+    void noteServer(TimePoint now, const ServerLife& server, AttemptEnd end);
     bool mayTryAgain(const Call& call, AttemptEnd end, TimePoint now) const;
     void giveUp(CallId id, Call& call, AttemptEnd end, TimePoint now, dispatch::Effects& effects);
     /// False when there is no room for it now.
--- a/src/gateway/load-board.cc
+++ b/src/gateway/load-board.cc
@@ -20,17 +20,17 @@
 
 void LoadBoard::setServers(TimePoint, const Snapshot& snapshot)
 {
-    std::map<BackendServerId, Server> servers;
+    std::map<ServerLife, Server> servers;
     std::map<Endpoint, TimePoint> closed;
     for (auto& rank : snapshot.ranks) {
         if (!rank.news.isOpen)
             closed[rank.news.address] = rank.heardAt;
     }
     for (auto& listed : snapshot.servers) {
-        auto it = m_servers.find(listed.id);
+        auto it = m_servers.find(listed.life());
         Server server = it == m_servers.end() ? Server {} : it->second;
         server.server = listed;
-        server.hash = hashOf(listed.id);
+        server.hash = hashOf(listed.life());
         auto isClosed = closed.find(listed.address);
         server.closedSince = isClosed == closed.end() ? std::nullopt : std::optional(isClosed->second);
         auto* service = snapshot.configuration ? snapshot.configuration->findService(listed.service) : nullptr;
@@ -40,7 +40,7 @@
             double tokensPerMs = traits.promptTokensPerSecond / 1000;
             server.tokensPerRequest = tokensPerMs > 0 ? stepsThatCount * traits.stepMsPerRequest * tokensPerMs : defaultTokensPerRequest;
         }
-        servers.emplace(listed.id, std::move(server));
+        servers.emplace(listed.life(), std::move(server));
     }
     m_servers = std::move(servers);
 }
@@ -59,36 +59,36 @@
         peer.loads[it.server] = { it.running, it.promptTokens.value() };
 }
 
-void LoadBoard::onStart(const BackendServerId& id, const WorkSize& work)
+void LoadBoard::onStart(const ServerLife& life, const WorkSize& work)
 {
-    auto it = m_servers.find(id);
+    auto it = m_servers.find(life);
     if (it == m_servers.end())
         return;
     ++it->second.own.running;
     it->second.own.promptTokens += work.promptTokens.value();
 }
 
-void LoadBoard::onAnswerBegan(const BackendServerId& id, const WorkSize& work)
+void LoadBoard::onAnswerBegan(const ServerLife& life, const WorkSize& work)
 {
-    auto it = m_servers.find(id);
+    auto it = m_servers.find(life);
     if (it != m_servers.end())
         it->second.own.promptTokens -= std::min(it->second.own.promptTokens, work.promptTokens.value());
 }
 
-void LoadBoard::onEnd(const BackendServerId& id, const WorkSize& work, bool hasBegun)
+void LoadBoard::onEnd(const ServerLife& life, const WorkSize& work, bool hasBegun)
 {
-    auto it = m_servers.find(id);
+    auto it = m_servers.find(life);
     if (it == m_servers.end())
         return;
     if (it->second.own.running > 0)
         --it->second.own.running;
     if (!hasBegun)
-        onAnswerBegan(id, work);
+        onAnswerBegan(life, work);
 }
 
-void LoadBoard::onFailure(TimePoint now, const BackendServerId& id)
+void LoadBoard::onFailure(TimePoint now, const ServerLife& life)
 {
-    auto it = m_servers.find(id);
+    auto it = m_servers.find(life);
     if (it == m_servers.end())
         return;
     auto& server = it->second;
@@ -97,9 +97,9 @@
     ++server.failures;
 }
 
-void LoadBoard::onSuccess(const BackendServerId& id)
+void LoadBoard::onSuccess(const ServerLife& life)
 {
-    auto it = m_servers.find(id);
+    auto it = m_servers.find(life);
     if (it != m_servers.end())
         it->second.failures = 0;
 }
@@ -125,9 +125,9 @@
     return server.avoidedUntil > now ? cost + avoidedCost : cost;
 }
 
-void LoadBoard::onReplaced(const BackendServerId& id)
+void LoadBoard::onReplaced(const ServerLife& life)
 {
-    auto it = m_servers.find(id);
+    auto it = m_servers.find(life);
     if (it != m_servers.end())
         it->second.isReplaced = true;
 }
@@ -143,13 +143,13 @@
 {
     const Server* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
-    auto isIn = [](std::span<const BackendServerId> ids, const BackendServerId& id) { return std::find(ids.begin(), ids.end(), id) != ids.end(); };
+    auto isIn = [](std::span<const ServerLife> lives, const ServerLife& life) { return std::find(lives.begin(), lives.end(), life) != lives.end(); };
     // Equal loads are told apart at random: all entries that saw the same idle server would otherwise meet there.
     boost::random::uniform_real_distribution<double> tieBreak(0, 1);
-    for (auto& [id, server] : m_servers) {
+    for (auto& [life, server] : m_servers) {
         if (server.server.service != choice.service || !mayGetWork(server, now))
             continue;
-        if (isIn(choice.excluded, id) || (choice.only && !isIn(*choice.only, id)))
+        if (isIn(choice.excluded, life) || (choice.only && !isIn(*choice.only, life)))
             continue;
         auto load = totalLoad(server, now);
         if (load.running >= server.server.slots)
@@ -179,7 +179,7 @@
 {
     double running = 0;
     double places = 0;
-    for (auto& [id, server] : m_servers) {
+    for (auto& [life, server] : m_servers) {
         if (server.server.service != service || !mayGetWork(server, now))
             continue;
         running += totalLoad(server, now).running;
@@ -188,16 +188,16 @@
     return places > 0 ? running / places : 1;
 }
 
-std::uint32_t LoadBoard::running(const BackendServerId& id, TimePoint now) const
+std::uint32_t LoadBoard::running(const ServerLife& life, TimePoint now) const
 {
-    auto it = m_servers.find(id);
+    auto it = m_servers.find(life);
     return it == m_servers.end() ? 0 : totalLoad(it->second, now).running;
 }
 
 std::vector<ServerLoad> LoadBoard::ownLoads() const
 {
     std::vector<ServerLoad> loads;
-    for (auto& [id, server] : m_servers) {
+    for (auto& [life, server] : m_servers) {
         if (server.own.running > 0)
             loads.push_back({ server.hash, static_cast<std::uint16_t>(server.own.running), Tokens(server.own.promptTokens) });
     }
--- a/src/gateway/load-board.h
+++ b/src/gateway/load-board.h
@@ -33,22 +33,22 @@
     void setServers(TimePoint now, const Snapshot& snapshot);
     void onLoadNews(TimePoint now, const LoadNews& news);
 
-    void onStart(const BackendServerId& id, const WorkSize& work);
+    void onStart(const ServerLife& life, const WorkSize& work);
     /// Its prompt has been read.
-    void onAnswerBegan(const BackendServerId& id, const WorkSize& work);
-    void onEnd(const BackendServerId& id, const WorkSize& work, bool hasBegun);
-    void onFailure(TimePoint now, const BackendServerId& id);
-    void onSuccess(const BackendServerId& id);
+    void onAnswerBegan(const ServerLife& life, const WorkSize& work);
+    void onEnd(const ServerLife& life, const WorkSize& work, bool hasBegun);
+    void onFailure(TimePoint now, const ServerLife& life);
+    void onSuccess(const ServerLife& life);
     /// Another server answers at its address.
-    void onReplaced(const BackendServerId& id);
+    void onReplaced(const ServerLife& life);
 
     /// Which servers a request may go to.
     struct Choice {
         ServiceName service;
         /// Tried in vain.
-        std::span<const BackendServerId> excluded;
+        std::span<const ServerLife> excluded;
         /// When set, none but these.
-        std::optional<std::span<const BackendServerId>> only;
+        std::optional<std::span<const ServerLife>> only;
     };
     /// The best server with room. Servers that failed of late come last.
     std::optional<BackendServer> choose(const Choice& choice, TimePoint now, policy::Generator& generator) const;
@@ -60,7 +60,7 @@
     double occupancy(const ServiceName& service, TimePoint now) const;
 
     /// Requests that run at a server, as far as known.
-    std::uint32_t running(const BackendServerId& id, TimePoint now) const;
+    std::uint32_t running(const ServerLife& life, TimePoint now) const;
 
     std::vector<ServerLoad> ownLoads() const;
 
@@ -93,7 +93,7 @@
     Load totalLoad(const Server& server, TimePoint now) const;
     double costOf(const Server& server, const Load& load, TimePoint now) const;
 
-    std::map<BackendServerId, Server> m_servers;
+    std::map<ServerLife, Server> m_servers;
     std::map<Incarnation, Peer> m_peers;
 };
 
--- a/src/gateway/model.h
+++ b/src/gateway/model.h
@@ -98,6 +98,20 @@
     Draining,
 };
 
+/// Unix time in milliseconds at which a backend server's process started, as it says itself; 0 where it doesn't say. Only
+/// compared: of two starts under one id the later is the one that lives.
+using ServerStart = Strong<struct ServerStartTag, std::uint64_t>;
+
+/// One life of a backend server. Failure: a server starts again under its id and holds nothing of before; work, failures and
+/// farewells of the life that ended would be put down to it. Whatever is believed of a server is kept by its life, so all
+/// of it ends with the life.
+struct ServerLife {
+    BackendServerId id;
+    ServerStart startedAt;
+
+    friend auto operator<=>(const ServerLife&, const ServerLife&) = default;
+};
+
 /// A backend server as the platform's list names it.
 struct BackendServer {
     BackendServerId id;
@@ -106,6 +120,9 @@
     DataCentreName dataCentre;
     std::uint32_t slots { 1 };
     ServerState state { ServerState::Ready };
+    ServerStart startedAt {};
+
+    ServerLife life() const { return { id, startedAt }; }
 
     friend bool operator==(const BackendServer&, const BackendServer&) = default;
 };
--- a/src/gateway/news.capnp
+++ b/src/gateway/news.capnp
@@ -27,13 +27,13 @@
 
 # A server that is told to go or has gone.
 struct LeavingServer {
-  server @0 :UInt64;               # hash of the id
+  server @0 :UInt64;               # hash of id and start
   remainingMs @1 :UInt32;          # how long this word is still passed on
 }
 
 # Work that an entry has at a backend server.
 struct ServerLoad {
-  server @0 :UInt64;               # hash of the id
+  server @0 :UInt64;               # hash of id and start
   running @1 :UInt16;              # requests sent and not ended
   promptTokens @2 :UInt32;         # of those that have not sent their first event
 }
@@ -53,6 +53,7 @@
   ranks @4 :UInt32;
   isOpen @5 :Bool;
   pace @6 :Float64;                # 1 is normal, above it slower
+  startedAt @7 :UInt64;            # Unix milliseconds; 0 where the engine doesn't say
 }
 
 struct RankAddress {
--- a/src/gateway/news.capnp.h
+++ b/src/gateway/news.capnp.h
@@ -118,7 +118,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9c859b3a1d49d789, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9c859b3a1d49d789, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -732,6 +732,8 @@
 
   inline double getPace() const;
 
+  inline  ::uint64_t getStartedAt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -789,6 +791,9 @@
   inline double getPace();
   inline void setPace(double value);
 
+  inline  ::uint64_t getStartedAt();
+  inline void setStartedAt( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1895,6 +1900,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t RankNews::Reader::getStartedAt() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RankNews::Builder::getStartedAt() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RankNews::Builder::setStartedAt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t RankAddress::Reader::getRank() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/news.cc
+++ b/src/gateway/news.cc
@@ -96,6 +96,7 @@
         rank.setRanks(it.ranks);
         rank.setIsOpen(it.isOpen);
         rank.setPace(it.pace);
+        rank.setStartedAt(it.startedAt.value());
     }
     void operator()(const GroupBrief& it)
     {
@@ -139,7 +140,7 @@
     if (in.getRanks() > maxRanks || in.getRank() >= maxRanks)
         throw Malformed {};
     return { endpointFrom(in.getAddress()), EngineGroupName(in.getGroup().cStr()), GroupEpoch(in.getEpoch()), RankIndex(in.getRank()), in.getRanks(),
-        in.getIsOpen(), in.getPace() };
+        in.getIsOpen(), in.getPace(), ServerStart(in.getStartedAt()) };
 }
 
 GroupBrief parse(schema::GroupBrief::Reader in)
@@ -188,9 +189,10 @@
 
 } // namespace
 
-ServerHash hashOf(const BackendServerId& id)
+ServerHash hashOf(const ServerLife& life)
 {
-    return ServerHash(XXH3_64bits(id.value().data(), id.value().size()));
+    auto& id = life.id.value();
+    return ServerHash(XXH3_64bits_withSeed(id.data(), id.size(), life.startedAt.value()));
 }
 
 std::string encode(const NewsMessage& message)
--- a/src/gateway/news.h
+++ b/src/gateway/news.h
@@ -41,9 +41,9 @@
     bool isWatching { false };
 };
 
-/// Names a server by a hash of its id, to keep datagrams small.
+/// Names a life of a server by a hash, to keep datagrams small.
 using ServerHash = Strong<struct ServerHashTag, std::uint64_t>;
-ServerHash hashOf(const BackendServerId& id);
+ServerHash hashOf(const ServerLife& life);
 
 /// A server that is told to go or has gone.
 struct LeavingServer {
@@ -87,6 +87,8 @@
     bool isOpen { false };
     /// 1 is normal, above it slower.
     double pace { 1 };
+    /// Start of the engine's process.
+    ServerStart startedAt {};
 };
 
 struct RankAddress {
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -59,6 +59,8 @@
     std::uint64_t revision { 0 };
     /// The document was withdrawn.
     bool isRemoved { false };
+    /// Why the store's bytes could not be read as a document; empty when they could.
+    std::string problem {};
 };
 
 /// Items with the revision up to which they are known.
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -278,7 +278,7 @@
         // would be the answer to somebody else's request.
         bool isStray = !head.requestId.empty() && head.requestId != call.head.id;
         if (isStray) {
-            log::write(log::Event::StrayAnswer, "id={} server={} answers={}", call.head.id, connection->server.value(), head.requestId);
+            log::write(log::Event::StrayAnswer, "id={} server={} answers={}", call.head.id, connection->server.id.value(), head.requestId);
             std::array<char, 4096> bytes;
             while (!parser.is_done()) {
                 parser.get().body().data = bytes.data();
--- a/src/gateway/server-book.cc
+++ b/src/gateway/server-book.cc
@@ -1,6 +1,7 @@
 #include "src/gateway/server-book.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace swiftloft::gateway {
 
@@ -35,18 +36,44 @@
         ++it;
     }
     for (auto& server : servers)
-        m_entries[server.id] = { server, std::nullopt };
+        take(server);
     return true;
 }
 
+/// Failure: word of the life of a server that has ended comes after that of the next one, from a late write or from a peer
+/// that has not heard. Taken, requests would be held against what the dead process had and was.
+bool ServerBook::isOfEndedLife(const BackendServer& server) const
+{
+    auto it = m_starts.find(server.id);
+    return it != m_starts.end() && server.startedAt < it->second.startedAt;
+}
+
+bool ServerBook::take(const BackendServer& server)
+{
+    if (isOfEndedLife(server))
+        return false;
+    if (server.startedAt != ServerStart())
+        m_starts[server.id] = { server.startedAt, std::nullopt };
+    auto& entry = m_entries[server.id];
+    bool isNew = entry.server != server || entry.goneAt;
+    entry = { server, std::nullopt };
+    return isNew;
+}
+
 bool ServerBook::setAllFromPeer(ListRevision revision, const std::vector<BackendServer>& servers)
 {
     if (revision <= m_revision)
         return false;
     m_revision = revision;
-    m_entries.clear();
-    for (auto& server : servers)
-        m_entries[server.id] = { server, std::nullopt };
+    auto before = std::exchange(m_entries, {});
+    for (auto& server : servers) {
+        auto it = before.find(server.id);
+        // Where the peer has not heard of the latest life, what is known of that one holds.
+        if (isOfEndedLife(server) && it != before.end())
+            m_entries.insert(*it);
+        else
+            take(server);
+    }
     return true;
 }
 
@@ -55,10 +82,15 @@
     if (revision < m_revision)
         return false;
     m_revision = revision;
-    auto& entry = m_entries[server.id];
-    bool isNew = entry.server != server || entry.goneAt;
-    entry = { server, std::nullopt };
-    return isNew;
+    return take(server);
+}
+
+bool ServerBook::dropUnreadable(ListRevision revision, const BackendServerId& id)
+{
+    if (revision < m_revision)
+        return false;
+    m_revision = revision;
+    return m_entries.erase(id) > 0;
 }
 
 bool ServerBook::remove(TimePoint now, ListRevision revision, const BackendServerId& id)
@@ -101,7 +133,24 @@
 
 bool ServerBook::tick(TimePoint now)
 {
-    return std::erase_if(m_entries, [&](auto& it) { return it.second.goneAt && *it.second.goneAt <= now; }) > 0;
+    bool isChanged = std::erase_if(m_entries, [&](auto& it) { return it.second.goneAt && *it.second.goneAt <= now; }) > 0;
+    forgetStarts(now);
+    return isChanged;
+}
+
+void ServerBook::forgetStarts(TimePoint now)
+{
+    for (auto& [id, known] : m_starts) {
+        if (!known.forgottenAt && !m_entries.contains(id))
+            known.forgottenAt = now + startKeptFor;
+    }
+    std::erase_if(m_starts, [&](auto& it) { return it.second.forgottenAt && *it.second.forgottenAt <= now; });
+}
+
+const BackendServer* ServerBook::find(const BackendServerId& id) const
+{
+    auto it = m_entries.find(id);
+    return it == m_entries.end() ? nullptr : &it->second.server;
 }
 
 std::vector<BackendServer> ServerBook::servers() const
--- a/src/gateway/server-book.h
+++ b/src/gateway/server-book.h
@@ -19,6 +19,9 @@
     /// After the store's return, servers that lapsed while it was away re-enter the list within about two seconds. They
     /// stay usable for less than that, so that one that is really gone gets nothing later than a leaving one may.
     static constexpr milliseconds lapseGrace { 1800 };
+    /// The start of a server that has gone is remembered for this long: longer than news of it can lag, which is the store's
+    /// history of 20 s and some seconds on the way.
+    static constexpr milliseconds startKeptFor { 60000 };
 
     /// The whole list as the store gave it, as of `revision`. An older list than the one known changes nothing and
     /// returns false.
@@ -29,6 +32,8 @@
     bool put(ListRevision revision, const BackendServer& server);
     /// One entry was removed, as of `revision`.
     bool remove(TimePoint now, ListRevision revision, const BackendServerId& id);
+    /// One entry was written, as of `revision`, and names no server that can be used. True when it named one before.
+    bool dropUnreadable(ListRevision revision, const BackendServerId& id);
     void advance(ListRevision revision);
 
     void onStoreLost(TimePoint now);
@@ -40,6 +45,7 @@
     ListRevision revision() const { return m_revision; }
     /// Servers that are listed, and those that lapsed a moment ago; draining ones too.
     std::vector<BackendServer> servers() const;
+    const BackendServer* find(const BackendServerId& id) const;
 
 private:
     struct Entry {
@@ -50,8 +56,20 @@
 
     /// Until when a server that is missing now may be one that lapsed; unset when it is gone.
     std::optional<TimePoint> graceUntil(TimePoint now) const;
+    bool isOfEndedLife(const BackendServer& server) const;
+    /// Takes `server` as listed unless a later life of it is known. False when nothing changed.
+    bool take(const BackendServer& server);
+    void forgetStarts(TimePoint now);
+
+    struct KnownStart {
+        ServerStart startedAt;
+        /// Set once the server is in the list no more.
+        std::optional<TimePoint> forgottenAt;
+    };
 
     std::map<BackendServerId, Entry> m_entries;
+    /// Latest start known of each server that gave one.
+    std::map<BackendServerId, KnownStart> m_starts;
     ListRevision m_revision;
     bool m_isStoreAway { false };
     std::optional<TimePoint> m_graceUntil;
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -21,10 +21,18 @@
 
 } // namespace
 
+UpstreamConnection::UpstreamConnection(asio::io_context& ioContext, std::shared_ptr<Registry> open)
+    : stream(ioContext)
+    , m_open(std::move(open))
+{
+    m_open->insert(this);
+}
+
 /// Failure: a client leaves while the server stands still. Closed in order, the server reads the request when it wakes,
 /// and works for nobody. A reset takes back what it has not read.
 UpstreamConnection::~UpstreamConnection()
 {
+    m_open->erase(this);
     if (!isInUse)
         return;
     boost::system::error_code ec;
@@ -33,12 +41,13 @@
 
 UpstreamPool::UpstreamPool(asio::io_context& ioContext)
     : m_ioContext(ioContext)
+    , m_open(std::make_shared<UpstreamConnection::Registry>())
 {
 }
 
 UpstreamConnectionPtr UpstreamPool::takeIdle(const BackendServer& server)
 {
-    auto it = m_idle.find(server.id);
+    auto it = m_idle.find(server.life());
     if (it == m_idle.end())
         return nullptr;
     auto now = Clock::now();
@@ -58,8 +67,8 @@
 
 asio::awaitable<UpstreamConnectionPtr> UpstreamPool::connect(BackendServer server, TimePoint deadline)
 {
-    auto connection = std::make_unique<UpstreamConnection>(m_ioContext);
-    connection->server = server.id;
+    auto connection = std::make_unique<UpstreamConnection>(m_ioContext, m_open);
+    connection->server = server.life();
     connection->stream.expires_at(deadline);
     co_await connection->stream.async_connect(server.address, use_awaitable);
     connection->stream.socket().set_option(asio::ip::tcp::no_delay(true));
@@ -80,7 +89,7 @@
 
 /// Failure: a server closes an idle connection, or sends bytes that nobody asked for. Used again, the connection would
 /// lose a request or answer one with the bytes of another. An idle connection that becomes readable is closed.
-asio::awaitable<void> UpstreamPool::watch(BackendServerId server, std::uint64_t number)
+asio::awaitable<void> UpstreamPool::watch(ServerLife server, std::uint64_t number)
 {
     auto& list = m_idle[server];
     auto it = std::find_if(list.begin(), list.end(), [&](auto& idle) { return idle.number == number; });
@@ -93,7 +102,7 @@
         drop(server, number);
 }
 
-void UpstreamPool::drop(const BackendServerId& server, std::uint64_t number)
+void UpstreamPool::drop(const ServerLife& server, std::uint64_t number)
 {
     auto it = m_idle.find(server);
     if (it != m_idle.end())
@@ -105,7 +114,22 @@
     auto now = Clock::now();
     for (auto& [id, list] : m_idle)
         list.remove_if([&](auto& idle) { return idle.idleUntil <= now; });
-    std::erase_if(m_idle, [&](auto& it) { return std::none_of(servers.begin(), servers.end(), [&](auto& server) { return server.id == it.first; }); });
+    std::erase_if(m_idle, [&](auto& it) { return std::none_of(servers.begin(), servers.end(), [&](auto& server) { return server.life() == it.first; }); });
+    breakEnded(servers);
+}
+
+/// Failure: a server's process died behind a silent link and started again under its id. Its old connections never tell;
+/// requests on them would wait for their deadlines. Shut down, each ends at once as lost, and what may run again does.
+void UpstreamPool::breakEnded(const std::vector<BackendServer>& servers)
+{
+    for (auto* connection : *m_open) {
+        auto& life = connection->server;
+        bool hasEnded = std::any_of(servers.begin(), servers.end(), [&](auto& it) { return it.id == life.id && it.startedAt > life.startedAt; });
+        if (!hasEnded)
+            continue;
+        boost::system::error_code ec;
+        connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
+    }
 }
 
 } // namespace swiftloft::gateway
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -10,29 +10,33 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace swiftloft::gateway {
 
 /// One connection to a backend server with what was read from it and not yet parsed.
 struct UpstreamConnection {
-    explicit UpstreamConnection(boost::asio::io_context& ioContext)
-        : stream(ioContext)
-    {
-    }
+    using Registry = std::set<UpstreamConnection*>;
+
+    /// Signs itself in and out of `open`.
+    UpstreamConnection(boost::asio::io_context& ioContext, std::shared_ptr<Registry> open);
     ~UpstreamConnection();
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
-    BackendServerId server;
+    ServerLife server;
     /// A request was written and its answer not read to the end.
     bool isInUse { false };
     /// It has carried a request before.
     bool isReused { false };
+
+private:
+    std::shared_ptr<Registry> m_open;
 };
 
 using UpstreamConnectionPtr = std::unique_ptr<UpstreamConnection>;
 
-/// Idle connections to backend servers, by server id: an address that has gone to another server gets none of them.
+/// Idle connections to backend servers, by the server's life: an address that has gone to another server gets none of them.
 /// Belongs to the traffic thread.
 class UpstreamPool {
 public:
@@ -49,7 +53,8 @@
     boost::asio::awaitable<UpstreamConnectionPtr> connect(BackendServer server, TimePoint deadline);
     /// Keeps a connection whose last answer was read whole, with nothing behind it, until `idleUntil`.
     void putBack(UpstreamConnectionPtr connection, TimePoint idleUntil);
-    /// Closes the idle connections of servers that are not in `servers`.
+    /// Closes the idle connections of servers that are not in `servers`, and all connections of lives that have ended
+    /// because their server has started again.
     void keepOnly(const std::vector<BackendServer>& servers);
     void closeAll() { m_idle.clear(); }
 
@@ -60,11 +65,14 @@
         std::uint64_t number { 0 };
     };
 
-    boost::asio::awaitable<void> watch(BackendServerId server, std::uint64_t number);
-    void drop(const BackendServerId& server, std::uint64_t number);
+    boost::asio::awaitable<void> watch(ServerLife server, std::uint64_t number);
+    void drop(const ServerLife& server, std::uint64_t number);
+    void breakEnded(const std::vector<BackendServer>& servers);
 
     boost::asio::io_context& m_ioContext;
-    std::map<BackendServerId, std::list<Idle>> m_idle;
+    std::map<ServerLife, std::list<Idle>> m_idle;
+    /// All connections that are open, idle and in use.
+    std::shared_ptr<UpstreamConnection::Registry> m_open;
     std::uint64_t m_lastNumber { 0 };
 };
 
--- a/test/control-state_test.cc
+++ b/test/control-state_test.cc
@@ -34,10 +34,20 @@
             return Error { ErrorCode::MalformedInput, "broken" };
         BackendServer server;
         server.id = BackendServerId(std::string(id));
+        server.service = ServiceName("model");
+        // "ready from N" is one whose process started at N.
+        if (auto at = document.find(" from "); at != std::string_view::npos) {
+            server.startedAt = ServerStart(std::stoull(std::string(document.substr(at + 6))));
+            document = document.substr(0, at);
+        }
+        // "ready elsewhere" is of a service that no configuration names.
+        if (document == "ready elsewhere") {
+            server.service = ServiceName("elsewhere");
+            document = "ready";
+        }
         // "ID@N" is an engine at an address of its own.
         if (auto at = id.find('@'); at != std::string_view::npos) {
             server.address = endpoint(static_cast<unsigned>(std::stoul(std::string(id.substr(at + 1)))));
-            server.service = ServiceName("model");
         }
         server.state = document == "ready" ? ServerState::Ready : ServerState::Draining;
         return server;
@@ -206,7 +216,7 @@
     Rig rig;
     rig.listBoth(7);
     auto hello = rig.hello(7, 10);
-    hello.leaving = { { hashOf(BackendServerId("s1")), milliseconds(3000) } };
+    hello.leaving = { { hashOf(ServerLife { BackendServerId("s1"), {} }), milliseconds(3000) } };
     rig.take(HelloArrived { hello });
     REQUIRE(rig.state.snapshot(rig.now).servers.size() == 1);
     CHECK(rig.state.snapshot(rig.now).servers[0].state == ServerState::Draining);
@@ -284,6 +294,85 @@
 }
 
 // The same loss of power: entries come up beside the agents and hear of closed groups only a second later.
+// Another writer lists something at the address of a server that serves, under a service that does not exist. By its later
+// revision the address would be its own, and the server would get no requests any more.
+TEST_CASE("ControlState: an entry of the list of an unknown service takes no address from a server")
+{
+    Rig rig;
+    rig.list(Topic::Configuration, { { "", "7", 5, false } }, 10);
+    rig.list(Topic::Servers, { { "a@5", "ready", 6, false } }, 10);
+    rig.take(StoreChanged { Topic::Servers, { { { "b@5", "ready elsewhere", 11, false } }, 11 } });
+    auto snapshot = rig.state.snapshot(rig.now);
+    REQUIRE(snapshot.servers.size() == 1);
+    CHECK(snapshot.servers[0].id == BackendServerId("a@5"));
+}
+
+// Another writer overwrites the entry of a server with bytes that can't be read. What it names is no server; the others
+// hold, and the next sound entry is taken again.
+TEST_CASE("ControlState: an entry that can't be read any more names no server until it can")
+{
+    Rig rig;
+    rig.list(Topic::Configuration, { { "", "7", 5, false } }, 10);
+    rig.list(Topic::Servers, { { "s1", "ready", 6, false }, { "s2", "ready", 7, false } }, 10);
+    PublishedItem broken { "s1", "", 11, false, "a value is no base64 text" };
+    rig.take(StoreChanged { Topic::Servers, { { broken }, 11 } });
+    REQUIRE(rig.state.snapshot(rig.now).servers.size() == 1);
+    CHECK(rig.state.snapshot(rig.now).servers[0].id == BackendServerId("s2"));
+    rig.take(StoreChanged { Topic::Servers, { { { "s1", "ready", 12, false } }, 12 } });
+    auto snapshot = rig.state.snapshot(rig.now);
+    REQUIRE(snapshot.servers.size() == 2);
+    CHECK(snapshot.servers[0].state == ServerState::Ready);
+}
+
+// A server was told to leave, ended and started again under its id. The word that it leaves is still on its way among the
+// entries; held against the new process, it would stand idle for six seconds.
+TEST_CASE("ControlState: word that a server leaves ends with the life that it was said of")
+{
+    Rig rig;
+    rig.list(Topic::Configuration, { { "", "7", 5, false } }, 10);
+    rig.list(Topic::Servers, { { "s1", "draining from 1000", 6, false } }, 10);
+    rig.take(StoreChanged { Topic::Servers, { { { "s1", "draining from 1000", 11, false } }, 11 } });
+    rig.take(StoreChanged { Topic::Servers, { { { "s1", "ready from 2000", 12, false } }, 12 } });
+    auto late = rig.hello(7, 12);
+    late.leaving = { { hashOf(ServerLife { BackendServerId("s1"), ServerStart(1000) }), milliseconds(3000) } };
+    rig.take(HelloArrived { late });
+    auto snapshot = rig.state.snapshot(rig.now);
+    REQUIRE(snapshot.servers.size() == 1);
+    CHECK(snapshot.servers[0].state == ServerState::Ready);
+    CHECK(snapshot.servers[0].startedAt == ServerStart(2000));
+}
+
+// A peer that has not heard of a restart answers a pull, or a late write of the ended process comes last. Requests would be
+// counted against a process that is gone.
+TEST_CASE("ControlState: the latest life of a server stays, whoever speaks of an earlier one")
+{
+    Rig rig;
+    rig.list(Topic::Configuration, { { "", "7", 5, false } }, 10);
+    rig.list(Topic::Servers, { { "s1", "ready from 2000", 6, false } }, 10);
+    rig.take(PeerAnswered { Topic::Servers, { { { "s1", "draining from 1000", 12, false } }, 12 } });
+    REQUIRE(rig.state.snapshot(rig.now).servers.size() == 1);
+    CHECK(rig.state.snapshot(rig.now).servers[0].startedAt == ServerStart(2000));
+    rig.take(StoreChanged { Topic::Servers, { { { "s1", "draining from 1000", 13, false } }, 13 } });
+    CHECK(rig.state.snapshot(rig.now).servers[0].startedAt == ServerStart(2000));
+    // What is passed on says so too.
+    CHECK(rig.state.published(Topic::Servers)->items.at(0).document == "ready from 2000");
+}
+
+// A datagram of the agent says that the rank's group is broken; it was sent before the engine started again and arrives
+// after the word that the new one is open.
+TEST_CASE("ControlState: news of a rank of an ended life changes nothing")
+{
+    Rig rig;
+    rig.listBoth(7);
+    RankNews news { endpoint(5), EngineGroupName("g"), GroupEpoch(2), RankIndex(0), 1, true, 1, ServerStart(2000) };
+    rig.take(RankNewsArrived { news });
+    news.isOpen = false;
+    news.startedAt = ServerStart(1000);
+    rig.take(RankNewsArrived { news });
+    REQUIRE(rig.state.snapshot(rig.now).ranks.size() == 1);
+    CHECK(rig.state.snapshot(rig.now).ranks[0].news.isOpen);
+}
+
 TEST_CASE("ControlState: agents are spoken to as soon as configuration and servers are known")
 {
     Rig rig;
--- a/test/load-board_test.cc
+++ b/test/load-board_test.cc
@@ -20,6 +20,11 @@
     return { BackendServerId("s" + std::to_string(n)), model, endpoint(n), DataCentreName("a"), slots, state };
 }
 
+ServerLife life(const std::string& id, std::uint64_t startedAt = 0)
+{
+    return { BackendServerId(id), ServerStart(startedAt) };
+}
+
 Snapshot snapshotOf(std::vector<BackendServer> servers)
 {
     ConfigurationParts parts;
@@ -35,7 +40,7 @@
     return snapshot;
 }
 
-std::string chosen(const LoadBoard& board, TimePoint now, std::vector<BackendServerId> excluded = {})
+std::string chosen(const LoadBoard& board, TimePoint now, std::vector<ServerLife> excluded = {})
 {
     policy::Generator generator(7);
     auto server = board.choose({ model, excluded, std::nullopt }, now, generator);
@@ -48,16 +53,16 @@
 {
     LoadBoard board;
     board.setServers(start, snapshotOf({ server(1, 2), server(2, 2) }));
-    board.onStart(BackendServerId("s1"), { Tokens(900) });
+    board.onStart(life("s1"), { Tokens(900) });
     CHECK(chosen(board, start) == "s2");
-    board.onStart(BackendServerId("s2"), { Tokens(2000) });
+    board.onStart(life("s2"), { Tokens(2000) });
     CHECK(chosen(board, start) == "s1");
-    board.onAnswerBegan(BackendServerId("s2"), { Tokens(2000) });
+    board.onAnswerBegan(life("s2"), { Tokens(2000) });
     CHECK(chosen(board, start) == "s2");
-    board.onStart(BackendServerId("s1"), { Tokens(1) });
-    board.onStart(BackendServerId("s2"), { Tokens(1) });
+    board.onStart(life("s1"), { Tokens(1) });
+    board.onStart(life("s2"), { Tokens(1) });
     CHECK(chosen(board, start) == "none");
-    board.onEnd(BackendServerId("s1"), { Tokens(1) }, false);
+    board.onEnd(life("s1"), { Tokens(1) }, false);
     CHECK(chosen(board, start) == "s1");
 }
 
@@ -67,11 +72,11 @@
 {
     LoadBoard board;
     board.setServers(start, snapshotOf({ server(1), server(2) }));
-    LoadNews news { Incarnation(5), 2, { { hashOf(BackendServerId("s1")), 1, Tokens(4000) } } };
+    LoadNews news { Incarnation(5), 2, { { hashOf(life("s1")), 1, Tokens(4000) } } };
     board.onLoadNews(start, news);
     CHECK(chosen(board, start) == "s2");
     board.onLoadNews(start, { Incarnation(5), 1, {} });
-    board.onStart(BackendServerId("s2"), { Tokens(3000) });
+    board.onStart(life("s2"), { Tokens(3000) });
     CHECK(chosen(board, start) == "s2");
     // The other entry has died: its requests are gone.
     CHECK(chosen(board, start + LoadBoard::peerLoadFor) == "s1");
@@ -83,8 +88,8 @@
 {
     LoadBoard board;
     board.setServers(start, snapshotOf({ server(1), server(2) }));
-    board.onReplaced(BackendServerId("s1"));
-    board.onStart(BackendServerId("s2"), { Tokens(4000) });
+    board.onReplaced(life("s1"));
+    board.onStart(life("s2"), { Tokens(4000) });
     CHECK(chosen(board, start + seconds(60)) == "s2");
     board.setServers(start, snapshotOf({ server(1), server(2) }));
     CHECK(chosen(board, start) == "s2");
@@ -94,12 +99,12 @@
 {
     LoadBoard board;
     board.setServers(start, snapshotOf({ server(1, 4, ServerState::Draining), server(2), server(3) }));
-    board.onFailure(start, BackendServerId("s2"));
-    board.onStart(BackendServerId("s3"), { Tokens(9000) });
+    board.onFailure(start, life("s2"));
+    board.onStart(life("s3"), { Tokens(9000) });
     CHECK(chosen(board, start) == "s3");
-    CHECK(chosen(board, start, { BackendServerId("s3") }) == "s2");
+    CHECK(chosen(board, start, { life("s3") }) == "s2");
     CHECK(chosen(board, start + LoadBoard::avoidedFor) == "s2");
-    CHECK(chosen(board, start, { BackendServerId("s2"), BackendServerId("s3") }) == "none");
+    CHECK(chosen(board, start, { life("s2"), life("s3") }) == "none");
 }
 
 // A rank is lost, and every rank of its group turns requests away until the group has formed again. Sent there, requests
@@ -111,7 +116,7 @@
     RankNews closed { endpoint(1), EngineGroupName("g"), GroupEpoch(3), RankIndex(0), 2, false, 1 };
     snapshot.ranks = { { closed, start } };
     board.setServers(start, snapshot);
-    board.onStart(BackendServerId("s2"), { Tokens(9000) });
+    board.onStart(life("s2"), { Tokens(9000) });
     CHECK(chosen(board, start) == "s2");
     CHECK(board.hasServer(model));
     CHECK(chosen(board, start + LoadBoard::closedFor) == "s1");
@@ -120,3 +125,28 @@
     board.setServers(start, snapshot);
     CHECK(chosen(board, start) == "s1");
 }
+
+// A server starts again under its id while requests of the life before are still counted and its last failures are fresh. The
+// new process is idle; left out for what it never did, its half of the room would be lost for seconds.
+TEST_CASE("LoadBoard: nothing that is believed of a server outlives its life")
+{
+    LoadBoard board;
+    auto before = server(1, 2);
+    before.startedAt = ServerStart(1000);
+    auto after = before;
+    after.startedAt = ServerStart(2000);
+    board.setServers(start, snapshotOf({ before }));
+    board.onStart(before.life(), { Tokens(900) });
+    board.onStart(before.life(), { Tokens(900) });
+    board.onReplaced(before.life());
+    board.onLoadNews(start, { Incarnation(5), 1, { { hashOf(before.life()), 9, Tokens(4000) } } });
+    REQUIRE(chosen(board, start) == "none");
+    board.setServers(start, snapshotOf({ after }));
+    CHECK(chosen(board, start) == "s1");
+    CHECK(board.running(after.life(), start) == 0);
+    board.onStart(after.life(), { Tokens(10) });
+    // The requests of the ended life end late.
+    board.onEnd(before.life(), { Tokens(900) }, false);
+    board.onEnd(before.life(), { Tokens(900) }, false);
+    CHECK(board.running(after.life(), start) == 1);
+}
--- a/test/platform-protocol_test.cc
+++ b/test/platform-protocol_test.cc
@@ -2,6 +2,7 @@
 #include "platform/protocol.h"
 
 #include <boost/beast/http.hpp>
+#include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
 #include <random>
@@ -43,6 +44,8 @@
 "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":300,"idleTimeoutMs":400},
 "tenants":[{"name":"cafe","apiKeys":["k1","k2"],"priority":3}]})";
 
+const std::string serverText = R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":12,"state":"draining","sequence":4,"coldRemainingMs":0,"born":1780000000123})";
+
 } // namespace
 
 TEST_CASE("Platform: a client's request is decoded")
@@ -131,9 +134,75 @@
     CHECK(platform::decodeConfiguration("{}").error().message == "field 'version' is missing");
     CHECK(platform::decodeServer("s1", R"({"service":"s","zone":"z","state":"ready"})").error().message == "field 'address' is missing");
     CHECK_FALSE(platform::decodeServer("s1", "not json").has_value());
-    auto server = platform::decodeServer("i-1", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":12,"state":"draining"})").value();
+    auto server = platform::decodeServer("i-1", serverText).value();
     CHECK(server.state == ServerState::Draining);
     CHECK(server.slots == 12);
+    CHECK(server.startedAt == ServerStart(1780000000123));
+}
+
+// Something that is no backend server writes into the list. Requests that went there would be lost, or run by a process
+// that was never meant to get them.
+TEST_CASE("Platform: an entry of the list that lacks a field, or has one of another type, names no server")
+{
+    auto sound = boost::json::parse(serverText).as_object();
+    REQUIRE(platform::decodeServer("i-1", serverText).has_value());
+    for (auto& field : sound) {
+        auto changed = sound;
+        bool mayLack = field.key() == "born";
+        changed.erase(field.key());
+        INFO("field " << field.key());
+        CHECK(platform::decodeServer("i-1", boost::json::serialize(changed)).has_value() == mayLack);
+        for (auto& wrong : { boost::json::value(nullptr), boost::json::value(true), boost::json::value(1.5), boost::json::value("?"), boost::json::value(boost::json::array()) }) {
+            changed[field.key()] = wrong;
+            bool isSound = (field.value().is_string() && wrong.is_string() && field.key() != "state" && field.key() != "address")
+                || (field.key() == "coldRemainingMs" && wrong.is_double());
+            INFO("as " << wrong);
+            CHECK(platform::decodeServer("i-1", boost::json::serialize(changed)).has_value() == isSound);
+        }
+    }
+    for (auto* state : { "", "Ready", "starting", "gone" }) {
+        auto changed = sound;
+        changed["state"] = state;
+        CHECK_FALSE(platform::decodeServer("i-1", boost::json::serialize(changed)).has_value());
+    }
+    for (auto* address : { "10.0.0.9", "10.0.0.9:0", "0.0.0.0:80", "224.0.0.1:80", "host:80" }) {
+        auto changed = sound;
+        changed["address"] = address;
+        CHECK_FALSE(platform::decodeServer("i-1", boost::json::serialize(changed)).has_value());
+    }
+    for (auto* id : { "", "a b", "a/b", "a\r\nX-Tenant: other" })
+        CHECK_FALSE(platform::decodeServer(id, serverText).has_value());
+}
+
+// As above, with whatever bytes the other writer leaves there: an entry must go on, and what it still takes for a server
+// has an id, an address and room.
+TEST_CASE("Platform: entries of the list with any bytes are refused or whole")
+{
+    std::mt19937 random(11);
+    int sound = 0;
+    for (int n = 0; n < 20000; ++n) {
+        std::string text(serverText);
+        auto changes = 1 + random() % 4;
+        for (std::size_t k = 0; k < changes; ++k) {
+            auto at = random() % text.size();
+            if (random() % 3 == 0)
+                text.erase(at, random() % 12);
+            else
+                text[at] = static_cast<char>(random() % 256);
+            if (text.empty())
+                text = "x";
+        }
+        auto server = platform::decodeServer("i-1", text);
+        if (!server) {
+            CHECK(server.error().code == ErrorCode::MalformedInput);
+            continue;
+        }
+        ++sound;
+        bool isWhole = server->slots > 0 && server->address.port() != 0 && !server->address.address().is_unspecified();
+        INFO(text);
+        CHECK(isWhole);
+    }
+    CHECK(sound > 0);
 }
 
 // Whatever lies in the store must not stop an entry.
--- a/test/server-book_test.cc
+++ b/test/server-book_test.cc
@@ -92,3 +92,24 @@
     CHECK(book.setAllFromPeer(ListRevision(12), { server("b") }));
     CHECK(idsOf(book) == Ids { "b" });
 }
+
+// A write of the process that has ended reaches the list after the next one's. Taken, the server would be counted as the one
+// that is gone; and the same once it has left the list, as long as such news can still come.
+TEST_CASE("ServerBook: an earlier life never follows a later one")
+{
+    ServerBook book;
+    auto earlier = server("a");
+    earlier.startedAt = ServerStart(1000);
+    auto later = server("a");
+    later.startedAt = ServerStart(2000);
+    book.put(ListRevision(10), later);
+    CHECK_FALSE(book.put(ListRevision(11), earlier));
+    CHECK(book.servers()[0].startedAt == ServerStart(2000));
+    book.remove(start, ListRevision(12), BackendServerId("a"));
+    book.tick(start);
+    CHECK_FALSE(book.put(ListRevision(13), earlier));
+    CHECK(idsOf(book).empty());
+    // Long after, the id may be anybody's.
+    book.tick(start + ServerBook::startKeptFor);
+    CHECK(book.put(ListRevision(14), earlier));
+}
