--- a/src/agent/rank-engine.cc
+++ b/src/agent/rank-engine.cc
@@ -91,10 +91,19 @@
 
 asio::awaitable<bool> RankEngine::command(EngineCommand::Kind kind, MapVersion version, StepNumber step, const ExpertMap* map)
 {
-    EngineCommand command { kind, m_epoch, 0, version, step, map };
-    auto end = co_await sendUntilAnswered(command);
+    co_return co_await carryOut({ kind, m_epoch, 0, version, step, map }, mostSends);
+}
+
+asio::awaitable<bool> RankEngine::commandOnce(EngineCommand::Kind kind, MapVersion version, StepNumber step)
+{
+    co_return co_await carryOut({ kind, m_epoch, 0, version, step, nullptr }, 1);
+}
+
+asio::awaitable<bool> RankEngine::carryOut(EngineCommand command, int sends)
+{
+    auto end = co_await send(command, sends);
     if (end != CommandEnd::Done)
-        log::write(log::Event::EngineOrderRefused, "order={} version={:016x} step={} fence={} reason={}", nameOf(kind), version.value(), step.value(), command.fence,
+        log::write(log::Event::EngineOrderRefused, "order={} version={:016x} step={} fence={} reason={}", nameOf(command.kind), command.version.value(), command.step.value(), command.fence,
             end == CommandEnd::Fenced ? "fence" : "state");
     if (end == CommandEnd::Fenced)
         m_fence += fenceJump;
@@ -103,13 +112,15 @@
 
 /// Failure: the engine takes a command, gives no answer and carries it out seconds later; until it is repeated, the group
 /// runs on with the old map or stands at the switch. Repeated by the coordinator, each lost answer cost 75 ms, and the
-/// group stood for 260 ms at a switch. What is late of an earlier send has a lower fence and names a step that has begun.
-asio::awaitable<CommandEnd> RankEngine::sendUntilAnswered(EngineCommand& command)
+/// group stood for 260 ms at a switch. A late copy does no harm where it can but do again what the protocol has gone on
+/// from, or names a step that has begun; what is sent once only says why.
+asio::awaitable<CommandEnd> RankEngine::send(EngineCommand& command, int mostSends)
 {
+    auto patience = mostSends > 1 ? commandAgainAfter : answerWithin;
     for (int sends = 1;; ++sends) {
         command.fence = ++m_fence;
         try {
-            co_return co_await m_port.command(command, m_now() + commandAgainAfter);
+            co_return co_await m_port.command(command, m_now() + patience);
         } catch (const boost::system::system_error&) {
             if (sends == mostSends)
                 throw;
@@ -195,26 +206,41 @@
     bool isReleased = m_released == point && view.heldAt != point.step;
     if (view.armed != point || isReleased)
         co_return;
-    // Failure: released first, the rank would enter the step with the new map.
-    if (co_await command(EngineCommand::Kind::Disarm, point.version, point.step))
+    // Failure: released first, the rank would enter the step with the new map. Sent once, as a disarm names no step: a late
+    // copy would disarm the rank for the same map at a later step, when others may have been released for it.
+    if (co_await commandOnce(EngineCommand::Kind::Disarm, point.version, point.step))
         co_await command(EngineCommand::Kind::Release, point.version, point.step);
 }
 
 asio::awaitable<void> RankEngine::mend(EngineView view)
 {
-    if (!view.isOpen || view.epoch != m_epoch)
+    if (!needsMending(view))
+        co_return;
+    // Failure: the view was read while an order was on its way, between its hold and its switch. Released by it, the rank
+    // would enter the step with the new map, and the others with the old one. No order is in progress now, so what the
+    // engine shows here is what it holds.
+    view = co_await read();
+    if (!needsMending(view))
         co_return;
     // Failure: the answer to a hold was lost and the hold came seconds later, or the agent died between the hold and the
     // switch. The group would stand at that step for good. A rank that is not armed has nothing to wait for.
     if (view.heldAt && !view.armed) {
-        co_await command(EngineCommand::Kind::Release, view.map, *view.heldAt);
+        // Sent once: a late copy would release the rank after it has been armed for that step.
+        co_await commandOnce(EngineCommand::Kind::Release, view.map, *view.heldAt);
         co_return;
     }
     // Failure: this agent has just started and finds a switch without a hold. Its predecessor may have released it, or a
     // late copy of its command may have armed the rank alone. Held again, the rank waits for the coordinator's word.
+    co_await command(EngineCommand::Kind::Hold, view.armed->version, view.armed->step);
+}
+
+bool RankEngine::needsMending(const EngineView& view) const
+{
+    if (!view.isOpen || view.epoch != m_epoch)
+        return false;
+    bool isHeldForNothing = view.heldAt && !view.armed;
     bool isUnheld = view.armed && view.heldAt != view.armed->step && m_released != view.armed;
-    if (isUnheld)
-        co_await command(EngineCommand::Kind::Hold, view.armed->version, view.armed->step);
+    return isHeldForNothing || isUnheld;
 }
 
 } // namespace swiftloft::agent
--- a/src/agent/rank-engine.h
+++ b/src/agent/rank-engine.h
@@ -44,12 +44,16 @@
 private:
     boost::asio::awaitable<EngineView> read();
     boost::asio::awaitable<bool> command(EngineCommand::Kind kind, MapVersion version, StepNumber step, const expertmap::ExpertMap* map = nullptr);
-    boost::asio::awaitable<CommandEnd> sendUntilAnswered(EngineCommand& command);
+    /// As `command`, but sent once: where a late copy could undo what is done next.
+    boost::asio::awaitable<bool> commandOnce(EngineCommand::Kind kind, MapVersion version, StepNumber step);
+    boost::asio::awaitable<bool> carryOut(EngineCommand command, int mostSends);
+    boost::asio::awaitable<CommandEnd> send(EngineCommand& command, int mostSends);
     boost::asio::awaitable<void> prepare(MapVersion version, const expertmap::ExpertMap& map);
     boost::asio::awaitable<void> arm(expertmap::SwitchPoint point);
     boost::asio::awaitable<void> holdNeighbour(StepNumber step);
     boost::asio::awaitable<void> go(expertmap::SwitchPoint point);
     boost::asio::awaitable<void> cancel(expertmap::SwitchPoint point);
+    bool needsMending(const EngineView& view) const;
     expertmap::EngineStatus statusOf(const EngineView& view) const;
 
     EnginePort m_port;
--- a/test/rank-engine_test.cc
+++ b/test/rank-engine_test.cc
@@ -338,3 +338,39 @@
         CHECK(fleet.group().steps() > before + 100);
     }
 }
+
+// One step is computed under two maps. An agent looks at its engine just between the hold and the switch of an order; when
+// the look is answered the order is done, and the agent takes the hold for one that was left behind. Released by that, the
+// rank switches while others are not armed yet.
+TEST_CASE("Rank engine: what was seen before an order was done releases nothing")
+{
+    PlainGroup group(2, false, {}, 1);
+    auto port = group.portOf(0);
+    RankEngine engine(port, group.epoch(), 1000, [&] { return group.now(); });
+    boost::asio::io_context ioContext;
+    auto finish = [&](boost::asio::awaitable<void> work) {
+        boost::asio::co_spawn(ioContext, std::move(work), [](const std::exception_ptr& error) { CHECK_FALSE(error); });
+        ioContext.restart();
+        ioContext.run();
+    };
+    auto order = [&](Order it, std::optional<ExpertMap> map = std::nullopt) -> boost::asio::awaitable<void> { co_await engine.perform(it, std::move(map)); };
+    MapVersion wanted(4100);
+    finish(order(StageMap { wanted }, ExpertMap::even({ 2, 1, 2, 1 }).value()));
+    for (int n = 0; n < 60; ++n)
+        group.advance();
+    SwitchPoint point { wanted, StepNumber(group.steps() + 3) };
+    EngineView between;
+    auto look = [&]() -> boost::asio::awaitable<void> {
+        co_await port.command({ EngineCommand::Kind::Hold, group.epoch(), 0, wanted, point.step, nullptr }, TimePoint());
+        between = co_await port.read(TimePoint());
+    };
+    finish(look());
+    REQUIRE(between.heldAt == point.step);
+    REQUIRE_FALSE(between.armed.has_value());
+    finish(order(Arm { point }));
+    finish(engine.mend(between));
+    for (int n = 0; n < 60; ++n)
+        group.advance();
+    CHECK(group.mixedSteps() == 0);
+    CHECK(group.isHeld());
+}
