Let requests that forming ranks turn away wait for their groups

No agent had spoken yet, so nothing counted as forming; clients return once.

Change: a rank that turns a request away is left out for 150 ms; after two of them the request waits for the groups as it does where agents call them closed, 1.5 s from its arrival at most, and is then refused with a time to return.

--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -210,13 +210,17 @@
         m_loads.onSuccess(server);
         return;
     }
-    noteServer(now, server, event.end);
+    noteServer(now, server, event.end, call);
     call.lastEnd = event.end;
     call.tried.push_back(server);
     if (!isWithoutRun(event.end)) {
         call.ranOn.push_back(server);
         call.verdict = combine(call.verdict, event.end == AttemptEnd::ServerError ? Verdict::Ran : Verdict::MayHaveRun);
     }
+    if (mayWaitForGroups(call, event.end, now)) {
+        waitToRetry(event.call, call, now, call.request.arrivedAt + m_options.recoveryWait);
+        return;
+    }
     if (!mayTryAgain(call, event.end, now)) {
         giveUp(event.call, call, event.end, now, effects);
         return;
@@ -229,17 +233,30 @@
     }
     // Its servers may be back in a moment. It goes before what has not begun: somebody has waited for it already. What
     // has not run waits no longer than one that has just come.
-    if (call.verdict != Verdict::NotRun)
-        call.waitUntil = std::min(now + m_options.recoveryWait, call.request.deadline);
+    waitToRetry(event.call, call, now, call.verdict == Verdict::NotRun ? call.waitUntil : now + m_options.recoveryWait);
+}
+
+void Dispatcher::waitToRetry(CallId id, Call& call, TimePoint now, TimePoint until)
+{
+    call.waitUntil = std::min(until, call.request.deadline);
     call.tried.clear();
     call.retryAt = now + m_options.recoveryPause;
-    m_waiting.insert(m_waiting.begin(), event.call);
+    m_waiting.insert(m_waiting.begin(), id);
 }
 
-void Dispatcher::noteServer(TimePoint now, const ServerLife& server, AttemptEnd end)
+/// Failure: groups form after a loss of power and nobody has said so yet. A request spends its tries at one rank after the
+/// other within milliseconds and is refused; most clients return once only, and the service is back half a second later.
+bool Dispatcher::mayWaitForGroups(const Call& call, AttemptEnd end, TimePoint now) const
+{
+    return end == AttemptEnd::NotRun && call.ranksThatTurnedAway >= m_options.mostRanksAsked && now + m_options.recoveryPause < call.request.arrivedAt + m_options.recoveryWait;
+}
+
+void Dispatcher::noteServer(TimePoint now, const ServerLife& server, AttemptEnd end, Call& call)
 {
     if (end == AttemptEnd::Misdirected)
         m_loads.onReplaced(server);
+    else if (end == AttemptEnd::NotRun)
+        call.ranksThatTurnedAway += m_loads.onTurnedAway(now, server) ? 1 : 0;
     else if (isServerSuspect(end))
         m_loads.onFailure(now, server);
 }
@@ -307,8 +324,8 @@
     for (auto id : m_waiting) {
         auto it = m_calls.find(id);
         auto& call = it->second;
-        // One whose pause is over and that found no room waits for an event.
         auto until = waitUntil(call, m_appliedAt);
+        // One whose pause is over and that found no room waits for an event.
         auto due = call.retryAt > m_appliedAt ? std::min(call.retryAt, until) : until;
         if (!next || due < *next)
             next = due;
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -138,6 +138,8 @@
     milliseconds recoveryWait { 1500 };
     /// Pause before a request goes again to servers that have just lost it: a group takes some 600 ms to form anew.
     milliseconds recoveryPause { 150 };
+    /// Ranks that may turn a request away at once; then it waits for their groups as it does for those known to form.
+    unsigned mostRanksAsked { 2 };
     /// Sends of one request, also where none of them ran: bounds the harm of a service that turns everything away.
     unsigned maximumSends { 4 };
 };
@@ -170,6 +172,7 @@
         /// Servers that it was sent to in vain.
         std::vector<ServerLife> tried;
         unsigned sends { 0 };
+        unsigned ranksThatTurnedAway { 0 };
         std::optional<ServerLife> runningOn;
         bool hasBegun { false };
         TimePoint waitUntil;
@@ -185,7 +188,9 @@
     void onClosed(CallId id);
     ServiceName drawService(const Route& route);
     void endAttempt(Call& call);
-    void noteServer(TimePoint now, const ServerLife& server, AttemptEnd end);
+    void noteServer(TimePoint now, const ServerLife& server, AttemptEnd end, Call& call);
+    bool mayWaitForGroups(const Call& call, AttemptEnd end, TimePoint now) const;
+    void waitToRetry(CallId id, Call& call, TimePoint now, TimePoint until);
     bool mayTryAgain(const Call& call, AttemptEnd end, TimePoint now) const;
     void giveUp(CallId id, Call& call, AttemptEnd end, TimePoint now, dispatch::Effects& effects);
     /// False when there is no room for it now.
--- a/src/gateway/load-board.cc
+++ b/src/gateway/load-board.cc
@@ -37,6 +37,7 @@
         server.isEngine = service && service->engine;
         if (server.isEngine) {
             auto& traits = *service->engine;
+            server.isRank = traits.layers > 0;
             double tokensPerMs = traits.promptTokensPerSecond / 1000;
             server.tokensPerRequest = tokensPerMs > 0 ? stepsThatCount * traits.stepMsPerRequest * tokensPerMs : defaultTokensPerRequest;
         }
@@ -125,6 +126,18 @@
     return server.avoidedUntil > now ? cost + avoidedCost : cost;
 }
 
+/// Failure: right after a loss of power the engines are listed before their groups have formed, and their agents have not
+/// spoken yet. Each request was turned away by four engines within some milliseconds, and refused; clients return only
+/// once. Left out, they count as forming, and requests wait for them.
+bool LoadBoard::onTurnedAway(TimePoint now, const ServerLife& life)
+{
+    auto it = m_servers.find(life);
+    if (it == m_servers.end() || !it->second.isRank)
+        return false;
+    it->second.turnedAwayUntil = now + turnedAwayFor;
+    return true;
+}
+
 void LoadBoard::onReplaced(const ServerLife& life)
 {
     auto it = m_servers.find(life);
@@ -136,7 +149,8 @@
 {
     // Failure: a rank is lost, and its whole group turns requests away until it has formed again.
     bool isClosed = server.closedSince && *server.closedSince + closedFor > now;
-    return server.server.state == ServerState::Ready && !server.isReplaced && !isClosed;
+    bool isTurningAway = server.turnedAwayUntil > now;
+    return server.server.state == ServerState::Ready && !server.isReplaced && !isClosed && !isTurningAway;
 }
 
 std::optional<BackendServer> LoadBoard::choose(const Choice& choice, TimePoint now, policy::Generator& generator) const
--- a/src/gateway/load-board.h
+++ b/src/gateway/load-board.h
@@ -26,6 +26,9 @@
     static constexpr milliseconds toldEvery { 150 };
     /// The word of an agent that its group is closed counts for this long; agents repeat it every half second.
     static constexpr milliseconds closedFor { 1200 };
+    /// An engine of a rank group that turned a request away is left out for this long: its group is forming, which takes some
+    /// 600 ms and is seen by its agent soon, or it is full for the length of a pass or two.
+    static constexpr milliseconds turnedAwayFor { 150 };
     /// A server that was silent or lost an answer is left out for this long, doubled with each failure in a row.
     static constexpr milliseconds avoidedFor { 400 };
     static constexpr milliseconds avoidedForAtMost { 3200 };
@@ -39,6 +42,8 @@
     void onEnd(const ServerLife& life, const WorkSize& work, bool hasBegun);
     void onFailure(TimePoint now, const ServerLife& life);
     void onSuccess(const ServerLife& life);
+    /// It did not run a request that it was sent. True when it is a rank of a group.
+    bool onTurnedAway(TimePoint now, const ServerLife& life);
     /// Another server answers at its address.
     void onReplaced(const ServerLife& life);
 
@@ -75,6 +80,7 @@
         Load own;
         unsigned failures { 0 };
         TimePoint avoidedUntil;
+        TimePoint turnedAwayUntil;
         /// Its process has ended: an answer came from another one at its address.
         bool isReplaced { false };
         /// Its rank group does not take requests, by the word of its agent at the given time.
@@ -82,6 +88,8 @@
         /// Prompt tokens that cost as much time as one running request does; zero for a plain server.
         double tokensPerRequest { 0 };
         bool isEngine { false };
+        /// It is a rank of a group: when the group forms, so do all of its ranks.
+        bool isRank { false };
     };
     struct Peer {
         std::uint64_t sequence { 0 };
--- a/test/dispatcher_test.cc
+++ b/test/dispatcher_test.cc
@@ -31,6 +31,7 @@
     void show(std::vector<BackendServer> servers)
     {
         auto snapshot = std::make_shared<Snapshot>();
+        snapshot->configuration = configuration;
         snapshot->servers = std::move(servers);
         snapshot->entriesThatMayExist = 1;
         take(SnapshotChanged { snapshot });
@@ -74,7 +75,16 @@
         return out;
     }
 
+    /// Makes the servers ranks of a group, as engines with expert maps are.
+    void makeRanks()
+    {
+        ConfigurationParts parts;
+        parts.services.push_back({ model, "/health", 0, EngineTraits { .layers = 1 } });
+        configuration = Configuration::create(parts).value();
+    }
+
     TimePoint now { start };
+    std::shared_ptr<const Configuration> configuration;
     Route route;
     Dispatcher dispatcher { options(), policy::Generator(3) };
     Effects last;
@@ -280,3 +290,76 @@
     rig.arrive(2);
     CHECK(*rig.refusal(2)->retryAt - rig.now <= milliseconds(180));
 }
+
+// All racks lost power and are back. The engines are listed and take connections, their groups take half a second more to
+// form, and no agent has spoken yet. Requests were turned away by four engines within some milliseconds and refused; their
+// clients came back once more, to the same, and were lost.
+TEST_CASE("Dispatcher: requests that forming ranks turn away wait for them, also without word from an agent")
+{
+    Rig rig({});
+    rig.makeRanks();
+    std::vector<BackendServer> ranks;
+    for (int n = 1; n <= 8; ++n)
+        ranks.push_back(Rig::server("s" + std::to_string(n)));
+    rig.show(ranks);
+    constexpr std::uint64_t requests = 20;
+    constexpr milliseconds formed { 700 };
+    std::vector<std::uint64_t> running;
+    unsigned refused = 0;
+    unsigned served = 0;
+    unsigned sends = 0;
+    auto note = [&] {
+        for (auto& effect : rig.last) {
+            if (auto* sent = std::get_if<StartAttempt>(&effect)) {
+                running.push_back(sent->call.value());
+                ++sends;
+            }
+            refused += std::holds_alternative<Refuse>(effect) ? 1 : 0;
+        }
+    };
+    for (; rig.now < start + seconds(2); rig.now += milliseconds(10)) {
+        auto at = static_cast<std::uint64_t>((rig.now - start) / milliseconds(10));
+        if (at < requests) {
+            rig.arrive(at + 1);
+            note();
+        }
+        rig.take(Ticked {});
+        note();
+        while (!running.empty()) {
+            auto id = running.back();
+            running.pop_back();
+            bool isServed = rig.now >= start + formed;
+            served += isServed ? 1 : 0;
+            rig.end(id, isServed ? AttemptEnd::Answered : AttemptEnd::NotRun);
+            note();
+            if (isServed)
+                rig.take(Closed { CallId(id) });
+        }
+    }
+    CHECK(refused == 0);
+    CHECK(served == requests);
+    // What is sent meanwhile comes out of the budget of repeats: some sends a request at most.
+    CHECK(sends <= 6 * requests);
+}
+
+// As above, and the groups do not form: each request has its answer after the wait, with a time to return.
+TEST_CASE("Dispatcher: requests that ranks go on turning away are refused after the wait")
+{
+    Rig rig({});
+    rig.makeRanks();
+    rig.show({ Rig::server("s1"), Rig::server("s2"), Rig::server("s3") });
+    rig.arrive(1);
+    bool isRefused = false;
+    for (; !isRefused && rig.now < start + seconds(3); rig.take(Ticked {})) {
+        while (!rig.sentTo(1).empty())
+            rig.end(1, AttemptEnd::NotRun);
+        if (auto* refusal = rig.refusal(1)) {
+            isRefused = true;
+            CHECK(refusal->verdict == Verdict::NotRun);
+            CHECK(refusal->retryAt.has_value());
+        }
+        rig.now += milliseconds(10);
+    }
+    CHECK(isRefused);
+    CHECK(rig.now <= start + DispatcherOptions().recoveryWait + milliseconds(200));
+}
