--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -1,6 +1,7 @@
 #include "src/agent/rank-daemon.h"
 
 #include "src/log/logger.h"
+#include "src/log/problem.h"
 #include "src/process/signals.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -302,7 +303,7 @@
         status = co_await engine->perform(order.order, std::move(map));
     } catch (const std::exception& error) {
         m_metrics.count("swiftloft_agent_orders_lost_total", {});
-        log::write(log::Event::EngineOrderLost, "order={} problem=\"{}\"", nameOf(order.order), error.what());
+        log::write(log::Event::EngineOrderLost, "order={} problem=\"{}\"", nameOf(order.order), log::problemOf(error));
     }
     m_isOrderInProgress = false;
     if (engine != m_engine || !m_member)
--- a/src/agent/rank-engine.cc
+++ b/src/agent/rank-engine.cc
@@ -1,6 +1,7 @@
 #include "src/agent/rank-engine.h"
 
 #include "src/log/logger.h"
+#include "src/log/problem.h"
 
 #include <swiftloft/result.h>
 
@@ -184,7 +185,7 @@
         // Without a fence: the commands of that engine's own agent must not be refused for this one.
         co_await m_neighbour->command({ EngineCommand::Kind::Hold, m_epoch, 0, MapVersion(0), step, nullptr }, m_now() + answerWithin);
     } catch (const boost::system::system_error& error) {
-        log::write(log::Event::EngineOrderLost, "order=hold-neighbour problem=\"{}\"", error.what());
+        log::write(log::Event::EngineOrderLost, "order=hold-neighbour problem=\"{}\"", log::problemOf(error));
     }
     asio::steady_timer pause(co_await asio::this_coro::executor, Clock::now() + neighbourPause);
     co_await pause.async_wait(asio::use_awaitable);
--- a/test/logger_test.cc
+++ b/test/logger_test.cc
@@ -1,5 +1,8 @@
 #include "src/log/logger.h"
+#include "src/log/problem.h"
 
+#include <boost/asio/error.hpp>
+#include <boost/system/system_error.hpp>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
@@ -52,3 +55,13 @@
     log::setLineSink([](std::string_view) {});
     CHECK_THAT(got, Catch::Matchers::EndsWith("Z info 100 ProcessStarted entry-1 role=entry"));
 }
+
+// An engine stays silent under load; each line about it named a place in a library's source, with a template name of 300
+// characters, and nobody could read the rest.
+TEST_CASE("Logger: the problem of a system error is its category and message")
+{
+    boost::system::error_code ec(boost::asio::error::timed_out, boost::asio::error::get_system_category());
+    auto problem = log::problemOf(boost::system::system_error(ec, "a place in a source file"));
+    CHECK(problem == "system: " + ec.message());
+    CHECK(log::problemOf(std::runtime_error("field 'x' is missing")) == "field 'x' is missing");
+}
