Only requests that have not run wait for groups that turn them away

A stream that was lost at one rank and turned away by two others would have waited from its arrival instead of from its loss, less than before.

--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -248,7 +248,8 @@
 /// other within milliseconds and is refused; most clients return once only, and the service is back half a second later.
 bool Dispatcher::mayWaitForGroups(const Call& call, AttemptEnd end, TimePoint now) const
 {
-    return end == AttemptEnd::NotRun && call.ranksThatTurnedAway >= m_options.mostRanksAsked && now + m_options.recoveryPause < call.request.arrivedAt + m_options.recoveryWait;
+    bool isTurnedAway = end == AttemptEnd::NotRun && call.verdict == Verdict::NotRun && call.ranksThatTurnedAway >= m_options.mostRanksAsked;
+    return isTurnedAway && now + m_options.recoveryPause < call.request.arrivedAt + m_options.recoveryWait;
 }
 
 void Dispatcher::noteServer(TimePoint now, const ServerLife& server, AttemptEnd end, Call& call)
