--- a/test/soak/users-platform.cc
+++ b/test/soak/users-platform.cc
@@ -96,7 +96,9 @@
 void UsersPlatform::list(std::size_t index)
 {
     auto& server = m_servers[index];
-    json::object entry { { "service", "model" }, { "address", server.address }, { "zone", "dc" }, { "slots", m_slots }, { "state", server.state } };
+    // All fields that a server writes: an entry that lacks one names no server.
+    json::object entry { { "service", "model" }, { "address", server.address }, { "zone", "dc" }, { "version", "v1" }, { "slots", m_slots },
+        { "state", server.state }, { "coldRemainingMs", 0 }, { "sequence", 0 } };
     put("servers/" + server.id, json::serialize(entry));
 }
 
