--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -211,8 +211,7 @@
     // Failure: the engine starts again under its id and forgets its fences, its counts and its map; what this agent holds
     // of it is of no use, also before the group's new epoch shows. Differences of counts would be wild, and the switch
     // that was last released would pass for one of the new life.
-    bool isSameLife = m_view && m_view->startedAt == view.startedAt;
-    bool isSame = isSameLife && m_view->group == view.group && m_view->epoch == view.epoch && m_view->isOpen == view.isOpen;
+    bool isSame = m_view && m_view->startedAt == view.startedAt && m_view->group == view.group && m_view->epoch == view.epoch && m_view->isOpen == view.isOpen;
     m_view = view;
     if (isSame)
         return;
--- a/src/agent/rank-engine.cc
+++ b/src/agent/rank-engine.cc
@@ -115,15 +115,15 @@
 /// runs on with the old map or stands at the switch. Repeated by the coordinator, each lost answer cost 75 ms, and the
 /// group stood for 260 ms at a switch. A late copy does no harm where it can but do again what the protocol has gone on
 /// from, or names a step that has begun; what is sent once only says why.
-asio::awaitable<CommandEnd> RankEngine::send(EngineCommand& command, int mostSends)
+asio::awaitable<CommandEnd> RankEngine::send(EngineCommand& command, int sends)
 {
-    auto patience = mostSends > 1 ? commandAgainAfter : answerWithin;
-    for (int sends = 1;; ++sends) {
+    auto patience = sends > 1 ? commandAgainAfter : answerWithin;
+    for (int n = 1;; ++n) {
         command.fence = ++m_fence;
         try {
             co_return co_await m_port.command(command, m_now() + patience);
         } catch (const boost::system::system_error&) {
-            if (sends == mostSends)
+            if (n == sends)
                 throw;
         }
         if (m_onSentAgain)
--- a/src/agent/rank-engine.h
+++ b/src/agent/rank-engine.h
@@ -46,8 +46,9 @@
     boost::asio::awaitable<bool> command(EngineCommand::Kind kind, MapVersion version, StepNumber step, const expertmap::ExpertMap* map = nullptr);
     /// As `command`, but sent once: where a late copy could undo what is done next.
     boost::asio::awaitable<bool> commandOnce(EngineCommand::Kind kind, MapVersion version, StepNumber step);
-    boost::asio::awaitable<bool> carryOut(EngineCommand command, int mostSends);
-    boost::asio::awaitable<CommandEnd> send(EngineCommand& command, int mostSends);
+    boost::asio::awaitable<bool> carryOut(EngineCommand command, int sends);
+    /// Gives `command` a fence of its own for each of at most so many sends.
+    boost::asio::awaitable<CommandEnd> send(EngineCommand& command, int sends);
     boost::asio::awaitable<void> prepare(MapVersion version, const expertmap::ExpertMap& map);
     boost::asio::awaitable<void> arm(expertmap::SwitchPoint point);
     boost::asio::awaitable<void> holdNeighbour(StepNumber step);
--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -178,10 +178,9 @@
     BackendServerId id(item.name);
     if (item.isRemoved) {
         m_refused.erase(item.name);
-        auto hash = hashOfKnown(id);
         // One that may have lapsed only stays in use for a while, and its document with it.
-        if (m_servers.remove(now, ListRevision(item.revision), id)) {
-            noteLeaving(hash, now + leavingToldFor);
+        if (auto life = m_servers.remove(now, ListRevision(item.revision), id)) {
+            noteLeaving(hashOf(*life), now + leavingToldFor);
             m_serverItems.erase(item.name);
             m_isChanged = true;
         }
@@ -190,21 +189,16 @@
     }
     auto server = decodeServer(item);
     if (!server) {
-        logRefused(item, server.error().message);
         if (m_servers.dropUnreadable(ListRevision(item.revision), id)) {
             m_serverItems.erase(item.name);
             m_isChanged = true;
         }
         return;
     }
-    if (!isServiceKnown(*server))
-        logRefused(item, "it names a service that the configuration has not");
     if (server->state == ServerState::Draining)
         noteLeaving(hashOf(server->life()), now + leavingToldFor);
     bool isNew = m_servers.put(ListRevision(item.revision), *server);
-    auto* known = m_servers.find(id);
-    if (known && *known == *server)
-        m_serverItems[item.name] = item;
+    keepDocument(item, *server);
     if (!isNew)
         return;
     m_isChanged = true;
@@ -232,45 +226,51 @@
     }
 }
 
-Result<BackendServer> ControlState::decodeServer(const PublishedItem& item) const
+/// Nothing for an entry that can't be read. Why it names no server to use is logged.
+std::optional<BackendServer> ControlState::decodeServer(const PublishedItem& item)
 {
-    if (!item.problem.empty())
-        return Error { ErrorCode::MalformedInput, item.problem };
-    return m_decoders.decodeServer(item.name, item.document);
+    if (!item.problem.empty()) {
+        logRefused(item, item.problem);
+        return std::nullopt;
+    }
+    auto server = m_decoders.decodeServer(item.name, item.document);
+    if (!server) {
+        logRefused(item, server.error().message);
+        return std::nullopt;
+    }
+    if (!isServiceKnown(*server))
+        logRefused(item, "it names a service that the configuration has not");
+    return *server;
 }
 
 std::vector<BackendServer> ControlState::decodeServers(const PublishedItems& items)
 {
     std::vector<BackendServer> servers;
     for (auto& item : items.items) {
-        auto server = decodeServer(item);
-        if (!server) {
-            logRefused(item, server.error().message);
-            continue;
-        }
-        if (!isServiceKnown(*server))
-            logRefused(item, "it names a service that the configuration has not");
-        servers.push_back(*server);
+        if (auto server = decodeServer(item))
+            servers.push_back(std::move(*server));
     }
     return servers;
 }
 
-/// Keeps for each server that is in use the document that says what is believed of it: the newest, but not one about a life
-/// that has ended.
+/// Keeps the document if it says what is believed of its server, which one about a life that has ended doesn't.
+void ControlState::keepDocument(const PublishedItem& item, const BackendServer& decoded)
+{
+    auto* known = m_servers.find(decoded.id);
+    if (known && *known == decoded)
+        m_serverItems[item.name] = item;
+}
+
+/// The same for a whole list, of which `decoded` are the entries that could be read, in their order; documents of servers
+/// that are not in use any more go.
 void ControlState::keepDocuments(const PublishedItems& items, const std::vector<BackendServer>& decoded)
 {
-    std::map<std::string, PublishedItem> kept;
-    for (auto& server : m_servers.servers()) {
-        auto& name = server.id.value();
-        bool isInList = std::find(decoded.begin(), decoded.end(), server) != decoded.end();
-        auto listed = std::find_if(items.items.begin(), items.items.end(), [&](auto& it) { return it.name == name; });
-        auto before = m_serverItems.find(name);
-        if (isInList && listed != items.items.end())
-            kept[name] = *listed;
-        else if (before != m_serverItems.end())
-            kept[name] = before->second;
+    std::erase_if(m_serverItems, [this](auto& it) { return !m_servers.find(BackendServerId(it.first)); });
+    auto item = items.items.begin();
+    for (auto& server : decoded) {
+        item = std::find_if(item, items.items.end(), [&](auto& it) { return it.name == server.id.value(); });
+        keepDocument(*item++, server);
     }
-    m_serverItems = std::move(kept);
 }
 
 /// Failure: another writer fills the list with what can't be used, and each reading of the list logs all of it. One line for
@@ -291,12 +291,6 @@
     return !m_configuration || m_configuration->findService(server.service);
 }
 
-ServerHash ControlState::hashOfKnown(const BackendServerId& id) const
-{
-    auto* server = m_servers.find(id);
-    return hashOf(server ? server->life() : ServerLife { id, {} });
-}
-
 void ControlState::pullIfBehind(TimePoint now, const Hello& hello, Effects& effects)
 {
     auto pull = [&](Topic topic) {
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -116,12 +116,12 @@
     void onPeerAnswered(TimePoint now, const control::PeerAnswered& event);
     void takeConfiguration(const PublishedItem& item, std::string_view source);
     void takeServer(const PublishedItem& item, TimePoint now);
-    Result<BackendServer> decodeServer(const PublishedItem& item) const;
+    std::optional<BackendServer> decodeServer(const PublishedItem& item);
     std::vector<BackendServer> decodeServers(const PublishedItems& items);
+    void keepDocument(const PublishedItem& item, const BackendServer& decoded);
     void keepDocuments(const PublishedItems& items, const std::vector<BackendServer>& decoded);
     void logRefused(const PublishedItem& item, std::string_view problem);
     bool isServiceKnown(const BackendServer& server) const;
-    ServerHash hashOfKnown(const BackendServerId& id) const;
     void pullIfBehind(TimePoint now, const Hello& hello, control::Effects& effects);
     void onRankNews(TimePoint now, const RankNews& news);
     void sendBriefs(TimePoint now, control::Effects& effects);
--- a/src/gateway/server-book.cc
+++ b/src/gateway/server-book.cc
@@ -93,20 +93,21 @@
     return m_entries.erase(id) > 0;
 }
 
-bool ServerBook::remove(TimePoint now, ListRevision revision, const BackendServerId& id)
+std::optional<ServerLife> ServerBook::remove(TimePoint now, ListRevision revision, const BackendServerId& id)
 {
     if (revision < m_revision)
-        return false;
+        return std::nullopt;
     m_revision = revision;
     auto it = m_entries.find(id);
     if (it == m_entries.end())
-        return false;
+        return std::nullopt;
     if (auto grace = graceUntil(now)) {
         it->second.goneAt = grace;
-        return false;
+        return std::nullopt;
     }
+    auto life = it->second.server.life();
     m_entries.erase(it);
-    return true;
+    return life;
 }
 
 void ServerBook::advance(ListRevision revision)
--- a/src/gateway/server-book.h
+++ b/src/gateway/server-book.h
@@ -30,8 +30,8 @@
     bool setAllFromPeer(ListRevision revision, const std::vector<BackendServer>& servers);
     /// One entry was written, as of `revision`.
     bool put(ListRevision revision, const BackendServer& server);
-    /// One entry was removed, as of `revision`.
-    bool remove(TimePoint now, ListRevision revision, const BackendServerId& id);
+    /// One entry was removed, as of `revision`. Gives the life that is gone; nothing when it may have lapsed only.
+    std::optional<ServerLife> remove(TimePoint now, ListRevision revision, const BackendServerId& id);
     /// One entry was written, as of `revision`, and names no server that can be used. True when it named one before.
     bool dropUnreadable(ListRevision revision, const BackendServerId& id);
     void advance(ListRevision revision);
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -114,17 +114,24 @@
     auto now = Clock::now();
     for (auto& [id, list] : m_idle)
         list.remove_if([&](auto& idle) { return idle.idleUntil <= now; });
-    std::erase_if(m_idle, [&](auto& it) { return std::none_of(servers.begin(), servers.end(), [&](auto& server) { return server.life() == it.first; }); });
-    breakEnded(servers);
+    Starts listed;
+    for (auto& server : servers)
+        listed[server.id] = server.startedAt;
+    auto isListed = [&](const ServerLife& life) {
+        auto it = listed.find(life.id);
+        return it != listed.end() && it->second == life.startedAt;
+    };
+    std::erase_if(m_idle, [&](auto& it) { return !isListed(it.first); });
+    breakEnded(listed);
 }
 
 /// Failure: a server's process died behind a silent link and started again under its id. Its old connections never tell;
 /// requests on them would wait for their deadlines. Shut down, each ends at once as lost, and what may run again does.
-void UpstreamPool::breakEnded(const std::vector<BackendServer>& servers)
+void UpstreamPool::breakEnded(const Starts& listed)
 {
     for (auto* connection : *m_open) {
-        auto& life = connection->server;
-        bool hasEnded = std::any_of(servers.begin(), servers.end(), [&](auto& it) { return it.id == life.id && it.startedAt > life.startedAt; });
+        auto it = listed.find(connection->server.id);
+        bool hasEnded = it != listed.end() && it->second > connection->server.startedAt;
         if (!hasEnded)
             continue;
         boost::system::error_code ec;
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -67,7 +67,9 @@
 
     boost::asio::awaitable<void> watch(ServerLife server, std::uint64_t number);
     void drop(const ServerLife& server, std::uint64_t number);
-    void breakEnded(const std::vector<BackendServer>& servers);
+    /// Start of each server that is listed, by id.
+    using Starts = std::map<BackendServerId, ServerStart>;
+    void breakEnded(const Starts& listed);
 
     boost::asio::io_context& m_ioContext;
     std::map<ServerLife, std::list<Idle>> m_idle;
--- a/test/control-state_test.cc
+++ b/test/control-state_test.cc
@@ -46,9 +46,8 @@
             document = "ready";
         }
         // "ID@N" is an engine at an address of its own.
-        if (auto at = id.find('@'); at != std::string_view::npos) {
+        if (auto at = id.find('@'); at != std::string_view::npos)
             server.address = endpoint(static_cast<unsigned>(std::stoul(std::string(id.substr(at + 1)))));
-        }
         server.state = document == "ready" ? ServerState::Ready : ServerState::Draining;
         return server;
     };
--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -54,6 +54,12 @@
         return out;
     }
 
+    void setAllServers(ServerMode mode)
+    {
+        for (std::size_t n = 0; n < platform.servers(); ++n)
+            platform.setServerMode(n, mode);
+    }
+
     std::string settings() const { return folder.path() + "/entry.ini"; }
     std::string logFile() const { return folder.path() + "/entry.log"; }
     std::string log() const
@@ -135,8 +141,7 @@
     EntryRig rig;
     rig.start();
     REQUIRE(rig.isReady());
-    for (std::size_t n = 0; n < rig.platform.servers(); ++n)
-        rig.platform.setServerMode(n, ServerMode::Silent);
+    rig.setAllServers(ServerMode::Silent);
     boost::asio::io_context io;
     std::vector<boost::asio::ip::tcp::socket> callers;
     auto colon = rig.clients.find(':');
@@ -182,11 +187,9 @@
     EntryRig rig;
     rig.start();
     REQUIRE(rig.isReady());
-    for (std::size_t n = 0; n < rig.platform.servers(); ++n)
-        rig.platform.setServerMode(n, ServerMode::LosingAnswers);
+    rig.setAllServers(ServerMode::LosingAnswers);
     CHECK(call(rig.request("once", "e1")).head.result_int() == 502);
-    for (std::size_t n = 0; n < rig.platform.servers(); ++n)
-        rig.platform.setServerMode(n, ServerMode::Full);
+    rig.setAllServers(ServerMode::Full);
     CHECK(call(rig.request("once", "e2")).head.result_int() == 503);
     CHECK(call(rig.request("once", "e3", "revoked")).head.result_int() == 401);
     auto explained = [&](const std::string& id) { return ctl::ran({ "explain", id, rig.logFile() }); };
