Measure the time of a step over 200 ms at least

Cause: the step time was taken from the last two reports that showed new steps. With 64 ranks two of them are often read a millisecond apart, on both sides of a step's begin; a step passed for a millisecond and the switch was put up to 64 steps ahead. The test fails without the change (switch at step 214 with 129 begun).

--- a/include/swiftloft/expertmap/coordinator.h
+++ b/include/swiftloft/expertmap/coordinator.h
@@ -101,6 +101,10 @@
         /// When positive, takes the place of `leadSteps` once the time of a step is known: the lead is as many steps as
         /// last at least this long. What the lead is for, arming all ranks, takes time and not steps.
         milliseconds leadTime { 0 };
+        /// The time of a step is measured over this long at least. Reports of two ranks that were read on both sides of a
+        /// step's begin come within a millisecond; measured between them a step passes for that short, and the switch is
+        /// put up to `maxLeadSteps` ahead: two of 70 changes of 64 ranks took 1.4 s, one nine seconds.
+        milliseconds stepMeasuredOver { 200 };
     };
 
     /// Fails with `InvalidArgument` when there is no rank, a time or lead is not positive, or the incarnation is zero.
--- a/src/expertmap/coordinator.cc
+++ b/src/expertmap/coordinator.cc
@@ -346,7 +346,7 @@
 
 void Coordinator::measureStep(TimePoint now, StepNumber newest)
 {
-    if (newest <= m_stepSeen)
+    if (newest <= m_stepSeen || now < m_stepSeenAt + m_options.stepMeasuredOver)
         return;
     if (m_stepSeenAt != TimePoint {})
         m_stepTime = (now - m_stepSeenAt) / static_cast<Clock::rep>(newest.value() - m_stepSeen.value());
--- a/test/expertmap-coordinator_test.cc
+++ b/test/expertmap-coordinator_test.cc
@@ -41,6 +41,8 @@
         }
         return given;
     }
+    /// Lets time pass in which nothing is asked.
+    void pass(milliseconds time) { m_now += time; }
     void want(MapVersion version)
     {
         std::vector<RankOrder> given;
@@ -251,6 +253,18 @@
     return 0;
 }
 
+/// The switch step of the first rank that is armed.
+StepNumber armedAt(Driver& driver)
+{
+    for (int n = 0; n < 20; ++n) {
+        for (auto& order : driver.tick()) {
+            if (auto* arm = std::get_if<Arm>(&order.order))
+                return arm->point.step;
+        }
+    }
+    return StepNumber();
+}
+
 } // namespace
 
 // Demand has shifted, and steps take three times as long until the map has followed. A lead counted in steps is then three
@@ -261,3 +275,32 @@
     CHECK(leadAt(milliseconds(40)) == 3);
     CHECK(leadAt(milliseconds(200)) == 1);
 }
+
+// Two ranks are read a millisecond apart, one before and one behind the begin of a step of 80 ms. A step passes for that short;
+// the switch is put 64 steps ahead, and the group runs on with uneven ranks for seconds.
+TEST_CASE("Coordinator: ranks read around the begin of a step don't make steps look short")
+{
+    Driver driver(milliseconds(85));
+    driver.tick(4);
+    auto enter = [&](std::uint64_t step) {
+        for (auto& status : driver.statuses)
+            status.entered = StepNumber(step);
+    };
+    // Ranks are read every other step, the second one just after the step that the first one showed.
+    for (std::uint64_t step = 100; step < 130; step += 2) {
+        driver.pass(milliseconds(159));
+        enter(step);
+        driver.hello(0);
+        driver.pass(milliseconds(1));
+        enter(step + 1);
+        driver.hello(1);
+    }
+    driver.want(second);
+    for (auto& status : driver.statuses)
+        status.staged.push_back(second);
+    auto newest = driver.statuses[0].entered;
+    auto point = armedAt(driver);
+    INFO("switch at step " << point.value() << ", step " << newest.value() << " has begun");
+    CHECK(point.value() > newest.value());
+    CHECK(point.value() <= newest.value() + 3);
+}
