--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -1,5 +1,6 @@
 #include "src/agent/rank-daemon.h"
 
+#include "src/gateway/news-metrics.h"
 #include "src/log/logger.h"
 #include "src/log/problem.h"
 #include "src/process/signals.h"
@@ -144,6 +145,7 @@
 {
     auto onNews = [this](const gateway::NewsSocket::UdpEndpoint& from, gateway::NewsMessage message) { this->onNews(from, std::move(message)); };
     m_news = gateway::NewsSocket::create(ioContext, settings.news, onNews).value();
+    m_news->setOnMoved(gateway::countInto(m_metrics, "swiftloft_agent"));
     m_pages.add("/metrics", [this] { return process::StatusAnswer { 200, "text/plain; version=0.0.4", m_metrics.text() }; });
     co_spawn(ioContext, poll(), asio::detached);
 }
@@ -384,13 +386,13 @@
     std::erase_if(m_entries, [&](auto& it) { return it.second + entryFor < now; });
     auto bytes = encode(gateway::NewsMessage(news));
     for (auto& [address, heardAt] : m_entries)
-        m_news->sendEncoded(address, bytes);
+        m_news->sendEncoded(address, gateway::NewsKind::Rank, bytes);
     // Until an entry has spoken, those of the settings are told: after a loss of power all begin at once, and the group
     // has no map of its own before its ranks know each other.
     if (!m_entries.empty())
         return;
     for (auto& address : m_settings.entries)
-        m_news->sendEncoded(address, bytes);
+        m_news->sendEncoded(address, gateway::NewsKind::Rank, bytes);
 }
 
 void RankDaemon::planIfIdle(TimePoint now)
--- a/src/gateway/entry-daemon.cc
+++ b/src/gateway/entry-daemon.cc
@@ -1,6 +1,7 @@
 #include "src/gateway/entry-daemon.h"
 
 #include "src/gateway/control-state.h"
+#include "src/gateway/news-metrics.h"
 #include "src/gateway/store-follower.h"
 #include "src/gateway/traffic.h"
 #include "src/log/logger.h"
@@ -42,7 +43,7 @@
 /// The control thread: carries out the effects of `ControlState` and feeds it events.
 class EntryControl {
 public:
-    EntryControl(const EntrySettings& settings, const Protocol& protocol, const StoreFactory& makeStore, const process::SharedMetrics& metrics, Incarnation incarnation, Traffic& traffic)
+    EntryControl(const EntrySettings& settings, const Protocol& protocol, const StoreFactory& makeStore, process::SharedMetrics& metrics, Incarnation incarnation, Traffic& traffic)
         : m_settings(settings)
         , m_traffic(traffic)
         , m_store(makeStore(m_ioContext))
@@ -56,6 +57,7 @@
         , m_servers(m_ioContext, m_store, Topic::Servers, [this](auto& event) { apply(event); })
     {
         m_news = NewsSocket::create(m_ioContext, settings.peers, [this](auto&, NewsMessage message) { onNews(std::move(message)); }).value();
+        m_news->setOnMoved(countInto(metrics, "swiftloft_entry"));
         for (auto topic : { Topic::Configuration, Topic::Servers })
             m_pages.add(pageOf(topic), [this, topic] { return publishedPage(topic); });
         m_metricsPages.add("/metrics", [&metrics] { return process::StatusAnswer { 200, "text/plain; version=0.0.4", metrics.text() }; });
@@ -89,7 +91,7 @@
     {
         auto bytes = encode(NewsMessage(effect.hello));
         for (auto& target : effect.to)
-            m_news->sendEncoded(target, bytes);
+            m_news->sendEncoded(target, NewsKind::Hello, bytes);
     }
 
     void perform(const control::SendBrief& effect)
--- a/src/gateway/news.cc
+++ b/src/gateway/news.cc
@@ -216,6 +216,26 @@
     return ServerHash(XXH3_64bits_withSeed(id.data(), id.size(), life.startedAt.value()));
 }
 
+std::string_view toString(NewsKind kind)
+{
+    switch (kind) {
+    case NewsKind::Hello:
+        return "hello";
+    case NewsKind::Load:
+        return "load";
+    case NewsKind::Rank:
+        return "rank";
+    case NewsKind::Brief:
+        return "brief";
+    }
+    return "unknown";
+}
+
+NewsKind kindOf(const NewsMessage& message)
+{
+    return static_cast<NewsKind>(message.index());
+}
+
 std::string encode(const NewsMessage& message)
 {
     capnp::MallocMessageBuilder builder;
@@ -295,16 +315,18 @@
 
 void NewsSocket::send(const Endpoint& to, const NewsMessage& message)
 {
-    sendEncoded(to, encode(message));
+    sendEncoded(to, kindOf(message), encode(message));
 }
 
-void NewsSocket::sendEncoded(const Endpoint& to, const std::string& bytes)
+void NewsSocket::sendEncoded(const Endpoint& to, NewsKind kind, const std::string& bytes)
 {
     if (bytes.size() > maxDatagram)
         return;
     // Lost datagrams are part of the protocol: every message is repeated, and its receiver judges by what arrives.
     boost::system::error_code ec;
     m_socket.send_to(asio::buffer(bytes), UdpEndpoint(to.address(), to.port()), 0, ec);
+    if (m_onMoved)
+        m_onMoved(kind, Direction::Sent, bytes.size());
 }
 
 void NewsSocket::stop()
@@ -329,6 +351,8 @@
         // Other errors tell of an earlier datagram that found no receiver; the socket goes on.
         if (!ec) {
             auto message = decodeNews(self->m_buffer.data(), size);
+            if (message && self->m_onMoved)
+                self->m_onMoved(kindOf(*message), Direction::Received, size);
             if (message)
                 self->m_handler(self->m_sender, std::move(*message));
         }
--- a/src/gateway/news.h
+++ b/src/gateway/news.h
@@ -118,6 +118,16 @@
 
 using NewsMessage = std::variant<Hello, LoadNews, RankNews, GroupBrief>;
 
+/// The kinds of message, in the order of `NewsMessage`.
+enum class NewsKind : std::uint8_t {
+    Hello,
+    Load,
+    Rank,
+    Brief,
+};
+std::string_view toString(NewsKind kind);
+NewsKind kindOf(const NewsMessage& message);
+
 std::string encode(const NewsMessage& message);
 /// Fails with `MalformedInput` on anything that `encode` could not have made. `words` must be aligned to 8 bytes.
 Result<NewsMessage> decodeNews(const void* words, std::size_t size);
@@ -130,13 +140,20 @@
 public:
     using UdpEndpoint = boost::asio::ip::udp::endpoint;
     using Handler = std::function<void(const UdpEndpoint& from, NewsMessage message)>;
+    enum class Direction : std::uint8_t {
+        Sent,
+        Received,
+    };
+    using OnMoved = std::function<void(NewsKind kind, Direction direction, std::size_t bytes)>;
 
     /// Fails with `Unavailable` when `endpoint` can't be bound.
     static Result<std::shared_ptr<NewsSocket>> create(boost::asio::io_context& ioContext, const Endpoint& endpoint, Handler handler);
 
     /// What can't be sent now is dropped.
     void send(const Endpoint& to, const NewsMessage& message);
-    void sendEncoded(const Endpoint& to, const std::string& bytes);
+    void sendEncoded(const Endpoint& to, NewsKind kind, const std::string& bytes);
+    /// Called for each datagram sent or read; what control takes of a link is seen by it.
+    void setOnMoved(OnMoved hook) { m_onMoved = std::move(hook); }
     void stop();
     Endpoint localEndpoint() const;
 
@@ -146,6 +163,7 @@
 
     boost::asio::ip::udp::socket m_socket;
     Handler m_handler;
+    OnMoved m_onMoved;
     UdpEndpoint m_sender;
     /// Words, as Cap'n Proto reads in place.
     std::vector<std::uint64_t> m_buffer;
--- a/src/gateway/traffic.cc
+++ b/src/gateway/traffic.cc
@@ -1,5 +1,6 @@
 #include "src/gateway/traffic.h"
 
+#include "src/gateway/news-metrics.h"
 #include "src/log/logger.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -57,6 +58,7 @@
             m_desk.apply(dispatch::LoadArrived { std::move(*load) });
     };
     m_news = NewsSocket::create(m_ioContext, settings.load, onNews).value();
+    m_news->setOnMoved(countInto(metrics, "swiftloft_entry"));
     m_desk.setOnLoadChanged([this] { tellLoadsBy(std::max(Clock::now(), m_tellNotBefore)); });
     auto page = [this](asio::ip::tcp::socket socket) { return servePage(std::move(socket)); };
     listen(m_ready, settings.ready, page);
@@ -242,7 +244,7 @@
     for (auto& entry : m_snapshot->entries) {
         if (m_snapshot->sharesLoadNearby && entry.dataCentre != m_settings.dataCentre)
             continue;
-        m_news->sendEncoded(Endpoint(entry.control.address(), m_settings.load.port()), bytes);
+        m_news->sendEncoded(Endpoint(entry.control.address(), m_settings.load.port()), NewsKind::Load, bytes);
         ++told;
     }
     m_tellNotBefore = now + std::max(tellAtMostEvery, told * tellPauseForEach);
