--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -359,8 +359,10 @@
 asio::awaitable<void> RankDaemon::tellCounts()
 {
     auto now = Clock::now();
+    // Also before the first step: what is counted in it then tells at once which experts are in demand.
     bool isMapNew = m_view && m_heldTold != m_view->map;
-    if (!m_member || !m_view || m_view->step == m_countsToldAt || (now < m_tellCountsAt && !isMapNew))
+    bool isDue = m_view && m_view->step != m_countsToldAt && now >= m_tellCountsAt;
+    if (!m_member || (!isMapNew && !isDue))
         co_return;
     m_countsToldAt = m_view->step;
     auto shape = m_member->options().shape;
--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -106,6 +106,9 @@
 void ControlState::chooseWatching(TimePoint now, Effects& effects)
 {
     bool isAnswered = m_isWatching && m_hasStoreAnswered && !m_isStoreAway[Topic::Configuration] && !m_isStoreAway[Topic::Servers];
+    // Told at once: others that have just started cease to watch when they hear that enough do.
+    if (isAnswered != m_entries.self().isWatching)
+        m_helloAt = std::min(m_helloAt, now + watchToldWithin);
     m_entries.setWatching(isAnswered);
     bool hasListed = m_hasStoreAnswered || now >= m_storeAwaitedUntil;
     bool isNeeded = m_entries.shouldWatch(now) || !hasListed || (m_isWatching && now < m_watchAtLeastUntil);
@@ -384,13 +387,18 @@
     return servers;
 }
 
+bool ControlState::isNear(const BackendServer& server) const
+{
+    return server.dataCentre == m_entries.self().dataCentre;
+}
+
 void ControlState::sendBriefs(TimePoint now, Effects& effects)
 {
     for (auto& server : usableServers()) {
         auto* service = m_configuration->findService(server.service);
         bool hasMap = service && service->engine && service->engine->layers > 0;
         if (hasMap)
-            effects.push_back(SendBrief { server.address, m_ranks.nextBrief(now, server.address, *service->engine) });
+            effects.push_back(SendBrief { server.address, m_ranks.nextBrief(now, server.address, *service->engine, isNear(server)) });
     }
 }
 
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -83,6 +83,8 @@
     /// after it.
     static constexpr milliseconds helloEvery { 400 };
     static constexpr milliseconds watchAtLeast { 3000 };
+    /// That this entry is answered by the store, or not any more, is told within this: the two topics change together.
+    static constexpr milliseconds watchToldWithin { 50 };
     /// Word that a server leaves is passed on for this long: several rounds of hellos, and longer than any list lags.
     static constexpr milliseconds leavingToldFor { 6000 };
     /// An entry that starts takes the word of its peers when the store has not answered for this long: a healthy store
@@ -132,6 +134,7 @@
     void keepDocument(const PublishedItem& item, const BackendServer& decoded);
     void keepDocuments(const PublishedItems& items, const std::vector<BackendServer>& decoded);
     void logRefused(const PublishedItem& item, std::string_view problem);
+    bool isNear(const BackendServer& server) const;
     bool isServiceKnown(const BackendServer& server) const;
     void pullIfBehind(TimePoint now, const Hello& hello, control::Effects& effects);
     void onHello(TimePoint now, const Hello& hello, control::Effects& effects);
--- a/src/gateway/entry-daemon.cc
+++ b/src/gateway/entry-daemon.cc
@@ -13,6 +13,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
 
 #include <random>
 #include <thread>
@@ -27,6 +28,10 @@
 constexpr const char* serversPage = "/published/servers";
 /// A pull crosses a data centre in milliseconds; a peer that takes longer is cut off.
 constexpr milliseconds pullWithin { 800 };
+/// A starting entry lists the servers after this long, and up to `listSpread` later: by then it has heard of its neighbours.
+/// Engines that lost power with it take a second and more until they serve again.
+constexpr milliseconds listAtStartAfter { 60 };
+constexpr milliseconds listSpread { 400 };
 /// What is left of the time to stop for the end of the process itself.
 constexpr milliseconds stopMargin { 700 };
 
@@ -61,8 +66,8 @@
         for (auto topic : { Topic::Configuration, Topic::Servers })
             m_pages.add(pageOf(topic), [this, topic] { return publishedPage(topic); });
         m_metricsPages.add("/metrics", [&metrics] { return process::StatusAnswer { 200, "text/plain; version=0.0.4", metrics.text() }; });
-        m_configuration.start();
-        m_servers.start();
+        m_configuration.start(Clock::now());
+        m_servers.start(firstServerList());
         tick();
     }
 
@@ -75,6 +80,16 @@
     }
 
 private:
+    /// Failure: hundreds of entries start together, and each lists all servers at the store, in several pages. Spread, the
+    /// first ones list and tell, and the others fetch the list from their neighbours. The configuration is a single item,
+    /// and is asked for at once: it must not come from a peer that is cut off.
+    static TimePoint firstServerList()
+    {
+        policy::Generator generator(std::random_device {}());
+        boost::random::uniform_int_distribution<int> spread(0, static_cast<int>(listSpread.count()));
+        return Clock::now() + listAtStartAfter + milliseconds(spread(generator));
+    }
+
     void apply(const control::Event& event)
     {
         auto effects = m_state.apply(Clock::now(), event);
--- a/src/gateway/rank-board.cc
+++ b/src/gateway/rank-board.cc
@@ -14,6 +14,9 @@
     bool isNewEpoch = it == m_ranks.end() || it->second.news.epoch != news.epoch || it->second.news.group != news.group;
     bool isChange = isNewEpoch || it->second.news.isOpen != news.isOpen;
     m_ranks[news.address] = { news, now };
+    auto& formation = m_formations.try_emplace(news.group, Formation { news.epoch, now }).first->second;
+    if (formation.epoch < news.epoch)
+        formation = { news.epoch, now };
     if (!news.isOpen)
         return { isChange, isNewEpoch };
     auto& open = m_openEpochs.try_emplace(news.group, GroupEpoch(0)).first->second;
@@ -90,13 +93,16 @@
     return brief;
 }
 
-GroupBrief RankBoard::nextBrief(TimePoint now, const Endpoint& address, const EngineTraits& traits)
+GroupBrief RankBoard::nextBrief(TimePoint now, const Endpoint& address, const EngineTraits& traits, bool isNear)
 {
     auto rank = m_ranks.find(address);
     bool isHeard = rank != m_ranks.end() && rank->second.heardAt + newsFor > now;
     if (!isHeard)
         return {};
     auto& news = rank->second.news;
+    bool isLeftToOthers = !isNear && (news.knowsGroup || now < m_formations.at(news.group).heardAt + nearToldWithin);
+    if (isLeftToOthers)
+        return {};
     auto brief = briefOf(now, news, traits);
     auto& told = m_told[address];
     bool isNew = told.group != news.group || told.epoch != news.epoch || told.ranks < brief.ranks.size();
--- a/src/gateway/rank-board.h
+++ b/src/gateway/rank-board.h
@@ -23,6 +23,9 @@
     /// An agent that says that it knows its group is told of it again after this long, lest a change was lost.
     static constexpr milliseconds toldAgainAfter { 10'000 };
 
+    /// The entries of an agent's own data centre have told it of a new group within this time, if they live.
+    static constexpr milliseconds nearToldWithin { 1000 };
+
     struct Change {
         /// The rank has opened or closed, or has come up in another group or epoch.
         bool isChange { false };
@@ -43,8 +46,10 @@
     std::vector<Snapshot::ClosedElsewhere> closedElsewhere(TimePoint now) const;
 
     /// What to tell the agent of the engine at `address`: its group when that has changed or the agent does not know it, else
-    /// a brief without ranks, by which the agent learns whom to tell of itself.
-    GroupBrief nextBrief(TimePoint now, const Endpoint& address, const EngineTraits& traits);
+    /// a brief without ranks, by which the agent learns whom to tell of itself. Where `isNear` is false, the group is told
+    /// only to an agent that has lacked it for `nearToldWithin`: when 192 ranks come up together, ten entries that tell all
+    /// of them send each agent some 60 KB, a tenth of a second of its link.
+    GroupBrief nextBrief(TimePoint now, const Endpoint& address, const EngineTraits& traits, bool isNear);
 
 private:
     struct Told {
@@ -53,6 +58,10 @@
         std::size_t ranks { 0 };
         TimePoint againAt;
     };
+    struct Formation {
+        GroupEpoch epoch;
+        TimePoint heardAt;
+    };
 
     /// True when the rank does not take requests, by all that is known of its group.
     bool isClosed(const RankNews& news) const;
@@ -61,6 +70,8 @@
     std::map<Endpoint, Snapshot::Rank> m_ranks;
     /// Newest epoch of each group in which a rank was open.
     std::map<EngineGroupName, GroupEpoch> m_openEpochs;
+    /// Newest epoch of each group that was heard of, and when first.
+    std::map<EngineGroupName, Formation> m_formations;
     std::map<Endpoint, std::vector<Snapshot::ClosedElsewhere>> m_closedBy;
     /// What each agent was told of its group last.
     std::map<Endpoint, Told> m_told;
--- a/src/gateway/store-follower.cc
+++ b/src/gateway/store-follower.cc
@@ -20,9 +20,9 @@
 {
 }
 
-void StoreFollower::start()
+void StoreFollower::start(TimePoint notBefore)
 {
-    co_spawn(m_ioContext, follow(), asio::detached);
+    co_spawn(m_ioContext, follow(notBefore), asio::detached);
 }
 
 void StoreFollower::setActive(bool isActive)
@@ -38,8 +38,9 @@
     m_timer.cancel();
 }
 
-asio::awaitable<void> StoreFollower::follow()
+asio::awaitable<void> StoreFollower::follow(TimePoint notBefore)
 {
+    co_await pauseUntil(notBefore);
     while (!m_isStopped) {
         if (!m_isActive) {
             m_timer.expires_at(TimePoint::max());
--- a/src/gateway/store-follower.h
+++ b/src/gateway/store-follower.h
@@ -32,13 +32,14 @@
 
     StoreFollower(boost::asio::io_context& ioContext, const Store& store, Topic topic, OnEvent onEvent);
 
-    void start();
+    /// Makes the first call at `notBefore`, unless it is made inactive until then.
+    void start(TimePoint notBefore);
     /// While off, no call is made; on again, the topic is listed anew.
     void setActive(bool isActive);
     void stop();
 
 private:
-    boost::asio::awaitable<void> follow();
+    boost::asio::awaitable<void> follow(TimePoint notBefore);
     boost::asio::awaitable<void> step();
     boost::asio::awaitable<void> pauseAfterFailure();
     boost::asio::awaitable<void> pauseUntil(TimePoint time);
--- a/test/rank-board_test.cc
+++ b/test/rank-board_test.cc
@@ -29,21 +29,21 @@
 {
     RankBoard board;
     EngineTraits traits;
-    CHECK(board.nextBrief(start, endpoint(0), traits).ranks.empty());
+    CHECK(board.nextBrief(start, endpoint(0), traits, true).ranks.empty());
     for (unsigned rank = 0; rank < 63; ++rank)
         board.onNews(start, news(rank));
-    CHECK(board.nextBrief(start, endpoint(0), traits).ranks.size() == 63);
+    CHECK(board.nextBrief(start, endpoint(0), traits, true).ranks.size() == 63);
     // The datagram was lost: the agent still says that it does not know.
-    CHECK(board.nextBrief(start, endpoint(0), traits).ranks.size() == 63);
+    CHECK(board.nextBrief(start, endpoint(0), traits, true).ranks.size() == 63);
     board.onNews(start, news(63));
-    CHECK(board.nextBrief(start, endpoint(0), traits).ranks.size() == 64);
+    CHECK(board.nextBrief(start, endpoint(0), traits, true).ranks.size() == 64);
     board.onNews(start, news(0, 1, true, true));
-    CHECK(board.nextBrief(start, endpoint(0), traits).ranks.empty());
+    CHECK(board.nextBrief(start, endpoint(0), traits, true).ranks.empty());
     board.onNews(start + milliseconds(1), news(0, 2, true, true));
-    CHECK(board.nextBrief(start + milliseconds(1), endpoint(0), traits).epoch == GroupEpoch(2));
+    CHECK(board.nextBrief(start + milliseconds(1), endpoint(0), traits, true).epoch == GroupEpoch(2));
     auto later = start + RankBoard::toldAgainAfter + milliseconds(1);
     board.onNews(later, news(0, 2, true, true));
-    CHECK(board.nextBrief(later, endpoint(0), traits).ranks.size() == 1);
+    CHECK(board.nextBrief(later, endpoint(0), traits, true).ranks.size() == 1);
 }
 
 // A rank is lost and its group turns requests away until it has formed again. Agents tell two entries of a data centre; an
@@ -96,3 +96,18 @@
     board.onNews(start + milliseconds(90), news(17, 2, false));
     CHECK(board.closed(start + milliseconds(90)).size() == 1);
 }
+
+// All engines come up together. Told by every entry that it speaks to, each agent gets its group ten times over, and its orders
+// wait behind that. Entries of other data centres step in only where the near ones are gone.
+TEST_CASE("RankBoard: an agent of another data centre is told when nobody else has told it")
+{
+    RankBoard board;
+    EngineTraits traits;
+    for (unsigned rank = 0; rank < 64; ++rank)
+        board.onNews(start, news(rank));
+    CHECK(board.nextBrief(start, endpoint(0), traits, false).ranks.empty());
+    auto later = start + RankBoard::nearToldWithin;
+    CHECK(board.nextBrief(later, endpoint(0), traits, false).ranks.size() == 64);
+    board.onNews(later, news(1, 1, true, true));
+    CHECK(board.nextBrief(later, endpoint(1), traits, false).ranks.empty());
+}
