--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -373,7 +373,7 @@
     if (!m_member || !m_view)
         co_return;
     m_heldTold = counts.map;
-    RankLoads loads { m_view->rank, RankEngine::lifeOf(*m_view), m_countsToldAt, counts.map, heldIn(counts, shape), {}, m_view->pace };
+    RankLoads loads { m_view->rank, RankEngine::lifeOf(*m_view), m_countsToldAt, counts.map, heldIn(counts, shape), {} };
     if (tellsTokens)
         std::transform(counts.tokens.begin(), counts.tokens.end(), std::back_inserter(loads.tokens), [](auto count) { return static_cast<std::uint32_t>(count); });
     m_member->sendLoads(loads);
