--- /dev/null
+++ b/src/agent/map-leader.cc
@@ -0,0 +1,100 @@
+#include "src/agent/map-leader.h"
+
+#include <boost/random/uniform_int_distribution.hpp>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+
+namespace swiftloft::agent {
+
+using namespace expertmap;
+
+namespace {
+
+/// A map's number is a count in the high bits and a random part below, so that coordinators that don't know of each other
+/// never give one number to two maps.
+constexpr unsigned versionRandomBits = 12;
+
+} // namespace
+
+MapLeader::MapLeader(LoadPlanning planning, std::uint64_t lastVersion, Hooks hooks)
+    : m_planning(std::move(planning))
+    , m_lastVersion(lastVersion)
+    , m_hooks(std::move(hooks))
+{
+}
+
+void MapLeader::onChanged(TimePoint now)
+{
+    m_wishUntil.reset();
+    m_planAgainAt = now + planPause;
+}
+
+void MapLeader::tick(TimePoint now, CoordinatorPhase phase, std::optional<MapVersion> prepared, policy::Generator& generator)
+{
+    m_planning.observe(now);
+    if (m_wishUntil && now >= *m_wishUntil) {
+        m_wishUntil.reset();
+        m_hooks.onGivenUp();
+    }
+    if (!mayPlan(now, phase))
+        return;
+    if (auto current = m_planning.current()) {
+        plan(now, *current, prepared, generator);
+        return;
+    }
+    std::vector<std::uint32_t> unknown;
+    for (auto rank : m_planning.unknownRanks())
+        unknown.push_back(rank.value());
+    sayUnplanned(now, "ranks-unknown", fmt::format("ranks={}", fmt::join(unknown, ",")));
+}
+
+bool MapLeader::mayPlan(TimePoint now, CoordinatorPhase phase) const
+{
+    if (phase != CoordinatorPhase::Idle || m_wishUntil)
+        return false;
+    auto shiftedAt = m_planning.planner().shiftedAt();
+    bool isSettled = !shiftedAt || *shiftedAt + settleFor <= now;
+    // A shift ends the pause after a refused plan.
+    bool hasShifted = shiftedAt && *shiftedAt + refusedPlanPause > m_planAgainAt;
+    return isSettled && (now >= m_planAgainAt || hasShifted);
+}
+
+void MapLeader::plan(TimePoint now, const VersionedMap& current, std::optional<MapVersion> prepared, policy::Generator& generator)
+{
+    auto& planner = m_planning.planner();
+    auto begunAt = Clock::now();
+    auto plan = planner.plan(current.map);
+    auto before = planner.imbalance(current.map);
+    m_hooks.onPlanned({ plan, before, Clock::now() - begunAt });
+    if (!plan.map) {
+        m_planAgainAt = now + refusedPlanPause;
+        sayUnplanned(now, plan.reason == PlanReason::NotKnown ? "demand-unknown" : "no-gain", fmt::format("imbalance={:.2f} gain={:.3f}", before, plan.gain));
+        return;
+    }
+    m_wishUntil = now + wishFor;
+    m_hooks.onWanted({ nextVersion(current, prepared, generator), *plan.map }, plan, before, planner.imbalance(*plan.map));
+}
+
+/// Failure: a leader that plans nothing looks like one that has nothing to plan, while the most loaded rank slows the whole
+/// group. What is said tells which of the two it is, and whose word is missing.
+void MapLeader::sayUnplanned(TimePoint now, std::string_view reason, const std::string& detail)
+{
+    if (now < m_unplannedSaidAt + unplannedSaidEvery)
+        return;
+    m_unplannedSaidAt = now;
+    m_hooks.onUnplanned(reason, detail);
+}
+
+MapVersion MapLeader::nextVersion(const VersionedMap& current, std::optional<MapVersion> prepared, policy::Generator& generator)
+{
+    auto highest = std::max(m_lastVersion, current.version.value());
+    if (prepared)
+        highest = std::max(highest, prepared->value());
+    boost::random::uniform_int_distribution<std::uint64_t> random(0, (1U << versionRandomBits) - 1);
+    m_lastVersion = (((highest >> versionRandomBits) + 1) << versionRandomBits) + random(generator);
+    return MapVersion(m_lastVersion);
+}
+
+} // namespace swiftloft::agent
--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -9,7 +9,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/random/uniform_int_distribution.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -42,25 +41,11 @@
 constexpr milliseconds tellClosedEvery { 400 };
 /// An entry that has sent no brief for this long is not told any more.
 constexpr milliseconds entryFor { 5000 };
-/// A map that is not in force after this long is given up: a rank can't load it, or the group stands.
-constexpr milliseconds wishFor { 4000 };
-/// Pause between two changes, in which the counts come to show what the last one did.
-constexpr milliseconds planPause { 60 };
-/// A plan that was not worth a change is not sought again for this long, unless demand shifts: the counts that come
-/// meanwhile change it little, and a search on a small share of a processor delays the reading of the engine.
-constexpr milliseconds refusedPlanPause { 250 };
-/// Why nothing is planned is logged this often at most.
-constexpr milliseconds unplannedLoggedEvery { 5000 };
 /// A rank that loads weights answers when it has them, or after this long: well below the time after which its agent holds
 /// the engine for lost.
 constexpr milliseconds stagedWithin { 120 };
 /// Pause between two looks at an engine that loads weights; copies take tens of milliseconds.
 constexpr milliseconds stagedLookEvery { 12 };
-/// Nothing is planned for so long after a shift of demand: the reports of one more look tell whether it is over.
-constexpr milliseconds settleFor { 45 };
-/// A map's number is a count in the high bits and a random part below, so that coordinators that don't know of each other
-/// never give one number to two maps.
-constexpr unsigned versionRandomBits = 12;
 /// Steps between the newest known one and the switch while it is not known how long steps take.
 constexpr std::uint64_t leadSteps = 2;
 /// Time from the choice of the switch step until all ranks are armed: two exchanges with an engine and one between
@@ -228,7 +213,8 @@
         m_isOrderInProgress = false;
     }
     co_await tellCounts();
-    planIfIdle(Clock::now());
+    if (m_leader && m_member && m_member->coordinator())
+        m_leader->tick(Clock::now(), m_member->coordinator()->phase(), m_view->prepared, m_generator);
 }
 
 void RankDaemon::onView(const EngineView& view)
@@ -270,13 +256,13 @@
         co_spawn(m_ioContext, perform(order, map ? std::optional(*map) : std::nullopt), asio::detached);
     };
     hooks.onLoads = [this](const RankLoads& loads) {
-        if (m_planning)
-            m_planning->onLoads(loads);
+        if (m_leader)
+            m_leader->onLoads(loads);
     };
     hooks.onChanged = [this](const SwitchPoint&) {
         m_metrics.count("swiftloft_agent_map_changes_total", {});
-        m_wishUntil.reset();
-        m_planAgainAt = Clock::now() + planPause;
+        if (m_leader)
+            m_leader->onChanged(Clock::now());
     };
     auto member = GroupMember::create(m_ioContext, options, std::move(hooks));
     if (!member) {
@@ -288,23 +274,49 @@
     m_engine->setOnSentAgain([this] { m_metrics.count("swiftloft_agent_orders_repeated_total", {}); });
     m_member = std::move(*member);
     learnAddresses(*m_brief);
-    if (m_view->rank == RankIndex(0)) {
-        ReplicaPlanner::Options planning;
-        planning.halfLife = m_settings.loadHalfLife;
-        planning.minGain = m_settings.leastGain;
-        planning.newPerRank = expertsWithin(m_settings.copyWithin, m_brief->traits);
-        planning.newPerRankAndLayer = std::max(m_brief->traits.spareSlots, 1U);
-        m_planning.emplace(options.shape, ReplicaPlanner::create(options.shape, planning).value());
-    }
+    if (m_view->rank == RankIndex(0))
+        beginLeading();
     m_member->start();
 }
 
+void RankDaemon::beginLeading()
+{
+    auto& shape = m_member->options().shape;
+    ReplicaPlanner::Options planning;
+    planning.halfLife = m_settings.loadHalfLife;
+    planning.minGain = m_settings.leastGain;
+    planning.newPerRank = expertsWithin(m_settings.copyWithin, m_brief->traits);
+    planning.newPerRankAndLayer = std::max(m_brief->traits.spareSlots, 1U);
+    auto group = m_member->options().group.value();
+    MapLeader::Hooks hooks;
+    hooks.onWanted = [this, group](const VersionedMap& map, const Plan& plan, double before, double after) {
+        log::write(log::Event::MapChangeWanted, "group={} version={:016x} experts={} gain={:.3f} imbalance={:.2f} planned={:.2f}", group, map.version.value(),
+            plan.moves.size(), plan.gain, before, after);
+        m_metrics.count("swiftloft_agent_experts_moved_total", {}, static_cast<double>(plan.moves.size()));
+        m_member->want(map);
+    };
+    hooks.onGivenUp = [this, group] {
+        log::write(log::Event::MapChangeGivenUp, "group={} phase={}", group, toString(m_member->coordinator()->phase()));
+        m_member->withdraw();
+    };
+    hooks.onPlanned = [this](const MapLeader::Planned& planned) {
+        m_metrics.observe("swiftloft_agent_plan_seconds", {}, std::chrono::duration<double>(planned.took).count());
+        m_metrics.count("swiftloft_agent_plans_total", { { "outcome", planned.plan.map ? "wanted" : "refused" } });
+        m_metrics.set("swiftloft_agent_rank_imbalance", {}, planned.imbalanceBefore);
+    };
+    hooks.onUnplanned = [group](std::string_view reason, const std::string& detail) {
+        log::write(log::Event::MapNotPlanned, "group={} reason={} {}", group, reason, detail);
+    };
+    m_leader.emplace(LoadPlanning(shape, ReplicaPlanner::create(shape, planning).value()), m_lastVersion, std::move(hooks));
+}
+
 void RankDaemon::endGroup()
 {
     if (m_engine)
         m_lastFence = m_engine->fence();
-    m_planning.reset();
-    m_wishUntil.reset();
+    if (m_leader)
+        m_lastVersion = m_leader->lastVersion();
+    m_leader.reset();
     m_engine.reset();
     m_countsToldAt = StepNumber();
     m_heldTold.reset();
@@ -397,89 +409,6 @@
         m_news->sendEncoded(address, gateway::NewsKind::Rank, bytes);
 }
 
-void RankDaemon::planIfIdle(TimePoint now)
-{
-    if (!m_planning || !m_member || !m_member->coordinator())
-        return;
-    m_planning->observe(now);
-    giveUpLateWish(now);
-    if (!mayPlan(now))
-        return;
-    auto current = m_planning->current();
-    if (!current) {
-        std::vector<std::uint32_t> unknown;
-        for (auto rank : m_planning->unknownRanks())
-            unknown.push_back(rank.value());
-        logUnplanned(now, "ranks-unknown", fmt::format("ranks={}", fmt::join(unknown, ",")));
-        return;
-    }
-    auto begunAt = Clock::now();
-    auto plan = m_planning->planner().plan(current->map);
-    auto took = std::chrono::duration<double>(Clock::now() - begunAt);
-    m_metrics.observe("swiftloft_agent_plan_seconds", {}, took.count());
-    m_metrics.count("swiftloft_agent_plans_total", { { "outcome", plan.map ? "wanted" : "refused" } });
-    m_metrics.set("swiftloft_agent_rank_imbalance", {}, m_planning->planner().imbalance(current->map));
-    if (plan.map) {
-        want(now, *current, plan);
-        return;
-    }
-    m_planAgainAt = now + refusedPlanPause;
-    auto imbalance = m_planning->planner().imbalance(current->map);
-    logUnplanned(now, plan.reason == PlanReason::NotKnown ? "demand-unknown" : "no-gain", fmt::format("imbalance={:.2f} gain={:.3f}", imbalance, plan.gain));
-}
-
-void RankDaemon::giveUpLateWish(TimePoint now)
-{
-    if (!m_wishUntil || now < *m_wishUntil)
-        return;
-    log::write(log::Event::MapChangeGivenUp, "group={} phase={}", m_member->options().group.value(), toString(m_member->coordinator()->phase()));
-    m_wishUntil.reset();
-    m_member->withdraw();
-}
-
-bool RankDaemon::mayPlan(TimePoint now) const
-{
-    bool isIdle = m_member->coordinator()->phase() == CoordinatorPhase::Idle;
-    if (!isIdle || m_wishUntil)
-        return false;
-    auto shiftedAt = m_planning->planner().shiftedAt();
-    bool isSettled = !shiftedAt || *shiftedAt + settleFor <= now;
-    // A shift ends the pause after a refused plan.
-    bool hasShifted = shiftedAt && *shiftedAt + refusedPlanPause > m_planAgainAt;
-    return isSettled && (now >= m_planAgainAt || hasShifted);
-}
-
-void RankDaemon::want(TimePoint now, const VersionedMap& current, const Plan& plan)
-{
-    VersionedMap next { nextVersion(current), *plan.map };
-    auto& planner = m_planning->planner();
-    log::write(log::Event::MapChangeWanted, "group={} version={:016x} experts={} gain={:.3f} imbalance={:.2f} planned={:.2f}", m_member->options().group.value(),
-        next.version.value(), plan.moves.size(), plan.gain, planner.imbalance(current.map), planner.imbalance(next.map));
-    m_metrics.count("swiftloft_agent_experts_moved_total", {}, static_cast<double>(plan.moves.size()));
-    m_wishUntil = now + wishFor;
-    m_member->want(next);
-}
-
-/// Failure: a leader that plans nothing looks like one that has nothing to plan, while the most loaded rank slows the whole
-/// group. The line tells which of the two it is, and whose word is missing.
-void RankDaemon::logUnplanned(TimePoint now, std::string_view reason, const std::string& detail)
-{
-    if (now < m_unplannedLoggedAt + unplannedLoggedEvery)
-        return;
-    m_unplannedLoggedAt = now;
-    log::write(log::Event::MapNotPlanned, "group={} reason={} {}", m_member->options().group.value(), reason, detail);
-}
-
-MapVersion RankDaemon::nextVersion(const VersionedMap& current)
-{
-    auto highest = std::max(m_lastVersion, current.version.value());
-    if (m_view && m_view->prepared)
-        highest = std::max(highest, m_view->prepared->value());
-    boost::random::uniform_int_distribution<std::uint64_t> random(0, (1U << versionRandomBits) - 1);
-    m_lastVersion = (((highest >> versionRandomBits) + 1) << versionRandomBits) + random(m_generator);
-    return MapVersion(m_lastVersion);
-}
-
 void runRankAgent(const gateway::AgentSettings& settings, const EnginePortFactory& makePort, Incarnation incarnation)
 {
     asio::io_context ioContext(1);
--- a/src/agent/rank-daemon.h
+++ b/src/agent/rank-daemon.h
@@ -2,7 +2,7 @@
 
 #include "src/agent/engine-port.h"
 #include "src/agent/group-member.h"
-#include "src/agent/load-planning.h"
+#include "src/agent/map-leader.h"
 #include "src/agent/rank-engine.h"
 #include "src/gateway/news.h"
 #include "src/gateway/settings.h"
@@ -44,14 +44,8 @@
     void endGroup();
     boost::asio::awaitable<void> tellCounts();
     void tellEntries(TimePoint now);
-    void planIfIdle(TimePoint now);
-    void giveUpLateWish(TimePoint now);
-    bool mayPlan(TimePoint now) const;
-    void want(TimePoint now, const expertmap::VersionedMap& current, const expertmap::Plan& plan);
-    /// Says why rank 0 plans nothing, at most once in `unplannedLoggedEvery`.
-    void logUnplanned(TimePoint now, std::string_view reason, const std::string& detail);
+    void beginLeading();
     boost::asio::awaitable<std::optional<expertmap::EngineStatus>> staged(std::shared_ptr<RankEngine> engine, MapVersion version, std::optional<expertmap::EngineStatus> status);
-    MapVersion nextVersion(const expertmap::VersionedMap& current);
     void learnAddresses(const gateway::GroupBrief& brief);
     expertmap::MapShape shapeOf(const gateway::GroupBrief& brief) const;
 
@@ -83,12 +77,10 @@
     /// Map whose experts were told last.
     std::optional<MapVersion> m_heldTold;
     TimePoint m_tellCountsAt;
-    std::optional<LoadPlanning> m_planning;
-    /// At rank 0: until when a wanted map must be in force, else it is given up.
-    std::optional<TimePoint> m_wishUntil;
+    /// At rank 0.
+    std::optional<MapLeader> m_leader;
+    /// The highest version that this agent has given to a map.
     std::uint64_t m_lastVersion { 0 };
-    TimePoint m_planAgainAt;
-    TimePoint m_unplannedLoggedAt;
 };
 
 /// Runs an agent until it is told to stop. Throws `Exception` when an address can't be bound.
--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -58,7 +58,7 @@
     else if (auto* answered = std::get_if<PeerAnswered>(&event))
         onPeerAnswered(now, *answered);
     else if (auto* pullFailed = std::get_if<PullFailed>(&event))
-        m_pulls.erase(pullFailed->topic);
+        m_pulls.onFailed(pullFailed->topic);
     else if (auto* measured = std::get_if<LoadsMeasured>(&event))
         m_ownLoads = measured->loads;
     else if (std::holds_alternative<StopRequested>(event)) {
@@ -316,14 +316,11 @@
 
 void ControlState::pullIfBehind(TimePoint now, const Hello& hello, Effects& effects)
 {
+    // Neighbours that follow the store mostly have the same in a moment.
+    bool mayWait = m_isReady && m_entries.sharesLoadNearby(now) && !m_entries.isNear(hello.sender);
     auto pull = [&](Topic topic) {
-        if (!mayPullFrom(now, hello, topic))
-            return;
-        auto it = m_pulls.find(topic);
-        if (it != m_pulls.end() && now < it->second.givenUpAt)
-            return;
-        m_pulls[topic] = { now + pullTimeout };
-        effects.push_back(Pull { hello.sender.control, topic });
+        if (m_pulls.begin(now, topic, mayWait))
+            effects.push_back(Pull { hello.sender.control, topic });
     };
     auto version = m_configuration ? m_configuration->version().value() : 0;
     if (hello.configuration > version)
@@ -332,21 +329,9 @@
         pull(Topic::Servers);
 }
 
-/// Documents come from the own data centre while it has them: the bytes between data centres are dear, and every entry
-/// hears the neighbours that follow the store.
-bool ControlState::mayPullFrom(TimePoint now, const Hello& hello, Topic topic)
-{
-    bool mayWait = m_isReady && m_entries.sharesLoadNearby(now) && !m_entries.isNear(hello.sender);
-    if (!mayWait)
-        return true;
-    auto& since = m_behindSince.try_emplace(topic, now).first->second;
-    return now >= since + nearFirstFor;
-}
-
 void ControlState::onPeerAnswered(TimePoint now, const PeerAnswered& event)
 {
-    m_pulls.erase(event.topic);
-    m_behindSince.erase(event.topic);
+    m_pulls.onAnswered(event.topic);
     if (event.topic == Topic::Configuration) {
         for (auto& item : event.items.items)
             takeConfiguration(item, "peer");
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/gateway/entry-book.h"
+#include "src/gateway/pull-schedule.h"
 #include "src/gateway/rank-board.h"
 #include "src/gateway/server-book.h"
 #include "src/gateway/snapshot.h"
@@ -94,8 +95,6 @@
     /// An entry that starts takes the word of its peers when the store has not answered for this long: a healthy store
     /// answers in milliseconds, and one that is down must not keep the fleet from starting.
     static constexpr milliseconds storeWaitAtStart { 1500 };
-    /// A pull that was neither answered nor failed is repeated after this long.
-    static constexpr milliseconds pullTimeout { 1000 };
     /// Agents are spoken to this often, so that they know whom to tell of their engines.
     static constexpr milliseconds briefEvery { 1000 };
     /// And so soon after a rank has come up in a new epoch: the others come up in the same moment and go into one brief.
@@ -105,8 +104,6 @@
     static constexpr milliseconds briefNotBefore { 150 };
     /// Which ranks are closed is told at most this often: the ranks of a group close and open within some 50 ms.
     static constexpr milliseconds closedToldEvery { 50 };
-    /// News of another data centre is fetched from there only after this long: mostly the same comes from the own one.
-    static constexpr milliseconds nearFirstFor { 600 };
     /// What a data centre said of its load counts for this long. It is said with every hello to another one, of which each
     /// entry gets seven a second, from one of five data centres every six tenths of a second.
     static constexpr milliseconds farLoadFor { 3000 };
@@ -125,10 +122,6 @@
     std::optional<PublishedItems> published(Topic topic) const;
 
 private:
-    struct PullInFlight {
-        TimePoint givenUpAt;
-    };
-
     void onListed(TimePoint now, const control::StoreListed& event);
     void onChanged(TimePoint now, const control::StoreChanged& event);
     void onStoreAnswered(TimePoint now, Topic topic);
@@ -145,7 +138,6 @@
     bool isServiceKnown(const BackendServer& server) const;
     void pullIfBehind(TimePoint now, const Hello& hello, control::Effects& effects);
     void onHello(TimePoint now, const Hello& hello, control::Effects& effects);
-    bool mayPullFrom(TimePoint now, const Hello& hello, Topic topic);
     void onRankNews(TimePoint now, const RankNews& news);
     void sendBriefs(TimePoint now, control::Effects& effects);
     Hello hello(TimePoint now, std::size_t mostMembers);
@@ -182,15 +174,13 @@
     std::map<Topic, bool> m_isStoreAway;
     bool m_hasStoreAnswered { false };
     TimePoint m_storeAwaitedUntil;
-    std::map<Topic, PullInFlight> m_pulls;
+    PullSchedule m_pulls;
     TimePoint m_helloAt;
     TimePoint m_briefAt;
     RankBoard m_ranks;
     /// Closed ranks changed and this was not told yet; and when it may be told.
     bool m_isClosedChanged { false };
     TimePoint m_closedToldAt;
-    /// Since when only other data centres are known to have something newer.
-    std::map<Topic, TimePoint> m_behindSince;
     std::vector<ServiceLoad> m_ownLoads;
     struct ToldLoads {
         std::vector<ServiceLoad> loads;
--- a/src/gateway/load-board.cc
+++ b/src/gateway/load-board.cc
@@ -236,6 +236,7 @@
         sum.promptTokens += static_cast<double>(load.promptTokens);
     }
     std::vector<ServiceLoad> loads;
+    loads.reserve(sums.size());
     for (auto& [service, sum] : sums)
         loads.push_back({ service, sum.running / sum.servers, sum.promptTokens / sum.servers });
     return loads;
--- a/test/control-state_test.cc
+++ b/test/control-state_test.cc
@@ -160,7 +160,7 @@
     rig.take(HelloArrived { rig.hello(8, 0) });
     CHECK(rig.count<Pull>() == 1);
     // A pull whose answer never comes does not stop the next for ever.
-    rig.now += ControlState::pullTimeout;
+    rig.now += PullSchedule::pullTimeout;
     rig.take(HelloArrived { rig.hello(8, 0) });
     CHECK(rig.count<Pull>() == 1);
     rig.take(PeerAnswered { Topic::Configuration, { { { "", "8", 12, false } }, 12 } });
--- /dev/null
+++ b/test/map-leader_test.cc
@@ -0,0 +1,124 @@
+#include "src/agent/map-leader.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace swiftloft;
+using namespace swiftloft::agent;
+using namespace swiftloft::expertmap;
+
+namespace {
+
+const MapShape shape { 2, 1, 4, 3 };
+const TimePoint start { seconds(100) };
+
+/// A group of two ranks with two experts each and a spare slot. What they counted goes up by `demand` with each report.
+struct Rig {
+    Rig()
+    {
+        ReplicaPlanner::Options options;
+        options.minTokens = 1;
+        options.minGain = 0.15;
+        MapLeader::Hooks hooks;
+        hooks.onWanted = [this](auto& map, auto&, double, double) { wanted.push_back(map); };
+        hooks.onGivenUp = [this] { ++givenUp; };
+        hooks.onPlanned = [this](auto&) { ++plans; };
+        hooks.onUnplanned = [this](auto reason, auto& detail) { said.push_back(std::string(reason) + " " + detail); };
+        leader.emplace(LoadPlanning(shape, ReplicaPlanner::create(shape, options).value()), 0, std::move(hooks));
+    }
+
+    void report(std::vector<std::uint32_t> demand)
+    {
+        for (std::size_t n = 0; n < counted.size(); ++n)
+            counted[n] += demand[n];
+        ++step;
+        for (std::uint32_t rank = 0; rank < 2; ++rank) {
+            RankLoads loads { RankIndex(rank), Incarnation(1), StepNumber(step), MapVersion(0), {}, counted };
+            loads.held = rank == 0 ? std::vector { ExpertIndex(0), ExpertIndex(2), noExpert } : std::vector { ExpertIndex(1), ExpertIndex(3), noExpert };
+            leader->onLoads(loads);
+        }
+    }
+    void tick(milliseconds pass, CoordinatorPhase phase = CoordinatorPhase::Idle)
+    {
+        now += pass;
+        leader->tick(now, phase, std::nullopt, generator);
+    }
+
+    TimePoint now { start };
+    std::vector<std::uint32_t> counted = std::vector<std::uint32_t>(4);
+    std::uint64_t step { 0 };
+    policy::Generator generator { 3 };
+    std::optional<MapLeader> leader;
+    std::vector<VersionedMap> wanted;
+    int givenUp { 0 };
+    int plans { 0 };
+    std::vector<std::string> said;
+};
+
+const std::vector<std::uint32_t> even { 100, 100, 100, 100 };
+const std::vector<std::uint32_t> uneven { 400, 10, 400, 10 };
+
+} // namespace
+
+TEST_CASE("MapLeader: a map is wanted where ranks are uneven, and one at a time")
+{
+    Rig rig;
+    rig.report(uneven);
+    rig.report(uneven);
+    rig.tick(milliseconds(50));
+    REQUIRE(rig.wanted.size() == 1);
+    rig.tick(milliseconds(50), CoordinatorPhase::Staging);
+    rig.tick(milliseconds(50));
+    CHECK(rig.wanted.size() == 1);
+    rig.leader->onChanged(rig.now);
+    rig.tick(MapLeader::planPause - milliseconds(1));
+    CHECK(rig.wanted.size() == 1);
+    rig.tick(milliseconds(1));
+    REQUIRE(rig.wanted.size() == 2);
+    CHECK(rig.wanted[1].version > rig.wanted[0].version);
+}
+
+// A rank can't load the weights of a map. Wanted for ever, it would keep the group from following the next shift.
+TEST_CASE("MapLeader: a map that does not come about is given up")
+{
+    Rig rig;
+    rig.report(uneven);
+    rig.report(uneven);
+    rig.tick(milliseconds(50));
+    rig.tick(MapLeader::wishFor - milliseconds(1), CoordinatorPhase::Staging);
+    CHECK(rig.givenUp == 0);
+    rig.tick(milliseconds(1), CoordinatorPhase::Staging);
+    CHECK(rig.givenUp == 1);
+}
+
+// A plan took a quarter of a second on a slot of 0.15 cores and was sought again at every look, on the thread that reads the
+// engine: reads timed out, and counts of the next demand came late.
+TEST_CASE("MapLeader: a refused plan is not sought again until a while later, or until demand shifts")
+{
+    Rig rig;
+    for (int n = 0; n < 20; ++n) {
+        rig.report(even);
+        rig.tick(milliseconds(10));
+    }
+    CHECK(rig.wanted.empty());
+    CHECK(rig.plans == 1);
+    REQUIRE(rig.said.size() == 1);
+    CHECK(rig.said[0] == "demand-unknown imbalance=0.00 gain=0.000");
+    rig.report(uneven);
+    rig.tick(milliseconds(10));
+    rig.report(uneven);
+    rig.tick(MapLeader::settleFor);
+    CHECK(rig.plans == 2);
+    CHECK(rig.wanted.size() == 1);
+}
+
+TEST_CASE("MapLeader: ranks whose map is not known are named")
+{
+    Rig rig;
+    rig.tick(milliseconds(50));
+    REQUIRE(rig.said.size() == 1);
+    CHECK(rig.said[0] == "ranks-unknown ranks=0,1");
+    rig.tick(MapLeader::unplannedSaidEvery - milliseconds(1));
+    CHECK(rig.said.size() == 1);
+}
