--- a/include/swiftloft/expertmap/protocol.h
+++ b/include/swiftloft/expertmap/protocol.h
@@ -148,6 +148,8 @@
     /// How often its requests chose each expert, by layer and expert, since the life began, modulo 2^16: receivers take
     /// differences. Empty from a rank that tells only what it holds.
     std::vector<std::uint32_t> tokens;
+    /// How much longer the rank's work takes than usual, by its engine's word; 1 is usual.
+    double pace { 1 };
 };
 
 /// Rank agent to whoever is at the address of rank 0: "I have just started", or "my engine waits; what holds?".
--- a/include/swiftloft/expertmap/replica-planner.h
+++ b/include/swiftloft/expertmap/replica-planner.h
@@ -52,9 +52,13 @@
 
     /// Takes tokens by layer and expert counted since the last report.
     std::optional<Error> observe(TimePoint now, std::span<const double> tokens);
+    /// How much longer a token takes at a rank than usual; 1 until it is told. One slow engine paces all of its group: the
+    /// planner gives it the experts that are least in demand. Values below 1 and no numbers count as 1.
+    void setPace(RankIndex rank, double pace);
     /// The next map, from `current`. No map when nothing is worth a change.
     Plan plan(const ExpertMap& current) const;
-    /// Tokens of the most loaded rank over the mean, averaged over the layers; 1 is even. 0 while nothing is known.
+    /// Time of the slowest rank over that of even ranks at the usual pace, averaged over the layers; 1 is even. 0 while
+    /// nothing is known.
     double imbalance(const ExpertMap& map) const;
     bool isKnown() const;
     /// When a report last told of a shift. Around a shift reports hold tokens of both demands, so the first one after it
@@ -71,6 +75,7 @@
     Options m_options;
     /// Decayed token counts by layer and expert.
     std::vector<double> m_tokens;
+    std::vector<double> m_paces;
     TimePoint m_observedAt;
     /// Tokens reported since the last comparison with the memory.
     std::vector<double> m_recent;
--- a/src/agent/load-planning.cc
+++ b/src/agent/load-planning.cc
@@ -40,6 +40,7 @@
     for (std::size_t n = 0; n < m_pending.size() && isRecent; ++n)
         m_pending[n] += static_cast<std::uint16_t>(loads.tokens[n] - last->tokens[n]);
     last = loads;
+    m_planner.setPace(loads.rank, loads.pace);
     m_hasCounted[loads.rank.value()] = hasTokens;
 }
 
--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -12,6 +12,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <random>
 
@@ -36,9 +37,12 @@
 /// The others tell only which experts they hold, a tenth of the bytes: when their map has changed, as rank 0 plans when it
 /// knows all, and this often, as datagrams get lost. Told ten times a second by 52 ranks that alone came to 160 KB/s.
 constexpr milliseconds heldToldEvery { 500 };
-/// Entries are told of the engine this often while its group takes requests, and when it does not: that counts for 1.2 s only.
+/// Entries are told of the engine this often while it is well, and when it is slow or its group takes no requests: that
+/// counts for 1.2 s only.
 constexpr milliseconds tellEntriesEvery { 1400 };
-constexpr milliseconds tellClosedEvery { 400 };
+constexpr milliseconds tellDegradedEvery { 400 };
+/// A change of pace by this part is told at once.
+constexpr double paceChangeTold { 0.15 };
 /// An entry that has sent no brief for this long is not told any more.
 constexpr milliseconds entryFor { 5000 };
 /// A rank that loads weights answers when it has them, or after this long: well below the time after which its agent holds
@@ -108,6 +112,11 @@
     return held;
 }
 
+bool isPaceNews(double pace, double told)
+{
+    return std::abs(pace - told) > paceChangeTold * told;
+}
+
 std::uint64_t firstFence()
 {
     // The agent that ran here before counted from an earlier time.
@@ -372,9 +381,9 @@
 {
     auto now = Clock::now();
     // Also before the first step: what is counted in it then tells at once which experts are in demand.
-    bool isMapNew = m_view && m_heldTold != m_view->map;
+    bool isNews = m_view && (m_heldTold != m_view->map || isPaceNews(m_view->pace, m_paceToldLeader));
     bool isDue = m_view && m_view->step != m_countsToldAt && now >= m_tellCountsAt;
-    if (!m_member || (!isMapNew && !isDue))
+    if (!m_member || (!isNews && !isDue))
         co_return;
     m_countsToldAt = m_view->step;
     auto shape = m_member->options().shape;
@@ -385,7 +394,8 @@
     if (!m_member || !m_view)
         co_return;
     m_heldTold = counts.map;
-    RankLoads loads { m_view->rank, RankEngine::lifeOf(*m_view), m_countsToldAt, counts.map, heldIn(counts, shape), {} };
+    m_paceToldLeader = m_view->pace;
+    RankLoads loads { m_view->rank, RankEngine::lifeOf(*m_view), m_countsToldAt, counts.map, heldIn(counts, shape), {}, m_view->pace };
     if (tellsTokens)
         std::transform(counts.tokens.begin(), counts.tokens.end(), std::back_inserter(loads.tokens), [](auto count) { return static_cast<std::uint32_t>(count); });
     m_member->sendLoads(loads);
@@ -393,9 +403,16 @@
 
 void RankDaemon::tellEntries(TimePoint now)
 {
-    if (!m_view || now < m_tellEntriesAt)
+    if (!m_view)
+        return;
+    // Failure: an engine turns slow and every step of its group with it. Until the entries hear of it they go on placing
+    // work there; told with the next news, they would hear of it after a second, and of its end as late.
+    bool isDue = now >= m_tellEntriesAt || isPaceNews(m_view->pace, m_paceToldEntries);
+    if (!isDue)
         return;
-    m_tellEntriesAt = now + (m_view->isOpen ? tellEntriesEvery : tellClosedEvery);
+    bool isWell = m_view->isOpen && m_view->pace < gateway::slowPace;
+    m_tellEntriesAt = now + (isWell ? tellEntriesEvery : tellDegradedEvery);
+    m_paceToldEntries = m_view->pace;
     RankNews news { m_settings.engine, m_view->group, gateway::GroupEpoch(m_view->epoch), m_view->rank, m_view->ranks, m_view->isOpen, m_view->pace, m_view->startedAt, m_member && m_member->knowsAllAddresses() };
     std::erase_if(m_entries, [&](auto& it) { return it.second + entryFor < now; });
     auto bytes = encode(gateway::NewsMessage(news));
--- a/src/agent/rank-daemon.h
+++ b/src/agent/rank-daemon.h
@@ -66,6 +66,9 @@
     /// Entries that sent a brief, and when.
     std::map<gateway::Endpoint, TimePoint> m_entries;
     TimePoint m_tellEntriesAt;
+    /// Pace that the entries, and rank 0, were told last.
+    double m_paceToldEntries { 1 };
+    double m_paceToldLeader { 1 };
     std::uint64_t m_lastFence { 0 };
 
     // While the engine's group is open and its members are known.
--- a/src/expertmap/expert-map.capnp
+++ b/src/expertmap/expert-map.capnp
@@ -85,6 +85,7 @@
   held @3 :List(UInt16);           # its experts by layer and slot; 0xffff is an empty slot
   tokens @4 :List(UInt16);         # by layer and expert, since the life began, modulo 2^16
   step @5 :UInt64;                 # at which it was read
+  pace @6 :Float32 = 1;            # how much longer the rank's work takes than usual
 }
 
 # One datagram between two agents of a rank group.
--- a/src/expertmap/expert-map.capnp.h
+++ b/src/expertmap/expert-map.capnp.h
@@ -1454,6 +1454,8 @@
 
   inline  ::uint64_t getStep() const;
 
+  inline float getPace() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1510,6 +1512,9 @@
   inline  ::uint64_t getStep();
   inline void setStep( ::uint64_t value);
 
+  inline float getPace();
+  inline void setPace(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3584,6 +3589,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline float RankLoads::Reader::getPace() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, 1065353216u);
+}
+
+inline float RankLoads::Builder::getPace() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, 1065353216u);
+}
+inline void RankLoads::Builder::setPace(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value, 1065353216u);
+}
+
 inline  ::swiftloft::expertmap::schema::GroupMessage::Which GroupMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/expertmap/replica-layer.cc
+++ b/src/expertmap/replica-layer.cc
@@ -59,12 +59,13 @@
     std::vector<std::uint32_t> m_touched;
 };
 
-ReplicaLayer::ReplicaLayer(const MapShape& shape, std::span<const ExpertIndex> slots, std::span<const double> tokens)
+ReplicaLayer::ReplicaLayer(const MapShape& shape, std::span<const ExpertIndex> slots, std::span<const double> tokens, std::span<const double> paces)
     : m_ranks(shape.ranks)
     , m_slotsPerRank(shape.slotsPerRank)
     , m_slots(slots.begin(), slots.end())
     , m_slotsOf(shape.experts)
     , m_tokens(tokens.begin(), tokens.end())
+    , m_paces(paces.begin(), paces.end())
     , m_loads(shape.ranks)
     , m_costs(shape.ranks)
 {
@@ -83,12 +84,17 @@
 
 std::uint32_t ReplicaLayer::hottestRank() const
 {
-    return static_cast<std::uint32_t>(std::max_element(m_loads.begin(), m_loads.end()) - m_loads.begin());
+    std::uint32_t hottest = 0;
+    for (std::uint32_t rank = 1; rank < m_ranks; ++rank) {
+        if (timeOf(rank) > timeOf(hottest))
+            hottest = rank;
+    }
+    return hottest;
 }
 
 double ReplicaLayer::peak() const
 {
-    return m_mean > 0 ? m_loads[hottestRank()] / m_mean : 0;
+    return m_mean > 0 ? timeOf(hottestRank()) / m_mean : 0;
 }
 
 bool ReplicaLayer::holds(std::uint32_t rank, std::uint32_t expert) const
@@ -97,15 +103,15 @@
     return std::any_of(slots.begin(), slots.end(), [&](auto slot) { return rankOf(slot) == rank; });
 }
 
-double ReplicaLayer::costOf(double load) const
+double ReplicaLayer::costOf(std::uint32_t rank, double load) const
 {
-    return m_mean > 0 ? power(load / m_mean) : 0;
+    return m_mean > 0 ? power(load * m_paces[rank] / m_mean) : 0;
 }
 
 void ReplicaLayer::setLoad(std::uint32_t rank, double load)
 {
     m_loads[rank] = load;
-    m_costs[rank] = costOf(load);
+    m_costs[rank] = costOf(rank, load);
 }
 
 void ReplicaLayer::collect(const ReplicaChange& change, LoadChanges& changes) const
@@ -138,7 +144,7 @@
 {
     double saved = 0;
     for (auto rank : changes.touched())
-        saved += m_costs[rank] - costOf(m_loads[rank] + changes.addedTo(rank));
+        saved += m_costs[rank] - costOf(rank, m_loads[rank] + changes.addedTo(rank));
     return saved;
 }
 
@@ -192,12 +198,12 @@
 
 bool ReplicaLayer::mayMoveTo(std::uint32_t rank, std::uint32_t hot, std::uint32_t expert, std::span<const std::uint32_t> mayTake) const
 {
-    return rank != hot && mayTake[rank] > 0 && m_loads[rank] < m_loads[hot] && !holds(rank, expert);
+    return rank != hot && mayTake[rank] > 0 && timeOf(rank) < timeOf(hot) && !holds(rank, expert);
 }
 
 void ReplicaLayer::considerReplicas(std::uint32_t hot, std::uint32_t expert, std::span<const std::uint32_t> mayTake, Best& best) const
 {
-    // Of the empty slots only one on the least loaded rank can be the best: the same tokens cost most where most are.
+    // Of the empty slots one on the least loaded rank is the best: the same tokens cost most where most are.
     std::optional<std::uint32_t> empty;
     for (std::uint32_t slot = 0; slot < m_slots.size(); ++slot) {
         auto other = m_slots[slot];
@@ -206,7 +212,7 @@
             continue;
         if (other != noExpert)
             best.consider({ slot, expert, std::nullopt });
-        else if (!empty || m_loads[rankOf(slot)] < m_loads[rankOf(*empty)])
+        else if (!empty || timeOf(rankOf(slot)) < timeOf(rankOf(*empty)))
             empty = slot;
     }
     if (empty)
@@ -218,7 +224,7 @@
     auto expert = m_slots[hotSlot].value();
     constexpr double copiesOfSwap = 2;
     // No swap gains more than one that leaves all of the expert's tokens to nobody.
-    double mostGain = (m_costs[hot] - costOf(m_loads[hot] - shareOf(expert))) / copiesOfSwap;
+    double mostGain = (m_costs[hot] - costOf(hot, m_loads[hot] - shareOf(expert))) / copiesOfSwap;
     if (mostGain <= best.gain())
         return;
     for (std::uint32_t slot = 0; slot < m_slots.size(); ++slot) {
--- a/src/expertmap/replica-layer.h
+++ b/src/expertmap/replica-layer.h
@@ -21,10 +21,12 @@
 
 class ReplicaLayer {
 public:
-    ReplicaLayer(const MapShape& shape, std::span<const ExpertIndex> slots, std::span<const double> tokens);
+    /// `paces` holds by rank how much longer a token takes there than usual; 1 is usual.
+    ReplicaLayer(const MapShape& shape, std::span<const ExpertIndex> slots, std::span<const double> tokens, std::span<const double> paces);
 
+    /// The one that takes the longest.
     std::uint32_t hottestRank() const;
-    /// Tokens of the most loaded rank over the mean.
+    /// Time of the rank that takes the longest over that of the mean tokens at the usual pace.
     double peak() const;
     /// The change with the best gain in cost per copy among those that take load off the most loaded rank. `mayTake` holds
     /// by rank how many more experts it may take in. Nothing when no change gains.
@@ -46,7 +48,8 @@
     void collect(const ReplicaChange& change, LoadChanges& changes) const;
     /// What a change takes off the cost of the layer.
     double costSaved(const LoadChanges& changes) const;
-    double costOf(double load) const;
+    double timeOf(std::uint32_t rank) const { return m_loads[rank] * m_paces[rank]; }
+    double costOf(std::uint32_t rank, double load) const;
     void setLoad(std::uint32_t rank, double load);
     double shareOf(std::uint32_t expert) const { return m_tokens[expert] / static_cast<double>(m_slotsOf[expert].size()); }
 
@@ -55,6 +58,7 @@
     std::vector<ExpertIndex> m_slots;
     std::vector<std::vector<std::uint32_t>> m_slotsOf;
     std::vector<double> m_tokens;
+    std::vector<double> m_paces;
     std::vector<double> m_loads;
     /// What each rank adds to the cost of the layer.
     std::vector<double> m_costs;
--- a/src/expertmap/replica-planner.cc
+++ b/src/expertmap/replica-planner.cc
@@ -47,6 +47,7 @@
     : m_shape(shape)
     , m_options(options)
     , m_tokens(static_cast<std::size_t>(shape.layers) * shape.experts)
+    , m_paces(shape.ranks, 1.0)
     , m_recent(m_tokens.size())
     , m_usualUnlikeness(options.usualUnlikeness)
 {
@@ -105,11 +106,17 @@
     return tokensOf(layerTokens(0)) >= m_options.minTokens;
 }
 
+void ReplicaPlanner::setPace(RankIndex rank, double pace)
+{
+    if (rank.value() < m_paces.size())
+        m_paces[rank.value()] = std::isfinite(pace) ? std::max(pace, 1.0) : 1.0;
+}
+
 double ReplicaPlanner::imbalance(const ExpertMap& map) const
 {
     double sum = 0;
     for (std::uint32_t n = 0; n < m_shape.layers; ++n)
-        sum += ReplicaLayer(m_shape, map.layer(LayerIndex(n)), layerTokens(n)).peak();
+        sum += ReplicaLayer(m_shape, map.layer(LayerIndex(n)), layerTokens(n), m_paces).peak();
     return sum / m_shape.layers;
 }
 
@@ -233,7 +240,7 @@
 {
     std::vector<ReplicaLayer> layers;
     for (std::uint32_t n = 0; n < m_shape.layers; ++n)
-        layers.emplace_back(m_shape, current.layer(LayerIndex(n)), layerTokens(n));
+        layers.emplace_back(m_shape, current.layer(LayerIndex(n)), layerTokens(n), m_paces);
     Search search(m_shape, m_options, std::move(layers));
     double before = search.stepTime();
     Plan plan;
--- a/src/expertmap/wire.cc
+++ b/src/expertmap/wire.cc
@@ -195,6 +195,7 @@
     out.setEngine(loads.engine.value());
     out.setMap(loads.map.value());
     out.setStep(loads.step.value());
+    out.setPace(static_cast<float>(loads.pace));
     auto held = out.initHeld(static_cast<unsigned>(loads.held.size()));
     for (unsigned n = 0; n < held.size(); ++n)
         held.set(n, static_cast<std::uint16_t>(loads.held[n].value()));
@@ -265,7 +266,7 @@
 Result<RankLoads> parse(schema::RankLoads::Reader in)
 {
     return guarded<RankLoads>([&] {
-        RankLoads loads { parseRank(in.getRank()), parseIncarnation(in.getEngine()), StepNumber(in.getStep()), MapVersion(in.getMap()), {}, {} };
+        RankLoads loads { parseRank(in.getRank()), parseIncarnation(in.getEngine()), StepNumber(in.getStep()), MapVersion(in.getMap()), {}, {}, in.getPace() };
         for (auto expert : in.getHeld())
             loads.held.emplace_back(expert);
         for (auto tokens : in.getTokens())
--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -97,7 +97,7 @@
     bool isNewcomer = m_entries.isNewcomer(hello);
     m_entries.onHello(hello, now);
     takeLeaving(now, hello);
-    m_isChanged |= m_ranks.onClosedTold(now, hello.sender.control, hello.closed);
+    m_isChanged |= m_ranks.onDegradedTold(now, hello.sender.control, hello.degraded);
     if (!hello.loads.empty() && !m_entries.isNear(hello.sender.dataCentre))
         m_farLoads[hello.sender.dataCentre] = { hello.loads, now };
     pullIfBehind(now, hello, effects);
@@ -351,7 +351,7 @@
 {
     auto change = m_ranks.onNews(now, news);
     m_isChanged |= change.isChange;
-    m_isClosedChanged |= change.isChange;
+    m_isDegradedChanged |= change.isChange;
     if (change.isNewEpoch && news.isOpen)
         m_briefAt = std::min(m_briefAt, now + briefSoon);
 }
@@ -386,13 +386,13 @@
     }
 }
 
-/// Entries that agents don't speak to learn from this one which ranks are closed.
-void ControlState::tellClosed(TimePoint now, Effects& effects)
+/// Entries that agents don't speak to learn from this one which ranks are closed or slow.
+void ControlState::tellDegraded(TimePoint now, Effects& effects)
 {
-    if (!m_isClosedChanged || now < m_closedToldAt + closedToldEvery || !m_entries.isRelay(now))
+    if (!m_isDegradedChanged || now < m_degradedToldAt + degradedToldEvery || !m_entries.isRelay(now))
         return;
-    m_isClosedChanged = false;
-    m_closedToldAt = now;
+    m_isDegradedChanged = false;
+    m_degradedToldAt = now;
     effects.push_back(SendHello { m_entries.nextTargets(now, m_generator).near, hello(now, 0) });
 }
 
@@ -425,7 +425,7 @@
         m_briefAt = now + briefEvery;
         sendBriefs(now, effects);
     }
-    tellClosed(now, effects);
+    tellDegraded(now, effects);
     if (now >= m_helloAt)
         sendHello(now, effects);
 }
@@ -442,7 +442,7 @@
     for (auto& [server, until] : m_leaving)
         out.leaving.push_back({ server, std::chrono::duration_cast<milliseconds>(until - now) });
     if (m_entries.isRelay(now))
-        out.closed = m_ranks.closed(now);
+        out.degraded = m_ranks.degraded(now);
     return out;
 }
 
@@ -457,7 +457,7 @@
     auto toFar = hello(now, EntryBook::membersPerHello);
     // The other data centres have entries of their own that hear the agents.
     if (m_entries.sharesLoadNearby(now)) {
-        toFar.closed.clear();
+        toFar.degraded.clear();
         toFar.loads = m_ownLoads;
     }
     effects.push_back(SendHello { std::move(targets.far), std::move(toFar) });
@@ -477,7 +477,7 @@
     snapshot.isReady = m_isReady;
     snapshot.isLeaving = m_isLeaving;
     snapshot.ranks = m_ranks.ranks();
-    snapshot.closedElsewhere = m_ranks.closedElsewhere(now);
+    snapshot.degradedElsewhere = m_ranks.degradedElsewhere(now);
     for (auto& [dataCentre, told] : m_farLoads) {
         for (auto& load : told.loads) {
             if (told.heardAt + farLoadFor > now)
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -102,8 +102,8 @@
     /// An entry speaks to agents this long after its start at the earliest. By then it has heard of the others; all of a
     /// large fleet would otherwise take themselves for the relays of their data centre, and be answered by every agent.
     static constexpr milliseconds briefNotBefore { 150 };
-    /// Which ranks are closed is told at most this often: the ranks of a group close and open within some 50 ms.
-    static constexpr milliseconds closedToldEvery { 50 };
+    /// Which ranks are closed or slow is told at most this often: the ranks of a group close and open within some 50 ms.
+    static constexpr milliseconds degradedToldEvery { 50 };
     /// What a data centre said of its load counts for this long. It is said with every hello to another one, of which each
     /// entry gets seven a second, from one of five data centres every six tenths of a second.
     static constexpr milliseconds farLoadFor { 3000 };
@@ -140,9 +140,9 @@
     void onRankNews(TimePoint now, const RankNews& news);
     void sendBriefs(TimePoint now, control::Effects& effects);
     Hello hello(TimePoint now, std::size_t mostMembers);
-    /// Adds what this entry knows of documents, leaving servers and closed ranks.
+    /// Adds what this entry knows of documents, leaving servers, closed and slow ranks.
     Hello withNews(TimePoint now, Hello out) const;
-    void tellClosed(TimePoint now, control::Effects& effects);
+    void tellDegraded(TimePoint now, control::Effects& effects);
     void tick(TimePoint now, control::Effects& effects);
     void noteLeaving(ServerHash server, TimePoint until);
     void takeLeaving(TimePoint now, const Hello& hello);
@@ -177,9 +177,9 @@
     TimePoint m_helloAt;
     TimePoint m_briefAt;
     RankBoard m_ranks;
-    /// Closed ranks changed and this was not told yet; and when it may be told.
-    bool m_isClosedChanged { false };
-    TimePoint m_closedToldAt;
+    /// Closed or slow ranks changed and this was not told yet; and when it may be told.
+    bool m_isDegradedChanged { false };
+    TimePoint m_degradedToldAt;
     std::vector<ServiceLoad> m_ownLoads;
     struct ToldLoads {
         std::vector<ServiceLoad> loads;
--- a/src/gateway/load-board.cc
+++ b/src/gateway/load-board.cc
@@ -10,6 +10,9 @@
 
 /// A server that failed of late is taken only when all others have this much more to do.
 constexpr double avoidedCost = 1e6;
+/// A slow rank comes behind all others with room, and before those that failed. Each request there adds its slow share to
+/// every step of the group: the streams of all ranks would pause for longer than their callers bear.
+constexpr double slowCost = 5e5;
 /// Servers of other data centres come behind all of the own one that have room, where it is not told what runs there: only at
 /// the near ones is it known who has room. 149 entries that knew a fifth of the load each sent one request in eight to a
 /// server that turned it away.
@@ -24,25 +27,35 @@
 /// about this many steps when both are weighed as time that later arrivals wait.
 constexpr double stepsThatCount = 30;
 
+/// What was said last of each closed or slow rank, by its agent or by another entry.
+std::map<Endpoint, Snapshot::DegradedElsewhere> degradedOf(const Snapshot& snapshot)
+{
+    std::map<Endpoint, Snapshot::DegradedElsewhere> degraded;
+    for (auto& rank : snapshot.ranks) {
+        if (!rank.news.isOpen || rank.news.pace >= slowPace)
+            degraded[rank.news.address] = { rank.news.address, rank.heardAt, rank.news.isOpen, rank.news.pace };
+    }
+    for (auto& rank : snapshot.degradedElsewhere) {
+        auto it = degraded.try_emplace(rank.address, rank).first;
+        if (it->second.heardAt < rank.heardAt)
+            it->second = rank;
+    }
+    return degraded;
+}
+
 } // namespace
 
 void LoadBoard::setServers(TimePoint, const Snapshot& snapshot)
 {
     std::map<ServerLife, Server> servers;
-    std::map<Endpoint, TimePoint> closed;
-    for (auto& rank : snapshot.ranks) {
-        if (!rank.news.isOpen)
-            closed[rank.news.address] = rank.heardAt;
-    }
-    for (auto& rank : snapshot.closedElsewhere)
-        closed[rank.address] = std::max(closed[rank.address], rank.heardAt);
+    auto degraded = degradedOf(snapshot);
     for (auto& listed : snapshot.servers) {
         auto it = m_servers.find(listed.life());
         Server server = it == m_servers.end() ? Server {} : it->second;
         server.server = listed;
         server.hash = hashOf(listed.life());
-        auto isClosed = closed.find(listed.address);
-        server.closedSince = isClosed == closed.end() ? std::nullopt : std::optional(isClosed->second);
+        auto isDegraded = degraded.find(listed.address);
+        server.degraded = isDegraded == degraded.end() ? std::nullopt : std::optional(isDegraded->second);
         auto* service = snapshot.configuration ? snapshot.configuration->findService(listed.service) : nullptr;
         server.isFar = snapshot.sharesLoadNearby && listed.dataCentre != snapshot.dataCentre;
         auto told = std::find_if(snapshot.farLoads.begin(), snapshot.farLoads.end(), [&](auto& it) { return it.dataCentre == listed.dataCentre && it.load.service == listed.service; });
@@ -123,6 +136,8 @@
     double cost = server.isEngine ? promptTokens + server.tokensPerRequest * running : running;
     if (server.isFar && !server.told)
         cost += farCost;
+    if (isSlow(server, now))
+        cost += slowCost;
     return server.avoidedUntil > now ? cost + avoidedCost : cost;
 }
 
@@ -145,10 +160,17 @@
         it->second.isReplaced = true;
 }
 
+/// Failure: one engine slows to a third of its speed, and every step of its group takes as long as its own. What it is given
+/// on top makes the steps longer still.
+bool LoadBoard::isSlow(const Server& server, TimePoint now)
+{
+    return server.degraded && server.degraded->pace >= slowPace && server.degraded->heardAt + degradedFor > now;
+}
+
 bool LoadBoard::mayGetWork(const Server& server, TimePoint now) const
 {
     // Failure: a rank is lost, and its whole group turns requests away until it has formed again.
-    bool isClosed = server.closedSince && *server.closedSince + closedFor > now;
+    bool isClosed = server.degraded && !server.degraded->isOpen && server.degraded->heardAt + degradedFor > now;
     bool isTurningAway = server.turnedAwayUntil > now;
     return server.server.state == ServerState::Ready && !server.isReplaced && !isClosed && !isTurningAway;
 }
--- a/src/gateway/load-board.h
+++ b/src/gateway/load-board.h
@@ -22,8 +22,9 @@
 /// randomness come with each call.
 class LoadBoard {
 public:
-    /// The word of an agent that its group is closed counts for this long; agents repeat it every half second.
-    static constexpr milliseconds closedFor { 1200 };
+    /// The word of an agent that its group is closed or its engine slow counts for this long; agents repeat it every half
+    /// second.
+    static constexpr milliseconds degradedFor { 1200 };
     /// An engine of a rank group that turned a request away is left out for this long: its group is forming, which takes some
     /// 600 ms and is seen by its agent soon, or it is full for the length of a pass or two.
     static constexpr milliseconds turnedAwayFor { 150 };
@@ -53,7 +54,7 @@
         /// When set, none but these.
         std::optional<std::span<const ServerLife>> only;
     };
-    /// The best server with room. Servers that failed of late come last.
+    /// The best server with room. Slow ones come behind the others, and those that failed of late last.
     std::optional<BackendServer> choose(const Choice& choice, TimePoint now, policy::Generator& generator) const;
     /// True while the service has a server that may get work, with room or not.
     bool hasServer(const ServiceName& service) const;
@@ -81,8 +82,8 @@
         TimePoint turnedAwayUntil;
         /// Its process has ended: an answer came from another one at its address.
         bool isReplaced { false };
-        /// Its rank group does not take requests, by the word of its agent at the given time.
-        std::optional<TimePoint> closedSince;
+        /// What was said of its rank last, and when, if it was closed or slow.
+        std::optional<Snapshot::DegradedElsewhere> degraded;
         /// Prompt tokens that cost as much time as one running request does; zero for a plain server.
         double tokensPerRequest { 0 };
         bool isEngine { false };
@@ -95,6 +96,7 @@
     };
 
     bool mayGetWork(const Server& server, TimePoint now) const;
+    static bool isSlow(const Server& server, TimePoint now);
     Load totalLoad(const Server& server, TimePoint now) const;
     double costOf(const Server& server, const Load& load, TimePoint now) const;
 
--- a/src/gateway/news.capnp
+++ b/src/gateway/news.capnp
@@ -28,7 +28,7 @@
   members @3 :List(Member);
   leaving @4 :List(LeavingServer);
   known @5 :UInt16;                # other entries that the sender knows
-  closed @6 :List(ClosedRank);     # said by entries that hear agents, to those that don't
+  degraded @6 :List(DegradedRank); # said by entries that hear agents, to those that don't
   loads @7 :List(ServiceLoad);     # said between data centres that don't tell each other of single servers
 }
 
@@ -39,10 +39,12 @@
   promptTokens @2 :Float32;        # a server; of requests that have not sent their first event
 }
 
-# A rank whose group does not take requests.
-struct ClosedRank {
+# A rank whose group does not take requests, or whose engine is slow.
+struct DegradedRank {
   address @0 :Text;                # IP:PORT of the engine
   ageMs @1 :UInt32;                # since its agent said so
+  isOpen @2 :Bool;                 # its group takes requests
+  pace @3 :Float32 = 1;            # how much longer its work takes than usual
 }
 
 # A server that is told to go or has gone.
--- a/src/gateway/news.capnp.c++
+++ b/src/gateway/news.capnp.c++
@@ -207,7 +207,7 @@
   0, 11, i_dfd205ecdbaacb20, nullptr, nullptr, { &s_dfd205ecdbaacb20, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<155> b_da33220f171a1d9c = {
+static const ::capnp::_::AlignedData<156> b_da33220f171a1d9c = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     156,  29,  26,  23,  15,  34,  51, 218,
      23,   0,   0,   0,   1,   0,   3,   0,
@@ -271,17 +271,17 @@
       6,   0,   0,   0,   3,   0,   0,   0,
       0,   0,   1,   0,   6,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   1,   0,   0,  58,   0,   0,   0,
+     13,   1,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   1,   0,   0,   3,   0,   1,   0,
-     36,   1,   0,   0,   2,   0,   1,   0,
+     12,   1,   0,   0,   3,   0,   1,   0,
+     40,   1,   0,   0,   2,   0,   1,   0,
       7,   0,   0,   0,   4,   0,   0,   0,
       0,   0,   1,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   1,   0,   0,  50,   0,   0,   0,
+     37,   1,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     28,   1,   0,   0,   3,   0,   1,   0,
-     56,   1,   0,   0,   2,   0,   1,   0,
+     32,   1,   0,   0,   3,   0,   1,   0,
+     60,   1,   0,   0,   2,   0,   1,   0,
     115, 101, 110, 100, 101, 114,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
      32, 203, 170, 219, 236,   5, 210, 223,
@@ -339,13 +339,14 @@
       7,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     99, 108, 111, 115, 101, 100,   0,   0,
+    100, 101, 103, 114,  97, 100, 101, 100,
+      0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   3,   0,   1,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    232,  78,  29, 192,  37, 146, 108, 183,
+    223, 231, 214,  17, 122, 113,  82, 149,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
@@ -368,14 +369,14 @@
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_da33220f171a1d9c[] = {
   &s_853306fbaa5332b4,
-  &s_b76c9225c01d4ee8,
+  &s_9552717a11d6e7df,
   &s_d0f29347453be8dc,
   &s_dfd205ecdbaacb20,
 };
-static const uint16_t m_da33220f171a1d9c[] = {6, 1, 5, 4, 7, 3, 0, 2};
+static const uint16_t m_da33220f171a1d9c[] = {1, 6, 5, 4, 7, 3, 0, 2};
 static const uint16_t i_da33220f171a1d9c[] = {0, 1, 2, 3, 4, 5, 6, 7};
 const ::capnp::_::RawSchema s_da33220f171a1d9c = {
-  0xda33220f171a1d9c, b_da33220f171a1d9c.words, 155, d_da33220f171a1d9c, m_da33220f171a1d9c,
+  0xda33220f171a1d9c, b_da33220f171a1d9c.words, 156, d_da33220f171a1d9c, m_da33220f171a1d9c,
   4, 8, i_da33220f171a1d9c, nullptr, nullptr, { &s_da33220f171a1d9c, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
@@ -455,40 +456,54 @@
   0, 3, i_853306fbaa5332b4, nullptr, nullptr, { &s_853306fbaa5332b4, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<49> b_b76c9225c01d4ee8 = {
+static const ::capnp::_::AlignedData<79> b_9552717a11d6e7df = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    232,  78,  29, 192,  37, 146, 108, 183,
-     23,   0,   0,   0,   1,   0,   1,   0,
+    223, 231, 214,  17, 122, 113,  82, 149,
+     23,   0,   0,   0,   1,   0,   2,   0,
      53, 216, 148, 106,  46, 240, 193, 183,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  18,   1,   0,   0,
+     21,   0,   0,   0,  34,   1,   0,   0,
      37,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0, 119,   0,   0,   0,
+     33,   0,   0,   0, 231,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115, 114,  99,  47, 103,  97, 116, 101,
     119,  97, 121,  47, 110, 101, 119, 115,
-     46,  99,  97, 112, 110, 112,  58,  67,
-    108, 111, 115, 101, 100,  82,  97, 110,
-    107,   0,   0,   0,   0,   0,   0,   0,
+     46,  99,  97, 112, 110, 112,  58,  68,
+    101, 103, 114,  97, 100, 101, 100,  82,
+     97, 110, 107,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  66,   0,   0,   0,
+     97,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     36,   0,   0,   0,   3,   0,   1,   0,
-     48,   0,   0,   0,   2,   0,   1,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,  50,   0,   0,   0,
+    101,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     40,   0,   0,   0,   3,   0,   1,   0,
-     52,   0,   0,   0,   2,   0,   1,   0,
+     96,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,  32,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+    109,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
      97, 100, 100, 114, 101, 115, 115,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -503,16 +518,32 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105, 115,  79, 112, 101, 110,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112,  97,  99, 101,   0,   0,   0,   0,
+     10,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     10,   0,   0,   0,   0,   0, 128,  63,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_b76c9225c01d4ee8 = b_b76c9225c01d4ee8.words;
+::capnp::word const* const bp_9552717a11d6e7df = b_9552717a11d6e7df.words;
 #if !CAPNP_LITE
-static const uint16_t m_b76c9225c01d4ee8[] = {0, 1};
-static const uint16_t i_b76c9225c01d4ee8[] = {0, 1};
-const ::capnp::_::RawSchema s_b76c9225c01d4ee8 = {
-  0xb76c9225c01d4ee8, b_b76c9225c01d4ee8.words, 49, nullptr, m_b76c9225c01d4ee8,
-  0, 2, i_b76c9225c01d4ee8, nullptr, nullptr, { &s_b76c9225c01d4ee8, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_9552717a11d6e7df[] = {0, 1, 2, 3};
+static const uint16_t i_9552717a11d6e7df[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_9552717a11d6e7df = {
+  0x9552717a11d6e7df, b_9552717a11d6e7df.words, 79, nullptr, m_9552717a11d6e7df,
+  0, 4, i_9552717a11d6e7df, nullptr, nullptr, { &s_9552717a11d6e7df, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<50> b_d0f29347453be8dc = {
@@ -1409,12 +1440,12 @@
 constexpr ::capnp::_::RawSchema const* ServiceLoad::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// ClosedRank
-constexpr uint16_t ClosedRank::_capnpPrivate::dataWordSize;
-constexpr uint16_t ClosedRank::_capnpPrivate::pointerCount;
+// DegradedRank
+constexpr uint16_t DegradedRank::_capnpPrivate::dataWordSize;
+constexpr uint16_t DegradedRank::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind ClosedRank::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* ClosedRank::_capnpPrivate::schema;
+constexpr ::capnp::Kind DegradedRank::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* DegradedRank::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 // LeavingServer
--- a/src/gateway/news.capnp.h
+++ b/src/gateway/news.capnp.h
@@ -19,7 +19,7 @@
 CAPNP_DECLARE_SCHEMA(dfd205ecdbaacb20);
 CAPNP_DECLARE_SCHEMA(da33220f171a1d9c);
 CAPNP_DECLARE_SCHEMA(853306fbaa5332b4);
-CAPNP_DECLARE_SCHEMA(b76c9225c01d4ee8);
+CAPNP_DECLARE_SCHEMA(9552717a11d6e7df);
 CAPNP_DECLARE_SCHEMA(d0f29347453be8dc);
 CAPNP_DECLARE_SCHEMA(ceb616b525bb90a7);
 CAPNP_DECLARE_SCHEMA(dcfcb5c952e3e94a);
@@ -82,15 +82,15 @@
   };
 };
 
-struct ClosedRank {
-  ClosedRank() = delete;
+struct DegradedRank {
+  DegradedRank() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b76c9225c01d4ee8, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9552717a11d6e7df, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -413,8 +413,8 @@
 
   inline  ::uint16_t getKnown() const;
 
-  inline bool hasClosed() const;
-  inline  ::capnp::List< ::swiftloft::gateway::schema::ClosedRank,  ::capnp::Kind::STRUCT>::Reader getClosed() const;
+  inline bool hasDegraded() const;
+  inline  ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>::Reader getDegraded() const;
 
   inline bool hasLoads() const;
   inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
@@ -477,12 +477,12 @@
   inline  ::uint16_t getKnown();
   inline void setKnown( ::uint16_t value);
 
-  inline bool hasClosed();
-  inline  ::capnp::List< ::swiftloft::gateway::schema::ClosedRank,  ::capnp::Kind::STRUCT>::Builder getClosed();
-  inline void setClosed( ::capnp::List< ::swiftloft::gateway::schema::ClosedRank,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::swiftloft::gateway::schema::ClosedRank,  ::capnp::Kind::STRUCT>::Builder initClosed(unsigned int size);
-  inline void adoptClosed(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ClosedRank,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ClosedRank,  ::capnp::Kind::STRUCT>> disownClosed();
+  inline bool hasDegraded();
+  inline  ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>::Builder getDegraded();
+  inline void setDegraded( ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>::Builder initDegraded(unsigned int size);
+  inline void adoptDegraded(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>> disownDegraded();
 
   inline bool hasLoads();
   inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
@@ -609,9 +609,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ClosedRank::Reader {
+class DegradedRank::Reader {
 public:
-  typedef ClosedRank Reads;
+  typedef DegradedRank Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -631,6 +631,10 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline bool getIsOpen() const;
+
+  inline float getPace() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -643,9 +647,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ClosedRank::Builder {
+class DegradedRank::Builder {
 public:
-  typedef ClosedRank Builds;
+  typedef DegradedRank Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -669,6 +673,12 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline bool getIsOpen();
+  inline void setIsOpen(bool value);
+
+  inline float getPace();
+  inline void setPace(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -679,9 +689,9 @@
 };
 
 #if !CAPNP_LITE
-class ClosedRank::Pipeline {
+class DegradedRank::Pipeline {
 public:
-  typedef ClosedRank Pipelines;
+  typedef DegradedRank Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1959,37 +1969,37 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Hello::Reader::hasClosed() const {
+inline bool Hello::Reader::hasDegraded() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Hello::Builder::hasClosed() {
+inline bool Hello::Builder::hasDegraded() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::swiftloft::gateway::schema::ClosedRank,  ::capnp::Kind::STRUCT>::Reader Hello::Reader::getClosed() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ClosedRank,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>::Reader Hello::Reader::getDegraded() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::swiftloft::gateway::schema::ClosedRank,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::getClosed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ClosedRank,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::getDegraded() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Hello::Builder::setClosed( ::capnp::List< ::swiftloft::gateway::schema::ClosedRank,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ClosedRank,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Hello::Builder::setDegraded( ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::swiftloft::gateway::schema::ClosedRank,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::initClosed(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ClosedRank,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::initDegraded(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Hello::Builder::adoptClosed(
-    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ClosedRank,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ClosedRank,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Hello::Builder::adoptDegraded(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ClosedRank,  ::capnp::Kind::STRUCT>> Hello::Builder::disownClosed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ClosedRank,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>> Hello::Builder::disownDegraded() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
@@ -2089,54 +2099,82 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ClosedRank::Reader::hasAddress() const {
+inline bool DegradedRank::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClosedRank::Builder::hasAddress() {
+inline bool DegradedRank::Builder::hasAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ClosedRank::Reader::getAddress() const {
+inline  ::capnp::Text::Reader DegradedRank::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ClosedRank::Builder::getAddress() {
+inline  ::capnp::Text::Builder DegradedRank::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ClosedRank::Builder::setAddress( ::capnp::Text::Reader value) {
+inline void DegradedRank::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ClosedRank::Builder::initAddress(unsigned int size) {
+inline  ::capnp::Text::Builder DegradedRank::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ClosedRank::Builder::adoptAddress(
+inline void DegradedRank::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ClosedRank::Builder::disownAddress() {
+inline ::capnp::Orphan< ::capnp::Text> DegradedRank::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t ClosedRank::Reader::getAgeMs() const {
+inline  ::uint32_t DegradedRank::Reader::getAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ClosedRank::Builder::getAgeMs() {
+inline  ::uint32_t DegradedRank::Builder::getAgeMs() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ClosedRank::Builder::setAgeMs( ::uint32_t value) {
+inline void DegradedRank::Builder::setAgeMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool DegradedRank::Reader::getIsOpen() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool DegradedRank::Builder::getIsOpen() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void DegradedRank::Builder::setIsOpen(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline float DegradedRank::Reader::getPace() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, 1065353216u);
+}
+
+inline float DegradedRank::Builder::getPace() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, 1065353216u);
+}
+inline void DegradedRank::Builder::setPace(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, 1065353216u);
+}
+
 inline  ::uint64_t LeavingServer::Reader::getServer() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/news.cc
+++ b/src/gateway/news.cc
@@ -86,10 +86,12 @@
             leaving[n].setRemainingMs(static_cast<std::uint32_t>(it.leaving[n].remaining.count()));
         }
         hello.setKnown(static_cast<std::uint16_t>(std::min(it.known, mostKnownTold)));
-        auto closed = hello.initClosed(static_cast<unsigned>(it.closed.size()));
-        for (unsigned n = 0; n < closed.size(); ++n) {
-            closed[n].setAddress(textOf(it.closed[n].address));
-            closed[n].setAgeMs(static_cast<std::uint32_t>(it.closed[n].age.count()));
+        auto degraded = hello.initDegraded(static_cast<unsigned>(it.degraded.size()));
+        for (unsigned n = 0; n < degraded.size(); ++n) {
+            degraded[n].setAddress(textOf(it.degraded[n].address));
+            degraded[n].setAgeMs(static_cast<std::uint32_t>(it.degraded[n].age.count()));
+            degraded[n].setIsOpen(it.degraded[n].isOpen);
+            degraded[n].setPace(static_cast<float>(it.degraded[n].pace));
         }
         auto loads = hello.initLoads(static_cast<unsigned>(it.loads.size()));
         for (unsigned n = 0; n < loads.size(); ++n) {
@@ -145,8 +147,8 @@
 Hello parse(schema::Hello::Reader in)
 {
     Hello hello { parse(in.getSender()), in.getConfiguration(), in.getServers(), {}, {}, in.getKnown(), {}, {} };
-    for (auto closed : in.getClosed())
-        hello.closed.push_back({ endpointFrom(closed.getAddress()), milliseconds(closed.getAgeMs()) });
+    for (auto rank : in.getDegraded())
+        hello.degraded.push_back({ endpointFrom(rank.getAddress()), milliseconds(rank.getAgeMs()), rank.getIsOpen(), rank.getPace() });
     for (auto load : in.getLoads()) {
         bool isSane = load.getRunning() >= 0 && load.getPromptTokens() >= 0;
         if (!isSane)
--- a/src/gateway/news.h
+++ b/src/gateway/news.h
@@ -52,11 +52,18 @@
     milliseconds remaining { 0 };
 };
 
-/// A rank whose group does not take requests, as an entry that hears its agent passes it on.
-struct ClosedRank {
+/// An engine whose work takes so much longer than usual is slow: it paces its whole group.
+constexpr double slowPace { 1.25 };
+
+/// A rank whose group does not take requests, or whose engine is slow, as an entry that hears its agent passes it on.
+struct DegradedRank {
     Endpoint address;
     /// Since the agent said so; there is no common clock.
     milliseconds age { 0 };
+    /// Its group takes requests.
+    bool isOpen { false };
+    /// 1 is normal, above it slower.
+    double pace { 1 };
 };
 
 /// What runs at the servers of a service in one data centre, on average.
@@ -78,7 +85,7 @@
     std::vector<LeavingServer> leaving;
     /// Other entries that the sender knows. One that knows few is told of more.
     std::size_t known { 0 };
-    std::vector<ClosedRank> closed;
+    std::vector<DegradedRank> degraded;
     /// Of the sender's data centre.
     std::vector<ServiceLoad> loads;
 };
--- a/src/gateway/rank-board.cc
+++ b/src/gateway/rank-board.cc
@@ -1,9 +1,22 @@
 #include "src/gateway/rank-board.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace swiftloft::gateway {
 
+namespace {
+
+/// Nothing is decided by a difference as small as this.
+constexpr double paceMargin { 0.1 };
+
+bool isPaceAlike(double one, double other)
+{
+    return std::abs(one - other) <= paceMargin * std::min(one, other);
+}
+
+} // namespace
+
 RankBoard::Change RankBoard::onNews(TimePoint now, const RankNews& news)
 {
     auto it = m_ranks.find(news.address);
@@ -12,7 +25,7 @@
     if (isOfEndedLife)
         return {};
     bool isNewEpoch = it == m_ranks.end() || it->second.news.epoch != news.epoch || it->second.news.group != news.group;
-    bool isChange = isNewEpoch || it->second.news.isOpen != news.isOpen;
+    bool isChange = isNewEpoch || it->second.news.isOpen != news.isOpen || !isPaceAlike(it->second.news.pace, news.pace);
     m_ranks[news.address] = { news, now };
     auto& group = m_groups.try_emplace(news.group, Group { news.epoch, now, {} }).first->second;
     if (group.epoch < news.epoch) {
@@ -34,26 +47,27 @@
     return !news.isOpen && news.epoch >= m_groups.at(news.group).openEpoch;
 }
 
-bool RankBoard::onClosedTold(TimePoint now, const Endpoint& teller, std::span<const ClosedRank> closed)
+bool RankBoard::onDegradedTold(TimePoint now, const Endpoint& teller, std::span<const DegradedRank> degraded)
 {
-    auto& before = m_closedBy[teller];
-    auto isSame = [](auto& one, auto& other) { return one.address == other.address; };
-    bool isChange = !std::equal(before.begin(), before.end(), closed.begin(), closed.end(), isSame);
+    auto& before = m_degradedBy[teller];
+    auto isSame = [](auto& one, auto& other) { return one.address == other.address && one.isOpen == other.isOpen && isPaceAlike(one.pace, other.pace); };
+    bool isChange = !std::equal(before.begin(), before.end(), degraded.begin(), degraded.end(), isSame);
     before.clear();
-    // The age is that of the agent's word, so a teller that is cut off from the agents does not keep a rank closed.
-    for (auto& it : closed)
-        before.push_back({ it.address, now - it.age });
+    // The age is that of the agent's word, so a teller that is cut off from the agents does not keep a rank degraded.
+    for (auto& it : degraded)
+        before.push_back({ it.address, now - it.age, it.isOpen, it.pace });
     return isChange;
 }
 
-std::vector<ClosedRank> RankBoard::closed(TimePoint now) const
+std::vector<DegradedRank> RankBoard::degraded(TimePoint now) const
 {
-    std::vector<ClosedRank> closed;
+    std::vector<DegradedRank> degraded;
     for (auto& [address, rank] : m_ranks) {
-        if (isClosed(rank.news) && rank.heardAt + closedToldFor > now)
-            closed.push_back({ address, std::chrono::duration_cast<milliseconds>(now - rank.heardAt) });
+        bool isDegraded = isClosed(rank.news) || rank.news.pace >= slowPace;
+        if (isDegraded && rank.heardAt + degradedToldFor > now)
+            degraded.push_back({ address, std::chrono::duration_cast<milliseconds>(now - rank.heardAt), !isClosed(rank.news), rank.news.pace });
     }
-    return closed;
+    return degraded;
 }
 
 std::vector<Snapshot::Rank> RankBoard::ranks() const
@@ -66,18 +80,18 @@
     return ranks;
 }
 
-std::vector<Snapshot::ClosedElsewhere> RankBoard::closedElsewhere(TimePoint now) const
+std::vector<Snapshot::DegradedElsewhere> RankBoard::degradedElsewhere(TimePoint now) const
 {
-    std::vector<Snapshot::ClosedElsewhere> closed;
-    for (auto& [teller, told] : m_closedBy) {
+    std::vector<Snapshot::DegradedElsewhere> degraded;
+    for (auto& [teller, told] : m_degradedBy) {
         for (auto& rank : told) {
             auto own = m_ranks.find(rank.address);
             bool isKnownBetter = own != m_ranks.end() && own->second.heardAt >= rank.heardAt;
-            if (rank.heardAt + closedToldFor > now && !isKnownBetter)
-                closed.push_back(rank);
+            if (rank.heardAt + degradedToldFor > now && !isKnownBetter)
+                degraded.push_back(rank);
         }
     }
-    return closed;
+    return degraded;
 }
 
 GroupBrief RankBoard::briefOf(TimePoint now, const RankNews& news, const EngineTraits& traits) const
--- a/src/gateway/rank-board.h
+++ b/src/gateway/rank-board.h
@@ -13,13 +13,13 @@
 /// entries that they tell. Decides what agents are told of their groups. Pure: the time comes with each call.
 ///
 /// Agents told every entry and every entry told every agent once, 149 times 192 times a second; that alone was more than
-/// an agent's link carries. Agents tell two entries a data centre now, and these pass on only which ranks are closed.
+/// an agent's link carries. Agents tell two entries a data centre now, and these pass on only which ranks are closed or slow.
 class RankBoard {
 public:
     /// News of a rank older than this counts for nothing: its agent is gone or cut off.
     static constexpr milliseconds newsFor { 3000 };
-    /// Word that a rank is closed is passed on while it is no older than this; agents repeat it every 400 ms.
-    static constexpr milliseconds closedToldFor { 1200 };
+    /// Word that a rank is closed or slow is passed on while it is no older than this; agents repeat it every 400 ms.
+    static constexpr milliseconds degradedToldFor { 1200 };
     /// An agent that says that it knows its group is told of it again after this long, lest a change was lost.
     static constexpr milliseconds toldAgainAfter { 10'000 };
 
@@ -27,7 +27,7 @@
     static constexpr milliseconds nearToldWithin { 1000 };
 
     struct Change {
-        /// The rank has opened or closed, or has come up in another group or epoch.
+        /// The rank has opened, closed, slowed or recovered, or has come up in another group or epoch.
         bool isChange { false };
         /// It has come up in another group or epoch.
         bool isNewEpoch { false };
@@ -35,15 +35,15 @@
     /// News of a life that has ended since changes nothing.
     Change onNews(TimePoint now, const RankNews& news);
 
-    /// Takes what another entry says of closed ranks in place of what it said before. True when that differs.
-    bool onClosedTold(TimePoint now, const Endpoint& teller, std::span<const ClosedRank> closed);
+    /// Takes what another entry says of closed and slow ranks in place of what it said before. True when that differs.
+    bool onDegradedTold(TimePoint now, const Endpoint& teller, std::span<const DegradedRank> degraded);
 
-    /// Closed ranks by the word of their agents, to be passed on.
-    std::vector<ClosedRank> closed(TimePoint now) const;
+    /// Closed and slow ranks by the word of their agents, to be passed on.
+    std::vector<DegradedRank> degraded(TimePoint now) const;
     /// All ranks whose agents have told this entry of them; open are those of a group that is.
     std::vector<Snapshot::Rank> ranks() const;
-    /// Closed ranks by the word of other entries.
-    std::vector<Snapshot::ClosedElsewhere> closedElsewhere(TimePoint now) const;
+    /// Closed and slow ranks by the word of other entries.
+    std::vector<Snapshot::DegradedElsewhere> degradedElsewhere(TimePoint now) const;
 
     /// What to tell the agent of the engine at `address`: its group when that has changed or the agent does not know it, else
     /// a brief without ranks, by which the agent learns whom to tell of itself. Where `isNear` is false, the group is told
@@ -72,7 +72,7 @@
 
     std::map<Endpoint, Snapshot::Rank> m_ranks;
     std::map<EngineGroupName, Group> m_groups;
-    std::map<Endpoint, std::vector<Snapshot::ClosedElsewhere>> m_closedBy;
+    std::map<Endpoint, std::vector<Snapshot::DegradedElsewhere>> m_degradedBy;
     /// What each agent was told of its group last.
     std::map<Endpoint, Told> m_told;
 };
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -27,12 +27,14 @@
         TimePoint heardAt;
     };
     std::vector<Rank> ranks;
-    /// A closed rank by the word of another entry, and when its agent said so.
-    struct ClosedElsewhere {
+    /// A closed or slow rank by the word of another entry, and when its agent said so.
+    struct DegradedElsewhere {
         Endpoint address;
         TimePoint heardAt;
+        bool isOpen { false };
+        double pace { 1 };
     };
-    std::vector<ClosedElsewhere> closedElsewhere;
+    std::vector<DegradedElsewhere> degradedElsewhere;
     /// What runs at the servers of another data centre, by its word.
     struct FarLoad {
         DataCentreName dataCentre;
--- a/test/large-fleet_test.cc
+++ b/test/large-fleet_test.cc
@@ -104,9 +104,9 @@
     bool knowsClosed(unsigned entry, unsigned engine) const
     {
         auto snapshot = m_entries[entry].state.snapshot(now);
-        auto isClosed = [&](auto& it) { return !it.news.isOpen && it.news.address == engineAt(engine) && it.heardAt + RankBoard::closedToldFor > now; };
-        auto isTold = [&](auto& it) { return it.address == engineAt(engine); };
-        return std::any_of(snapshot.ranks.begin(), snapshot.ranks.end(), isClosed) || std::any_of(snapshot.closedElsewhere.begin(), snapshot.closedElsewhere.end(), isTold);
+        auto isClosed = [&](auto& it) { return !it.news.isOpen && it.news.address == engineAt(engine) && it.heardAt + RankBoard::degradedToldFor > now; };
+        auto isTold = [&](auto& it) { return !it.isOpen && it.address == engineAt(engine); };
+        return std::any_of(snapshot.ranks.begin(), snapshot.ranks.end(), isClosed) || std::any_of(snapshot.degradedElsewhere.begin(), snapshot.degradedElsewhere.end(), isTold);
     }
     unsigned knowing(unsigned engine) const
     {
--- a/test/load-board_test.cc
+++ b/test/load-board_test.cc
@@ -119,7 +119,7 @@
     board.onStart(life("s2"), { Tokens(9000) });
     CHECK(chosen(board, start) == "s2");
     CHECK(board.hasServer(model));
-    CHECK(chosen(board, start + LoadBoard::closedFor) == "s1");
+    CHECK(chosen(board, start + LoadBoard::degradedFor) == "s1");
     closed.isOpen = true;
     snapshot.ranks = { { closed, start } };
     board.setServers(start, snapshot);
@@ -184,11 +184,40 @@
 {
     LoadBoard board;
     auto snapshot = snapshotOf({ server(1), server(2) });
-    snapshot.closedElsewhere = { { endpoint(1), start } };
+    snapshot.degradedElsewhere = { { endpoint(1), start, false, 1 } };
     board.setServers(start, snapshot);
     board.onStart(life("s2"), { Tokens(9000) });
     CHECK(chosen(board, start) == "s2");
-    CHECK(chosen(board, start + LoadBoard::closedFor) == "s1");
+    CHECK(chosen(board, start + LoadBoard::degradedFor) == "s1");
+}
+
+// All drafts of a group come late for as long as one of its engines is slow: each step takes as long as the slow one, and
+// the entries go on giving it as much as the others. It gets nothing while another rank has room, and its part again as
+// soon as its agent says that it is well, or says nothing any more.
+TEST_CASE("LoadBoard: a slow rank gets work only when no other has room")
+{
+    LoadBoard board;
+    auto snapshot = snapshotOf({ server(1), server(2, 2) });
+    snapshot.degradedElsewhere = { { endpoint(1), start, true, 3 } };
+    board.setServers(start, snapshot);
+    board.onStart(life("s2"), { Tokens(9000) });
+    CHECK(chosen(board, start) == "s2");
+    board.onStart(life("s2"), { Tokens(9000) });
+    CHECK(chosen(board, start) == "s1");
+    board.onEnd(life("s2"), { Tokens(9000) }, false);
+    CHECK(chosen(board, start) == "s2");
+    CHECK(chosen(board, start + LoadBoard::degradedFor) == "s1");
+    // A newer word of its agent ends it.
+    snapshot.ranks = { { { endpoint(1), EngineGroupName("g"), GroupEpoch(1), RankIndex(0), 2, true, 1, ServerStart(0), true }, start + milliseconds(5) } };
+    snapshot.degradedElsewhere.clear();
+    board.setServers(start + milliseconds(5), snapshot);
+    CHECK(chosen(board, start + milliseconds(5)) == "s1");
+    // One that failed of late comes behind a slow one.
+    snapshot.ranks[0].news.pace = 2;
+    board.setServers(start + milliseconds(9), snapshot);
+    CHECK(chosen(board, start + milliseconds(9)) == "s2");
+    board.onFailure(start + milliseconds(9), life("s2"));
+    CHECK(chosen(board, start + milliseconds(9)) == "s1");
 }
 
 // One data centre has twice as many clients for each server as another. Each entry kept to its own, whose drafts came late, while
--- a/test/load-planning_test.cc
+++ b/test/load-planning_test.cc
@@ -49,6 +49,18 @@
     CHECK_FALSE(it.current().has_value());
 }
 
+TEST_CASE("LoadPlanning: a rank that says that it is slow weighs more")
+{
+    auto it = planning();
+    it.onLoads(loads(0, 1, { 0, 0, 0, 0 }));
+    it.onLoads(loads(1, 1, { 0, 0, 0, 0 }));
+    auto slow = loads(0, 2, { 100, 0, 0, 0 });
+    slow.pace = 1.5;
+    it.onLoads(slow);
+    it.onLoads(loads(1, 2, { 0, 100, 0, 0 }));
+    CHECK(imbalanceOf(it) == Approx(1.5));
+}
+
 // An older report arrives behind a newer one. Its difference, taken modulo 2^32, would be four billion tokens of one expert
 // and the planner would move everything.
 TEST_CASE("LoadPlanning: reports out of order, of another life or of the wrong size add nothing")
--- a/test/news_test.cc
+++ b/test/news_test.cc
@@ -40,7 +40,7 @@
     brief.traits.layers = 3;
     brief.traits.spareSlots = 4;
     return {
-        Hello { member(1), 7, 12, { member(2), member(3) }, { { ServerHash(5), milliseconds(900) } }, 148, { { endpoint(8), milliseconds(70) } }, { { ServiceName("model"), 2.5, 300 } } },
+        Hello { member(1), 7, 12, { member(2), member(3) }, { { ServerHash(5), milliseconds(900) } }, 148, { { endpoint(8), milliseconds(70), true, 2.5 } }, { { ServiceName("model"), 2.5, 300 } } },
         LoadNews { Incarnation(9), 3, { { ServerHash(77), 4, Tokens(900) } } },
         RankNews { endpoint(5), EngineGroupName("g"), GroupEpoch(4), RankIndex(3), 12, true, 1.5, ServerStart(1000), true },
         brief,
@@ -61,8 +61,10 @@
     CHECK(hello.leaving.at(0).server == ServerHash(5));
     CHECK(hello.leaving.at(0).remaining == milliseconds(900));
     CHECK(hello.known == 148);
-    CHECK(hello.closed.at(0).address == endpoint(8));
-    CHECK(hello.closed.at(0).age == milliseconds(70));
+    CHECK(hello.degraded.at(0).address == endpoint(8));
+    CHECK(hello.degraded.at(0).age == milliseconds(70));
+    CHECK(hello.degraded.at(0).isOpen);
+    CHECK(hello.degraded.at(0).pace == 2.5);
     CHECK(hello.loads.at(0).service == ServiceName("model"));
     CHECK(hello.loads.at(0).running == 2.5);
     auto load = std::get<LoadNews>(throughWire(all[1]));
--- a/test/rank-board_test.cc
+++ b/test/rank-board_test.cc
@@ -54,30 +54,55 @@
     RankBoard entry;
     relay.onNews(start, news(0, 1, false));
     relay.onNews(start, news(1, 1, true));
-    auto told = relay.closed(start + milliseconds(300));
+    auto told = relay.degraded(start + milliseconds(300));
     REQUIRE(told.size() == 1);
     CHECK(told[0].address == endpoint(0));
     CHECK(told[0].age == milliseconds(300));
-    CHECK(entry.onClosedTold(start + milliseconds(300), endpoint(200), told));
-    CHECK_FALSE(entry.onClosedTold(start + milliseconds(300), endpoint(200), told));
-    CHECK(entry.closedElsewhere(start + milliseconds(300)).size() == 1);
+    CHECK(entry.onDegradedTold(start + milliseconds(300), endpoint(200), told));
+    CHECK_FALSE(entry.onDegradedTold(start + milliseconds(300), endpoint(200), told));
+    CHECK(entry.degradedElsewhere(start + milliseconds(300)).size() == 1);
     // The relay is cut off from the agents and goes on saying what it heard last: that ages with its source.
-    auto late = start + RankBoard::closedToldFor;
-    entry.onClosedTold(late, endpoint(200), told);
-    CHECK(entry.closedElsewhere(late + milliseconds(901)).empty());
-    CHECK(relay.closed(late).empty());
+    auto late = start + RankBoard::degradedToldFor;
+    entry.onDegradedTold(late, endpoint(200), told);
+    CHECK(entry.degradedElsewhere(late + milliseconds(901)).empty());
+    CHECK(relay.degraded(late).empty());
+}
+
+// An engine turns slow. Entries that its agent does not tell go on placing work there, and every step of the group gets
+// longer; when it is well again, they leave it idle.
+TEST_CASE("RankBoard: that a rank is slow, and that it is well again, is passed on")
+{
+    RankBoard relay;
+    RankBoard entry;
+    auto slow = news(0);
+    slow.pace = 3;
+    relay.onNews(start, news(0));
+    CHECK(relay.degraded(start).empty());
+    CHECK(relay.onNews(start + milliseconds(40), slow).isChange);
+    CHECK_FALSE(relay.onNews(start + milliseconds(440), slow).isChange);
+    auto told = relay.degraded(start + milliseconds(450));
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].isOpen);
+    CHECK(told[0].pace == 3);
+    CHECK(entry.onDegradedTold(start + milliseconds(450), endpoint(200), told));
+    auto known = entry.degradedElsewhere(start + milliseconds(450));
+    REQUIRE(known.size() == 1);
+    CHECK(known[0].pace == 3);
+    CHECK(relay.onNews(start + milliseconds(500), news(0)).isChange);
+    CHECK(entry.onDegradedTold(start + milliseconds(510), endpoint(200), relay.degraded(start + milliseconds(510))));
+    CHECK(entry.degradedElsewhere(start + milliseconds(510)).empty());
 }
 
 TEST_CASE("RankBoard: open again by the relay's word, or by the agent's own")
 {
     RankBoard entry;
-    std::vector<ClosedRank> closed { { endpoint(0), milliseconds(100) } };
-    entry.onClosedTold(start, endpoint(200), closed);
+    std::vector<DegradedRank> closed { { endpoint(0), milliseconds(100), false, 1 } };
+    entry.onDegradedTold(start, endpoint(200), closed);
     entry.onNews(start, news(0));
-    CHECK(entry.closedElsewhere(start).empty());
-    entry.onClosedTold(start + milliseconds(50), endpoint(200), closed);
-    entry.onClosedTold(start + milliseconds(60), endpoint(200), {});
-    CHECK(entry.closedElsewhere(start + milliseconds(60)).empty());
+    CHECK(entry.degradedElsewhere(start).empty());
+    entry.onDegradedTold(start + milliseconds(50), endpoint(200), closed);
+    entry.onDegradedTold(start + milliseconds(60), endpoint(200), {});
+    CHECK(entry.degradedElsewhere(start + milliseconds(60)).empty());
 }
 
 // After a loss of power the 64 ranks of a group open in one moment, and their agents say so one after the other. For a tenth of
@@ -87,14 +112,14 @@
     RankBoard board;
     for (unsigned rank = 0; rank < 64; ++rank)
         board.onNews(start, news(rank, 1, false));
-    CHECK(board.closed(start).size() == 64);
+    CHECK(board.degraded(start).size() == 64);
     CHECK(board.onNews(start + milliseconds(5), news(17, 2, true)).isChange);
-    CHECK(board.closed(start + milliseconds(5)).empty());
+    CHECK(board.degraded(start + milliseconds(5)).empty());
     auto ranks = board.ranks();
     CHECK(std::all_of(ranks.begin(), ranks.end(), [](auto& it) { return it.news.isOpen; }));
     // The group loses a rank again: those that say so are closed in this epoch.
     board.onNews(start + milliseconds(90), news(17, 2, false));
-    CHECK(board.closed(start + milliseconds(90)).size() == 1);
+    CHECK(board.degraded(start + milliseconds(90)).size() == 1);
 }
 
 // All engines come up together. Told by every entry that it speaks to, each agent gets its group ten times over, and its orders
--- a/test/replica-planner_test.cc
+++ b/test/replica-planner_test.cc
@@ -196,3 +196,29 @@
     REQUIRE(plan.map.has_value());
     CHECK(planner.imbalance(*plan.map) < 1.5);
 }
+
+// One of twelve engines slows to half its speed. Every step of the group waits for it, and the drafts of twelve engines come
+// late, while its experts could be any: it gets those that are asked for least.
+TEST_CASE("ReplicaPlanner: a slow rank gets the experts that are least in demand")
+{
+    for (unsigned seed = 1; seed <= 5; ++seed) {
+        auto planner = plannerFor(seed);
+        auto settle = [&](ExpertMap map) {
+            for (int changes = 0; changes < 6; ++changes) {
+                auto plan = planner.plan(map);
+                if (plan.map)
+                    map = *plan.map;
+            }
+            return map;
+        };
+        auto even = settle(inTurn());
+        planner.setPace(RankIndex(4), 2);
+        auto before = planner.imbalance(even);
+        auto after = planner.imbalance(settle(even));
+        INFO("seed " << seed << ": " << before << " with the map for equal ranks, " << after << " afterwards");
+        CHECK(before > 1.8);
+        CHECK(after < 1.25);
+        planner.setPace(RankIndex(4), std::nan(""));
+        CHECK(planner.imbalance(even) < 1.15);
+    }
+}
