Weigh a change of map by what it saves of a whole pass

Cause: a change was weighed by the part that it saves of the work on tokens. Change: rank 0 knows how long passes last and what one lasts that carries nothing (step time and steps of a pass come with the brief); the saved part counts for what depends on tokens. Test: MapLeader with passes 3 ms over the empty one wants nothing, with long ones it does; the first fails before. PassTime: waiting for work does not pass for long passes.

--- a/include/swiftloft/expertmap/replica-planner.h
+++ b/include/swiftloft/expertmap/replica-planner.h
@@ -55,8 +55,11 @@
     /// How much longer a token takes at a rank than usual; 1 until it is told. One slow engine paces all of its group: the
     /// planner gives it the experts that are least in demand. Values below 1 and no numbers count as 1.
     void setPace(RankIndex rank, double pace);
-    /// The next map, from `current`. No map when nothing is worth a change.
-    Plan plan(const ExpertMap& current) const;
+    /// The next map, from `current`. No map when nothing is worth a change. `loadShare` is the part of a step that depends on
+    /// the tokens, 0 to 1: a group with little work has steps that no map makes shorter.
+    Plan plan(const ExpertMap& current, double loadShare = 1) const;
+    /// How much longer a token takes at the slowest rank than usual.
+    double slowestPace() const;
     /// Time of the slowest rank over that of even ranks at the usual pace, averaged over the layers; 1 is even. 0 while
     /// nothing is known.
     double imbalance(const ExpertMap& map) const;
--- a/src/agent/map-leader.cc
+++ b/src/agent/map-leader.cc
@@ -18,8 +18,9 @@
 
 } // namespace
 
-MapLeader::MapLeader(LoadPlanning planning, std::uint64_t lastVersion, Hooks hooks)
+MapLeader::MapLeader(LoadPlanning planning, Clock::duration fixedPass, std::uint64_t lastVersion, Hooks hooks)
     : m_planning(std::move(planning))
+    , m_fixedPass(fixedPass)
     , m_lastVersion(lastVersion)
     , m_hooks(std::move(hooks))
 {
@@ -31,9 +32,10 @@
     m_planAgainAt = now + planPause;
 }
 
-void MapLeader::tick(TimePoint now, CoordinatorPhase phase, std::optional<MapVersion> prepared, policy::Generator& generator)
+void MapLeader::tick(TimePoint now, CoordinatorPhase phase, StepNumber step, std::optional<MapVersion> prepared, policy::Generator& generator)
 {
     m_planning.observe(now);
+    m_passTime.observe(now, step);
     if (m_wishUntil && now >= *m_wishUntil) {
         m_wishUntil.reset();
         m_hooks.onGivenUp();
@@ -58,10 +60,19 @@
     return isSettled && (now >= m_planAgainAt || hasShifted);
 }
 
+/// Failure: hundreds of groups share the work of a few, and each changes its map with every shift of demand. Nobody is served
+/// sooner by it, as their passes last as long as empty ones, and the copies are paid for. Where passes are long for their load,
+/// the same unevenness makes every stream of the group late.
+double MapLeader::loadShare() const
+{
+    auto fixed = std::chrono::duration_cast<Clock::duration>(m_planning.planner().slowestPace() * m_fixedPass);
+    return loadShareOf(m_passTime.shortest(), fixed);
+}
+
 void MapLeader::plan(TimePoint now, const VersionedMap& current, std::optional<MapVersion> prepared, policy::Generator& generator)
 {
     auto begunAt = Clock::now();
-    auto plan = m_planning.planner().plan(current.map);
+    auto plan = m_planning.planner().plan(current.map, loadShare());
     m_hooks.onPlanned(plan, Clock::now() - begunAt);
     if (!plan.map) {
         m_planAgainAt = now + refusedPlanPause;
--- a/src/agent/map-leader.h
+++ b/src/agent/map-leader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/agent/load-planning.h"
+#include "src/agent/pass-time.h"
 
 #include <swiftloft/expertmap/coordinator.h>
 #include <swiftloft/policy/random.h>
@@ -39,14 +40,16 @@
         std::function<void(std::string_view reason, const std::string& detail)> onUnplanned;
     };
 
-    /// `lastVersion` is the highest that this agent has given to a map.
-    MapLeader(LoadPlanning planning, std::uint64_t lastVersion, Hooks hooks);
+    /// `fixedPass` is what a pass lasts that carries next to nothing; `lastVersion` is the highest that this agent has given
+    /// to a map.
+    MapLeader(LoadPlanning planning, Clock::duration fixedPass, std::uint64_t lastVersion, Hooks hooks);
 
     void onLoads(const expertmap::RankLoads& loads) { m_planning.onLoads(loads); }
     /// All ranks run the map that was wanted.
     void onChanged(TimePoint now);
-    /// Call it often. `prepared` is the map that the engine of rank 0 has loaded and does not run.
-    void tick(TimePoint now, expertmap::CoordinatorPhase phase, std::optional<MapVersion> prepared, policy::Generator& generator);
+    /// Call it often. `step` is the last that the engine of rank 0 has begun, `prepared` the map that it has loaded and does
+    /// not run.
+    void tick(TimePoint now, expertmap::CoordinatorPhase phase, StepNumber step, std::optional<MapVersion> prepared, policy::Generator& generator);
 
     std::uint64_t lastVersion() const { return m_lastVersion; }
 
@@ -59,7 +62,11 @@
     bool takeTurnToSay(TimePoint now);
     MapVersion nextVersion(const expertmap::VersionedMap& current, std::optional<MapVersion> prepared, policy::Generator& generator);
 
+    double loadShare() const;
+
     LoadPlanning m_planning;
+    PassTime m_passTime;
+    Clock::duration m_fixedPass;
     std::uint64_t m_lastVersion;
     Hooks m_hooks;
     /// Until when a wanted map must be in force, else it is given up.
--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -93,6 +93,13 @@
     return std::max(1U, static_cast<std::uint32_t>(static_cast<double>(time.count()) / expertMs));
 }
 
+/// What a pass lasts that carries next to nothing.
+Clock::duration fixedPassOf(const gateway::EngineTraits& traits)
+{
+    std::chrono::duration<double, std::milli> pass(traits.stepMs * traits.stepsPerPass);
+    return std::chrono::duration_cast<Clock::duration>(pass);
+}
+
 /// True for every rank of a small group, and for one of so many of a large one.
 bool isCounting(RankIndex rank, std::uint32_t ranks)
 {
@@ -223,7 +230,7 @@
     }
     co_await tellCounts();
     if (m_leader && m_member && m_member->coordinator())
-        m_leader->tick(Clock::now(), m_member->coordinator()->phase(), m_view->prepared, m_generator);
+        m_leader->tick(Clock::now(), m_member->coordinator()->phase(), m_view->step, m_view->prepared, m_generator);
 }
 
 void RankDaemon::onView(const EngineView& view)
@@ -316,7 +323,7 @@
     hooks.onUnplanned = [group](std::string_view reason, const std::string& detail) {
         log::write(log::Event::MapNotPlanned, "group={} reason={} {}", group, reason, detail);
     };
-    m_leader.emplace(LoadPlanning(shape, ReplicaPlanner::create(shape, planning).value()), m_lastVersion, std::move(hooks));
+    m_leader.emplace(LoadPlanning(shape, ReplicaPlanner::create(shape, planning).value()), fixedPassOf(m_brief->traits), m_lastVersion, std::move(hooks));
 }
 
 void RankDaemon::endGroup()
--- a/src/expertmap/replica-planner.cc
+++ b/src/expertmap/replica-planner.cc
@@ -236,7 +236,12 @@
 
 } // namespace
 
-Plan ReplicaPlanner::plan(const ExpertMap& current) const
+double ReplicaPlanner::slowestPace() const
+{
+    return *std::max_element(m_paces.begin(), m_paces.end());
+}
+
+Plan ReplicaPlanner::plan(const ExpertMap& current, double loadShare) const
 {
     std::vector<ReplicaLayer> layers;
     for (std::uint32_t n = 0; n < m_shape.layers; ++n)
@@ -252,9 +257,10 @@
     plan.plannedImbalance = search.stepTime() / m_shape.layers;
     auto map = ExpertMap::create(m_shape, search.slots()).value();
     auto moves = movesBetween(current, map);
-    plan.gain = (before - search.stepTime()) / before;
+    double savedOfLoad = (before - search.stepTime()) / before;
+    plan.gain = savedOfLoad * loadShare;
     plan.reason = PlanReason::NoGain;
-    bool isWorth = !moves.empty() && plan.gain >= m_options.minGain && plan.gain >= m_options.minGainPerCopy * mostCopiesOfARank(moves, m_shape.ranks);
+    bool isWorth = !moves.empty() && plan.gain >= m_options.minGain && savedOfLoad >= m_options.minGainPerCopy * mostCopiesOfARank(moves, m_shape.ranks);
     if (!isWorth)
         return plan;
     plan.reason = PlanReason::Moved;
--- a/src/gateway/news.capnp
+++ b/src/gateway/news.capnp
@@ -95,6 +95,8 @@
   expertMegabytes @6 :Float64;
   linkMbps @7 :Float64;
   ranks @8 :List(RankAddress);
+  stepMs @9 :Float64;              # of one token step without requests
+  stepsPerPass @10 :UInt32 = 1;
 }
 
 struct Datagram {
--- a/src/gateway/news.capnp.h
+++ b/src/gateway/news.capnp.h
@@ -180,7 +180,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea19d20e46a03132, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ea19d20e46a03132, 7, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1212,6 +1212,10 @@
   inline bool hasRanks() const;
   inline  ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>::Reader getRanks() const;
 
+  inline double getStepMs() const;
+
+  inline  ::uint32_t getStepsPerPass() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1275,6 +1279,12 @@
   inline void adoptRanks(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>> disownRanks();
 
+  inline double getStepMs();
+  inline void setStepMs(double value);
+
+  inline  ::uint32_t getStepsPerPass();
+  inline void setStepsPerPass( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2687,6 +2697,34 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline double GroupBrief::Reader::getStepMs() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline double GroupBrief::Builder::getStepMs() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void GroupBrief::Builder::setStepMs(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t GroupBrief::Reader::getStepsPerPass() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, 1u);
+}
+
+inline  ::uint32_t GroupBrief::Builder::getStepsPerPass() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, 1u);
+}
+inline void GroupBrief::Builder::setStepsPerPass( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value, 1u);
+}
+
 inline  ::swiftloft::gateway::schema::Datagram::Which Datagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/news.cc
+++ b/src/gateway/news.cc
@@ -136,6 +136,8 @@
         brief.setSpareSlots(it.traits.spareSlots);
         brief.setExpertMegabytes(it.traits.expertMegabytes);
         brief.setLinkMbps(it.traits.linkMbps);
+        brief.setStepMs(it.traits.stepMs);
+        brief.setStepsPerPass(it.traits.stepsPerPass);
         auto ranks = brief.initRanks(static_cast<unsigned>(it.ranks.size()));
         for (unsigned n = 0; n < ranks.size(); ++n) {
             ranks[n].setRank(it.ranks[n].rank.value());
@@ -187,6 +189,8 @@
     brief.traits.spareSlots = in.getSpareSlots();
     brief.traits.expertMegabytes = in.getExpertMegabytes();
     brief.traits.linkMbps = in.getLinkMbps();
+    brief.traits.stepMs = in.getStepMs();
+    brief.traits.stepsPerPass = in.getStepsPerPass();
     for (auto rank : in.getRanks()) {
         if (rank.getRank() >= maxRanks)
             throw Malformed {};
--- a/src/gateway/news.h
+++ b/src/gateway/news.h
@@ -129,7 +129,7 @@
 struct GroupBrief {
     EngineGroupName group;
     GroupEpoch epoch;
-    /// Only the sizes of the expert map and the cost of copies are carried.
+    /// Only the sizes of the expert map, the cost of copies and the time of a step without requests are carried.
     EngineTraits traits;
     std::vector<RankAddress> ranks;
 };
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -57,9 +57,8 @@
     Endpoint group;
     /// Half-life of the planner's memory of what experts are in demand.
     milliseconds loadHalfLife { 500 };
-    /// Least part of the step time that a change of the expert map must save. With 0.04, a third more copies kept the ranks
-    /// no more even.
-    double leastGain { 0.15 };
+    /// Least part of the time of a pass that a change of the expert map must save.
+    double leastGain { 0.07 };
     /// How long ranks may copy for one change of map; each takes in as many experts as that allows, one at least. Ranks copy
     /// side by side, so a change takes as long as the rank with the most copies, and passes last 15 in 100 longer meanwhile:
     /// with uneven experts that is what makes streams late. On groups of 32 ranks with experts of 36 ms, two heavy days with
--- a/test/map-leader_test.cc
+++ b/test/map-leader_test.cc
@@ -12,6 +12,7 @@
 
 const MapShape shape { 2, 1, 4, 3 };
 const TimePoint start { seconds(100) };
+constexpr milliseconds fixedPass { 35 };
 
 /// A group of two ranks with two experts each and a spare slot. What they counted goes up by `demand` with each report.
 struct Rig {
@@ -25,7 +26,7 @@
         hooks.onGivenUp = [this] { ++givenUp; };
         hooks.onPlanned = [this](auto&, auto) { ++plans; };
         hooks.onUnplanned = [this](auto reason, auto& detail) { said.push_back(std::string(reason) + " " + detail); };
-        leader.emplace(LoadPlanning(shape, ReplicaPlanner::create(shape, options).value()), 0, std::move(hooks));
+        leader.emplace(LoadPlanning(shape, ReplicaPlanner::create(shape, options).value()), fixedPass, 0, std::move(hooks));
     }
 
     void report(std::vector<std::uint32_t> demand)
@@ -42,12 +43,14 @@
     void tick(milliseconds pass, CoordinatorPhase phase = CoordinatorPhase::Idle)
     {
         now += pass;
-        leader->tick(now, phase, std::nullopt, generator);
+        leader->tick(now, phase, StepNumber(engineStep), std::nullopt, generator);
     }
 
     TimePoint now { start };
     std::vector<std::uint32_t> counted = std::vector<std::uint32_t>(4);
     std::uint64_t step { 0 };
+    /// Begun last by the engine of rank 0.
+    std::uint64_t engineStep { 0 };
     policy::Generator generator { 3 };
     std::optional<MapLeader> leader;
     std::vector<VersionedMap> wanted;
@@ -122,3 +125,25 @@
     rig.tick(MapLeader::unplannedSaidEvery - milliseconds(1));
     CHECK(rig.said.size() == 1);
 }
+
+// Hundreds of groups share the work of a few. Each copies experts with every shift of demand, and nobody is served sooner: a
+// pass that carries little lasts as long with any map. The same unevenness in a busy group makes all of its streams late.
+TEST_CASE("MapLeader: a group with little work leaves its map alone, and a busy one changes it")
+{
+    auto wantedWithPassesOf = [](milliseconds pass) {
+        Rig rig;
+        rig.report(even);
+        for (int n = 0; n < 12; ++n) {
+            ++rig.engineStep;
+            rig.tick(pass);
+        }
+        rig.wanted.clear();
+        rig.report(uneven);
+        rig.report(uneven);
+        rig.tick(milliseconds(300));
+        rig.tick(milliseconds(300));
+        return rig.wanted.size();
+    };
+    CHECK(wantedWithPassesOf(fixedPass + milliseconds(3)) == 0);
+    CHECK(wantedWithPassesOf(4 * fixedPass) == 1);
+}
--- /dev/null
+++ b/test/pass-time_test.cc
@@ -0,0 +1,46 @@
+#include "src/agent/pass-time.h"
+
+#include <catch2/catch.hpp>
+
+using namespace swiftloft;
+using namespace swiftloft::agent;
+
+namespace {
+
+const TimePoint start { seconds(100) };
+
+} // namespace
+
+TEST_CASE("PassTime: the shortest of late, so that waiting for work does not count")
+{
+    PassTime passes;
+    CHECK_FALSE(passes.shortest().has_value());
+    auto now = start;
+    std::uint64_t step = 0;
+    auto run = [&](milliseconds pass, int n) {
+        for (int i = 0; i < n; ++i) {
+            now += pass;
+            passes.observe(now, StepNumber(++step));
+        }
+    };
+    run(milliseconds(50), 10);
+    CHECK(passes.shortest() == milliseconds(50));
+    // No work for a second, then passes as before.
+    now += seconds(1);
+    run(milliseconds(50), 10);
+    CHECK(passes.shortest() == milliseconds(50));
+    run(milliseconds(100), 30);
+    CHECK(passes.shortest() == milliseconds(100));
+    // The engine starts again and counts anew.
+    step = 0;
+    run(milliseconds(100), 3);
+    CHECK(passes.shortest() == milliseconds(100));
+}
+
+TEST_CASE("PassTime: the part of a pass that depends on its load")
+{
+    CHECK(loadShareOf(std::nullopt, milliseconds(35)) == 1);
+    CHECK(loadShareOf(milliseconds(70), milliseconds(35)) == Approx(0.5));
+    CHECK(loadShareOf(milliseconds(30), milliseconds(35)) == 0);
+    CHECK(loadShareOf(milliseconds(30), milliseconds(0)) == 1);
+}
