Plan as soon as demand is known

Change: nothing is sought before demand is known, so no pause follows. Test: MapLeader: plans as soon as demand is known; fails before.

--- a/src/agent/map-leader.cc
+++ b/src/agent/map-leader.cc
@@ -42,11 +42,15 @@
     }
     if (!mayPlan(now, phase))
         return;
-    if (auto current = m_planning.current()) {
+    auto current = m_planning.current();
+    if (!current)
+        sayUnknown(now);
+    // Failure: a group has formed anew and its ranks are at their most uneven. Sought before demand is known, a plan is refused,
+    // and the next one waits for the pause that follows a refusal.
+    else if (!m_planning.planner().isKnown())
+        sayRefused(now, { .reason = PlanReason::NotKnown });
+    else
         plan(now, *current, prepared, generator);
-        return;
-    }
-    sayUnknown(now);
 }
 
 bool MapLeader::mayPlan(TimePoint now, CoordinatorPhase phase) const
--- a/test/map-leader_test.cc
+++ b/test/map-leader_test.cc
@@ -126,6 +126,20 @@
     CHECK(rig.said.size() == 1);
 }
 
+// A group forms anew after a loss of power, with the map that suits no demand, and every stream of it is late until the first
+// change. Rank 0 looks before its ranks have counted anything, finds nothing to plan, and looks again a quarter of a second
+// later.
+TEST_CASE("MapLeader: plans as soon as demand is known")
+{
+    Rig rig;
+    rig.report(uneven);
+    rig.tick(milliseconds(50));
+    CHECK(rig.wanted.empty());
+    rig.report(uneven);
+    rig.tick(milliseconds(50));
+    CHECK(rig.wanted.size() == 1);
+}
+
 // Hundreds of groups share the work of a few. Each copies experts with every shift of demand, and nobody is served sooner: a
 // pass that carries little lasts as long with any map. The same unevenness in a busy group makes all of its streams late.
 TEST_CASE("MapLeader: a group with little work leaves its map alone, and a busy one changes it")
