Briefs of groups no larger than before

Times and costs are told with single precision now, which makes room for the new fields; a time that is no number is refused.

--- a/src/gateway/news.capnp
+++ b/src/gateway/news.capnp
@@ -92,11 +92,11 @@
   experts @3 :UInt32;
   slotsPerRank @4 :UInt32;
   spareSlots @5 :UInt32;
-  expertMegabytes @6 :Float64;
-  linkMbps @7 :Float64;
+  expertMegabytes @6 :Float32;
+  linkMbps @7 :Float32;
   ranks @8 :List(RankAddress);
-  stepMs @9 :Float64;              # of one token step without requests
-  stepsPerPass @10 :UInt32 = 1;
+  stepMs @9 :Float32;              # of one token step without requests
+  stepsPerPass @10 :UInt16 = 1;
 }
 
 struct Datagram {
--- a/src/gateway/news.capnp.h
+++ b/src/gateway/news.capnp.h
@@ -180,7 +180,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea19d20e46a03132, 7, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ea19d20e46a03132, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1205,16 +1205,16 @@
 
   inline  ::uint32_t getSpareSlots() const;
 
-  inline double getExpertMegabytes() const;
+  inline float getExpertMegabytes() const;
 
-  inline double getLinkMbps() const;
+  inline float getLinkMbps() const;
 
   inline bool hasRanks() const;
   inline  ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>::Reader getRanks() const;
 
-  inline double getStepMs() const;
+  inline float getStepMs() const;
 
-  inline  ::uint32_t getStepsPerPass() const;
+  inline  ::uint16_t getStepsPerPass() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1266,11 +1266,11 @@
   inline  ::uint32_t getSpareSlots();
   inline void setSpareSlots( ::uint32_t value);
 
-  inline double getExpertMegabytes();
-  inline void setExpertMegabytes(double value);
+  inline float getExpertMegabytes();
+  inline void setExpertMegabytes(float value);
 
-  inline double getLinkMbps();
-  inline void setLinkMbps(double value);
+  inline float getLinkMbps();
+  inline void setLinkMbps(float value);
 
   inline bool hasRanks();
   inline  ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>::Builder getRanks();
@@ -1279,11 +1279,11 @@
   inline void adoptRanks(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>> disownRanks();
 
-  inline double getStepMs();
-  inline void setStepMs(double value);
+  inline float getStepMs();
+  inline void setStepMs(float value);
 
-  inline  ::uint32_t getStepsPerPass();
-  inline void setStepsPerPass( ::uint32_t value);
+  inline  ::uint16_t getStepsPerPass();
+  inline void setStepsPerPass( ::uint16_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2635,32 +2635,32 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline double GroupBrief::Reader::getExpertMegabytes() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline float GroupBrief::Reader::getExpertMegabytes() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline double GroupBrief::Builder::getExpertMegabytes() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline float GroupBrief::Builder::getExpertMegabytes() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void GroupBrief::Builder::setExpertMegabytes(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void GroupBrief::Builder::setExpertMegabytes(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline double GroupBrief::Reader::getLinkMbps() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline float GroupBrief::Reader::getLinkMbps() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline double GroupBrief::Builder::getLinkMbps() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline float GroupBrief::Builder::getLinkMbps() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void GroupBrief::Builder::setLinkMbps(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void GroupBrief::Builder::setLinkMbps(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool GroupBrief::Reader::hasRanks() const {
@@ -2697,32 +2697,32 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline double GroupBrief::Reader::getStepMs() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline float GroupBrief::Reader::getStepMs() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline double GroupBrief::Builder::getStepMs() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline float GroupBrief::Builder::getStepMs() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void GroupBrief::Builder::setStepMs(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void GroupBrief::Builder::setStepMs(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t GroupBrief::Reader::getStepsPerPass() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, 1u);
+inline  ::uint16_t GroupBrief::Reader::getStepsPerPass() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, 1u);
 }
 
-inline  ::uint32_t GroupBrief::Builder::getStepsPerPass() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, 1u);
+inline  ::uint16_t GroupBrief::Builder::getStepsPerPass() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, 1u);
 }
-inline void GroupBrief::Builder::setStepsPerPass( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value, 1u);
+inline void GroupBrief::Builder::setStepsPerPass( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value, 1u);
 }
 
 inline  ::swiftloft::gateway::schema::Datagram::Which Datagram::Reader::which() const {
--- a/src/gateway/news.cc
+++ b/src/gateway/news.cc
@@ -8,7 +8,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
+#include <limits>
 
 namespace swiftloft::gateway {
 
@@ -134,10 +136,11 @@
         brief.setExperts(it.traits.experts);
         brief.setSlotsPerRank(it.traits.slotsPerRank);
         brief.setSpareSlots(it.traits.spareSlots);
-        brief.setExpertMegabytes(it.traits.expertMegabytes);
-        brief.setLinkMbps(it.traits.linkMbps);
-        brief.setStepMs(it.traits.stepMs);
-        brief.setStepsPerPass(it.traits.stepsPerPass);
+        brief.setExpertMegabytes(static_cast<float>(it.traits.expertMegabytes));
+        brief.setLinkMbps(static_cast<float>(it.traits.linkMbps));
+        brief.setStepMs(static_cast<float>(it.traits.stepMs));
+        constexpr std::uint32_t mostSteps = std::numeric_limits<std::uint16_t>::max();
+        brief.setStepsPerPass(static_cast<std::uint16_t>(std::min(it.traits.stepsPerPass, mostSteps)));
         auto ranks = brief.initRanks(static_cast<unsigned>(it.ranks.size()));
         for (unsigned n = 0; n < ranks.size(); ++n) {
             ranks[n].setRank(it.ranks[n].rank.value());
@@ -190,6 +193,8 @@
     brief.traits.expertMegabytes = in.getExpertMegabytes();
     brief.traits.linkMbps = in.getLinkMbps();
     brief.traits.stepMs = in.getStepMs();
+    if (!std::isfinite(brief.traits.stepMs) || brief.traits.stepMs < 0)
+        throw Malformed {};
     brief.traits.stepsPerPass = in.getStepsPerPass();
     for (auto rank : in.getRanks()) {
         if (rank.getRank() >= maxRanks)
--- a/test/news_test.cc
+++ b/test/news_test.cc
@@ -39,6 +39,8 @@
     GroupBrief brief { EngineGroupName("g"), GroupEpoch(4), {}, { { RankIndex(0), endpoint(5) }, { RankIndex(1), endpoint(6) } } };
     brief.traits.layers = 3;
     brief.traits.spareSlots = 4;
+    brief.traits.stepMs = 5.5;
+    brief.traits.stepsPerPass = 6;
     return {
         Hello { member(1), 7, 12, { member(2), member(3) }, { { ServerHash(5), milliseconds(900) } }, 148, { { endpoint(8), milliseconds(70), true, 2.5 } }, { { ServiceName("model"), 2.5, 300 } } },
         LoadNews { Incarnation(9), 3, { { ServerHash(77), 4, Tokens(900) } } },
@@ -76,6 +78,8 @@
     CHECK(rank.knowsGroup);
     auto brief = std::get<GroupBrief>(throughWire(all[3]));
     CHECK(brief.traits.spareSlots == 4);
+    CHECK(brief.traits.stepMs == 5.5);
+    CHECK(brief.traits.stepsPerPass == 6);
     CHECK(brief.ranks.at(1).address == endpoint(6));
 }
 
