--- a/include/swiftloft/expertmap/coordinator.h
+++ b/include/swiftloft/expertmap/coordinator.h
@@ -103,7 +103,7 @@
         milliseconds leadTime { 0 };
         /// The time of a step is measured over this long at least. Reports of two ranks that were read on both sides of a
         /// step's begin come within a millisecond; measured between them a step passes for that short, and the switch is
-        /// put up to `maxLeadSteps` ahead: two of 70 changes of 64 ranks took 1.4 s, one nine seconds.
+        /// put up to `maxLeadSteps` ahead, seconds late.
         milliseconds stepMeasuredOver { 200 };
     };
 
--- a/include/swiftloft/expertmap/replica-planner.h
+++ b/include/swiftloft/expertmap/replica-planner.h
@@ -27,9 +27,7 @@
         /// compared with the memory.
         double minTokens { 2000 };
         /// A report that is so many times as unlike the memory as reports usually are tells of a shift. Unlikeness is 1
-        /// less the cosine of the two demands, averaged over the layers. Counts of 50 ms: usually 0.015 with 24 ranks and
-        /// 0.03 with 12, 0.045 and 0.08 in the worst of twenty; 0.05 and more with both demands of a shift in one report,
-        /// 0.3 to 0.8 behind it.
+        /// less the cosine of the two demands, averaged over the layers.
         double shiftAbove { 3 };
         /// What passes for usual before reports have shown it; never less than a third of it.
         double usualUnlikeness { 0.03 };
@@ -40,8 +38,8 @@
         /// A layer whose most loaded rank has at most so many times the mean is left alone.
         double evenEnough { 1.08 };
         /// Least part of the step time that a change must save for each copy of the rank with the most: ranks copy side by
-        /// side, so that one decides how long the change takes. Charged for the copies of all ranks together, a change of
-        /// 64 ranks could not pay off whatever it gained, and the most loaded rank stayed at 2.95 times the mean.
+        /// side, so that one decides how long the change takes. Charged for the copies of all ranks together, no change of a
+        /// large group could pay off, whatever it gained.
         double minGainPerCopy { 0.024 };
         /// Least part of the step time that a change must save in all.
         double minGain { 0.04 };
--- a/src/agent/map-spread.h
+++ b/src/agent/map-spread.h
@@ -14,9 +14,9 @@
 
 /// The ranks that `self` sends a new map to, once it has it. From rank 0 on, each other rank gets it from exactly one.
 ///
-/// Failure: rank 0 sends 63 times the same 2.3 KB over a link of 6 Mbit/s. That takes 0.2 s, orders and reports wait behind
-/// it, and what does not fit into the link is lost; changes were given up after 4 s in staging. Passed on by eight, it takes
-/// 25 ms there and as long at each of them. A rank whose sender is gone lacks the map when it is told to load it, and
+/// Failure: rank 0 sends the same map to every rank of a large group over its small link. Orders and reports wait behind it,
+/// what does not fit into the link is lost, and changes are given up in staging. Passed on by a few ranks, it takes an
+/// eighth of the time. A rank whose sender is gone lacks the map when it is told to load it, and
 /// asks for it.
 inline std::vector<RankIndex> receiversOf(RankIndex self, std::uint32_t ranks)
 {
--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -26,16 +26,15 @@
 namespace {
 
 /// The engine is read this often: demand shifts every few seconds, and until the map has followed every step is slower.
-/// Every 100 ms instead cost a tenth of the score of a busy day; reading one's own engine takes a thousandth of a core.
 constexpr milliseconds lookEvery { 50 };
 constexpr milliseconds answerWithin { 60 };
 /// Counts sent to rank 0 in a second at most, of two bytes each: what control may send is 25 KB a second.
 constexpr std::uint32_t countsPerSecond = 12000;
 /// Ranks whose counts rank 0 gets at that rate; all ranks of a group are asked for the same experts, and those of twelve
-/// tell as much. Of 24 ranks they came to 5 Mbit/s of the 8 that its link has, and orders and reports waited behind them.
+/// tell as much. Those of more would fill its link, and orders and reports would wait behind them.
 constexpr std::uint32_t ranksThatCount = 12;
 /// The others tell only which experts they hold, a tenth of the bytes: when their map has changed, as rank 0 plans when it
-/// knows all, and this often, as datagrams get lost. Told ten times a second by 52 ranks that alone came to 160 KB/s.
+/// knows all, and this often, as datagrams get lost.
 constexpr milliseconds heldToldEvery { 500 };
 /// Entries are told of the engine this often while it is well, and when it is slow or its group takes no requests: that
 /// counts for 1.2 s only.
@@ -58,7 +57,7 @@
 constexpr std::uint64_t maxLeadSteps = 64;
 
 /// Orders that rank 0 sends in a second at most while it waits: each is answered, and both ways together they may take a
-/// third of a link of 6 Mbit/s. Asked every 20 ms, 63 ranks filled such a link, and what was left of it lost the rest.
+/// third of a link of 6 Mbit/s. A link that is full of questions loses the orders.
 constexpr std::uint32_t ordersPerSecond = 600;
 
 /// The pause between two orders to one rank of a group of this size; `least` in a small one.
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -17,9 +17,8 @@
 /// are ready to wait.
 constexpr milliseconds comeBackAfter { 500 };
 constexpr milliseconds comeBackSpread { 700 };
-/// While a service has no server, or all are forming their groups, it takes about this long until it serves again: engines
-/// that restart together were back after 1.4 to 2.3 s. A client that is told to come back sooner is turned away again,
-/// and most come back only once.
+/// While a service has no server, or all are forming their groups, it takes about this long until it serves again. A
+/// client that is told to come back sooner is turned away again, and most come back only once.
 constexpr milliseconds backInServiceAfter { 1800 };
 /// Clients wait for at most a third of the time they have left; a little less, so that their clock agrees.
 constexpr double partOfTimeLeft { 0.3 };
@@ -180,8 +179,8 @@
 
 /// While a whole service forms anew, all its room is about to be free at once. Turned away, a client would come back when
 /// the rush is on; kept for the moment that it takes, it is served first. It stays so long when the first group is back,
-/// too: of what had waited 0.3 s or more when that showed, every request that the first server had no room for was refused
-/// in the same moment, while 1,100 places came free.
+/// too: else whatever has waited longer than usual and finds the first server full is refused in the same moment, while
+/// the other servers come free.
 void Dispatcher::keepForForming(TimePoint now)
 {
     std::map<ServiceName, bool> isForming;
--- a/src/gateway/entry-book.h
+++ b/src/gateway/entry-book.h
@@ -27,7 +27,7 @@
     /// Entries of the own data centre that get a hello in each round: all of them, up to a bound.
     static constexpr std::size_t neighboursPerRound { 40 };
     /// Hellos of a round, in a small fleet; and those to other data centres in a large one. A hello to another data centre
-    /// passes so many members on. Ten hellos of 40 members each came to 130 KB/s for each of 149 entries.
+    /// passes so many members on: in a fleet of hundreds they are most of what control sends.
     static constexpr std::size_t hellosPerRound { 10 };
     static constexpr std::size_t farHellosPerRound { 3 };
     static constexpr std::size_t membersPerHello { 12 };
--- a/src/gateway/load-board.cc
+++ b/src/gateway/load-board.cc
@@ -14,12 +14,11 @@
 /// every step of the group: the streams of all ranks would pause for longer than their callers bear.
 constexpr double slowCost = 5e5;
 /// Servers of other data centres come behind all of the own one that have room, where it is not told what runs there: only at
-/// the near ones is it known who has room. 149 entries that knew a fifth of the load each sent one request in eight to a
-/// server that turned it away.
+/// the near ones is it known who has room, and full servers turn requests away.
 constexpr double farCost = 1e5;
 /// Where the average of another data centre is told, its servers count as having that, and half a request more: what is
-/// known of single servers is worth that much. Without a word of each other's load, the data centres with the most clients
-/// for each server earned 0.67 of their credit when those with the least earned 0.93.
+/// known of single servers is worth that much. Without a word of each other's load, clients of the data centre that has the
+/// most of them for each server are served late while other data centres have room.
 constexpr double farMargin = 0.5;
 /// Prompt tokens that weigh as much as one more request that writes, where the engine's traits say nothing.
 constexpr double defaultTokensPerRequest = 100;
--- a/src/gateway/rank-board.cc
+++ b/src/gateway/rank-board.cc
@@ -40,8 +40,8 @@
 }
 
 /// Failure: all ranks of a group open in one moment, and their agents say so over the next tenth of a second. Until then
-/// the first one heard of was the only server with room: after a loss of power 149 entries sent it all that waited, and
-/// more than four hundred of 1,100 requests were turned away. Where one rank is open in a later epoch, all of them are.
+/// the first one heard of is the only server with room: after a loss of power all entries send it all that waits, and most of
+/// that is turned away. Where one rank is open in a later epoch, all of them are.
 bool RankBoard::isClosed(const RankNews& news) const
 {
     return !news.isOpen && news.epoch >= m_groups.at(news.group).openEpoch;
--- a/src/gateway/rank-board.h
+++ b/src/gateway/rank-board.h
@@ -12,8 +12,8 @@
 /// What one entry knows of the ranks of all groups: by the word of their agents, if they tell this entry, or by the word of
 /// entries that they tell. Decides what agents are told of their groups. Pure: the time comes with each call.
 ///
-/// Agents told every entry and every entry told every agent once, 149 times 192 times a second; that alone was more than
-/// an agent's link carries. Agents tell two entries a data centre now, and these pass on only which ranks are closed or slow.
+/// Agents tell two entries a data centre, and these pass on only which ranks are closed or slow: were every agent to tell
+/// every entry, that alone would be more than an agent's link carries in a fleet of hundreds.
 class RankBoard {
 public:
     /// News of a rank older than this counts for nothing: its agent is gone or cut off.
@@ -47,8 +47,8 @@
 
     /// What to tell the agent of the engine at `address`: its group when that has changed or the agent does not know it, else
     /// a brief without ranks, by which the agent learns whom to tell of itself. Where `isNear` is false, the group is told
-    /// only to an agent that has lacked it for `nearToldWithin`: when 192 ranks come up together, ten entries that tell all
-    /// of them send each agent some 60 KB, a tenth of a second of its link.
+    /// only to an agent that has lacked it for `nearToldWithin`: when all ranks come up together, entries of all data centres
+    /// would fill each agent's link with the same addresses.
     GroupBrief nextBrief(TimePoint now, const Endpoint& address, const EngineTraits& traits, bool isNear);
 
 private:
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -61,9 +61,7 @@
     double leastGain { 0.07 };
     /// How long ranks may copy for one change of map; each takes in as many experts as that allows, one at least. Ranks copy
     /// side by side, so a change takes as long as the rank with the most copies, and passes last 15 in 100 longer meanwhile:
-    /// with uneven experts that is what makes streams late. On groups of 32 ranks with experts of 36 ms, two heavy days with
-    /// two seeds each: worth 0.53 with 150 ms, 0.58 with 80 ms, 0.52 with 40 ms, where three changes follow each
-    /// shift. Experts of 142 ms go one at a time with any of these.
+    /// with uneven experts that is what makes streams late. Much shorter, and several changes follow each shift of demand.
     milliseconds copyWithin { 80 };
 };
 
