An agent logs and counts the pace of its engine

Change: EnginePaceChanged when the pace changes by 15 in 100 or more, and a gauge on the metrics page.

--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -214,6 +214,7 @@
     auto view = co_await m_port.read(Clock::now() + answerWithin);
     onView(view);
     auto now = Clock::now();
+    notePace();
     tellEntries(now);
     if (!m_member)
         co_return;
@@ -407,6 +408,15 @@
     m_member->sendLoads(loads);
 }
 
+void RankDaemon::notePace()
+{
+    m_metrics.set("swiftloft_agent_engine_pace", {}, m_view->pace);
+    if (!isPaceNews(m_view->pace, m_paceLogged))
+        return;
+    log::write(log::Event::EnginePaceChanged, "group={} rank={} pace={:.2f} before={:.2f}", m_view->group.value(), m_view->rank.value(), m_view->pace, m_paceLogged);
+    m_paceLogged = m_view->pace;
+}
+
 void RankDaemon::tellEntries(TimePoint now)
 {
     if (!m_view)
--- a/src/agent/rank-daemon.h
+++ b/src/agent/rank-daemon.h
@@ -43,6 +43,7 @@
     void beginIfKnown();
     void endGroup();
     boost::asio::awaitable<void> tellCounts();
+    void notePace();
     void tellEntries(TimePoint now);
     void beginLeading();
     boost::asio::awaitable<std::optional<expertmap::EngineStatus>> staged(std::shared_ptr<RankEngine> engine, MapVersion version, std::optional<expertmap::EngineStatus> status);
@@ -66,7 +67,8 @@
     /// Entries that sent a brief, and when.
     std::map<gateway::Endpoint, TimePoint> m_entries;
     TimePoint m_tellEntriesAt;
-    /// Pace that the entries, and rank 0, were told last.
+    /// Pace that was logged last, and that the entries and rank 0 were told last.
+    double m_paceLogged { 1 };
     double m_paceToldEntries { 1 };
     double m_paceToldLeader { 1 };
     std::uint64_t m_lastFence { 0 };
