--- a/test/rank-engine_test.cc
+++ b/test/rank-engine_test.cc
@@ -458,7 +458,7 @@
     };
     engine.setNeighbour(silent);
     boost::asio::io_context ioContext;
-    auto finish = [&](Order order, std::optional<ExpertMap> map) {
+    auto finish = [&](const Order& order, const std::optional<ExpertMap>& map) {
         auto work = [&, order, map]() -> boost::asio::awaitable<void> { co_await engine.perform(order, map); };
         boost::asio::co_spawn(ioContext, work(), [](const std::exception_ptr& error) { CHECK_FALSE(error); });
         ioContext.restart();
