Ask once what was said of a rank, and build no map before demand is known

Found on reading the change again: LoadBoard judged twice whether word of a rank still counts; RankBoard asked twice whether it is closed; rank 0 put the map of its group together at each look of 50 ms only to find demand unknown. loadShare stands with the other functions of MapLeader. Placing and planning are as before; where the ranks' maps don't fit together and demand is unknown too, the log now names the latter.

--- a/src/agent/map-leader.cc
+++ b/src/agent/map-leader.cc
@@ -42,15 +42,16 @@
     }
     if (!mayPlan(now, phase))
         return;
-    auto current = m_planning.current();
-    if (!current)
-        sayUnknown(now);
     // Failure: a group has formed anew and its ranks are at their most uneven. Sought before demand is known, a plan is refused,
     // and the next one waits for the pause that follows a refusal.
-    else if (!m_planning.planner().isKnown())
+    if (!m_planning.planner().isKnown() && m_planning.unknownRanks().empty()) {
         sayRefused(now, { .reason = PlanReason::NotKnown });
-    else
+        return;
+    }
+    if (auto current = m_planning.current())
         plan(now, *current, prepared, generator);
+    else
+        sayUnknown(now);
 }
 
 bool MapLeader::mayPlan(TimePoint now, CoordinatorPhase phase) const
--- a/src/agent/map-leader.h
+++ b/src/agent/map-leader.h
@@ -55,6 +55,7 @@
 
 private:
     bool mayPlan(TimePoint now, expertmap::CoordinatorPhase phase) const;
+    double loadShare() const;
     void plan(TimePoint now, const expertmap::VersionedMap& current, std::optional<MapVersion> prepared, policy::Generator& generator);
     void sayUnknown(TimePoint now);
     void sayRefused(TimePoint now, const expertmap::Plan& plan);
@@ -62,8 +63,6 @@
     bool takeTurnToSay(TimePoint now);
     MapVersion nextVersion(const expertmap::VersionedMap& current, std::optional<MapVersion> prepared, policy::Generator& generator);
 
-    double loadShare() const;
-
     LoadPlanning m_planning;
     PassTime m_passTime;
     Clock::duration m_fixedPass;
--- a/src/gateway/load-board.cc
+++ b/src/gateway/load-board.cc
@@ -159,17 +159,25 @@
         it->second.isReplaced = true;
 }
 
+const Snapshot::DegradedElsewhere* LoadBoard::degradedWord(const Server& server, TimePoint now)
+{
+    bool counts = server.degraded && server.degraded->heardAt + degradedFor > now;
+    return counts ? &*server.degraded : nullptr;
+}
+
 /// Failure: one engine slows to a third of its speed, and every step of its group takes as long as its own. What it is given
 /// on top makes the steps longer still.
 bool LoadBoard::isSlow(const Server& server, TimePoint now)
 {
-    return server.degraded && server.degraded->pace >= slowPace && server.degraded->heardAt + degradedFor > now;
+    auto* word = degradedWord(server, now);
+    return word && word->pace >= slowPace;
 }
 
 bool LoadBoard::mayGetWork(const Server& server, TimePoint now) const
 {
     // Failure: a rank is lost, and its whole group turns requests away until it has formed again.
-    bool isClosed = server.degraded && !server.degraded->isOpen && server.degraded->heardAt + degradedFor > now;
+    auto* word = degradedWord(server, now);
+    bool isClosed = word && !word->isOpen;
     bool isTurningAway = server.turnedAwayUntil > now;
     return server.server.state == ServerState::Ready && !server.isReplaced && !isClosed && !isTurningAway;
 }
--- a/src/gateway/load-board.h
+++ b/src/gateway/load-board.h
@@ -96,6 +96,8 @@
     };
 
     bool mayGetWork(const Server& server, TimePoint now) const;
+    /// What was said of its rank last, while that counts; null otherwise.
+    static const Snapshot::DegradedElsewhere* degradedWord(const Server& server, TimePoint now);
     static bool isSlow(const Server& server, TimePoint now);
     Load totalLoad(const Server& server, TimePoint now) const;
     double costOf(const Server& server, const Load& load, TimePoint now) const;
--- a/src/gateway/rank-board.cc
+++ b/src/gateway/rank-board.cc
@@ -63,9 +63,10 @@
 {
     std::vector<DegradedRank> degraded;
     for (auto& [address, rank] : m_ranks) {
-        bool isDegraded = isClosed(rank.news) || rank.news.pace >= slowPace;
+        bool isOpen = !isClosed(rank.news);
+        bool isDegraded = !isOpen || rank.news.pace >= slowPace;
         if (isDegraded && rank.heardAt + degradedToldFor > now)
-            degraded.push_back({ address, std::chrono::duration_cast<milliseconds>(now - rank.heardAt), !isClosed(rank.news), rank.news.pace });
+            degraded.push_back({ address, std::chrono::duration_cast<milliseconds>(now - rank.heardAt), isOpen, rank.news.pace });
     }
     return degraded;
 }
