Log and count the limits that backend servers name

What on-call saw: a server that had named a limit got twelve requests in four seconds.

Added: the limit is decoded from the head of an answer (decimal, several, unreadable, beyond the range of a double), logged when it changes (207 ServerLimitChanged), and answers that name one and requests sent to such servers are counted (swiftloft_entry_limits_heard_total, swiftloft_entry_limited_sends_total). Nothing is decided by it yet.

An answer ends a limit only when its request was sent after the limit was heard, as answers on different connections overtake each other; one answered by another server (421) says nothing of the server that was asked.

--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -93,6 +93,8 @@
         onAnswerBegan(now, began->call);
     else if (auto* closed = std::get_if<Closed>(&event))
         onClosed(closed->call);
+    else if (auto* heard = std::get_if<LimitHeard>(&event))
+        m_loads.onLimitHeard(now, heard->server, heard->sentAt, heard->limit);
     else if (auto* changed = std::get_if<SnapshotChanged>(&event)) {
         m_loads.setServers(now, *changed->snapshot);
         m_retries.setEntries(changed->snapshot->entriesThatMayExist);
@@ -147,7 +149,7 @@
     ++call.sends;
     call.runningOn = server->life();
     call.hasBegun = false;
-    effects.push_back(StartAttempt { id, *server, m_loads.running(server->life(), now) });
+    effects.push_back(StartAttempt { id, *server, m_loads.running(server->life(), now), m_loads.limitOf(server->life()) });
     m_loads.onStart(server->life(), { call.request.promptTokens });
     return true;
 }
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -87,6 +87,13 @@
 struct Closed {
     CallId call;
 };
+/// An answer has begun and says whether its server limits requests.
+struct LimitHeard {
+    ServerLife server;
+    /// When the request that it answers was sent.
+    TimePoint sentAt;
+    std::optional<NamedLimit> limit;
+};
 struct SnapshotChanged {
     std::shared_ptr<const Snapshot> snapshot;
 };
@@ -96,13 +103,15 @@
 /// Time passed; see `Dispatcher::nextTick`.
 struct Ticked { };
 
-using Event = std::variant<Arrived, AttemptEnded, AnswerBegan, Closed, SnapshotChanged, LoadArrived, Ticked>;
+using Event = std::variant<Arrived, AttemptEnded, AnswerBegan, Closed, LimitHeard, SnapshotChanged, LoadArrived, Ticked>;
 
 struct StartAttempt {
     CallId call;
     BackendServer server;
     /// Requests that ran there already, as far as known, for the log.
     std::uint32_t running { 0 };
+    /// That the server names, for the log.
+    std::optional<RequestRate> limit {};
 };
 /// Answer the client now. For a stream that has begun: cut it.
 struct Refuse {
--- a/src/gateway/load-board.cc
+++ b/src/gateway/load-board.cc
@@ -1,5 +1,7 @@
 #include "src/gateway/load-board.h"
 
+#include "src/log/logger.h"
+
 #include <algorithm>
 #include <boost/random/uniform_real_distribution.hpp>
 #include <limits>
@@ -152,6 +154,20 @@
     return true;
 }
 
+void LoadBoard::onLimitHeard(TimePoint now, const ServerLife& life, TimePoint sentAt, const std::optional<NamedLimit>& limit)
+{
+    auto it = m_servers.find(life);
+    if (it == m_servers.end() || !m_limits.onAnswer(now, it->second.hash, sentAt, limit))
+        return;
+    auto rate = m_limits.limitOf(it->second.hash);
+    log::write(log::Event::ServerLimitChanged, "server={} limit={} source=answer", life.id.value(), rate ? fmt::format("{}", rate->value()) : "none");
+}
+
+std::optional<RequestRate> LoadBoard::limitOf(const ServerLife& life) const
+{
+    return m_limits.isEmpty() ? std::nullopt : m_limits.limitOf(hashOf(life));
+}
+
 void LoadBoard::onReplaced(const ServerLife& life)
 {
     auto it = m_servers.find(life);
--- a/src/gateway/load-board.h
+++ b/src/gateway/load-board.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/gateway/peer-loads.h"
+#include "src/gateway/server-limits.h"
 #include "src/gateway/snapshot.h"
 
 #include <swiftloft/policy/random.h>
@@ -43,6 +44,10 @@
     void onSuccess(const ServerLife& life);
     /// It did not run a request that it was sent. True when it is a rank of a group.
     bool onTurnedAway(TimePoint now, const ServerLife& life);
+    /// An answer to a request sent at `sentAt` says whether its server limits requests.
+    void onLimitHeard(TimePoint now, const ServerLife& life, TimePoint sentAt, const std::optional<NamedLimit>& limit);
+    /// That the server names; unset where it names none.
+    std::optional<RequestRate> limitOf(const ServerLife& life) const;
     /// Another server answers at its address.
     void onReplaced(const ServerLife& life);
 
@@ -105,6 +110,7 @@
     std::map<ServerLife, Server> m_servers;
     /// What falls silent is forgotten as it is read, which changes no answer.
     mutable PeerLoads m_peerLoads;
+    ServerLimits m_limits;
 };
 
 } // namespace swiftloft::gateway
--- a/src/gateway/model.h
+++ b/src/gateway/model.h
@@ -143,9 +143,22 @@
     std::optional<std::uint64_t> lastEvent;
 };
 
+/// Requests a second.
+using RequestRate = Strong<struct RequestRateTag, double>;
+
+/// A limit that a backend server in need names in its answers.
+struct NamedLimit {
+    /// What it takes from all entries together; unset where the server's words can't be read.
+    std::optional<RequestRate> rate;
+
+    friend bool operator==(const NamedLimit&, const NamedLimit&) = default;
+};
+
 /// What the head of a backend server's answer says.
 struct AnswerHead {
     unsigned status { 0 };
+    /// Unset where the server names no limit.
+    std::optional<NamedLimit> limit;
     /// Id of the request that this answers; empty when the answer names none.
     std::string requestId;
     /// The server promises that it did not run the request and never will.
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -81,6 +81,9 @@
     /// The whole answer has gone out.
     bool isComplete { false };
 
+    /// The request was written to the server that it is at.
+    TimePoint sentAt;
+
     // For the log and the metrics.
     ServiceName service;
     /// What decided a refusal.
@@ -200,6 +203,8 @@
     auto& server = start.server;
     ++call.attempts;
     call.service = server.service;
+    if (start.limit)
+        m_metrics.count("swiftloft_entry_limited_sends_total", { { "service", server.service.value() } });
     if (call.attempts > 1)
         log::write(log::Event::AttemptStarted, "id={} server={} attempt={} running={} behind-event={}", call.head.id, server.id.value(), call.attempts, start.running,
             call.lastEvent.value_or(0));
@@ -247,6 +252,7 @@
     stream.expires_at(call.deadline - answerMargin);
     boost::system::error_code ec;
     connection->isInUse = true;
+    call.sentAt = now;
     co_await http::async_write(stream, request, redirect_error(use_awaitable, ec));
     if (ec)
         co_return ec == beast::error::timeout ? AttemptEnd::TimedOut : AttemptEnd::Lost;
@@ -290,6 +296,9 @@
             }
             continue;
         }
+        // What is misdirected is answered by another server.
+        if (head.status != 421)
+            noteLimit(call, connection->server, head);
         if (head.isNotRun)
             co_return head.status == 421 ? AttemptEnd::Misdirected : AttemptEnd::NotRun;
         bool isStream = call.route->isStream && head.status == 200;
@@ -300,6 +309,14 @@
     co_return AttemptEnd::Lost;
 }
 
+void RequestServer::noteLimit(const Call& call, const ServerLife& server, const AnswerHead& head)
+{
+    if (head.limit)
+        m_metrics.count("swiftloft_entry_limits_heard_total", { { "service", call.service.value() } });
+    if (head.limit || m_desk.dispatcher().loads().limitOf(server))
+        m_desk.apply(dispatch::LimitHeard { server, call.sentAt, head.limit });
+}
+
 asio::awaitable<AttemptEnd> RequestServer::takeWhole(Call& call, UpstreamConnectionPtr connection, AnswerParser& parser)
 {
     std::string body;
--- a/test/platform-protocol_test.cc
+++ b/test/platform-protocol_test.cc
@@ -109,6 +109,40 @@
     CHECK(decode(good).requestId == "abc");
 }
 
+// Failure: a limit that is read wrongly is exceeded, or keeps a server idle.
+TEST_CASE("Platform: a limit that a server names is decoded")
+{
+    auto decode = platform::makeProtocol().decodeAnswer;
+    AnswerFields none;
+    CHECK_FALSE(decode(none).limit.has_value());
+    auto limitOf = [&](const char* text) {
+        AnswerFields fields;
+        fields.set("Server-Limit", text);
+        auto limit = decode(fields).limit;
+        REQUIRE(limit.has_value());
+        return limit->rate;
+    };
+    CHECK(limitOf("1") == RequestRate(1));
+    CHECK(limitOf("0") == RequestRate(0));
+    CHECK(limitOf("0.5") == RequestRate(0.5));
+    CHECK(limitOf("1.10000000000000000000000000000000000001")->value() == Approx(1.1));
+    CHECK(limitOf("100000000000000000000")->value() == Approx(1e20));
+    CHECK(limitOf((std::string(400, '9') + ".5").c_str())->value() > 1e300);
+    CHECK(limitOf(("0." + std::string(400, '0') + "1").c_str()) == RequestRate(0));
+    auto unreadable = GENERATE("", "-1", "-0", "+1", "1e3", "1,5", "nan", "inf", "many", "1 2");
+    INFO(unreadable);
+    CHECK_FALSE(limitOf(unreadable).has_value());
+}
+
+TEST_CASE("Platform: of two limits in one answer the lower one counts")
+{
+    AnswerFields fields;
+    fields.insert("Server-Limit", "3");
+    fields.insert("Server-Limit", "2");
+    fields.insert("Server-Limit", "x");
+    CHECK(platform::makeProtocol().decodeAnswer(fields).limit->rate == RequestRate(2));
+}
+
 TEST_CASE("Platform: a configuration is decoded")
 {
     auto configuration = platform::decodeConfiguration(configurationText).value();
