--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -161,6 +161,25 @@
     CHECK_THAT(rig.log(), Contains("ProcessStopped"));
 }
 
+// Failure: a server in need gets more than it takes, as the limit that its answers name goes unread.
+TEST_CASE("Platform entry: servers get no more than the limits that they name")
+{
+    EntryRig rig;
+    rig.start();
+    REQUIRE(rig.isReady());
+    for (std::size_t n = 0; n < rig.platform.servers(); ++n)
+        rig.platform.setLimit(n, 1);
+    auto until = Clock::now() + seconds(8);
+    int served = 0;
+    for (int n = 0; Clock::now() < until; ++n) {
+        served += call(rig.request("safe", fmt::format("l{}", n))).head.result_int() == 200 ? 1 : 0;
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    CHECK(rig.platform.brokenLimits() == std::vector<std::string>());
+    CHECK(served >= 6);
+    CHECK_THAT(rig.log(), Contains("ServerLimitChanged") && Contains("limit=1 source=answer"));
+}
+
 TEST_CASE("Platform entry: a hang-up does not end it")
 {
     EntryRig rig;
--- a/test/soak/users-platform.cc
+++ b/test/soak/users-platform.cc
@@ -81,6 +81,27 @@
     m_servers[server].mode = mode;
 }
 
+void UsersPlatform::setLimit(std::size_t server, std::optional<double> rate)
+{
+    std::scoped_lock lock(m_mutex);
+    auto& it = m_servers[server];
+    it.limit = rate;
+    it.rule.onLimit(Clock::now(), rate);
+    // All entries together are judged as one: they are taken to know the limit from the first answer on.
+    it.rule.onPassedOn(Clock::now(), 0);
+}
+
+std::vector<std::string> UsersPlatform::brokenLimits() const
+{
+    std::scoped_lock lock(m_mutex);
+    std::vector<std::string> broken;
+    for (auto& server : m_servers) {
+        if (!server.rule.broken().empty())
+            broken.push_back(fmt::format("server {}: {}", server.id, server.rule.broken()));
+    }
+    return broken;
+}
+
 void UsersPlatform::listAt(std::size_t server, const std::string& address)
 {
     std::scoped_lock lock(m_mutex);
@@ -134,6 +155,7 @@
                 m_items["servers/" + old] = { "", ++m_revision, true };
                 m_servers[index].id = fmt::format("i-{}", ++m_lastId);
                 m_servers[index].state = "ready";
+                setLimit(index, std::nullopt);
                 list(index);
             },
             asio::detached);
@@ -214,6 +236,9 @@
         std::scoped_lock lock(m_mutex);
         auto& server = m_servers[index];
         mode = server.mode;
+        server.rule.onArrival(Clock::now(), 0);
+        if (server.limit)
+            exchange.setHeader("Server-Limit", fmt::format("{}", *server.limit));
         exchange.setHeader("X-Instance-Id", server.id);
         if (exchange.header("X-Expect-Instance") != server.id) {
             exchange.setHeader("X-Not-Executed", "1");
--- a/test/soak/users-platform.h
+++ b/test/soak/users-platform.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "standin/http-server.h"
+#include "test/limit-rule.h"
 
 #include <swiftloft/units.h>
 
@@ -12,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -61,6 +63,10 @@
     std::string storeAddress() const { return m_storeAddress; }
     void setStoreMode(StoreMode mode) { m_storeMode = mode; }
     void setServerMode(std::size_t server, ServerMode mode);
+    /// From now on the server names this many requests a second in its answers, or none.
+    void setLimit(std::size_t server, std::optional<double> rate);
+    /// What was broken of the limits that servers named; empty when nothing was.
+    std::vector<std::string> brokenLimits() const;
     /// Publishes a configuration in which `key` belongs to `organisation`; returns its version.
     std::uint64_t publish(const std::string& key, const std::string& organisation);
     /// The server is listed as draining; a new one with another id takes its place and its address after a moment.
@@ -89,6 +95,8 @@
         ServerMode mode { ServerMode::Normal };
         std::string state { "ready" };
         int running { 0 };
+        std::optional<double> limit;
+        test::LimitRule rule;
     };
     struct Item {
         std::string value;
