--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -472,6 +472,7 @@
         if (m_leaving.contains(hashOf(server.life())))
             server.state = ServerState::Draining;
     }
+    snapshot.self = m_entries.self();
     snapshot.entries = m_entries.alive(now);
     snapshot.entriesThatMayExist = std::max(m_leastEntries, m_entries.mostKnown());
     snapshot.isReady = m_isReady;
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -22,6 +22,8 @@
 constexpr milliseconds backInServiceAfter { 1800 };
 /// Clients wait for at most a third of the time they have left; a little less, so that their clock agrees.
 constexpr double partOfTimeLeft { 0.3 };
+/// No client waits for longer.
+constexpr seconds longestPatience { 60 };
 /// A try that can't last this long is not begun: connecting alone takes a few milliseconds.
 constexpr milliseconds leastTimeForTry { 15 };
 
@@ -63,6 +65,8 @@
     switch (reason) {
     case RefusalReason::Overloaded:
         return "overloaded";
+    case RefusalReason::Limited:
+        return "limited";
     case RefusalReason::NoServer:
         return "no-server";
     case RefusalReason::TriesSpent:
@@ -150,7 +154,7 @@
     call.runningOn = server->life();
     call.hasBegun = false;
     effects.push_back(StartAttempt { id, *server, m_loads.running(server->life(), now), m_loads.limitOf(server->life()) });
-    m_loads.onStart(server->life(), { call.request.promptTokens });
+    m_loads.onStart(now, server->life(), { call.request.promptTokens });
     return true;
 }
 
@@ -167,18 +171,33 @@
             continue;
         if (mayStart && call.sends == 0)
             full.insert(call.service);
-        if (now < call.waitUntil && m_loads.hasServer(call.service)) {
+        if (now < call.waitUntil && m_loads.hasServer(call.service) && !isBeyondLimits(call, now)) {
             still.push_back(id);
             continue;
         }
         if (call.lastEnd)
             giveUp(id, call, *call.lastEnd, now, effects);
         else
-            refuse(now, id, call, m_loads.hasServer(call.service) ? RefusalReason::Overloaded : RefusalReason::NoServer, comeBackAt(call, now), effects);
+            refuse(now, id, call, reasonToRefuse(call, now), comeBackAt(call, now), effects);
     }
     m_waiting = std::move(still);
 }
 
+/// By the limits that they name, no server of its service may get the request while it waits: it is refused at once.
+bool Dispatcher::isBeyondLimits(const Call& call, TimePoint now) const
+{
+    auto room = m_loads.limitedRoom(call.service, now);
+    return room && room->isAll && room->nextAt > call.waitUntil;
+}
+
+RefusalReason Dispatcher::reasonToRefuse(const Call& call, TimePoint now) const
+{
+    if (!m_loads.hasServer(call.service))
+        return RefusalReason::NoServer;
+    auto room = m_loads.limitedRoom(call.service, now);
+    return room && room->isAll ? RefusalReason::Limited : RefusalReason::Overloaded;
+}
+
 /// While a whole service forms anew, all its room is about to be free at once. Turned away, a client would come back when
 /// the rush is on; kept for the moment that it takes, it is served first. It stays so long when the first group is back,
 /// too: else whatever has waited longer than usual and finds the first server full is refused in the same moment, while
@@ -318,10 +337,28 @@
     return now + std::chrono::duration_cast<Clock::duration>(spread(generator) * wait);
 }
 
+/// Clients come back one after the other as the limits have room for them; one whose turn is later than it waits for
+/// comes back towards the end of that time.
+TimePoint Dispatcher::comeBackWithinLimits(const Call& call, double rate, TimePoint now)
+{
+    auto left = std::max(call.request.deadline - now, Clock::duration(0));
+    auto patience = std::chrono::duration_cast<Clock::duration>(partOfTimeLeft * left);
+    auto& next = m_nextReturn[call.service];
+    auto at = std::max(next, now + std::min<Clock::duration>(comeBackAfter, patience));
+    if (rate <= 0 || at > now + patience) {
+        boost::random::uniform_real_distribution<double> spread(0.5, 1.0);
+        return now + std::chrono::duration_cast<Clock::duration>(spread(m_generator) * patience);
+    }
+    next = at + std::chrono::duration_cast<Clock::duration>(std::min(std::chrono::duration<double>(1 / rate), std::chrono::duration<double>(longestPatience)));
+    return at;
+}
+
 TimePoint Dispatcher::comeBackAt(const Call& call, TimePoint now)
 {
     if (!m_loads.hasServer(call.service) || m_loads.isForming(call.service, now))
         return comeBackWhenServing(now, call.request.deadline, m_generator);
+    if (auto room = m_loads.limitedRoom(call.service, now); room && room->isAll)
+        return comeBackWithinLimits(call, room->rate, now);
     boost::random::uniform_int_distribution<int> spread(0, static_cast<int>(comeBackSpread.count()));
     return now + comeBackAfter + milliseconds(spread(m_generator));
 }
@@ -339,9 +376,13 @@
 std::optional<TimePoint> Dispatcher::nextTick() const
 {
     std::optional<TimePoint> next;
+    std::set<ServiceName> services;
     for (auto id : m_waiting) {
         auto it = m_calls.find(id);
         auto& call = it->second;
+        bool isFirstOfService = services.insert(call.service).second;
+        if (auto room = isFirstOfService ? m_loads.limitedRoom(call.service, m_appliedAt) : std::nullopt)
+            next = std::min(next.value_or(room->nextAt), room->nextAt);
         // One whose pause is over and that found no room waits for an event.
         auto due = call.retryAt > m_appliedAt ? std::min(call.retryAt, call.waitUntil) : call.waitUntil;
         if (!next || due < *next)
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -57,6 +57,8 @@
 enum class RefusalReason {
     /// No room in time: come back later.
     Overloaded,
+    /// By the limits that its servers name there is no room in time: come back later.
+    Limited,
     /// The service has no server that may be used.
     NoServer,
     /// Not run, and no further try is allowed.
@@ -207,7 +209,10 @@
     void keepForForming(TimePoint now);
     void startWaiting(TimePoint now, dispatch::Effects& effects);
     void refuse(TimePoint now, CallId id, const Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, dispatch::Effects& effects);
+    bool isBeyondLimits(const Call& call, TimePoint now) const;
+    RefusalReason reasonToRefuse(const Call& call, TimePoint now) const;
     TimePoint comeBackAt(const Call& call, TimePoint now);
+    TimePoint comeBackWithinLimits(const Call& call, double rate, TimePoint now);
 
     DispatcherOptions m_options;
     policy::Generator m_generator;
@@ -216,6 +221,8 @@
     std::map<CallId, Call> m_calls;
     /// Requests without room yet, the most urgent and oldest first.
     std::vector<CallId> m_waiting;
+    /// When the next client that is refused because of limits is to come back, by service.
+    std::map<ServiceName, TimePoint> m_nextReturn;
     /// Time of the last event.
     TimePoint m_appliedAt;
 };
--- a/src/gateway/load-board.cc
+++ b/src/gateway/load-board.cc
@@ -46,8 +46,9 @@
 
 } // namespace
 
-void LoadBoard::setServers(TimePoint, const Snapshot& snapshot)
+void LoadBoard::setServers(TimePoint now, const Snapshot& snapshot)
 {
+    m_limits.setFleet(now, snapshot);
     std::map<ServerLife, Server> servers;
     auto degraded = degradedOf(snapshot);
     for (auto& listed : snapshot.servers) {
@@ -73,11 +74,21 @@
     m_servers = std::move(servers);
 }
 
-void LoadBoard::onStart(const ServerLife& life, const WorkSize& work)
+void LoadBoard::onLoadNews(TimePoint now, const LoadNews& news)
+{
+    m_peerLoads.onNews(now, news);
+    for (auto& word : news.limits) {
+        if (m_limits.onTold(now, word))
+            logLimit(word.server, "entry");
+    }
+}
+
+void LoadBoard::onStart(TimePoint now, const ServerLife& life, const WorkSize& work)
 {
     auto it = m_servers.find(life);
     if (it == m_servers.end())
         return;
+    m_limits.onSend(now, it->second.hash);
     ++it->second.own.running;
     it->second.own.promptTokens += work.promptTokens.value();
 }
@@ -157,10 +168,36 @@
 void LoadBoard::onLimitHeard(TimePoint now, const ServerLife& life, TimePoint sentAt, const std::optional<NamedLimit>& limit)
 {
     auto it = m_servers.find(life);
-    if (it == m_servers.end() || !m_limits.onAnswer(now, it->second.hash, sentAt, limit))
+    if (it != m_servers.end() && m_limits.onAnswer(now, it->second.hash, sentAt, limit))
+        logLimit(it->second.hash, "answer");
+}
+
+void LoadBoard::logLimit(ServerHash server, std::string_view source) const
+{
+    auto it = std::find_if(m_servers.begin(), m_servers.end(), [&](auto& known) { return known.second.hash == server; });
+    if (it == m_servers.end())
         return;
-    auto rate = m_limits.limitOf(it->second.hash);
-    log::write(log::Event::ServerLimitChanged, "server={} limit={} source=answer", life.id.value(), rate ? fmt::format("{}", rate->value()) : "none");
+    auto rate = m_limits.limitOf(server);
+    log::write(log::Event::ServerLimitChanged, "server={} limit={} source={}", it->first.id.value(), rate ? fmt::format("{}", rate->value()) : "none", source);
+}
+
+std::optional<LoadBoard::LimitedRoom> LoadBoard::limitedRoom(const ServiceName& service, TimePoint now) const
+{
+    if (m_limits.isEmpty())
+        return std::nullopt;
+    LimitedRoom room { true, TimePoint::max(), 0 };
+    for (auto& [life, server] : m_servers) {
+        if (server.server.service != service || !mayGetWork(server, now))
+            continue;
+        auto at = m_limits.maySendAt(now, server.hash);
+        if (at <= now) {
+            room.isAll = false;
+            continue;
+        }
+        room.nextAt = std::min(room.nextAt, at);
+        room.rate += m_limits.evenShareOf(server.hash);
+    }
+    return room.nextAt == TimePoint::max() ? std::nullopt : std::optional(room);
 }
 
 std::optional<RequestRate> LoadBoard::limitOf(const ServerLife& life) const
@@ -211,6 +248,9 @@
         if (isIn(choice.excluded, life) || (choice.only && !isIn(*choice.only, life)))
             continue;
         auto load = totalLoad(server, now);
+        bool isLimited = !m_limits.isEmpty() && m_limits.maySendAt(now, server.hash) > now;
+        if (isLimited)
+            continue;
         if (load.running + (server.told ? server.told->running : 0) >= server.server.slots)
             continue;
         double cost = costOf(server, load, now) + tieBreak(generator);
@@ -272,7 +312,9 @@
     };
     std::map<ServiceName, Sum> sums;
     for (auto& [life, server] : m_servers) {
-        if (server.isFar || !mayGetWork(server, now))
+        // One that names a limit is idle for another reason than having room.
+        bool hasRoomByLoad = mayGetWork(server, now) && !m_limits.limitOf(server.hash);
+        if (server.isFar || !hasRoomByLoad)
             continue;
         auto load = totalLoad(server, now);
         auto& sum = sums[server.server.service];
--- a/src/gateway/load-board.h
+++ b/src/gateway/load-board.h
@@ -34,9 +34,9 @@
     static constexpr milliseconds avoidedForAtMost { 3200 };
 
     void setServers(TimePoint now, const Snapshot& snapshot);
-    void onLoadNews(TimePoint now, const LoadNews& news) { m_peerLoads.onNews(now, news); }
+    void onLoadNews(TimePoint now, const LoadNews& news);
 
-    void onStart(const ServerLife& life, const WorkSize& work);
+    void onStart(TimePoint now, const ServerLife& life, const WorkSize& work);
     /// Its prompt has been read.
     void onAnswerBegan(const ServerLife& life, const WorkSize& work);
     void onEnd(const ServerLife& life, const WorkSize& work, bool hasBegun);
@@ -48,6 +48,20 @@
     void onLimitHeard(TimePoint now, const ServerLife& life, TimePoint sentAt, const std::optional<NamedLimit>& limit);
     /// That the server names; unset where it names none.
     std::optional<RequestRate> limitOf(const ServerLife& life) const;
+    const ServerLimits& limits() const { return m_limits; }
+
+    /// Servers of a service that get nothing more for now, by the limits that they name.
+    struct LimitedRoom {
+        /// True when that goes for every server of the service that may get work.
+        bool isAll { false };
+        /// When the first of them may get something from this entry again.
+        TimePoint nextAt;
+        /// Requests a second that an entry may send to them on average.
+        double rate { 0 };
+    };
+    /// Unset while no limit keeps this entry from a server of the service.
+    std::optional<LimitedRoom> limitedRoom(const ServiceName& service, TimePoint now) const;
+
     /// Another server answers at its address.
     void onReplaced(const ServerLife& life);
 
@@ -100,6 +114,7 @@
         std::optional<ServiceLoad> told;
     };
 
+    void logLimit(ServerHash server, std::string_view source) const;
     bool mayGetWork(const Server& server, TimePoint now) const;
     /// What was said of its rank last, while that counts; null otherwise.
     static const Snapshot::DegradedElsewhere* degradedWord(const Server& server, TimePoint now);
--- a/src/gateway/news.capnp
+++ b/src/gateway/news.capnp
@@ -60,10 +60,19 @@
   promptTokens @2 :UInt32;         # of those that have not sent their first event
 }
 
+# What a server's answers said of its limit of requests.
+struct LimitWord {
+  server @0 :UInt64;               # hash of id and start
+  ageMs @1 :UInt32;                # since the server said so
+  isNamed @2 :Bool;                # otherwise it names none any more
+  rate @3 :Float64;                # requests a second from all entries together
+}
+
 struct LoadNews {
   incarnation @0 :UInt64;
   sequence @1 :UInt64;
   servers @2 :List(ServerLoad);
+  limits @3 :List(LimitWord);
 }
 
 # What an agent says of the rank in whose slot it runs.
--- a/src/gateway/news.capnp.h
+++ b/src/gateway/news.capnp.h
@@ -22,6 +22,7 @@
 CAPNP_DECLARE_SCHEMA(9552717a11d6e7df);
 CAPNP_DECLARE_SCHEMA(d0f29347453be8dc);
 CAPNP_DECLARE_SCHEMA(ceb616b525bb90a7);
+CAPNP_DECLARE_SCHEMA(9a0e3153dc8d7cc6);
 CAPNP_DECLARE_SCHEMA(dcfcb5c952e3e94a);
 CAPNP_DECLARE_SCHEMA(9c859b3a1d49d789);
 CAPNP_DECLARE_SCHEMA(b2f4e07f0d2a27fa);
@@ -127,6 +128,21 @@
   };
 };
 
+struct LimitWord {
+  LimitWord() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9a0e3153dc8d7cc6, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct LoadNews {
   LoadNews() = delete;
 
@@ -135,7 +151,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dcfcb5c952e3e94a, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(dcfcb5c952e3e94a, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -872,6 +888,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class LimitWord::Reader {
+public:
+  typedef LimitWord Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getServer() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool getIsNamed() const;
+
+  inline double getRate() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LimitWord::Builder {
+public:
+  typedef LimitWord Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getServer();
+  inline void setServer( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool getIsNamed();
+  inline void setIsNamed(bool value);
+
+  inline double getRate();
+  inline void setRate(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LimitWord::Pipeline {
+public:
+  typedef LimitWord Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class LoadNews::Reader {
 public:
   typedef LoadNews Reads;
@@ -896,6 +1003,9 @@
   inline bool hasServers() const;
   inline  ::capnp::List< ::swiftloft::gateway::schema::ServerLoad,  ::capnp::Kind::STRUCT>::Reader getServers() const;
 
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -937,6 +1047,13 @@
   inline void adoptServers(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServerLoad,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServerLoad,  ::capnp::Kind::STRUCT>> disownServers();
 
+  inline bool hasLimits();
+  inline  ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>> disownLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2255,6 +2372,62 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t LimitWord::Reader::getServer() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LimitWord::Builder::getServer() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LimitWord::Builder::setServer( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LimitWord::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LimitWord::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LimitWord::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LimitWord::Reader::getIsNamed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool LimitWord::Builder::getIsNamed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void LimitWord::Builder::setIsNamed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
+inline double LimitWord::Reader::getRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double LimitWord::Builder::getRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LimitWord::Builder::setRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t LoadNews::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2317,6 +2490,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool LoadNews::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadNews::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>::Reader LoadNews::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>::Builder LoadNews::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LoadNews::Builder::setLimits( ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>::Builder LoadNews::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LoadNews::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>> LoadNews::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool RankNews::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/gateway/news.cc
+++ b/src/gateway/news.cc
@@ -113,6 +113,13 @@
             servers[n].setRunning(it.servers[n].running);
             servers[n].setPromptTokens(static_cast<std::uint32_t>(it.servers[n].promptTokens.value()));
         }
+        auto limits = load.initLimits(static_cast<unsigned>(it.limits.size()));
+        for (unsigned n = 0; n < limits.size(); ++n) {
+            limits[n].setServer(it.limits[n].server.value());
+            limits[n].setAgeMs(static_cast<std::uint32_t>(it.limits[n].age.count()));
+            limits[n].setIsNamed(it.limits[n].rate.has_value());
+            limits[n].setRate(it.limits[n].rate.value_or(RequestRate {}).value());
+        }
     }
     void operator()(const RankNews& it)
     {
@@ -169,9 +176,16 @@
 
 LoadNews parse(schema::LoadNews::Reader in)
 {
-    LoadNews load { Incarnation(in.getIncarnation()), in.getSequence(), {} };
+    LoadNews load { Incarnation(in.getIncarnation()), in.getSequence(), {}, {} };
     for (auto server : in.getServers())
         load.servers.push_back({ ServerHash(server.getServer()), server.getRunning(), Tokens(server.getPromptTokens()) });
+    for (auto limit : in.getLimits()) {
+        bool isSane = std::isfinite(limit.getRate()) && limit.getRate() >= 0;
+        if (!isSane)
+            throw Malformed {};
+        auto rate = limit.getIsNamed() ? std::optional(RequestRate(limit.getRate())) : std::nullopt;
+        load.limits.push_back({ ServerHash(limit.getServer()), rate, milliseconds(limit.getAgeMs()) });
+    }
     return load;
 }
 
--- a/src/gateway/news.h
+++ b/src/gateway/news.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -97,10 +98,20 @@
     Tokens promptTokens;
 };
 
+/// What a server's answers said of its limit, as an entry passes it on.
+struct LimitWord {
+    ServerHash server;
+    /// Unset: the server names no limit any more.
+    std::optional<RequestRate> rate;
+    /// Since the server said so; there is no common clock.
+    milliseconds age { 0 };
+};
+
 struct LoadNews {
     Incarnation incarnation;
     std::uint64_t sequence { 0 };
     std::vector<ServerLoad> servers;
+    std::vector<LimitWord> limits;
 };
 
 /// Names one formation of a rank group: it ends when any rank restarts.
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -13,6 +13,8 @@
     /// Null until one is known.
     std::shared_ptr<const Configuration> configuration;
     std::vector<BackendServer> servers;
+    /// This entry as it describes itself to others.
+    EntryMember self;
     /// Other entries that are alive.
     std::vector<EntryMember> entries;
     /// Entries that may exist, this one included; for shares of budgets.
--- a/src/gateway/traffic.cc
+++ b/src/gateway/traffic.cc
@@ -24,6 +24,8 @@
 constexpr milliseconds tellAtMostEvery { 20 };
 /// And so much less often for each entry told, which bounds what telling costs in a large data centre: 500 datagrams a second.
 constexpr milliseconds tellPauseForEach { 2 };
+/// What is known of limits is repeated this often while there is work, as datagrams get lost.
+constexpr milliseconds limitsToldEvery { 400 };
 /// After SIGTERM an entry goes on accepting for this long, as clients keep their lists of entries for a while.
 constexpr milliseconds acceptAfterStop { 3000 };
 /// Pause after a failed accept, such as for want of descriptors.
@@ -246,10 +248,17 @@
     auto used = board.dataCentresUsed();
     auto isTold = [&](const DataCentreName& dataCentre) { return dataCentre == m_settings.dataCentre || used.contains(dataCentre) || m_toldFar.contains(dataCentre); };
     bool isBusy = !loads.empty();
-    auto bytes = encode(NewsMessage(LoadNews { m_incarnation, ++m_loadSequence, std::move(loads) }));
+    // That a server has named another limit, or none, concerns entries everywhere.
+    bool isLimitNews = std::exchange(m_limitNewsTold, board.limits().newsHeard()) != board.limits().newsHeard();
+    std::vector<LimitWord> limits;
+    if (isLimitNews || m_limitsToldAgainAt <= now) {
+        limits = board.limits().words(now);
+        m_limitsToldAgainAt = now + limitsToldEvery;
+    }
+    auto bytes = encode(NewsMessage(LoadNews { m_incarnation, ++m_loadSequence, std::move(loads), std::move(limits) }));
     int told = 0;
     for (auto& entry : m_snapshot->entries) {
-        if (m_snapshot->sharesLoadNearby && !isTold(entry.dataCentre))
+        if (m_snapshot->sharesLoadNearby && !isLimitNews && !isTold(entry.dataCentre))
             continue;
         m_news->sendEncoded(Endpoint(entry.control.address(), m_settings.load.port()), NewsKind::Load, bytes);
         ++told;
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -75,6 +75,9 @@
     /// Other data centres whose entries were told of this one's load last.
     std::set<DataCentreName> m_toldFar;
     TimePoint m_tellNotBefore;
+    /// `ServerLimits::newsHeard` when limits were told last, and when they are told again without news.
+    std::uint64_t m_limitNewsTold { 0 };
+    TimePoint m_limitsToldAgainAt;
     /// When loads are told next; unset while nothing is due.
     std::optional<TimePoint> m_tellAt;
     std::set<ClientStream*> m_clientStreams;
--- a/test/limit-rule.h
+++ b/test/limit-rule.h
@@ -17,7 +17,8 @@
 ///
 /// The rule: from `bindsAfter` after a server first named its limit, it gets in no `window` more than `factor` times what the
 /// limit allows there, and `slack` requests. Counted is what has come since it named the limit, from entries that passed such
-/// an answer on `toldBefore` ago or earlier. An entry that was restarted, stood still or was cut off is not counted.
+/// an answer on `toldBefore` ago or earlier. An entry that was restarted, stood still or was cut off is not counted, also when that
+/// was up to `bindsAfter` before the limit was named.
 class LimitRule {
 public:
     static constexpr milliseconds bindsAfter { 3000 };
@@ -43,7 +44,8 @@
         if (m_namedAt)
             m_toldAt.try_emplace(entry, now);
     }
-    void onExcused(int entry) { m_excused[entry] = true; }
+    /// The entry was restarted, stands still or is cut off; tell both the begin and the end.
+    void onExcused(TimePoint now, int entry) { m_excusedAt[entry] = now; }
     void onArrival(TimePoint now, int entry)
     {
         if (!m_namedAt)
@@ -55,7 +57,9 @@
             return;
         auto counts = [&](auto& it) {
             auto told = m_toldAt.find(it.entry);
-            return !m_excused[it.entry] && told != m_toldAt.end() && told->second + toldBefore <= now;
+            auto excused = m_excusedAt.find(it.entry);
+            bool isExcused = excused != m_excusedAt.end() && excused->second + bindsAfter >= *m_namedAt;
+            return !isExcused && told != m_toldAt.end() && told->second + toldBefore <= now;
         };
         auto n = static_cast<double>(std::count_if(m_arrivals.begin(), m_arrivals.end(), counts));
         auto allowed = factor * highestRate(now) * std::chrono::duration<double>(window).count() + slack;
@@ -94,7 +98,7 @@
 
     std::optional<TimePoint> m_namedAt;
     std::map<int, TimePoint> m_toldAt;
-    std::map<int, bool> m_excused;
+    std::map<int, TimePoint> m_excusedAt;
     std::deque<Arrival> m_arrivals;
     std::vector<Rate> m_rates;
     std::string m_broken;
--- a/test/limited-fleet.h
+++ b/test/limited-fleet.h
@@ -99,6 +99,7 @@
     }
     void healEntry(int entry)
     {
+        excuse(entry);
         entryAt(entry).isCut = false;
         showAll();
     }
@@ -119,10 +120,13 @@
     int askedIn(int dataCentre) const { return m_askedIn.count(dataCentre) ? m_askedIn.at(dataCentre) : 0; }
     int served() const { return m_served; }
     int asked() const { return m_asked; }
-    /// The longest that a refused request had been kept.
-    milliseconds longestHeld() const { return m_longestHeld; }
-    /// Times to return, from the refusal.
-    const std::vector<double>& returnAfter() const { return m_returnAfter; }
+    struct Refusal {
+        /// From the arrival to the refusal.
+        milliseconds heldFor { 0 };
+        /// From the refusal to the time to return that it names; zero where it names none.
+        milliseconds returnAfter { 0 };
+    };
+    const std::vector<Refusal>& refusals() const { return m_refusals; }
 
     /// Something broken at any server; empty when nothing was.
     std::string broken() const
@@ -188,7 +192,7 @@
     void excuse(int entry)
     {
         for (auto& server : m_servers)
-            server.rule.onExcused(entry);
+            server.rule.onExcused(m_now, entry);
     }
 
     void start(int n)
@@ -219,6 +223,7 @@
                 if (other != n && hear(n, other))
                     snapshot->entries.push_back(memberOf(other));
             }
+            snapshot->self = memberOf(n);
             snapshot->entriesThatMayExist = std::max<std::size_t>(m_options.entriesThatMayExist, static_cast<std::size_t>(m_options.entries));
             snapshot->isReady = true;
             snapshot->dataCentre = dataCentreOf(n);
@@ -304,7 +309,8 @@
             return;
         if (entry.frozenUntil > m_now)
             return tellBy(n, entry.frozenUntil);
-        gateway::LoadNews news { entry.incarnation, ++entry.sequence, entry.dispatcher->loads().ownLoads() };
+        auto& loads = entry.dispatcher->loads();
+        gateway::LoadNews news { entry.incarnation, ++entry.sequence, loads.ownLoads(), loads.limits().words(m_now) };
         for (int other = 0; other < m_options.entries; ++other) {
             bool isLost = uniform(0, 1) < m_options.loss;
             if (other == n || !hear(n, other) || isLost)
@@ -389,11 +395,11 @@
     void perform(const gateway::dispatch::Refuse& effect)
     {
         auto call = m_calls[effect.call];
-        m_longestHeld = std::max(m_longestHeld, std::chrono::duration_cast<milliseconds>(m_now - call.arrivedAt));
+        auto returnAfter = effect.retryAt ? std::chrono::duration_cast<milliseconds>(*effect.retryAt - m_now) : milliseconds(0);
+        m_refusals.push_back({ std::chrono::duration_cast<milliseconds>(m_now - call.arrivedAt), returnAfter });
         schedule(m_now, [this, call, id = effect.call] { apply(call.entry, gateway::dispatch::Closed { id }, call.incarnation); });
         if (!effect.retryAt)
             return;
-        m_returnAfter.push_back(std::chrono::duration<double>(*effect.retryAt - m_now).count());
         if (!call.isReturn)
             schedule(*effect.retryAt, [this, deadline = call.deadline] { arrive(deadline, true); });
     }
@@ -415,8 +421,7 @@
     int m_served { 0 };
     std::map<int, int> m_askedIn;
     std::map<int, int> m_servedIn;
-    milliseconds m_longestHeld { 0 };
-    std::vector<double> m_returnAfter;
+    std::vector<Refusal> m_refusals;
 };
 
 } // namespace swiftloft::test
--- a/test/load-board_test.cc
+++ b/test/load-board_test.cc
@@ -53,14 +53,14 @@
 {
     LoadBoard board;
     board.setServers(start, snapshotOf({ server(1, 2), server(2, 2) }));
-    board.onStart(life("s1"), { Tokens(900) });
+    board.onStart(start, life("s1"), { Tokens(900) });
     CHECK(chosen(board, start) == "s2");
-    board.onStart(life("s2"), { Tokens(2000) });
+    board.onStart(start, life("s2"), { Tokens(2000) });
     CHECK(chosen(board, start) == "s1");
     board.onAnswerBegan(life("s2"), { Tokens(2000) });
     CHECK(chosen(board, start) == "s2");
-    board.onStart(life("s1"), { Tokens(1) });
-    board.onStart(life("s2"), { Tokens(1) });
+    board.onStart(start, life("s1"), { Tokens(1) });
+    board.onStart(start, life("s2"), { Tokens(1) });
     CHECK(chosen(board, start) == "none");
     board.onEnd(life("s1"), { Tokens(1) }, false);
     CHECK(chosen(board, start) == "s1");
@@ -76,7 +76,7 @@
     board.onLoadNews(start, news);
     CHECK(chosen(board, start) == "s2");
     board.onLoadNews(start, { Incarnation(5), 1, {} });
-    board.onStart(life("s2"), { Tokens(3000) });
+    board.onStart(start, life("s2"), { Tokens(3000) });
     CHECK(chosen(board, start) == "s2");
     // The other entry has died: its requests are gone.
     CHECK(chosen(board, start + PeerLoads::countFor) == "s1");
@@ -89,7 +89,7 @@
     LoadBoard board;
     board.setServers(start, snapshotOf({ server(1), server(2) }));
     board.onReplaced(life("s1"));
-    board.onStart(life("s2"), { Tokens(4000) });
+    board.onStart(start, life("s2"), { Tokens(4000) });
     CHECK(chosen(board, start + seconds(60)) == "s2");
     board.setServers(start, snapshotOf({ server(1), server(2) }));
     CHECK(chosen(board, start) == "s2");
@@ -100,7 +100,7 @@
     LoadBoard board;
     board.setServers(start, snapshotOf({ server(1, 4, ServerState::Draining), server(2), server(3) }));
     board.onFailure(start, life("s2"));
-    board.onStart(life("s3"), { Tokens(9000) });
+    board.onStart(start, life("s3"), { Tokens(9000) });
     CHECK(chosen(board, start) == "s3");
     CHECK(chosen(board, start, { life("s3") }) == "s2");
     CHECK(chosen(board, start + LoadBoard::avoidedFor) == "s2");
@@ -116,7 +116,7 @@
     RankNews closed { endpoint(1), EngineGroupName("g"), GroupEpoch(3), RankIndex(0), 2, false, 1 };
     snapshot.ranks = { { closed, start } };
     board.setServers(start, snapshot);
-    board.onStart(life("s2"), { Tokens(9000) });
+    board.onStart(start, life("s2"), { Tokens(9000) });
     CHECK(chosen(board, start) == "s2");
     CHECK(board.hasServer(model));
     CHECK(chosen(board, start + LoadBoard::degradedFor) == "s1");
@@ -136,15 +136,15 @@
     auto after = before;
     after.startedAt = ServerStart(2000);
     board.setServers(start, snapshotOf({ before }));
-    board.onStart(before.life(), { Tokens(900) });
-    board.onStart(before.life(), { Tokens(900) });
+    board.onStart(start, before.life(), { Tokens(900) });
+    board.onStart(start, before.life(), { Tokens(900) });
     board.onReplaced(before.life());
     board.onLoadNews(start, { Incarnation(5), 1, { { hashOf(before.life()), 9, Tokens(4000) } } });
     REQUIRE(chosen(board, start) == "none");
     board.setServers(start, snapshotOf({ after }));
     CHECK(chosen(board, start) == "s1");
     CHECK(board.running(after.life(), start) == 0);
-    board.onStart(after.life(), { Tokens(10) });
+    board.onStart(start, after.life(), { Tokens(10) });
     // The requests of the ended life end late.
     board.onEnd(before.life(), { Tokens(900) }, false);
     board.onEnd(before.life(), { Tokens(900) }, false);
@@ -163,10 +163,10 @@
     snapshot.dataCentre = DataCentreName("a");
     snapshot.sharesLoadNearby = true;
     board.setServers(start, snapshot);
-    board.onStart(life("s1"), { Tokens(9000) });
-    board.onStart(life("s2"), { Tokens(10) });
+    board.onStart(start, life("s1"), { Tokens(9000) });
+    board.onStart(start, life("s2"), { Tokens(10) });
     CHECK(chosen(board, start) == "s1");
-    board.onStart(life("s1"), { Tokens(10) });
+    board.onStart(start, life("s1"), { Tokens(10) });
     CHECK(chosen(board, start) == "s3");
     board.onEnd(life("s2"), { Tokens(10) }, false);
     CHECK(chosen(board, start) == "s2");
@@ -186,7 +186,7 @@
     auto snapshot = snapshotOf({ server(1), server(2) });
     snapshot.degradedElsewhere = { { endpoint(1), start, false, 1 } };
     board.setServers(start, snapshot);
-    board.onStart(life("s2"), { Tokens(9000) });
+    board.onStart(start, life("s2"), { Tokens(9000) });
     CHECK(chosen(board, start) == "s2");
     CHECK(chosen(board, start + LoadBoard::degradedFor) == "s1");
 }
@@ -200,9 +200,9 @@
     auto snapshot = snapshotOf({ server(1), server(2, 2) });
     snapshot.degradedElsewhere = { { endpoint(1), start, true, 3 } };
     board.setServers(start, snapshot);
-    board.onStart(life("s2"), { Tokens(9000) });
+    board.onStart(start, life("s2"), { Tokens(9000) });
     CHECK(chosen(board, start) == "s2");
-    board.onStart(life("s2"), { Tokens(9000) });
+    board.onStart(start, life("s2"), { Tokens(9000) });
     CHECK(chosen(board, start) == "s1");
     board.onEnd(life("s2"), { Tokens(9000) }, false);
     CHECK(chosen(board, start) == "s2");
@@ -232,7 +232,7 @@
     snapshot.sharesLoadNearby = true;
     snapshot.farLoads = { { DataCentreName("b"), { model, 2, 0 } } };
     board.setServers(start, snapshot);
-    auto begin = [&](const std::string& id) { board.onStart(life(id), { Tokens(0) }); };
+    auto begin = [&](const std::string& id) { board.onStart(start, life(id), { Tokens(0) }); };
     for (int n = 0; n < 2; ++n) {
         begin("s1");
         begin("s2");
@@ -260,9 +260,9 @@
     snapshot.dataCentre = DataCentreName("a");
     snapshot.sharesLoadNearby = true;
     board.setServers(start, snapshot);
-    board.onStart(life("s1"), { Tokens(300) });
-    board.onStart(life("s3"), { Tokens(900) });
-    board.onStart(life("s4"), { Tokens(900) });
+    board.onStart(start, life("s1"), { Tokens(300) });
+    board.onStart(start, life("s3"), { Tokens(900) });
+    board.onStart(start, life("s4"), { Tokens(900) });
     board.onLoadNews(start, { Incarnation(5), 1, { { hashOf(life("s2")), 2, Tokens(100) } } });
     auto loads = board.loadsNearby(start);
     REQUIRE(loads.size() == 1);
--- a/test/news_test.cc
+++ b/test/news_test.cc
@@ -43,7 +43,7 @@
     brief.traits.stepsPerPass = 6;
     return {
         Hello { member(1), 7, 12, { member(2), member(3) }, { { ServerHash(5), milliseconds(900) } }, 148, { { endpoint(8), milliseconds(70), true, 2.5 } }, { { ServiceName("model"), 2.5, 300 } } },
-        LoadNews { Incarnation(9), 3, { { ServerHash(77), 4, Tokens(900) } } },
+        LoadNews { Incarnation(9), 3, { { ServerHash(77), 4, Tokens(900) } }, { { ServerHash(78), RequestRate(0.5), milliseconds(40) }, { ServerHash(79), std::nullopt, milliseconds(50) } } },
         RankNews { endpoint(5), EngineGroupName("g"), GroupEpoch(4), RankIndex(3), 12, true, 1.5, ServerStart(1000), true },
         brief,
     };
@@ -72,6 +72,10 @@
     auto load = std::get<LoadNews>(throughWire(all[1]));
     CHECK(load.servers.at(0).running == 4);
     CHECK(load.servers.at(0).promptTokens == Tokens(900));
+    CHECK(load.limits.at(0).server == ServerHash(78));
+    CHECK(load.limits.at(0).rate == RequestRate(0.5));
+    CHECK(load.limits.at(0).age == milliseconds(40));
+    CHECK_FALSE(load.limits.at(1).rate.has_value());
     auto rank = std::get<RankNews>(throughWire(all[2]));
     CHECK(rank.isOpen);
     CHECK(rank.pace == 1.5);
--- a/test/server-limits_test.cc
+++ b/test/server-limits_test.cc
@@ -1,3 +1,5 @@
+#include "src/gateway/server-limits.h"
+#include "src/gateway/snapshot.h"
 #include "test/limited-fleet.h"
 
 #include <catch2/catch.hpp>
@@ -7,6 +9,51 @@
 using swiftloft::test::FleetOptions;
 using swiftloft::test::LimitedFleet;
 
+namespace {
+
+const TimePoint start { seconds(100) };
+constexpr ServerHash server { 7 };
+const std::optional<NamedLimit> none;
+
+std::optional<NamedLimit> named(double rate)
+{
+    return NamedLimit { RequestRate(rate) };
+}
+
+Endpoint entryAt(unsigned n)
+{
+    return { boost::asio::ip::address_v4(0x0a000000U + n), 7000 };
+}
+
+EntryMember member(unsigned n)
+{
+    return { entryAt(n), Incarnation(n + 1), 1, entryAt(n), DataCentreName(std::string(1, static_cast<char>('a' + n % 3))), EntryState::Serving };
+}
+
+/// What entry `self` sees of a fleet of `entries`.
+Snapshot fleetOf(unsigned self, unsigned entries, std::size_t mayExist = 0)
+{
+    Snapshot snapshot;
+    snapshot.self = member(self);
+    snapshot.isReady = true;
+    snapshot.entriesThatMayExist = mayExist ? mayExist : entries;
+    for (unsigned n = 0; n < entries; ++n) {
+        if (n != self)
+            snapshot.entries.push_back(member(n));
+    }
+    return snapshot;
+}
+
+/// One that has the whole limit to itself.
+ServerLimits alone()
+{
+    ServerLimits limits;
+    limits.setFleet(start, fleetOf(0, 1));
+    return limits;
+}
+
+} // namespace
+
 // Failure: each entry sends as if it were the only one, and a server in need gets more than it takes from all together.
 TEST_CASE("Server limits: entries together send no more than a server names")
 {
@@ -21,3 +68,233 @@
     CHECK(fleet.broken() == "");
     CHECK(fleet.served() > 0.97 * fleet.asked() - 200);
 }
+
+// Failure: with more entries than a limit allows requests, one request of each is already too many.
+TEST_CASE("Server limits: a fleet of 150 entries keeps a limit of few requests")
+{
+    auto rate = GENERATE(0.0, 0.1, 1.0, 10.0);
+    LimitedFleet fleet({ .entries = 150, .dataCentres = 5, .servers = 30, .demand = 200, .entriesThatMayExist = 150 });
+    fleet.at(seconds(2), [&] { fleet.limit(3, rate); });
+    fleet.runUntil(seconds(20));
+    INFO("limit " << rate);
+    CHECK(fleet.broken() == "");
+}
+
+// Failure: all servers are in need, and whoever waits for one sends to all of them as soon as it may.
+TEST_CASE("Server limits: all servers of a service name limits")
+{
+    FleetOptions options;
+    options.servers = 4;
+    options.seed = GENERATE(1U, 2U);
+    LimitedFleet fleet(options);
+    fleet.at(seconds(5), [&] {
+        for (int n = 0; n < 4; ++n)
+            fleet.limit(n, 2);
+    });
+    fleet.runUntil(seconds(65));
+    CHECK(fleet.broken() == "");
+    int ran = 0;
+    for (int n = 0; n < 4; ++n)
+        ran += fleet.ranAt(n);
+    INFO("ran " << ran << " of 480 that the limits allow, and what came before");
+    CHECK(ran > 480 * 7 / 9 * 0.8);
+    // No data centre is left out.
+    for (int n = 0; n < 3; ++n)
+        CHECK(fleet.servedIn(n) > 0.5 * fleet.served() * fleet.askedIn(n) / fleet.asked());
+}
+
+// Failure: a request that can't be served is kept until its time is up, and its client comes back with all the others.
+TEST_CASE("Server limits: what no server may get in time is refused at once, with times to return that are spread")
+{
+    LimitedFleet fleet({ .servers = 2 });
+    fleet.at(seconds(5), [&] {
+        fleet.limit(0, 0);
+        fleet.limit(1, 0);
+    });
+    fleet.runUntil(seconds(6));
+    auto before = fleet.refusals().size();
+    fleet.runUntil(seconds(8));
+    std::vector<LimitedFleet::Refusal> refusals(fleet.refusals().begin() + static_cast<std::ptrdiff_t>(before), fleet.refusals().end());
+    REQUIRE(refusals.size() > 50);
+    std::set<milliseconds> times;
+    for (auto& it : refusals) {
+        CHECK(it.heldFor <= milliseconds(1));
+        CHECK(it.returnAfter > milliseconds(100));
+        CHECK(it.returnAfter <= milliseconds(2400));
+        times.insert(it.returnAfter);
+    }
+    CHECK(times.size() > refusals.size() / 2);
+}
+
+// Failure: a limit changes while it holds, and what was saved up under the higher one is spent under the lower one.
+TEST_CASE("Server limits: a limit that changes while it holds")
+{
+    FleetOptions options;
+    options.seed = GENERATE(1U, 2U, 3U);
+    LimitedFleet fleet(options);
+    const double rates[] = { 4, 1, 0, 2, 0.5, 1.1 };
+    for (int n = 0; n < 6; ++n)
+        fleet.at(seconds(4 + 5 * n), [&fleet, rate = rates[n]] { fleet.limit(2, rate); });
+    fleet.runUntil(seconds(40));
+    CHECK(fleet.broken() == "");
+}
+
+// Failure: a limit goes on after its server has ceased to name it, as nobody sends there who could hear of it.
+TEST_CASE("Server limits: a limit ends once its server names none any more")
+{
+    auto rate = GENERATE(0.0, 1.0);
+    LimitedFleet fleet({ .servers = 3 });
+    fleet.at(seconds(5), [&] { fleet.limit(0, rate); });
+    fleet.at(seconds(20), [&] { fleet.limit(0, std::nullopt); });
+    fleet.runUntil(seconds(26));
+    auto before = fleet.ranAt(0);
+    auto otherBefore = fleet.ranAt(1);
+    fleet.runUntil(seconds(30));
+    INFO("limit " << rate);
+    CHECK(fleet.ranAt(0) - before > 0.7 * (fleet.ranAt(1) - otherBefore));
+}
+
+// Failure: what was believed of a server's earlier life keeps requests from its new one.
+TEST_CASE("Server limits: a server that starts again has no limit")
+{
+    LimitedFleet fleet({ .servers = 3 });
+    fleet.at(seconds(5), [&] { fleet.limit(0, 0); });
+    fleet.at(seconds(10), [&] { fleet.restartServer(0); });
+    fleet.runUntil(seconds(10));
+    auto before = fleet.ranAt(0);
+    fleet.runUntil(milliseconds(10'500));
+    INFO("requests in half a second at a server with twelve places and demand for more");
+    CHECK(fleet.ranAt(0) - before >= 12);
+}
+
+// Failure: entries start, stand still, are cut off or end while a limit holds, and those that remain count wrongly.
+TEST_CASE("Server limits: the other entries keep a limit while some fail")
+{
+    FleetOptions options;
+    options.seed = GENERATE(range(1U, 21U));
+    options.loss = 0.03;
+    LimitedFleet fleet(options);
+    std::mt19937_64 random(options.seed);
+    auto pick = [&](int least, int most) { return std::uniform_int_distribution<int>(least, most)(random); };
+    auto rate = 0.5 * pick(0, 6);
+    fleet.at(seconds(5), [&] { fleet.limit(1, rate); });
+    for (int n = 0; n < 4; ++n) {
+        auto entry = pick(0, 3);
+        auto at = milliseconds(pick(4000, 25'000));
+        switch (pick(0, 3)) {
+        case 0:
+            fleet.at(at, [&fleet, entry] { fleet.restartEntry(entry); });
+            break;
+        case 1:
+            fleet.at(at, [&fleet, entry] { fleet.freezeEntry(entry, seconds(4)); });
+            break;
+        case 2:
+            fleet.at(at, [&fleet, entry] { fleet.cutEntry(entry); });
+            fleet.at(at + seconds(4), [&fleet, entry] { fleet.healEntry(entry); });
+            break;
+        default:
+            fleet.at(at, [&fleet, entry] { fleet.killEntry(entry); });
+        }
+    }
+    fleet.runUntil(seconds(35));
+    INFO("limit " << rate << ", seed " << options.seed);
+    CHECK(fleet.broken() == "");
+}
+
+// Failure: the fleet splits in two, and each half shares out the whole limit.
+TEST_CASE("Server limits: halves of a split fleet send no more than their parts")
+{
+    std::vector<ServerLimits> entries(8);
+    for (unsigned n = 0; n < 8; ++n) {
+        entries[n].setFleet(start, fleetOf(n % 4, 4, 8));
+        entries[n].onAnswer(start, server, start, named(16));
+    }
+    int sent = 0;
+    for (auto now = start + seconds(2); now < start + seconds(6); now += milliseconds(10)) {
+        for (auto& it : entries) {
+            it.onAnswer(now, server, now, named(16));
+            if (it.maySendAt(now, server) > now)
+                continue;
+            it.onSend(now, server);
+            ++sent;
+        }
+    }
+    CHECK(sent <= 1.5 * 16 * 4 + 5);
+    CHECK(sent >= 16 * 4 * 0.9);
+}
+
+// Failure: a server names a limit as an answer without one, to an earlier request, overtakes it on another connection.
+TEST_CASE("Server limits: only the answer to a later request ends a limit")
+{
+    auto limits = alone();
+    limits.onAnswer(start, server, start, named(1));
+    CHECK_FALSE(limits.onAnswer(start + milliseconds(5), server, start - milliseconds(300), none));
+    CHECK(limits.limitOf(server) == RequestRate(1));
+    CHECK(limits.onAnswer(start + milliseconds(400), server, start + milliseconds(100), none));
+    CHECK_FALSE(limits.limitOf(server).has_value());
+    CHECK(limits.maySendAt(start + milliseconds(400), server) == start + milliseconds(400));
+}
+
+// Failure: an entry passes an old word on after the server has said something newer.
+TEST_CASE("Server limits: the newest word of a server counts, whoever brings it")
+{
+    auto limits = alone();
+    auto now = start + seconds(3);
+    limits.onTold(now, { server, RequestRate(2), milliseconds(500) });
+    CHECK(limits.limitOf(server) == RequestRate(2));
+    CHECK(limits.onTold(now, { server, std::nullopt, milliseconds(100) }));
+    CHECK_FALSE(limits.onTold(now, { server, RequestRate(2), milliseconds(300) }));
+    CHECK_FALSE(limits.limitOf(server).has_value());
+    CHECK(limits.words(now).size() == 1);
+    CHECK(limits.words(now + ServerLimits::endToldFor).empty());
+}
+
+TEST_CASE("Server limits: a limit that can't be read leaves the last one in force")
+{
+    auto limits = alone();
+    CHECK_FALSE(limits.onAnswer(start, server, start, NamedLimit {}));
+    CHECK_FALSE(limits.limitOf(server).has_value());
+    limits.onAnswer(start, server, start, named(1));
+    limits.onAnswer(start + seconds(1), server, start + milliseconds(500), NamedLimit {});
+    CHECK(limits.limitOf(server) == RequestRate(1));
+}
+
+TEST_CASE("Server limits: limits without bound and next to nothing are kept")
+{
+    auto limits = alone();
+    limits.onAnswer(start, server, start, named(1.7e308));
+    CHECK(limits.maySendAt(start + milliseconds(1), server) == start + milliseconds(1));
+    limits.onAnswer(start, server, start, named(1e-300));
+    CHECK(limits.maySendAt(start + seconds(1), server) > start + seconds(1));
+    CHECK(limits.maySendAt(start + seconds(4), server) == start + seconds(4));
+}
+
+// Failure: the server list lapses and is back, and the entry has forgotten what the server named meanwhile.
+TEST_CASE("Server limits: a lapse of the server list does not end a limit")
+{
+    auto limits = alone();
+    limits.onAnswer(start, server, start, named(1));
+    limits.setFleet(start + seconds(20), fleetOf(0, 1));
+    CHECK(limits.limitOf(server) == RequestRate(1));
+    limits.setFleet(start + ServerLimits::keptUnlisted, fleetOf(0, 1));
+    CHECK_FALSE(limits.limitOf(server).has_value());
+}
+
+TEST_CASE("Server limits: every entry computes the same order, with an entry of each data centre first")
+{
+    for (std::uint64_t hash = 1; hash < 40; ++hash) {
+        std::set<DataCentreName> first;
+        std::set<TimePoint> turns;
+        for (unsigned n = 0; n < 9; ++n) {
+            ServerLimits limits;
+            limits.setFleet(start, fleetOf(n, 9));
+            limits.onAnswer(start, ServerHash(hash), start, named(0));
+            auto turn = limits.maySendAt(start, ServerHash(hash));
+            turns.insert(turn);
+            if (turn < start + ServerLimits::askAfter + 3 * ServerLimits::askEvery)
+                first.insert(member(n).dataCentre);
+        }
+        CHECK(turns.size() == 9);
+        CHECK(first.size() == 3);
+    }
+}
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -164,12 +164,13 @@
     std::string oldKey = currentKey();
     for (int n = 0; !m_isOver; ++n) {
         Outcome outcome;
-        outcome.id = fmt::format("{}-{}", seed, n);
         outcome.kind = kinds[pick(random, 0, 2)];
         // Now and then a client goes on with a key that was valid when it began.
         outcome.key = pick(random, 0, 9) == 0 ? oldKey : currentKey();
         outcome.sentAt = Clock::now();
-        clients[static_cast<std::size_t>(pick(random, 0, static_cast<int>(clients.size()) - 1))]->exchange(outcome);
+        auto entry = static_cast<std::size_t>(pick(random, 0, static_cast<int>(clients.size()) - 1));
+        outcome.id = UsersPlatform::idThrough(fmt::format("{}-{}", seed, n), entry);
+        clients[entry]->exchange(outcome);
         bool isServed = outcome.status == 200;
         {
             std::scoped_lock lock(m_mutex);
@@ -193,6 +194,7 @@
 {
     auto index = static_cast<std::size_t>(pick(random, 0, m_options.entries - 1));
     auto& entry = m_entries[index];
+    m_platform.excuseEntry(static_cast<int>(index));
     switch (pick(random, 0, 3)) {
     case 0:
         note(fmt::format("kill entry {}", index));
@@ -210,6 +212,7 @@
         std::this_thread::sleep_for(milliseconds(pick(random, 50, 1500)));
         entry.process->resume();
     }
+    m_platform.excuseEntry(static_cast<int>(index));
 }
 
 void Soak::disturbStore(std::mt19937_64& random)
@@ -266,6 +269,19 @@
         m_platform.drain(index);
 }
 
+/// A server names a limit, and another one a while later.
+void Soak::limitServer(std::mt19937_64& random)
+{
+    auto index = static_cast<std::size_t>(pick(random, 0, m_options.servers - 1));
+    for (int n = 0; n < 2; ++n) {
+        auto rate = 0.5 * pick(random, 0, 8);
+        note(fmt::format("server {} limited to {} a second", index, rate));
+        m_platform.setLimit(index, rate);
+        std::this_thread::sleep_for(milliseconds(pick(random, 500, 5000)));
+    }
+    m_platform.setLimit(index, std::nullopt);
+}
+
 void Soak::disturb(std::mt19937_64& random)
 {
     switch (pick(random, 0, 2)) {
@@ -283,7 +299,7 @@
     return process_test::waitUntil(Clock::now() + recoverWithin, [&] {
         std::size_t good = 0;
         for (std::size_t n = 0; n < m_entries.size(); ++n) {
-            Outcome outcome { fmt::format("last-{}-{}", n, Clock::now().time_since_epoch().count()), "safe", currentKey(), Clock::now() };
+            Outcome outcome { UsersPlatform::idThrough(fmt::format("last-{}", Clock::now().time_since_epoch().count()), n), "safe", currentKey(), Clock::now() };
             KeptClient(m_entries[n].clients).exchange(outcome);
             good += outcome.status == 200 ? 1 : 0;
         }
@@ -312,9 +328,11 @@
     };
     std::thread second([&] { disturbUntilEnd(m_options.seed * 2 + 1, &Soak::disturbServer); });
     std::thread third([&] { disturbUntilEnd(m_options.seed * 2 + 2, &Soak::disturbStore); });
+    std::thread fourth([&] { disturbUntilEnd(m_options.seed * 2 + 3, &Soak::limitServer); });
     disturbUntilEnd(m_options.seed * 2, &Soak::disturbEntry);
     second.join();
     third.join();
+    fourth.join();
     note("calm");
     if (!servesAgain())
         m_broken.emplace_back("after all faults had ended the entries did not serve again");
@@ -386,6 +404,8 @@
         checkBody(outcome, broken);
     }
     checkDrains(broken);
+    auto limits = m_platform.brokenLimits();
+    broken.insert(broken.end(), limits.begin(), limits.end());
     if (served() * 4 < m_outcomes.size())
         broken.push_back(fmt::format("{} of {} requests were served, expected a quarter at least", served(), m_outcomes.size()));
     return broken;
--- a/test/soak/users-platform.cc
+++ b/test/soak/users-platform.cc
@@ -40,6 +40,14 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+constexpr std::string_view entryMark { "-through-" };
+
+int entryOf(std::string_view id)
+{
+    auto at = id.rfind(entryMark);
+    return at == std::string_view::npos ? 0 : std::stoi(std::string(id.substr(at + entryMark.size())));
+}
+
 std::string eventText(const std::string& id, int n)
 {
     return fmt::format("id: {}\ndata: {} part {}\n\n", n, id, n);
@@ -87,8 +95,18 @@
     auto& it = m_servers[server];
     it.limit = rate;
     it.rule.onLimit(Clock::now(), rate);
-    // All entries together are judged as one: they are taken to know the limit from the first answer on.
-    it.rule.onPassedOn(Clock::now(), 0);
+}
+
+void UsersPlatform::excuseEntry(int entry)
+{
+    std::scoped_lock lock(m_mutex);
+    for (auto& server : m_servers)
+        server.rule.onExcused(Clock::now(), entry);
+}
+
+std::string UsersPlatform::idThrough(const std::string& id, std::size_t entry)
+{
+    return fmt::format("{}{}{}", id, entryMark, entry);
 }
 
 std::vector<std::string> UsersPlatform::brokenLimits() const
@@ -236,9 +254,12 @@
         std::scoped_lock lock(m_mutex);
         auto& server = m_servers[index];
         mode = server.mode;
-        server.rule.onArrival(Clock::now(), 0);
-        if (server.limit)
+        auto entry = entryOf(exchange.header("X-Request-Id"));
+        server.rule.onArrival(Clock::now(), entry);
+        if (server.limit) {
             exchange.setHeader("Server-Limit", fmt::format("{}", *server.limit));
+            server.rule.onPassedOn(Clock::now(), entry);
+        }
         exchange.setHeader("X-Instance-Id", server.id);
         if (exchange.header("X-Expect-Instance") != server.id) {
             exchange.setHeader("X-Not-Executed", "1");
--- a/test/soak/users-platform.h
+++ b/test/soak/users-platform.h
@@ -65,6 +65,10 @@
     void setServerMode(std::size_t server, ServerMode mode);
     /// From now on the server names this many requests a second in its answers, or none.
     void setLimit(std::size_t server, std::optional<double> rate);
+    /// The entry is killed, stopped, paused or back: it answers for no limit named about then.
+    void excuseEntry(int entry);
+    /// A request id from which the stand-in learns through which entry a request comes. One without counts as of entry 0.
+    static std::string idThrough(const std::string& id, std::size_t entry);
     /// What was broken of the limits that servers named; empty when nothing was.
     std::vector<std::string> brokenLimits() const;
     /// Publishes a configuration in which `key` belongs to `organisation`; returns its version.
