Keep idle connections of all entries within what a server accepts

The same class as the limit that servers name: a bound that is meant for all entries together and that each kept for itself. A server accepts so many connections from all callers and resets those beyond; each entry kept up to 16 idle ones there, so seven entries could hold 112 where 49 are accepted, and a new connection for a request that may not repeat is reset while others lie idle. The maximum was decoded and never read.

Now an entry keeps an even part of what is left beside the running requests, by the entries that may exist.

--- a/src/gateway/traffic.cc
+++ b/src/gateway/traffic.cc
@@ -97,7 +97,7 @@
 {
     asio::post(m_ioContext, [this, snapshot = std::move(snapshot)] {
         m_snapshot = snapshot;
-        m_pool.keepOnly(snapshot->servers);
+        m_pool.keepOnly(*snapshot);
         m_desk.apply(dispatch::SnapshotChanged { snapshot });
         if (m_onLoadsMeasured)
             m_onLoadsMeasured(m_desk.dispatcher().loads().loadsNearby(Clock::now()));
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -1,5 +1,7 @@
 #include "src/gateway/upstream.h"
 
+#include "src/gateway/snapshot.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -21,6 +23,14 @@
 
 } // namespace
 
+std::size_t idleConnectionsFor(std::uint32_t maximum, std::uint32_t slots, std::size_t entries)
+{
+    if (maximum == 0)
+        return UpstreamPool::mostIdlePerServer;
+    auto left = maximum > slots ? maximum - slots : 0;
+    return std::min<std::size_t>(left / std::max<std::size_t>(entries, 1), UpstreamPool::mostIdlePerServer);
+}
+
 UpstreamConnection::UpstreamConnection(asio::io_context& ioContext, std::shared_ptr<Registry> open)
     : stream(ioContext)
     , m_open(std::move(open))
@@ -78,11 +88,14 @@
 
 void UpstreamPool::putBack(UpstreamConnectionPtr connection, TimePoint idleUntil)
 {
-    auto& list = m_idle[connection->server];
-    connection->stream.expires_never();
     auto server = connection->server;
+    auto most = mostIdleOf(server);
+    if (most == 0)
+        return;
+    auto& list = m_idle[server];
+    connection->stream.expires_never();
     list.push_back({ std::move(connection), idleUntil, ++m_lastNumber });
-    if (list.size() > mostIdlePerServer)
+    if (list.size() > most)
         list.pop_front();
     co_spawn(m_ioContext, watch(server, m_lastNumber), asio::detached);
 }
@@ -109,14 +122,28 @@
         it->second.remove_if([&](auto& idle) { return idle.number == number; });
 }
 
-void UpstreamPool::keepOnly(const std::vector<BackendServer>& servers)
+std::size_t UpstreamPool::mostIdleOf(const ServerLife& server) const
+{
+    auto it = m_mostIdle.find(server);
+    return it == m_mostIdle.end() ? mostIdlePerServer : it->second;
+}
+
+void UpstreamPool::keepOnly(const Snapshot& snapshot)
 {
     auto now = Clock::now();
-    for (auto& [id, list] : m_idle)
-        list.remove_if([&](auto& idle) { return idle.idleUntil <= now; });
     Starts listed;
-    for (auto& server : servers)
+    m_mostIdle.clear();
+    for (auto& server : snapshot.servers) {
         listed[server.id] = server.startedAt;
+        auto* service = snapshot.configuration ? snapshot.configuration->findService(server.service) : nullptr;
+        if (service)
+            m_mostIdle[server.life()] = idleConnectionsFor(service->maximumConnections, server.slots, snapshot.entriesThatMayExist);
+    }
+    for (auto& [server, list] : m_idle) {
+        list.remove_if([&](auto& idle) { return idle.idleUntil <= now; });
+        while (list.size() > mostIdleOf(server))
+            list.pop_front();
+    }
     auto isListed = [&](const ServerLife& life) {
         auto it = listed.find(life.id);
         return it != listed.end() && it->second == life.startedAt;
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -14,6 +14,8 @@
 
 namespace swiftloft::gateway {
 
+struct Snapshot;
+
 /// One connection to a backend server with what was read from it and not yet parsed.
 struct UpstreamConnection {
     using Registry = std::set<UpstreamConnection*>;
@@ -36,6 +38,10 @@
 
 using UpstreamConnectionPtr = std::unique_ptr<UpstreamConnection>;
 
+/// Idle connections that one of `entries` entries may keep to a server that accepts `maximum` from all of them together, and
+/// has `slots` requests running. A server that names no maximum, 0, bounds nothing.
+std::size_t idleConnectionsFor(std::uint32_t maximum, std::uint32_t slots, std::size_t entries);
+
 /// Idle connections to backend servers, by the server's life: an address that has gone to another server gets none of them.
 /// Belongs to the traffic thread.
 class UpstreamPool {
@@ -51,11 +57,12 @@
     UpstreamConnectionPtr takeIdle(const BackendServer& server);
     /// Opens a connection. Throws `boost::system::system_error` when it is not open by `deadline`.
     boost::asio::awaitable<UpstreamConnectionPtr> connect(BackendServer server, TimePoint deadline);
-    /// Keeps a connection whose last answer was read whole, with nothing behind it, until `idleUntil`.
+    /// Keeps a connection whose last answer was read whole, with nothing behind it, until `idleUntil`; closes it where this
+    /// entry has as many idle ones at that server as it may.
     void putBack(UpstreamConnectionPtr connection, TimePoint idleUntil);
-    /// Closes the idle connections of servers that are not in `servers`, and all connections of lives that have ended
-    /// because their server has started again.
-    void keepOnly(const std::vector<BackendServer>& servers);
+    /// Closes the idle connections of servers that are not in the snapshot, those beyond this entry's part, and all
+    /// connections of lives that have ended because their server has started again.
+    void keepOnly(const Snapshot& snapshot);
     void closeAll() { m_idle.clear(); }
 
 private:
@@ -67,12 +74,15 @@
 
     boost::asio::awaitable<void> watch(ServerLife server, std::uint64_t number);
     void drop(const ServerLife& server, std::uint64_t number);
+    std::size_t mostIdleOf(const ServerLife& server) const;
     /// Start of each server that is listed, by id.
     using Starts = std::map<BackendServerId, ServerStart>;
     void breakEnded(const Starts& listed);
 
     boost::asio::io_context& m_ioContext;
     std::map<ServerLife, std::list<Idle>> m_idle;
+    /// Idle connections that this entry may keep, by server.
+    std::map<ServerLife, std::size_t> m_mostIdle;
     /// All connections that are open, idle and in use.
     std::shared_ptr<UpstreamConnection::Registry> m_open;
     std::uint64_t m_lastNumber { 0 };
