Timeline of work for clients that left, and the silence of a server in the log

What on-call saw: engines work on requests whose clients have left. The lines of their requests tell the longest pause between events, and not that the server said nothing for the last two seconds: silent-ms says so now.

No decision changes.

--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -52,6 +52,13 @@
         fields.erase(field);
 }
 
+/// How long nothing had come of the last server that the request was sent to; -1 before it was sent.
+milliseconds silentFor(TimePoint sentAt, TimePoint lastEventAt, TimePoint now)
+{
+    auto heardAt = std::max(sentAt, lastEventAt);
+    return heardAt == TimePoint {} ? milliseconds(-1) : std::chrono::duration_cast<milliseconds>(now - heardAt);
+}
+
 bool isFailure(unsigned status)
 {
     return status >= 500;
@@ -471,9 +478,9 @@
     auto now = Clock::now();
     auto sinceArrival = [&](TimePoint time) { return std::chrono::duration_cast<milliseconds>(time - call.arrivedAt).count(); };
     bool isServed = call.isComplete && call.reason == answeredReason;
-    log::write(isServed ? log::Event::RequestServed : log::Event::RequestFailed, "id={} route={} organisation={} status={} reason={} attempts={} service={} servers={} configuration={} first-ms={} pause-ms={} ms={}{}", call.head.id,
+    log::write(isServed ? log::Event::RequestServed : log::Event::RequestFailed, "id={} route={} organisation={} status={} reason={} attempts={} service={} servers={} configuration={} first-ms={} pause-ms={} silent-ms={} ms={}{}", call.head.id,
         call.route ? call.route->name : "-", call.organisation ? call.organisation->value() : "-", call.status, call.reason, call.attempts, call.service.value(), call.servers,
-        call.configuration ? call.configuration->version().value() : 0, call.firstByteAt ? sinceArrival(*call.firstByteAt) : -1, call.longestPause.count(), sinceArrival(now), call.inputs);
+        call.configuration ? call.configuration->version().value() : 0, call.firstByteAt ? sinceArrival(*call.firstByteAt) : -1, call.longestPause.count(), silentFor(call.sentAt, call.lastEventAt, now).count(), sinceArrival(now), call.inputs);
     count(call, isServed, now);
 }
 
