--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -180,6 +180,40 @@
     CHECK_THAT(rig.log(), Contains("ServerLimitChanged") && Contains("limit=1 source=answer"));
 }
 
+// Failure: a server stands still, its callers leave after two seconds without an event, and it works for nobody when it wakes.
+TEST_CASE("Platform entry: a stream goes on at another server when its own falls silent")
+{
+    EntryRig rig;
+    rig.start();
+    REQUIRE(rig.isReady());
+    rig.platform.setServerMode(0, ServerMode::Stalling);
+    std::atomic<bool> isOver { false };
+    // The other server goes on meanwhile.
+    auto others = std::async(std::launch::async, [&] {
+        for (int n = 0; !isOver; ++n)
+            call(rig.request("stream", fmt::format("o{}", n)));
+    });
+    struct Timed {
+        std::string body;
+        Clock::duration time;
+    };
+    auto timed = [&](const std::string& id) {
+        auto began = Clock::now();
+        auto body = call(rig.request("stream", id)).body;
+        return Timed { body, Clock::now() - began };
+    };
+    std::vector<std::future<Timed>> streams;
+    for (int n = 0; n < 6; ++n)
+        streams.push_back(std::async(std::launch::async, timed, fmt::format("t{}", n)));
+    for (int n = 0; n < 6; ++n) {
+        auto stream = streams[static_cast<std::size_t>(n)].get();
+        CHECK(stream.body == UsersPlatform::wholeStream(fmt::format("t{}", n)));
+        CHECK(std::chrono::duration<double>(stream.time).count() < 2);
+    }
+    isOver = true;
+    others.get();
+}
+
 TEST_CASE("Platform entry: a hang-up does not end it")
 {
     EntryRig rig;
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -89,14 +89,6 @@
     return std::uniform_int_distribution<int>(least, most)(random);
 }
 
-std::string wholeStream(const std::string& id)
-{
-    std::string out;
-    for (int n = 1; n <= UsersPlatform::eventsOfStream; ++n)
-        out += fmt::format("id: {}\ndata: {} part {}\n\n", n, id, n);
-    return out;
-}
-
 } // namespace
 
 Soak::Soak(const SoakOptions& options)
@@ -376,7 +368,7 @@
 {
     if (outcome.status != 200)
         return;
-    auto expected = outcome.kind == "stream" ? wholeStream(outcome.id) : UsersPlatform::plainBody(outcome.id);
+    auto expected = outcome.kind == "stream" ? UsersPlatform::wholeStream(outcome.id) : UsersPlatform::plainBody(outcome.id);
     bool isGood = outcome.isWhole ? outcome.body == expected : expected.starts_with(outcome.body);
     if (!isGood)
         broken.push_back(fmt::format("{} request {}: a {} answer was '{}', expected '{}'", outcome.kind, outcome.id, outcome.isWhole ? "whole" : "cut", outcome.body, expected));
--- a/test/soak/users-platform.cc
+++ b/test/soak/users-platform.cc
@@ -60,6 +60,14 @@
     return "answer to " + id;
 }
 
+std::string UsersPlatform::wholeStream(const std::string& id)
+{
+    std::string out;
+    for (int n = 1; n <= eventsOfStream; ++n)
+        out += eventText(id, n);
+    return out;
+}
+
 UsersPlatform::UsersPlatform(int servers, int slots)
     : m_slots(slots)
 {
@@ -313,7 +321,7 @@
     int first = last.empty() ? 1 : std::stoi(last) + 1;
     co_await exchange.startStream("text/event-stream");
     for (int n = first; n <= eventsOfStream; ++n) {
-        co_await pause(eventEvery);
+        co_await pause(mode == ServerMode::Stalling && n == first + 3 ? silentFor : eventEvery);
         auto text = eventText(id, n);
         bool isBroken = mode == ServerMode::LosingAnswers || (mode == ServerMode::BreakingStreams && n == first + 3);
         if (isBroken) {
--- a/test/soak/users-platform.h
+++ b/test/soak/users-platform.h
@@ -43,6 +43,8 @@
     Mixing,
     /// Runs requests and answers them only after a minute.
     Silent,
+    /// Says nothing for a minute after the first events of a stream.
+    Stalling,
 };
 
 /// One run of a request at a server.
@@ -88,6 +90,7 @@
     /// What a server answers to a plain request, and the events of its streams.
     static std::string plainBody(const std::string& id);
     static constexpr int eventsOfStream { 12 };
+    static std::string wholeStream(const std::string& id);
 
 private:
     struct Server {
