--- a/src/gateway/call-desk.cc
+++ b/src/gateway/call-desk.cc
@@ -23,6 +23,7 @@
 CallDesk::Ticket::~Ticket()
 {
     m_desk.m_waiters.erase(m_id);
+    m_desk.m_onTakeBack.erase(m_id);
     m_desk.apply(dispatch::Closed { m_id });
 }
 
@@ -41,6 +42,16 @@
     m_desk.apply(dispatch::AnswerBegan { m_id });
 }
 
+void CallDesk::Ticket::progressed()
+{
+    m_desk.apply(dispatch::Progressed { m_id });
+}
+
+void CallDesk::Ticket::setOnTakeBack(std::function<void()> hook)
+{
+    m_desk.m_onTakeBack[m_id] = std::move(hook);
+}
+
 void CallDesk::Ticket::answered()
 {
     m_desk.apply(dispatch::AttemptEnded { m_id, AttemptEnd::Answered });
@@ -68,13 +79,23 @@
     it->second->timer.cancel();
 }
 
+void CallDesk::perform(const dispatch::TakeBack& effect)
+{
+    auto it = m_onTakeBack.find(effect.call);
+    if (it != m_onTakeBack.end())
+        it->second();
+}
+
 void CallDesk::apply(const dispatch::Event& event)
 {
     if (m_isClosed)
         return;
     auto effects = m_dispatcher.apply(Clock::now(), event);
     for (auto& effect : effects)
-        std::visit([this](auto& it) { deliver(it.call, it); }, effect);
+        std::visit([this](auto& it) { perform(it); }, effect);
+    // Comes with every event of every stream and changes no load.
+    if (std::holds_alternative<dispatch::Progressed>(event))
+        return;
     armTimer();
     bool isLoad = std::holds_alternative<dispatch::LoadArrived>(event) || std::holds_alternative<dispatch::SnapshotChanged>(event);
     if (m_onLoadChanged && !isLoad)
--- a/src/gateway/call-desk.h
+++ b/src/gateway/call-desk.h
@@ -32,6 +32,9 @@
         boost::asio::awaitable<CallDecision> arrive(CallRequest request);
         boost::asio::awaitable<CallDecision> attemptEnded(AttemptEnd end);
         void answerBegan();
+        void progressed();
+        /// Called when the try in progress is to end.
+        void setOnTakeBack(std::function<void()> hook);
         /// The whole answer has gone to the client.
         void answered();
         CallId id() const { return m_id; }
@@ -62,12 +65,16 @@
 
     boost::asio::awaitable<CallDecision> decisionFor(CallId id, dispatch::Event event);
     void deliver(CallId id, CallDecision decision);
+    void perform(const dispatch::TakeBack& effect);
+    template <typename Decision>
+    void perform(const Decision& effect) { deliver(effect.call, effect); }
     void armTimer();
 
     boost::asio::io_context& m_ioContext;
     Dispatcher m_dispatcher;
     boost::asio::steady_timer m_timer;
     std::map<CallId, std::shared_ptr<Waiter>> m_waiters;
+    std::map<CallId, std::function<void()>> m_onTakeBack;
     std::function<void()> m_onLoadChanged;
     std::uint64_t m_lastId { 0 };
     bool m_isClosed { false };
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -24,6 +24,8 @@
 constexpr double partOfTimeLeft { 0.3 };
 /// No client waits for longer.
 constexpr seconds longestPatience { 60 };
+/// Between two looks for servers that have fallen silent.
+constexpr milliseconds lookForStallsEvery { 200 };
 /// A try that can't last this long is not begun: connecting alone takes a few milliseconds.
 constexpr milliseconds leastTimeForTry { 15 };
 
@@ -34,6 +36,7 @@
 
 bool isServerSuspect(AttemptEnd end)
 {
+    // One that stalled became suspect as the request was taken back.
     return end == AttemptEnd::NotSent || end == AttemptEnd::Lost || end == AttemptEnd::TimedOut || end == AttemptEnd::ServerError;
 }
 
@@ -56,6 +59,8 @@
         return "server-error";
     case AttemptEnd::TimedOut:
         return "timed-out";
+    case AttemptEnd::Stalled:
+        return "stalled";
     }
     return "unknown";
 }
@@ -88,6 +93,11 @@
 
 Effects Dispatcher::apply(TimePoint now, const Event& event)
 {
+    // Comes with every event of every stream, and gives room to nobody.
+    if (auto* progressed = std::get_if<Progressed>(&event)) {
+        onProgressed(now, progressed->call);
+        return {};
+    }
     Effects effects;
     if (auto* arrived = std::get_if<Arrived>(&event))
         onArrived(now, *arrived, effects);
@@ -104,6 +114,7 @@
         m_retries.setEntries(changed->snapshot->entriesThatMayExist);
     } else if (auto* load = std::get_if<LoadArrived>(&event))
         m_loads.onLoadNews(now, load->news);
+    takeBackStalled(now, effects);
     startWaiting(now, effects);
     m_appliedAt = now;
     return effects;
@@ -148,11 +159,16 @@
     auto server = m_loads.choose(choice, now, m_generator);
     if (!server)
         return false;
-    if (call.sends > 0 && !m_retries.tryTake(call.service, now))
+    bool isPaidFor = call.sends == 0 || call.isTakenBack;
+    if (!isPaidFor && !m_retries.tryTake(call.service, now))
         return false;
     ++call.sends;
     call.runningOn = server->life();
     call.hasBegun = false;
+    call.heardAt = now;
+    call.isTakenBack = false;
+    if (call.request.route->isStream && !m_stallsLookedAt)
+        m_stallsLookedAt = now + lookForStallsEvery;
     effects.push_back(StartAttempt { id, *server, m_loads.running(server->life(), now), m_loads.limitOf(server->life()) });
     m_loads.onStart(now, server->life(), { call.request.promptTokens });
     return true;
@@ -217,6 +233,47 @@
     }
 }
 
+/// Failure: the machine beside one engine of many stands still. The streams there stand until their clients leave, new requests
+/// are sent there as its places come free, and it works for nobody when it wakes. Taken back in time, streams go on
+/// elsewhere, and their clients stay.
+void Dispatcher::takeBackStalled(TimePoint now, Effects& effects)
+{
+    if (!m_stallsLookedAt || now < *m_stallsLookedAt)
+        return;
+    m_stallsLookedAt.reset();
+    for (auto& [id, call] : m_calls) {
+        if (!call.runningOn || !call.request.route->isStream)
+            continue;
+        m_stallsLookedAt = now + lookForStallsEvery;
+        if (!isStalled(call, now) || !m_retries.tryTake(call.service, now))
+            continue;
+        call.isTakenBack = true;
+        m_loads.onStalled(now, *call.runningOn);
+        effects.push_back(TakeBack { id });
+    }
+}
+
+/// True for a stream that another server can take, whose own says nothing while others go on. A request that has not begun may
+/// wait its turn there; it counts once its server is suspect by another stream, here or at another entry.
+bool Dispatcher::isStalled(const Call& call, TimePoint now) const
+{
+    auto silentSince = now - m_options.stallAfter;
+    if (call.isTakenBack || call.heardAt > silentSince || !mayTryAgain(call, AttemptEnd::Stalled, now))
+        return false;
+    bool mayRunElsewhere = call.ranOn.size() + 1 < std::max(call.request.route->maximumServers, 1U);
+    bool isServerSilent = m_loads.heardAt(*call.runningOn) <= silentSince && (call.hasBegun || m_loads.isSuspect(*call.runningOn, now));
+    return mayRunElsewhere && isServerSilent && m_loads.doOthersGoOn(call.service, *call.runningOn, now) && m_loads.hasRoomBeside(call.service, *call.runningOn, now);
+}
+
+void Dispatcher::onProgressed(TimePoint now, CallId id)
+{
+    auto it = m_calls.find(id);
+    if (it == m_calls.end() || !it->second.runningOn)
+        return;
+    it->second.heardAt = now;
+    m_loads.onHeard(now, *it->second.runningOn);
+}
+
 void Dispatcher::endAttempt(Call& call)
 {
     if (!call.runningOn)
@@ -225,12 +282,13 @@
     call.runningOn.reset();
 }
 
-void Dispatcher::onAnswerBegan(TimePoint, CallId id)
+void Dispatcher::onAnswerBegan(TimePoint now, CallId id)
 {
     auto it = m_calls.find(id);
     if (it == m_calls.end() || !it->second.runningOn || it->second.hasBegun)
         return;
     it->second.hasBegun = true;
+    onProgressed(now, id);
     m_loads.onAnswerBegan(*it->second.runningOn, { it->second.request.promptTokens });
 }
 
@@ -375,7 +433,7 @@
 
 std::optional<TimePoint> Dispatcher::nextTick() const
 {
-    std::optional<TimePoint> next;
+    auto next = m_stallsLookedAt;
     std::set<ServiceName> services;
     for (auto id : m_waiting) {
         auto it = m_calls.find(id);
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -49,6 +49,8 @@
     ServerError,
     /// The server was silent until the deadline.
     TimedOut,
+    /// The request was taken back: its server had fallen silent while others went on. It may have run.
+    Stalled,
 };
 
 std::string_view toString(AttemptEnd end);
@@ -85,6 +87,10 @@
 struct AnswerBegan {
     CallId call;
 };
+/// More of a stream has come from its server.
+struct Progressed {
+    CallId call;
+};
 /// The call is over: its client has been answered or has left.
 struct Closed {
     CallId call;
@@ -105,7 +111,7 @@
 /// Time passed; see `Dispatcher::nextTick`.
 struct Ticked { };
 
-using Event = std::variant<Arrived, AttemptEnded, AnswerBegan, Closed, LimitHeard, SnapshotChanged, LoadArrived, Ticked>;
+using Event = std::variant<Arrived, AttemptEnded, AnswerBegan, Progressed, Closed, LimitHeard, SnapshotChanged, LoadArrived, Ticked>;
 
 struct StartAttempt {
     CallId call;
@@ -127,12 +133,16 @@
     double occupancy { 0 };
     std::size_t waiting { 0 };
 };
+/// End the try that is in progress; `AttemptEnded` follows.
+struct TakeBack {
+    CallId call;
+};
 /// Pass the failure that the server answered with on to the client.
 struct PassOn {
     CallId call;
 };
 
-using Effect = std::variant<StartAttempt, Refuse, PassOn>;
+using Effect = std::variant<StartAttempt, Refuse, PassOn, TakeBack>;
 using Effects = std::vector<Effect>;
 
 } // namespace dispatch
@@ -149,6 +159,9 @@
     milliseconds recoveryWait { 1500 };
     /// Pause before a request goes again to servers that have just lost it: a group takes some 600 ms to form anew.
     milliseconds recoveryPause { 150 };
+    /// A stream without an event for this long is taken back from its server if others of the service go on: clients give
+    /// a stream up after two seconds.
+    milliseconds stallAfter { 1000 };
     /// Ranks that may turn a request away at once; then it waits for their groups as it does for those known to form.
     unsigned mostRanksAsked { 2 };
     /// Sends of one request, also where none of them ran: bounds the harm of a service that turns everything away.
@@ -186,6 +199,10 @@
         unsigned ranksThatTurnedAway { 0 };
         std::optional<ServerLife> runningOn;
         bool hasBegun { false };
+        /// When it was sent to that server, or something came from there last.
+        TimePoint heardAt;
+        /// The try in progress has been taken back, and the repeat that follows is taken from the allowance.
+        bool isTakenBack { false };
         TimePoint waitUntil;
         /// No try before; in the past until all servers that may run it have failed.
         TimePoint retryAt;
@@ -196,6 +213,7 @@
     void onArrived(TimePoint now, const dispatch::Arrived& event, dispatch::Effects& effects);
     void onAttemptEnded(TimePoint now, const dispatch::AttemptEnded& event, dispatch::Effects& effects);
     void onAnswerBegan(TimePoint now, CallId id);
+    void onProgressed(TimePoint now, CallId id);
     void onClosed(CallId id);
     ServiceName drawService(const Route& route);
     void endAttempt(Call& call);
@@ -206,6 +224,8 @@
     void giveUp(CallId id, Call& call, AttemptEnd end, TimePoint now, dispatch::Effects& effects);
     /// False when there is no room for it now.
     bool tryStart(CallId id, Call& call, TimePoint now, dispatch::Effects& effects);
+    void takeBackStalled(TimePoint now, dispatch::Effects& effects);
+    bool isStalled(const Call& call, TimePoint now) const;
     void keepForForming(TimePoint now);
     void startWaiting(TimePoint now, dispatch::Effects& effects);
     void refuse(TimePoint now, CallId id, const Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, dispatch::Effects& effects);
@@ -221,6 +241,8 @@
     std::map<CallId, Call> m_calls;
     /// Requests without room yet, the most urgent and oldest first.
     std::vector<CallId> m_waiting;
+    /// When streams are looked at next for servers that have fallen silent; unset while none runs.
+    std::optional<TimePoint> m_stallsLookedAt;
     /// When the next client that is refused because of limits is to come back, by service.
     std::map<ServiceName, TimePoint> m_nextReturn;
     /// Time of the last event.
--- a/src/gateway/load-board.cc
+++ b/src/gateway/load-board.cc
@@ -81,6 +81,11 @@
         if (m_limits.onTold(now, word))
             logLimit(word.server, "entry");
     }
+    for (auto& silent : news.silent) {
+        auto it = std::find_if(m_servers.begin(), m_servers.end(), [&](auto& known) { return known.second.hash == silent.server; });
+        if (it != m_servers.end())
+            it->second.avoidedUntil = std::max(it->second.avoidedUntil, now + std::min(silent.remaining, stalledFor));
+    }
 }
 
 void LoadBoard::onStart(TimePoint now, const ServerLife& life, const WorkSize& work)
@@ -129,6 +134,67 @@
         it->second.failures = 0;
 }
 
+void LoadBoard::onHeard(TimePoint now, const ServerLife& life)
+{
+    auto it = m_servers.find(life);
+    if (it != m_servers.end())
+        it->second.heardAt = now;
+}
+
+void LoadBoard::onStalled(TimePoint now, const ServerLife& life)
+{
+    auto it = m_servers.find(life);
+    if (it == m_servers.end())
+        return;
+    auto& server = it->second;
+    if (server.stalledUntil <= now)
+        log::write(log::Event::ServerStalled, "server={} silent-ms={}", life.id.value(), std::chrono::duration_cast<milliseconds>(now - server.heardAt).count());
+    server.stalledUntil = now + stalledFor;
+    server.avoidedUntil = std::max(server.avoidedUntil, server.stalledUntil);
+}
+
+TimePoint LoadBoard::heardAt(const ServerLife& life) const
+{
+    auto it = m_servers.find(life);
+    return it == m_servers.end() ? TimePoint {} : it->second.heardAt;
+}
+
+bool LoadBoard::isSuspect(const ServerLife& life, TimePoint now) const
+{
+    auto it = m_servers.find(life);
+    return it != m_servers.end() && it->second.avoidedUntil > now;
+}
+
+bool LoadBoard::doOthersGoOn(const ServiceName& service, const ServerLife& life, TimePoint now) const
+{
+    auto goesOn = [&](auto& it) {
+        auto& server = it.second;
+        bool isIdle = !server.isRank && server.own.running == 0 && mayGetWork(server, now) && server.avoidedUntil <= now;
+        return it.first != life && server.server.service == service && (isIdle || server.heardAt + heardWithin > now);
+    };
+    return std::any_of(m_servers.begin(), m_servers.end(), goesOn);
+}
+
+bool LoadBoard::hasRoomBeside(const ServiceName& service, const ServerLife& life, TimePoint now) const
+{
+    auto mayTake = [&](auto& it) {
+        auto& server = it.second;
+        bool isCandidate = it.first != life && server.server.service == service && mayGetWork(server, now) && server.avoidedUntil <= now;
+        return isCandidate && hasRoom(server, totalLoad(server, now), now);
+    };
+    return std::any_of(m_servers.begin(), m_servers.end(), mayTake);
+}
+
+std::vector<SilentServer> LoadBoard::silentServers(TimePoint now) const
+{
+    std::vector<SilentServer> silent;
+    for (auto& [life, server] : m_servers) {
+        if (server.stalledUntil > now)
+            silent.push_back({ server.hash, std::chrono::duration_cast<milliseconds>(server.stalledUntil - now) });
+    }
+    return silent;
+}
+
 Load LoadBoard::totalLoad(const Server& server, TimePoint now) const
 {
     auto load = m_peerLoads.at(now, server.hash);
@@ -235,6 +301,12 @@
     return server.server.state == ServerState::Ready && !server.isReplaced && !isClosed && !isTurningAway;
 }
 
+bool LoadBoard::hasRoom(const Server& server, const Load& load, TimePoint now) const
+{
+    bool isLimited = !m_limits.isEmpty() && m_limits.maySendAt(now, server.hash) > now;
+    return !isLimited && load.running + (server.told ? server.told->running : 0) < server.server.slots;
+}
+
 std::optional<BackendServer> LoadBoard::choose(const Choice& choice, TimePoint now, policy::Generator& generator) const
 {
     const Server* best = nullptr;
@@ -248,10 +320,7 @@
         if (isIn(choice.excluded, life) || (choice.only && !isIn(*choice.only, life)))
             continue;
         auto load = totalLoad(server, now);
-        bool isLimited = !m_limits.isEmpty() && m_limits.maySendAt(now, server.hash) > now;
-        if (isLimited)
-            continue;
-        if (load.running + (server.told ? server.told->running : 0) >= server.server.slots)
+        if (!hasRoom(server, load, now))
             continue;
         double cost = costOf(server, load, now) + tieBreak(generator);
         if (cost < bestCost) {
--- a/src/gateway/load-board.h
+++ b/src/gateway/load-board.h
@@ -32,6 +32,10 @@
     /// A server that was silent or lost an answer is left out for this long, doubled with each failure in a row.
     static constexpr milliseconds avoidedFor { 400 };
     static constexpr milliseconds avoidedForAtMost { 3200 };
+    /// One that fell silent in the middle of its streams is left out for this long, by the entries that are told as well.
+    static constexpr milliseconds stalledFor { 2000 };
+    /// A server has been heard just now if something came from it within this time: several steps of an engine.
+    static constexpr milliseconds heardWithin { 300 };
 
     void setServers(TimePoint now, const Snapshot& snapshot);
     void onLoadNews(TimePoint now, const LoadNews& news);
@@ -42,6 +46,21 @@
     void onEnd(const ServerLife& life, const WorkSize& work, bool hasBegun);
     void onFailure(TimePoint now, const ServerLife& life);
     void onSuccess(const ServerLife& life);
+    /// Something has come from the server.
+    void onHeard(TimePoint now, const ServerLife& life);
+    /// The server has fallen silent in the middle of a stream.
+    void onStalled(TimePoint now, const ServerLife& life);
+    /// When something came from the server last, to this entry.
+    TimePoint heardAt(const ServerLife& life) const;
+    /// It failed or fell silent of late, by what this entry saw or another one told.
+    bool isSuspect(const ServerLife& life, TimePoint now) const;
+    /// Another server of the service was heard just now, or has nothing to say to this entry and may be thought well. Ranks of a
+    /// group stand still together, so of these only what has come from one counts.
+    bool doOthersGoOn(const ServiceName& service, const ServerLife& life, TimePoint now) const;
+    /// Another server of the service that is not suspect has room.
+    bool hasRoomBeside(const ServiceName& service, const ServerLife& life, TimePoint now) const;
+    /// Servers that have fallen silent, to be told to other entries.
+    std::vector<SilentServer> silentServers(TimePoint now) const;
     /// It did not run a request that it was sent. True when it is a rank of a group.
     bool onTurnedAway(TimePoint now, const ServerLife& life);
     /// An answer to a request sent at `sentAt` says whether its server limits requests.
@@ -98,6 +117,9 @@
         Load own;
         unsigned failures { 0 };
         TimePoint avoidedUntil;
+        TimePoint heardAt;
+        /// That it fell silent is told until then.
+        TimePoint stalledUntil;
         TimePoint turnedAwayUntil;
         /// Its process has ended: an answer came from another one at its address.
         bool isReplaced { false };
@@ -116,6 +138,7 @@
 
     void logLimit(ServerHash server, std::string_view source) const;
     bool mayGetWork(const Server& server, TimePoint now) const;
+    bool hasRoom(const Server& server, const Load& load, TimePoint now) const;
     /// What was said of its rank last, while that counts; null otherwise.
     static const Snapshot::DegradedElsewhere* degradedWord(const Server& server, TimePoint now);
     static bool isSlow(const Server& server, TimePoint now);
--- a/src/gateway/news.capnp
+++ b/src/gateway/news.capnp
@@ -73,6 +73,13 @@
   sequence @1 :UInt64;
   servers @2 :List(ServerLoad);
   limits @3 :List(LimitWord);
+  silent @4 :List(SilentServer);
+}
+
+# A server that fell silent in the middle of its streams while others went on.
+struct SilentServer {
+  server @0 :UInt64;               # hash of id and start
+  remainingMs @1 :UInt32;          # how long it is still to be avoided
 }
 
 # What an agent says of the rank in whose slot it runs.
--- a/src/gateway/news.capnp.h
+++ b/src/gateway/news.capnp.h
@@ -24,6 +24,7 @@
 CAPNP_DECLARE_SCHEMA(ceb616b525bb90a7);
 CAPNP_DECLARE_SCHEMA(9a0e3153dc8d7cc6);
 CAPNP_DECLARE_SCHEMA(dcfcb5c952e3e94a);
+CAPNP_DECLARE_SCHEMA(e589a2733a9cba82);
 CAPNP_DECLARE_SCHEMA(9c859b3a1d49d789);
 CAPNP_DECLARE_SCHEMA(b2f4e07f0d2a27fa);
 CAPNP_DECLARE_SCHEMA(ea19d20e46a03132);
@@ -151,7 +152,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dcfcb5c952e3e94a, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(dcfcb5c952e3e94a, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SilentServer {
+  SilentServer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e589a2733a9cba82, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1006,6 +1022,9 @@
   inline bool hasLimits() const;
   inline  ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
 
+  inline bool hasSilent() const;
+  inline  ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>::Reader getSilent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1054,6 +1073,13 @@
   inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>> disownLimits();
 
+  inline bool hasSilent();
+  inline  ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>::Builder getSilent();
+  inline void setSilent( ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>::Builder initSilent(unsigned int size);
+  inline void adoptSilent(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>> disownSilent();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1080,6 +1106,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class SilentServer::Reader {
+public:
+  typedef SilentServer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getServer() const;
+
+  inline  ::uint32_t getRemainingMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SilentServer::Builder {
+public:
+  typedef SilentServer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getServer();
+  inline void setServer( ::uint64_t value);
+
+  inline  ::uint32_t getRemainingMs();
+  inline void setRemainingMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SilentServer::Pipeline {
+public:
+  typedef SilentServer Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RankNews::Reader {
 public:
   typedef RankNews Reads;
@@ -2524,6 +2631,68 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool LoadNews::Reader::hasSilent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadNews::Builder::hasSilent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>::Reader LoadNews::Reader::getSilent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>::Builder LoadNews::Builder::getSilent() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void LoadNews::Builder::setSilent( ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>::Builder LoadNews::Builder::initSilent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void LoadNews::Builder::adoptSilent(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>> LoadNews::Builder::disownSilent() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SilentServer::Reader::getServer() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SilentServer::Builder::getServer() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SilentServer::Builder::setServer( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SilentServer::Reader::getRemainingMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SilentServer::Builder::getRemainingMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SilentServer::Builder::setRemainingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RankNews::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/gateway/news.cc
+++ b/src/gateway/news.cc
@@ -120,6 +120,11 @@
             limits[n].setIsNamed(it.limits[n].rate.has_value());
             limits[n].setRate(it.limits[n].rate.value_or(RequestRate {}).value());
         }
+        auto silent = load.initSilent(static_cast<unsigned>(it.silent.size()));
+        for (unsigned n = 0; n < silent.size(); ++n) {
+            silent[n].setServer(it.silent[n].server.value());
+            silent[n].setRemainingMs(static_cast<std::uint32_t>(it.silent[n].remaining.count()));
+        }
     }
     void operator()(const RankNews& it)
     {
@@ -176,7 +181,7 @@
 
 LoadNews parse(schema::LoadNews::Reader in)
 {
-    LoadNews load { Incarnation(in.getIncarnation()), in.getSequence(), {}, {} };
+    LoadNews load { Incarnation(in.getIncarnation()), in.getSequence(), {}, {}, {} };
     for (auto server : in.getServers())
         load.servers.push_back({ ServerHash(server.getServer()), server.getRunning(), Tokens(server.getPromptTokens()) });
     for (auto limit : in.getLimits()) {
@@ -186,6 +191,8 @@
         auto rate = limit.getIsNamed() ? std::optional(RequestRate(limit.getRate())) : std::nullopt;
         load.limits.push_back({ ServerHash(limit.getServer()), rate, milliseconds(limit.getAgeMs()) });
     }
+    for (auto server : in.getSilent())
+        load.silent.push_back({ ServerHash(server.getServer()), milliseconds(server.getRemainingMs()) });
     return load;
 }
 
--- a/src/gateway/news.h
+++ b/src/gateway/news.h
@@ -107,11 +107,19 @@
     milliseconds age { 0 };
 };
 
+/// A server that fell silent in the middle of its streams while others went on.
+struct SilentServer {
+    ServerHash server;
+    /// How long it is still to be avoided; there is no common clock.
+    milliseconds remaining { 0 };
+};
+
 struct LoadNews {
     Incarnation incarnation;
     std::uint64_t sequence { 0 };
     std::vector<ServerLoad> servers;
     std::vector<LimitWord> limits;
+    std::vector<SilentServer> silent;
 };
 
 /// Names one formation of a rank group: it ends when any rank restarts.
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -90,6 +90,10 @@
 
     /// The request was written to the server that it is at.
     TimePoint sentAt;
+    /// The connection of the try in progress; null before it is open.
+    UpstreamConnection* upstream { nullptr };
+    /// The try in progress is to end.
+    bool isTakenBack { false };
 
     // For the log and the metrics.
     ServiceName service;
@@ -191,6 +195,7 @@
         call.deadline = std::min(call.deadline, *call.head.clientDeadline);
     call.lastEvent = call.head.lastEvent;
     call.ticket = std::make_unique<CallDesk::Ticket>(m_desk, m_desk.nextId());
+    call.ticket->setOnTakeBack([&call] { takeBack(call); });
     CallRequest request { configuration, call.route, priority, call.arrivedAt, call.deadline, call.head.promptTokens, call.head.outputTokens };
     auto decision = co_await call.ticket->arrive(std::move(request));
     while (auto* start = std::get_if<dispatch::StartAttempt>(&decision)) {
@@ -205,6 +210,13 @@
         co_await passOn(call);
 }
 
+void RequestServer::takeBack(Call& call)
+{
+    call.isTakenBack = true;
+    if (call.upstream)
+        call.upstream->stream.cancel();
+}
+
 asio::awaitable<CallDecision> RequestServer::attempt(Call& call, dispatch::StartAttempt start)
 {
     auto& server = start.server;
@@ -217,7 +229,11 @@
             call.lastEvent.value_or(0));
     call.servers += fmt::format("{}{}", call.servers.empty() ? "" : ",", server.id.value());
     call.splitter.reset();
+    call.isTakenBack = false;
     auto end = co_await exchange(call, server);
+    call.upstream = nullptr;
+    if (call.isTakenBack && end == AttemptEnd::Lost)
+        end = AttemptEnd::Stalled;
     if (end == AttemptEnd::Answered) {
         call.isComplete = true;
         call.ticket->answered();
@@ -259,6 +275,7 @@
     stream.expires_at(call.deadline - answerMargin);
     boost::system::error_code ec;
     connection->isInUse = true;
+    call.upstream = connection.get();
     call.sentAt = now;
     co_await http::async_write(stream, request, redirect_error(use_awaitable, ec));
     if (ec)
@@ -346,6 +363,7 @@
             co_return AttemptEnd::Lost;
     }
     ClientAnswer answer(http::response_header<>(parser.get().base()));
+    call.upstream = nullptr;
     recycle(std::move(connection), parser);
     eraseHopByHop(answer.base());
     answer.version(call.request.version());
@@ -380,6 +398,8 @@
         co_await call.client.writeHead(std::move(head));
     }
     while (!parser.is_done()) {
+        if (call.isTakenBack)
+            co_return AttemptEnd::Lost;
         auto& buffer = parser.get().body();
         buffer.data = bytes.data();
         buffer.size = bytes.size();
@@ -398,6 +418,7 @@
     }
     if (call.splitter.isInEvent())
         co_return AttemptEnd::Lost;
+    call.upstream = nullptr;
     recycle(std::move(connection), parser);
     co_await call.client.writeEnd();
     co_return AttemptEnd::Answered;
@@ -425,8 +446,10 @@
     if (!call.firstByteAt) {
         call.firstByteAt = now;
         call.ticket->answerBegan();
-    } else
+    } else {
+        call.ticket->progressed();
         call.longestPause = std::max(call.longestPause, std::chrono::duration_cast<milliseconds>(now - call.lastEventAt));
+    }
     call.lastEventAt = now;
     co_await call.client.writeChunk(std::move(out));
     co_return true;
--- a/src/gateway/request-server.h
+++ b/src/gateway/request-server.h
@@ -34,6 +34,7 @@
 
     boost::asio::awaitable<void> answer(Call& call, http::status status, std::string_view reason, std::optional<TimePoint> retryAt = std::nullopt);
     boost::asio::awaitable<void> run(Call& call);
+    static void takeBack(Call& call);
     boost::asio::awaitable<CallDecision> attempt(Call& call, dispatch::StartAttempt start);
     boost::asio::awaitable<AttemptEnd> exchange(Call& call, const BackendServer& server);
     boost::asio::awaitable<UpstreamConnectionPtr> connectionFor(Call& call, const BackendServer& server);
--- a/src/gateway/traffic.cc
+++ b/src/gateway/traffic.cc
@@ -255,7 +255,7 @@
         limits = board.limits().words(now);
         m_limitsToldAgainAt = now + limitsToldEvery;
     }
-    auto bytes = encode(NewsMessage(LoadNews { m_incarnation, ++m_loadSequence, std::move(loads), std::move(limits) }));
+    auto bytes = encode(NewsMessage(LoadNews { m_incarnation, ++m_loadSequence, std::move(loads), std::move(limits), board.silentServers(now) }));
     int told = 0;
     for (auto& entry : m_snapshot->entries) {
         if (m_snapshot->sharesLoadNearby && !isLimitNews && !isTold(entry.dataCentre))
--- a/test/limited-fleet.h
+++ b/test/gateway-fleet.h
@@ -8,7 +8,8 @@
 #include <random>
 #include <set>
 
-/// A fleet of entries with the decisions of the product before backend servers that name limits, in virtual time.
+/// A fleet of entries with the decisions of the product before backend servers that name limits and stand still, in virtual
+/// time. All requests are streams of an event every `eventEvery`; clients leave after `clientPatience` without one.
 namespace swiftloft::test {
 
 struct FleetOptions {
@@ -25,11 +26,11 @@
     std::uint64_t seed { 1 };
 };
 
-class LimitedFleet {
+class GatewayFleet {
 public:
     using Action = std::function<void()>;
 
-    explicit LimitedFleet(const FleetOptions& options)
+    explicit GatewayFleet(const FleetOptions& options)
         : m_options(options)
         , m_random(options.seed)
         , m_servers(static_cast<std::size_t>(options.servers))
@@ -37,6 +38,7 @@
     {
         m_route.name = "r";
         m_route.isIdempotent = true;
+        m_route.isStream = true;
         m_route.timeout = seconds(8);
         m_route.objective = milliseconds(400);
         m_route.maximumServers = 2;
@@ -79,6 +81,8 @@
         ++it.life;
         showAll();
     }
+    /// The server reads, runs and says nothing for this long; then it goes on where it was.
+    void freezeServer(int server, milliseconds time) { m_servers[static_cast<std::size_t>(server)].frozenUntil = m_now + time; }
     void restartEntry(int entry)
     {
         excuse(entry);
@@ -120,6 +124,14 @@
     int askedIn(int dataCentre) const { return m_askedIn.count(dataCentre) ? m_askedIn.at(dataCentre) : 0; }
     int served() const { return m_served; }
     int asked() const { return m_asked; }
+    /// Requests that reached the server, run or not.
+    int arrivedAt(int server) const { return m_servers[static_cast<std::size_t>(server)].arrived; }
+    /// Tries that the entries ended because their servers had fallen silent.
+    int takenBack() const { return m_takenBack; }
+    /// Clients that left without a whole answer.
+    int left() const { return m_left; }
+    /// Requests that a server began after their clients had left.
+    int begunForNobody() const { return m_begunForNobody; }
     struct Refusal {
         /// From the arrival to the refusal.
         milliseconds heldFor { 0 };
@@ -148,7 +160,9 @@
         LimitRule rule;
         std::uint32_t running { 0 };
         int ran { 0 };
+        int arrived { 0 };
         int life { 0 };
+        TimePoint frozenUntil;
     };
     struct Entry {
         std::unique_ptr<gateway::Dispatcher> dispatcher;
@@ -167,6 +181,12 @@
         TimePoint arrivedAt;
         TimePoint deadline;
         bool isReturn { false };
+        /// Try in progress; what earlier ones still bring is not read.
+        int attempt { 0 };
+        TimePoint heardAt;
+        bool isOver { false };
+        /// The client left without a whole answer.
+        bool hasLeft { false };
     };
     struct Scheduled {
         TimePoint at;
@@ -177,6 +197,8 @@
 
     static constexpr milliseconds networkDelay { 2 };
     static constexpr milliseconds firstEventAfter { 150 };
+    static constexpr milliseconds eventEvery { 60 };
+    static constexpr milliseconds clientPatience { 2000 };
     static constexpr milliseconds tellAtMostEvery { 20 };
     static constexpr milliseconds snapshotEvery { 400 };
 
@@ -250,7 +272,7 @@
             ++m_askedIn[n % m_options.dataCentres];
         }
         gateway::CallId id(++m_lastCall);
-        m_calls[id] = { n, entryAt(n).incarnation, m_now, deadline, isReturn };
+        m_calls[id] = { n, entryAt(n).incarnation, m_now, deadline, isReturn, 0, m_now, false, false };
         gateway::CallRequest request { nullptr, &m_route, 1, m_now, deadline, Tokens(800), Tokens(100) };
         apply(n, gateway::dispatch::Arrived { id, request });
     }
@@ -310,7 +332,7 @@
         if (entry.frozenUntil > m_now)
             return tellBy(n, entry.frozenUntil);
         auto& loads = entry.dispatcher->loads();
-        gateway::LoadNews news { entry.incarnation, ++entry.sequence, loads.ownLoads(), loads.limits().words(m_now) };
+        gateway::LoadNews news { entry.incarnation, ++entry.sequence, loads.ownLoads(), loads.limits().words(m_now), loads.silentServers(m_now) };
         for (int other = 0; other < m_options.entries; ++other) {
             bool isLost = uniform(0, 1) < m_options.loss;
             if (other == n || !hear(n, other) || isLost)
@@ -330,71 +352,154 @@
 
     void perform(const gateway::dispatch::StartAttempt& effect)
     {
-        schedule(m_now + networkDelay, [this, effect, sentAt = m_now] { reach(effect.call, effect.server.life(), sentAt); });
+        auto& call = m_calls[effect.call];
+        call.heardAt = m_now;
+        Try started { effect.call, effect.server.life(), ++call.attempt, m_now };
+        schedule(m_now + networkDelay, [this, started] { reach(started); });
+        schedule(m_now + clientPatience, [this, id = effect.call] { loseClient(id); });
     }
 
-    void reach(gateway::CallId id, const gateway::ServerLife& life, TimePoint sentAt)
+    void perform(const gateway::dispatch::TakeBack& effect)
+    {
+        ++m_takenBack;
+        auto attempt = m_calls[effect.call].attempt++;
+        schedule(m_now, [this, id = effect.call, attempt] { finish({ id, {}, attempt + 1, m_now }, gateway::AttemptEnd::Stalled); });
+    }
+
+    /// One try of a request at a server.
+    struct Try {
+        gateway::CallId id;
+        gateway::ServerLife life;
+        int attempt { 0 };
+        TimePoint sentAt;
+    };
+
+    bool isCurrent(const Try& it) { return !m_calls[it.id].isOver && m_calls[it.id].attempt == it.attempt; }
+
+    /// Does it now, or when the server goes on.
+    void atServer(const gateway::ServerLife& life, Action action)
     {
-        auto call = m_calls[id];
         auto* server = serverOf(life);
+        if (server && server->frozenUntil > m_now)
+            schedule(server->frozenUntil, std::move(action));
+        else
+            action();
+    }
+
+    void reach(const Try& it)
+    {
+        auto* server = serverOf(it.life);
         if (!server)
-            return end(id, gateway::AttemptEnd::Misdirected, networkDelay);
-        server->rule.onArrival(m_now, call.entry);
+            return finishAfter(networkDelay, it, gateway::AttemptEnd::Misdirected);
+        ++server->arrived;
+        server->rule.onArrival(m_now, m_calls[it.id].entry);
+        atServer(it.life, [this, it] { begin(it); });
+    }
+
+    void begin(const Try& it)
+    {
+        auto* server = serverOf(it.life);
+        if (!server)
+            return;
         if (server->running >= m_options.slots) {
-            hearLimit(id, life, sentAt, networkDelay);
-            return end(id, gateway::AttemptEnd::NotRun, networkDelay + milliseconds(1));
+            hearLimit(it, networkDelay);
+            return finishAfter(networkDelay + milliseconds(1), it, gateway::AttemptEnd::NotRun);
         }
+        m_begunForNobody += m_calls[it.id].hasLeft ? 1 : 0;
         ++server->running;
         ++server->ran;
         auto work = milliseconds(static_cast<int>(uniform(400, 3000)));
-        hearLimit(id, life, sentAt, firstEventAfter);
-        schedule(m_now + work, [this, id, life, n = server->life] {
-            auto* it = serverOf(life);
-            if (it && it->life == n)
-                --it->running;
-            end(id, gateway::AttemptEnd::Answered, networkDelay);
-        });
+        hearLimit(it, firstEventAfter);
+        schedule(m_now + firstEventAfter + eventEvery, [this, it, until = m_now + work] { sendEvent(it, until); });
+        schedule(m_now + work, [this, it, life = server->life] { complete(it, life); });
     }
 
-    /// The head of the answer goes out after `delay` and says what the server says then.
-    void hearLimit(gateway::CallId id, const gateway::ServerLife& life, TimePoint sentAt, milliseconds delay)
+    void sendEvent(const Try& it, TimePoint until)
     {
-        schedule(m_now + delay, [this, id, life, sentAt] {
-            auto* server = serverOf(life);
-            if (!server)
+        if (!isCurrent(it) || m_now >= until)
+            return;
+        atServer(it.life, [this, it] {
+            if (!isCurrent(it))
                 return;
-            auto& call = m_calls[id];
-            std::optional<gateway::NamedLimit> limit;
-            if (server->limit)
-                limit = gateway::NamedLimit { gateway::RequestRate(*server->limit) };
-            auto passedOn = std::max(m_now + networkDelay, entryAt(call.entry).frozenUntil);
-            schedule(passedOn, [this, id, life, sentAt, limit] {
-                auto& it = m_calls[id];
-                auto* named = serverOf(life);
-                if (named && limit && entryAt(it.entry).incarnation == it.incarnation)
-                    named->rule.onPassedOn(m_now, it.entry);
-                apply(it.entry, gateway::dispatch::LimitHeard { life, sentAt, limit }, it.incarnation);
-                apply(it.entry, gateway::dispatch::AnswerBegan { id }, it.incarnation);
-            });
+            m_calls[it.id].heardAt = m_now;
+            apply(m_calls[it.id].entry, gateway::dispatch::Progressed { it.id }, m_calls[it.id].incarnation);
         });
+        schedule(m_now + eventEvery, [this, it, until] { sendEvent(it, until); });
     }
 
-    void end(gateway::CallId id, gateway::AttemptEnd how, milliseconds delay)
+    void complete(const Try& it, int life)
     {
-        schedule(m_now + delay, [this, id, how] {
-            auto call = m_calls[id];
-            apply(call.entry, gateway::dispatch::AttemptEnded { id, how }, call.incarnation);
-            if (how != gateway::AttemptEnd::Answered)
-                return;
-            ++m_served;
-            ++m_servedIn[call.entry % m_options.dataCentres];
-            apply(call.entry, gateway::dispatch::Closed { id }, call.incarnation);
+        atServer(it.life, [this, it, life] {
+            auto* server = serverOf(it.life);
+            if (server && server->life == life)
+                --server->running;
+            finishAfter(networkDelay, it, gateway::AttemptEnd::Answered);
+        });
+    }
+
+    /// The head of the answer goes out after `delay` and says what the server says then.
+    void hearLimit(const Try& it, milliseconds delay)
+    {
+        schedule(m_now + delay, [this, it] { atServer(it.life, [this, it] { sendHead(it); }); });
+    }
+
+    void sendHead(const Try& it)
+    {
+        auto* server = serverOf(it.life);
+        if (!server || !isCurrent(it))
+            return;
+        std::optional<gateway::NamedLimit> limit;
+        if (server->limit)
+            limit = gateway::NamedLimit { gateway::RequestRate(*server->limit) };
+        auto passedOn = std::max(m_now + networkDelay, entryAt(m_calls[it.id].entry).frozenUntil);
+        schedule(passedOn, [this, it, limit] {
+            auto& call = m_calls[it.id];
+            auto* named = serverOf(it.life);
+            if (named && limit && entryAt(call.entry).incarnation == call.incarnation)
+                named->rule.onPassedOn(m_now, call.entry);
+            call.heardAt = m_now;
+            apply(call.entry, gateway::dispatch::LimitHeard { it.life, it.sentAt, limit }, call.incarnation);
+            apply(call.entry, gateway::dispatch::AnswerBegan { it.id }, call.incarnation);
         });
     }
 
+    void finishAfter(milliseconds delay, const Try& it, gateway::AttemptEnd how)
+    {
+        schedule(m_now + delay, [this, it, how] { finish(it, how); });
+    }
+
+    void finish(const Try& it, gateway::AttemptEnd how)
+    {
+        if (!isCurrent(it))
+            return;
+        auto& call = m_calls[it.id];
+        apply(call.entry, gateway::dispatch::AttemptEnded { it.id, how }, call.incarnation);
+        if (how != gateway::AttemptEnd::Answered)
+            return;
+        call.isOver = true;
+        ++m_served;
+        ++m_servedIn[call.entry % m_options.dataCentres];
+        apply(call.entry, gateway::dispatch::Closed { it.id }, call.incarnation);
+    }
+
+    void loseClient(gateway::CallId id)
+    {
+        auto& call = m_calls[id];
+        if (call.isOver)
+            return;
+        if (call.heardAt + clientPatience > m_now)
+            return schedule(call.heardAt + clientPatience, [this, id] { loseClient(id); });
+        call.isOver = true;
+        call.hasLeft = true;
+        ++m_left;
+        apply(call.entry, gateway::dispatch::Closed { id }, call.incarnation);
+    }
+
     void perform(const gateway::dispatch::Refuse& effect)
     {
-        auto call = m_calls[effect.call];
+        auto& ended = m_calls[effect.call];
+        ended.isOver = true;
+        auto call = ended;
         auto returnAfter = effect.retryAt ? std::chrono::duration_cast<milliseconds>(*effect.retryAt - m_now) : milliseconds(0);
         m_refusals.push_back({ std::chrono::duration_cast<milliseconds>(m_now - call.arrivedAt), returnAfter });
         schedule(m_now, [this, call, id = effect.call] { apply(call.entry, gateway::dispatch::Closed { id }, call.incarnation); });
@@ -419,6 +524,9 @@
     std::uint64_t m_lastIncarnation { 0 };
     int m_asked { 0 };
     int m_served { 0 };
+    int m_left { 0 };
+    int m_takenBack { 0 };
+    int m_begunForNobody { 0 };
     std::map<int, int> m_askedIn;
     std::map<int, int> m_servedIn;
     std::vector<Refusal> m_refusals;
--- a/test/news_test.cc
+++ b/test/news_test.cc
@@ -43,7 +43,7 @@
     brief.traits.stepsPerPass = 6;
     return {
         Hello { member(1), 7, 12, { member(2), member(3) }, { { ServerHash(5), milliseconds(900) } }, 148, { { endpoint(8), milliseconds(70), true, 2.5 } }, { { ServiceName("model"), 2.5, 300 } } },
-        LoadNews { Incarnation(9), 3, { { ServerHash(77), 4, Tokens(900) } }, { { ServerHash(78), RequestRate(0.5), milliseconds(40) }, { ServerHash(79), std::nullopt, milliseconds(50) } } },
+        LoadNews { Incarnation(9), 3, { { ServerHash(77), 4, Tokens(900) } }, { { ServerHash(78), RequestRate(0.5), milliseconds(40) }, { ServerHash(79), std::nullopt, milliseconds(50) } }, { { ServerHash(80), milliseconds(600) } } },
         RankNews { endpoint(5), EngineGroupName("g"), GroupEpoch(4), RankIndex(3), 12, true, 1.5, ServerStart(1000), true },
         brief,
     };
@@ -76,6 +76,8 @@
     CHECK(load.limits.at(0).rate == RequestRate(0.5));
     CHECK(load.limits.at(0).age == milliseconds(40));
     CHECK_FALSE(load.limits.at(1).rate.has_value());
+    CHECK(load.silent.at(0).server == ServerHash(80));
+    CHECK(load.silent.at(0).remaining == milliseconds(600));
     auto rank = std::get<RankNews>(throughWire(all[2]));
     CHECK(rank.isOpen);
     CHECK(rank.pace == 1.5);
--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -207,6 +207,7 @@
         streams.push_back(std::async(std::launch::async, timed, fmt::format("t{}", n)));
     for (int n = 0; n < 6; ++n) {
         auto stream = streams[static_cast<std::size_t>(n)].get();
+        INFO(rig.log());
         CHECK(stream.body == UsersPlatform::wholeStream(fmt::format("t{}", n)));
         CHECK(std::chrono::duration<double>(stream.time).count() < 2);
     }
--- a/test/server-limits_test.cc
+++ b/test/server-limits_test.cc
@@ -1,13 +1,13 @@
 #include "src/gateway/server-limits.h"
 #include "src/gateway/snapshot.h"
-#include "test/limited-fleet.h"
+#include "test/gateway-fleet.h"
 
 #include <catch2/catch.hpp>
 
 using namespace swiftloft;
 using namespace swiftloft::gateway;
 using swiftloft::test::FleetOptions;
-using swiftloft::test::LimitedFleet;
+using swiftloft::test::GatewayFleet;
 
 namespace {
 
@@ -60,7 +60,7 @@
     auto rate = GENERATE(0.0, 0.5, 1.0, 3.0);
     FleetOptions options;
     options.seed = GENERATE(1U, 2U, 3U);
-    LimitedFleet fleet(options);
+    GatewayFleet fleet(options);
     fleet.at(seconds(8), [&] { fleet.limit(3, rate); });
     fleet.at(seconds(30), [&] { fleet.limit(3, std::nullopt); });
     fleet.runUntil(seconds(40));
@@ -73,7 +73,7 @@
 TEST_CASE("Server limits: a fleet of 150 entries keeps a limit of few requests")
 {
     auto rate = GENERATE(0.0, 0.1, 1.0, 10.0);
-    LimitedFleet fleet({ .entries = 150, .dataCentres = 5, .servers = 30, .demand = 200, .entriesThatMayExist = 150 });
+    GatewayFleet fleet({ .entries = 150, .dataCentres = 5, .servers = 30, .demand = 200, .entriesThatMayExist = 150 });
     fleet.at(seconds(2), [&] { fleet.limit(3, rate); });
     fleet.runUntil(seconds(20));
     INFO("limit " << rate);
@@ -86,7 +86,7 @@
     FleetOptions options;
     options.servers = 4;
     options.seed = GENERATE(1U, 2U);
-    LimitedFleet fleet(options);
+    GatewayFleet fleet(options);
     fleet.at(seconds(5), [&] {
         for (int n = 0; n < 4; ++n)
             fleet.limit(n, 2);
@@ -106,7 +106,7 @@
 // Failure: a request that can't be served is kept until its time is up, and its client comes back with all the others.
 TEST_CASE("Server limits: what no server may get in time is refused at once, with times to return that are spread")
 {
-    LimitedFleet fleet({ .servers = 2 });
+    GatewayFleet fleet({ .servers = 2 });
     fleet.at(seconds(5), [&] {
         fleet.limit(0, 0);
         fleet.limit(1, 0);
@@ -114,7 +114,7 @@
     fleet.runUntil(seconds(6));
     auto before = fleet.refusals().size();
     fleet.runUntil(seconds(8));
-    std::vector<LimitedFleet::Refusal> refusals(fleet.refusals().begin() + static_cast<std::ptrdiff_t>(before), fleet.refusals().end());
+    std::vector<GatewayFleet::Refusal> refusals(fleet.refusals().begin() + static_cast<std::ptrdiff_t>(before), fleet.refusals().end());
     REQUIRE(refusals.size() > 50);
     std::set<milliseconds> times;
     for (auto& it : refusals) {
@@ -131,7 +131,7 @@
 {
     FleetOptions options;
     options.seed = GENERATE(1U, 2U, 3U);
-    LimitedFleet fleet(options);
+    GatewayFleet fleet(options);
     const double rates[] = { 4, 1, 0, 2, 0.5, 1.1 };
     for (int n = 0; n < 6; ++n)
         fleet.at(seconds(4 + 5 * n), [&fleet, rate = rates[n]] { fleet.limit(2, rate); });
@@ -143,7 +143,7 @@
 TEST_CASE("Server limits: a limit ends once its server names none any more")
 {
     auto rate = GENERATE(0.0, 1.0);
-    LimitedFleet fleet({ .servers = 3 });
+    GatewayFleet fleet({ .servers = 3 });
     fleet.at(seconds(5), [&] { fleet.limit(0, rate); });
     fleet.at(seconds(20), [&] { fleet.limit(0, std::nullopt); });
     fleet.runUntil(seconds(26));
@@ -157,7 +157,7 @@
 // Failure: what was believed of a server's earlier life keeps requests from its new one.
 TEST_CASE("Server limits: a server that starts again has no limit")
 {
-    LimitedFleet fleet({ .servers = 3 });
+    GatewayFleet fleet({ .servers = 3 });
     fleet.at(seconds(5), [&] { fleet.limit(0, 0); });
     fleet.at(seconds(10), [&] { fleet.restartServer(0); });
     fleet.runUntil(seconds(10));
@@ -173,7 +173,7 @@
     FleetOptions options;
     options.seed = GENERATE(range(1U, 21U));
     options.loss = 0.03;
-    LimitedFleet fleet(options);
+    GatewayFleet fleet(options);
     std::mt19937_64 random(options.seed);
     auto pick = [&](int least, int most) { return std::uniform_int_distribution<int>(least, most)(random); };
     auto rate = 0.5 * pick(0, 6);
