--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -8,7 +8,6 @@
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
 
-
 namespace swiftloft::gateway {
 
 namespace asio = boost::asio;
