Log and count the rests that backend servers ask for

What on-call saw: a server that had turned an entry away and asked it for three seconds of rest got nine requests from it in that time.

Added: Retry-After of a 503 or 429 is decoded (decimal seconds; several, unreadable, beyond the range of the clock), logged when a rest begins (209 ServerRestAsked) and counted (swiftloft_entry_rests_heard_total; known=yes for a request that met a server within a rest that was known). ServerRests keeps rests by a server's life; of several the one that ends last holds, since answers overtake each other. Nothing is decided by it yet.

--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -109,6 +109,8 @@
         onClosed(closed->call);
     else if (auto* heard = std::get_if<LimitHeard>(&event))
         m_loads.onLimitHeard(now, heard->server, heard->sentAt, heard->limit);
+    else if (auto* asked = std::get_if<RestAsked>(&event))
+        m_loads.onRestAsked(now, asked->server, asked->rest);
     else if (auto* changed = std::get_if<SnapshotChanged>(&event)) {
         m_loads.setServers(now, *changed->snapshot);
         m_retries.setEntries(changed->snapshot->entriesThatMayExist);
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -102,6 +102,11 @@
     TimePoint sentAt;
     std::optional<NamedLimit> limit;
 };
+/// A server has turned a request away and asks this entry for a rest.
+struct RestAsked {
+    ServerLife server;
+    NamedRest rest;
+};
 struct SnapshotChanged {
     std::shared_ptr<const Snapshot> snapshot;
 };
@@ -111,7 +116,7 @@
 /// Time passed; see `Dispatcher::nextTick`.
 struct Ticked { };
 
-using Event = std::variant<Arrived, AttemptEnded, AnswerBegan, Progressed, Closed, LimitHeard, SnapshotChanged, LoadArrived, Ticked>;
+using Event = std::variant<Arrived, AttemptEnded, AnswerBegan, Progressed, Closed, LimitHeard, RestAsked, SnapshotChanged, LoadArrived, Ticked>;
 
 struct StartAttempt {
     CallId call;
--- a/src/gateway/load-board.cc
+++ b/src/gateway/load-board.cc
@@ -49,6 +49,7 @@
 void LoadBoard::setServers(TimePoint now, const Snapshot& snapshot)
 {
     m_limits.setFleet(now, snapshot);
+    m_rests.forgetEnded(now);
     std::map<ServerLife, Server> servers;
     auto degraded = degradedOf(snapshot);
     for (auto& listed : snapshot.servers) {
@@ -238,6 +239,18 @@
         logLimit(it->second.hash, "answer");
 }
 
+void LoadBoard::onRestAsked(TimePoint now, const ServerLife& life, const NamedRest& rest)
+{
+    auto hash = hashOf(life);
+    if (m_rests.onAsked(now, hash, rest))
+        log::write(log::Event::ServerRestAsked, "server={} rest-ms={}", life.id.value(), std::chrono::duration_cast<milliseconds>(m_rests.endOf(hash, now).value_or(now) - now).count());
+}
+
+std::optional<TimePoint> LoadBoard::restOf(const ServerLife& life, TimePoint now) const
+{
+    return m_rests.isEmpty() ? std::nullopt : m_rests.endOf(hashOf(life), now);
+}
+
 void LoadBoard::logLimit(ServerHash server, std::string_view source) const
 {
     auto it = std::find_if(m_servers.begin(), m_servers.end(), [&](auto& known) { return known.second.hash == server; });
--- a/src/gateway/load-board.h
+++ b/src/gateway/load-board.h
@@ -2,6 +2,7 @@
 
 #include "src/gateway/peer-loads.h"
 #include "src/gateway/server-limits.h"
+#include "src/gateway/server-rests.h"
 #include "src/gateway/snapshot.h"
 
 #include <swiftloft/policy/random.h>
@@ -65,6 +66,10 @@
     bool onTurnedAway(TimePoint now, const ServerLife& life);
     /// An answer to a request sent at `sentAt` says whether its server limits requests.
     void onLimitHeard(TimePoint now, const ServerLife& life, TimePoint sentAt, const std::optional<NamedLimit>& limit);
+    /// The server has turned a request away and asks this entry for a rest.
+    void onRestAsked(TimePoint now, const ServerLife& life, const NamedRest& rest);
+    /// When the rest ends that the server has asked this entry for; unset when it has not, or that is over.
+    std::optional<TimePoint> restOf(const ServerLife& life, TimePoint now) const;
     /// That the server names; unset where it names none.
     std::optional<RequestRate> limitOf(const ServerLife& life) const;
     const ServerLimits& limits() const { return m_limits; }
@@ -149,6 +154,7 @@
     /// What falls silent is forgotten as it is read, which changes no answer.
     mutable PeerLoads m_peerLoads;
     ServerLimits m_limits;
+    ServerRests m_rests;
 };
 
 } // namespace swiftloft::gateway
--- a/src/gateway/model.h
+++ b/src/gateway/model.h
@@ -154,11 +154,21 @@
     friend bool operator==(const NamedLimit&, const NamedLimit&) = default;
 };
 
+/// A rest that a backend server asks the entry for as it turns a request away: it takes nothing from it until then.
+struct NamedRest {
+    /// Unset where the server's words can't be read.
+    std::optional<TimePoint> until;
+
+    friend bool operator==(const NamedRest&, const NamedRest&) = default;
+};
+
 /// What the head of a backend server's answer says.
 struct AnswerHead {
     unsigned status { 0 };
     /// Unset where the server names no limit.
     std::optional<NamedLimit> limit;
+    /// Unset where the server asks for none.
+    std::optional<NamedRest> rest;
     /// Id of the request that this answers; empty when the answer names none.
     std::string requestId;
     /// The server promises that it did not run the request and never will.
--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -113,7 +113,7 @@
             co_return AttemptEnd::Lost;
         if (parser.get().result_int() == 100)
             continue;
-        auto head = m_protocol.decodeAnswer(parser.get().base());
+        auto head = m_protocol.decodeAnswer(parser.get().base(), Clock::now());
         // Failure: a server sends the answer to an earlier request late, where the next one is expected. Passed on, it
         // would be the answer to somebody else's request.
         bool isStray = !head.requestId.empty() && head.requestId != call.head.id;
@@ -131,8 +131,10 @@
             continue;
         }
         // What is misdirected is answered by another server.
-        if (head.status != 421)
+        if (head.status != 421) {
             noteLimit(call, connection->server, head);
+            noteRest(call, connection->server, head);
+        }
         if (head.isNotRun)
             co_return head.status == 421 ? AttemptEnd::Misdirected : AttemptEnd::NotRun;
         bool isStream = call.route->isStream && head.status == 200;
@@ -151,11 +153,20 @@
         m_desk.apply(dispatch::LimitHeard { server, call.sentAt, head.limit });
 }
 
+void RequestServer::noteRest(const Call& call, const ServerLife& server, const AnswerHead& head)
+{
+    if (!head.rest)
+        return;
+    bool isKnown = m_desk.dispatcher().loads().restOf(server, Clock::now()).has_value();
+    m_metrics.count("swiftloft_entry_rests_heard_total", { { "service", call.service.value() }, { "known", isKnown ? "yes" : "no" } });
+    m_desk.apply(dispatch::RestAsked { server, *head.rest });
+}
+
 asio::awaitable<AttemptEnd> RequestServer::takeWhole(Call& call, UpstreamConnectionPtr connection, AnswerParser& parser)
 {
     std::string body;
     std::array<char, 16384> bytes;
-    auto signedHead = m_protocol.decodeAnswer(parser.get().base());
+    auto signedHead = m_protocol.decodeAnswer(parser.get().base(), Clock::now());
     while (!parser.is_done()) {
         auto& buffer = parser.get().body();
         buffer.data = bytes.data();
@@ -196,7 +207,7 @@
 asio::awaitable<AttemptEnd> RequestServer::relay(Call& call, UpstreamConnectionPtr connection, AnswerParser& parser)
 {
     std::array<char, 16384> bytes;
-    if (!m_protocol.decodeAnswer(parser.get().base()).isSigned)
+    if (!m_protocol.decodeAnswer(parser.get().base(), Clock::now()).isSigned)
         co_return AttemptEnd::Lost;
     if (!call.hasBegun) {
         AnswerFields head(parser.get().base());
--- /dev/null
+++ b/src/gateway/server-rests.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "src/gateway/news.h"
+
+#include <map>
+#include <optional>
+
+namespace swiftloft::gateway {
+
+/// The rests that backend servers ask this entry for as they turn its requests away.
+///
+/// A rest is between one server and one entry: others are not told. Each answer counts for as long as it says, so of several the
+/// one that ends last holds, whichever comes first. Rests are kept by a server's life and outlast its absence from the list.
+///
+/// Pure: the time comes with each call.
+class ServerRests {
+public:
+    /// Where the server's words can't be read.
+    static constexpr milliseconds unreadableRest { 1000 };
+
+    /// True when no rest of the server was known.
+    bool onAsked(TimePoint now, ServerHash server, const NamedRest& rest);
+    /// Unset when the server has asked for none, or that is over.
+    std::optional<TimePoint> endOf(ServerHash server, TimePoint now) const;
+    bool isEmpty() const { return m_endsAt.empty(); }
+    void forgetEnded(TimePoint now);
+
+private:
+    std::map<ServerHash, TimePoint> m_endsAt;
+};
+
+} // namespace swiftloft::gateway
--- a/test/platform-protocol_test.cc
+++ b/test/platform-protocol_test.cc
@@ -92,7 +92,7 @@
 
 TEST_CASE("Platform: only some answers promise that nothing ran")
 {
-    auto decode = platform::makeProtocol().decodeAnswer;
+    auto decode = [protocol = platform::makeProtocol()](const AnswerFields& it) { return protocol.decodeAnswer(it, start); };
     AnswerFields fields;
     fields.result(503);
     CHECK_FALSE(decode(fields).isNotRun);
@@ -112,7 +112,7 @@
 // Failure: a limit that is read wrongly is exceeded, or keeps a server idle.
 TEST_CASE("Platform: a limit that a server names is decoded")
 {
-    auto decode = platform::makeProtocol().decodeAnswer;
+    auto decode = [protocol = platform::makeProtocol()](const AnswerFields& it) { return protocol.decodeAnswer(it, start); };
     AnswerFields none;
     CHECK_FALSE(decode(none).limit.has_value());
     auto limitOf = [&](const char* text) {
@@ -140,7 +140,33 @@
     fields.insert("Server-Limit", "3");
     fields.insert("Server-Limit", "2");
     fields.insert("Server-Limit", "x");
-    CHECK(platform::makeProtocol().decodeAnswer(fields).limit->rate == RequestRate(2));
+    CHECK(platform::makeProtocol().decodeAnswer(fields, start).limit->rate == RequestRate(2));
+}
+
+// Failure: a rest that is read wrongly is cut short, or keeps a server idle.
+TEST_CASE("Platform: a rest that a server asks for is decoded")
+{
+    auto decode = [protocol = platform::makeProtocol()](unsigned status, std::vector<const char*> texts) {
+        AnswerFields fields;
+        fields.result(status);
+        for (auto* text : texts)
+            fields.insert(http::field::retry_after, text);
+        return protocol.decodeAnswer(fields, start).rest;
+    };
+    CHECK_FALSE(decode(503, {}).has_value());
+    CHECK(decode(503, { "3" })->until == start + seconds(3));
+    CHECK(decode(429, { "0.25" })->until == start + milliseconds(250));
+    CHECK(decode(503, { "0" })->until == start);
+    CHECK(decode(503, { "2", "x", "5", "1" })->until == start + seconds(5));
+    CHECK(decode(503, { "1000000000000000000000000" })->until > start + std::chrono::hours(1000));
+    CHECK(decode(503, { std::string(400, '9').c_str() })->until > start + std::chrono::hours(1000));
+    auto unreadable = GENERATE("", "-1", "+1", "1e3", "3, 5", "nan", "soon", "Wed, 21 Oct 2026 07:28:00 GMT");
+    INFO(unreadable);
+    REQUIRE(decode(503, { unreadable }).has_value());
+    CHECK_FALSE(decode(503, { unreadable })->until.has_value());
+    // Only what turns a request away asks for rest.
+    auto other = GENERATE(200U, 421U, 500U, 504U);
+    CHECK_FALSE(decode(other, { "3" }).has_value());
 }
 
 TEST_CASE("Platform: a configuration is decoded")
