Tests of the rest that servers ask for, failing

test/rest-rule.h judges by the words of the rule: from half a second after the answer to the end of the rest two requests at most, from one entry at one server, each answer by itself. test/gateway-fleet.h and the stand-in of the users' platform turn requests away and ask for rest.

--- a/test/gateway-fleet.h
+++ b/test/gateway-fleet.h
@@ -2,6 +2,7 @@
 
 #include "src/gateway/dispatcher.h"
 #include "test/limit-rule.h"
+#include "test/rest-rule.h"
 
 #include <functional>
 #include <queue>
@@ -71,11 +72,20 @@
         it.limit = rate;
         it.rule.onLimit(m_now, rate);
     }
+    /// From now on the server turns this part of what reaches it away and asks for so long a rest; unset: it turns nothing away.
+    void shed(int server, std::optional<milliseconds> rest, double part = 1)
+    {
+        auto& it = m_servers[static_cast<std::size_t>(server)];
+        it.rest = rest;
+        it.partShed = part;
+    }
     /// The server starts again at its address: it holds nothing and names nothing.
     void restartServer(int server)
     {
         auto& it = m_servers[static_cast<std::size_t>(server)];
         limit(server, std::nullopt);
+        shed(server, std::nullopt);
+        it.restRule.onReplaced();
         it.listed.id = BackendServerId(it.listed.id.value() + "'");
         it.running = 0;
         ++it.life;
@@ -146,6 +156,8 @@
         for (auto& server : m_servers) {
             if (!server.rule.broken().empty())
                 return server.rule.broken();
+            if (!server.restRule.broken().empty())
+                return server.restRule.broken();
         }
         return "";
     }
@@ -158,6 +170,9 @@
         BackendServer listed;
         std::optional<double> limit;
         LimitRule rule;
+        std::optional<milliseconds> rest;
+        double partShed { 0 };
+        RestRule restRule;
         std::uint32_t running { 0 };
         int ran { 0 };
         int arrived { 0 };
@@ -215,6 +230,8 @@
     {
         for (auto& server : m_servers)
             server.rule.onExcused(m_now, entry);
+        for (auto& server : m_servers)
+            server.restRule.onExcused(entry);
     }
 
     void start(int n)
@@ -393,6 +410,7 @@
             return finishAfter(networkDelay, it, gateway::AttemptEnd::Misdirected);
         ++server->arrived;
         server->rule.onArrival(m_now, m_calls[it.id].entry);
+        server->restRule.onArrival(m_now, m_calls[it.id].entry);
         atServer(it.life, [this, it] { begin(it); });
     }
 
@@ -401,6 +419,8 @@
         auto* server = serverOf(it.life);
         if (!server)
             return;
+        if (server->rest && uniform(0, 1) < server->partShed)
+            return turnAway(it, *server);
         if (server->running >= m_options.slots) {
             hearLimit(it, networkDelay);
             return finishAfter(networkDelay + milliseconds(1), it, gateway::AttemptEnd::NotRun);
@@ -414,6 +434,18 @@
         schedule(m_now + work, [this, it, life = server->life] { complete(it, life); });
     }
 
+    void turnAway(const Try& it, Server& server)
+    {
+        auto& call = m_calls[it.id];
+        gateway::NamedRest rest { m_now + *server.rest };
+        server.restRule.onAsked(m_now, call.entry, *rest.until);
+        schedule(m_now + networkDelay, [this, it, rest] {
+            auto& asked = m_calls[it.id];
+            apply(asked.entry, gateway::dispatch::RestAsked { it.life, rest }, asked.incarnation);
+            finish(it, gateway::AttemptEnd::NotRun);
+        });
+    }
+
     void sendEvent(const Try& it, TimePoint until)
     {
         if (!isCurrent(it) || m_now >= until)
--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -180,6 +180,25 @@
     CHECK_THAT(rig.log(), Contains("ServerLimitChanged") && Contains("limit=1 source=answer"));
 }
 
+// Failure: a server turns requests away and asks for rest, and gets the next ones all the same.
+TEST_CASE("Platform entry: a server that asks for rest gets none until it is over")
+{
+    EntryRig rig;
+    rig.start();
+    REQUIRE(rig.isReady());
+    rig.platform.setRest(0, milliseconds(2500));
+    auto until = Clock::now() + seconds(6);
+    int sent = 0;
+    int served = 0;
+    while (Clock::now() < until) {
+        served += call(rig.request("safe", fmt::format("r{}", ++sent))).head.result_int() == 200 ? 1 : 0;
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    CHECK_THAT(rig.platform.brokenLimits(), Catch::Matchers::Equals(std::vector<std::string>()));
+    CHECK(served == sent);
+    CHECK_THAT(rig.log(), Contains("ServerRestAsked") && Contains("rest-ms=24"));
+}
+
 // Failure: a server stands still, its callers leave after two seconds without an event, and it works for nobody when it wakes.
 TEST_CASE("Platform entry: a stream goes on at another server when its own falls silent")
 {
--- a/test/soak/users-platform.cc
+++ b/test/soak/users-platform.cc
@@ -105,11 +105,19 @@
     it.rule.onLimit(Clock::now(), rate);
 }
 
+void UsersPlatform::setRest(std::size_t server, std::optional<milliseconds> rest)
+{
+    std::scoped_lock lock(m_mutex);
+    m_servers[server].rest = rest;
+}
+
 void UsersPlatform::excuseEntry(int entry)
 {
     std::scoped_lock lock(m_mutex);
-    for (auto& server : m_servers)
+    for (auto& server : m_servers) {
         server.rule.onExcused(Clock::now(), entry);
+        server.restRule.onExcused(entry);
+    }
 }
 
 std::string UsersPlatform::idThrough(const std::string& id, std::size_t entry)
@@ -124,6 +132,8 @@
     for (auto& server : m_servers) {
         if (!server.rule.broken().empty())
             broken.push_back(fmt::format("server {}: {}", server.id, server.rule.broken()));
+        if (!server.restRule.broken().empty())
+            broken.push_back(fmt::format("server {}: {}", server.id, server.restRule.broken()));
     }
     return broken;
 }
@@ -182,6 +192,8 @@
                 m_servers[index].id = fmt::format("i-{}", ++m_lastId);
                 m_servers[index].state = "ready";
                 setLimit(index, std::nullopt);
+                setRest(index, std::nullopt);
+                m_servers[index].restRule.onReplaced();
                 list(index);
             },
             asio::detached);
@@ -264,6 +276,7 @@
         mode = server.mode;
         auto entry = entryOf(exchange.header("X-Request-Id"));
         server.rule.onArrival(Clock::now(), entry);
+        server.restRule.onArrival(Clock::now(), entry);
         if (server.limit) {
             exchange.setHeader("Server-Limit", fmt::format("{}", *server.limit));
             server.rule.onPassedOn(Clock::now(), entry);
@@ -272,6 +285,10 @@
         if (exchange.header("X-Expect-Instance") != server.id) {
             exchange.setHeader("X-Not-Executed", "1");
             mode = ServerMode::Full;
+        } else if (server.rest) {
+            server.restRule.onAsked(Clock::now(), entry, Clock::now() + *server.rest);
+            exchange.setHeader("Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(*server.rest).count()));
+            mode = ServerMode::Full;
         } else if (mode != ServerMode::Full && server.running < m_slots) {
             m_runs[exchange.header("X-Request-Id")].push_back({ server.id, std::string(exchange.path()), exchange.header("X-Tenant"), Clock::now(), m_version });
             ++server.running;
--- a/test/soak/users-platform.h
+++ b/test/soak/users-platform.h
@@ -2,6 +2,7 @@
 
 #include "standin/http-server.h"
 #include "test/limit-rule.h"
+#include "test/rest-rule.h"
 
 #include <swiftloft/units.h>
 
@@ -67,11 +68,13 @@
     void setServerMode(std::size_t server, ServerMode mode);
     /// From now on the server names this many requests a second in its answers, or none.
     void setLimit(std::size_t server, std::optional<double> rate);
-    /// The entry is killed, stopped, paused or back: it answers for no limit named about then.
+    /// From now on the server turns all requests away and asks for so long a rest, or does not any more.
+    void setRest(std::size_t server, std::optional<milliseconds> rest);
+    /// The entry is killed, stopped, paused or back: it answers for no limit named, and no rest asked for, about then.
     void excuseEntry(int entry);
     /// A request id from which the stand-in learns through which entry a request comes. One without counts as of entry 0.
     static std::string idThrough(const std::string& id, std::size_t entry);
-    /// What was broken of the limits that servers named; empty when nothing was.
+    /// What was broken of the limits that servers named and of the rests that they asked for; empty when nothing was.
     std::vector<std::string> brokenLimits() const;
     /// Publishes a configuration in which `key` belongs to `organisation`; returns its version.
     std::uint64_t publish(const std::string& key, const std::string& organisation);
@@ -104,6 +107,8 @@
         int running { 0 };
         std::optional<double> limit;
         test::LimitRule rule;
+        std::optional<milliseconds> rest;
+        test::RestRule restRule;
     };
     struct Item {
         std::string value;
