Keep the rests that backend servers ask for

What callers saw: four of twelve engines turned everything away and asked each entry for 3 s of rest. They looked idle and so got most of the requests, again and again, up to seven times the same one; 174 of 293 requests of seven seconds were refused, some after having been kept for 1.5 s, while eight engines with room stood by. The engines got up to ten requests from an entry within a rest, two are allowed.

A rank that turned a request away was left out for 150 ms, a time of the entry's own, on the guess that its group was forming, and a request that waits for groups forgets which servers it tried.

Now: a server at rest has no room for this entry, whatever asks for it (first tries, repeats, requests that waited, streams taken back, requests bound to it, requests that only ask for a limit). Rests are kept by the server's life and outlast its absence from the list. A rest is no sign of a group that forms. Requests that no server takes in time are refused at once (reason=resting) and told the true time, spread over as much as half of what is left. Entries take the same rest to end at different moments, up to a tenth of it and half a second apart.

--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -80,6 +80,8 @@
         return fmt::format("answered by the last of {} in {} ms, the first byte after {} ms", part("servers"), part("ms"), part("first-ms"));
     if (reason == "limited")
         return fmt::format("refused: by the limits that its backend servers name, {} had no room in time; it has not run", part("service"));
+    if (reason == "resting")
+        return fmt::format("refused: all backend servers of {} that it might have gone to had asked this entry for rests that were not over in time; it has not run", part("service"));
     if (reason == "overloaded")
         return fmt::format("refused for want of room: {} of the places of {} were taken and {} requests waited at the entry; it has not run", part("occupancy"), part("service"), part("waiting"));
     if (reason == "no-server")
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -72,6 +72,8 @@
         return "overloaded";
     case RefusalReason::Limited:
         return "limited";
+    case RefusalReason::Resting:
+        return "resting";
     case RefusalReason::NoServer:
         return "no-server";
     case RefusalReason::TriesSpent:
@@ -152,13 +154,17 @@
     return route.services[draw(m_generator)].service;
 }
 
-bool Dispatcher::tryStart(CallId id, Call& call, TimePoint now, Effects& effects)
+LoadBoard::Choice Dispatcher::choiceOf(const Call& call)
 {
-    LoadBoard::Choice choice { call.service, call.tried, std::nullopt };
     // A request may run on so many servers and no more; those that it ran on may get it again.
     if (call.ranOn.size() >= std::max(call.request.route->maximumServers, 1U))
-        choice = { call.service, {}, call.ranOn };
-    auto server = m_loads.choose(choice, now, m_generator);
+        return { call.service, {}, call.ranOn };
+    return { call.service, call.tried, std::nullopt };
+}
+
+bool Dispatcher::tryStart(CallId id, Call& call, TimePoint now, Effects& effects)
+{
+    auto server = m_loads.choose(choiceOf(call), now, m_generator);
     if (!server)
         return false;
     bool isPaidFor = call.sends == 0 || call.isTakenBack;
@@ -201,10 +207,11 @@
     m_waiting = std::move(still);
 }
 
-/// By the limits that they name, no server of its service may get the request while it waits: it is refused at once.
+/// By the limits that they name and the rests that they ask for, no server may get the request while it waits: it is refused at
+/// once.
 bool Dispatcher::isBeyondLimits(const Call& call, TimePoint now) const
 {
-    auto room = m_loads.limitedRoom(call.service, now);
+    auto room = m_loads.limitedRoom(choiceOf(call), now);
     return room && room->isAll && room->nextAt > call.waitUntil;
 }
 
@@ -212,8 +219,10 @@
 {
     if (!m_loads.hasServer(call.service))
         return RefusalReason::NoServer;
-    auto room = m_loads.limitedRoom(call.service, now);
-    return room && room->isAll ? RefusalReason::Limited : RefusalReason::Overloaded;
+    auto room = m_loads.limitedRoom(choiceOf(call), now);
+    if (!room || !room->isAll)
+        return RefusalReason::Overloaded;
+    return room->isResting ? RefusalReason::Resting : RefusalReason::Limited;
 }
 
 /// While a whole service forms anew, all its room is about to be free at once. Turned away, a client would come back when
@@ -376,7 +385,8 @@
         return;
     }
     if (call.verdict == Verdict::NotRun) {
-        refuse(now, id, call, RefusalReason::TriesSpent, comeBackAt(call, now), effects);
+        auto reason = isBeyondLimits(call, now) ? reasonToRefuse(call, now) : RefusalReason::TriesSpent;
+        refuse(now, id, call, reason, comeBackAt(call, now), effects);
         return;
     }
     refuse(now, id, call, end == AttemptEnd::TimedOut ? RefusalReason::TimedOut : RefusalReason::Lost, std::nullopt, effects);
@@ -413,12 +423,24 @@
     return at;
 }
 
+/// The true time, also where clients wait for less: until then they would be turned away again. Those that come during a long
+/// rest return over as much longer a time, so that what has gathered does not arrive in one moment.
+TimePoint Dispatcher::comeBackAfterRest(const Call& call, TimePoint restEndsAt, TimePoint now)
+{
+    auto patienceEndsAt = now + std::chrono::duration_cast<Clock::duration>(partOfTimeLeft * std::max(call.request.deadline - now, Clock::duration(0)));
+    auto latest = restEndsAt + std::max<Clock::duration>(comeBackSpread, (restEndsAt - now) / 2);
+    if (restEndsAt < patienceEndsAt)
+        latest = std::min(latest, patienceEndsAt);
+    boost::random::uniform_real_distribution<double> spread(0, 1);
+    return restEndsAt + std::chrono::duration_cast<Clock::duration>(spread(m_generator) * (latest - restEndsAt));
+}
+
 TimePoint Dispatcher::comeBackAt(const Call& call, TimePoint now)
 {
     if (!m_loads.hasServer(call.service) || m_loads.isForming(call.service, now))
         return comeBackWhenServing(now, call.request.deadline, m_generator);
-    if (auto room = m_loads.limitedRoom(call.service, now); room && room->isAll)
-        return comeBackWithinLimits(call, room->rate, now);
+    if (auto room = m_loads.limitedRoom(choiceOf(call), now); room && room->isAll)
+        return room->isResting && room->rate <= 0 ? comeBackAfterRest(call, room->nextAt, now) : comeBackWithinLimits(call, room->rate, now);
     boost::random::uniform_int_distribution<int> spread(0, static_cast<int>(comeBackSpread.count()));
     return now + comeBackAfter + milliseconds(spread(m_generator));
 }
@@ -440,8 +462,9 @@
     for (auto id : m_waiting) {
         auto it = m_calls.find(id);
         auto& call = it->second;
-        bool isFirstOfService = services.insert(call.service).second;
-        if (auto room = isFirstOfService ? m_loads.limitedRoom(call.service, m_appliedAt) : std::nullopt)
+        auto choice = choiceOf(call);
+        bool isNewChoice = choice.only || services.insert(call.service).second;
+        if (auto room = isNewChoice ? m_loads.limitedRoom(choice, m_appliedAt) : std::nullopt)
             next = std::min(next.value_or(room->nextAt), room->nextAt);
         // One whose pause is over and that found no room waits for an event.
         auto due = call.retryAt > m_appliedAt ? std::min(call.retryAt, call.waitUntil) : call.waitUntil;
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -61,6 +61,8 @@
     Overloaded,
     /// By the limits that its servers name there is no room in time: come back later.
     Limited,
+    /// All its servers have asked for rests that are not over in time: come back later.
+    Resting,
     /// The service has no server that may be used.
     NoServer,
     /// Not run, and no further try is allowed.
@@ -234,9 +236,12 @@
     void keepForForming(TimePoint now);
     void startWaiting(TimePoint now, dispatch::Effects& effects);
     void refuse(TimePoint now, CallId id, const Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, dispatch::Effects& effects);
+    /// Where the request may go: anywhere, or, once it has run on as many servers as it may, to these.
+    static LoadBoard::Choice choiceOf(const Call& call);
     bool isBeyondLimits(const Call& call, TimePoint now) const;
     RefusalReason reasonToRefuse(const Call& call, TimePoint now) const;
     TimePoint comeBackAt(const Call& call, TimePoint now);
+    TimePoint comeBackAfterRest(const Call& call, TimePoint restEndsAt, TimePoint now);
     TimePoint comeBackWithinLimits(const Call& call, double rate, TimePoint now);
 
     DispatcherOptions m_options;
--- a/src/gateway/load-board.cc
+++ b/src/gateway/load-board.cc
@@ -50,6 +50,7 @@
 {
     m_limits.setFleet(now, snapshot);
     m_rests.forgetEnded(now);
+    m_rests.setEntry(snapshot.self.control);
     std::map<ServerLife, Server> servers;
     auto degraded = degradedOf(snapshot);
     for (auto& listed : snapshot.servers) {
@@ -170,7 +171,7 @@
 {
     auto goesOn = [&](auto& it) {
         auto& server = it.second;
-        bool isIdle = !server.isRank && server.own.running == 0 && mayGetWork(server, now) && server.avoidedUntil <= now;
+        bool isIdle = !server.isRank && server.own.running == 0 && mayGetWork(server, now) && !isResting(server, now) && server.avoidedUntil <= now;
         return it.first != life && server.server.service == service && (isIdle || server.heardAt + heardWithin > now);
     };
     return std::any_of(m_servers.begin(), m_servers.end(), goesOn);
@@ -226,7 +227,7 @@
 bool LoadBoard::onTurnedAway(TimePoint now, const ServerLife& life)
 {
     auto it = m_servers.find(life);
-    if (it == m_servers.end() || !it->second.isRank)
+    if (it == m_servers.end() || !it->second.isRank || isResting(it->second, now))
         return false;
     it->second.turnedAwayUntil = now + turnedAwayFor;
     return true;
@@ -260,21 +261,22 @@
     log::write(log::Event::ServerLimitChanged, "server={} limit={} source={}", it->first.id.value(), rate ? fmt::format("{}", rate->value()) : "none", source);
 }
 
-std::optional<LoadBoard::LimitedRoom> LoadBoard::limitedRoom(const ServiceName& service, TimePoint now) const
+std::optional<LoadBoard::LimitedRoom> LoadBoard::limitedRoom(const Choice& choice, TimePoint now) const
 {
-    if (m_limits.isEmpty())
+    if (m_limits.isEmpty() && m_rests.isEmpty())
         return std::nullopt;
-    LimitedRoom room { true, TimePoint::max(), 0 };
+    LimitedRoom room { true, TimePoint::max(), 0, false };
     for (auto& [life, server] : m_servers) {
-        if (server.server.service != service || !mayGetWork(server, now))
+        if (!isCandidate(server, choice) || !mayGetWork(server, now))
             continue;
-        auto at = m_limits.maySendAt(now, server.hash);
+        auto at = maySendAt(server, now);
         if (at <= now) {
             room.isAll = false;
             continue;
         }
         room.nextAt = std::min(room.nextAt, at);
         room.rate += m_limits.evenShareOf(server.hash);
+        room.isResting |= isResting(server, now);
     }
     return room.nextAt == TimePoint::max() ? std::nullopt : std::optional(room);
 }
@@ -314,23 +316,37 @@
     return server.server.state == ServerState::Ready && !server.isReplaced && !isClosed && !isTurningAway;
 }
 
+bool LoadBoard::isCandidate(const Server& server, const Choice& choice)
+{
+    auto isIn = [&](std::span<const ServerLife> lives) { return std::find(lives.begin(), lives.end(), server.server.life()) != lives.end(); };
+    return server.server.service == choice.service && (!choice.only || isIn(*choice.only));
+}
+
+bool LoadBoard::isResting(const Server& server, TimePoint now) const
+{
+    return !m_rests.isEmpty() && m_rests.endOf(server.hash, now);
+}
+
+TimePoint LoadBoard::maySendAt(const Server& server, TimePoint now) const
+{
+    auto at = m_limits.isEmpty() ? now : m_limits.maySendAt(now, server.hash);
+    return m_rests.isEmpty() ? at : std::max(at, m_rests.endOf(server.hash, now).value_or(now));
+}
+
 bool LoadBoard::hasRoom(const Server& server, const Load& load, TimePoint now) const
 {
-    bool isLimited = !m_limits.isEmpty() && m_limits.maySendAt(now, server.hash) > now;
-    return !isLimited && load.running + (server.told ? server.told->running : 0) < server.server.slots;
+    return maySendAt(server, now) <= now && load.running + (server.told ? server.told->running : 0) < server.server.slots;
 }
 
 std::optional<BackendServer> LoadBoard::choose(const Choice& choice, TimePoint now, policy::Generator& generator) const
 {
     const Server* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
-    auto isIn = [](std::span<const ServerLife> lives, const ServerLife& life) { return std::find(lives.begin(), lives.end(), life) != lives.end(); };
+    auto isExcluded = [&](const ServerLife& life) { return std::find(choice.excluded.begin(), choice.excluded.end(), life) != choice.excluded.end(); };
     // Equal loads are told apart at random: all entries that saw the same idle server would otherwise meet there.
     boost::random::uniform_real_distribution<double> tieBreak(0, 1);
     for (auto& [life, server] : m_servers) {
-        if (server.server.service != choice.service || !mayGetWork(server, now))
-            continue;
-        if (isIn(choice.excluded, life) || (choice.only && !isIn(*choice.only, life)))
+        if (!isCandidate(server, choice) || !mayGetWork(server, now) || isExcluded(life))
             continue;
         auto load = totalLoad(server, now);
         if (!hasRoom(server, load, now))
@@ -394,8 +410,8 @@
     };
     std::map<ServiceName, Sum> sums;
     for (auto& [life, server] : m_servers) {
-        // One that names a limit is idle for another reason than having room.
-        bool hasRoomByLoad = mayGetWork(server, now) && !m_limits.limitOf(server.hash);
+        // One that names a limit or asks for rest is idle for another reason than having room.
+        bool hasRoomByLoad = mayGetWork(server, now) && !m_limits.limitOf(server.hash) && !isResting(server, now);
         if (server.isFar || !hasRoomByLoad)
             continue;
         auto load = totalLoad(server, now);
--- a/src/gateway/load-board.h
+++ b/src/gateway/load-board.h
@@ -62,7 +62,8 @@
     bool hasRoomBeside(const ServiceName& service, const ServerLife& life, TimePoint now) const;
     /// Servers that have fallen silent, to be told to other entries.
     std::vector<SilentServer> silentServers(TimePoint now) const;
-    /// It did not run a request that it was sent. True when it is a rank of a group.
+    /// It did not run a request that it was sent. True when it is a rank, whose group may be forming; one that asks for rest has
+    /// said why it turns requests away.
     bool onTurnedAway(TimePoint now, const ServerLife& life);
     /// An answer to a request sent at `sentAt` says whether its server limits requests.
     void onLimitHeard(TimePoint now, const ServerLife& life, TimePoint sentAt, const std::optional<NamedLimit>& limit);
@@ -74,29 +75,32 @@
     std::optional<RequestRate> limitOf(const ServerLife& life) const;
     const ServerLimits& limits() const { return m_limits; }
 
-    /// Servers of a service that get nothing more for now, by the limits that they name.
+    /// Which servers a request may go to.
+    struct Choice {
+        ServiceName service;
+        /// Tried in vain.
+        std::span<const ServerLife> excluded;
+        /// When set, none but these.
+        std::optional<std::span<const ServerLife>> only;
+    };
+
+    /// Servers that get nothing more for now, by the limits that they name or the rests that they ask for.
     struct LimitedRoom {
-        /// True when that goes for every server of the service that may get work.
+        /// True when that goes for every server that the request may go to.
         bool isAll { false };
         /// When the first of them may get something from this entry again.
         TimePoint nextAt;
-        /// Requests a second that an entry may send to them on average.
+        /// Requests a second that an entry may send on average to those with a limit.
         double rate { 0 };
+        /// One of them has asked for a rest.
+        bool isResting { false };
     };
-    /// Unset while no limit keeps this entry from a server of the service.
-    std::optional<LimitedRoom> limitedRoom(const ServiceName& service, TimePoint now) const;
+    /// Unset while nothing of the kind keeps this entry from a server of the choice; servers tried in vain count.
+    std::optional<LimitedRoom> limitedRoom(const Choice& choice, TimePoint now) const;
 
     /// Another server answers at its address.
     void onReplaced(const ServerLife& life);
 
-    /// Which servers a request may go to.
-    struct Choice {
-        ServiceName service;
-        /// Tried in vain.
-        std::span<const ServerLife> excluded;
-        /// When set, none but these.
-        std::optional<std::span<const ServerLife>> only;
-    };
     /// The best server with room. Slow ones come behind the others, and those that failed of late last.
     std::optional<BackendServer> choose(const Choice& choice, TimePoint now, policy::Generator& generator) const;
     /// True while the service has a server that may get work, with room or not.
@@ -143,7 +147,11 @@
 
     void logLimit(ServerHash server, std::string_view source) const;
     bool mayGetWork(const Server& server, TimePoint now) const;
+    static bool isCandidate(const Server& server, const Choice& choice);
     bool hasRoom(const Server& server, const Load& load, TimePoint now) const;
+    bool isResting(const Server& server, TimePoint now) const;
+    /// When the limit that the server names, and the rest that it has asked for, let this entry send it something; `now` at once.
+    TimePoint maySendAt(const Server& server, TimePoint now) const;
     /// What was said of its rank last, while that counts; null otherwise.
     static const Snapshot::DegradedElsewhere* degradedWord(const Server& server, TimePoint now);
     static bool isSlow(const Server& server, TimePoint now);
--- a/src/gateway/news.cc
+++ b/src/gateway/news.cc
@@ -254,6 +254,12 @@
 
 } // namespace
 
+membership::NodeKey keyOf(const Endpoint& control)
+{
+    auto text = control.address().to_string();
+    return membership::NodeKey(XXH3_64bits_withSeed(text.data(), text.size(), control.port()));
+}
+
 ServerHash hashOf(const ServerLife& life)
 {
     auto& id = life.id.value();
--- a/src/gateway/news.h
+++ b/src/gateway/news.h
@@ -3,6 +3,7 @@
 #include "src/gateway/model.h"
 #include "src/gateway/protocol.h"
 
+#include <swiftloft/membership/types.h>
 #include <swiftloft/result.h>
 
 #include <boost/asio/io_context.hpp>
@@ -45,6 +46,8 @@
 /// Names a life of a server by a hash, to keep datagrams small.
 using ServerHash = Strong<struct ServerHashTag, std::uint64_t>;
 ServerHash hashOf(const ServerLife& life);
+/// Names an entry by a hash of its control address, which all entries compute alike.
+membership::NodeKey keyOf(const Endpoint& control);
 
 /// A server that is told to go or has gone.
 struct LeavingServer {
--- a/src/gateway/server-limits.cc
+++ b/src/gateway/server-limits.cc
@@ -4,8 +4,6 @@
 
 #include <swiftloft/membership/rendezvous.h>
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 
@@ -16,12 +14,6 @@
 /// No wait is computed beyond this: the shares of tiny limits would exceed what a duration holds.
 constexpr std::chrono::duration<double> longestWait { 3600 };
 
-std::uint64_t keyOf(const Endpoint& control)
-{
-    auto text = control.address().to_string();
-    return XXH3_64bits_withSeed(text.data(), text.size(), control.port());
-}
-
 Clock::duration waitFor(double requests, double rate)
 {
     auto wait = std::chrono::duration<double>(requests / rate);
@@ -117,7 +109,7 @@
 /// come first, so that the clients of each find an entry that may send there.
 std::size_t ServerLimits::placeFor(ServerHash server) const
 {
-    auto scoreOf = [&](const Member& member) { return membership::rendezvousScore(membership::NodeKey(member.key), server.value()); };
+    auto scoreOf = [&](const Member& member) { return membership::rendezvousScore(member.key, server.value()); };
     auto self = std::find_if(m_members.begin(), m_members.end(), [](auto& it) { return it.isSelf; });
     if (self == m_members.end())
         return m_members.size();
--- a/src/gateway/server-limits.h
+++ b/src/gateway/server-limits.h
@@ -80,7 +80,7 @@
         TimePoint countedAt;
     };
     struct Member {
-        std::uint64_t key { 0 };
+        membership::NodeKey key;
         DataCentreName dataCentre;
         bool isSelf { false };
     };
--- a/src/gateway/server-rests.cc
+++ b/src/gateway/server-rests.cc
@@ -1,9 +1,25 @@
 #include "src/gateway/server-rests.h"
 
+#include <swiftloft/membership/rendezvous.h>
+
 #include <algorithm>
+#include <limits>
 
 namespace swiftloft::gateway {
 
+void ServerRests::setEntry(const Endpoint& control)
+{
+    m_entryKey = keyOf(control);
+}
+
+Clock::duration ServerRests::spreadOf(ServerHash server, Clock::duration rest) const
+{
+    auto score = membership::rendezvousScore(m_entryKey, server.value());
+    auto share = static_cast<double>(score) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    auto most = std::min<std::chrono::duration<double>>(spreadPart * rest, mostSpread);
+    return std::chrono::duration_cast<Clock::duration>(share * most);
+}
+
 bool ServerRests::onAsked(TimePoint now, ServerHash server, const NamedRest& rest)
 {
     auto until = rest.until.value_or(now + unreadableRest);
@@ -11,7 +27,7 @@
         return false;
     bool isNew = !endOf(server, now);
     auto& endsAt = m_endsAt[server];
-    endsAt = std::max(endsAt, until);
+    endsAt = std::max(endsAt, until + spreadOf(server, until - now));
     return isNew;
 }
 
--- a/src/gateway/server-rests.h
+++ b/src/gateway/server-rests.h
@@ -17,6 +17,13 @@
 public:
     /// Where the server's words can't be read.
     static constexpr milliseconds unreadableRest { 1000 };
+    /// Entries take a rest to last up to this part longer, and no more than the second figure, each by another share: a server
+    /// that has rested looks idle to all of them in the same moment.
+    static constexpr double spreadPart { 0.1 };
+    static constexpr milliseconds mostSpread { 500 };
+
+    /// The entry that keeps these rests; decides its share of the spread.
+    void setEntry(const Endpoint& control);
 
     /// True when no rest of the server was known.
     bool onAsked(TimePoint now, ServerHash server, const NamedRest& rest);
@@ -26,6 +33,9 @@
     void forgetEnded(TimePoint now);
 
 private:
+    Clock::duration spreadOf(ServerHash server, Clock::duration rest) const;
+
+    membership::NodeKey m_entryKey;
     std::map<ServerHash, TimePoint> m_endsAt;
 };
 
--- a/test/dispatcher_test.cc
+++ b/test/dispatcher_test.cc
@@ -408,3 +408,72 @@
     CHECK(refused == 0);
     CHECK(sent == requests);
 }
+
+// Failure: all ranks of a service ask for rest as they turn a request away; it is taken for a group that forms, asked about again
+// and again, and its client waits for an answer that was known at once.
+TEST_CASE("Dispatcher: a request whose servers all ask for rest is refused at once")
+{
+    Rig rig({});
+    rig.makeRanks();
+    rig.show({ Rig::server("s1"), Rig::server("s2"), Rig::server("s3") });
+    rig.arrive(1);
+    for (int n = 0; n < 3; ++n) {
+        auto at = rig.sentTo(1);
+        REQUIRE(!at.empty());
+        rig.take(RestAsked { { BackendServerId(at), {} }, { rig.now + seconds(3) } });
+        rig.end(1, AttemptEnd::NotRun);
+    }
+    REQUIRE(rig.refusal(1));
+    CHECK(rig.refusal(1)->reason == RefusalReason::Resting);
+    CHECK(rig.refusal(1)->retryAt >= rig.now + seconds(3));
+    rig.arrive(2);
+    REQUIRE(rig.refusal(2));
+    CHECK(rig.refusal(2)->verdict == Verdict::NotRun);
+}
+
+// Failure: a request may run again only where it has run; that server rests, and the request is kept though it can't be served.
+TEST_CASE("Dispatcher: a request that is bound to a server at rest is refused at once")
+{
+    Rig rig({ Rig::server("s1"), Rig::server("s2") }, 1);
+    rig.arrive(1);
+    auto first = rig.sentTo(1);
+    rig.take(RestAsked { { BackendServerId(first), {} }, { rig.now + seconds(3) } });
+    rig.end(1, AttemptEnd::Lost);
+    REQUIRE(rig.refusal(1));
+    CHECK(rig.refusal(1)->verdict == Verdict::MayHaveRun);
+}
+
+// Failure: the list lapses while a server rests, and its return ends the rest.
+TEST_CASE("Dispatcher: a rest outlasts the server's absence from the list, and ends with its life")
+{
+    Rig rig({ Rig::server("s1") });
+    rig.arrive(1);
+    rig.take(RestAsked { { BackendServerId("s1"), {} }, { rig.now + seconds(3) } });
+    rig.end(1, AttemptEnd::NotRun);
+    rig.show({});
+    rig.show({ Rig::server("s1") });
+    rig.arrive(2);
+    CHECK(rig.refusal(2));
+    auto next = Rig::server("s1");
+    next.startedAt = ServerStart(5);
+    rig.show({ next });
+    rig.arrive(3);
+    CHECK(rig.sentTo(3) == "s1");
+}
+
+// Failure: a server that rests gets a request that has waited for it before the rest is over, or none after.
+TEST_CASE("Dispatcher: a request waits for a rest that ends in time")
+{
+    Rig rig({ Rig::server("s1") });
+    rig.arrive(1);
+    auto restEndsAt = rig.now + milliseconds(100);
+    rig.take(RestAsked { { BackendServerId("s1"), {} }, { restEndsAt } });
+    rig.end(1, AttemptEnd::NotRun);
+    rig.arrive(2);
+    CHECK_FALSE(rig.refusal(2));
+    REQUIRE(rig.dispatcher.nextTick());
+    CHECK(*rig.dispatcher.nextTick() >= restEndsAt);
+    rig.now = *rig.dispatcher.nextTick();
+    rig.take(Ticked {});
+    CHECK(rig.sentTo(2) == "s1");
+}
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -73,6 +73,7 @@
     void disturbStore(std::mt19937_64& random);
     void disturbServer(std::mt19937_64& random);
     void limitServer(std::mt19937_64& random);
+    void restServers(std::mt19937_64& random);
     void calm();
     void stopGracefully(std::size_t index);
     bool servesAgain();
