Log returns of the store, changes that are left out, and servers that say that they leave

What on-call saw: entries that had logged a server as gone went on sending to it. The log says 'gone' whether the change was taken or not, and nothing says that the platform's store has come back from an older copy or that an answer said that its server leaves.

Added: Store-Era of the store's answers and Server-Leaving of servers' answers are decoded; StoreReturned (513), ListChangeLeftOut (514), ServerSaysLeaving (210), swiftloft_entry_leaving_heard_total. Nothing is decided by them yet.

--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -10,11 +10,6 @@
 
 namespace {
 
-const char* nameOf(Topic topic)
-{
-    return topic == Topic::Configuration ? "configuration" : "servers";
-}
-
 /// Entries of the list that were refused and logged; further ones are refused without a line.
 constexpr std::size_t mostRefusedRemembered = 256;
 constexpr std::size_t mostPrinted = 80;
@@ -199,6 +194,8 @@
 {
     m_serversChangedAt = std::max(m_serversChangedAt, item.revision);
     BackendServerId id(item.name);
+    if (ListRevision(item.revision) < m_servers.revision())
+        log::write(log::Event::ListChangeLeftOut, "server=\"{}\" revision={} known={}", printable(item.name), item.revision, m_servers.revision().value());
     if (item.isRemoved) {
         m_refused.erase(item.name);
         // One that may have lapsed only stays in use for a while, and its document with it.
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -109,6 +109,10 @@
     ServerLife server;
     NamedRest rest;
 };
+/// A server says in an answer that it is leaving.
+struct LeavingSaid {
+    ServerLife server;
+};
 struct SnapshotChanged {
     std::shared_ptr<const Snapshot> snapshot;
 };
@@ -118,7 +122,7 @@
 /// Time passed; see `Dispatcher::nextTick`.
 struct Ticked { };
 
-using Event = std::variant<Arrived, AttemptEnded, AnswerBegan, Progressed, Closed, LimitHeard, RestAsked, SnapshotChanged, LoadArrived, Ticked>;
+using Event = std::variant<Arrived, AttemptEnded, AnswerBegan, Progressed, Closed, LimitHeard, RestAsked, LeavingSaid, SnapshotChanged, LoadArrived, Ticked>;
 
 struct StartAttempt {
     CallId call;
--- a/src/gateway/load-board.cc
+++ b/src/gateway/load-board.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/random/uniform_real_distribution.hpp>
 #include <limits>
+#include <utility>
 
 namespace swiftloft::gateway {
 
@@ -252,6 +253,13 @@
     return m_rests.isEmpty() ? std::nullopt : m_rests.endOf(hashOf(life), now);
 }
 
+void LoadBoard::onLeavingSaid(const ServerLife& life)
+{
+    auto it = m_servers.find(life);
+    if (it != m_servers.end() && !std::exchange(it->second.isLeaving, true))
+        log::write(log::Event::ServerSaysLeaving, "server={} listed={}", life.id.value(), it->second.server.state == ServerState::Ready ? "ready" : "draining");
+}
+
 void LoadBoard::logLimit(ServerHash server, std::string_view source) const
 {
     auto it = std::find_if(m_servers.begin(), m_servers.end(), [&](auto& known) { return known.second.hash == server; });
--- a/src/gateway/load-board.h
+++ b/src/gateway/load-board.h
@@ -71,6 +71,8 @@
     void onRestAsked(TimePoint now, const ServerLife& life, const NamedRest& rest);
     /// When the rest ends that the server has asked this entry for; unset when it has not, or that is over.
     std::optional<TimePoint> restOf(const ServerLife& life, TimePoint now) const;
+    /// The server says in an answer that it is leaving.
+    void onLeavingSaid(const ServerLife& life);
     /// That the server names; unset where it names none.
     std::optional<RequestRate> limitOf(const ServerLife& life) const;
     const ServerLimits& limits() const { return m_limits; }
@@ -132,6 +134,8 @@
         TimePoint turnedAwayUntil;
         /// Its process has ended: an answer came from another one at its address.
         bool isReplaced { false };
+        /// It has said in an answer that it is leaving.
+        bool isLeaving { false };
         /// What was said of its rank last, and when, if it was closed or slow.
         std::optional<Snapshot::DegradedElsewhere> degraded;
         /// Prompt tokens that cost as much time as one running request does; zero for a plain server.
--- a/src/gateway/model.h
+++ b/src/gateway/model.h
@@ -173,6 +173,8 @@
     std::string requestId;
     /// The server promises that it did not run the request and never will.
     bool isNotRun { false };
+    /// The server says that it is leaving: it finishes what it has and is to get nothing new.
+    bool isLeaving { false };
     /// Signed by the server as its own work.
     bool isSigned { false };
 };
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -63,10 +63,15 @@
     std::string problem {};
 };
 
+/// Counts how often the store has come back from an older copy of itself, which gives revisions out again; 0 where the store
+/// doesn't say.
+using StoreEra = Strong<struct StoreEraTag, std::uint64_t>;
+
 /// Items with the revision up to which they are known.
 struct PublishedItems {
     std::vector<PublishedItem> items;
     std::uint64_t asOf { 0 };
+    StoreEra era {};
 };
 
 enum class Topic {
@@ -74,6 +79,11 @@
     Servers,
 };
 
+inline const char* nameOf(Topic topic)
+{
+    return topic == Topic::Configuration ? "configuration" : "servers";
+}
+
 /// Thrown by `Store::watch` when changes since the revision asked for are no longer known: list again.
 class HistoryLost : public Exception {
 public:
--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -134,6 +134,7 @@
         if (head.status != 421) {
             noteLimit(call, connection->server, head);
             noteRest(call, connection->server, head);
+            noteLeaving(call, connection->server, head);
         }
         if (head.isNotRun)
             co_return head.status == 421 ? AttemptEnd::Misdirected : AttemptEnd::NotRun;
@@ -162,6 +163,14 @@
     m_desk.apply(dispatch::RestAsked { server, *head.rest });
 }
 
+void RequestServer::noteLeaving(const Call& call, const ServerLife& server, const AnswerHead& head)
+{
+    if (!head.isLeaving)
+        return;
+    m_metrics.count("swiftloft_entry_leaving_heard_total", { { "service", call.service.value() } });
+    m_desk.apply(dispatch::LeavingSaid { server });
+}
+
 asio::awaitable<AttemptEnd> RequestServer::takeWhole(Call& call, UpstreamConnectionPtr connection, AnswerParser& parser)
 {
     std::string body;
--- a/src/gateway/request-server.h
+++ b/src/gateway/request-server.h
@@ -41,6 +41,7 @@
     boost::asio::awaitable<AttemptEnd> readAnswer(Call& call, UpstreamConnectionPtr connection);
     void noteLimit(const Call& call, const ServerLife& server, const AnswerHead& head);
     void noteRest(const Call& call, const ServerLife& server, const AnswerHead& head);
+    void noteLeaving(const Call& call, const ServerLife& server, const AnswerHead& head);
     boost::asio::awaitable<AttemptEnd> takeWhole(Call& call, UpstreamConnectionPtr connection, http::response_parser<http::buffer_body>& parser);
     boost::asio::awaitable<AttemptEnd> relay(Call& call, UpstreamConnectionPtr connection, http::response_parser<http::buffer_body>& parser);
     boost::asio::awaitable<bool> passEvents(Call& call, std::string_view bytes);
--- a/src/gateway/store-follower.cc
+++ b/src/gateway/store-follower.cc
@@ -61,7 +61,7 @@
             problem = error.what();
         }
         if (!std::exchange(m_isFailing, true))
-            log::write(log::Event::PlatformUnreachable, "topic={} problem=\"{}\"", m_topic == Topic::Configuration ? "configuration" : "servers", problem);
+            log::write(log::Event::PlatformUnreachable, "topic={} problem=\"{}\"", nameOf(m_topic), problem);
         if (!m_isActive)
             continue;
         m_onEvent(control::StoreFailed { m_topic });
@@ -76,6 +76,7 @@
         auto items = co_await m_store.list(m_topic, now + answerWithin);
         if (!m_isActive)
             co_return;
+        noteEra(items.era);
         m_knownTo = items.asOf;
         m_onEvent(control::StoreListed { m_topic, std::move(items) });
         co_return;
@@ -84,6 +85,7 @@
     auto changes = co_await m_store.watch(m_topic, *m_knownTo, waitUntil, waitUntil + answerWithin);
     if (!m_isActive || !m_knownTo)
         co_return;
+    noteEra(changes.era);
     m_knownTo = std::max(*m_knownTo, changes.asOf);
     bool hasChanges = !changes.items.empty();
     m_onEvent(control::StoreChanged { m_topic, std::move(changes) });
@@ -91,6 +93,13 @@
         co_await pauseUntil(Clock::now() + gatherFor);
 }
 
+void StoreFollower::noteEra(StoreEra era)
+{
+    if (m_era && *m_era != era)
+        log::write(log::Event::StoreReturned, "topic={} before={} after={}", nameOf(m_topic), m_era->value(), era.value());
+    m_era = era;
+}
+
 asio::awaitable<void> StoreFollower::pauseAfterFailure()
 {
     auto until = Clock::now() + m_pause;
--- a/src/gateway/store-follower.h
+++ b/src/gateway/store-follower.h
@@ -41,6 +41,7 @@
 private:
     boost::asio::awaitable<void> follow(TimePoint notBefore);
     boost::asio::awaitable<void> step();
+    void noteEra(StoreEra era);
     boost::asio::awaitable<void> pauseAfterFailure();
     boost::asio::awaitable<void> pauseUntil(TimePoint time);
 
@@ -51,6 +52,8 @@
     boost::asio::steady_timer m_timer;
     /// Revision up to which the topic is known; unset while it must be listed.
     std::optional<std::uint64_t> m_knownTo;
+    /// Of the last answer; unset before the first.
+    std::optional<StoreEra> m_era;
     milliseconds m_pause { firstPause };
     bool m_isFailing { false };
     bool m_isActive { true };
--- a/test/platform-protocol_test.cc
+++ b/test/platform-protocol_test.cc
@@ -169,6 +169,20 @@
     CHECK_FALSE(decode(other, { "3" }).has_value());
 }
 
+TEST_CASE("Platform: that a server is leaving is decoded")
+{
+    auto decode = [protocol = platform::makeProtocol()](const char* text) {
+        AnswerFields fields;
+        if (text)
+            fields.set("Server-Leaving", text);
+        return protocol.decodeAnswer(fields, start).isLeaving;
+    };
+    CHECK(decode("1"));
+    CHECK_FALSE(decode(nullptr));
+    CHECK_FALSE(decode("0"));
+    CHECK_FALSE(decode(""));
+}
+
 TEST_CASE("Platform: a configuration is decoded")
 {
     auto configuration = platform::decodeConfiguration(configurationText).value();
