Tests of servers that leave around a return of the store, failing

The stand-in of the users' platform goes back to an older copy of its store (revisions are given out again, the era rises, a watch from a revision that it doesn't have gets 410, the operator and the servers that live write again, what nobody keeps up lapses), removes the entry of a server that leaves without a word, and lets leaving servers say so in their answers.

--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -51,6 +51,10 @@
     std::string directoryPath;
 };
 
+/// Counts how often the store has come back from an older copy of itself, which gives revisions out again; 0 where the store
+/// doesn't say.
+using StoreEra = Strong<struct StoreEraTag, std::uint64_t>;
+
 /// A published document with the place it has in the order of all changes.
 struct PublishedItem {
     /// Name within its topic: empty for the configuration, an id for a server.
@@ -61,12 +65,10 @@
     bool isRemoved { false };
     /// Why the store's bytes could not be read as a document; empty when they could.
     std::string problem {};
+    /// Of the store when it said so.
+    StoreEra era {};
 };
 
-/// Counts how often the store has come back from an older copy of itself, which gives revisions out again; 0 where the store
-/// doesn't say.
-using StoreEra = Strong<struct StoreEraTag, std::uint64_t>;
-
 /// Items with the revision up to which they are known.
 struct PublishedItems {
     std::vector<PublishedItem> items;
--- a/test/control-state_test.cc
+++ b/test/control-state_test.cc
@@ -406,3 +406,25 @@
     CHECK(told[0].load.running == 3);
     CHECK(rig.state.snapshot(rig.now + ControlState::farLoadFor).farLoads.empty());
 }
+
+// Failure: the store comes back from an older copy and gives its revisions out again; what it says is taken for older than what
+// is known, and servers that leave go on to get work.
+TEST_CASE("ControlState: a server that leaves after the store has come back from an older copy gets no work")
+{
+    auto word = GENERATE("gone", "draining");
+    Rig rig;
+    rig.list(Topic::Configuration, { { "", "7", 5, false } }, 35);
+    rig.list(Topic::Servers, { { "s1", "ready", 6, false }, { "s2", "ready", 7, false } }, 35);
+    rig.now += seconds(5);
+    rig.take(StoreListed { Topic::Servers, { { { "s1", "ready", 6, false }, { "s2", "ready", 7, false } }, 30, StoreEra(1) } });
+    rig.now += seconds(3);
+    PublishedItem change { "s1", std::string(word) == "gone" ? "" : word, 31, std::string(word) == "gone" };
+    change.era = StoreEra(1);
+    rig.take(StoreChanged { Topic::Servers, { { change }, 31, StoreEra(1) } });
+    rig.now += 2 * ControlState::leavingToldFor;
+    rig.take(Ticked {});
+    auto servers = rig.state.snapshot(rig.now).servers;
+    auto mayWork = [](auto& it) { return it.id == BackendServerId("s1") && it.state == ServerState::Ready; };
+    INFO("word: " << word);
+    CHECK(std::none_of(servers.begin(), servers.end(), mayWork));
+}
--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -199,6 +199,57 @@
     CHECK_THAT(rig.log(), Contains("ServerRestAsked e1 server=i-1 rest-ms=2"));
 }
 
+// Failure: the store comes back from an older copy and gives its revisions out again, entries take what it says for old, and a server
+// that leaves after it goes on to get requests.
+TEST_CASE("Platform entry: a server that leaves after the store's return from an older copy gets no requests")
+{
+    EntryRig rig;
+    auto copy = rig.platform.copyStore();
+    rig.start();
+    REQUIRE(rig.isReady());
+    // The entry learns revisions that are about to be given out again.
+    for (int n = 0; n < 5; ++n)
+        rig.platform.publish("k1", "org-k1");
+    REQUIRE(waitUntil(Clock::now() + seconds(3), [&] { return rig.log().find("SettingsInForce e1 version=6") != std::string::npos; }));
+    // Until its watch of the server list has ended once.
+    std::this_thread::sleep_for(milliseconds(2000));
+    rig.platform.restoreStore(*copy, milliseconds(100), milliseconds(3000));
+    std::this_thread::sleep_for(milliseconds(2500));
+    auto gone = rig.platform.leave(0);
+    auto left = Clock::now();
+    for (int n = 0; Clock::now() < left + milliseconds(3500); ++n) {
+        call(rig.request("safe", fmt::format("v{}", n)));
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    int late = 0;
+    for (auto& [id, runs] : rig.platform.runs())
+        late += static_cast<int>(std::count_if(runs.begin(), runs.end(), [&](auto& it) { return it.server == gone && it.at > left + seconds(2); }));
+    INFO(late << " requests reached " << gone << " more than 2 s after its entry was removed, expected 0");
+    CHECK(late == 0);
+}
+
+// Failure: the list says nothing of a server that is leaving and says so in its answers, and it goes on to get requests.
+TEST_CASE("Platform entry: a server that says in its answers that it leaves gets no more requests")
+{
+    EntryRig rig;
+    rig.start();
+    REQUIRE(rig.isReady());
+    rig.platform.setStoreMode(StoreMode::Silent);
+    auto gone = rig.platform.leave(0);
+    auto left = Clock::now();
+    for (int n = 0; Clock::now() < left + milliseconds(3500); ++n) {
+        call(rig.request("safe", fmt::format("w{}", n)));
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    auto said = rig.platform.leavingSaidAt();
+    REQUIRE(said[gone].count(0) == 1);
+    int late = 0;
+    for (auto& [id, runs] : rig.platform.runs())
+        late += static_cast<int>(std::count_if(runs.begin(), runs.end(), [&](auto& it) { return it.server == gone && it.at > said[gone][0] + seconds(2); }));
+    INFO(late << " requests reached " << gone << " more than 2 s after it had said that it leaves, expected 0");
+    CHECK(late == 0);
+}
+
 // Failure: a server stands still, its callers leave after two seconds without an event, and it works for nobody when it wakes.
 TEST_CASE("Platform entry: a stream goes on at another server when its own falls silent")
 {
--- a/test/soak/users-platform.cc
+++ b/test/soak/users-platform.cc
@@ -156,7 +156,12 @@
     // All fields that a server writes: an entry that lacks one names no server.
     json::object entry { { "service", "model" }, { "address", server.address }, { "zone", "dc" }, { "version", "v1" }, { "slots", m_slots },
         { "state", server.state }, { "coldRemainingMs", 0 }, { "sequence", 0 } };
-    put("servers/" + server.id, json::serialize(entry));
+    auto key = "servers/" + server.id;
+    auto value = json::serialize(entry);
+    // A heartbeat that says nothing new changes nothing.
+    auto it = m_items.find(key);
+    if (it == m_items.end() || it->second.isRemoved || it->second.value != value)
+        put(key, value);
 }
 
 std::uint64_t UsersPlatform::publish(const std::string& key, const std::string& organisation)
@@ -170,7 +175,8 @@
     json::object organisations { { "name", organisation }, { "apiKeys", json::array { key } } };
     json::object configuration { { "version", ++m_version }, { "routes", json::array { route("stream", "streaming", 4000), route("once", "unsafe", 1500), route("safe", "safe", 1500) } },
         { "services", json::array { json::object { { "name", "model" } } } }, { "limits", limits }, { "tenants", json::array { organisations } } };
-    put("op/config", json::serialize(configuration));
+    m_configuration = json::serialize(configuration);
+    put("op/config", m_configuration);
     return m_version;
 }
 
@@ -178,27 +184,95 @@
 {
     std::scoped_lock lock(m_mutex);
     auto& server = m_servers[index];
-    auto old = server.id;
     server.state = "draining";
     list(index);
-    m_drainedAt[old] = Clock::now();
-    // Its successor is at the same address; what still names the old one is turned away.
-    asio::post(m_io, [this, index, old] {
-        asio::co_spawn(
-            m_io, [this, index, old]() -> asio::awaitable<void> {
-                co_await pause(seconds(2));
-                std::scoped_lock inner(m_mutex);
-                m_items["servers/" + old] = { "", ++m_revision, true };
-                m_servers[index].id = fmt::format("i-{}", ++m_lastId);
-                m_servers[index].state = "ready";
-                setLimit(index, std::nullopt);
-                setRest(index, std::nullopt);
-                m_servers[index].restRule.onReplaced();
-                list(index);
-            },
-            asio::detached);
+    endAfter(index, server.id, seconds(2));
+    return server.id;
+}
+
+std::string UsersPlatform::leave(std::size_t index)
+{
+    std::scoped_lock lock(m_mutex);
+    auto& server = m_servers[index];
+    m_items["servers/" + server.id] = { "", ++m_revision, true };
+    endAfter(index, server.id, seconds(4));
+    return server.id;
+}
+
+/// Its successor is at the same address; what still names the old one is turned away.
+void UsersPlatform::endAfter(std::size_t index, const std::string& id, milliseconds time)
+{
+    m_drainedAt[id] = Clock::now();
+    m_servers[index].isLeaving = true;
+    after(time, [this, index, id] {
+        auto& server = m_servers[index];
+        if (auto it = m_items.find("servers/" + id); it != m_items.end() && !it->second.isRemoved)
+            it->second = { "", ++m_revision, true };
+        server.id = fmt::format("i-{}", ++m_lastId);
+        server.state = "ready";
+        server.isLeaving = false;
+        setLimit(index, std::nullopt);
+        setRest(index, std::nullopt);
+        server.restRule.onReplaced();
+        list(index);
     });
-    return old;
+}
+
+void UsersPlatform::after(milliseconds time, std::function<void()> action)
+{
+    asio::co_spawn(
+        m_io, [this, time, action = std::move(action)]() -> asio::awaitable<void> {
+            co_await pause(time);
+            std::scoped_lock lock(m_mutex);
+            action();
+        },
+        asio::detached);
+}
+
+std::shared_ptr<const UsersPlatform::StoreCopy> UsersPlatform::copyStore() const
+{
+    std::scoped_lock lock(m_mutex);
+    return std::make_shared<StoreCopy>(StoreCopy { m_items, m_revision });
+}
+
+void UsersPlatform::restoreStore(const StoreCopy& copy, milliseconds rewriteAfter, milliseconds lapseAfter)
+{
+    std::scoped_lock lock(m_mutex);
+    m_items = copy.items;
+    m_revision = copy.revision;
+    ++m_era;
+    after(rewriteAfter, [this] { writeAgain(); });
+    after(lapseAfter, [this] { lapseOthers(); });
+}
+
+void UsersPlatform::writeAgain()
+{
+    if (m_items["op/config"].value != m_configuration)
+        put("op/config", m_configuration);
+    for (std::size_t n = 0; n < m_servers.size(); ++n) {
+        auto& server = m_servers[n];
+        // One that has left without a word writes no more.
+        bool isSilent = server.isLeaving && server.state == "ready";
+        if (!isSilent)
+            list(n);
+    }
+}
+
+/// Removes what no server keeps up.
+void UsersPlatform::lapseOthers()
+{
+    for (auto& [key, item] : m_items) {
+        bool isServer = key.starts_with("servers/") && !item.isRemoved;
+        auto isKeptUp = [&](auto& server) { return key == "servers/" + server.id && !(server.isLeaving && server.state == "ready"); };
+        if (isServer && std::none_of(m_servers.begin(), m_servers.end(), isKeptUp))
+            item = { "", ++m_revision, true };
+    }
+}
+
+std::map<std::string, std::map<int, TimePoint>> UsersPlatform::leavingSaidAt() const
+{
+    std::scoped_lock lock(m_mutex);
+    return m_leavingSaidAt;
 }
 
 std::map<std::string, std::vector<Run>> UsersPlatform::runs() const
@@ -246,10 +320,23 @@
     return json::serialize(json::object { { "events", events }, { "asOf", m_revision } });
 }
 
+std::uint64_t UsersPlatform::era() const
+{
+    std::scoped_lock lock(m_mutex);
+    return m_era;
+}
+
+std::uint64_t UsersPlatform::revision() const
+{
+    std::scoped_lock lock(m_mutex);
+    return m_revision;
+}
+
 asio::awaitable<void> UsersPlatform::serveStore(Exchange& exchange)
 {
     if (m_storeMode == StoreMode::Refusing)
         co_return co_await exchange.reply(HttpStatus::service_unavailable, "text/plain", "");
+    exchange.setHeader("Store-Era", fmt::format("{}", era()));
     auto prefix = exchange.query("prefix");
     if (exchange.path() == "/v1/kv-range") {
         auto body = listBody(prefix);
@@ -260,6 +347,9 @@
     auto after = std::stoull(exchange.query("after"));
     auto until = Clock::now() + milliseconds(std::stoll(exchange.query("waitMs")));
     for (;;) {
+        if (after > revision())
+            co_return co_await exchange.reply(HttpStatus::gone, "text/plain", "");
+        exchange.setHeader("Store-Era", fmt::format("{}", era()));
         auto body = watchBody(prefix, after, Clock::now() >= until);
         if (!body.empty() && m_storeMode != StoreMode::Silent)
             co_return co_await exchange.replyJson(HttpStatus::ok, body);
@@ -282,6 +372,10 @@
             server.rule.onPassedOn(Clock::now(), entry);
         }
         exchange.setHeader("X-Instance-Id", server.id);
+        if (server.isLeaving) {
+            exchange.setHeader("Server-Leaving", "1");
+            m_leavingSaidAt[server.id].try_emplace(entry, Clock::now());
+        }
         if (exchange.header("X-Expect-Instance") != server.id) {
             exchange.setHeader("X-Not-Executed", "1");
             mode = ServerMode::Full;
--- a/test/soak/users-platform.h
+++ b/test/soak/users-platform.h
@@ -11,6 +11,7 @@
 #include <boost/json.hpp>
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -78,6 +79,16 @@
     std::vector<std::string> brokenRules() const;
     /// Publishes a configuration in which `key` belongs to `organisation`; returns its version.
     std::uint64_t publish(const std::string& key, const std::string& organisation);
+    /// The store as it is now, to come back from later.
+    struct StoreCopy;
+    std::shared_ptr<const StoreCopy> copyStore() const;
+    /// The store comes back from an older copy: its era rises, its revisions go back and are given out again. What the operator and
+    /// the servers that live wrote since is written again after `rewriteAfter`; of servers that have gone meanwhile, what the copy
+    /// holds lapses after `lapseAfter`.
+    void restoreStore(const StoreCopy& copy, milliseconds rewriteAfter, milliseconds lapseAfter);
+    /// The server leaves without a word in the list: its entry is removed. It serves on for a moment and says so in its answers; then
+    /// a new one takes its place and its address.
+    std::string leave(std::size_t server);
     /// The server is listed as draining; a new one with another id takes its place and its address after a moment.
     std::string drain(std::size_t server);
     std::size_t servers() const { return m_servers.size(); }
@@ -87,8 +98,10 @@
 
     /// All runs so far, by request id.
     std::map<std::string, std::vector<Run>> runs() const;
-    /// When each server that drains was listed so.
+    /// When each server that has left was listed as draining or removed.
     std::map<std::string, TimePoint> drainedAt() const;
+    /// When each server, by its id, first answered each entry that it leaves.
+    std::map<std::string, std::map<int, TimePoint>> leavingSaidAt() const;
 
     /// What a server answers to a plain request, and the events of its streams.
     static std::string plainBody(const std::string& id);
@@ -104,6 +117,8 @@
         std::unique_ptr<standin::HttpServer> http;
         ServerMode mode { ServerMode::Normal };
         std::string state { "ready" };
+        /// Its entry has been removed, or says that it drains.
+        bool isLeaving { false };
         int running { 0 };
         std::optional<double> limit;
         test::LimitRule rule;
@@ -115,6 +130,7 @@
         std::uint64_t revision { 0 };
         bool isRemoved { false };
     };
+    using Items = std::map<std::string, Item>;
 
     boost::asio::awaitable<void> serveStore(standin::Exchange& exchange);
     boost::asio::awaitable<void> serveRequest(std::size_t index, standin::Exchange& exchange);
@@ -122,6 +138,12 @@
     boost::asio::awaitable<void> stream(standin::Exchange& exchange, ServerMode mode);
     void put(const std::string& key, const std::string& value);
     void list(std::size_t index);
+    void endAfter(std::size_t index, const std::string& id, milliseconds time);
+    void after(milliseconds time, std::function<void()> action);
+    void writeAgain();
+    void lapseOthers();
+    std::uint64_t era() const;
+    std::uint64_t revision() const;
     std::string listBody(const std::string& prefix) const;
     std::string watchBody(const std::string& prefix, std::uint64_t after, bool isDue) const;
     boost::json::array itemsSince(const std::string& prefix, std::uint64_t after, bool withRemoved) const;
@@ -132,15 +154,23 @@
     std::unique_ptr<standin::HttpServer> m_store;
     std::string m_storeAddress;
     std::atomic<StoreMode> m_storeMode { StoreMode::Normal };
-    std::map<std::string, Item> m_items;
+    Items m_items;
     std::uint64_t m_revision { 10 };
+    std::uint64_t m_era { 3 };
     std::uint64_t m_version { 0 };
+    std::string m_configuration;
     std::vector<Server> m_servers;
     int m_slots;
     int m_lastId { 0 };
     std::map<std::string, std::vector<Run>> m_runs;
     std::map<std::string, TimePoint> m_drainedAt;
+    std::map<std::string, std::map<int, TimePoint>> m_leavingSaidAt;
     std::thread m_thread;
 };
 
+struct UsersPlatform::StoreCopy {
+    Items items;
+    std::uint64_t revision { 0 };
+};
+
 } // namespace swiftloft::soak
