--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -55,6 +55,14 @@
 /// doesn't say.
 using StoreEra = Strong<struct StoreEraTag, std::uint64_t>;
 
+/// Orders states of the store: the higher one is newer. Revisions alone don't, as those of an era may have been given out before.
+struct StorePosition {
+    StoreEra era;
+    std::uint64_t revision { 0 };
+
+    friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+};
+
 /// A published document with the place it has in the order of all changes.
 struct PublishedItem {
     /// Name within its topic: empty for the configuration, an id for a server.
@@ -67,6 +75,8 @@
     std::string problem {};
     /// Of the store when it said so.
     StoreEra era {};
+
+    StorePosition position() const { return { era, revision }; }
 };
 
 /// Items with the revision up to which they are known.
