Give no work to a server that says in its answers that it leaves

What callers saw: requests at a server that was about to end, cut off as it did.

Cause: a leaving server says so in all its answers, and nothing read that. An entry learned of it from the list alone, which may be late, silent or gone back to an older copy, and some servers never show there as draining.

Now: the entry that hears it gives that life of the server nothing more at once; what runs there goes on. The control thread tells all entries with the next hello, which goes out at once, as it does with word from the list. A service all of whose servers leave is refused as one without servers.

--- a/src/gateway/call-desk.cc
+++ b/src/gateway/call-desk.cc
@@ -86,6 +86,12 @@
         it->second();
 }
 
+void CallDesk::perform(const dispatch::TellLeaving& effect)
+{
+    if (m_onServerLeaving)
+        m_onServerLeaving(effect.server);
+}
+
 void CallDesk::apply(const dispatch::Event& event)
 {
     if (m_isClosed)
--- a/src/gateway/call-desk.h
+++ b/src/gateway/call-desk.h
@@ -51,6 +51,9 @@
     const Dispatcher& dispatcher() const { return m_dispatcher; }
     /// Called when requests began or ended, so that other entries can be told.
     void setOnLoadChanged(std::function<void()> hook) { m_onLoadChanged = std::move(hook); }
+    using OnServerLeaving = std::function<void(const ServerLife& server)>;
+    /// Called when a server has said for the first time that it is leaving.
+    void setOnServerLeaving(OnServerLeaving hook) { m_onServerLeaving = std::move(hook); }
 
 private:
     struct Waiter {
@@ -66,6 +69,7 @@
     boost::asio::awaitable<CallDecision> decisionFor(CallId id, dispatch::Event event);
     void deliver(CallId id, CallDecision decision);
     void perform(const dispatch::TakeBack& effect);
+    void perform(const dispatch::TellLeaving& effect);
     template <typename Decision>
     void perform(const Decision& effect) { deliver(effect.call, effect); }
     void armTimer();
@@ -76,6 +80,7 @@
     std::map<CallId, std::shared_ptr<Waiter>> m_waiters;
     std::map<CallId, std::function<void()>> m_onTakeBack;
     std::function<void()> m_onLoadChanged;
+    OnServerLeaving m_onServerLeaving;
     std::uint64_t m_lastId { 0 };
     bool m_isClosed { false };
 };
--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -56,6 +56,8 @@
         m_pulls.onFailed(pullFailed->topic);
     else if (auto* measured = std::get_if<LoadsMeasured>(&event))
         m_ownLoads = measured->loads;
+    else if (auto* heard = std::get_if<LeavingHeard>(&event))
+        noteLeaving(hashOf(heard->server), now + leavingToldFor);
     else if (std::holds_alternative<StopRequested>(event)) {
         m_isLeaving = true;
         m_helloAt = now;
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -47,12 +47,16 @@
 struct LoadsMeasured {
     std::vector<ServiceLoad> loads;
 };
+/// The traffic thread has heard from a server that it is leaving.
+struct LeavingHeard {
+    ServerLife server;
+};
 /// SIGTERM.
 struct StopRequested { };
 /// Time passed. Deliver one every `ControlState::tickEvery`.
 struct Ticked { };
 
-using Event = std::variant<StoreListed, StoreChanged, StoreFailed, HelloArrived, RankNewsArrived, PeerAnswered, PullFailed, LoadsMeasured, StopRequested, Ticked>;
+using Event = std::variant<StoreListed, StoreChanged, StoreFailed, HelloArrived, RankNewsArrived, PeerAnswered, PullFailed, LoadsMeasured, LeavingHeard, StopRequested, Ticked>;
 
 /// The traffic thread is to see a new snapshot.
 struct Publish { };
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -113,9 +113,10 @@
         m_loads.onLimitHeard(now, heard->server, heard->sentAt, heard->limit);
     else if (auto* asked = std::get_if<RestAsked>(&event))
         m_loads.onRestAsked(now, asked->server, asked->rest);
-    else if (auto* said = std::get_if<LeavingSaid>(&event))
-        m_loads.onLeavingSaid(said->server);
-    else if (auto* changed = std::get_if<SnapshotChanged>(&event)) {
+    else if (auto* said = std::get_if<LeavingSaid>(&event)) {
+        if (m_loads.onLeavingSaid(said->server))
+            effects.push_back(TellLeaving { said->server });
+    } else if (auto* changed = std::get_if<SnapshotChanged>(&event)) {
         m_loads.setServers(now, *changed->snapshot);
         m_retries.setEntries(changed->snapshot->entriesThatMayExist);
     } else if (auto* load = std::get_if<LoadArrived>(&event))
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -153,7 +153,12 @@
     CallId call;
 };
 
-using Effect = std::variant<StartAttempt, Refuse, PassOn, TakeBack>;
+/// A server has said that it is leaving: the control thread tells other entries.
+struct TellLeaving {
+    ServerLife server;
+};
+
+using Effect = std::variant<StartAttempt, Refuse, PassOn, TakeBack, TellLeaving>;
 using Effects = std::vector<Effect>;
 
 } // namespace dispatch
--- a/src/gateway/entry-daemon.cc
+++ b/src/gateway/entry-daemon.cc
@@ -66,6 +66,9 @@
         m_traffic.setOnLoadsMeasured([this](std::vector<ServiceLoad> loads) {
             asio::post(m_ioContext, [this, loads = std::move(loads)] { apply(control::LoadsMeasured { loads }); });
         });
+        m_traffic.setOnServerLeaving([this](const ServerLife& server) {
+            asio::post(m_ioContext, [this, server] { apply(control::LeavingHeard { server }); });
+        });
         for (auto topic : { Topic::Configuration, Topic::Servers })
             m_pages.add(pageOf(topic), [this, topic] { return publishedPage(topic); });
         m_metricsPages.add("/metrics", [&metrics] { return process::StatusAnswer { 200, "text/plain; version=0.0.4", metrics.text() }; });
--- a/src/gateway/load-board.cc
+++ b/src/gateway/load-board.cc
@@ -253,11 +253,13 @@
     return m_rests.isEmpty() ? std::nullopt : m_rests.endOf(hashOf(life), now);
 }
 
-void LoadBoard::onLeavingSaid(const ServerLife& life)
+bool LoadBoard::onLeavingSaid(const ServerLife& life)
 {
     auto it = m_servers.find(life);
-    if (it != m_servers.end() && !std::exchange(it->second.isLeaving, true))
-        log::write(log::Event::ServerSaysLeaving, "server={} listed={}", life.id.value(), it->second.server.state == ServerState::Ready ? "ready" : "draining");
+    if (it == m_servers.end() || std::exchange(it->second.isLeaving, true))
+        return false;
+    log::write(log::Event::ServerSaysLeaving, "server={} listed={}", life.id.value(), it->second.server.state == ServerState::Ready ? "ready" : "draining");
+    return true;
 }
 
 void LoadBoard::logLimit(ServerHash server, std::string_view source) const
@@ -315,13 +317,18 @@
     return word && word->pace >= slowPace;
 }
 
+bool LoadBoard::isUsable(const Server& server)
+{
+    return server.server.state == ServerState::Ready && !server.isReplaced && !server.isLeaving;
+}
+
 bool LoadBoard::mayGetWork(const Server& server, TimePoint now) const
 {
     // Failure: a rank is lost, and its whole group turns requests away until it has formed again.
     auto* word = degradedWord(server, now);
     bool isClosed = word && !word->isOpen;
     bool isTurningAway = server.turnedAwayUntil > now;
-    return server.server.state == ServerState::Ready && !server.isReplaced && !isClosed && !isTurningAway;
+    return isUsable(server) && !isClosed && !isTurningAway;
 }
 
 bool LoadBoard::isCandidate(const Server& server, const Choice& choice)
@@ -370,8 +377,7 @@
 
 bool LoadBoard::hasServer(const ServiceName& service) const
 {
-    auto isUsable = [&](auto& it) { return it.second.server.service == service && it.second.server.state == ServerState::Ready && !it.second.isReplaced; };
-    return std::any_of(m_servers.begin(), m_servers.end(), isUsable);
+    return std::any_of(m_servers.begin(), m_servers.end(), [&](auto& it) { return it.second.server.service == service && isUsable(it.second); });
 }
 
 bool LoadBoard::isForming(const ServiceName& service, TimePoint now) const
--- a/src/gateway/load-board.h
+++ b/src/gateway/load-board.h
@@ -71,8 +71,8 @@
     void onRestAsked(TimePoint now, const ServerLife& life, const NamedRest& rest);
     /// When the rest ends that the server has asked this entry for; unset when it has not, or that is over.
     std::optional<TimePoint> restOf(const ServerLife& life, TimePoint now) const;
-    /// The server says in an answer that it is leaving.
-    void onLeavingSaid(const ServerLife& life);
+    /// The server says in an answer that it is leaving. True when it had not said so before.
+    bool onLeavingSaid(const ServerLife& life);
     /// That the server names; unset where it names none.
     std::optional<RequestRate> limitOf(const ServerLife& life) const;
     const ServerLimits& limits() const { return m_limits; }
@@ -150,6 +150,8 @@
     };
 
     void logLimit(ServerHash server, std::string_view source) const;
+    /// It takes new work as far as it and the list say, now or once its group has formed.
+    static bool isUsable(const Server& server);
     bool mayGetWork(const Server& server, TimePoint now) const;
     static bool isCandidate(const Server& server, const Choice& choice);
     bool hasRoom(const Server& server, const Load& load, TimePoint now) const;
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -32,6 +32,8 @@
     using OnLoadsMeasured = std::function<void(std::vector<ServiceLoad> loads)>;
     /// Called on the traffic thread with each new snapshot. Set it before `run`.
     void setOnLoadsMeasured(OnLoadsMeasured hook) { m_onLoadsMeasured = std::move(hook); }
+    /// Called on the traffic thread when a server has said for the first time that it is leaving. Set it before `run`.
+    void setOnServerLeaving(CallDesk::OnServerLeaving hook) { m_desk.setOnServerLeaving(std::move(hook)); }
     /// Begins a graceful shutdown; `run` returns when no request is in progress, or at `deadline`. From any thread.
     void stop(TimePoint deadline);
 
--- a/test/control-state_test.cc
+++ b/test/control-state_test.cc
@@ -471,3 +471,18 @@
     rig.take(StoreChanged { Topic::Configuration, { { { "", "10", 5, false, {}, StoreEra(1) } }, 5, StoreEra(1) } });
     CHECK(rig.version() == 10);
 }
+
+// Failure: one entry has heard from a server that it leaves, and the others learn of it from the list only, or not at all.
+TEST_CASE("ControlState: that a server says that it leaves is told to all entries at once")
+{
+    Rig rig;
+    rig.take(HelloArrived { rig.hello(0, 0) });
+    rig.listBoth(7);
+    rig.take(LeavingHeard { { BackendServerId("s1"), {} } });
+    CHECK(rig.state.snapshot(rig.now).servers.at(0).state == ServerState::Draining);
+    REQUIRE(rig.count<SendHello>() == 1);
+    auto* hello = std::get_if<SendHello>(&rig.last.front());
+    REQUIRE(hello);
+    REQUIRE(hello->hello.leaving.size() == 1);
+    CHECK(hello->hello.leaving[0].server == hashOf(ServerLife { BackendServerId("s1"), {} }));
+}
--- a/test/dispatcher_test.cc
+++ b/test/dispatcher_test.cc
@@ -477,3 +477,26 @@
     rig.take(Ticked {});
     CHECK(rig.sentTo(2) == "s1");
 }
+
+// Failure: a server says in its answers that it leaves, the list does not say so yet, and it goes on to get requests.
+TEST_CASE("Dispatcher: a server that says that it leaves gets nothing more, and what runs there goes on")
+{
+    Rig rig({ Rig::server("s1"), Rig::server("s2") });
+    rig.arrive(1);
+    auto leaving = rig.sentTo(1);
+    auto other = leaving == "s1" ? "s2" : "s1";
+    rig.take(LeavingSaid { { BackendServerId(leaving), {} } });
+    CHECK(std::holds_alternative<TellLeaving>(rig.last.at(0)));
+    CHECK(rig.take(LeavingSaid { { BackendServerId(leaving), {} } }).empty());
+    // The list goes on to show it ready.
+    rig.show({ Rig::server("s1"), Rig::server("s2") });
+    for (std::uint64_t n = 2; n < 8; ++n) {
+        rig.arrive(n);
+        CHECK(rig.sentTo(n) == other);
+    }
+    CHECK(rig.end(1, AttemptEnd::Answered).empty());
+    rig.take(LeavingSaid { { BackendServerId(other), {} } });
+    rig.arrive(9);
+    REQUIRE(rig.refusal(9));
+    CHECK(rig.refusal(9)->reason == RefusalReason::NoServer);
+}
--- a/test/gateway-fleet.h
+++ b/test/gateway-fleet.h
@@ -542,6 +542,7 @@
     }
 
     void perform(const gateway::dispatch::PassOn&) { }
+    void perform(const gateway::dispatch::TellLeaving&) { }
 
     FleetOptions m_options;
     std::mt19937_64 m_random;
