Take what a stray answer says of its server

What callers saw: nothing yet; found by reading the path of both matters.

Cause: a server's answer to an earlier request that comes late is thrown away before its rest or its leaving is read, though both are true of the server whichever request it answers. Its limit is not taken: what ends one is an answer to a request sent since.

Test: a leaving server that answers other requests first was not heard to leave, now it is.

--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -26,6 +26,7 @@
 /// A whole answer that is kept before it is passed on.
 constexpr std::size_t mostAnswerBytes = 64U << 20;
 constexpr std::size_t mostHeaderBytes = 64U << 10;
+constexpr unsigned misdirected = 421;
 /// Answers to earlier requests that are thrown away before a connection is given up.
 constexpr int mostStrayAnswers = 2;
 /// A silent server of an idempotent request is given up after so many times the objective, while another can be tried.
@@ -114,6 +115,13 @@
         if (parser.get().result_int() == 100)
             continue;
         auto head = m_protocol.decodeAnswer(parser.get().base(), Clock::now());
+        // What is misdirected is answered by another server.
+        bool isOfServer = head.status != misdirected;
+        // True of the server whichever request it answers.
+        if (isOfServer) {
+            noteRest(call, connection->server, head);
+            noteLeaving(call, connection->server, head);
+        }
         // Failure: a server sends the answer to an earlier request late, where the next one is expected. Passed on, it
         // would be the answer to somebody else's request.
         bool isStray = !head.requestId.empty() && head.requestId != call.head.id;
@@ -130,14 +138,10 @@
             }
             continue;
         }
-        // What is misdirected is answered by another server.
-        if (head.status != 421) {
+        if (isOfServer)
             noteLimit(call, connection->server, head);
-            noteRest(call, connection->server, head);
-            noteLeaving(call, connection->server, head);
-        }
         if (head.isNotRun)
-            co_return head.status == 421 ? AttemptEnd::Misdirected : AttemptEnd::NotRun;
+            co_return head.status == misdirected ? AttemptEnd::Misdirected : AttemptEnd::NotRun;
         bool isStream = call.route->isStream && head.status == 200;
         if (isStream)
             co_return co_await relay(call, std::move(connection), parser);
--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -250,6 +250,21 @@
     CHECK(late == 0);
 }
 
+// Failure: a server that leaves answers earlier requests late, where the next ones are expected, and what these answers say of it is
+// thrown away with them.
+TEST_CASE("Platform entry: what a stray answer says of its server counts")
+{
+    EntryRig rig;
+    rig.start();
+    REQUIRE(rig.isReady());
+    rig.platform.setStoreMode(StoreMode::Silent);
+    rig.platform.setServerMode(0, ServerMode::Mixing);
+    rig.platform.leave(0);
+    for (int n = 0; n < 6; ++n)
+        call(rig.request("safe", fmt::format("y{}", n)));
+    CHECK_THAT(rig.log(), Contains("StrayAnswer") && Contains("ServerSaysLeaving e1 server=i-1"));
+}
+
 // Failure: a server stands still, its callers leave after two seconds without an event, and it works for nobody when it wakes.
 TEST_CASE("Platform entry: a stream goes on at another server when its own falls silent")
 {
