Keep the word that a server leaves for as long as the list contradicts it

What callers saw: requests at servers that had left, when the list went on to show them ready: its change had not come, or the store was back from a copy from before it.

Cause: word that a server leaves was forgotten after 6 s, whether the list had caught up or not, and servers that a list lacked or that lapsed left no word at all. A copy of the store that lists them again brought them back.

Now: Departures keeps one word for each life of a server, whoever brought it: itself, the list, other entries. That it leaves holds for the rest of its life. That its entry was removed, or is missing, holds until a later write lists it again; an entry of a copy is none until 6 s after the return, when what nobody keeps up has lapsed. Words go on by hellos for 6 s as before, to newcomers as long as the list contradicts them, and once more to all when a copy does. That a lapsed server has not come back is told too: entries that took the list from one that still waited for it never heard the end of it. A message holds 400 words at most.

Tests: entries with the control state of the product before a store that goes away, comes back from copies and is cut off, with servers that drain, are removed, speak to one entry only, join and lapse, and entries that start anew, in virtual time.

--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -57,11 +57,13 @@
     else if (auto* measured = std::get_if<LoadsMeasured>(&event))
         m_ownLoads = measured->loads;
     else if (auto* heard = std::get_if<LeavingHeard>(&event))
-        noteLeaving(hashOf(heard->server), now + leavingToldFor);
+        noteLeaving(m_departures.onSaid(now, hashOf(heard->server)));
     else if (std::holds_alternative<StopRequested>(event)) {
         m_isLeaving = true;
         m_helloAt = now;
     }
+    if (std::exchange(m_isListChanged, false))
+        listDepartures(now);
     updateReadiness(now);
     chooseWatching(now, effects);
     tick(now, effects);
@@ -77,13 +79,13 @@
 void ControlState::tellNews(TimePoint now, Effects& effects)
 {
     auto version = m_configuration ? m_configuration->version() : ConfigurationVersion(0);
-    if (version == m_toldVersion && m_serversChangedAt == m_toldServers)
+    if (version == m_toldVersion && m_serversChangedAt == m_toldServers && !std::exchange(m_hasLeavingNews, false))
         return;
     m_toldVersion = version;
     m_toldServers = m_serversChangedAt;
     auto targets = m_entries.nextTargets(now, m_generator);
     // Word of a server that leaves is in the hello itself: all are told.
-    if (m_leaving.empty())
+    if (m_departures.isEmpty())
         targets.near.resize(std::min(targets.near.size(), toldAtOnce));
     targets.near.insert(targets.near.end(), targets.far.begin(), targets.far.end());
     effects.emplace_back(SendHello { std::move(targets.near), this->hello(now, 0) });
@@ -100,8 +102,11 @@
     pullIfBehind(now, hello, effects);
     // Failure: a whole fleet starts at once and each entry knows the seeds only. Until hellos have gone round, every one
     // takes itself for the first of its data centre, follows the store and is told of every rank.
-    if (isNewcomer)
-        effects.emplace_back(SendHello { { hello.sender.control }, withNews(now, m_entries.welcome(hello.sender, m_generator)) });
+    if (isNewcomer) {
+        auto welcome = withNews(now, m_entries.welcome(hello.sender, m_generator));
+        welcome.leaving = m_departures.wordsForNewcomer(now);
+        effects.emplace_back(SendHello { { hello.sender.control }, std::move(welcome) });
+    }
 }
 
 void ControlState::chooseWatching(TimePoint now, Effects& effects)
@@ -138,8 +143,10 @@
 
 void ControlState::onStoreFailed(TimePoint now, Topic topic)
 {
-    if (topic == Topic::Servers)
+    if (topic == Topic::Servers) {
         m_servers.onStoreLost(now);
+        m_departures.onStoreLost(now);
+    }
     m_isStoreAway[topic] = true;
 }
 
@@ -156,16 +163,23 @@
     if (!m_servers.setAll(now, event.items.position(), servers))
         return;
     keepDocuments(event.items, servers);
+    for (auto& server : servers) {
+        if (server.state == ServerState::Draining)
+            noteLeaving(m_departures.onSaid(now, hashOf(server.life())));
+    }
     for (auto& item : event.items.items)
         m_serversChangedAt = std::max(m_serversChangedAt, item.position());
     m_hasServers = true;
     m_isChanged = true;
+    m_isListChanged = true;
 }
 
 void ControlState::noteStoreReturn(TimePoint now, StoreEra era)
 {
-    if (m_hasServers && era > serversKnownTo().era)
-        m_servers.onStoreReturned(now);
+    if (!m_hasServers || era <= serversKnownTo().era)
+        return;
+    m_servers.onStoreReturned(now);
+    m_departures.onStoreReturned(now);
 }
 
 void ControlState::onChanged(TimePoint now, const StoreChanged& event)
@@ -215,9 +229,10 @@
         m_refused.erase(item.name);
         // One that may have lapsed only stays in use for a while, and its document with it.
         if (auto life = m_servers.remove(now, item.position(), id)) {
-            noteLeaving(hashOf(*life), now + leavingToldFor);
+            noteLeaving(m_departures.onRemoved(now, hashOf(*life), item.position()));
             m_serverItems.erase(item.name);
             m_isChanged = true;
+            m_isListChanged = true;
         }
         log::write(log::Event::ServerListed, "server={} state=gone revision={}", item.name, item.revision);
         return;
@@ -227,27 +242,40 @@
         if (m_servers.dropUnreadable(item.position(), id)) {
             m_serverItems.erase(item.name);
             m_isChanged = true;
+            m_isListChanged = true;
         }
         return;
     }
     if (server->state == ServerState::Draining)
-        noteLeaving(hashOf(server->life()), now + leavingToldFor);
+        noteLeaving(m_departures.onSaid(now, hashOf(server->life())));
     bool isNew = m_servers.put(item.position(), *server);
     keepDocument(item, *server);
+    m_isListChanged = true;
     if (!isNew)
         return;
     m_isChanged = true;
     log::write(log::Event::ServerListed, "server={} state={} revision={}", item.name, server->state == ServerState::Ready ? "ready" : "draining", item.revision);
 }
 
-void ControlState::noteLeaving(ServerHash server, TimePoint until)
+/// News is told at once, as a newer list is.
+void ControlState::noteLeaving(bool isNews)
 {
-    auto [it, isNew] = m_leaving.try_emplace(server, until);
-    if (!isNew)
-        return;
-    m_isChanged = true;
-    // Told at once, as a newer list is.
-    m_toldServers = {};
+    m_isChanged |= isNews;
+    m_hasLeavingNews |= isNews;
+}
+
+StorePosition ControlState::listedAt(const BackendServer& server) const
+{
+    auto it = m_serverItems.find(server.id.value());
+    return it == m_serverItems.end() ? StorePosition {} : it->second.position();
+}
+
+void ControlState::listDepartures(TimePoint now)
+{
+    Departures::List list;
+    for (auto& server : m_servers.servers())
+        list[hashOf(server.life())] = { listedAt(server), server.state == ServerState::Ready };
+    noteLeaving(m_departures.setList(now, serversKnownTo(), std::move(list)));
 }
 
 /// Failure: this entry does not follow the store, and the peers from which it would pull the new list are about to stop.
@@ -255,9 +283,8 @@
 void ControlState::takeLeaving(TimePoint now, const Hello& hello)
 {
     for (auto& it : hello.leaving) {
-        auto remaining = std::min(it.remaining, leavingToldFor);
-        if (remaining > helloEvery)
-            noteLeaving(it.server, now + remaining);
+        if (it.remaining > helloEvery)
+            noteLeaving(m_departures.onTold(now, it));
     }
 }
 
@@ -357,6 +384,7 @@
     m_serversChangedAt = std::max(m_serversChangedAt, event.items.position());
     m_hasServers = true;
     m_isChanged = true;
+    m_isListChanged = true;
     m_servers.tick(now);
 }
 
@@ -378,10 +406,6 @@
     // Failure: an entry of another writer names a service that does not exist and the address of a server that does. By its
     // later revision it would take the address from that server.
     std::erase_if(servers, [this](auto& server) { return !isServiceKnown(server); });
-    auto listedAt = [this](const BackendServer& server) {
-        auto it = m_serverItems.find(server.id.value());
-        return it == m_serverItems.end() ? StorePosition {} : it->second.position();
-    };
     std::map<Endpoint, StorePosition> newest;
     for (auto& server : servers)
         newest[server.address] = std::max(newest[server.address], listedAt(server));
@@ -428,9 +452,11 @@
 
 void ControlState::tick(TimePoint now, Effects& effects)
 {
-    if (m_servers.tick(now))
+    if (m_servers.tick(now)) {
         m_isChanged = true;
-    std::erase_if(m_leaving, [&](auto& it) { return it.second <= now; });
+        m_isListChanged = true;
+    }
+    m_departures.tick(now);
     // Right after a start both have yet to come: agents tell an entry of their groups only once it has spoken.
     bool knowsServers = m_configuration && m_hasServers;
     bool isBriefDue = knowsServers && now >= std::max(m_briefAt, m_briefNotBefore);
@@ -452,8 +478,7 @@
 {
     out.configuration = m_configuration ? m_configuration->version().value() : 0;
     out.servers = m_serversChangedAt;
-    for (auto& [server, until] : m_leaving)
-        out.leaving.push_back({ server, std::chrono::duration_cast<milliseconds>(until - now) });
+    out.leaving = m_departures.words(now);
     if (m_entries.isRelay(now))
         out.degraded = m_ranks.degraded(now);
     return out;
@@ -482,7 +507,7 @@
     snapshot.configuration = m_configuration;
     snapshot.servers = usableServers();
     for (auto& server : snapshot.servers) {
-        if (m_leaving.contains(hashOf(server.life())))
+        if (!m_departures.isEmpty() && m_departures.isLeaving(now, hashOf(server.life())))
             server.state = ServerState::Draining;
     }
     snapshot.self = m_entries.self();
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/gateway/departures.h"
 #include "src/gateway/entry-book.h"
 #include "src/gateway/pull-schedule.h"
 #include "src/gateway/rank-board.h"
@@ -94,8 +95,6 @@
     static constexpr milliseconds watchAtLeast { 3000 };
     /// That this entry is answered by the store, or not any more, is told within this: the two topics change together.
     static constexpr milliseconds watchToldWithin { 50 };
-    /// Word that a server leaves is passed on for this long: several rounds of hellos, and longer than any list lags.
-    static constexpr milliseconds leavingToldFor { 6000 };
     /// An entry that starts takes the word of its peers when the store has not answered for this long: a healthy store
     /// answers in milliseconds, and one that is down must not keep the fleet from starting.
     static constexpr milliseconds storeWaitAtStart { 1500 };
@@ -151,8 +150,10 @@
     Hello withNews(TimePoint now, Hello out) const;
     void tellDegraded(TimePoint now, control::Effects& effects);
     void tick(TimePoint now, control::Effects& effects);
-    void noteLeaving(ServerHash server, TimePoint until);
+    void noteLeaving(bool isNews);
     void takeLeaving(TimePoint now, const Hello& hello);
+    StorePosition listedAt(const BackendServer& server) const;
+    void listDepartures(TimePoint now);
     void chooseWatching(TimePoint now, control::Effects& effects);
     void tellNews(TimePoint now, control::Effects& effects);
     std::vector<BackendServer> usableServers() const;
@@ -174,8 +175,10 @@
     StorePosition m_serversChangedAt;
     bool m_hasServers { false };
 
-    /// Servers that leave or have gone, and until when that is passed on and believed.
-    std::map<ServerHash, TimePoint> m_leaving;
+    Departures m_departures;
+    bool m_hasLeavingNews { false };
+    /// `m_departures` has not seen the server list as it is now.
+    bool m_isListChanged { false };
 
     std::map<Topic, bool> m_isStoreAway;
     bool m_hasStoreAnswered { false };
--- a/src/gateway/news.capnp
+++ b/src/gateway/news.capnp
@@ -52,6 +52,9 @@
 struct LeavingServer {
   server @0 :UInt64;               # hash of id and start
   remainingMs @1 :UInt32;          # how long this word is still passed on
+  isRemoved @2 :Bool;              # its entry was removed from the list; otherwise it was said that it leaves
+  removedEra @3 :UInt64;           # era and revision of the removal
+  removedRevision @4 :UInt64;
 }
 
 # Work that an entry has at a backend server.
--- a/src/gateway/news.capnp.h
+++ b/src/gateway/news.capnp.h
@@ -107,7 +107,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d0f29347453be8dc, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(d0f29347453be8dc, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -763,6 +763,12 @@
 
   inline  ::uint32_t getRemainingMs() const;
 
+  inline bool getIsRemoved() const;
+
+  inline  ::uint64_t getRemovedEra() const;
+
+  inline  ::uint64_t getRemovedRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -797,6 +803,15 @@
   inline  ::uint32_t getRemainingMs();
   inline void setRemainingMs( ::uint32_t value);
 
+  inline bool getIsRemoved();
+  inline void setIsRemoved(bool value);
+
+  inline  ::uint64_t getRemovedEra();
+  inline void setRemovedEra( ::uint64_t value);
+
+  inline  ::uint64_t getRemovedRevision();
+  inline void setRemovedRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2466,6 +2481,48 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LeavingServer::Reader::getIsRemoved() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool LeavingServer::Builder::getIsRemoved() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void LeavingServer::Builder::setIsRemoved(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LeavingServer::Reader::getRemovedEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeavingServer::Builder::getRemovedEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LeavingServer::Builder::setRemovedEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LeavingServer::Reader::getRemovedRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeavingServer::Builder::getRemovedRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void LeavingServer::Builder::setRemovedRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ServerLoad::Reader::getServer() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/news.cc
+++ b/src/gateway/news.cc
@@ -87,6 +87,10 @@
         for (unsigned n = 0; n < leaving.size(); ++n) {
             leaving[n].setServer(it.leaving[n].server.value());
             leaving[n].setRemainingMs(static_cast<std::uint32_t>(it.leaving[n].remaining.count()));
+            auto removedAt = it.leaving[n].removedAt.value_or(StorePosition {});
+            leaving[n].setIsRemoved(it.leaving[n].removedAt.has_value());
+            leaving[n].setRemovedEra(removedAt.era.value());
+            leaving[n].setRemovedRevision(removedAt.revision);
         }
         hello.setKnown(static_cast<std::uint16_t>(std::min(it.known, mostKnownTold)));
         auto degraded = hello.initDegraded(static_cast<unsigned>(it.degraded.size()));
@@ -173,8 +177,11 @@
             throw Malformed {};
         hello.loads.push_back({ ServiceName(load.getService().cStr()), load.getRunning(), load.getPromptTokens() });
     }
-    for (auto leaving : in.getLeaving())
-        hello.leaving.push_back({ ServerHash(leaving.getServer()), milliseconds(leaving.getRemainingMs()) });
+    for (auto leaving : in.getLeaving()) {
+        StorePosition position { StoreEra(leaving.getRemovedEra()), leaving.getRemovedRevision() };
+        auto removedAt = leaving.getIsRemoved() ? std::optional(position) : std::nullopt;
+        hello.leaving.push_back({ ServerHash(leaving.getServer()), milliseconds(leaving.getRemainingMs()), removedAt });
+    }
     for (auto member : in.getMembers())
         hello.members.push_back(parse(member));
     return hello;
--- a/src/gateway/news.h
+++ b/src/gateway/news.h
@@ -49,11 +49,13 @@
 /// Names an entry by a hash of its control address, which all entries compute alike.
 membership::NodeKey keyOf(const Endpoint& control);
 
-/// A server that is told to go or has gone.
+/// A server that leaves or has gone.
 struct LeavingServer {
     ServerHash server;
     /// How long this word is still passed on; there is no common clock.
     milliseconds remaining { 0 };
+    /// When its entry was removed from the list; unset where the server itself or the list has said that it leaves.
+    std::optional<StorePosition> removedAt {};
 };
 
 /// An engine whose work takes so much longer than usual is slow: it paces its whole group.
--- a/test/control-state_test.cc
+++ b/test/control-state_test.cc
@@ -421,7 +421,7 @@
     PublishedItem change { "s1", std::string(word) == "gone" ? "" : word, 31, std::string(word) == "gone" };
     change.era = StoreEra(1);
     rig.take(StoreChanged { Topic::Servers, { { change }, 31, StoreEra(1) } });
-    rig.now += 2 * ControlState::leavingToldFor;
+    rig.now += 2 * Departures::toldFor;
     rig.take(Ticked {});
     auto servers = rig.state.snapshot(rig.now).servers;
     auto mayWork = [](auto& it) { return it.id == BackendServerId("s1") && it.state == ServerState::Ready; };
--- /dev/null
+++ b/test/list-fleet.h
@@ -0,0 +1,442 @@
+#pragma once
+
+#include "src/gateway/control-state.h"
+#include "src/gateway/store-cursor.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+/// Entries with the control state of the product before a store that may be away or come back from an older copy, and backend
+/// servers that join, leave and die, in virtual time.
+namespace swiftloft::test {
+
+/// The platform's store: every write has the next revision; a return from an older copy gives revisions out again.
+class ListStore {
+public:
+    struct Change {
+        gateway::Topic topic { gateway::Topic::Servers };
+        gateway::PublishedItem item;
+    };
+
+    void write(gateway::Topic topic, const std::string& name, const std::string& document) { add(topic, { name, document, 0, false }); }
+    void remove(gateway::Topic topic, const std::string& name) { add(topic, { name, "", 0, true }); }
+
+    gateway::PublishedItems list(gateway::Topic topic) const
+    {
+        std::map<std::string, gateway::PublishedItem> latest;
+        for (auto& change : m_history) {
+            if (change.topic == topic)
+                latest[change.item.name] = change.item;
+        }
+        gateway::PublishedItems items { {}, revision(), m_era };
+        for (auto& [name, item] : latest) {
+            if (!item.isRemoved)
+                items.items.push_back(item);
+        }
+        return stamped(std::move(items));
+    }
+    gateway::PublishedItems changesAfter(gateway::Topic topic, std::uint64_t after) const
+    {
+        gateway::PublishedItems items { {}, revision(), m_era };
+        for (auto& change : m_history) {
+            if (change.topic == topic && change.item.revision > after)
+                items.items.push_back(change.item);
+        }
+        return stamped(std::move(items));
+    }
+    std::optional<std::string> documentOf(const std::string& name) const
+    {
+        for (auto& item : list(gateway::Topic::Servers).items) {
+            if (item.name == name)
+                return item.document;
+        }
+        return std::nullopt;
+    }
+    std::uint64_t revision() const { return m_firstRevision + m_history.size(); }
+    /// All that was written since `revision` is lost.
+    void goBackTo(std::uint64_t revision)
+    {
+        m_history.resize(revision - m_firstRevision);
+        m_era = gateway::StoreEra(m_era.value() + 1);
+    }
+
+private:
+    static constexpr std::uint64_t m_firstRevision { 10 };
+
+    void add(gateway::Topic topic, gateway::PublishedItem item)
+    {
+        item.revision = revision() + 1;
+        m_history.push_back({ topic, std::move(item) });
+    }
+    gateway::PublishedItems stamped(gateway::PublishedItems items) const
+    {
+        for (auto& item : items.items)
+            item.era = m_era;
+        return items;
+    }
+
+    std::vector<Change> m_history;
+    gateway::StoreEra m_era { 3 };
+};
+
+class ListFleet {
+public:
+    static constexpr milliseconds step { 10 };
+    static constexpr milliseconds heartbeatEvery { 1200 };
+    static constexpr milliseconds lapsesAfter { 3600 };
+    static constexpr milliseconds drainsFor { 2000 };
+    /// For so long after a disturbance an entry or the store is not held to a time.
+    static constexpr milliseconds stableAfter { 3000 };
+
+    ListFleet(int entries, std::uint64_t seed, double loss)
+        : m_random(seed)
+        , m_loss(loss)
+        , m_entries(static_cast<std::size_t>(entries))
+    {
+        publish();
+        for (int n = 0; n < 6; ++n)
+            addServer();
+        for (int n = 0; n < entries; ++n)
+            restartEntry(n);
+    }
+
+    void run(milliseconds time)
+    {
+        for (auto until = m_now + time; m_now < until;) {
+            m_now += step;
+            beat();
+            for (auto& entry : m_entries) {
+                follow(entry, gateway::Topic::Configuration);
+                follow(entry, gateway::Topic::Servers);
+            }
+            deliver();
+            if ((m_now - origin()).count() % Clock::duration(gateway::ControlState::tickEvery).count() == 0) {
+                for (auto& entry : m_entries)
+                    apply(entry, gateway::control::Ticked {});
+                judge();
+            }
+        }
+    }
+
+    void addServer()
+    {
+        auto id = fmt::format("s{}", ++m_lastServer);
+        m_servers[id] = { m_now };
+        beat();
+    }
+    /// A random server that lives says in the list that it drains, or its entry is removed; it serves on for a while.
+    void leave(bool saysSo)
+    {
+        auto* server = pickLiving();
+        if (!server || isStoreAway())
+            return;
+        server->second.leftAt = m_now;
+        server->second.isDraining = saysSo;
+        if (saysSo)
+            m_store.write(gateway::Topic::Servers, server->first, "draining");
+        else
+            m_store.remove(gateway::Topic::Servers, server->first);
+    }
+    /// A random server that lives says in its answer to one entry that it leaves.
+    void sayLeaving()
+    {
+        auto* server = pickLiving();
+        if (!server)
+            return;
+        server->second.isWordless = true;
+        server->second.leftAt = m_now;
+        auto& entry = m_entries[pick(0, m_entries.size() - 1)];
+        entry.knownLeft.insert(server->first);
+        apply(entry, gateway::control::LeavingHeard { { BackendServerId(server->first), {} } });
+    }
+    void publish()
+    {
+        if (!isStoreAway())
+            m_store.write(gateway::Topic::Configuration, "", std::to_string(++m_version));
+    }
+    /// The store is away for `away` and comes back as it was `ago` before.
+    void goBack(milliseconds ago, milliseconds away)
+    {
+        m_storeAwayUntil = m_now + away;
+        m_storeDisturbedAt = m_storeAwayUntil;
+        auto it = std::find_if(m_copies.rbegin(), m_copies.rend(), [&](auto& copy) { return copy.first <= m_now - ago; });
+        m_store.goBackTo(it == m_copies.rend() ? m_copies.front().second : it->second);
+        std::erase_if(m_copies, [&](auto& copy) { return copy.second > m_store.revision(); });
+        for (auto& item : m_store.list(gateway::Topic::Servers).items)
+            m_listedSince[item.name] = m_storeAwayUntil;
+    }
+    void loseStore(milliseconds time)
+    {
+        m_storeAwayUntil = std::max(m_storeAwayUntil, m_now + time);
+        m_storeDisturbedAt = m_storeAwayUntil;
+    }
+    /// The entry can't reach the store.
+    void cutEntry(int n, milliseconds time)
+    {
+        auto& entry = m_entries[static_cast<std::size_t>(n)];
+        entry.cutUntil = std::max(entry.cutUntil, m_now + time);
+        entry.disturbedAt = entry.cutUntil;
+    }
+    void restartEntry(int n)
+    {
+        auto& entry = m_entries[static_cast<std::size_t>(n)];
+        gateway::EntryMember self { endpoint(n), Incarnation(++m_lastIncarnation), 0, endpoint(n), dataCentreOf(n), gateway::EntryState::Starting };
+        entry = {};
+        entry.state = std::make_unique<gateway::ControlState>(self, std::vector { endpoint(0), endpoint(1) }, 9, decoders(), policy::Generator(static_cast<unsigned>(m_lastIncarnation)), m_now);
+        entry.disturbedAt = m_now;
+    }
+
+    /// What was broken first; empty while nothing was.
+    long nowMs() const { return std::chrono::duration_cast<milliseconds>(m_now - origin()).count(); }
+    const std::string& broken() const { return m_broken; }
+    /// Entries that don't show a server that lives as ready, or are not in the newest configuration; for a moment without
+    /// disturbances.
+    std::string notRestored() const
+    {
+        for (auto& entry : m_entries) {
+            auto snapshot = entry.state->snapshot(m_now);
+            if (!snapshot.configuration || snapshot.configuration->version() != gateway::ConfigurationVersion(m_version))
+                return fmt::format("configuration {}, expected {}", snapshot.configuration ? snapshot.configuration->version().value() : 0, m_version);
+            for (auto& [id, server] : m_servers) {
+                if (!server.leftAt && !readyIn(snapshot, id))
+                    return fmt::format("server {} lives and is not ready", id);
+            }
+        }
+        return "";
+    }
+
+private:
+    struct Server {
+        TimePoint beatsAt;
+        std::optional<TimePoint> leftAt;
+        bool isDraining { false };
+        /// It has told one entry only, and the list nothing.
+        bool isWordless { false };
+    };
+    struct Entry {
+        std::unique_ptr<gateway::ControlState> state;
+        std::map<gateway::Topic, gateway::StoreCursor> cursors;
+        std::map<gateway::Topic, TimePoint> answeredAt;
+        std::map<gateway::Topic, TimePoint> triesAt;
+        bool isWatching { true };
+        TimePoint cutUntil;
+        TimePoint disturbedAt;
+        /// Servers that it has given work to.
+        std::set<std::string> used;
+        /// Those that it has known to have left since.
+        std::set<std::string> knownLeft;
+        std::uint64_t version { 0 };
+    };
+    struct Message {
+        TimePoint at;
+        std::uint64_t number { 0 };
+        std::size_t to { 0 };
+        gateway::control::Event event;
+    };
+
+    static TimePoint origin() { return TimePoint { seconds(1000) }; }
+    static gateway::Endpoint endpoint(int n) { return { boost::asio::ip::address_v4(0x0a000000U + static_cast<unsigned>(n)), 7000 }; }
+    static DataCentreName dataCentreOf(int n) { return DataCentreName(std::string(1, static_cast<char>('a' + n % 3))); }
+    static gateway::Protocol decoders()
+    {
+        gateway::Protocol protocol;
+        protocol.decodeConfiguration = [](std::string_view document) -> Result<std::shared_ptr<const gateway::Configuration>> {
+            gateway::ConfigurationParts parts;
+            parts.version = gateway::ConfigurationVersion(std::stoull(std::string(document)));
+            parts.services.push_back({ ServiceName("model"), "/health", 0, std::nullopt });
+            return gateway::Configuration::create(parts);
+        };
+        protocol.decodeServer = [](std::string_view id, std::string_view document) -> Result<gateway::BackendServer> {
+            auto state = document == "ready" ? gateway::ServerState::Ready : gateway::ServerState::Draining;
+            return gateway::BackendServer { BackendServerId(std::string(id)), ServiceName("model"), {}, DataCentreName("a"), 6, state };
+        };
+        return protocol;
+    }
+
+    std::size_t pick(std::size_t least, std::size_t most) { return std::uniform_int_distribution<std::size_t>(least, most)(m_random); }
+    std::pair<const std::string, Server>* pickLiving()
+    {
+        std::vector<std::pair<const std::string, Server>*> living;
+        for (auto& it : m_servers) {
+            if (!it.second.leftAt)
+                living.push_back(&it);
+        }
+        return living.size() < 2 ? nullptr : living[pick(0, living.size() - 1)];
+    }
+    bool isStoreAway() const { return m_now < m_storeAwayUntil; }
+    bool isStoreStable(TimePoint since) const { return m_storeDisturbedAt + stableAfter <= since; }
+
+    /// Servers and the operator write what the store lacks of theirs; what nobody keeps up lapses.
+    void beat()
+    {
+        if (isStoreAway())
+            return;
+        if (m_copies.empty() || m_copies.back().first + milliseconds(100) <= m_now)
+            m_copies.emplace_back(m_now, m_store.revision());
+        if (m_store.list(gateway::Topic::Configuration).items.empty() || m_store.list(gateway::Topic::Configuration).items[0].document != std::to_string(m_version))
+            m_store.write(gateway::Topic::Configuration, "", std::to_string(m_version));
+        for (auto& [id, server] : m_servers) {
+            if (m_now < server.beatsAt)
+                continue;
+            server.beatsAt = m_now + heartbeatEvery;
+            bool writes = !server.leftAt || server.isDraining || server.isWordless;
+            bool hasEnded = server.leftAt && *server.leftAt + 2 * drainsFor < m_now;
+            auto* document = server.isDraining ? "draining" : "ready";
+            if (!writes || hasEnded)
+                continue;
+            m_listedSince[id] = m_now;
+            if (m_store.documentOf(id) != document)
+                m_store.write(gateway::Topic::Servers, id, document);
+        }
+        for (auto& item : m_store.list(gateway::Topic::Servers).items) {
+            if (m_listedSince[item.name] + lapsesAfter <= m_now)
+                m_store.remove(gateway::Topic::Servers, item.name);
+        }
+    }
+
+    void follow(Entry& entry, gateway::Topic topic)
+    {
+        if (!entry.isWatching || m_now < entry.triesAt[topic])
+            return;
+        if (isStoreAway() || m_now < entry.cutUntil) {
+            entry.triesAt[topic] = m_now + retryAfter;
+            return apply(entry, gateway::control::StoreFailed { topic });
+        }
+        auto& cursor = entry.cursors[topic];
+        if (cursor.knownTo() && *cursor.knownTo() > m_store.revision())
+            cursor.reset();
+        if (!cursor.knownTo()) {
+            auto items = m_store.list(topic);
+            if (cursor.onListed(items) == gateway::StoreCursor::Answer::Take)
+                apply(entry, gateway::control::StoreListed { topic, items });
+            return;
+        }
+        auto changes = m_store.changesAfter(topic, *cursor.knownTo());
+        if (changes.items.empty() && m_now < entry.answeredAt[topic] + watchFor)
+            return;
+        entry.answeredAt[topic] = m_now;
+        if (cursor.onChanged(changes) == gateway::StoreCursor::Answer::Take)
+            apply(entry, gateway::control::StoreChanged { topic, changes });
+    }
+
+    void apply(Entry& entry, const gateway::control::Event& event)
+    {
+        for (auto& effect : entry.state->apply(m_now, event))
+            std::visit([&](auto& it) { perform(entry, it); }, effect);
+    }
+    void send(const gateway::Endpoint& to, gateway::control::Event event, milliseconds delay)
+    {
+        m_network.push_back({ m_now + delay, ++m_number, to.address().to_v4().to_uint() - 0x0a000000U, std::move(event) });
+    }
+    static gateway::Endpoint addressOf(const Entry& entry) { return entry.state->snapshot({}).self.control; }
+
+    void perform(Entry&, const gateway::control::SendHello& effect)
+    {
+        for (auto& to : effect.to) {
+            if (std::uniform_real_distribution<double>(0, 1)(m_random) >= m_loss)
+                send(to, gateway::control::HelloArrived { effect.hello }, networkDelay);
+        }
+    }
+    void perform(Entry& entry, const gateway::control::Pull& effect)
+    {
+        auto& from = m_entries[effect.from.address().to_v4().to_uint() - 0x0a000000U];
+        auto items = from.state->published(effect.topic);
+        if (items)
+            send(addressOf(entry), gateway::control::PeerAnswered { effect.topic, *items }, 2 * networkDelay);
+        else
+            send(addressOf(entry), gateway::control::PullFailed { effect.topic }, 2 * networkDelay);
+    }
+    void perform(Entry& entry, const gateway::control::SetWatching& effect)
+    {
+        entry.isWatching = effect.isOn;
+        for (auto& [topic, cursor] : entry.cursors)
+            cursor.reset();
+    }
+    void perform(Entry&, const gateway::control::Publish&) { }
+    void perform(Entry&, const gateway::control::SendBrief&) { }
+
+    void deliver()
+    {
+        std::vector<Message> due;
+        auto isDue = [&](auto& it) { return it.at <= m_now; };
+        std::copy_if(m_network.begin(), m_network.end(), std::back_inserter(due), isDue);
+        std::erase_if(m_network, isDue);
+        for (auto& it : due)
+            apply(m_entries[it.to], it.event);
+    }
+
+    static bool readyIn(const gateway::Snapshot& snapshot, const std::string& id)
+    {
+        return std::any_of(snapshot.servers.begin(), snapshot.servers.end(), [&](auto& it) { return it.id == BackendServerId(id) && it.state == gateway::ServerState::Ready; });
+    }
+
+    /// An entry that has known a server to have left never gives it work again; one in touch has known it `drainsFor` after that
+    /// was acknowledged. No configuration reverts.
+    void judge()
+    {
+        for (std::size_t n = 0; n < m_entries.size(); ++n) {
+            auto& entry = m_entries[n];
+            auto snapshot = entry.state->snapshot(m_now);
+            auto version = snapshot.configuration ? snapshot.configuration->version().value() : 0;
+            if (version < entry.version)
+                breakRule(fmt::format("entry {} went from configuration {} back to {}", n, entry.version, version));
+            entry.version = version;
+            for (auto& [id, server] : m_servers) {
+                bool isReady = readyIn(snapshot, id);
+                if (isReady)
+                    entry.used.insert(id);
+                if (server.leftAt && snapshot.isReady)
+                    judgeLeft(n, id, server, isReady);
+            }
+        }
+    }
+    void judgeLeft(std::size_t n, const std::string& id, const Server& server, bool isReady)
+    {
+        auto& entry = m_entries[n];
+        auto sinceLeft = std::chrono::duration_cast<milliseconds>(m_now - *server.leftAt).count();
+        if (!isReady && entry.used.contains(id))
+            entry.knownLeft.insert(id);
+        if (isReady && entry.knownLeft.contains(id))
+            breakRule(fmt::format("entry {} knew that {} had left and gives it work again, {} ms after", n, id, sinceLeft));
+        bool isInTouch = entry.disturbedAt + stableAfter <= m_now && isStoreStable(*server.leftAt) && m_storeDisturbedAt <= *server.leftAt;
+        bool isLate = m_now > *server.leftAt + drainsFor;
+        if (isReady && isLate && isInTouch && !server.isWordless)
+            breakRule(fmt::format("entry {} gives {} work {} ms after it had left", n, id, sinceLeft));
+    }
+    void breakRule(const std::string& text)
+    {
+        if (m_broken.empty())
+            m_broken = fmt::format("at {} ms {}", std::chrono::duration_cast<milliseconds>(m_now - origin()).count(), text);
+    }
+
+    static constexpr milliseconds networkDelay { 2 };
+    static constexpr milliseconds watchFor { 1500 };
+    static constexpr milliseconds retryAfter { 400 };
+
+    std::mt19937_64 m_random;
+    double m_loss;
+    ListStore m_store;
+    std::map<std::string, Server> m_servers;
+    std::map<std::string, TimePoint> m_listedSince;
+    std::vector<Entry> m_entries;
+    std::vector<Message> m_network;
+    std::vector<std::pair<TimePoint, std::uint64_t>> m_copies;
+    TimePoint m_now { origin() };
+    TimePoint m_storeAwayUntil;
+    TimePoint m_storeDisturbedAt;
+    std::uint64_t m_version { 0 };
+    std::uint64_t m_number { 0 };
+    std::uint64_t m_lastIncarnation { 0 };
+    int m_lastServer { 0 };
+    std::string m_broken;
+};
+
+} // namespace swiftloft::test
--- /dev/null
+++ b/test/store-return_test.cc
@@ -0,0 +1,78 @@
+#include "test/list-fleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace swiftloft;
+using Catch::Matchers::Equals;
+using swiftloft::test::ListFleet;
+
+namespace {
+
+constexpr int entries = 7;
+
+int pick(std::mt19937_64& random, int least, int most)
+{
+    return std::uniform_int_distribution<int>(least, most)(random);
+}
+
+void disturb(ListFleet& fleet, std::mt19937_64& random)
+{
+    switch (pick(random, 0, 8)) {
+    case 0:
+    case 1:
+        return fleet.leave(true);
+    case 2:
+    case 3:
+        return fleet.leave(false);
+    case 4:
+        return fleet.sayLeaving();
+    case 5:
+        return fleet.goBack(milliseconds(pick(random, 500, 6000)), milliseconds(pick(random, 0, 2500)));
+    case 6:
+        return pick(random, 0, 1) ? fleet.cutEntry(pick(random, 0, entries - 1), milliseconds(pick(random, 500, 8000))) : fleet.restartEntry(pick(random, 0, entries - 1));
+    case 7:
+        return pick(random, 0, 3) ? fleet.publish() : fleet.loseStore(milliseconds(pick(random, 100, 6000)));
+    default:
+        return fleet.addServer();
+    }
+}
+
+} // namespace
+
+// Failure: the store comes back from an older copy while servers leave, entries are cut off or start, and lists are on their way; a
+// server that has left gets work again, a configuration reverts, or a server that lives stands idle.
+TEST_CASE("Store return: servers that have left get no work, and those that live get it, whatever comes back")
+{
+    auto seed = GENERATE(range(1U, 301U));
+    ListFleet fleet(entries, seed, 0.03);
+    std::mt19937_64 random(seed);
+    fleet.run(seconds(4));
+    for (int n = 0; n < 30; ++n) {
+        disturb(fleet, random);
+        fleet.run(milliseconds(pick(random, 50, 1500)));
+    }
+    INFO("seed " << seed);
+    CHECK_THAT(fleet.broken(), Equals(""));
+    // Until entries of copies have lapsed, and what is cut off is back.
+    fleet.run(seconds(16));
+    CHECK_THAT(fleet.broken(), Equals(""));
+    CHECK_THAT(fleet.notRestored(), Equals(""));
+}
+
+// Failure: a server leaves some seconds after the return, and entries take its removal for older than what they know.
+TEST_CASE("Store return: entries know within two seconds of a server that leaves after it")
+{
+    auto saysSo = GENERATE(true, false);
+    auto away = GENERATE(milliseconds(0), milliseconds(200), milliseconds(2700));
+    ListFleet fleet(entries, 5, 0.03);
+    fleet.run(seconds(8));
+    for (int n = 0; n < 4; ++n)
+        fleet.publish();
+    fleet.run(seconds(2));
+    fleet.goBack(seconds(4), away);
+    fleet.run(away + seconds(3));
+    fleet.leave(saysSo);
+    fleet.run(seconds(8));
+    INFO("away for " << away.count() << " ms, " << (saysSo ? "draining" : "removed"));
+    CHECK_THAT(fleet.broken(), Equals(""));
+}
