Refuse a request at once when the server that it is bound to leaves

What callers saw: nothing in the record; found by reading. A request that has run on as many servers as it may goes to these again or nowhere. When they leave it was kept for 1.5 s and then failed, though that was known from the start.

Test: fails before (kept), refused in the same event now.

--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -198,7 +198,7 @@
             continue;
         if (mayStart && call.sends == 0)
             full.insert(call.service);
-        if (now < call.waitUntil && m_loads.hasServer(call.service) && !isBeyondLimits(call, now)) {
+        if (now < call.waitUntil && m_loads.hasServer(choiceOf(call)) && !isBeyondLimits(call, now)) {
             still.push_back(id);
             continue;
         }
--- a/src/gateway/load-board.cc
+++ b/src/gateway/load-board.cc
@@ -375,9 +375,9 @@
     return best ? std::optional(best->server) : std::nullopt;
 }
 
-bool LoadBoard::hasServer(const ServiceName& service) const
+bool LoadBoard::hasServer(const Choice& choice) const
 {
-    return std::any_of(m_servers.begin(), m_servers.end(), [&](auto& it) { return it.second.server.service == service && isUsable(it.second); });
+    return std::any_of(m_servers.begin(), m_servers.end(), [&](auto& it) { return isCandidate(it.second, choice) && isUsable(it.second); });
 }
 
 bool LoadBoard::isForming(const ServiceName& service, TimePoint now) const
--- a/src/gateway/load-board.h
+++ b/src/gateway/load-board.h
@@ -105,8 +105,9 @@
 
     /// The best server with room. Slow ones come behind the others, and those that failed of late last.
     std::optional<BackendServer> choose(const Choice& choice, TimePoint now, policy::Generator& generator) const;
-    /// True while the service has a server that may get work, with room or not.
-    bool hasServer(const ServiceName& service) const;
+    /// True while there is a server that may get work, with room or not; servers tried in vain count.
+    bool hasServer(const Choice& choice) const;
+    bool hasServer(const ServiceName& service) const { return hasServer(Choice { service, {}, std::nullopt }); }
     /// True while the service has servers and all of them belong to groups that are forming.
     bool isForming(const ServiceName& service, TimePoint now) const;
     /// Requests that run at the servers of a service, as far as known, over the places that they have.
--- a/test/dispatcher_test.cc
+++ b/test/dispatcher_test.cc
@@ -500,3 +500,15 @@
     REQUIRE(rig.refusal(9));
     CHECK(rig.refusal(9)->reason == RefusalReason::NoServer);
 }
+
+// Failure: a request may run again only where it has run; that server leaves, and the request is kept though it can't be served.
+TEST_CASE("Dispatcher: a request that is bound to a server that leaves is refused at once")
+{
+    Rig rig({ Rig::server("s1"), Rig::server("s2") }, 1);
+    rig.arrive(1);
+    auto leaving = rig.sentTo(1);
+    rig.take(LeavingSaid { { BackendServerId(leaving), {} } });
+    rig.end(1, AttemptEnd::Lost);
+    REQUIRE(rig.refusal(1));
+    CHECK(rig.refusal(1)->reason == RefusalReason::Lost);
+}
