Draw returns of the store and servers that leave without a word in the soak

The store goes away, comes back from a copy some seconds old, and servers leave meanwhile that can say so themselves only. Judged: a request that a client sent later than 2.5 s after the server had answered that entry that it leaves (2 s and what an answer may take on its way), whatever the store does.

--- a/test/list-fleet.h
+++ b/test/list-fleet.h
@@ -60,16 +60,16 @@
         }
         return std::nullopt;
     }
-    std::uint64_t revision() const { return m_firstRevision + m_history.size(); }
+    std::uint64_t revision() const { return firstRevision + m_history.size(); }
     /// All that was written since `revision` is lost.
     void goBackTo(std::uint64_t revision)
     {
-        m_history.resize(revision - m_firstRevision);
+        m_history.resize(revision - firstRevision);
         m_era = gateway::StoreEra(m_era.value() + 1);
     }
 
 private:
-    static constexpr std::uint64_t m_firstRevision { 10 };
+    static constexpr std::uint64_t firstRevision { 10 };
 
     void add(gateway::Topic topic, gateway::PublishedItem item)
     {
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -23,6 +23,8 @@
 constexpr milliseconds configurationWithin { 3500 };
 constexpr seconds stopWithin { 5 };
 constexpr seconds recoverWithin { 15 };
+/// From the moment at which a server answers an entry that it leaves; the answer may be delayed on its way.
+constexpr milliseconds leaveWithin { 2500 };
 /// A client that was not served comes back after this long.
 constexpr milliseconds retryPause { 40 };
 
@@ -212,8 +214,10 @@
 {
     Span span { Clock::now(), {} };
     auto& relay = *m_entries[static_cast<std::size_t>(pick(random, 0, m_options.entries - 1))].store;
-    auto what = pick(random, 0, 4);
+    auto what = pick(random, 0, 5);
     note(fmt::format("store disturbed, kind {}", what));
+    if (what == 5)
+        return returnStore(random);
     if (what == 0)
         m_platform.setStoreMode(StoreMode::Refusing);
     else if (what == 1)
@@ -240,10 +244,30 @@
     m_storeDisturbances.push_back(span);
 }
 
+/// The store is away for a moment and comes back from a copy some seconds old.
+void Soak::returnStore(std::mt19937_64& random)
+{
+    auto copy = m_platform.copyStore();
+    std::this_thread::sleep_for(milliseconds(pick(random, 200, 3000)));
+    Span span { Clock::now(), {} };
+    m_platform.setStoreMode(StoreMode::Silent);
+    // One that leaves now can say so itself only.
+    if (pick(random, 0, 1) == 0)
+        m_platform.leave(static_cast<std::size_t>(pick(random, 0, m_options.servers - 1)));
+    std::this_thread::sleep_for(milliseconds(pick(random, 0, 1000)));
+    constexpr milliseconds lapseAfter { 3000 };
+    m_platform.restoreStore(*copy, milliseconds(pick(random, 0, 1000)), lapseAfter);
+    m_platform.setStoreMode(StoreMode::Normal);
+    note("store is back from a copy");
+    span.end = Clock::now() + lapseAfter;
+    std::scoped_lock lock(m_mutex);
+    m_storeDisturbances.push_back(span);
+}
+
 void Soak::disturbServer(std::mt19937_64& random)
 {
     auto index = static_cast<std::size_t>(pick(random, 0, m_options.servers - 1));
-    auto what = pick(random, 0, 7);
+    auto what = pick(random, 0, 8);
     note(fmt::format("server {} disturbed, kind {}", index, what));
     if (what < 4) {
         constexpr ServerMode modes[] = { ServerMode::LosingAnswers, ServerMode::Full, ServerMode::BreakingStreams, ServerMode::Mixing };
@@ -258,8 +282,10 @@
         m_serverRelays[index]->setDelay(milliseconds(pick(random, 10, 150)));
         std::this_thread::sleep_for(milliseconds(pick(random, 100, 800)));
         m_serverRelays[index]->setDelay(milliseconds(0));
-    } else
+    } else if (what == 7)
         m_platform.drain(index);
+    else
+        m_platform.leave(index);
 }
 
 /// A server names a limit, and another one a while later.
@@ -294,18 +320,6 @@
     std::this_thread::sleep_for(milliseconds(pick(random, 200, 2000)));
 }
 
-void Soak::disturb(std::mt19937_64& random)
-{
-    switch (pick(random, 0, 2)) {
-    case 0:
-        return disturbEntry(random);
-    case 1:
-        return disturbStore(random);
-    default:
-        return disturbServer(random);
-    }
-}
-
 bool Soak::servesAgain()
 {
     return process_test::waitUntil(Clock::now() + recoverWithin, [&] {
@@ -409,6 +423,16 @@
     }
 }
 
+/// The list's silence and the store's returns excuse nothing here.
+void Soak::checkLeaving(const Outcome& outcome, const std::vector<Run>& runs, std::vector<std::string>& broken) const
+{
+    for (auto& run : runs) {
+        if (run.toldLeavingAt && outcome.sentAt > *run.toldLeavingAt + leaveWithin)
+            broken.push_back(fmt::format("request {} reached {} {} ms after the entry had been told there that it leaves", outcome.id, run.server,
+                std::chrono::duration_cast<milliseconds>(run.at - *run.toldLeavingAt).count()));
+    }
+}
+
 std::vector<std::string> Soak::check()
 {
     auto broken = m_broken;
@@ -416,6 +440,7 @@
     for (auto& outcome : m_outcomes) {
         checkRuns(outcome, runs[outcome.id], broken);
         checkBody(outcome, broken);
+        checkLeaving(outcome, runs[outcome.id], broken);
     }
     checkDrains(broken);
     auto limits = m_platform.brokenRules();
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -68,9 +68,9 @@
     void startEntry(std::size_t index);
     void note(const std::string& text);
     void clientLoop(std::uint64_t seed);
-    void disturb(std::mt19937_64& random);
     void disturbEntry(std::mt19937_64& random);
     void disturbStore(std::mt19937_64& random);
+    void returnStore(std::mt19937_64& random);
     void disturbServer(std::mt19937_64& random);
     void limitServer(std::mt19937_64& random);
     void restServers(std::mt19937_64& random);
@@ -80,6 +80,7 @@
     std::vector<std::string> check();
     void checkRuns(const Outcome& outcome, const std::vector<Run>& runs, std::vector<std::string>& broken) const;
     void checkBody(const Outcome& outcome, std::vector<std::string>& broken) const;
+    void checkLeaving(const Outcome& outcome, const std::vector<Run>& runs, std::vector<std::string>& broken) const;
     void checkDrains(std::vector<std::string>& broken) const;
     bool wasStoreDisturbed(TimePoint from, TimePoint to) const;
     std::string currentKey();
--- a/test/soak/users-platform.cc
+++ b/test/soak/users-platform.cc
@@ -118,6 +118,8 @@
         server.rule.onExcused(Clock::now(), entry);
         server.restRule.onExcused(entry);
     }
+    for (auto& [server, said] : m_leavingSaidAt)
+        said.erase(entry);
 }
 
 std::string UsersPlatform::idThrough(const std::string& id, std::size_t entry)
@@ -184,6 +186,8 @@
 {
     std::scoped_lock lock(m_mutex);
     auto& server = m_servers[index];
+    if (server.isLeaving)
+        return server.id;
     server.state = "draining";
     list(index);
     endAfter(index, server.id, seconds(2));
@@ -194,8 +198,10 @@
 {
     std::scoped_lock lock(m_mutex);
     auto& server = m_servers[index];
+    if (server.isLeaving)
+        return server.id;
     m_items["servers/" + server.id] = { "", ++m_revision, true };
-    endAfter(index, server.id, seconds(4));
+    endAfter(index, server.id, seconds(5));
     return server.id;
 }
 
@@ -263,7 +269,7 @@
 {
     for (auto& [key, item] : m_items) {
         bool isServer = key.starts_with("servers/") && !item.isRemoved;
-        auto isKeptUp = [&](auto& server) { return key == "servers/" + server.id && !(server.isLeaving && server.state == "ready"); };
+        auto isKeptUp = [&name = key](auto& server) { return name == "servers/" + server.id && !(server.isLeaving && server.state == "ready"); };
         if (isServer && std::none_of(m_servers.begin(), m_servers.end(), isKeptUp))
             item = { "", ++m_revision, true };
     }
@@ -360,6 +366,7 @@
 asio::awaitable<void> UsersPlatform::serveRequest(std::size_t index, Exchange& exchange)
 {
     ServerMode mode {};
+    std::optional<TimePoint> toldLeavingAt;
     {
         std::scoped_lock lock(m_mutex);
         auto& server = m_servers[index];
@@ -374,7 +381,7 @@
         exchange.setHeader("X-Instance-Id", server.id);
         if (server.isLeaving) {
             exchange.setHeader("Server-Leaving", "1");
-            m_leavingSaidAt[server.id].try_emplace(entry, Clock::now());
+            toldLeavingAt = m_leavingSaidAt[server.id].try_emplace(entry, Clock::now()).first->second;
         }
         if (exchange.header("X-Expect-Instance") != server.id) {
             exchange.setHeader("X-Not-Executed", "1");
@@ -384,7 +391,7 @@
             exchange.setHeader("Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(*server.rest).count()));
             mode = ServerMode::Full;
         } else if (mode != ServerMode::Full && server.running < m_slots) {
-            m_runs[exchange.header("X-Request-Id")].push_back({ server.id, std::string(exchange.path()), exchange.header("X-Tenant"), Clock::now(), m_version });
+            m_runs[exchange.header("X-Request-Id")].push_back({ server.id, std::string(exchange.path()), exchange.header("X-Tenant"), Clock::now(), m_version, toldLeavingAt });
             ++server.running;
         } else
             mode = ServerMode::Full;
--- a/test/soak/users-platform.h
+++ b/test/soak/users-platform.h
@@ -56,6 +56,8 @@
     std::string organisation;
     TimePoint at;
     std::uint64_t configuration { 0 };
+    /// When the server first answered that entry that it leaves, if it has.
+    std::optional<TimePoint> toldLeavingAt {};
 };
 
 class UsersPlatform {
