Note servers that drain in the lists of other entries, and tell all neighbours only while there is word to tell

A list fetched from another entry that shows a server draining left no word here, so a later copy of the store might have brought it back. A list of no news was told a second time after one that came with a newer configuration. ListChangeLeftOut names only what is later than what is held.

--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -79,13 +79,14 @@
 void ControlState::tellNews(TimePoint now, Effects& effects)
 {
     auto version = m_configuration ? m_configuration->version() : ConfigurationVersion(0);
-    if (version == m_toldVersion && m_serversChangedAt == m_toldServers && !std::exchange(m_hasLeavingNews, false))
+    bool hasLeavingNews = std::exchange(m_hasLeavingNews, false);
+    if (version == m_toldVersion && m_serversChangedAt == m_toldServers && !hasLeavingNews)
         return;
     m_toldVersion = version;
     m_toldServers = m_serversChangedAt;
     auto targets = m_entries.nextTargets(now, m_generator);
     // Word of a server that leaves is in the hello itself: all are told.
-    if (m_departures.isEmpty())
+    if (m_departures.words(now).empty())
         targets.near.resize(std::min(targets.near.size(), toldAtOnce));
     targets.near.insert(targets.near.end(), targets.far.begin(), targets.far.end());
     effects.emplace_back(SendHello { std::move(targets.near), this->hello(now, 0) });
@@ -163,10 +164,7 @@
     if (!m_servers.setAll(now, event.items.position(), servers))
         return;
     keepDocuments(event.items, servers);
-    for (auto& server : servers) {
-        if (server.state == ServerState::Draining)
-            noteLeaving(m_departures.onSaid(now, hashOf(server.life())));
-    }
+    noteDraining(now, servers);
     for (auto& item : event.items.items)
         m_serversChangedAt = std::max(m_serversChangedAt, item.position());
     m_hasServers = true;
@@ -218,9 +216,8 @@
 
 void ControlState::takeServer(const PublishedItem& item, TimePoint now)
 {
-    auto known = m_servers.position();
-    if (item.position() < known) {
-        log::write(log::Event::ListChangeLeftOut, "server=\"{}\" era={} revision={} known-era={} known={}", printable(item.name), item.era.value(), item.revision, known.era.value(), known.revision);
+    if (item.position() < m_servers.position()) {
+        logLeftOut(item);
         return;
     }
     m_serversChangedAt = std::max(m_serversChangedAt, item.position());
@@ -246,8 +243,7 @@
         }
         return;
     }
-    if (server->state == ServerState::Draining)
-        noteLeaving(m_departures.onSaid(now, hashOf(server->life())));
+    noteDraining(now, { &*server, 1 });
     bool isNew = m_servers.put(item.position(), *server);
     keepDocument(item, *server);
     m_isListChanged = true;
@@ -257,6 +253,14 @@
     log::write(log::Event::ServerListed, "server={} state={} revision={}", item.name, server->state == ServerState::Ready ? "ready" : "draining", item.revision);
 }
 
+void ControlState::noteDraining(TimePoint now, std::span<const BackendServer> servers)
+{
+    for (auto& server : servers) {
+        if (server.state == ServerState::Draining)
+            noteLeaving(m_departures.onSaid(now, hashOf(server.life())));
+    }
+}
+
 /// News is told at once, as a newer list is.
 void ControlState::noteLeaving(bool isNews)
 {
@@ -288,6 +292,16 @@
     }
 }
 
+/// Says so where the change is later than what is held of the server: the list was known beyond it when it came.
+void ControlState::logLeftOut(const PublishedItem& item) const
+{
+    auto it = m_serverItems.find(item.name);
+    if (it == m_serverItems.end() || item.position() <= it->second.position())
+        return;
+    auto known = m_servers.position();
+    log::write(log::Event::ListChangeLeftOut, "server=\"{}\" era={} revision={} known-era={} known={}", printable(item.name), item.era.value(), item.revision, known.era.value(), known.revision);
+}
+
 /// Nothing for an entry that can't be read. Why it names no server to use is logged.
 std::optional<BackendServer> ControlState::decodeServer(const PublishedItem& item)
 {
@@ -381,6 +395,7 @@
     if (!m_servers.setAllFromPeer(event.items.position(), servers))
         return;
     keepDocuments(event.items, servers);
+    noteDraining(now, servers);
     m_serversChangedAt = std::max(m_serversChangedAt, event.items.position());
     m_hasServers = true;
     m_isChanged = true;
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -8,6 +8,7 @@
 #include "src/gateway/snapshot.h"
 
 #include <functional>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -139,6 +140,7 @@
     std::vector<BackendServer> decodeServers(const PublishedItems& items);
     void keepDocument(const PublishedItem& item, const BackendServer& decoded);
     void keepDocuments(const PublishedItems& items, const std::vector<BackendServer>& decoded);
+    void logLeftOut(const PublishedItem& item) const;
     void logRefused(const PublishedItem& item, std::string_view problem);
     bool isServiceKnown(const BackendServer& server) const;
     void pullIfBehind(TimePoint now, const Hello& hello, control::Effects& effects);
@@ -150,6 +152,7 @@
     Hello withNews(TimePoint now, Hello out) const;
     void tellDegraded(TimePoint now, control::Effects& effects);
     void tick(TimePoint now, control::Effects& effects);
+    void noteDraining(TimePoint now, std::span<const BackendServer> servers);
     void noteLeaving(bool isNews);
     void takeLeaving(TimePoint now, const Hello& hello);
     StorePosition listedAt(const BackendServer& server) const;
