--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -323,13 +323,14 @@
 bool Soak::servesAgain()
 {
     return process_test::waitUntil(Clock::now() + recoverWithin, [&] {
-        std::size_t good = 0;
+        m_notServing.clear();
         for (std::size_t n = 0; n < m_entries.size(); ++n) {
             Outcome outcome { UsersPlatform::idThrough(fmt::format("last-{}", Clock::now().time_since_epoch().count()), n), "safe", currentKey(), Clock::now() };
             KeptClient(m_entries[n].clients).exchange(outcome);
-            good += outcome.status == 200 ? 1 : 0;
+            if (outcome.status != 200)
+                m_notServing += fmt::format(" {} ({} {})", n, outcome.status, outcome.body.substr(0, outcome.body.find('\n')));
         }
-        return good == m_entries.size();
+        return m_notServing.empty();
     });
 }
 
@@ -363,7 +364,7 @@
     fifth.join();
     note("calm");
     if (!servesAgain())
-        m_broken.emplace_back("after all faults had ended the entries did not serve again");
+        m_broken.push_back(fmt::format("{} s after all faults had ended entries did not answer 200:{}", recoverWithin.count(), m_notServing));
     m_isOver = true;
     for (auto& client : clients)
         client.join();
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -99,6 +99,8 @@
     std::map<std::string, TimePoint> m_revokedAt;
     std::vector<Span> m_storeDisturbances;
     std::vector<std::string> m_broken;
+    /// Entries that did not answer when all were asked last, with the status and the first line of what came.
+    std::string m_notServing;
     TimePoint m_began;
     int m_lastKey { 0 };
 };
