--- a/test/platform-protocol_test.cc
+++ b/test/platform-protocol_test.cc
@@ -146,7 +146,7 @@
 // Failure: a rest that is read wrongly is cut short, or keeps a server idle.
 TEST_CASE("Platform: a rest that a server asks for is decoded")
 {
-    auto decode = [protocol = platform::makeProtocol()](unsigned status, std::vector<const char*> texts) {
+    auto decode = [protocol = platform::makeProtocol()](unsigned status, const std::vector<const char*>& texts) {
         AnswerFields fields;
         fields.result(status);
         for (auto* text : texts)
