--- a/src/gateway/departures.h
+++ b/src/gateway/departures.h
@@ -14,9 +14,6 @@
 /// for the rest of its life. That its entry was removed holds until the list has it again by a later write: its process may have
 /// been cut off from the store only.
 ///
-/// Failure: the list goes on to show a server ready that has left, since its change has not come yet, or since the store is back
-/// from an older copy; as soon as the word is forgotten, the server gets requests again, and they end with it.
-///
 /// Pure: the time comes with each call.
 class Departures {
 public:
--- a/src/gateway/store-cursor.h
+++ b/src/gateway/store-cursor.h
@@ -8,8 +8,7 @@
 
 /// How far one topic of the platform's store is known, and what to ask for next. Pure.
 ///
-/// Failure: the store comes back from an older copy and gives its revisions out again. A watch that goes on from a revision of
-/// before misses whatever was written below it since. So a higher era means that the topic is listed anew.
+/// A topic is listed anew when the era rises: a watch that went on from a revision of before would miss what was written below it.
 class StoreCursor {
 public:
     /// What to do with an answer of the store.
--- a/test/control-state_test.cc
+++ b/test/control-state_test.cc
@@ -407,8 +407,7 @@
     CHECK(rig.state.snapshot(rig.now + ControlState::farLoadFor).farLoads.empty());
 }
 
-// Failure: the store comes back from an older copy and gives its revisions out again; what it says is taken for older than what
-// is known, and servers that leave go on to get work.
+// Failure: what the store says after its return from an older copy is taken for old, and servers that leave go on to get work.
 TEST_CASE("ControlState: a server that leaves after the store has come back from an older copy gets no work")
 {
     auto word = GENERATE("gone", "draining");
@@ -448,8 +447,7 @@
     CHECK(rig.state.snapshot(rig.now).servers.size() == 1);
 }
 
-// Failure: an address is given to another server after the return, and the entry of the one that had it before has a revision that
-// is higher, of an earlier era.
+// Failure: an address stays with the server that had it before the return, by a higher revision of an earlier era.
 TEST_CASE("ControlState: an address belongs to the server that was listed there in the latest era")
 {
     Rig rig;
--- a/test/departures_test.cc
+++ b/test/departures_test.cc
@@ -73,8 +73,7 @@
     CHECK(departures.isLeaving(start + seconds(30), server));
 }
 
-// Failure: the store is back from a copy that still lists a server whose entry had been removed; it gets requests until the entry
-// of the copy lapses.
+// Failure: the store is back from a copy that lists a server whose entry had been removed, and the server gets requests again.
 TEST_CASE("Departures: an entry of an older copy does not bring a server back")
 {
     auto departures = listing(at(6));
@@ -90,8 +89,7 @@
     CHECK_FALSE(departures.isLeaving(start + seconds(5) + Departures::copyLapsesWithin, server));
 }
 
-// Failure: a server lapsed with the store's absence and was taken for gone, or another entry's list lacks it; the store is back from
-// a copy that has it.
+// Failure: a server was missing from the list, the store is back from a copy that has it, and it gets requests again.
 TEST_CASE("Departures: a server that is missing from the list has gone, and no copy brings it back")
 {
     auto departures = listing(at(6));
--- a/test/dispatcher_test.cc
+++ b/test/dispatcher_test.cc
@@ -409,8 +409,7 @@
     CHECK(sent == requests);
 }
 
-// Failure: all ranks of a service ask for rest as they turn a request away; it is taken for a group that forms, asked about again
-// and again, and its client waits for an answer that was known at once.
+// Failure: ranks that ask for rest are taken for a group that forms, and a request is tried there again until its time is up.
 TEST_CASE("Dispatcher: a request whose servers all ask for rest is refused at once")
 {
     Rig rig({});
--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -199,8 +199,7 @@
     CHECK_THAT(rig.log(), Contains("ServerRestAsked e1 server=i-1 rest-ms=2"));
 }
 
-// Failure: the store comes back from an older copy and gives its revisions out again, entries take what it says for old, and a server
-// that leaves after it goes on to get requests.
+// Failure: a server leaves after the store's return from an older copy, its removal is taken for old, and it goes on to get requests.
 TEST_CASE("Platform entry: a server that leaves after the store's return from an older copy gets no requests")
 {
     EntryRig rig;
@@ -250,8 +249,7 @@
     CHECK(late == 0);
 }
 
-// Failure: a server that leaves answers earlier requests late, where the next ones are expected, and what these answers say of it is
-// thrown away with them.
+// Failure: a late answer to an earlier request is thrown away, and with it that its server leaves.
 TEST_CASE("Platform entry: what a stray answer says of its server counts")
 {
     EntryRig rig;
--- a/test/server-book_test.cc
+++ b/test/server-book_test.cc
@@ -119,8 +119,7 @@
     CHECK(book.put(at(14), earlier));
 }
 
-// Failure: the store comes back from an older copy; its list is taken for an old one, or what is missing from it for gone, though
-// the servers live and are about to write again.
+// Failure: the list of a store that is back from an older copy is taken for old, or the servers that it lacks for gone.
 TEST_CASE("ServerBook: after the store's return from an older copy its list counts, and servers that it lacks may write again")
 {
     ServerBook book;
--- a/test/server-rests_test.cc
+++ b/test/server-rests_test.cc
@@ -94,8 +94,7 @@
     CHECK(fleet.served() > 0.97 * fleet.asked() - 200);
 }
 
-// Failure: all servers rest, requests are kept until their time is up, and their clients return while the rests still hold, or all
-// in one moment.
+// Failure: all servers rest, requests are kept until their time is up, and clients return too soon or all in one moment.
 TEST_CASE("Server rests: what no server takes in time is refused at once, with true times to return that are spread")
 {
     constexpr milliseconds rest { 3000 };
--- a/test/store-cursor_test.cc
+++ b/test/store-cursor_test.cc
@@ -37,8 +37,7 @@
     CHECK_FALSE(cursor.knownTo().has_value());
 }
 
-// Failure: the store comes back from an older copy, its revisions pass the one that is watched from, and what was written below that
-// is never seen.
+// Failure: a watch goes on from a revision of before the store's return, and what was written below it since is never seen.
 TEST_CASE("StoreCursor: a topic is listed anew after each return of the store")
 {
     StoreCursor cursor;
--- a/test/store-return_test.cc
+++ b/test/store-return_test.cc
@@ -39,8 +39,7 @@
 
 } // namespace
 
-// Failure: the store comes back from an older copy while servers leave, entries are cut off or start, and lists are on their way; a
-// server that has left gets work again, a configuration reverts, or a server that lives stands idle.
+// Failure: after a return of the store a server that has left gets work, one that lives gets none, or a configuration reverts.
 TEST_CASE("Store return: servers that have left get no work, and those that live get it, whatever comes back")
 {
     auto seed = GENERATE(range(1U, 301U));
