--- a/src/gateway/control-state-servers.cc
+++ b/src/gateway/control-state-servers.cc
@@ -38,8 +38,7 @@
         if (auto life = m_servers.remove(now, item.position(), id)) {
             noteLeaving(m_departures.onRemoved(now, hashOf(*life), item.position()));
             m_serverItems.erase(item.name);
-            m_isChanged = true;
-            m_isListChanged = true;
+            noteListChange();
         }
         log::write(log::Event::ServerListed, "server={} state=gone revision={}", item.name, item.revision);
         return;
@@ -48,8 +47,7 @@
     if (!server) {
         if (m_servers.dropUnreadable(item.position(), id)) {
             m_serverItems.erase(item.name);
-            m_isChanged = true;
-            m_isListChanged = true;
+            noteListChange();
         }
         return;
     }
@@ -63,6 +61,12 @@
     log::write(log::Event::ServerListed, "server={} state={} revision={}", item.name, server->state == ServerState::Ready ? "ready" : "draining", item.revision);
 }
 
+void ControlState::noteListChange()
+{
+    m_isChanged = true;
+    m_isListChanged = true;
+}
+
 void ControlState::noteDraining(TimePoint now, std::span<const BackendServer> servers)
 {
     for (auto& server : servers) {
--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -151,8 +151,7 @@
     for (auto& item : event.items.items)
         m_serversChangedAt = std::max(m_serversChangedAt, item.position());
     m_hasServers = true;
-    m_isChanged = true;
-    m_isListChanged = true;
+    noteListChange();
 }
 
 void ControlState::noteStoreReturn(TimePoint now, StoreEra era)
@@ -228,8 +227,7 @@
     noteDraining(now, servers);
     m_serversChangedAt = std::max(m_serversChangedAt, event.items.position());
     m_hasServers = true;
-    m_isChanged = true;
-    m_isListChanged = true;
+    noteListChange();
     m_servers.tick(now);
 }
 
@@ -281,10 +279,8 @@
 
 void ControlState::tick(TimePoint now, Effects& effects)
 {
-    if (m_servers.tick(now)) {
-        m_isChanged = true;
-        m_isListChanged = true;
-    }
+    if (m_servers.tick(now))
+        noteListChange();
     m_departures.tick(now);
     // Right after a start both have yet to come: agents tell an entry of their groups only once it has spoken.
     bool knowsServers = m_configuration && m_hasServers;
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -152,6 +152,8 @@
     Hello withNews(TimePoint now, Hello out) const;
     void tellDegraded(TimePoint now, control::Effects& effects);
     void tick(TimePoint now, control::Effects& effects);
+    /// Servers or what the list says of them changed.
+    void noteListChange();
     void noteDraining(TimePoint now, std::span<const BackendServer> servers);
     void noteLeaving(bool isNews);
     void takeLeaving(TimePoint now, const Hello& hello);
