Pack the datagrams of entries and agents

Cause: more than half of the bytes of a hello are zero, and hellos are most of the control traffic. Ruled out: evacuations in a datagram of their own, which would be as large in every round while one is in force.

Cap'n Proto's packed form, bounded to 512 KB unpacked, as a few damaged bytes can claim any size. The check of the entries that agents report to was twice the allowance and is now the allowance.

Processes of before this commit don't read packed datagrams.

--- a/src/gateway/control-message.cc
+++ b/src/gateway/control-message.cc
@@ -3,6 +3,7 @@
 #include "src/gateway/news.capnp.h"
 #include "src/process/process-config.h"
 
+#include <capnp/serialize-packed.h>
 #include <capnp/serialize.h>
 #include <fmt/format.h>
 #include <xxhash.h>
@@ -20,6 +21,8 @@
 
 /// Maximum payload of a UDP datagram, in bytes.
 constexpr std::size_t maxDatagram = 65'000;
+/// Maximum size of an unpacked message, in words of 8 bytes. A few damaged bytes can claim any size.
+constexpr std::uint64_t maxMessageWords = 1U << 16;
 /// Limits of values that are accepted from a peer.
 constexpr std::uint32_t maxRanks = 4096;
 constexpr std::size_t maxKnownPeers = 0xffff;
@@ -106,6 +109,15 @@
             loads[n].setRunning(static_cast<float>(it.loads[n].running));
             loads[n].setPromptTokens(static_cast<float>(it.loads[n].promptTokens));
         }
+        hello.setEvacuationsEra(it.evacuations.asOf.era.value());
+        hello.setEvacuationsAsOf(it.evacuations.asOf.revision);
+        auto& evacuated = it.evacuations.evacuations;
+        auto evacuations = hello.initEvacuations(static_cast<unsigned>(evacuated.size()));
+        for (unsigned n = 0; n < evacuations.size(); ++n) {
+            evacuations[n].setDataCentre(evacuated[n].dataCentre.value());
+            evacuations[n].setEra(evacuated[n].requestedAt.era.value());
+            evacuations[n].setRevision(evacuated[n].requestedAt.revision);
+        }
     }
     void operator()(const LoadUpdate& it)
     {
@@ -184,6 +196,9 @@
     }
     for (auto member : in.getMembers())
         hello.members.push_back(parse(member));
+    hello.evacuations.asOf = { StoreEra(in.getEvacuationsEra()), in.getEvacuationsAsOf() };
+    for (auto evacuation : in.getEvacuations())
+        hello.evacuations.evacuations.push_back({ DataCentreName(evacuation.getDataCentre().cStr()), { StoreEra(evacuation.getEra()), evacuation.getRevision() } });
     return hello;
 }
 
@@ -298,13 +313,18 @@
 {
     capnp::MallocMessageBuilder builder;
     std::visit(DatagramBuilder { builder.initRoot<schema::Datagram>() }, message);
-    return toBytes(builder);
+    // More than half of the bytes of an unpacked hello are zero, and hellos are most of the control traffic.
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, builder);
+    auto bytes = out.getArray().asChars();
+    return { bytes.begin(), bytes.size() };
 }
 
-Result<ControlMessage> decodeMessage(const void* words, std::size_t size)
+Result<ControlMessage> decodeMessage(const void* bytes, std::size_t size)
 {
     try {
-        capnp::FlatArrayMessageReader reader(kj::arrayPtr(static_cast<const capnp::word*>(words), size / sizeof(capnp::word)));
+        kj::ArrayInputStream in(kj::arrayPtr(static_cast<const kj::byte*>(bytes), size));
+        capnp::PackedMessageReader reader(in, { .traversalLimitInWords = maxMessageWords });
         return parse(reader.getRoot<schema::Datagram>());
     } catch (const kj::Exception&) {
         return malformedError();
@@ -354,7 +374,7 @@
 ControlSocket::ControlSocket(asio::io_context& ioContext, Handler handler)
     : m_socket(ioContext)
     , m_handler(std::move(handler))
-    , m_buffer(maxDatagram / sizeof(std::uint64_t) + 1)
+    , m_buffer(maxDatagram)
 {
 }
 
@@ -405,7 +425,7 @@
 
 void ControlSocket::receive()
 {
-    auto buffer = asio::buffer(m_buffer.data(), m_buffer.size() * sizeof(std::uint64_t));
+    auto buffer = asio::buffer(m_buffer);
     m_socket.async_receive_from(buffer, m_sender, [self = shared_from_this()](boost::system::error_code ec, std::size_t size) {
         if (!self->m_handler || ec == asio::error::operation_aborted)
             return;
--- a/src/gateway/control-message.h
+++ b/src/gateway/control-message.h
@@ -83,6 +83,21 @@
     double promptTokens { 0 };
 };
 
+/// The operator's request to evacuate a data centre: its backend servers receive no new requests.
+struct Evacuation {
+    DataCentreName dataCentre;
+    /// Position of the store at which the operator made the request.
+    StorePosition requestedAt;
+
+    friend bool operator==(const Evacuation&, const Evacuation&) = default;
+};
+
+/// The evacuations in force as of a position of the store; the report with the higher position is newer.
+struct EvacuationReport {
+    StorePosition asOf;
+    std::vector<Evacuation> evacuations;
+};
+
 /// Message that an entry sends to other entries in each round: describes the sender and forwards what it knows of the
 /// fleet.
 struct Hello {
@@ -98,6 +113,7 @@
     std::vector<DegradedRank> degraded;
     /// Load in the sender's data centre.
     std::vector<ServiceLoad> loads;
+    EvacuationReport evacuations {};
 };
 
 struct ServerLoad {
@@ -181,9 +197,8 @@
 ControlMessageKind kindOf(const ControlMessage& message);
 
 std::string encode(const ControlMessage& message);
-/// Fails with `MalformedInput` on input that `encode` could not have produced. `words` must be aligned to 8 bytes;
-/// `size` is in bytes.
-Result<ControlMessage> decodeMessage(const void* words, std::size_t size);
+/// Fails with `MalformedInput` on input that `encode` could not have produced.
+Result<ControlMessage> decodeMessage(const void* bytes, std::size_t size);
 
 std::string encode(const PublishedItems& items);
 Result<PublishedItems> decodeItems(std::string_view bytes);
@@ -219,8 +234,7 @@
     Handler m_handler;
     OnDatagram m_onDatagram;
     UdpEndpoint m_sender;
-    /// Aligned words, because Cap'n Proto reads in place.
-    std::vector<std::uint64_t> m_buffer;
+    std::vector<char> m_buffer;
 };
 
 } // namespace swiftloft::gateway
--- a/src/gateway/news.capnp
+++ b/src/gateway/news.capnp
@@ -31,6 +31,16 @@
   degraded @6 :List(DegradedRank); # sent by entries that agents report to, to those that they don't
   loads @7 :List(ServiceLoad);     # sent between data centres that don't exchange the load of single servers
   serversEra @8 :UInt64;           # era of the store that `servers` belongs to
+  evacuations @9 :List(Evacuation);
+  evacuationsEra @10 :UInt64;      # era and revision of the store as of which `evacuations` is complete; 0 is unknown
+  evacuationsAsOf @11 :UInt64;
+}
+
+# The operator's request to evacuate a data centre.
+struct Evacuation {
+  dataCentre @0 :Text;
+  era @1 :UInt64;                  # era and revision of the request
+  revision @2 :UInt64;
 }
 
 # Average load of the servers of a service in the sender's data centre.
--- a/src/gateway/news.capnp.h
+++ b/src/gateway/news.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(dfd205ecdbaacb20);
 CAPNP_DECLARE_SCHEMA(da33220f171a1d9c);
+CAPNP_DECLARE_SCHEMA(bc9e25b13c1f532b);
 CAPNP_DECLARE_SCHEMA(853306fbaa5332b4);
 CAPNP_DECLARE_SCHEMA(9552717a11d6e7df);
 CAPNP_DECLARE_SCHEMA(d0f29347453be8dc);
@@ -62,7 +63,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da33220f171a1d9c, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(da33220f171a1d9c, 6, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Evacuation {
+  Evacuation() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bc9e25b13c1f532b, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -453,6 +469,13 @@
 
   inline  ::uint64_t getServersEra() const;
 
+  inline bool hasEvacuations() const;
+  inline  ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>::Reader getEvacuations() const;
+
+  inline  ::uint64_t getEvacuationsEra() const;
+
+  inline  ::uint64_t getEvacuationsAsOf() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -528,6 +551,19 @@
   inline  ::uint64_t getServersEra();
   inline void setServersEra( ::uint64_t value);
 
+  inline bool hasEvacuations();
+  inline  ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>::Builder getEvacuations();
+  inline void setEvacuations( ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>::Builder initEvacuations(unsigned int size);
+  inline void adoptEvacuations(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>> disownEvacuations();
+
+  inline  ::uint64_t getEvacuationsEra();
+  inline void setEvacuationsEra( ::uint64_t value);
+
+  inline  ::uint64_t getEvacuationsAsOf();
+  inline void setEvacuationsAsOf( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -555,6 +591,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class Evacuation::Reader {
+public:
+  typedef Evacuation Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline  ::uint64_t getEra() const;
+
+  inline  ::uint64_t getRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Evacuation::Builder {
+public:
+  typedef Evacuation Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Evacuation::Pipeline {
+public:
+  typedef Evacuation Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ServiceLoad::Reader {
 public:
   typedef ServiceLoad Reads;
@@ -2315,6 +2442,130 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Hello::Reader::hasEvacuations() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasEvacuations() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>::Reader Hello::Reader::getEvacuations() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::getEvacuations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setEvacuations( ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::initEvacuations(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptEvacuations(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>> Hello::Builder::disownEvacuations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Hello::Reader::getEvacuationsEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Hello::Builder::getEvacuationsEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setEvacuationsEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Hello::Reader::getEvacuationsAsOf() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Hello::Builder::getEvacuationsAsOf() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setEvacuationsAsOf( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Evacuation::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Evacuation::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Evacuation::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Evacuation::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Evacuation::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Evacuation::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Evacuation::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Evacuation::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Evacuation::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Evacuation::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Evacuation::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Evacuation::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Evacuation::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Evacuation::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServiceLoad::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/test/control-message_test.cc
+++ b/test/control-message_test.cc
@@ -2,7 +2,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <cstring>
 #include <random>
 
 using namespace swiftloft;
@@ -15,18 +14,10 @@
     return { boost::asio::ip::address_v4(0x0a000000 + n), 7000 };
 }
 
-std::vector<std::uint64_t> wordsOf(const std::string& bytes)
-{
-    std::vector<std::uint64_t> words(bytes.size() / 8 + 1);
-    std::memcpy(words.data(), bytes.data(), bytes.size());
-    return words;
-}
-
 ControlMessage throughWire(const ControlMessage& message)
 {
     auto bytes = encode(message);
-    auto words = wordsOf(bytes);
-    return decodeMessage(words.data(), bytes.size()).value();
+    return decodeMessage(bytes.data(), bytes.size()).value();
 }
 
 EntryMember member(unsigned n)
@@ -42,7 +33,8 @@
     brief.traits.stepMs = 5.5;
     brief.traits.stepsPerPass = 6;
     return {
-        Hello { member(1), 7, { StoreEra(2), 12 }, { member(2), member(3) }, { { ServerHash(5), milliseconds(900) }, { ServerHash(6), milliseconds(800), StorePosition { StoreEra(2), 11 } } }, 148, { { endpoint(8), milliseconds(70), true, 2.5 } }, { { ServiceName("model"), 2.5, 300 } } },
+        Hello { member(1), 7, { StoreEra(2), 12 }, { member(2), member(3) }, { { ServerHash(5), milliseconds(900) }, { ServerHash(6), milliseconds(800), StorePosition { StoreEra(2), 11 } } }, 148, { { endpoint(8), milliseconds(70), true, 2.5 } }, { { ServiceName("model"), 2.5, 300 } },
+            { { StoreEra(2), 30 }, { { DataCentreName("dc"), { StoreEra(1), 25 } } } } },
         LoadUpdate { Incarnation(9), 3, { { ServerHash(77), 4, Tokens(900) } }, { { ServerHash(78), RequestRate(0.5), milliseconds(40) }, { ServerHash(79), std::nullopt, milliseconds(50) } }, { { ServerHash(80), milliseconds(600) } } },
         RankStatus { endpoint(5), EngineGroupName("g"), GroupEpoch(4), RankIndex(3), 12, true, 1.5, ServerStartTime(1000), true },
         brief,
@@ -69,6 +61,8 @@
     CHECK(hello.degraded.at(0).pace == 2.5);
     CHECK(hello.loads.at(0).service == ServiceName("model"));
     CHECK(hello.loads.at(0).running == 2.5);
+    CHECK(hello.evacuations.asOf == StorePosition { StoreEra(2), 30 });
+    CHECK(hello.evacuations.evacuations == std::vector<Evacuation> { { DataCentreName("dc"), { StoreEra(1), 25 } } });
     auto load = std::get<LoadUpdate>(throughWire(all[1]));
     CHECK(load.servers.at(0).running == 4);
     CHECK(load.servers.at(0).promptTokens == Tokens(900));
@@ -99,8 +93,7 @@
             auto damaged = bytes;
             damaged[random() % damaged.size()] = static_cast<char>(random());
             damaged.resize(random() % (damaged.size() + 1));
-            auto words = wordsOf(damaged);
-            auto parsed = decodeMessage(words.data(), damaged.size());
+            auto parsed = decodeMessage(damaged.data(), damaged.size());
             if (!parsed)
                 CHECK(parsed.error().code == ErrorCode::MalformedInput);
         }
--- a/test/large-fleet_test.cc
+++ b/test/large-fleet_test.cc
@@ -13,10 +13,7 @@
 
 namespace {
 
-constexpr unsigned entries = 149;
-constexpr unsigned agents = 192;
 constexpr unsigned ranksPerGroup = 64;
-constexpr unsigned dataCentres = 5;
 constexpr milliseconds networkDelay { 1 };
 constexpr std::size_t datagramHeaders = 28;
 /// Bytes a second that the control traffic of any instance may send or receive.
@@ -34,13 +31,16 @@
     return { boost::asio::ip::address_v4(0x0a010000 + n), 7000 };
 }
 
-DataCentreName dataCentreOf(unsigned n)
-{
-    return DataCentreName(std::string(1, static_cast<char>('a' + n % dataCentres)));
-}
+struct FleetSize {
+    unsigned entries { 149 };
+    unsigned agents { 192 };
+    unsigned dataCentres { 5 };
+
+    DataCentreName dataCentreOf(unsigned n) const { return DataCentreName(std::string(1, static_cast<char>('a' + n % dataCentres))); }
+};
 
 /// Test documents: a configuration is its version, a server is the number of its engine.
-Protocol decoders()
+Protocol decoders(const FleetSize& size)
 {
     Protocol protocol;
     protocol.decodeConfiguration = [](std::string_view document) -> Result<std::shared_ptr<const Configuration>> {
@@ -51,24 +51,25 @@
         parts.services.push_back({ ServiceName("model"), "/health", 0, traits });
         return Configuration::create(parts);
     };
-    protocol.decodeServer = [](std::string_view id, std::string_view document) -> Result<BackendServer> {
+    protocol.decodeServer = [size](std::string_view id, std::string_view document, TimePoint) -> Result<BackendServer> {
         auto n = static_cast<unsigned>(std::stoul(std::string(document)));
-        return BackendServer { BackendServerId(std::string(id)), ServiceName("model"), engineAt(n), dataCentreOf(n), 6, ServerState::Ready };
+        return BackendServer { BackendServerId(std::string(id)), ServiceName("model"), engineAt(n), size.dataCentreOf(n), 6, ServerState::Ready };
     };
     return protocol;
 }
 
-/// 149 entries with the control state of the product and 192 agents that imitate the product's messages to entries, on
-/// a network without losses, in virtual time.
+/// Entries with the control state of the product and agents that imitate the product's messages to entries, on a network
+/// without losses, in virtual time.
 class Fleet {
 public:
-    Fleet()
+    explicit Fleet(const FleetSize& size = {})
+        : m_size(size)
+        , m_agents(size.agents)
     {
-        for (unsigned n = 0; n < entries; ++n) {
-            EntryMember self { entryAt(n), Incarnation(n + 1), 0, entryAt(n), dataCentreOf(n), EntryState::Starting };
-            m_entries.push_back({ ControlState(self, { entryAt(0), entryAt(1), entryAt(2) }, 9, decoders(), policy::Generator(n), now), {}, {}, true });
+        for (unsigned n = 0; n < size.entries; ++n) {
+            EntryMember self { entryAt(n), Incarnation(n + 1), 0, entryAt(n), size.dataCentreOf(n), EntryState::Starting };
+            m_entries.push_back({ ControlState(self, { entryAt(0), entryAt(1), entryAt(2) }, 9, decoders(size), policy::Generator(n), now), {}, {}, true });
         }
-        m_agents.resize(agents);
         for (auto& entry : m_entries)
             deliverStoreLists(entry);
     }
@@ -81,7 +82,7 @@
                 if (entry.isAlive && (now - start).count() % Clock::duration(ControlState::tickInterval).count() == 0)
                     apply(entry, Ticked {});
             }
-            for (unsigned n = 0; n < agents; ++n)
+            for (unsigned n = 0; n < m_size.agents; ++n)
                 reportToEntries(n);
         }
     }
@@ -100,6 +101,24 @@
         m_agents[n].nextReportAt = now;
     }
     void kill(unsigned entry) { m_entries[entry].isAlive = false; }
+    /// The operator evacuates data centre "a" or ends its evacuation; the entries that watch the store learn of it.
+    void setEvacuated(bool isEvacuated)
+    {
+        ++m_storeRevision;
+        for (auto& entry : m_entries) {
+            if (entry.isAlive && entry.isWatching)
+                apply(entry, StoreChanged { Topic::Configuration, { {}, m_storeRevision, {}, { { "a", "{}", m_storeRevision, !isEvacuated } } } });
+        }
+    }
+    /// Entries that send nothing to the servers of data centre "a".
+    unsigned entriesEvacuating() const
+    {
+        auto isEvacuating = [&](auto& entry) {
+            auto servers = entry.state.snapshot(now).servers;
+            return std::all_of(servers.begin(), servers.end(), [](auto& it) { return (it.dataCentre == DataCentreName("a")) == (it.state == ServerState::Draining); });
+        };
+        return static_cast<unsigned>(std::count_if(m_entries.begin(), m_entries.end(), isEvacuating));
+    }
 
     bool knowsRankIsClosed(unsigned entry, unsigned engine) const
     {
@@ -111,7 +130,7 @@
     unsigned entriesKnowing(unsigned engine) const
     {
         unsigned n = 0;
-        for (unsigned entry = 0; entry < entries; ++entry)
+        for (unsigned entry = 0; entry < m_size.entries; ++entry)
             n += m_entries[entry].isAlive && knowsRankIsClosed(entry, engine) ? 1 : 0;
         return n;
     }
@@ -156,7 +175,7 @@
     {
         apply(entry, StoreListed { Topic::Configuration, { { { "", "1", 5, false } }, 10 } });
         std::vector<PublishedItem> items;
-        for (unsigned n = 0; n < agents; ++n)
+        for (unsigned n = 0; n < m_size.agents; ++n)
             items.push_back({ "e" + std::to_string(n), std::to_string(n), 6, false });
         apply(entry, StoreListed { Topic::Servers, { std::move(items), 10 } });
     }
@@ -226,10 +245,13 @@
             send(engineAt(n), entryAt(seed), status);
     }
 
+    FleetSize m_size;
     std::vector<Entry> m_entries;
     std::vector<Agent> m_agents;
     std::priority_queue<Datagram> m_network;
     std::uint64_t m_number { 0 };
+    /// Revision of the store's last change; the lists that entries start with are as of 10.
+    std::uint64_t m_storeRevision { 10 };
 };
 
 } // namespace
@@ -254,12 +276,11 @@
     for (auto& entry : fleet.entriesOf())
         ofEntries.push_back(std::max(entry.sent, entry.received) / measuredSeconds);
     std::sort(ofEntries.begin(), ofEntries.end());
-    INFO("an entry that agents don't report to: " << ofEntries[entries / 2] << " bytes a second, one that they report to: " << ofEntries.back());
-    CHECK(ofEntries[entries / 2] < maxBytesPerSecond);
-    // The target for one instance is missed by these ten (docs/CAPACITY.md); they use at most twice the allowance.
-    CHECK(ofEntries.back() < 2 * maxBytesPerSecond);
+    INFO("an entry that agents don't report to: " << ofEntries[ofEntries.size() / 2] << " bytes a second, one that they report to: " << ofEntries.back());
+    CHECK(ofEntries[ofEntries.size() / 2] < maxBytesPerSecond);
+    CHECK(ofEntries.back() < maxBytesPerSecond);
     auto watching = std::count_if(fleet.entriesOf().begin(), fleet.entriesOf().end(), [](auto& it) { return it.isWatching; });
-    CHECK(watching == dataCentres * EntryRegistry::watchersPerDataCentre);
+    CHECK(watching == FleetSize().dataCentres * EntryRegistry::watchersPerDataCentre);
 }
 
 // A rank is lost. Entries that still send to its group have one request after the other rejected, so each entry must
@@ -270,7 +291,7 @@
     fleet.run(seconds(6));
     fleet.closeRank(70);
     fleet.run(milliseconds(200));
-    CHECK(fleet.entriesKnowing(70) == entries);
+    CHECK(fleet.entriesKnowing(70) == FleetSize().entries);
     CHECK(fleet.entriesKnowing(71) == 0);
 }
 
@@ -285,5 +306,22 @@
     fleet.run(EntryRegistry::silenceTimeout + ControlState::briefInterval + milliseconds(200));
     fleet.closeRank(70);
     fleet.run(milliseconds(200));
-    CHECK(fleet.entriesKnowing(70) == entries - 2);
+    CHECK(fleet.entriesKnowing(70) == FleetSize().entries - 2);
+}
+
+// Only the entries that watch the store learn of an evacuation from it. If the others waited for the next round of
+// hellos, some would send requests to servers that the operator is about to stop.
+TEST_CASE("Large fleet: an evacuation and its end are in force at every entry within a second")
+{
+    auto size = GENERATE(FleetSize { 33, 63, 3 }, FleetSize { 255, 64, 5 });
+    Fleet fleet(size);
+    fleet.run(seconds(4));
+    INFO(size.entries << " entries");
+    CHECK(fleet.entriesEvacuating() == 0);
+    fleet.setEvacuated(true);
+    fleet.run(seconds(1));
+    CHECK(fleet.entriesEvacuating() == size.entries);
+    fleet.setEvacuated(false);
+    fleet.run(seconds(1));
+    CHECK(fleet.entriesEvacuating() == 0);
 }
