Serve evacuated data centres and cold servers by the operator's and the servers' bounds

Cause: nothing read the operator's requests to evacuate a data centre, and how long a server is cold was checked for its sign and dropped.

Evacuations are read by the watch that follows the configuration and travel with every hello, ordered by the store's position.

--- a/src/gateway/control-state-servers.cc
+++ b/src/gateway/control-state-servers.cc
@@ -45,7 +45,7 @@
         log::write(log::Event::ServerListed, "server={} state=gone revision={}", item.name, item.revision);
         return;
     }
-    auto server = decodeServer(item);
+    auto server = decodeServer(item, now);
     if (!server) {
         if (m_servers.dropUnreadable(item.position(), id)) {
             m_serverItems.erase(item.name);
@@ -122,13 +122,20 @@
 
 /// Returns `nullopt` for a list entry that can't be decoded. Logs the reason for this, or that the list entry names an
 /// unknown service.
-std::optional<BackendServer> ControlState::decodeServer(const PublishedItem& item)
-{
+///
+/// A document that is known already keeps its result: it says for how long its server is still cold, counted from when
+/// it was first read.
+std::optional<BackendServer> ControlState::decodeServer(const PublishedItem& item, TimePoint now)
+{
+    auto cached = m_serverItems.find(item.name);
+    auto* known = cached == m_serverItems.end() ? nullptr : m_servers.find(BackendServerId(item.name));
+    if (known && cached->second.position() == item.position() && cached->second.document == item.document)
+        return *known;
     if (!item.problem.empty()) {
         logRejectedEntry(item, item.problem);
         return std::nullopt;
     }
-    auto server = m_decoders.decodeServer(item.name, item.document);
+    auto server = m_decoders.decodeServer(item.name, item.document, now);
     if (!server) {
         logRejectedEntry(item, server.error().message);
         return std::nullopt;
@@ -138,11 +145,11 @@
     return *server;
 }
 
-std::vector<BackendServer> ControlState::decodeServers(const PublishedItems& items)
+std::vector<BackendServer> ControlState::decodeServers(const PublishedItems& items, TimePoint now)
 {
     std::vector<BackendServer> servers;
     for (auto& item : items.items) {
-        if (auto server = decodeServer(item))
+        if (auto server = decodeServer(item, now))
             servers.push_back(std::move(*server));
     }
     return servers;
@@ -180,6 +187,25 @@
     log::write(log::Event::DocumentRefused, "kind=server name=\"{}\" revision={} problem=\"{}\"", printable(item.name), item.revision, printable(problem));
 }
 
+void ControlState::logRejectedEvacuations(const PublishedItems& items)
+{
+    for (auto& item : items.evacuations) {
+        auto it = m_loggedEvacuations.find(item.name);
+        bool isLogged = it != m_loggedEvacuations.end() && it->second == item.revision;
+        if (item.problem.empty() || isLogged || m_loggedEvacuations.size() >= maxLoggedRejections)
+            continue;
+        m_loggedEvacuations[item.name] = item.revision;
+        log::write(log::Event::EvacuationRefused, "name=\"{}\" revision={} problem=\"{}\"", printable(item.name), item.revision, printable(item.problem));
+    }
+}
+
+/// Changes of the evacuations are announced immediately.
+void ControlState::markEvacuationsChanged(bool isChanged)
+{
+    m_isSnapshotChanged |= isChanged;
+    m_isEvacuationChanged |= isChanged;
+}
+
 /// Also returns true while no configuration is known, because no requests are sent then.
 bool ControlState::isServiceKnown(const BackendServer& server) const
 {
--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -63,13 +63,14 @@
 {
     auto version = m_configuration ? m_configuration->version() : ConfigurationVersion(0);
     bool hasLeavingNews = std::exchange(m_isLeavingChanged, false);
-    if (version == m_announcedVersion && m_lastServerChange == m_announcedServers && !hasLeavingNews)
+    bool hasEvacuationNews = std::exchange(m_isEvacuationChanged, false);
+    if (version == m_announcedVersion && m_lastServerChange == m_announcedServers && !hasLeavingNews && !hasEvacuationNews)
         return;
     m_announcedVersion = version;
     m_announcedServers = m_lastServerChange;
     auto targets = m_entries.nextTargets(now, m_generator);
-    // The hello itself carries reports of leaving servers, so it goes to all targets.
-    if (m_departures.reports(now).empty())
+    // The hello itself carries the evacuations and the reports of leaving servers, so it goes to all targets.
+    if (m_departures.reports(now).empty() && !hasEvacuationNews)
         targets.local.resize(std::min(targets.local.size(), maxUrgentLocalHellos));
     targets.local.insert(targets.local.end(), targets.remote.begin(), targets.remote.end());
     effects.emplace_back(SendHello { std::move(targets.local), this->makeHello(now, 0) });
@@ -80,6 +81,7 @@
     bool isNewcomer = m_entries.isNewcomer(hello);
     m_entries.onHello(hello, now);
     applyLeaving(now, hello);
+    markEvacuationsChanged(m_evacuations.onPeerReport(now, hello.evacuations));
     m_isSnapshotChanged |= m_ranks.onPeerDegradedRanks(now, hello.sender.control, hello.degraded);
     if (!hello.loads.empty() && !m_entries.isLocal(hello.sender.dataCentre))
         m_remoteLoads[hello.sender.dataCentre] = { hello.loads, now };
@@ -142,9 +144,11 @@
     if (event.topic == Topic::Configuration) {
         for (auto& item : event.items.items)
             applyConfiguration(item, "store");
+        logRejectedEvacuations(event.items);
+        markEvacuationsChanged(m_evacuations.onListed(now, event.items));
         return;
     }
-    auto servers = decodeServers(event.items);
+    auto servers = decodeServers(event.items, now);
     checkForStoreRestore(now, event.items.era);
     if (!m_servers.replaceAll(now, event.items.position(), servers))
         return;
@@ -170,6 +174,8 @@
     if (event.topic == Topic::Configuration) {
         for (auto& item : event.items.items)
             applyConfiguration(item, "store");
+        logRejectedEvacuations(event.items);
+        markEvacuationsChanged(m_evacuations.onChanged(now, event.items));
         return;
     }
     // Sorted, because a change applied after a later one would be ignored as older than the known position.
@@ -221,7 +227,7 @@
             applyConfiguration(item, "peer");
         return;
     }
-    auto servers = decodeServers(event.items);
+    auto servers = decodeServers(event.items, now);
     checkForStoreRestore(now, event.items.era);
     if (!m_servers.replaceAllFromPeer(event.items.position(), servers))
         return;
@@ -309,6 +315,7 @@
     out.configuration = m_configuration ? m_configuration->version().value() : 0;
     out.servers = m_lastServerChange;
     out.leaving = m_departures.reports(now);
+    out.evacuations = m_evacuations.report();
     if (m_entries.isRelay(now))
         out.degraded = m_ranks.degradedRanks(now);
     return out;
@@ -336,12 +343,11 @@
     Snapshot snapshot;
     snapshot.configuration = m_configuration;
     snapshot.servers = usableServers();
-    for (auto& server : snapshot.servers) {
-        if (!m_departures.isEmpty() && m_departures.isLeaving(now, hashOf(server.incarnation())))
-            server.state = ServerState::Draining;
-    }
+    for (auto& server : snapshot.servers)
+        addLocalKnowledge(now, server);
     snapshot.self = m_entries.self();
     snapshot.entries = m_entries.alive(now);
+    snapshot.localRoster = m_entries.localRoster(now);
     snapshot.maxEntries = std::max(m_minEntries, m_entries.peakEntryCount());
     snapshot.isReady = m_isReady;
     snapshot.isLeaving = m_isLeaving;
@@ -358,6 +364,17 @@
     return snapshot;
 }
 
+void ControlState::addLocalKnowledge(TimePoint now, BackendServer& server) const
+{
+    bool isLeaving = !m_departures.isEmpty() && m_departures.isLeaving(now, hashOf(server.incarnation()));
+    if (isLeaving || m_evacuations.isEvacuated(server.dataCentre))
+        server.state = ServerState::Draining;
+    // The list may not show yet that the server has become cold during the evacuation.
+    auto* service = m_configuration ? m_configuration->findService(server.service) : nullptr;
+    if (auto endedAt = m_evacuations.endedAt(server.dataCentre); endedAt && service)
+        server.coldUntil = std::max(server.coldUntil, *endedAt + service->coldTime);
+}
+
 std::optional<PublishedItems> ControlState::published(Topic topic) const
 {
     if (topic == Topic::Configuration) {
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -2,6 +2,7 @@
 
 #include "src/gateway/departures.h"
 #include "src/gateway/entry-registry.h"
+#include "src/gateway/evacuations.h"
 #include "src/gateway/pull-schedule.h"
 #include "src/gateway/rank-registry.h"
 #include "src/gateway/server-registry.h"
@@ -129,6 +130,7 @@
     control::Effects apply(TimePoint now, const control::Event& event);
 
     Snapshot snapshot(TimePoint now) const;
+    const Evacuations& evacuations() const { return m_evacuations; }
     /// Returns the documents of a topic for pulls by other entries; `nullopt` while this entry has none.
     std::optional<PublishedItems> published(Topic topic) const;
 
@@ -143,12 +145,16 @@
     StorePosition knownServerPosition() const { return std::max(m_servers.position(), m_lastServerChange); }
     void applyConfiguration(const PublishedItem& item, std::string_view source);
     void applyServerChange(const PublishedItem& item, TimePoint now);
-    std::optional<BackendServer> decodeServer(const PublishedItem& item);
-    std::vector<BackendServer> decodeServers(const PublishedItems& items);
+    std::optional<BackendServer> decodeServer(const PublishedItem& item, TimePoint now);
+    std::vector<BackendServer> decodeServers(const PublishedItems& items, TimePoint now);
     void cacheDocument(const PublishedItem& item, const BackendServer& decoded);
     void cacheDocuments(const PublishedItems& items, const std::vector<BackendServer>& decoded);
     void logIgnoredChange(const PublishedItem& item) const;
     void logRejectedEntry(const PublishedItem& item, std::string_view problem);
+    void logRejectedEvacuations(const PublishedItems& items);
+    void markEvacuationsChanged(bool isChanged);
+    /// Sets what only this entry knows of a listed server: that it is leaving, evacuated or cold after an evacuation.
+    void addLocalKnowledge(TimePoint now, BackendServer& server) const;
     bool isServiceKnown(const BackendServer& server) const;
     void pullIfBehind(TimePoint now, const Hello& hello, control::Effects& effects);
     void onHello(TimePoint now, const Hello& hello, control::Effects& effects);
@@ -187,6 +193,11 @@
     StorePosition m_lastServerChange;
     bool m_hasServers { false };
 
+    Evacuations m_evacuations;
+    /// True while a change of the evacuations has not been announced to other entries yet.
+    bool m_isEvacuationChanged { false };
+    /// Invalid evacuations by name, with the revision that was last logged.
+    std::map<std::string, std::uint64_t> m_loggedEvacuations;
     Departures m_departures;
     bool m_isLeavingChanged { false };
     /// True while `m_departures` has not been given the current server list.
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -89,6 +89,7 @@
 Dispatcher::Dispatcher(const DispatcherOptions& options, policy::Generator generator)
     : m_options(options)
     , m_generator(generator)
+    , m_loadBalancer(options.coldLimits)
     , m_retries(options.retries)
 {
 }
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -167,6 +167,7 @@
 
 struct DispatcherOptions {
     RetryAllowanceOptions retries;
+    ColdLimitOptions coldLimits {};
     /// Share of the latency objective that a request may spend in the queue. A request that waits longer misses its
     /// objective however fast it then runs, and blocks one that could still meet its own.
     double queueTimeShare { 0.4 };
--- a/src/gateway/entry-daemon.cc
+++ b/src/gateway/entry-daemon.cc
@@ -16,6 +16,7 @@
 #include <boost/random/uniform_int_distribution.hpp>
 
 #include <random>
+#include <set>
 #include <thread>
 
 namespace swiftloft::gateway {
@@ -51,6 +52,7 @@
     EntryControl(const EntrySettings& settings, const Protocol& protocol, const StoreFactory& makeStore, process::SharedMetrics& metrics, Incarnation incarnation, TrafficServer& traffic)
         : m_settings(settings)
         , m_traffic(traffic)
+        , m_metrics(metrics)
         , m_store(makeStore(m_ioContext))
         , m_state(selfMember(settings, incarnation), settings.seeds, settings.minEntries, protocol, policy::Generator(std::random_device {}()), Clock::now())
         , m_pages(m_ioContext, settings.peers)
@@ -107,6 +109,19 @@
     void perform(const control::PublishSnapshot&)
     {
         m_traffic.setSnapshot(std::make_shared<Snapshot>(m_state.snapshot(Clock::now())));
+        reportEvacuations();
+    }
+
+    /// Sets one gauge for each data centre that is or was evacuated: the store's revision of the request, or 0.
+    void reportEvacuations()
+    {
+        auto& requests = m_state.evacuations().requests();
+        for (auto& [dataCentre, requestedAt] : requests)
+            m_reportedEvacuations.insert(dataCentre);
+        for (auto& dataCentre : m_reportedEvacuations) {
+            auto it = requests.find(dataCentre);
+            m_metrics.set("swiftloft_entry_evacuated", { { "data_centre", dataCentre.value() } }, it == requests.end() ? 0 : static_cast<double>(it->second.revision));
+        }
     }
 
     void perform(const control::SendHello& effect)
@@ -185,6 +200,8 @@
     asio::io_context m_ioContext { 1 };
     const EntrySettings& m_settings;
     TrafficServer& m_traffic;
+    process::SharedMetrics& m_metrics;
+    std::set<DataCentreName> m_reportedEvacuations;
     Store m_store;
     ControlState m_state;
     process::StatusServer m_pages;
--- a/src/gateway/entry-registry.cc
+++ b/src/gateway/entry-registry.cc
@@ -135,6 +135,16 @@
     return static_cast<std::size_t>(alive) > maxLoadBroadcastEntries;
 }
 
+std::vector<Endpoint> EntryRegistry::localRoster(TimePoint now) const
+{
+    std::vector<Endpoint> roster { m_self.control };
+    for (auto& [endpoint, peer] : m_peers) {
+        if (isLocal(peer.member.dataCentre) && peer.updatedAt + rosterRetention > now)
+            roster.push_back(endpoint);
+    }
+    return roster;
+}
+
 std::vector<EntryMember> EntryRegistry::alive(TimePoint now) const
 {
     std::vector<EntryMember> members;
--- a/src/gateway/entry-registry.h
+++ b/src/gateway/entry-registry.h
@@ -21,6 +21,9 @@
     /// An entry whose heartbeat has not advanced for this long is removed. The time need not cover a partition of an
     /// hour: entries never stop contacting the configured seeds and find each other again through them.
     static constexpr milliseconds removalTimeout { 120'000 };
+    /// An entry belongs to the roster of its data centre for this long after it has fallen silent. A partition of the
+    /// fleet is usually shorter, so that the rosters on both sides stay equal.
+    static constexpr milliseconds rosterRetention { 30'000 };
     /// Replaces `silenceTimeout` for remote entries in a fleet too large for every entry to send hellos to every other.
     /// Their heartbeats arrive indirectly, which takes up to twenty rounds. Clients are sent there only when their own
     /// data centre is lost.
@@ -88,6 +91,9 @@
     const EntryMember& self() const { return m_self; }
     /// Other entries whose heartbeat advanced within `silenceTimeout`, or `indirectSilenceTimeout` where that applies.
     std::vector<EntryMember> alive(TimePoint now) const;
+    /// Control addresses of the entries of this data centre, including this one, whose heartbeat advanced within
+    /// `rosterRetention`. Entries of one data centre that have been up for some rounds agree on it.
+    std::vector<Endpoint> localRoster(TimePoint now) const;
     /// Largest number of entries ever known at once, including this one.
     std::size_t peakEntryCount() const { return m_peakEntryCount; }
     std::size_t peerCount() const { return m_peers.size(); }
--- a/src/gateway/load-balancer.cc
+++ b/src/gateway/load-balancer.cc
@@ -16,6 +16,8 @@
 /// Puts a slow rank behind all others with capacity, and before servers that failed. Each request on a slow rank
 /// lengthens every step of the whole group, so the streams of all ranks would pause for longer than clients accept.
 constexpr double slowCost = 5e5;
+/// Puts a cold server behind all others with capacity: it works slower until it is warm.
+constexpr double coldCost = 2e5;
 /// Without load reports, servers of other data centres rank behind all local servers that have capacity: only the
 /// capacity of the local ones is known, and full servers reject requests.
 constexpr double remoteCost = 1e5;
@@ -51,6 +53,7 @@
 void LoadBalancer::setServers(TimePoint now, const Snapshot& snapshot)
 {
     m_limits.setFleet(now, snapshot);
+    m_coldLimits.setFleet(now, snapshot);
     m_backOffs.removeExpired(now);
     m_backOffs.setEntry(snapshot.self.control);
     std::map<ServerIncarnation, Server> servers;
@@ -98,6 +101,7 @@
     if (it == m_servers.end())
         return;
     m_limits.onSend(now, it->second.hash);
+    m_coldLimits.onSend(now, it->second.hash);
     ++it->second.ownLoad.running;
     it->second.ownLoad.promptTokens += work.promptTokens.value();
 }
@@ -220,6 +224,8 @@
         cost += remoteCost;
     if (isSlow(server, now))
         cost += slowCost;
+    if (m_coldLimits.isCold(now, server.hash))
+        cost += coldCost;
     return server.suspectUntil > now ? cost + suspectCost : cost;
 }
 
@@ -274,7 +280,7 @@
 
 std::optional<LoadBalancer::Throttling> LoadBalancer::throttling(const ServerFilter& filter, TimePoint now) const
 {
-    if (m_limits.isEmpty() && m_backOffs.isEmpty())
+    if (m_limits.isEmpty() && m_coldLimits.isEmpty() && m_backOffs.isEmpty())
         return std::nullopt;
     Throttling throttling { true, TimePoint::max(), 0, false };
     for (auto& [incarnation, server] : m_servers) {
@@ -286,7 +292,7 @@
             continue;
         }
         throttling.nextSendAt = std::min(throttling.nextSendAt, at);
-        throttling.rate += m_limits.evenShare(server.hash);
+        throttling.rate += std::max(m_limits.evenShare(server.hash), m_coldLimits.evenShare(now, server.hash));
         throttling.isBackingOff |= isBackingOff(server, now);
     }
     return throttling.nextSendAt == TimePoint::max() ? std::nullopt : std::optional(throttling);
@@ -346,6 +352,7 @@
 TimePoint LoadBalancer::nextSendTime(const Server& server, TimePoint now) const
 {
     auto at = m_limits.isEmpty() ? now : m_limits.nextSendTime(now, server.hash);
+    at = std::max(at, m_coldLimits.nextSendTime(now, server.hash));
     return m_backOffs.isEmpty() ? at : std::max(at, m_backOffs.endOf(server.hash, now).value_or(now));
 }
 
--- a/src/gateway/load-balancer.h
+++ b/src/gateway/load-balancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/gateway/cold-server-limits.h"
 #include "src/gateway/peer-loads.h"
 #include "src/gateway/server-back-offs.h"
 #include "src/gateway/server-limits.h"
@@ -40,6 +41,8 @@
     /// A server counts as active if data has arrived from it within this time, which is several steps of an engine.
     static constexpr milliseconds activityWindow { 300 };
 
+    explicit LoadBalancer(const ColdLimitOptions& coldLimits = {}) { m_coldLimits.setOptions(coldLimits); }
+
     void setServers(TimePoint now, const Snapshot& snapshot);
     void onLoadUpdate(TimePoint now, const LoadUpdate& update);
 
@@ -88,7 +91,8 @@
         std::optional<std::span<const ServerIncarnation>> allowed;
     };
 
-    /// Describes the servers to which this entry may send nothing for now because of their limits or back-offs.
+    /// Describes the servers to which this entry may send nothing for now because of their limits or back-offs, or
+    /// because they are cold.
     struct Throttling {
         /// True if this holds for every server that the request may be sent to.
         bool isEveryServer { false };
@@ -160,7 +164,7 @@
     static bool isCandidate(const Server& server, const ServerFilter& filter);
     bool hasCapacity(const Server& server, const Load& load, TimePoint now) const;
     bool isBackingOff(const Server& server, TimePoint now) const;
-    /// The earliest time at which the server's limit and its back-off let this entry send a request; `now` if it may
+    /// The earliest time at which the server's limits and its back-off let this entry send a request; `now` if it may
     /// send immediately.
     TimePoint nextSendTime(const Server& server, TimePoint now) const;
     /// The latest degraded report of the server's rank while it is valid; null otherwise.
@@ -173,6 +177,7 @@
     /// Mutable because reads drop the loads of silent entries, which does not change any result.
     mutable PeerLoads m_peerLoads;
     ServerLimits m_limits;
+    ColdServerLimits m_coldLimits;
     ServerBackOffs m_backOffs;
 };
 
--- a/src/gateway/model.h
+++ b/src/gateway/model.h
@@ -71,12 +71,19 @@
     double linkMbps { 0 };
 };
 
+/// Requests per second.
+using RequestRate = Strong<struct RequestRateTag, double>;
+
 struct Service {
     ServiceName name;
     std::string healthPath;
     /// Connections that one backend server of the service accepts from all callers together.
     std::uint32_t maximumConnections { 0 };
     std::optional<EngineTraits> engine;
+    /// Time for which a server is cold after it has started, or after the evacuation of its data centre has ended.
+    milliseconds coldTime { 0 };
+    /// Requests that a cold server accepts from all entries together; unset if the service does not limit them.
+    std::optional<RequestRate> coldRate {};
 };
 
 struct OrganisationKeys {
@@ -125,6 +132,8 @@
     std::uint32_t slots { 1 };
     ServerState state { ServerState::Ready };
     ServerStartTime startedAt {};
+    /// Until this time the server is cold: it is slow and accepts only `Service::coldRate` requests.
+    TimePoint coldUntil {};
 
     ServerIncarnation incarnation() const { return { id, startedAt }; }
 
@@ -147,9 +156,6 @@
     std::optional<std::uint64_t> lastEvent;
 };
 
-/// Requests per second.
-using RequestRate = Strong<struct RequestRateTag, double>;
-
 /// A request rate limit that an overloaded backend server advertises in its responses.
 struct AdvertisedLimit {
     /// The rate that the server accepts from all entries together; unset if the field can't be parsed.
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -41,7 +41,7 @@
     std::function<void(RequestFields& fields, const UpstreamRequestHead& head, TimePoint now)> prepareUpstreamRequest;
     std::function<ResponseHead(const ResponseFields& fields, TimePoint now)> decodeResponse;
     std::function<Result<std::shared_ptr<const Configuration>>(std::string_view document)> decodeConfiguration;
-    std::function<Result<BackendServer>(std::string_view id, std::string_view document)> decodeServer;
+    std::function<Result<BackendServer>(std::string_view id, std::string_view document, TimePoint now)> decodeServer;
     /// Encodes the directory, the list of entries that a client may use. The client may cache the list until
     /// `expiresAt`.
     std::function<std::string(const std::vector<Endpoint>& entries, TimePoint expiresAt, TimePoint now)> encodeDirectory;
@@ -68,7 +68,7 @@
 
 /// A published document and its position in the order of all changes.
 struct PublishedItem {
-    /// Name within its topic: empty for the configuration, the id for a server.
+    /// Name within its topic: empty for the configuration, the id for a server, the data centre for an evacuation.
     std::string name;
     std::string document;
     std::uint64_t revision { 0 };
@@ -87,11 +87,14 @@
     std::vector<PublishedItem> items;
     std::uint64_t asOf { 0 };
     StoreEra era {};
+    /// The operator's requests to evacuate a data centre; part of the topic `Configuration` in responses of the store.
+    std::vector<PublishedItem> evacuations {};
 
     StorePosition position() const { return { era, asOf }; }
 };
 
 enum class Topic {
+    /// What the operator publishes: the configuration and the evacuations of data centres.
     Configuration,
     Servers,
 };
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -120,11 +120,13 @@
         { "retry-ratio", numberSetter([&](double ratio) { settings.retries.ratio = ratio; }, 0, 10) },
         { "retry-slack", numberSetter([&](double slack) { settings.retries.slack = slack; }, 0, 1e9) },
         { "retry-window-seconds", secondsSetter(settings.retries.window, 0.1, maxSeconds) },
+        { "cold-overshoot", numberSetter([&](double factor) { settings.coldLimits.overshoot = factor; }, 0, 1000) },
+        { "cold-slack", numberSetter([&](double slack) { settings.coldLimits.slack = slack; }, 0, 1e9) },
         { "stop-within-seconds", secondsSetter(settings.stopTimeout, 0.1, maxSeconds) },
         { "directory-kept-seconds", secondsSetter(settings.directoryMaxAge, 0, maxSeconds) },
         { "least-entries", numberSetter([&](double n) { settings.minEntries = static_cast<std::size_t>(n); }, 1, maxEntries) },
     };
-    auto read = readSection(text, fileName, "entry", setters, { "seeds", "least-entries" });
+    auto read = readSection(text, fileName, "entry", setters, { "cold-overshoot", "cold-slack", "seeds", "least-entries" });
     if (!read)
         return read.error();
     return settings;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/gateway/cold-server-limits.h"
 #include "src/gateway/model.h"
 #include "src/gateway/retry-allowance.h"
 
@@ -33,6 +34,7 @@
     /// Address of the platform's store.
     Endpoint store;
     RetryAllowanceOptions retries;
+    ColdLimitOptions coldLimits;
     /// Maximum time from SIGTERM to the end of the process.
     milliseconds stopTimeout { 0 };
     /// Maximum time for which a client may cache the directory of entries.
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -17,6 +17,9 @@
     EntryMember self;
     /// Other entries that are alive.
     std::vector<EntryMember> entries;
+    /// Control addresses of the entries of this data centre, including this one and those that fell silent within
+    /// `EntryRegistry::rosterRetention`.
+    std::vector<Endpoint> localRoster;
     /// Maximum number of entries that may exist, including this one; used to compute shares of budgets.
     std::size_t maxEntries { 1 };
     /// True once the entry has the state it needs to serve requests.
--- a/src/gateway/store-cursor.cc
+++ b/src/gateway/store-cursor.cc
@@ -9,8 +9,10 @@
     if (items.era != StoreEra())
         return;
     items.era = m_era;
-    for (auto& item : items.items)
-        item.era = m_era;
+    for (auto* list : { &items.items, &items.evacuations }) {
+        for (auto& item : *list)
+            item.era = m_era;
+    }
 }
 
 StoreCursor::Action StoreCursor::onListed(PublishedItems& items)
--- a/src/gateway/store-follower.cc
+++ b/src/gateway/store-follower.cc
@@ -83,7 +83,7 @@
     auto changes = co_await m_store.watch(m_topic, *m_cursor.knownRevision(), waitUntil, waitUntil + answerTimeout);
     if (!m_isActive || !m_cursor.knownRevision() || !shouldApply(m_cursor.onChanged(changes), era))
         co_return;
-    bool hasChanges = !changes.items.empty();
+    bool hasChanges = !changes.items.empty() || !changes.evacuations.empty();
     m_onEvent(control::StoreChanged { m_topic, std::move(changes) });
     if (hasChanges)
         co_await sleepUntil(Clock::now() + batchDelay);
--- a/src/gateway/traffic-server.cc
+++ b/src/gateway/traffic-server.cc
@@ -46,7 +46,7 @@
     : m_settings(settings)
     , m_protocol(protocol)
     , m_incarnation(incarnation)
-    , m_dispatcher(m_ioContext, DispatcherOptions { settings.retries }, seeded())
+    , m_dispatcher(m_ioContext, DispatcherOptions { settings.retries, settings.coldLimits }, seeded())
     , m_pool(m_ioContext)
     , m_server(m_dispatcher, m_pool, protocol, metrics, [this] { return m_snapshot; })
     , m_snapshot(std::make_shared<Snapshot>())
--- a/test/control-state_test.cc
+++ b/test/control-state_test.cc
@@ -16,6 +16,9 @@
 }
 
 /// Test documents: a configuration is its version, a server is "SERVICE ready" or "SERVICE draining".
+/// Of every service.
+constexpr milliseconds coldTime { 3000 };
+
 Protocol decoders()
 {
     Protocol protocol;
@@ -26,10 +29,10 @@
         parts.version = ConfigurationVersion(std::stoull(std::string(document)));
         EngineTraits traits;
         traits.layers = 1;
-        parts.services.push_back({ ServiceName("model"), "/health", 0, traits });
+        parts.services.push_back({ ServiceName("model"), "/health", 0, traits, coldTime });
         return Configuration::create(parts);
     };
-    protocol.decodeServer = [](std::string_view id, std::string_view document) -> Result<BackendServer> {
+    protocol.decodeServer = [](std::string_view id, std::string_view document, TimePoint) -> Result<BackendServer> {
         if (document == "broken")
             return Error { ErrorCode::MalformedInput, "broken" };
         BackendServer server;
@@ -491,3 +494,45 @@
     REQUIRE(hello->hello.leaving.size() == 1);
     CHECK(hello->hello.leaving[0].server == hashOf(ServerIncarnation { BackendServerId("s1"), {} }));
 }
+
+// The watch of an entry that has started after the evacuation returns nothing of it, and its peers may be cut off from
+// the store: the list alone must name the evacuation.
+TEST_CASE("ControlState: servers of an evacuated data centre get no new requests until it ends")
+{
+    Rig rig;
+    rig.listBoth(7);
+    auto stateOf = [&] { return rig.state.snapshot(rig.now).servers.at(0).state; };
+    CHECK(stateOf() == ServerState::Ready);
+    rig.apply(StoreListed { Topic::Configuration, { {}, 12, {}, { { "", "{}", 11, false } } } });
+    CHECK(stateOf() == ServerState::Draining);
+    auto before = rig.last;
+    CHECK(rig.count<SendHello>() > 0);
+    CHECK(rig.count<PublishSnapshot>() == 1);
+    rig.apply(StoreChanged { Topic::Configuration, { {}, 14, {}, { { "", "", 13, true } } } });
+    CHECK(stateOf() == ServerState::Ready);
+}
+
+// An entry that is cut off from the store hears of an evacuation from its peers only, and passes it on.
+TEST_CASE("ControlState: an evacuation that a peer reports is in force and is reported to others")
+{
+    Rig rig;
+    rig.listBoth(7);
+    auto hello = rig.hello(7, 10);
+    hello.evacuations = { { {}, 30 }, { { DataCentreName(""), { {}, 25 } } } };
+    rig.apply(HelloReceived { hello });
+    CHECK(rig.state.snapshot(rig.now).servers.at(0).state == ServerState::Draining);
+    auto sent = std::find_if(rig.last.begin(), rig.last.end(), [](auto& it) { return std::holds_alternative<SendHello>(it); });
+    REQUIRE(sent != rig.last.end());
+    CHECK(std::get<SendHello>(*sent).hello.evacuations.asOf == StorePosition { {}, 30 });
+}
+
+// Servers become cold while their data centre is evacuated, and the list may show it only after they get requests again.
+TEST_CASE("ControlState: after an evacuation the servers count as cold")
+{
+    Rig rig;
+    rig.listBoth(7);
+    rig.apply(StoreChanged { Topic::Configuration, { {}, 12, {}, { { "", "{}", 11, false } } } });
+    rig.now += seconds(5);
+    rig.apply(StoreChanged { Topic::Configuration, { {}, 14, {}, { { "", "", 13, true } } } });
+    CHECK(rig.state.snapshot(rig.now).servers.at(0).coldUntil == rig.now + coldTime);
+}
--- a/test/list-fleet.h
+++ b/test/list-fleet.h
@@ -253,7 +253,7 @@
             parts.services.push_back({ ServiceName("model"), "/health", 0, std::nullopt });
             return gateway::Configuration::create(parts);
         };
-        protocol.decodeServer = [](std::string_view id, std::string_view document) -> Result<gateway::BackendServer> {
+        protocol.decodeServer = [](std::string_view id, std::string_view document, TimePoint) -> Result<gateway::BackendServer> {
             auto state = document == "ready" ? gateway::ServerState::Ready : gateway::ServerState::Draining;
             return gateway::BackendServer { BackendServerId(std::string(id)), ServiceName("model"), {}, DataCentreName("a"), 6, state };
         };
--- a/test/platform-protocol_test.cc
+++ b/test/platform-protocol_test.cc
@@ -207,9 +207,9 @@
 TEST_CASE("Platform: documents that can't be read name what is wrong")
 {
     CHECK(platform::decodeConfiguration("{}").error().message == "field 'version' is missing");
-    CHECK(platform::decodeServer("s1", R"({"service":"s","zone":"z","state":"ready"})").error().message == "field 'address' is missing");
-    CHECK_FALSE(platform::decodeServer("s1", "not json").has_value());
-    auto server = platform::decodeServer("i-1", serverText).value();
+    CHECK(platform::decodeServer("s1", R"({"service":"s","zone":"z","state":"ready"})", TimePoint {}).error().message == "field 'address' is missing");
+    CHECK_FALSE(platform::decodeServer("s1", "not json", TimePoint {}).has_value());
+    auto server = platform::decodeServer("i-1", serverText, TimePoint {}).value();
     CHECK(server.state == ServerState::Draining);
     CHECK(server.slots == 12);
     CHECK(server.startedAt == ServerStartTime(1780000000123));
@@ -220,33 +220,33 @@
 TEST_CASE("Platform: an entry of the list that lacks a field, or has one of another type, names no server")
 {
     auto sound = boost::json::parse(serverText).as_object();
-    REQUIRE(platform::decodeServer("i-1", serverText).has_value());
+    REQUIRE(platform::decodeServer("i-1", serverText, TimePoint {}).has_value());
     for (auto& field : sound) {
         auto changed = sound;
         bool mayLack = field.key() == "born";
         changed.erase(field.key());
         INFO("field " << field.key());
-        CHECK(platform::decodeServer("i-1", boost::json::serialize(changed)).has_value() == mayLack);
+        CHECK(platform::decodeServer("i-1", boost::json::serialize(changed), TimePoint {}).has_value() == mayLack);
         for (auto& wrong : { boost::json::value(nullptr), boost::json::value(true), boost::json::value(1.5), boost::json::value("?"), boost::json::value(boost::json::array()) }) {
             changed[field.key()] = wrong;
             bool isSound = (field.value().is_string() && wrong.is_string() && field.key() != "state" && field.key() != "address")
                 || (field.key() == "coldRemainingMs" && wrong.is_double());
             INFO("as " << wrong);
-            CHECK(platform::decodeServer("i-1", boost::json::serialize(changed)).has_value() == isSound);
+            CHECK(platform::decodeServer("i-1", boost::json::serialize(changed), TimePoint {}).has_value() == isSound);
         }
     }
     for (auto* state : { "", "Ready", "starting", "gone" }) {
         auto changed = sound;
         changed["state"] = state;
-        CHECK_FALSE(platform::decodeServer("i-1", boost::json::serialize(changed)).has_value());
+        CHECK_FALSE(platform::decodeServer("i-1", boost::json::serialize(changed), TimePoint {}).has_value());
     }
     for (auto* address : { "10.0.0.9", "10.0.0.9:0", "0.0.0.0:80", "224.0.0.1:80", "host:80" }) {
         auto changed = sound;
         changed["address"] = address;
-        CHECK_FALSE(platform::decodeServer("i-1", boost::json::serialize(changed)).has_value());
+        CHECK_FALSE(platform::decodeServer("i-1", boost::json::serialize(changed), TimePoint {}).has_value());
     }
     for (auto* id : { "", "a b", "a/b", "a\r\nX-Tenant: other" })
-        CHECK_FALSE(platform::decodeServer(id, serverText).has_value());
+        CHECK_FALSE(platform::decodeServer(id, serverText, TimePoint {}).has_value());
 }
 
 // Guards against the same failure with arbitrary bytes in the list entry. Decoding must only fail as malformed input,
@@ -267,7 +267,7 @@
             if (text.empty())
                 text = "x";
         }
-        auto server = platform::decodeServer("i-1", text);
+        auto server = platform::decodeServer("i-1", text, TimePoint {});
         if (!server) {
             CHECK(server.error().code == ErrorCode::MalformedInput);
             continue;
@@ -293,3 +293,27 @@
             CHECK(configuration.error().code == ErrorCode::MalformedInput);
     }
 }
+
+TEST_CASE("Platform: how long a server is cold, and how many requests it accepts meanwhile")
+{
+    const TimePoint now { seconds(100) };
+    auto cold = boost::json::parse(serverText).as_object();
+    cold["coldRemainingMs"] = 1500;
+    CHECK(platform::decodeServer("i-1", boost::json::serialize(cold), now).value().coldUntil == now + milliseconds(1500));
+    cold["coldRemainingMs"] = 0;
+    CHECK(platform::decodeServer("i-1", boost::json::serialize(cold), now).value().coldUntil == TimePoint {});
+    auto configuration = platform::decodeConfiguration(R"({"version":1,"routes":[],"services":[{"name":"a","coldStartS":2.5,"coldPerS":17},{"name":"b"}]})").value();
+    CHECK(configuration->findService(ServiceName("a"))->coldTime == milliseconds(2500));
+    CHECK(configuration->findService(ServiceName("a"))->coldRate == RequestRate(17));
+    CHECK_FALSE(configuration->findService(ServiceName("b"))->coldRate);
+}
+
+// Another writer may leave a value under the operator's keys; it must not stop a data centre from getting requests.
+TEST_CASE("Platform: a request to evacuate is an object under the name of a data centre")
+{
+    CHECK(platform::checkEvacuation("zone-a", "{}").has_value());
+    CHECK_FALSE(platform::checkEvacuation("zone-a", "true").has_value());
+    CHECK_FALSE(platform::checkEvacuation("zone-a", "{").has_value());
+    CHECK_FALSE(platform::checkEvacuation("", "{}").has_value());
+    CHECK_FALSE(platform::checkEvacuation("a/b", "{}").has_value());
+}
