Call the store with one watch, in order, and not at a start that neighbours can serve

Cause: each start listed configuration and servers (nine calls) before neighbours could answer; each watching entry kept two watches of 1.5 s whatever the configuration's bound; and fewer than three watching entries in sight made all entries watch and try again every 0.4 s, so that a store that turned some away was called by all. Ruled out: the changes of the list themselves, some ten a second at the start and few later.

One watch follows both topics, for three quarters of the bound in the settings. The first two entries of a data centre watch; others take their place one after the other. A start is confirmed by the first watching neighbour.

--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -72,9 +72,11 @@
     Endpoint from;
     Topic topic { Topic::Configuration };
 };
-/// Start or stop watching the store. Watching is stopped only once both topics are known.
+/// Start or stop watching the store.
 struct SetWatching {
     bool isOn { false };
+    /// Maximum back-off after calls that failed.
+    milliseconds maxBackOff { 0 };
 };
 struct SendBrief {
     Endpoint to;
@@ -96,11 +98,31 @@
     /// within it that an entry is stopping.
     static constexpr milliseconds helloInterval { 400 };
     static constexpr milliseconds minWatchTime { 3000 };
+    /// A starting entry does not call the store for this long. By then a neighbour that has both documents has usually
+    /// sent them, and this entry knows whether it is one of those that watch. The store would otherwise serve one list of all servers
+    /// to each entry of a fleet that starts together.
+    static constexpr milliseconds startupNeighbourDelay { 60 };
+    /// Replaces `startupNeighbourDelay` while no other entry is known: all entries of the fleet may be starting.
+    static constexpr milliseconds startupSeedDelay { 300 };
+    /// A starting entry calls the store after this time if no neighbour has confirmed its documents.
+    static constexpr milliseconds startupPeerTimeout { 700 };
+    /// Interval between hellos while no other entry is known.
+    static constexpr milliseconds startupHelloInterval { 50 };
+    /// Delay before the first entry watches in place of others that the store rejects, and the additional delay of each
+    /// further one. By then it knows whether the store serves those before it, so that a store that rejects some entries
+    /// is not called by all.
+    static constexpr milliseconds standInDelay { 500 };
+    static constexpr milliseconds standInInterval { 100 };
+    /// Maximum back-off of the first watching entries of a data centre after failed calls. It is low because they must
+    /// notice within half a second that the store is reachable again.
+    static constexpr milliseconds firstWatcherMaxBackOff { 400 };
+    /// The same for entries that watch in their place. While the store is down, all entries of the fleet come to do so.
+    static constexpr milliseconds standInMaxBackOff { 4000 };
     /// Maximum delay until this entry reports to its peers that the store has started or stopped responding to it. The
     /// two topics usually change together, and the delay lets one hello report both.
     static constexpr milliseconds watchChangeHelloDelay { 50 };
-    /// A starting entry relies on its peers when the store has not responded for this long. A healthy store responds
-    /// in milliseconds, and a store that is down must not keep the fleet from starting.
+    /// A starting entry relies on any peer when neither the store nor an entry that it responds to has confirmed its
+    /// documents for this long. A store that is down must not keep the fleet from starting.
     static constexpr milliseconds startupStoreTimeout { 1500 };
     /// Interval at which briefs are sent to agents, so that they know which entries to send their rank status to.
     static constexpr milliseconds briefInterval { 1000 };
@@ -173,6 +195,10 @@
     StorePosition listedPosition(const BackendServer& server) const;
     void updateDepartures(TimePoint now);
     void updateWatching(TimePoint now, control::Effects& effects);
+    bool isWatchNeeded(TimePoint now);
+    /// True if the documents of this starting entry are as new as those that an entry had that the store responds to.
+    bool isConfirmedByPeer() const;
+    bool mayUseDocuments(TimePoint now) const;
     void announceChanges(TimePoint now, control::Effects& effects);
     std::vector<BackendServer> usableServers() const;
     void sendHello(TimePoint now, control::Effects& effects);
@@ -205,6 +231,7 @@
 
     std::map<Topic, bool> m_isStoreUnreachable;
     bool m_hasStoreAnswered { false };
+    TimePoint m_startedAt;
     TimePoint m_startupStoreDeadline;
     PullSchedule m_pulls;
     TimePoint m_nextHelloAt;
@@ -226,7 +253,17 @@
     /// Versions in the last immediate announcement to peers.
     ConfigurationVersion m_announcedVersion;
     StorePosition m_announcedServers;
-    bool m_isWatching { true };
+    bool m_isWatching { false };
+    milliseconds m_maxBackOff { 0 };
+    /// Since when the data centre has needed this entry to watch; unset while it does not.
+    std::optional<TimePoint> m_watchNeededSince;
+    /// Documents of the first entry that the store responds to, as of its first hello. Later ones don't count: while
+    /// servers start, the list changes faster than it can be fetched.
+    struct WatcherDocuments {
+        ConfigurationVersion configuration;
+        StorePosition servers;
+    };
+    std::optional<WatcherDocuments> m_watcherDocuments;
     /// An entry that has started to watch the store continues until this time. Otherwise it would stop and start again,
     /// and list everything twice, when its peers are silent for a short time.
     TimePoint m_minWatchUntil;
--- a/src/gateway/entry-daemon.cc
+++ b/src/gateway/entry-daemon.cc
@@ -13,7 +13,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/random/uniform_int_distribution.hpp>
 
 #include <random>
 #include <set>
@@ -29,10 +28,6 @@
 constexpr const char* serversPage = "/published/servers";
 /// A pull within a data centre takes milliseconds; a peer that takes longer is cut off.
 constexpr milliseconds pullTimeout { 800 };
-/// A starting entry lists the servers after this delay and a random jitter of up to `initialListJitter`. By then it has
-/// received hellos from its neighbours. Engines that lost power with it need a second or more until they serve again.
-constexpr milliseconds initialListDelay { 60 };
-constexpr milliseconds initialListJitter { 400 };
 /// Part of the stop timeout that is reserved for the end of the process itself.
 constexpr milliseconds stopMargin { 700 };
 
@@ -41,6 +36,22 @@
     return topic == Topic::Configuration ? configurationPage : serversPage;
 }
 
+/// Returns `store` with a count of its calls. A list of several pages counts once.
+Store countCalls(const Store& store, process::SharedMetrics& metrics)
+{
+    auto count = [&metrics](const std::string& kind) { metrics.count("swiftloft_entry_store_calls_total", { { "kind", kind } }); };
+    Store counting;
+    counting.list = [store, count](Topic topic, TimePoint deadline) {
+        count(std::string("list-") + nameOf(topic));
+        return store.list(topic, deadline);
+    };
+    counting.watch = [store, count](std::uint64_t after, TimePoint waitUntil, TimePoint deadline) {
+        count("watch");
+        return store.watch(after, waitUntil, deadline);
+    };
+    return counting;
+}
+
 EntryMember selfMember(const EntrySettings& settings, Incarnation incarnation)
 {
     return { settings.peers, incarnation, 0, settings.clients, settings.dataCentre, EntryState::Starting };
@@ -53,15 +64,14 @@
         : m_settings(settings)
         , m_traffic(traffic)
         , m_metrics(metrics)
-        , m_store(makeStore(m_ioContext))
+        , m_store(countCalls(makeStore(m_ioContext), metrics))
         , m_state(selfMember(settings, incarnation), settings.seeds, settings.minEntries, protocol, policy::Generator(std::random_device {}()), Clock::now())
         , m_pages(m_ioContext, settings.peers)
         , m_metricsPages(m_ioContext, settings.metrics)
         , m_stop(m_ioContext, [this](int count) { onStop(count); })
         , m_hangUp(m_ioContext, [] { log::write(log::Event::SettingsFileChanged, ""); })
         , m_timer(m_ioContext)
-        , m_configurationFollower(m_ioContext, m_store, Topic::Configuration, [this](auto& event) { apply(event); })
-        , m_serversFollower(m_ioContext, m_store, Topic::Servers, [this](auto& event) { apply(event); })
+        , m_follower(m_ioContext, m_store, settings.applyTimeout, [this](auto& event) { apply(event); })
     {
         m_controlSocket = ControlSocket::create(m_ioContext, settings.peers, [this](auto&, ControlMessage message) { onMessage(std::move(message)); }).value();
         m_controlSocket->setOnDatagram(datagramCounter(metrics, "swiftloft_entry"));
@@ -74,8 +84,7 @@
         for (auto topic : { Topic::Configuration, Topic::Servers })
             m_pages.add(pageOf(topic), [this, topic] { return publishedPage(topic); });
         m_metricsPages.add("/metrics", [&metrics] { return process::StatusAnswer { 200, "text/plain; version=0.0.4", metrics.text() }; });
-        m_configurationFollower.start(Clock::now());
-        m_serversFollower.start(initialServerListAt());
+        m_follower.start();
         tick();
     }
 
@@ -88,17 +97,6 @@
     }
 
 private:
-    /// Returns a random time for this entry's first listing of the servers. If hundreds of entries start together, each
-    /// would otherwise list all servers from the store, in several pages. With random delays, the first entries list
-    /// the servers and announce them, and the others pull the list from their neighbours. The configuration is a single
-    /// item and is requested immediately, because it must not come from a peer that is cut off from the store.
-    static TimePoint initialServerListAt()
-    {
-        policy::Generator generator(std::random_device {}());
-        boost::random::uniform_int_distribution<int> spread(0, static_cast<int>(initialListJitter.count()));
-        return Clock::now() + initialListDelay + milliseconds(spread(generator));
-    }
-
     void apply(const control::Event& event)
     {
         auto effects = m_state.apply(Clock::now(), event);
@@ -138,8 +136,8 @@
 
     void perform(const control::SetWatching& effect)
     {
-        m_configurationFollower.setActive(effect.isOn);
-        m_serversFollower.setActive(effect.isOn);
+        m_follower.setMaxBackOff(effect.maxBackOff);
+        m_follower.setActive(effect.isOn);
     }
 
     void perform(const control::Pull& effect)
@@ -209,8 +207,7 @@
     process::StopSignals m_stop;
     process::HangUpSignal m_hangUp;
     asio::steady_timer m_timer;
-    StoreFollower m_configurationFollower;
-    StoreFollower m_serversFollower;
+    StoreFollower m_follower;
     std::shared_ptr<ControlSocket> m_controlSocket;
 };
 
--- a/src/gateway/entry-registry.cc
+++ b/src/gateway/entry-registry.cc
@@ -8,6 +8,7 @@
     : m_self(std::move(self))
     , m_seeds(std::move(seeds))
 {
+    std::erase(m_seeds, m_self.control);
 }
 
 void EntryRegistry::update(const EntryMember& member, TimePoint now)
@@ -112,22 +113,29 @@
     return peer.updatedAt + (isIndirect ? indirectSilenceTimeout : silenceTimeout) > now;
 }
 
+bool EntryRegistry::precedesThis(const Peer& peer, TimePoint now) const
+{
+    auto& member = peer.member;
+    return isAlive(peer, now) && member.state != EntryState::Leaving && isLocal(member.dataCentre) && member.control < m_self.control;
+}
+
 std::size_t EntryRegistry::precedingEntries(TimePoint now) const
 {
-    auto isBefore = [&](auto& it) {
-        auto& member = it.second.member;
-        return isAlive(it.second, now) && member.state != EntryState::Leaving && isLocal(member.dataCentre) && member.control < m_self.control;
-    };
-    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), isBefore));
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](auto& it) { return precedesThis(it.second, now); }));
 }
 
 bool EntryRegistry::shouldWatch(TimePoint now) const
 {
-    auto isWatching = [&](auto& it) { return it.second.member.isWatching && it.second.member.state != EntryState::Leaving && isAlive(it.second, now); };
-    auto watching = static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), isWatching));
-    // The store may reject the watching entries and still serve others. The rejected entries report this in their
-    // hellos, and others then start to watch.
-    return watching < minWatchers || precedingEntries(now) < watchersPerDataCentre;
+    // The store may reject some entries and serve others. The rejected entries report in their hellos that it does not
+    // respond to them, and the next entries watch in their place.
+    auto isWatching = [&](auto& it) { return it.second.member.isWatching && precedesThis(it.second, now); };
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), isWatching)) < watchersPerDataCentre;
+}
+
+std::size_t EntryRegistry::standInPosition(TimePoint now) const
+{
+    auto preceding = precedingEntries(now);
+    return preceding < watchersPerDataCentre ? 0 : preceding - watchersPerDataCentre + 1;
 }
 
 bool EntryRegistry::isRelay(TimePoint now) const
--- a/src/gateway/entry-registry.h
+++ b/src/gateway/entry-registry.h
@@ -45,7 +45,6 @@
     /// a call to the store, whose rate limits grow more slowly than the fleet. With two watchers, one remains when the
     /// other fails.
     static constexpr std::size_t watchersPerDataCentre { 2 };
-    static constexpr std::size_t minWatchers { 3 };
     /// Entries of a data centre that receive the rank status of agents and pass it on to the other local entries.
     static constexpr std::size_t relaysPerDataCentre { 2 };
     /// Load updates go to all entries while there are at most this many of them, and only to local entries in a larger
@@ -57,12 +56,15 @@
     void onHello(const Hello& hello, TimePoint now);
     void setState(EntryState state) { m_self.state = state; }
     void setWatching(bool isWatching) { m_self.isWatching = isWatching; }
-    /// True when this entry must watch the platform's store: it is one of the first `watchersPerDataCentre` of its data
-    /// centre by address, or fewer than `minWatchers` others report that the store responds to them.
+    /// True when the data centre needs this entry to watch the platform's store: of the entries that come before it by
+    /// address, fewer than `watchersPerDataCentre` report that the store responds to them.
     ///
     /// Entries may know different sets of entries and so disagree about who watches. That does no harm: too many
-    /// watchers cost calls, and too few make all other entries watch.
+    /// watchers cost calls, and too few make other entries watch.
     bool shouldWatch(TimePoint now) const;
+    /// Position of this entry among those that watch in place of others: zero for the first `watchersPerDataCentre`
+    /// entries of the data centre by address, one for the next.
+    std::size_t standInPosition(TimePoint now) const;
     /// True when agents must send their rank status to this entry: it is one of the first `relaysPerDataCentre` of its
     /// data centre by address. As with watching, it does no harm if entries disagree.
     bool isRelay(TimePoint now) const;
@@ -98,6 +100,8 @@
     /// Largest number of entries ever known at once, including this one.
     std::size_t peakEntryCount() const { return m_peakEntryCount; }
     std::size_t peerCount() const { return m_peers.size(); }
+    /// True while this entry knows no other, though its settings name some.
+    bool mayKnowMore() const { return m_peers.empty() && !m_seeds.empty(); }
     /// True for the data centre of this entry.
     bool isLocal(const DataCentreName& dataCentre) const { return dataCentre == m_self.dataCentre; }
 
@@ -112,6 +116,7 @@
     std::vector<EntryMember> sampleMembers(std::size_t maxMembers, const DataCentreName& preferredDataCentre, policy::Generator& generator) const;
     Hello helloWith(std::vector<EntryMember> members) const;
     bool isAlive(const Peer& peer, TimePoint now) const;
+    bool precedesThis(const Peer& peer, TimePoint now) const;
     /// Number of local entries that are alive, not leaving and come before this one by address.
     std::size_t precedingEntries(TimePoint now) const;
 
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -10,6 +10,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -90,6 +91,14 @@
     /// The operator's requests to evacuate a data centre; part of the topic `Configuration` in responses of the store.
     std::vector<PublishedItem> evacuations {};
 
+    void setEra(StoreEra value)
+    {
+        era = value;
+        for (auto* list : { &items, &evacuations }) {
+            for (auto& item : *list)
+                item.era = value;
+        }
+    }
     StorePosition position() const { return { era, asOf }; }
 };
 
@@ -99,6 +108,9 @@
     Servers,
 };
 
+/// Changes of all topics since one revision, complete up to the same revision.
+using PublishedChanges = std::map<Topic, PublishedItems>;
+
 inline const char* nameOf(Topic topic)
 {
     return topic == Topic::Configuration ? "configuration" : "servers";
@@ -117,8 +129,9 @@
 /// Read-only access to the platform's store of published documents. Calls throw on failure and end by their deadline.
 struct Store {
     std::function<boost::asio::awaitable<PublishedItems>(Topic topic, TimePoint deadline)> list;
-    /// Returns the changes after the revision `after`. Waits for a change until `waitUntil`, and then returns no items.
-    std::function<boost::asio::awaitable<PublishedItems>(Topic topic, std::uint64_t after, TimePoint waitUntil, TimePoint deadline)> watch;
+    /// Returns the changes of every topic after the revision `after`. Waits for a change until `waitUntil`, and then
+    /// returns no items.
+    std::function<boost::asio::awaitable<PublishedChanges>(std::uint64_t after, TimePoint waitUntil, TimePoint deadline)> watch;
 };
 
 } // namespace swiftloft::gateway
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -98,6 +98,7 @@
 
 constexpr double maxPort = 65535;
 constexpr double maxSeconds = 3600;
+constexpr double minApplyMs = 100;
 constexpr double maxEntries = 100'000;
 
 } // namespace
@@ -120,13 +121,14 @@
         { "retry-ratio", numberSetter([&](double ratio) { settings.retries.ratio = ratio; }, 0, 10) },
         { "retry-slack", numberSetter([&](double slack) { settings.retries.slack = slack; }, 0, 1e9) },
         { "retry-window-seconds", secondsSetter(settings.retries.window, 0.1, maxSeconds) },
+        { "apply-within-ms", numberSetter([&](double ms) { settings.applyTimeout = milliseconds(std::llround(ms)); }, minApplyMs, 1000 * maxSeconds) },
         { "cold-overshoot", numberSetter([&](double factor) { settings.coldLimits.overshoot = factor; }, 0, 1000) },
         { "cold-slack", numberSetter([&](double slack) { settings.coldLimits.slack = slack; }, 0, 1e9) },
         { "stop-within-seconds", secondsSetter(settings.stopTimeout, 0.1, maxSeconds) },
         { "directory-kept-seconds", secondsSetter(settings.directoryMaxAge, 0, maxSeconds) },
         { "least-entries", numberSetter([&](double n) { settings.minEntries = static_cast<std::size_t>(n); }, 1, maxEntries) },
     };
-    auto read = readSection(text, fileName, "entry", setters, { "cold-overshoot", "cold-slack", "seeds", "least-entries" });
+    auto read = readSection(text, fileName, "entry", setters, { "apply-within-ms", "cold-overshoot", "cold-slack", "seeds", "least-entries" });
     if (!read)
         return read.error();
     return settings;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -35,6 +35,8 @@
     Endpoint store;
     RetryAllowanceOptions retries;
     ColdLimitOptions coldLimits;
+    /// Time within which a change that is published in the store must be in force.
+    milliseconds applyTimeout { 2000 };
     /// Maximum time from SIGTERM to the end of the process.
     milliseconds stopTimeout { 0 };
     /// Maximum time for which a client may cache the directory of entries.
--- a/src/gateway/store-cursor.cc
+++ b/src/gateway/store-cursor.cc
@@ -6,13 +6,8 @@
 
 void StoreCursor::fillInEra(PublishedItems& items) const
 {
-    if (items.era != StoreEra())
-        return;
-    items.era = m_era;
-    for (auto* list : { &items.items, &items.evacuations }) {
-        for (auto& item : *list)
-            item.era = m_era;
-    }
+    if (items.era == StoreEra())
+        items.setEra(m_era);
 }
 
 StoreCursor::Action StoreCursor::onListed(PublishedItems& items)
