--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -64,14 +64,14 @@
 {
     auto version = m_configuration ? m_configuration->version() : ConfigurationVersion(0);
     bool hasLeavingNews = std::exchange(m_isLeavingChanged, false);
-    bool hasEvacuationNews = std::exchange(m_isEvacuationChanged, false);
-    if (version == m_announcedVersion && m_lastServerChange == m_announcedServers && !hasLeavingNews && !hasEvacuationNews)
+    bool isEvacuationChanged = std::exchange(m_isEvacuationChanged, false);
+    if (version == m_announcedVersion && m_lastServerChange == m_announcedServers && !hasLeavingNews && !isEvacuationChanged)
         return;
     m_announcedVersion = version;
     m_announcedServers = m_lastServerChange;
     auto targets = m_entries.nextTargets(now, m_generator);
     // The hello itself carries the evacuations and the reports of leaving servers, so it goes to all targets.
-    if (m_departures.reports(now).empty() && !hasEvacuationNews)
+    if (m_departures.reports(now).empty() && !isEvacuationChanged)
         targets.local.resize(std::min(targets.local.size(), maxUrgentLocalHellos));
     targets.local.insert(targets.local.end(), targets.remote.begin(), targets.remote.end());
     effects.emplace_back(SendHello { std::move(targets.local), this->makeHello(now, 0) });
@@ -108,7 +108,7 @@
         m_nextHelloAt = std::min(m_nextHelloAt, now + watchChangeHelloDelay);
     m_entries.setWatching(isStoreAnswering);
     bool isNeeded = isWatchNeeded(now) || (m_isWatching && now < m_minWatchUntil);
-    auto maxBackOff = m_entries.standInPosition(now) == 0 ? firstWatcherMaxBackOff : standInMaxBackOff;
+    auto maxBackOff = m_entries.backupPosition(now) == 0 ? firstWatcherMaxBackOff : backupMaxBackOff;
     bool isBackOffChanged = std::exchange(m_maxBackOff, maxBackOff) != maxBackOff;
     if (isNeeded == m_isWatching) {
         if (isNeeded && isBackOffChanged)
@@ -129,12 +129,12 @@
 
 bool ControlState::isWatchNeeded(TimePoint now)
 {
-    auto neighbourDelay = m_entries.mayKnowMore() ? startupSeedDelay : startupNeighbourDelay;
+    auto neighbourDelay = m_entries.awaitsPeers() ? startupSeedDelay : startupNeighbourDelay;
     if (now < m_startedAt + neighbourDelay)
         return false;
-    auto position = static_cast<int>(m_entries.standInPosition(now));
+    auto position = static_cast<int>(m_entries.backupPosition(now));
     // The platform may publish its first configuration only now; then all entries of the fleet are in this state.
-    if (!m_isReady && !isConfirmedByPeer() && now >= m_startedAt + startupPeerTimeout + position * standInInterval)
+    if (!m_isReady && !isConfirmedByPeer() && now >= m_startedAt + startupPeerTimeout + position * backupWatchInterval)
         return true;
     if (!m_entries.shouldWatch(now)) {
         m_watchNeededSince.reset();
@@ -142,7 +142,7 @@
     }
     if (!m_watchNeededSince)
         m_watchNeededSince = now;
-    auto delay = position == 0 ? milliseconds(0) : standInDelay + position * standInInterval;
+    auto delay = position == 0 ? milliseconds(0) : backupWatchDelay + position * backupWatchInterval;
     return now >= *m_watchNeededSince + delay;
 }
 
@@ -358,7 +358,7 @@
 
 void ControlState::sendHello(TimePoint now, Effects& effects)
 {
-    m_nextHelloAt = now + (m_entries.mayKnowMore() ? startupHelloInterval : helloInterval);
+    m_nextHelloAt = now + (m_entries.awaitsPeers() ? startupHelloInterval : helloInterval);
     // Peers appear and disappear silently, so the snapshot of the traffic thread is renewed with each round of hellos.
     m_isSnapshotChanged = true;
     m_entries.beginRound();
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -99,8 +99,8 @@
     static constexpr milliseconds helloInterval { 400 };
     static constexpr milliseconds minWatchTime { 3000 };
     /// A starting entry does not call the store for this long. By then a neighbour that has both documents has usually
-    /// sent them, and this entry knows whether it is one of those that watch. The store would otherwise serve one list of all servers
-    /// to each entry of a fleet that starts together.
+    /// sent them, and this entry knows whether it is one of those that watch. The store would otherwise serve a list of
+    /// all servers to each entry of a fleet that starts together.
     static constexpr milliseconds startupNeighbourDelay { 60 };
     /// Replaces `startupNeighbourDelay` while no other entry is known: all entries of the fleet may be starting.
     static constexpr milliseconds startupSeedDelay { 300 };
@@ -108,16 +108,16 @@
     static constexpr milliseconds startupPeerTimeout { 700 };
     /// Interval between hellos while no other entry is known.
     static constexpr milliseconds startupHelloInterval { 50 };
-    /// Delay before the first entry watches in place of others that the store rejects, and the additional delay of each
-    /// further one. By then it knows whether the store serves those before it, so that a store that rejects some entries
-    /// is not called by all.
-    static constexpr milliseconds standInDelay { 500 };
-    static constexpr milliseconds standInInterval { 100 };
+    /// Delay before the first backup, an entry that watches in place of others that the store rejects, and additional
+    /// delay of each further one. By then a backup knows whether the store serves those before it, so that a store that
+    /// rejects some entries is not called by all.
+    static constexpr milliseconds backupWatchDelay { 500 };
+    static constexpr milliseconds backupWatchInterval { 100 };
     /// Maximum back-off of the first watching entries of a data centre after failed calls. It is low because they must
     /// notice within half a second that the store is reachable again.
     static constexpr milliseconds firstWatcherMaxBackOff { 400 };
-    /// The same for entries that watch in their place. While the store is down, all entries of the fleet come to do so.
-    static constexpr milliseconds standInMaxBackOff { 4000 };
+    /// The same for backups. While the store is down, all entries of the fleet become backups.
+    static constexpr milliseconds backupMaxBackOff { 4000 };
     /// Maximum delay until this entry reports to its peers that the store has started or stopped responding to it. The
     /// two topics usually change together, and the delay lets one hello report both.
     static constexpr milliseconds watchChangeHelloDelay { 50 };
--- a/src/gateway/entry-registry.cc
+++ b/src/gateway/entry-registry.cc
@@ -132,7 +132,7 @@
     return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), isWatching)) < watchersPerDataCentre;
 }
 
-std::size_t EntryRegistry::standInPosition(TimePoint now) const
+std::size_t EntryRegistry::backupPosition(TimePoint now) const
 {
     auto preceding = precedingEntries(now);
     return preceding < watchersPerDataCentre ? 0 : preceding - watchersPerDataCentre + 1;
--- a/src/gateway/entry-registry.h
+++ b/src/gateway/entry-registry.h
@@ -62,9 +62,9 @@
     /// Entries may know different sets of entries and so disagree about who watches. That does no harm: too many
     /// watchers cost calls, and too few make other entries watch.
     bool shouldWatch(TimePoint now) const;
-    /// Position of this entry among those that watch in place of others: zero for the first `watchersPerDataCentre`
-    /// entries of the data centre by address, one for the next.
-    std::size_t standInPosition(TimePoint now) const;
+    /// Position of this entry among the backups, which watch in place of others: zero for the first
+    /// `watchersPerDataCentre` entries of the data centre by address, which are none, and one for the next.
+    std::size_t backupPosition(TimePoint now) const;
     /// True when agents must send their rank status to this entry: it is one of the first `relaysPerDataCentre` of its
     /// data centre by address. As with watching, it does no harm if entries disagree.
     bool isRelay(TimePoint now) const;
@@ -101,7 +101,7 @@
     std::size_t peakEntryCount() const { return m_peakEntryCount; }
     std::size_t peerCount() const { return m_peers.size(); }
     /// True while this entry knows no other, though its settings name some.
-    bool mayKnowMore() const { return m_peers.empty() && !m_seeds.empty(); }
+    bool awaitsPeers() const { return m_peers.empty() && !m_seeds.empty(); }
     /// True for the data centre of this entry.
     bool isLocal(const DataCentreName& dataCentre) const { return dataCentre == m_self.dataCentre; }
 
--- a/test/control-state_test.cc
+++ b/test/control-state_test.cc
@@ -213,7 +213,7 @@
     receiveHellos(ControlState::helloInterval, false, 2);
     // Four entries come before this one. They may stand in for each other, and not all entries start to watch at once.
     CHECK_FALSE(isOn);
-    rig.now += ControlState::standInDelay + 3 * ControlState::standInInterval;
+    rig.now += ControlState::backupWatchDelay + 3 * ControlState::backupWatchInterval;
     rig.apply(Ticked {});
     CHECK(rig.count<SetWatching>() == 1);
 }
