Wait for the first lists of all servers instead of listing beside them

An entry counted as answered by the store only once it had listed the servers, 60 pages; until then all others listed them too, passed the store's read limit, and no list ended.

An entry counts as answered with its first answer; the others call the store only if they have heard of no such entry. Each page of a list has its own time.

--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -102,7 +102,7 @@
 
 void ControlState::updateWatching(TimePoint now, Effects& effects)
 {
-    bool isStoreAnswering = m_isWatching && m_hasStoreAnswered && m_hasServers && !m_isStoreUnreachable[Topic::Configuration] && !m_isStoreUnreachable[Topic::Servers];
+    bool isStoreAnswering = m_isWatching && m_hasStoreAnswered && !m_isStoreUnreachable[Topic::Configuration] && !m_isStoreUnreachable[Topic::Servers];
     // Sent early: other entries that have just started stop watching when they learn that enough entries do.
     if (isStoreAnswering != m_entries.self().isWatching)
         m_nextHelloAt = std::min(m_nextHelloAt, now + watchChangeHelloDelay);
@@ -133,8 +133,10 @@
     if (now < m_startedAt + neighbourDelay)
         return false;
     auto position = static_cast<int>(m_entries.backupPosition(now));
-    // The platform may publish its first configuration only now; then all entries of the fleet are in this state.
-    if (!m_isReady && !isConfirmedByPeer() && now >= m_startedAt + startupPeerTimeout + position * backupWatchInterval)
+    // An entry that the store responds to may still be listing thousands of servers, or the platform may not have
+    // published anything yet. If the others listed them too, they would use up the read limit of the store, and no list
+    // would ever be complete.
+    if (!m_isReady && !m_watcherDocuments && now >= m_startedAt + startupPeerTimeout + position * backupWatchInterval)
         return true;
     if (!m_entries.shouldWatch(now)) {
         m_watchNeededSince.reset();
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -101,10 +101,10 @@
     /// A starting entry does not call the store for this long. By then a neighbour that has both documents has usually
     /// sent them, and this entry knows whether it is one of those that watch. The store would otherwise serve a list of
     /// all servers to each entry of a fleet that starts together.
-    static constexpr milliseconds startupNeighbourDelay { 60 };
+    static constexpr milliseconds startupNeighbourDelay { 150 };
     /// Replaces `startupNeighbourDelay` while no other entry is known: all entries of the fleet may be starting.
     static constexpr milliseconds startupSeedDelay { 300 };
-    /// A starting entry calls the store after this time if no neighbour has confirmed its documents.
+    /// A starting entry calls the store after this time if it has heard of no entry that the store responds to.
     static constexpr milliseconds startupPeerTimeout { 700 };
     /// Interval between hellos while no other entry is known.
     static constexpr milliseconds startupHelloInterval { 50 };
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -128,6 +128,7 @@
 
 /// Read-only access to the platform's store of published documents. Calls throw on failure and end by their deadline.
 struct Store {
+    /// A list comes in pages. The first one ends by `deadline`, and each further one takes no longer.
     std::function<boost::asio::awaitable<PublishedItems>(Topic topic, TimePoint deadline)> list;
     /// Returns the changes of every topic after the revision `after`. Waits for a change until `waitUntil`, and then
     /// returns no items.
--- a/test/list-fleet.h
+++ b/test/list-fleet.h
@@ -195,6 +195,8 @@
         entry.disturbedAt = m_now;
     }
 
+    /// The store takes this long for a list of the servers.
+    void setListTime(milliseconds time) { m_listTime = time; }
     /// Calls to the store so far, without those that wait for a change.
     int lists() const { return m_lists; }
     int failedCalls() const { return m_failedCalls; }
@@ -235,6 +237,8 @@
         std::map<gateway::Topic, gateway::StoreCursor> cursors;
         std::map<gateway::Topic, TimePoint> answeredAt;
         std::map<gateway::Topic, TimePoint> nextTryAt;
+        /// When a list that is in progress is complete.
+        std::map<gateway::Topic, TimePoint> listedAt;
         bool isWatching { false };
         milliseconds maxBackOff { 0 };
         TimePoint disconnectedUntil;
@@ -325,7 +329,11 @@
         if (cursor.knownRevision() && *cursor.knownRevision() > m_store.revision())
             cursor.reset();
         if (!cursor.knownRevision()) {
-            ++m_lists;
+            auto [doneAt, isBegun] = entry.listedAt.try_emplace(topic, m_now + (topic == gateway::Topic::Servers ? m_listTime : milliseconds(0)));
+            m_lists += isBegun ? 1 : 0;
+            if (m_now < doneAt->second)
+                return;
+            entry.listedAt.erase(doneAt);
             auto items = m_store.list(topic);
             if (cursor.onListed(items) == gateway::StoreCursor::Action::Apply)
                 apply(entry, gateway::control::StoreListed { topic, items });
@@ -372,6 +380,7 @@
         if (entry.isWatching == effect.isOn)
             return;
         entry.isWatching = effect.isOn;
+        entry.listedAt.clear();
         for (auto& [topic, cursor] : entry.cursors)
             cursor.reset();
     }
@@ -450,6 +459,7 @@
     std::uint64_t m_version { 0 };
     std::uint64_t m_lastIncarnation { 0 };
     int m_lastServer { 0 };
+    milliseconds m_listTime { 0 };
     int m_lists { 0 };
     int m_failedCalls { 0 };
     std::string m_violation;
--- a/test/store-calls_test.cc
+++ b/test/store-calls_test.cc
@@ -26,6 +26,19 @@
     CHECK(fleet.lists() <= 4 * listsOfWatchers);
 }
 
+// Guards against this failure: all entries are killed while thousands of servers are listed. The first lists take long,
+// all other entries take that for a failure and list the servers too, and the store's read limit lets no list end.
+TEST_CASE("Store calls: entries wait for a list that takes long")
+{
+    constexpr int entries = 120;
+    ListFleet fleet(entries, 1, 0);
+    fleet.setListTime(seconds(2));
+    fleet.run(seconds(4));
+    INFO(fleet.lists() << " lists");
+    CHECK(fleet.readyEntries() == static_cast<std::size_t>(entries));
+    CHECK(fleet.lists() <= 4 * listsOfWatchers);
+}
+
 // Guards against this failure: an entry that starts in a running fleet calls the store, though its neighbours have all
 // that it needs.
 TEST_CASE("Store calls: entries that restart in a running fleet don't call the store")
