Correct comments and a test's name after a last reading of the change

No change of behaviour. Comments claimed more than holds: an entry knows its data centre after two rounds of hellos only up to 80 entries, and the end of an evacuation is not remembered for as long as any service may stay cold. A doc comment in a test stood above the wrong declaration, one test stored a value that it did not use, and one was named for a warm server that it does not have.

--- a/src/gateway/cold-server-limits.h
+++ b/src/gateway/cold-server-limits.h
@@ -28,13 +28,13 @@
 /// permit for each entry with a deviating view. Silent entries keep their permits, and an entry that has just started
 /// has none until it knows its neighbours.
 ///
-/// Unlike `ServerLimits`, which keeps limits on average and accumulates permits, nothing is saved up here.
+/// Unused permits are not accumulated. `ServerLimits` accumulates them, because it keeps its limits on average only.
 ///
 /// Pure: the time is passed in with each call.
 class ColdServerLimits {
 public:
     /// An entry sends nothing to cold servers for this long after its start. Within two rounds of hellos it knows the
-    /// entries of its data centre.
+    /// entries of its data centre, if there are at most twice `EntryRegistry::maxLocalHellosPerRound`.
     static constexpr milliseconds settleTime { 1000 };
     /// Time between two uses of a permit: requests that are sent this far apart don't arrive within one second.
     static constexpr milliseconds permitInterval { 1050 };
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -195,9 +195,11 @@
     StorePosition listedPosition(const BackendServer& server) const;
     void updateDepartures(TimePoint now);
     void updateWatching(TimePoint now, control::Effects& effects);
+    /// True if this entry must watch the store now. Records since when its data centre has needed it to.
     bool isWatchNeeded(TimePoint now);
     /// True if the documents of this starting entry are as new as those that an entry had that the store responds to.
     bool isConfirmedByPeer() const;
+    /// True if the documents of this starting entry are recent enough to serve requests.
     bool mayUseDocuments(TimePoint now) const;
     void announceChanges(TimePoint now, control::Effects& effects);
     std::vector<BackendServer> usableServers() const;
@@ -257,8 +259,8 @@
     milliseconds m_maxBackOff { 0 };
     /// Since when the data centre has needed this entry to watch; unset while it does not.
     std::optional<TimePoint> m_watchNeededSince;
-    /// Documents of the first entry that the store responds to, as of its first hello. Later ones don't count: while
-    /// servers start, the list changes faster than it can be fetched.
+    /// Versions of the documents in the first hello received from an entry that the store responds to. Later hellos
+    /// don't count: while servers start, the list changes faster than it can be fetched.
     struct WatcherDocuments {
         ConfigurationVersion configuration;
         StorePosition servers;
--- a/src/gateway/evacuations.h
+++ b/src/gateway/evacuations.h
@@ -15,7 +15,8 @@
 /// evacuation. Pure.
 class Evacuations {
 public:
-    /// The end of an evacuation is remembered for this long, which exceeds the time for which servers stay cold.
+    /// The end of an evacuation is remembered for this long. Servers that stay cold for longer count as cold after this
+    /// time only if the list says so.
     static constexpr milliseconds endRetention { 60'000 };
 
     /// Processes a complete list. Returns true if the evacuated data centres have changed.
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -91,6 +91,7 @@
     /// The operator's requests to evacuate a data centre; part of the topic `Configuration` in responses of the store.
     std::vector<PublishedItem> evacuations {};
 
+    /// Sets the era of the list and of all its items.
     void setEra(StoreEra value)
     {
         era = value;
--- a/test/cold-server-limits_test.cc
+++ b/test/cold-server-limits_test.cc
@@ -73,7 +73,7 @@
     CHECK(fleet.received() > 0);
 }
 
-TEST_CASE("Cold servers: a warm server and one of a service without a limit are not restricted")
+TEST_CASE("Cold servers: a server of a service without a limit is not restricted")
 {
     auto options = optionsOf(3, 1, 1);
     options.hasFaults = false;
--- a/test/control-state_test.cc
+++ b/test/control-state_test.cc
@@ -15,10 +15,10 @@
     return { boost::asio::ip::address_v4(0x0a000000 + n), port };
 }
 
-/// Test documents: a configuration is its version, a server is "SERVICE ready" or "SERVICE draining".
-/// Of every service.
+/// Time for which the servers of the test service are cold.
 constexpr milliseconds coldTime { 3000 };
 
+/// Test documents: a configuration is its version, a server is "SERVICE ready" or "SERVICE draining".
 Protocol decoders()
 {
     Protocol protocol;
@@ -211,7 +211,7 @@
     receiveHellos(ControlState::minWatchTime, true, 1);
     CHECK_FALSE(isOn);
     receiveHellos(ControlState::helloInterval, false, 2);
-    // Four entries come before this one. They may stand in for each other, and not all entries start to watch at once.
+    // Of the four entries before this one, the first two watch, and the other two are backups that start earlier.
     CHECK_FALSE(isOn);
     rig.now += ControlState::backupWatchDelay + 3 * ControlState::backupWatchInterval;
     rig.apply(Ticked {});
@@ -512,7 +512,6 @@
     CHECK(stateOf() == ServerState::Ready);
     rig.apply(StoreListed { Topic::Configuration, { {}, 12, {}, { { "", "{}", 11, false } } } });
     CHECK(stateOf() == ServerState::Draining);
-    auto before = rig.last;
     CHECK(rig.count<SendHello>() > 0);
     CHECK(rig.count<PublishSnapshot>() == 1);
     rig.apply(StoreChanged { Topic::Configuration, { {}, 14, {}, { { "", "", 13, true } } } });
