--- a/src/gateway/control-message.cc
+++ b/src/gateway/control-message.cc
@@ -72,6 +72,86 @@
         DataCentreName(in.getDataCentre().cStr()), static_cast<EntryState>(in.getState()), in.getIsWatching() };
 }
 
+/// Casts a count that is not negative to a field of a message; larger counts become the field's maximum.
+template <typename Field, typename Number>
+Field clamped(Number number)
+{
+    constexpr auto max = static_cast<Number>(std::numeric_limits<Field>::max());
+    return static_cast<Field>(std::clamp<Number>(number, 0, max));
+}
+
+/// Checks a quantity that a peer sent.
+double quantityFrom(float value)
+{
+    if (!std::isfinite(value) || value < 0)
+        throw MalformedField {};
+    return value;
+}
+
+void build(schema::ServiceDemand::Builder out, const ServiceDemand& demand)
+{
+    out.setService(demand.service.value());
+    auto priorities = out.initPriorities(static_cast<unsigned>(demand.priorities.size()));
+    for (unsigned n = 0; n < priorities.size(); ++n) {
+        auto& it = demand.priorities[n];
+        priorities[n].setPriority(clamped<std::uint8_t>(it.priority));
+        priorities[n].setQueued(clamped<std::uint16_t>(it.queued));
+        priorities[n].setReturning(clamped<std::uint16_t>(it.returning));
+        priorities[n].setArrivalsPerSecond(static_cast<float>(it.arrivalsPerSecond));
+        priorities[n].setSinceAdmittedMs(clamped<std::uint16_t>(it.sinceAdmitted.count()));
+        priorities[n].setSinceRefusedMs(clamped<std::uint16_t>(it.sinceRefused.count()));
+    }
+    auto organisations = out.initOrganisations(static_cast<unsigned>(demand.organisations.size()));
+    for (unsigned n = 0; n < organisations.size(); ++n) {
+        organisations[n].setOrganisation(demand.organisations[n].organisation.value());
+        organisations[n].setWork(static_cast<float>(demand.organisations[n].work));
+    }
+}
+
+ServiceDemand parse(schema::ServiceDemand::Reader in)
+{
+    ServiceDemand demand { ServiceName(in.getService().cStr()), {}, {} };
+    for (auto it : in.getPriorities()) {
+        demand.priorities.push_back({ it.getPriority(), it.getQueued(), it.getReturning(), quantityFrom(it.getArrivalsPerSecond()),
+            milliseconds(it.getSinceAdmittedMs()), milliseconds(it.getSinceRefusedMs()) });
+    }
+    for (auto it : in.getOrganisations())
+        demand.organisations.push_back({ OrganisationName(it.getOrganisation().cStr()), quantityFrom(it.getWork()) });
+    return demand;
+}
+
+void build(schema::GroupStatus::Builder out, const GroupStatus& group)
+{
+    out.setGroup(group.group.value());
+    out.setEpoch(group.epoch.value());
+    out.setAgeMs(clamped<std::uint32_t>(group.age.count()));
+    out.setPassMs(static_cast<float>(group.passMs));
+    out.setImbalance(static_cast<float>(group.imbalance));
+    out.setIsCopying(group.isCopying);
+    auto ranks = out.initRanks(static_cast<unsigned>(group.ranks.size()));
+    for (unsigned n = 0; n < ranks.size(); ++n) {
+        auto& address = group.ranks[n].address;
+        ranks[n].setRank(static_cast<std::uint16_t>(group.ranks[n].rank.value()));
+        if (address.address().is_v4()) {
+            ranks[n].setIp4(address.address().to_v4().to_uint());
+            ranks[n].setPort(address.port());
+        } else
+            ranks[n].setAddress(formatEndpoint(address));
+    }
+}
+
+GroupStatus parse(schema::GroupStatus::Reader in)
+{
+    GroupStatus group { EngineGroupName(in.getGroup().cStr()), GroupEpoch(in.getEpoch()), milliseconds(in.getAgeMs()), quantityFrom(in.getPassMs()), quantityFrom(in.getImbalance()), in.getIsCopying(), {} };
+    for (auto rank : in.getRanks()) {
+        if (rank.getRank() >= maxRanks)
+            throw MalformedField {};
+        auto address = rank.hasAddress() ? endpointFrom(rank.getAddress()) : Endpoint(asio::ip::address_v4(rank.getIp4()), rank.getPort());
+        group.ranks.push_back({ RankIndex(rank.getRank()), address });
+    }
+    return group;
+}
+
 /// Writes a message into the union of a datagram.
 struct DatagramBuilder {
     schema::Datagram::Builder out;
@@ -118,6 +198,12 @@
             evacuations[n].setEra(evacuated[n].requestedAt.era.value());
             evacuations[n].setRevision(evacuated[n].requestedAt.revision);
         }
+        auto demands = hello.initDemands(static_cast<unsigned>(it.demands.size()));
+        for (unsigned n = 0; n < demands.size(); ++n)
+            build(demands[n], it.demands[n]);
+        auto groups = hello.initGroups(static_cast<unsigned>(it.groups.size()));
+        for (unsigned n = 0; n < groups.size(); ++n)
+            build(groups[n], it.groups[n]);
     }
     void operator()(const LoadUpdate& it)
     {
@@ -129,6 +215,7 @@
             servers[n].setServer(it.servers[n].server.value());
             servers[n].setRunning(it.servers[n].running);
             servers[n].setPromptTokens(static_cast<std::uint32_t>(it.servers[n].promptTokens.value()));
+            servers[n].setHeldTokens(clamped<std::uint32_t>(it.servers[n].heldTokens.value()));
         }
         auto limits = load.initLimits(static_cast<unsigned>(it.limits.size()));
         for (unsigned n = 0; n < limits.size(); ++n) {
@@ -142,6 +229,9 @@
             silent[n].setServer(it.silent[n].server.value());
             silent[n].setRemainingMs(static_cast<std::uint32_t>(it.silent[n].remaining.count()));
         }
+        auto demands = load.initDemands(static_cast<unsigned>(it.demands.size()));
+        for (unsigned n = 0; n < demands.size(); ++n)
+            build(demands[n], it.demands[n]);
     }
     void operator()(const RankStatus& it)
     {
@@ -155,6 +245,11 @@
         rank.setPace(it.pace);
         rank.setStartedAt(it.startedAt.value());
         rank.setKnowsGroup(it.knowsGroup);
+        rank.setPassMs(static_cast<float>(it.passMs));
+        rank.setImbalance(static_cast<float>(it.imbalance));
+        rank.setIsCopying(it.isCopying);
+        rank.setHeldTokens(clamped<std::uint32_t>(it.heldTokens.value()));
+        rank.setTokenCapacity(clamped<std::uint32_t>(it.tokenCapacity.value()));
     }
     void operator()(const GroupBrief& it)
     {
@@ -199,6 +294,10 @@
     hello.evacuations.asOf = { StoreEra(in.getEvacuationsEra()), in.getEvacuationsAsOf() };
     for (auto evacuation : in.getEvacuations())
         hello.evacuations.evacuations.push_back({ DataCentreName(evacuation.getDataCentre().cStr()), { StoreEra(evacuation.getEra()), evacuation.getRevision() } });
+    for (auto demand : in.getDemands())
+        hello.demands.push_back(parse(demand));
+    for (auto group : in.getGroups())
+        hello.groups.push_back(parse(group));
     return hello;
 }
 
@@ -206,7 +305,7 @@
 {
     LoadUpdate load { Incarnation(in.getIncarnation()), in.getSequence(), {}, {}, {} };
     for (auto server : in.getServers())
-        load.servers.push_back({ ServerHash(server.getServer()), server.getRunning(), Tokens(server.getPromptTokens()) });
+        load.servers.push_back({ ServerHash(server.getServer()), server.getRunning(), Tokens(server.getPromptTokens()), Tokens(server.getHeldTokens()) });
     for (auto limit : in.getLimits()) {
         bool isValid = std::isfinite(limit.getRate()) && limit.getRate() >= 0;
         if (!isValid)
@@ -216,6 +315,8 @@
     }
     for (auto server : in.getSilent())
         load.silent.push_back({ ServerHash(server.getServer()), milliseconds(server.getRemainingMs()) });
+    for (auto demand : in.getDemands())
+        load.demands.push_back(parse(demand));
     return load;
 }
 
@@ -224,7 +325,8 @@
     if (in.getRanks() > maxRanks || in.getRank() >= maxRanks)
         throw MalformedField {};
     return { endpointFrom(in.getAddress()), EngineGroupName(in.getGroup().cStr()), GroupEpoch(in.getEpoch()), RankIndex(in.getRank()), in.getRanks(),
-        in.getIsOpen(), in.getPace(), ServerStartTime(in.getStartedAt()), in.getKnowsGroup() };
+        in.getIsOpen(), in.getPace(), ServerStartTime(in.getStartedAt()), in.getKnowsGroup(), quantityFrom(in.getPassMs()), quantityFrom(in.getImbalance()),
+        in.getIsCopying(), Tokens(in.getHeldTokens()), Tokens(in.getTokenCapacity()) };
 }
 
 GroupBrief parse(schema::GroupBrief::Reader in)
--- a/src/gateway/control-message.h
+++ b/src/gateway/control-message.h
@@ -83,6 +83,44 @@
     double promptTokens { 0 };
 };
 
+/// Requests of one priority for a service.
+struct PriorityDemand {
+    /// Longest time that a report can carry; events longer ago than this count as this long ago.
+    static constexpr milliseconds maxAge { 65'535 };
+
+    /// 0 is the most urgent.
+    unsigned priority { 0 };
+    /// Requests that wait for a server.
+    std::uint32_t queued { 0 };
+    /// Refused clients that were told to return and have not returned yet.
+    std::uint32_t returning { 0 };
+    double arrivalsPerSecond { 0 };
+    /// Time since a request was last sent to a server, and since one was last refused for lack of capacity. Relative, as
+    /// there is no common clock.
+    milliseconds sinceAdmitted { maxAge };
+    milliseconds sinceRefused { maxAge };
+
+    friend bool operator==(const PriorityDemand&, const PriorityDemand&) = default;
+};
+
+/// Work that an organisation's requests have got, in tokens; decays over time.
+struct OrganisationUse {
+    OrganisationName organisation;
+    double work { 0 };
+
+    friend bool operator==(const OrganisationUse&, const OrganisationUse&) = default;
+};
+
+/// Requests for a service that an entry, or the entries of a data centre together, have received.
+struct ServiceDemand {
+    ServiceName service;
+    std::vector<PriorityDemand> priorities;
+    /// The organisations with the most work.
+    std::vector<OrganisationUse> organisations;
+
+    friend bool operator==(const ServiceDemand&, const ServiceDemand&) = default;
+};
+
 /// The operator's request to evacuate a data centre: its backend servers receive no new requests.
 struct Evacuation {
     DataCentreName dataCentre;
@@ -98,6 +136,35 @@
     std::vector<Evacuation> evacuations;
 };
 
+/// Identifies one formation of a rank group, which ends when any rank restarts.
+using GroupEpoch = Strong<struct GroupEpochTag, std::uint64_t>;
+
+struct RankPlace {
+    RankIndex rank;
+    /// Address of the rank's engine.
+    Endpoint address;
+
+    friend bool operator==(const RankPlace&, const RankPlace&) = default;
+};
+
+/// A rank group as reported by an entry that its agents report to.
+struct GroupStatus {
+    EngineGroupName group;
+    GroupEpoch epoch;
+    /// Time since rank 0 reported it. Relative, as there is no common clock.
+    milliseconds age { 0 };
+    /// Duration of a pass; 0 while unknown.
+    double passMs { 0 };
+    /// Load of the most loaded rank relative to the mean; 0 while unknown.
+    double imbalance { 0 };
+    /// Ranks copy experts for a change of the expert map.
+    bool isCopying { false };
+    /// Empty in a message that does not repeat them.
+    std::vector<RankPlace> ranks;
+
+    friend bool operator==(const GroupStatus&, const GroupStatus&) = default;
+};
+
 /// Message that an entry sends to other entries in each round: describes the sender and forwards what it knows of the
 /// fleet.
 struct Hello {
@@ -114,6 +181,10 @@
     /// Load in the sender's data centre.
     std::vector<ServiceLoad> loads;
     EvacuationReport evacuations {};
+    /// Demand in the sender's data centre.
+    std::vector<ServiceDemand> demands {};
+    /// Groups whose agents report to the sender.
+    std::vector<GroupStatus> groups {};
 };
 
 struct ServerLoad {
@@ -121,6 +192,8 @@
     std::uint16_t running { 0 };
     /// Prompt tokens of the requests that have not sent their first event.
     Tokens promptTokens;
+    /// Prompt tokens and expected output tokens of all running requests: the memory that they need.
+    Tokens heldTokens {};
 };
 
 /// The request limit that a server advertised in its responses, as reported by an entry.
@@ -147,11 +220,10 @@
     std::vector<ServerLoad> servers;
     std::vector<LimitReport> limits;
     std::vector<SilentServer> silent;
+    /// Demand at the sender.
+    std::vector<ServiceDemand> demands {};
 };
 
-/// Identifies one formation of a rank group, which ends when any rank restarts.
-using GroupEpoch = Strong<struct GroupEpochTag, std::uint64_t>;
-
 /// Message from an agent to entries about its engine's rank.
 struct RankStatus {
     Endpoint address;
@@ -167,6 +239,15 @@
     /// The agent has the addresses of all ranks of its group. Until this is set, the briefs sent to the agent contain
     /// the addresses.
     bool knowsGroup { false };
+    /// Duration of a pass; 0 while unknown.
+    double passMs { 0 };
+    /// Only from rank 0: load of the most loaded rank relative to the mean; 0 while unknown.
+    double imbalance { 0 };
+    /// Only from rank 0: ranks copy experts for a change of the expert map.
+    bool isCopying { false };
+    /// Tokens in the engine's memory that can't yield, and tokens that fit into it; a capacity of 0 is unknown.
+    Tokens heldTokens {};
+    Tokens tokenCapacity {};
 };
 
 struct RankAddress {
--- a/src/gateway/news.capnp
+++ b/src/gateway/news.capnp
@@ -34,6 +34,49 @@
   evacuations @9 :List(Evacuation);
   evacuationsEra @10 :UInt64;      # era and revision of the store as of which `evacuations` is complete; 0 is unknown
   evacuationsAsOf @11 :UInt64;
+  demands @12 :List(ServiceDemand); # of the sender's data centre; sent like `loads`
+  groups @13 :List(GroupStatus);   # sent like `degraded`
+}
+
+# Requests for a service that an entry, or the entries of a data centre together, have received.
+struct ServiceDemand {
+  service @0 :Text;
+  priorities @1 :List(PriorityDemand);
+  organisations @2 :List(OrganisationUse); # the largest ones
+}
+
+# Requests of one priority.
+struct PriorityDemand {
+  priority @0 :UInt8;              # 0 is the most urgent
+  queued @1 :UInt16;               # requests that wait for a server
+  returning @2 :UInt16;            # refused clients that were told to return and have not returned yet
+  arrivalsPerSecond @3 :Float32;
+  sinceAdmittedMs @4 :UInt16 = 65535; # since a request was last sent to a server; 65,535 or more is the maximum
+  sinceRefusedMs @5 :UInt16 = 65535; # since a request was last refused for lack of capacity
+}
+
+# Work that an organisation's requests have got.
+struct OrganisationUse {
+  organisation @0 :Text;
+  work @1 :Float32;                # tokens, decaying
+}
+
+# A rank group as reported by an entry that its agents report to.
+struct GroupStatus {
+  group @0 :Text;
+  epoch @1 :UInt64;
+  ageMs @2 :UInt32;                # since rank 0 reported it
+  passMs @3 :Float32;              # duration of a pass; 0 is unknown
+  imbalance @4 :Float32;           # most loaded rank relative to the mean; 0 is unknown
+  isCopying @5 :Bool;              # ranks copy experts for a change of the expert map
+  ranks @6 :List(RankPlace);       # empty in a message that does not repeat them
+}
+
+struct RankPlace {
+  rank @0 :UInt16;
+  ip4 @1 :UInt32;                  # address of the engine
+  port @2 :UInt16;
+  address @3 :Text;                # IP:PORT of the engine; replaces the two above where it is not an IPv4 address
 }
 
 # The operator's request to evacuate a data centre.
@@ -72,6 +115,7 @@
   server @0 :UInt64;               # hash of id and start
   running @1 :UInt16;              # requests sent and not finished
   promptTokens @2 :UInt32;         # of those that have not sent their first event
+  heldTokens @3 :UInt32;           # prompt and expected output tokens of all of them
 }
 
 # The request limit that a server's responses advertised.
@@ -88,6 +132,7 @@
   servers @2 :List(ServerLoad);
   limits @3 :List(LimitWord);
   silent @4 :List(SilentServer);
+  demands @5 :List(ServiceDemand); # of this entry
 }
 
 # A server that stalled in the middle of its streams while others went on.
@@ -107,6 +152,11 @@
   pace @6 :Float64;                # 1 is normal, above it slower
   startedAt @7 :UInt64;            # Unix milliseconds; 0 where the engine doesn't report it
   knowsGroup @8 :Bool;             # the agent has the addresses of all ranks of its group
+  passMs @9 :Float32;              # duration of a pass; 0 is unknown
+  imbalance @10 :Float32;          # from rank 0: most loaded rank relative to the mean; 0 is unknown
+  isCopying @11 :Bool;             # from rank 0: ranks copy experts for a change of the expert map
+  heldTokens @12 :UInt32;          # tokens in the engine's memory that can't yield
+  tokenCapacity @13 :UInt32;       # tokens that fit into the engine's memory; 0 is unknown
 }
 
 struct RankAddress {
--- a/src/gateway/news.capnp.h
+++ b/src/gateway/news.capnp.h
@@ -18,6 +18,11 @@
 
 CAPNP_DECLARE_SCHEMA(dfd205ecdbaacb20);
 CAPNP_DECLARE_SCHEMA(da33220f171a1d9c);
+CAPNP_DECLARE_SCHEMA(f598f81f621d0a53);
+CAPNP_DECLARE_SCHEMA(bbc8694ceec8ab96);
+CAPNP_DECLARE_SCHEMA(c635b8393a2d0e50);
+CAPNP_DECLARE_SCHEMA(93130a24042434d9);
+CAPNP_DECLARE_SCHEMA(f7d451855a88b9a3);
 CAPNP_DECLARE_SCHEMA(bc9e25b13c1f532b);
 CAPNP_DECLARE_SCHEMA(853306fbaa5332b4);
 CAPNP_DECLARE_SCHEMA(9552717a11d6e7df);
@@ -63,7 +68,82 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da33220f171a1d9c, 6, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(da33220f171a1d9c, 6, 8)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServiceDemand {
+  ServiceDemand() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f598f81f621d0a53, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PriorityDemand {
+  PriorityDemand() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bbc8694ceec8ab96, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct OrganisationUse {
+  OrganisationUse() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c635b8393a2d0e50, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GroupStatus {
+  GroupStatus() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(93130a24042434d9, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RankPlace {
+  RankPlace() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f7d451855a88b9a3, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -138,7 +218,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ceb616b525bb90a7, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(ceb616b525bb90a7, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -168,7 +248,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dcfcb5c952e3e94a, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(dcfcb5c952e3e94a, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -198,7 +278,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9c859b3a1d49d789, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9c859b3a1d49d789, 7, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -476,6 +556,12 @@
 
   inline  ::uint64_t getEvacuationsAsOf() const;
 
+  inline bool hasDemands() const;
+  inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
+
+  inline bool hasGroups() const;
+  inline  ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -564,6 +650,20 @@
   inline  ::uint64_t getEvacuationsAsOf();
   inline void setEvacuationsAsOf( ::uint64_t value);
 
+  inline bool hasDemands();
+  inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder getDemands();
+  inline void setDemands( ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder initDemands(unsigned int size);
+  inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>> disownDemands();
+
+  inline bool hasGroups();
+  inline  ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>::Builder getGroups();
+  inline void setGroups( ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>::Builder initGroups(unsigned int size);
+  inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>> disownGroups();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -591,9 +691,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Evacuation::Reader {
+class ServiceDemand::Reader {
 public:
-  typedef Evacuation Reads;
+  typedef ServiceDemand Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -608,12 +708,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDataCentre() const;
-  inline  ::capnp::Text::Reader getDataCentre() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::uint64_t getEra() const;
+  inline bool hasPriorities() const;
+  inline  ::capnp::List< ::swiftloft::gateway::schema::PriorityDemand,  ::capnp::Kind::STRUCT>::Reader getPriorities() const;
 
-  inline  ::uint64_t getRevision() const;
+  inline bool hasOrganisations() const;
+  inline  ::capnp::List< ::swiftloft::gateway::schema::OrganisationUse,  ::capnp::Kind::STRUCT>::Reader getOrganisations() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -627,9 +729,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Evacuation::Builder {
+class ServiceDemand::Builder {
 public:
-  typedef Evacuation Builds;
+  typedef ServiceDemand Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -643,18 +745,26 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDataCentre();
-  inline  ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline  ::uint64_t getEra();
-  inline void setEra( ::uint64_t value);
+  inline bool hasPriorities();
+  inline  ::capnp::List< ::swiftloft::gateway::schema::PriorityDemand,  ::capnp::Kind::STRUCT>::Builder getPriorities();
+  inline void setPriorities( ::capnp::List< ::swiftloft::gateway::schema::PriorityDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::gateway::schema::PriorityDemand,  ::capnp::Kind::STRUCT>::Builder initPriorities(unsigned int size);
+  inline void adoptPriorities(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::PriorityDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::PriorityDemand,  ::capnp::Kind::STRUCT>> disownPriorities();
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline bool hasOrganisations();
+  inline  ::capnp::List< ::swiftloft::gateway::schema::OrganisationUse,  ::capnp::Kind::STRUCT>::Builder getOrganisations();
+  inline void setOrganisations( ::capnp::List< ::swiftloft::gateway::schema::OrganisationUse,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::gateway::schema::OrganisationUse,  ::capnp::Kind::STRUCT>::Builder initOrganisations(unsigned int size);
+  inline void adoptOrganisations(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::OrganisationUse,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::OrganisationUse,  ::capnp::Kind::STRUCT>> disownOrganisations();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -666,9 +776,9 @@
 };
 
 #if !CAPNP_LITE
-class Evacuation::Pipeline {
+class ServiceDemand::Pipeline {
 public:
-  typedef Evacuation Pipelines;
+  typedef ServiceDemand Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -682,9 +792,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ServiceLoad::Reader {
+class PriorityDemand::Reader {
 public:
-  typedef ServiceLoad Reads;
+  typedef PriorityDemand Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -699,12 +809,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline  ::uint8_t getPriority() const;
 
-  inline float getRunning() const;
+  inline  ::uint16_t getQueued() const;
 
-  inline float getPromptTokens() const;
+  inline  ::uint16_t getReturning() const;
+
+  inline float getArrivalsPerSecond() const;
+
+  inline  ::uint16_t getSinceAdmittedMs() const;
+
+  inline  ::uint16_t getSinceRefusedMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -718,9 +833,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ServiceLoad::Builder {
+class PriorityDemand::Builder {
 public:
-  typedef ServiceLoad Builds;
+  typedef PriorityDemand Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -734,18 +849,23 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline  ::uint8_t getPriority();
+  inline void setPriority( ::uint8_t value);
 
-  inline float getRunning();
-  inline void setRunning(float value);
+  inline  ::uint16_t getQueued();
+  inline void setQueued( ::uint16_t value);
 
-  inline float getPromptTokens();
-  inline void setPromptTokens(float value);
+  inline  ::uint16_t getReturning();
+  inline void setReturning( ::uint16_t value);
+
+  inline float getArrivalsPerSecond();
+  inline void setArrivalsPerSecond(float value);
+
+  inline  ::uint16_t getSinceAdmittedMs();
+  inline void setSinceAdmittedMs( ::uint16_t value);
+
+  inline  ::uint16_t getSinceRefusedMs();
+  inline void setSinceRefusedMs( ::uint16_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -757,9 +877,9 @@
 };
 
 #if !CAPNP_LITE
-class ServiceLoad::Pipeline {
+class PriorityDemand::Pipeline {
 public:
-  typedef ServiceLoad Pipelines;
+  typedef PriorityDemand Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -773,9 +893,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class DegradedRank::Reader {
+class OrganisationUse::Reader {
 public:
-  typedef DegradedRank Reads;
+  typedef OrganisationUse Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -790,14 +910,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
-
-  inline  ::uint32_t getAgeMs() const;
+  inline bool hasOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
 
-  inline bool getIsOpen() const;
-
-  inline float getPace() const;
+  inline float getWork() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -811,9 +927,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class DegradedRank::Builder {
+class OrganisationUse::Builder {
 public:
-  typedef DegradedRank Builds;
+  typedef OrganisationUse Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -827,21 +943,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
-
-  inline  ::uint32_t getAgeMs();
-  inline void setAgeMs( ::uint32_t value);
-
-  inline bool getIsOpen();
-  inline void setIsOpen(bool value);
+  inline bool hasOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
 
-  inline float getPace();
-  inline void setPace(float value);
+  inline float getWork();
+  inline void setWork(float value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -853,9 +963,9 @@
 };
 
 #if !CAPNP_LITE
-class DegradedRank::Pipeline {
+class OrganisationUse::Pipeline {
 public:
-  typedef DegradedRank Pipelines;
+  typedef OrganisationUse Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -869,9 +979,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class LeavingServer::Reader {
+class GroupStatus::Reader {
 public:
-  typedef LeavingServer Reads;
+  typedef GroupStatus Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -886,15 +996,21 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getServer() const;
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
 
-  inline  ::uint32_t getRemainingMs() const;
+  inline  ::uint64_t getEpoch() const;
 
-  inline bool getIsRemoved() const;
+  inline  ::uint32_t getAgeMs() const;
 
-  inline  ::uint64_t getRemovedEra() const;
+  inline float getPassMs() const;
 
-  inline  ::uint64_t getRemovedRevision() const;
+  inline float getImbalance() const;
+
+  inline bool getIsCopying() const;
+
+  inline bool hasRanks() const;
+  inline  ::capnp::List< ::swiftloft::gateway::schema::RankPlace,  ::capnp::Kind::STRUCT>::Reader getRanks() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -908,9 +1024,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class LeavingServer::Builder {
+class GroupStatus::Builder {
 public:
-  typedef LeavingServer Builds;
+  typedef GroupStatus Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -924,20 +1040,34 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getServer();
-  inline void setServer( ::uint64_t value);
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
 
-  inline  ::uint32_t getRemainingMs();
-  inline void setRemainingMs( ::uint32_t value);
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
 
-  inline bool getIsRemoved();
-  inline void setIsRemoved(bool value);
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
 
-  inline  ::uint64_t getRemovedEra();
-  inline void setRemovedEra( ::uint64_t value);
+  inline float getPassMs();
+  inline void setPassMs(float value);
 
-  inline  ::uint64_t getRemovedRevision();
-  inline void setRemovedRevision( ::uint64_t value);
+  inline float getImbalance();
+  inline void setImbalance(float value);
+
+  inline bool getIsCopying();
+  inline void setIsCopying(bool value);
+
+  inline bool hasRanks();
+  inline  ::capnp::List< ::swiftloft::gateway::schema::RankPlace,  ::capnp::Kind::STRUCT>::Builder getRanks();
+  inline void setRanks( ::capnp::List< ::swiftloft::gateway::schema::RankPlace,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::gateway::schema::RankPlace,  ::capnp::Kind::STRUCT>::Builder initRanks(unsigned int size);
+  inline void adoptRanks(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::RankPlace,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::RankPlace,  ::capnp::Kind::STRUCT>> disownRanks();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -949,9 +1079,9 @@
 };
 
 #if !CAPNP_LITE
-class LeavingServer::Pipeline {
+class GroupStatus::Pipeline {
 public:
-  typedef LeavingServer Pipelines;
+  typedef GroupStatus Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -965,9 +1095,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ServerLoad::Reader {
+class RankPlace::Reader {
 public:
-  typedef ServerLoad Reads;
+  typedef RankPlace Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -982,11 +1112,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getServer() const;
+  inline  ::uint16_t getRank() const;
 
-  inline  ::uint16_t getRunning() const;
+  inline  ::uint32_t getIp4() const;
 
-  inline  ::uint32_t getPromptTokens() const;
+  inline  ::uint16_t getPort() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1000,9 +1133,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ServerLoad::Builder {
+class RankPlace::Builder {
 public:
-  typedef ServerLoad Builds;
+  typedef RankPlace Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1016,14 +1149,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getServer();
-  inline void setServer( ::uint64_t value);
+  inline  ::uint16_t getRank();
+  inline void setRank( ::uint16_t value);
 
-  inline  ::uint16_t getRunning();
-  inline void setRunning( ::uint16_t value);
+  inline  ::uint32_t getIp4();
+  inline void setIp4( ::uint32_t value);
 
-  inline  ::uint32_t getPromptTokens();
-  inline void setPromptTokens( ::uint32_t value);
+  inline  ::uint16_t getPort();
+  inline void setPort( ::uint16_t value);
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1035,9 +1175,9 @@
 };
 
 #if !CAPNP_LITE
-class ServerLoad::Pipeline {
+class RankPlace::Pipeline {
 public:
-  typedef ServerLoad Pipelines;
+  typedef RankPlace Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1051,9 +1191,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class LimitWord::Reader {
+class Evacuation::Reader {
 public:
-  typedef LimitWord Reads;
+  typedef Evacuation Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1068,13 +1208,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getServer() const;
-
-  inline  ::uint32_t getAgeMs() const;
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
 
-  inline bool getIsNamed() const;
+  inline  ::uint64_t getEra() const;
 
-  inline double getRate() const;
+  inline  ::uint64_t getRevision() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1088,9 +1227,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class LimitWord::Builder {
+class Evacuation::Builder {
 public:
-  typedef LimitWord Builds;
+  typedef Evacuation Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1104,17 +1243,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getServer();
-  inline void setServer( ::uint64_t value);
-
-  inline  ::uint32_t getAgeMs();
-  inline void setAgeMs( ::uint32_t value);
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
 
-  inline bool getIsNamed();
-  inline void setIsNamed(bool value);
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
 
-  inline double getRate();
-  inline void setRate(double value);
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1126,9 +1266,9 @@
 };
 
 #if !CAPNP_LITE
-class LimitWord::Pipeline {
+class Evacuation::Pipeline {
 public:
-  typedef LimitWord Pipelines;
+  typedef Evacuation Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1142,9 +1282,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class LoadNews::Reader {
+class ServiceLoad::Reader {
 public:
-  typedef LoadNews Reads;
+  typedef ServiceLoad Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1159,18 +1299,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getIncarnation() const;
-
-  inline  ::uint64_t getSequence() const;
-
-  inline bool hasServers() const;
-  inline  ::capnp::List< ::swiftloft::gateway::schema::ServerLoad,  ::capnp::Kind::STRUCT>::Reader getServers() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline bool hasLimits() const;
-  inline  ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+  inline float getRunning() const;
 
-  inline bool hasSilent() const;
-  inline  ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>::Reader getSilent() const;
+  inline float getPromptTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1184,9 +1318,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class LoadNews::Builder {
+class ServiceLoad::Builder {
 public:
-  typedef LoadNews Builds;
+  typedef ServiceLoad Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1200,32 +1334,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
-
-  inline bool hasServers();
-  inline  ::capnp::List< ::swiftloft::gateway::schema::ServerLoad,  ::capnp::Kind::STRUCT>::Builder getServers();
-  inline void setServers( ::capnp::List< ::swiftloft::gateway::schema::ServerLoad,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::swiftloft::gateway::schema::ServerLoad,  ::capnp::Kind::STRUCT>::Builder initServers(unsigned int size);
-  inline void adoptServers(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServerLoad,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServerLoad,  ::capnp::Kind::STRUCT>> disownServers();
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool hasLimits();
-  inline  ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>::Builder getLimits();
-  inline void setLimits( ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
-  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>> disownLimits();
+  inline float getRunning();
+  inline void setRunning(float value);
 
-  inline bool hasSilent();
-  inline  ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>::Builder getSilent();
-  inline void setSilent( ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>::Builder initSilent(unsigned int size);
-  inline void adoptSilent(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>> disownSilent();
+  inline float getPromptTokens();
+  inline void setPromptTokens(float value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1237,9 +1357,9 @@
 };
 
 #if !CAPNP_LITE
-class LoadNews::Pipeline {
+class ServiceLoad::Pipeline {
 public:
-  typedef LoadNews Pipelines;
+  typedef ServiceLoad Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1253,9 +1373,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SilentServer::Reader {
+class DegradedRank::Reader {
 public:
-  typedef SilentServer Reads;
+  typedef DegradedRank Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1270,9 +1390,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getServer() const;
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
 
-  inline  ::uint32_t getRemainingMs() const;
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool getIsOpen() const;
+
+  inline float getPace() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1286,9 +1411,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SilentServer::Builder {
+class DegradedRank::Builder {
 public:
-  typedef SilentServer Builds;
+  typedef DegradedRank Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1302,11 +1427,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getServer();
-  inline void setServer( ::uint64_t value);
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
-  inline  ::uint32_t getRemainingMs();
-  inline void setRemainingMs( ::uint32_t value);
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool getIsOpen();
+  inline void setIsOpen(bool value);
+
+  inline float getPace();
+  inline void setPace(float value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1318,9 +1453,9 @@
 };
 
 #if !CAPNP_LITE
-class SilentServer::Pipeline {
+class DegradedRank::Pipeline {
 public:
-  typedef SilentServer Pipelines;
+  typedef DegradedRank Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1334,9 +1469,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RankNews::Reader {
+class LeavingServer::Reader {
 public:
-  typedef RankNews Reads;
+  typedef LeavingServer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1351,25 +1486,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
-
-  inline bool hasGroup() const;
-  inline  ::capnp::Text::Reader getGroup() const;
-
-  inline  ::uint64_t getEpoch() const;
-
-  inline  ::uint32_t getRank() const;
-
-  inline  ::uint32_t getRanks() const;
+  inline  ::uint64_t getServer() const;
 
-  inline bool getIsOpen() const;
+  inline  ::uint32_t getRemainingMs() const;
 
-  inline double getPace() const;
+  inline bool getIsRemoved() const;
 
-  inline  ::uint64_t getStartedAt() const;
+  inline  ::uint64_t getRemovedEra() const;
 
-  inline bool getKnowsGroup() const;
+  inline  ::uint64_t getRemovedRevision() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1383,9 +1508,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RankNews::Builder {
+class LeavingServer::Builder {
 public:
-  typedef RankNews Builds;
+  typedef LeavingServer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1399,40 +1524,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
-
-  inline bool hasGroup();
-  inline  ::capnp::Text::Builder getGroup();
-  inline void setGroup( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initGroup(unsigned int size);
-  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
-
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
-
-  inline  ::uint32_t getRank();
-  inline void setRank( ::uint32_t value);
-
-  inline  ::uint32_t getRanks();
-  inline void setRanks( ::uint32_t value);
+  inline  ::uint64_t getServer();
+  inline void setServer( ::uint64_t value);
 
-  inline bool getIsOpen();
-  inline void setIsOpen(bool value);
+  inline  ::uint32_t getRemainingMs();
+  inline void setRemainingMs( ::uint32_t value);
 
-  inline double getPace();
-  inline void setPace(double value);
+  inline bool getIsRemoved();
+  inline void setIsRemoved(bool value);
 
-  inline  ::uint64_t getStartedAt();
-  inline void setStartedAt( ::uint64_t value);
+  inline  ::uint64_t getRemovedEra();
+  inline void setRemovedEra( ::uint64_t value);
 
-  inline bool getKnowsGroup();
-  inline void setKnowsGroup(bool value);
+  inline  ::uint64_t getRemovedRevision();
+  inline void setRemovedRevision( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1444,9 +1549,9 @@
 };
 
 #if !CAPNP_LITE
-class RankNews::Pipeline {
+class LeavingServer::Pipeline {
 public:
-  typedef RankNews Pipelines;
+  typedef LeavingServer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1460,9 +1565,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RankAddress::Reader {
+class ServerLoad::Reader {
 public:
-  typedef RankAddress Reads;
+  typedef ServerLoad Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1477,10 +1582,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getRank() const;
+  inline  ::uint64_t getServer() const;
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline  ::uint16_t getRunning() const;
+
+  inline  ::uint32_t getPromptTokens() const;
+
+  inline  ::uint32_t getHeldTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1494,9 +1602,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RankAddress::Builder {
+class ServerLoad::Builder {
 public:
-  typedef RankAddress Builds;
+  typedef ServerLoad Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1510,15 +1618,17 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getRank();
-  inline void setRank( ::uint32_t value);
+  inline  ::uint64_t getServer();
+  inline void setServer( ::uint64_t value);
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline  ::uint16_t getRunning();
+  inline void setRunning( ::uint16_t value);
+
+  inline  ::uint32_t getPromptTokens();
+  inline void setPromptTokens( ::uint32_t value);
+
+  inline  ::uint32_t getHeldTokens();
+  inline void setHeldTokens( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1530,9 +1640,9 @@
 };
 
 #if !CAPNP_LITE
-class RankAddress::Pipeline {
+class ServerLoad::Pipeline {
 public:
-  typedef RankAddress Pipelines;
+  typedef ServerLoad Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1546,9 +1656,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class GroupBrief::Reader {
+class LimitWord::Reader {
 public:
-  typedef GroupBrief Reads;
+  typedef LimitWord Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1563,29 +1673,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGroup() const;
-  inline  ::capnp::Text::Reader getGroup() const;
-
-  inline  ::uint64_t getEpoch() const;
-
-  inline  ::uint32_t getLayers() const;
-
-  inline  ::uint32_t getExperts() const;
-
-  inline  ::uint32_t getSlotsPerRank() const;
-
-  inline  ::uint32_t getSpareSlots() const;
-
-  inline float getExpertMegabytes() const;
-
-  inline float getLinkMbps() const;
+  inline  ::uint64_t getServer() const;
 
-  inline bool hasRanks() const;
-  inline  ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>::Reader getRanks() const;
+  inline  ::uint32_t getAgeMs() const;
 
-  inline float getStepMs() const;
+  inline bool getIsNamed() const;
 
-  inline  ::uint16_t getStepsPerPass() const;
+  inline double getRate() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1599,9 +1693,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GroupBrief::Builder {
+class LimitWord::Builder {
 public:
-  typedef GroupBrief Builds;
+  typedef LimitWord Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1615,46 +1709,17 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGroup();
-  inline  ::capnp::Text::Builder getGroup();
-  inline void setGroup( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initGroup(unsigned int size);
-  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+  inline  ::uint64_t getServer();
+  inline void setServer( ::uint64_t value);
 
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
 
-  inline  ::uint32_t getLayers();
-  inline void setLayers( ::uint32_t value);
+  inline bool getIsNamed();
+  inline void setIsNamed(bool value);
 
-  inline  ::uint32_t getExperts();
-  inline void setExperts( ::uint32_t value);
-
-  inline  ::uint32_t getSlotsPerRank();
-  inline void setSlotsPerRank( ::uint32_t value);
-
-  inline  ::uint32_t getSpareSlots();
-  inline void setSpareSlots( ::uint32_t value);
-
-  inline float getExpertMegabytes();
-  inline void setExpertMegabytes(float value);
-
-  inline float getLinkMbps();
-  inline void setLinkMbps(float value);
-
-  inline bool hasRanks();
-  inline  ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>::Builder getRanks();
-  inline void setRanks( ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>::Builder initRanks(unsigned int size);
-  inline void adoptRanks(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>> disownRanks();
-
-  inline float getStepMs();
-  inline void setStepMs(float value);
-
-  inline  ::uint16_t getStepsPerPass();
-  inline void setStepsPerPass( ::uint16_t value);
+  inline double getRate();
+  inline void setRate(double value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1666,9 +1731,9 @@
 };
 
 #if !CAPNP_LITE
-class GroupBrief::Pipeline {
+class LimitWord::Pipeline {
 public:
-  typedef GroupBrief Pipelines;
+  typedef LimitWord Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1682,9 +1747,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Datagram::Reader {
+class LoadNews::Reader {
 public:
-  typedef Datagram Reads;
+  typedef LoadNews Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1699,22 +1764,21 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isHello() const;
-  inline bool hasHello() const;
-  inline  ::swiftloft::gateway::schema::Hello::Reader getHello() const;
+  inline  ::uint64_t getIncarnation() const;
 
-  inline bool isLoad() const;
-  inline bool hasLoad() const;
-  inline  ::swiftloft::gateway::schema::LoadNews::Reader getLoad() const;
+  inline  ::uint64_t getSequence() const;
 
-  inline bool isRank() const;
-  inline bool hasRank() const;
-  inline  ::swiftloft::gateway::schema::RankNews::Reader getRank() const;
+  inline bool hasServers() const;
+  inline  ::capnp::List< ::swiftloft::gateway::schema::ServerLoad,  ::capnp::Kind::STRUCT>::Reader getServers() const;
 
-  inline bool isBrief() const;
-  inline bool hasBrief() const;
-  inline  ::swiftloft::gateway::schema::GroupBrief::Reader getBrief() const;
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
+  inline bool hasSilent() const;
+  inline  ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>::Reader getSilent() const;
+
+  inline bool hasDemands() const;
+  inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1728,9 +1792,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Datagram::Builder {
+class LoadNews::Builder {
 public:
-  typedef Datagram Builds;
+  typedef LoadNews Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1744,38 +1808,39 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isHello();
-  inline bool hasHello();
-  inline  ::swiftloft::gateway::schema::Hello::Builder getHello();
-  inline void setHello( ::swiftloft::gateway::schema::Hello::Reader value);
-  inline  ::swiftloft::gateway::schema::Hello::Builder initHello();
-  inline void adoptHello(::capnp::Orphan< ::swiftloft::gateway::schema::Hello>&& value);
-  inline ::capnp::Orphan< ::swiftloft::gateway::schema::Hello> disownHello();
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
-  inline bool isLoad();
-  inline bool hasLoad();
-  inline  ::swiftloft::gateway::schema::LoadNews::Builder getLoad();
-  inline void setLoad( ::swiftloft::gateway::schema::LoadNews::Reader value);
-  inline  ::swiftloft::gateway::schema::LoadNews::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::swiftloft::gateway::schema::LoadNews>&& value);
-  inline ::capnp::Orphan< ::swiftloft::gateway::schema::LoadNews> disownLoad();
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline bool isRank();
-  inline bool hasRank();
-  inline  ::swiftloft::gateway::schema::RankNews::Builder getRank();
-  inline void setRank( ::swiftloft::gateway::schema::RankNews::Reader value);
-  inline  ::swiftloft::gateway::schema::RankNews::Builder initRank();
-  inline void adoptRank(::capnp::Orphan< ::swiftloft::gateway::schema::RankNews>&& value);
-  inline ::capnp::Orphan< ::swiftloft::gateway::schema::RankNews> disownRank();
+  inline bool hasServers();
+  inline  ::capnp::List< ::swiftloft::gateway::schema::ServerLoad,  ::capnp::Kind::STRUCT>::Builder getServers();
+  inline void setServers( ::capnp::List< ::swiftloft::gateway::schema::ServerLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::gateway::schema::ServerLoad,  ::capnp::Kind::STRUCT>::Builder initServers(unsigned int size);
+  inline void adoptServers(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServerLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServerLoad,  ::capnp::Kind::STRUCT>> disownServers();
 
-  inline bool isBrief();
-  inline bool hasBrief();
-  inline  ::swiftloft::gateway::schema::GroupBrief::Builder getBrief();
-  inline void setBrief( ::swiftloft::gateway::schema::GroupBrief::Reader value);
-  inline  ::swiftloft::gateway::schema::GroupBrief::Builder initBrief();
-  inline void adoptBrief(::capnp::Orphan< ::swiftloft::gateway::schema::GroupBrief>&& value);
-  inline ::capnp::Orphan< ::swiftloft::gateway::schema::GroupBrief> disownBrief();
+  inline bool hasLimits();
+  inline  ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::LimitWord,  ::capnp::Kind::STRUCT>> disownLimits();
+
+  inline bool hasSilent();
+  inline  ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>::Builder getSilent();
+  inline void setSilent( ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>::Builder initSilent(unsigned int size);
+  inline void adoptSilent(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::SilentServer,  ::capnp::Kind::STRUCT>> disownSilent();
+
+  inline bool hasDemands();
+  inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder getDemands();
+  inline void setDemands( ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder initDemands(unsigned int size);
+  inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>> disownDemands();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1787,9 +1852,9 @@
 };
 
 #if !CAPNP_LITE
-class Datagram::Pipeline {
+class LoadNews::Pipeline {
 public:
-  typedef Datagram Pipelines;
+  typedef LoadNews Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1803,9 +1868,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class PublishedItem::Reader {
+class SilentServer::Reader {
 public:
-  typedef PublishedItem Reads;
+  typedef SilentServer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1820,15 +1885,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
-
-  inline bool hasDocument() const;
-  inline  ::capnp::Data::Reader getDocument() const;
-
-  inline  ::uint64_t getRevision() const;
+  inline  ::uint64_t getServer() const;
 
-  inline  ::uint64_t getEra() const;
+  inline  ::uint32_t getRemainingMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1842,9 +1901,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PublishedItem::Builder {
+class SilentServer::Builder {
 public:
-  typedef PublishedItem Builds;
+  typedef SilentServer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1858,25 +1917,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
-
-  inline bool hasDocument();
-  inline  ::capnp::Data::Builder getDocument();
-  inline void setDocument( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initDocument(unsigned int size);
-  inline void adoptDocument(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownDocument();
-
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline  ::uint64_t getServer();
+  inline void setServer( ::uint64_t value);
 
-  inline  ::uint64_t getEra();
-  inline void setEra( ::uint64_t value);
+  inline  ::uint32_t getRemainingMs();
+  inline void setRemainingMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1888,9 +1933,9 @@
 };
 
 #if !CAPNP_LITE
-class PublishedItem::Pipeline {
+class SilentServer::Pipeline {
 public:
-  typedef PublishedItem Pipelines;
+  typedef SilentServer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1904,9 +1949,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class PublishedItems::Reader {
+class RankNews::Reader {
 public:
-  typedef PublishedItems Reads;
+  typedef RankNews Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1921,12 +1966,35 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasItems() const;
-  inline  ::capnp::List< ::swiftloft::gateway::schema::PublishedItem,  ::capnp::Kind::STRUCT>::Reader getItems() const;
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
 
-  inline  ::uint64_t getAsOf() const;
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
 
-  inline  ::uint64_t getEra() const;
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint32_t getRank() const;
+
+  inline  ::uint32_t getRanks() const;
+
+  inline bool getIsOpen() const;
+
+  inline double getPace() const;
+
+  inline  ::uint64_t getStartedAt() const;
+
+  inline bool getKnowsGroup() const;
+
+  inline float getPassMs() const;
+
+  inline float getImbalance() const;
+
+  inline bool getIsCopying() const;
+
+  inline  ::uint32_t getHeldTokens() const;
+
+  inline  ::uint32_t getTokenCapacity() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1940,9 +2008,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PublishedItems::Builder {
+class RankNews::Builder {
 public:
-  typedef PublishedItems Builds;
+  typedef RankNews Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1956,18 +2024,55 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasItems();
-  inline  ::capnp::List< ::swiftloft::gateway::schema::PublishedItem,  ::capnp::Kind::STRUCT>::Builder getItems();
-  inline void setItems( ::capnp::List< ::swiftloft::gateway::schema::PublishedItem,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::swiftloft::gateway::schema::PublishedItem,  ::capnp::Kind::STRUCT>::Builder initItems(unsigned int size);
-  inline void adoptItems(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::PublishedItem,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::PublishedItem,  ::capnp::Kind::STRUCT>> disownItems();
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
-  inline  ::uint64_t getAsOf();
-  inline void setAsOf( ::uint64_t value);
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
 
-  inline  ::uint64_t getEra();
-  inline void setEra( ::uint64_t value);
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint32_t getRank();
+  inline void setRank( ::uint32_t value);
+
+  inline  ::uint32_t getRanks();
+  inline void setRanks( ::uint32_t value);
+
+  inline bool getIsOpen();
+  inline void setIsOpen(bool value);
+
+  inline double getPace();
+  inline void setPace(double value);
+
+  inline  ::uint64_t getStartedAt();
+  inline void setStartedAt( ::uint64_t value);
+
+  inline bool getKnowsGroup();
+  inline void setKnowsGroup(bool value);
+
+  inline float getPassMs();
+  inline void setPassMs(float value);
+
+  inline float getImbalance();
+  inline void setImbalance(float value);
+
+  inline bool getIsCopying();
+  inline void setIsCopying(bool value);
+
+  inline  ::uint32_t getHeldTokens();
+  inline void setHeldTokens( ::uint32_t value);
+
+  inline  ::uint32_t getTokenCapacity();
+  inline void setTokenCapacity( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1979,9 +2084,9 @@
 };
 
 #if !CAPNP_LITE
-class PublishedItems::Pipeline {
+class RankNews::Pipeline {
 public:
-  typedef PublishedItems Pipelines;
+  typedef RankNews Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1995,513 +2100,1564 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class RankAddress::Reader {
+public:
+  typedef RankAddress Reads;
 
-inline bool Member::Reader::hasControl() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Member::Builder::hasControl() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getRank() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RankAddress::Builder {
+public:
+  typedef RankAddress Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getRank();
+  inline void setRank( ::uint32_t value);
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RankAddress::Pipeline {
+public:
+  typedef RankAddress Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class GroupBrief::Reader {
+public:
+  typedef GroupBrief Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGroup() const;
+  inline  ::capnp::Text::Reader getGroup() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint32_t getLayers() const;
+
+  inline  ::uint32_t getExperts() const;
+
+  inline  ::uint32_t getSlotsPerRank() const;
+
+  inline  ::uint32_t getSpareSlots() const;
+
+  inline float getExpertMegabytes() const;
+
+  inline float getLinkMbps() const;
+
+  inline bool hasRanks() const;
+  inline  ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>::Reader getRanks() const;
+
+  inline float getStepMs() const;
+
+  inline  ::uint16_t getStepsPerPass() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GroupBrief::Builder {
+public:
+  typedef GroupBrief Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGroup();
+  inline  ::capnp::Text::Builder getGroup();
+  inline void setGroup( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initGroup(unsigned int size);
+  inline void adoptGroup(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownGroup();
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint32_t getLayers();
+  inline void setLayers( ::uint32_t value);
+
+  inline  ::uint32_t getExperts();
+  inline void setExperts( ::uint32_t value);
+
+  inline  ::uint32_t getSlotsPerRank();
+  inline void setSlotsPerRank( ::uint32_t value);
+
+  inline  ::uint32_t getSpareSlots();
+  inline void setSpareSlots( ::uint32_t value);
+
+  inline float getExpertMegabytes();
+  inline void setExpertMegabytes(float value);
+
+  inline float getLinkMbps();
+  inline void setLinkMbps(float value);
+
+  inline bool hasRanks();
+  inline  ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>::Builder getRanks();
+  inline void setRanks( ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>::Builder initRanks(unsigned int size);
+  inline void adoptRanks(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::RankAddress,  ::capnp::Kind::STRUCT>> disownRanks();
+
+  inline float getStepMs();
+  inline void setStepMs(float value);
+
+  inline  ::uint16_t getStepsPerPass();
+  inline void setStepsPerPass( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GroupBrief::Pipeline {
+public:
+  typedef GroupBrief Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Datagram::Reader {
+public:
+  typedef Datagram Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isHello() const;
+  inline bool hasHello() const;
+  inline  ::swiftloft::gateway::schema::Hello::Reader getHello() const;
+
+  inline bool isLoad() const;
+  inline bool hasLoad() const;
+  inline  ::swiftloft::gateway::schema::LoadNews::Reader getLoad() const;
+
+  inline bool isRank() const;
+  inline bool hasRank() const;
+  inline  ::swiftloft::gateway::schema::RankNews::Reader getRank() const;
+
+  inline bool isBrief() const;
+  inline bool hasBrief() const;
+  inline  ::swiftloft::gateway::schema::GroupBrief::Reader getBrief() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Datagram::Builder {
+public:
+  typedef Datagram Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isHello();
+  inline bool hasHello();
+  inline  ::swiftloft::gateway::schema::Hello::Builder getHello();
+  inline void setHello( ::swiftloft::gateway::schema::Hello::Reader value);
+  inline  ::swiftloft::gateway::schema::Hello::Builder initHello();
+  inline void adoptHello(::capnp::Orphan< ::swiftloft::gateway::schema::Hello>&& value);
+  inline ::capnp::Orphan< ::swiftloft::gateway::schema::Hello> disownHello();
+
+  inline bool isLoad();
+  inline bool hasLoad();
+  inline  ::swiftloft::gateway::schema::LoadNews::Builder getLoad();
+  inline void setLoad( ::swiftloft::gateway::schema::LoadNews::Reader value);
+  inline  ::swiftloft::gateway::schema::LoadNews::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::swiftloft::gateway::schema::LoadNews>&& value);
+  inline ::capnp::Orphan< ::swiftloft::gateway::schema::LoadNews> disownLoad();
+
+  inline bool isRank();
+  inline bool hasRank();
+  inline  ::swiftloft::gateway::schema::RankNews::Builder getRank();
+  inline void setRank( ::swiftloft::gateway::schema::RankNews::Reader value);
+  inline  ::swiftloft::gateway::schema::RankNews::Builder initRank();
+  inline void adoptRank(::capnp::Orphan< ::swiftloft::gateway::schema::RankNews>&& value);
+  inline ::capnp::Orphan< ::swiftloft::gateway::schema::RankNews> disownRank();
+
+  inline bool isBrief();
+  inline bool hasBrief();
+  inline  ::swiftloft::gateway::schema::GroupBrief::Builder getBrief();
+  inline void setBrief( ::swiftloft::gateway::schema::GroupBrief::Reader value);
+  inline  ::swiftloft::gateway::schema::GroupBrief::Builder initBrief();
+  inline void adoptBrief(::capnp::Orphan< ::swiftloft::gateway::schema::GroupBrief>&& value);
+  inline ::capnp::Orphan< ::swiftloft::gateway::schema::GroupBrief> disownBrief();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Datagram::Pipeline {
+public:
+  typedef Datagram Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PublishedItem::Reader {
+public:
+  typedef PublishedItem Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasDocument() const;
+  inline  ::capnp::Data::Reader getDocument() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline  ::uint64_t getEra() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PublishedItem::Builder {
+public:
+  typedef PublishedItem Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasDocument();
+  inline  ::capnp::Data::Builder getDocument();
+  inline void setDocument( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDocument(unsigned int size);
+  inline void adoptDocument(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDocument();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PublishedItem::Pipeline {
+public:
+  typedef PublishedItem Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PublishedItems::Reader {
+public:
+  typedef PublishedItems Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasItems() const;
+  inline  ::capnp::List< ::swiftloft::gateway::schema::PublishedItem,  ::capnp::Kind::STRUCT>::Reader getItems() const;
+
+  inline  ::uint64_t getAsOf() const;
+
+  inline  ::uint64_t getEra() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PublishedItems::Builder {
+public:
+  typedef PublishedItems Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasItems();
+  inline  ::capnp::List< ::swiftloft::gateway::schema::PublishedItem,  ::capnp::Kind::STRUCT>::Builder getItems();
+  inline void setItems( ::capnp::List< ::swiftloft::gateway::schema::PublishedItem,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::gateway::schema::PublishedItem,  ::capnp::Kind::STRUCT>::Builder initItems(unsigned int size);
+  inline void adoptItems(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::PublishedItem,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::PublishedItem,  ::capnp::Kind::STRUCT>> disownItems();
+
+  inline  ::uint64_t getAsOf();
+  inline void setAsOf( ::uint64_t value);
+
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PublishedItems::Pipeline {
+public:
+  typedef PublishedItems Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool Member::Reader::hasControl() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasControl() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
 inline  ::capnp::Text::Reader Member::Reader::getControl() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getControl() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Member::Builder::getControl() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setControl( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initControl(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptControl(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownControl() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Member::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Member::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Member::Reader::getHeartbeat() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Member::Builder::getHeartbeat() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setHeartbeat( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Member::Reader::hasClients() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasClients() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getClients() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getClients() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setClients( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initClients(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptClients(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownClients() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Member::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t Member::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Member::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Member::Reader::getIsWatching() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<136>() * ::capnp::ELEMENTS);
+}
+
+inline bool Member::Builder::getIsWatching() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<136>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setIsWatching(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<136>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Member::Reader::getControlIp4() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getControlIp4() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setControlIp4( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Member::Reader::getControlPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Member::Builder::getControlPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setControlPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Member::Reader::getClientsIp4() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getClientsIp4() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setClientsIp4( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Member::Reader::getClientsPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Member::Builder::getClientsPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setClientsPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Hello::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::swiftloft::gateway::schema::Member::Reader Hello::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::swiftloft::gateway::schema::Member>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::swiftloft::gateway::schema::Member::Builder Hello::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::gateway::schema::Member>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::swiftloft::gateway::schema::Member::Pipeline Hello::Pipeline::getSender() {
+  return  ::swiftloft::gateway::schema::Member::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Hello::Builder::setSender( ::swiftloft::gateway::schema::Member::Reader value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::gateway::schema::Member>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::swiftloft::gateway::schema::Member::Builder Hello::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::gateway::schema::Member>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::adoptSender(
+    ::capnp::Orphan< ::swiftloft::gateway::schema::Member>&& value) {
+  ::capnp::_::PointerHelpers< ::swiftloft::gateway::schema::Member>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::swiftloft::gateway::schema::Member> Hello::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::swiftloft::gateway::schema::Member>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Hello::Reader::getConfiguration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Hello::Builder::getConfiguration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setConfiguration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Hello::Reader::getServers() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Hello::Builder::getServers() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setServers( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Hello::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>::Reader Hello::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setMembers( ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void Member::Builder::setControl( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline  ::capnp::Text::Builder Member::Builder::initControl(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void Hello::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Member::Builder::adoptControl(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>> Hello::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownControl() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline bool Hello::Reader::hasLeaving() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasLeaving() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>::Reader Hello::Reader::getLeaving() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::getLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setLeaving( ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::initLeaving(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptLeaving(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>> Hello::Builder::disownLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Member::Reader::getIncarnation() const {
+inline  ::uint16_t Hello::Reader::getKnown() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Hello::Builder::getKnown() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setKnown( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Hello::Reader::hasDegraded() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasDegraded() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>::Reader Hello::Reader::getDegraded() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::getDegraded() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setDegraded( ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::initDegraded(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptDegraded(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>> Hello::Builder::disownDegraded() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Hello::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader Hello::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setLoads( ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>> Hello::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Hello::Reader::getServersEra() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Member::Builder::getIncarnation() {
+inline  ::uint64_t Hello::Builder::getServersEra() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setServersEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Hello::Reader::hasEvacuations() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasEvacuations() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>::Reader Hello::Reader::getEvacuations() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::getEvacuations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setEvacuations( ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::initEvacuations(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptEvacuations(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>> Hello::Builder::disownEvacuations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Hello::Reader::getEvacuationsEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Hello::Builder::getEvacuationsEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setEvacuationsEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Hello::Reader::getEvacuationsAsOf() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Hello::Builder::getEvacuationsAsOf() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setEvacuationsAsOf( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Hello::Reader::hasDemands() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasDemands() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader Hello::Reader::getDemands() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::getDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setDemands( ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::initDemands(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptDemands(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>> Hello::Builder::disownDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool Hello::Reader::hasGroups() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasGroups() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>::Reader Hello::Reader::getGroups() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::getGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setGroups( ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::initGroups(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptGroups(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>> Hello::Builder::disownGroups() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool ServiceDemand::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceDemand::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceDemand::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceDemand::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ServiceDemand::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t Member::Reader::getHeartbeat() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder ServiceDemand::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t Member::Builder::getHeartbeat() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void ServiceDemand::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Member::Builder::setHeartbeat( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> ServiceDemand::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Member::Reader::hasClients() const {
+inline bool ServiceDemand::Reader::hasPriorities() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasClients() {
+inline bool ServiceDemand::Builder::hasPriorities() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getClients() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::swiftloft::gateway::schema::PriorityDemand,  ::capnp::Kind::STRUCT>::Reader ServiceDemand::Reader::getPriorities() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::PriorityDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getClients() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::swiftloft::gateway::schema::PriorityDemand,  ::capnp::Kind::STRUCT>::Builder ServiceDemand::Builder::getPriorities() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::PriorityDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setClients( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void ServiceDemand::Builder::setPriorities( ::capnp::List< ::swiftloft::gateway::schema::PriorityDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::PriorityDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initClients(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::swiftloft::gateway::schema::PriorityDemand,  ::capnp::Kind::STRUCT>::Builder ServiceDemand::Builder::initPriorities(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::PriorityDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Member::Builder::adoptClients(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void ServiceDemand::Builder::adoptPriorities(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::PriorityDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::PriorityDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownClients() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::PriorityDemand,  ::capnp::Kind::STRUCT>> ServiceDemand::Builder::disownPriorities() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::PriorityDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Member::Reader::hasDataCentre() const {
+inline bool ServiceDemand::Reader::hasOrganisations() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasDataCentre() {
+inline bool ServiceDemand::Builder::hasOrganisations() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getDataCentre() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::swiftloft::gateway::schema::OrganisationUse,  ::capnp::Kind::STRUCT>::Reader ServiceDemand::Reader::getOrganisations() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::OrganisationUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::swiftloft::gateway::schema::OrganisationUse,  ::capnp::Kind::STRUCT>::Builder ServiceDemand::Builder::getOrganisations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::OrganisationUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setDataCentre( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void ServiceDemand::Builder::setOrganisations( ::capnp::List< ::swiftloft::gateway::schema::OrganisationUse,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::OrganisationUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initDataCentre(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::swiftloft::gateway::schema::OrganisationUse,  ::capnp::Kind::STRUCT>::Builder ServiceDemand::Builder::initOrganisations(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::OrganisationUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Member::Builder::adoptDataCentre(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void ServiceDemand::Builder::adoptOrganisations(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::OrganisationUse,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::OrganisationUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::OrganisationUse,  ::capnp::Kind::STRUCT>> ServiceDemand::Builder::disownOrganisations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::OrganisationUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t Member::Reader::getState() const {
+inline  ::uint8_t PriorityDemand::Reader::getPriority() const {
   return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Member::Builder::getState() {
+inline  ::uint8_t PriorityDemand::Builder::getPriority() {
   return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setState( ::uint8_t value) {
+inline void PriorityDemand::Builder::setPriority( ::uint8_t value) {
   _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Member::Reader::getIsWatching() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<136>() * ::capnp::ELEMENTS);
+inline  ::uint16_t PriorityDemand::Reader::getQueued() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool Member::Builder::getIsWatching() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<136>() * ::capnp::ELEMENTS);
+inline  ::uint16_t PriorityDemand::Builder::getQueued() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setIsWatching(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<136>() * ::capnp::ELEMENTS, value);
+inline void PriorityDemand::Builder::setQueued( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Member::Reader::getControlIp4() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint16_t PriorityDemand::Reader::getReturning() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Member::Builder::getControlIp4() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint16_t PriorityDemand::Builder::getReturning() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setControlIp4( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void PriorityDemand::Builder::setReturning( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Member::Reader::getControlPort() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline float PriorityDemand::Reader::getArrivalsPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Member::Builder::getControlPort() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline float PriorityDemand::Builder::getArrivalsPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setControlPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+inline void PriorityDemand::Builder::setArrivalsPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Member::Reader::getClientsIp4() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::uint16_t PriorityDemand::Reader::getSinceAdmittedMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 65535u);
 }
 
-inline  ::uint32_t Member::Builder::getClientsIp4() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::uint16_t PriorityDemand::Builder::getSinceAdmittedMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 65535u);
 }
-inline void Member::Builder::setClientsIp4( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void PriorityDemand::Builder::setSinceAdmittedMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 65535u);
 }
 
-inline  ::uint16_t Member::Reader::getClientsPort() const {
+inline  ::uint16_t PriorityDemand::Reader::getSinceRefusedMs() const {
   return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, 65535u);
 }
 
-inline  ::uint16_t Member::Builder::getClientsPort() {
+inline  ::uint16_t PriorityDemand::Builder::getSinceRefusedMs() {
   return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, 65535u);
 }
-inline void Member::Builder::setClientsPort( ::uint16_t value) {
+inline void PriorityDemand::Builder::setSinceRefusedMs( ::uint16_t value) {
   _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value, 65535u);
 }
 
-inline bool Hello::Reader::hasSender() const {
+inline bool OrganisationUse::Reader::hasOrganisation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Hello::Builder::hasSender() {
+inline bool OrganisationUse::Builder::hasOrganisation() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::swiftloft::gateway::schema::Member::Reader Hello::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::swiftloft::gateway::schema::Member>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader OrganisationUse::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::swiftloft::gateway::schema::Member::Builder Hello::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::gateway::schema::Member>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder OrganisationUse::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::swiftloft::gateway::schema::Member::Pipeline Hello::Pipeline::getSender() {
-  return  ::swiftloft::gateway::schema::Member::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Hello::Builder::setSender( ::swiftloft::gateway::schema::Member::Reader value) {
-  ::capnp::_::PointerHelpers< ::swiftloft::gateway::schema::Member>::set(_builder.getPointerField(
+inline void OrganisationUse::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::swiftloft::gateway::schema::Member::Builder Hello::Builder::initSender() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::gateway::schema::Member>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder OrganisationUse::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Hello::Builder::adoptSender(
-    ::capnp::Orphan< ::swiftloft::gateway::schema::Member>&& value) {
-  ::capnp::_::PointerHelpers< ::swiftloft::gateway::schema::Member>::adopt(_builder.getPointerField(
+inline void OrganisationUse::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::swiftloft::gateway::schema::Member> Hello::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::swiftloft::gateway::schema::Member>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> OrganisationUse::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Hello::Reader::getConfiguration() const {
-  return _reader.getDataField< ::uint64_t>(
+inline float OrganisationUse::Reader::getWork() const {
+  return _reader.getDataField<float>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Hello::Builder::getConfiguration() {
-  return _builder.getDataField< ::uint64_t>(
+inline float OrganisationUse::Builder::getWork() {
+  return _builder.getDataField<float>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Hello::Builder::setConfiguration( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void OrganisationUse::Builder::setWork(float value) {
+  _builder.setDataField<float>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Hello::Reader::getServers() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Hello::Builder::getServers() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Hello::Builder::setServers( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Hello::Reader::hasMembers() const {
+inline bool GroupStatus::Reader::hasGroup() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Hello::Builder::hasMembers() {
+inline bool GroupStatus::Builder::hasGroup() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>::Reader Hello::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader GroupStatus::Reader::getGroup() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder GroupStatus::Builder::getGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Hello::Builder::setMembers( ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void GroupStatus::Builder::setGroup( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder GroupStatus::Builder::initGroup(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Hello::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void GroupStatus::Builder::adoptGroup(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>> Hello::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> GroupStatus::Builder::disownGroup() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Hello::Reader::hasLeaving() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Hello::Builder::hasLeaving() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>::Reader Hello::Reader::getLeaving() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::getLeaving() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Hello::Builder::setLeaving( ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::initLeaving(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::uint64_t GroupStatus::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Hello::Builder::adoptLeaving(
-    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t GroupStatus::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>> Hello::Builder::disownLeaving() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::LeavingServer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void GroupStatus::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Hello::Reader::getKnown() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint32_t GroupStatus::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Hello::Builder::getKnown() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint32_t GroupStatus::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Hello::Builder::setKnown( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void GroupStatus::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Hello::Reader::hasDegraded() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline float GroupStatus::Reader::getPassMs() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline bool Hello::Builder::hasDegraded() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+
+inline float GroupStatus::Builder::getPassMs() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>::Reader Hello::Reader::getDegraded() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void GroupStatus::Builder::setPassMs(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::getDegraded() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+
+inline float GroupStatus::Reader::getImbalance() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Hello::Builder::setDegraded( ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+
+inline float GroupStatus::Builder::getImbalance() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::initDegraded(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline void GroupStatus::Builder::setImbalance(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline void Hello::Builder::adoptDegraded(
-    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool GroupStatus::Reader::getIsCopying() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>> Hello::Builder::disownDegraded() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::DegradedRank,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+
+inline bool GroupStatus::Builder::getIsCopying() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+}
+inline void GroupStatus::Builder::setIsCopying(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Hello::Reader::hasLoads() const {
+inline bool GroupStatus::Reader::hasRanks() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Hello::Builder::hasLoads() {
+inline bool GroupStatus::Builder::hasRanks() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader Hello::Reader::getLoads() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::swiftloft::gateway::schema::RankPlace,  ::capnp::Kind::STRUCT>::Reader GroupStatus::Reader::getRanks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::RankPlace,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::getLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::swiftloft::gateway::schema::RankPlace,  ::capnp::Kind::STRUCT>::Builder GroupStatus::Builder::getRanks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::RankPlace,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Hello::Builder::setLoads( ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void GroupStatus::Builder::setRanks( ::capnp::List< ::swiftloft::gateway::schema::RankPlace,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::RankPlace,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::initLoads(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::swiftloft::gateway::schema::RankPlace,  ::capnp::Kind::STRUCT>::Builder GroupStatus::Builder::initRanks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::RankPlace,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Hello::Builder::adoptLoads(
-    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void GroupStatus::Builder::adoptRanks(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::RankPlace,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::RankPlace,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>> Hello::Builder::disownLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::RankPlace,  ::capnp::Kind::STRUCT>> GroupStatus::Builder::disownRanks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::RankPlace,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Hello::Reader::getServersEra() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint16_t RankPlace::Reader::getRank() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Hello::Builder::getServersEra() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint16_t RankPlace::Builder::getRank() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Hello::Builder::setServersEra( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void RankPlace::Builder::setRank( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Hello::Reader::hasEvacuations() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t RankPlace::Reader::getIp4() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline bool Hello::Builder::hasEvacuations() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint32_t RankPlace::Builder::getIp4() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>::Reader Hello::Reader::getEvacuations() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline void RankPlace::Builder::setIp4( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::getEvacuations() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+
+inline  ::uint16_t RankPlace::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Hello::Builder::setEvacuations( ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+
+inline  ::uint16_t RankPlace::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::initEvacuations(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline void RankPlace::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline void Hello::Builder::adoptEvacuations(
-    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool RankPlace::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>> Hello::Builder::disownEvacuations() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Evacuation,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline bool RankPlace::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Hello::Reader::getEvacuationsEra() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader RankPlace::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Hello::Builder::getEvacuationsEra() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder RankPlace::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Hello::Builder::setEvacuationsEra( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void RankPlace::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t Hello::Reader::getEvacuationsAsOf() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder RankPlace::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t Hello::Builder::getEvacuationsAsOf() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline void RankPlace::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Hello::Builder::setEvacuationsAsOf( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> RankPlace::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Evacuation::Reader::hasDataCentre() const {
@@ -2816,6 +3972,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t ServerLoad::Reader::getHeldTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerLoad::Builder::getHeldTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ServerLoad::Builder::setHeldTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t LimitWord::Reader::getServer() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3002,6 +4172,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool LoadNews::Reader::hasDemands() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadNews::Builder::hasDemands() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader LoadNews::Reader::getDemands() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder LoadNews::Builder::getDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void LoadNews::Builder::setDemands( ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder LoadNews::Builder::initDemands(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void LoadNews::Builder::adoptDemands(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>> LoadNews::Builder::disownDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t SilentServer::Reader::getServer() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3196,6 +4400,76 @@
       ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
 }
 
+inline float RankNews::Reader::getPassMs() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline float RankNews::Builder::getPassMs() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void RankNews::Builder::setPassMs(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline float RankNews::Reader::getImbalance() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline float RankNews::Builder::getImbalance() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void RankNews::Builder::setImbalance(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RankNews::Reader::getIsCopying() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+
+inline bool RankNews::Builder::getIsCopying() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+inline void RankNews::Builder::setIsCopying(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RankNews::Reader::getHeldTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RankNews::Builder::getHeldTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void RankNews::Builder::setHeldTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RankNews::Reader::getTokenCapacity() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RankNews::Builder::getTokenCapacity() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void RankNews::Builder::setTokenCapacity( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t RankAddress::Reader::getRank() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -40,6 +40,20 @@
         double pace { 1 };
     };
     std::vector<DegradedReport> peerDegradedRanks;
+    /// A rank group, and the time of rank 0's status behind its figures.
+    struct Group {
+        EngineGroupName group;
+        GroupEpoch epoch;
+        TimePoint reportedAt;
+        /// Duration of a pass; 0 while unknown.
+        double passMs { 0 };
+        /// Load of the most loaded rank relative to the mean; 0 while unknown.
+        double imbalance { 0 };
+        /// Ranks copy experts for a change of the expert map.
+        bool isCopying { false };
+        std::vector<RankPlace> ranks;
+    };
+    std::vector<Group> groups;
     /// Load of the servers of another data centre, as reported by that data centre.
     struct RemoteLoad {
         DataCentreName dataCentre;
--- a/test/control-message_test.cc
+++ b/test/control-message_test.cc
@@ -84,6 +84,34 @@
 }
 
 // Anyone on the network can send to the port. A truncated or changed datagram must not stop an entry.
+TEST_CASE("ControlMessage: demand, groups and held tokens are decoded as they were encoded")
+{
+    ServiceDemand demand { ServiceName("model"), { { 1, 40, 3, 12.5, milliseconds(20), milliseconds(70'000) } }, { { OrganisationName("large"), 900 } } };
+    auto sent = demand;
+    sent.priorities[0].sinceRefused = PriorityDemand::maxAge;
+    Endpoint v6(boost::asio::ip::make_address("fd00::7"), 7001);
+    GroupStatus group { EngineGroupName("g"), GroupEpoch(4), milliseconds(30), 88.5, 1.75, true, { { RankIndex(0), endpoint(5) }, { RankIndex(1), v6 } } };
+    Hello hello { member(1) };
+    hello.demands = { demand };
+    hello.groups = { group };
+    auto received = std::get<Hello>(throughWire(hello));
+    CHECK(received.demands == std::vector { sent });
+    CHECK(received.groups == std::vector { group });
+
+    LoadUpdate load { Incarnation(9), 3, { { ServerHash(77), 4, Tokens(900), Tokens(5000) } }, {}, {}, { demand } };
+    auto loadReceived = std::get<LoadUpdate>(throughWire(load));
+    CHECK(loadReceived.demands == std::vector { sent });
+    CHECK(loadReceived.servers.at(0).heldTokens == Tokens(5000));
+
+    RankStatus rank { endpoint(5), EngineGroupName("g"), GroupEpoch(4), RankIndex(0), 12, true, 1.5, ServerStartTime(1000), true, 95.5, 1.5, true, Tokens(41'000), Tokens(90'000) };
+    auto rankReceived = std::get<RankStatus>(throughWire(rank));
+    CHECK(rankReceived.passMs == 95.5);
+    CHECK(rankReceived.imbalance == 1.5);
+    CHECK(rankReceived.isCopying);
+    CHECK(rankReceived.heldTokens == Tokens(41'000));
+    CHECK(rankReceived.tokenCapacity == Tokens(90'000));
+}
+
 TEST_CASE("ControlMessage: damaged datagrams are either rejected or decoded, without other effects")
 {
     std::mt19937 random(11);
