Split admission and placement from the dispatcher and the load balancer

The queue, the return times and the cost of a server were parts of two files in which every further decision would have met. They are modules of their own now, with behaviour unchanged: src/gateway/admission, src/gateway/placement.

--- /dev/null
+++ b/src/gateway/admission/retry-schedule.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "src/gateway/load-balancer.h"
+
+#include <swiftloft/policy/random.h>
+
+#include <map>
+#include <optional>
+
+namespace swiftloft::gateway::admission {
+
+/// Returns when a client should retry a service that has no working server, for example right after a power loss. The
+/// time is late enough for the service to have recovered, and early enough that a client with this `deadline` still
+/// waits for it.
+TimePoint outageRetryTime(TimePoint now, TimePoint deadline, policy::Generator& generator);
+
+/// The properties of a refused request that decide when its client returns.
+struct RefusedRequest {
+    ServiceName service;
+    TimePoint deadline;
+};
+
+/// What is known of a service when one of its requests is refused.
+struct ServiceOutlook {
+    /// The service has no server, or all of its groups are forming.
+    bool isDown { false };
+    /// Set if limits or back-offs keep this entry from every server that may run the request.
+    std::optional<LoadBalancer::Throttling> throttling;
+};
+
+/// Tells refused clients when to return. Keeps the turns that were given to clients of services with limits. Pure: the
+/// time is passed in with each call.
+class RetrySchedule {
+public:
+    explicit RetrySchedule(policy::Generator generator)
+        : m_generator(generator)
+    {
+    }
+
+    TimePoint retryTime(TimePoint now, const RefusedRequest& request, const ServiceOutlook& outlook);
+
+private:
+    TimePoint timeAfterBackOff(TimePoint now, const RefusedRequest& request, TimePoint backOffEndsAt);
+    TimePoint timeWithinLimits(TimePoint now, const RefusedRequest& request, double rate);
+
+    policy::Generator m_generator;
+    /// Retry time for the next client that is refused because of limits, by service.
+    std::map<ServiceName, TimePoint> m_nextReturnAt;
+};
+
+} // namespace swiftloft::gateway::admission
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <boost/random/discrete_distribution.hpp>
-#include <boost/random/uniform_int_distribution.hpp>
-#include <boost/random/uniform_real_distribution.hpp>
 #include <set>
 
 namespace swiftloft::gateway {
@@ -12,18 +10,6 @@
 
 namespace {
 
-/// Retry delay for a client that was refused for lack of capacity, jittered so that clients don't all return at once.
-/// Most bursts last a second or two, so there is usually capacity again by then. The delay is also short enough for the
-/// client: clients wait for at most a third of the time they have left.
-constexpr milliseconds overloadRetryDelay { 500 };
-constexpr milliseconds overloadRetryJitter { 700 };
-/// Time until a service that has no server, or whose groups are all forming, usually serves again. A client that
-/// returns sooner is refused again, and most clients retry only once.
-constexpr milliseconds outageRetryDelay { 1800 };
-/// Clients wait for at most a third of the time they have left; slightly less allows for clock differences.
-constexpr double maxWaitShare { 0.3 };
-/// No client waits for longer than this.
-constexpr seconds maxClientWait { 60 };
 /// Interval between checks for servers that have fallen silent.
 constexpr milliseconds stallCheckInterval { 200 };
 /// An attempt with less time left is not started: connecting alone takes a few milliseconds.
@@ -91,6 +77,7 @@
     , m_generator(generator)
     , m_loadBalancer(options.coldLimits)
     , m_retries(options.retries)
+    , m_retrySchedule(generator)
 {
 }
 
@@ -141,9 +128,7 @@
         refuse(now, event.call, call, RefusalReason::NoServer, clientRetryTime(call, now), effects);
         return;
     }
-    // Queued before the first less urgent request; of equally urgent requests the older ones come first.
-    auto isMoreUrgent = [&](CallId id) { return m_calls[id].request.priority > event.request.priority; };
-    m_queue.insert(std::find_if(m_queue.begin(), m_queue.end(), isMoreUrgent), event.call);
+    m_queue.push({ event.call, event.request.priority });
 }
 
 ServiceName Dispatcher::pickService(const Route& route)
@@ -189,27 +174,26 @@
 void Dispatcher::dispatchQueued(TimePoint now, Effects& effects)
 {
     extendWaitForFormingGroups(now);
-    std::vector<CallId> stillQueued;
     // If a request that may go to any server finds no capacity, no other request of the service does: with hundreds of
     // servers each search is expensive.
     std::set<ServiceName> fullServices;
-    for (auto id : m_queue) {
+    for (auto id : m_queue.order()) {
         auto& call = m_calls[id];
         bool mayStart = now >= call.retryAt && !fullServices.contains(call.service);
-        if (mayStart && tryStartAttempt(id, call, now, effects))
+        if (mayStart && tryStartAttempt(id, call, now, effects)) {
+            m_queue.remove(id);
             continue;
+        }
         if (mayStart && call.attempts == 0)
             fullServices.insert(call.service);
-        if (now < call.queueDeadline && m_loadBalancer.hasServer(filterFor(call)) && !isThrottledTooLong(call, now)) {
-            stillQueued.push_back(id);
+        if (now < call.queueDeadline && m_loadBalancer.hasServer(filterFor(call)) && !isThrottledTooLong(call, now))
             continue;
-        }
+        m_queue.remove(id);
         if (call.lastOutcome)
             failCall(id, call, *call.lastOutcome, now, effects);
         else
             refuse(now, id, call, refusalReason(call, now), clientRetryTime(call, now), effects);
     }
-    m_queue = std::move(stillQueued);
 }
 
 /// True if, because of limits and back-offs, no server may get the request while it waits, so that it is refused
@@ -238,7 +222,7 @@
 void Dispatcher::extendWaitForFormingGroups(TimePoint now)
 {
     std::map<ServiceName, bool> isForming;
-    for (auto id : m_queue) {
+    for (auto id : m_queue.order()) {
         auto& call = m_calls[id];
         auto [it, isNew] = isForming.try_emplace(call.service, false);
         if (isNew)
@@ -354,7 +338,7 @@
     call.queueDeadline = std::min(until, call.request.deadline);
     call.triedServers.clear();
     call.retryAt = now + m_options.retryDelay;
-    m_queue.insert(m_queue.begin(), id);
+    m_queue.pushFirst({ id, call.request.priority });
 }
 
 /// Guards against refusals right after a power loss, when groups are forming and no agent has reported it yet. A
@@ -407,53 +391,14 @@
     effects.push_back(Refuse { id, reason, call.verdict, retryAt, call.service, m_loadBalancer.occupancy(call.service, now), m_queue.size() });
 }
 
-TimePoint outageRetryTime(TimePoint now, TimePoint deadline, policy::Generator& generator)
-{
-    auto left = std::max(deadline - now, Clock::duration(0));
-    auto maxWait = std::chrono::duration_cast<Clock::duration>(maxWaitShare * left);
-    // Jitter keeps the clients of a whole outage from returning at the same moment.
-    boost::random::uniform_real_distribution<double> jitter(0.8, 1.0);
-    auto wait = std::min<Clock::duration>(outageRetryDelay, maxWait);
-    return now + std::chrono::duration_cast<Clock::duration>(jitter(generator) * wait);
-}
-
-/// Schedules the retries of clients one after the other at the rate that the limits allow. A client whose turn would
-/// come after its maximum wait retries towards the end of that wait.
-TimePoint Dispatcher::retryTimeWithinLimits(const Call& call, double rate, TimePoint now)
-{
-    auto left = std::max(call.request.deadline - now, Clock::duration(0));
-    auto maxWait = std::chrono::duration_cast<Clock::duration>(maxWaitShare * left);
-    auto& next = m_nextClientRetryAt[call.service];
-    auto at = std::max(next, now + std::min<Clock::duration>(overloadRetryDelay, maxWait));
-    if (rate <= 0 || at > now + maxWait) {
-        boost::random::uniform_real_distribution<double> jitter(0.5, 1.0);
-        return now + std::chrono::duration_cast<Clock::duration>(jitter(m_generator) * maxWait);
-    }
-    next = at + std::chrono::duration_cast<Clock::duration>(std::min(std::chrono::duration<double>(1 / rate), std::chrono::duration<double>(maxClientWait)));
-    return at;
-}
-
-/// Returns a time after the end of the back-off even if clients wait for less: a retry before that would be refused
-/// again. The retries of clients refused during a long back-off are spread over a proportionally longer period, so that
-/// they don't all arrive at once.
-TimePoint Dispatcher::retryTimeAfterBackOff(const Call& call, TimePoint backOffEndsAt, TimePoint now)
-{
-    auto maxWaitEndsAt = now + std::chrono::duration_cast<Clock::duration>(maxWaitShare * std::max(call.request.deadline - now, Clock::duration(0)));
-    auto latest = backOffEndsAt + std::max<Clock::duration>(overloadRetryJitter, (backOffEndsAt - now) / 2);
-    if (backOffEndsAt < maxWaitEndsAt)
-        latest = std::min(latest, maxWaitEndsAt);
-    boost::random::uniform_real_distribution<double> jitter(0, 1);
-    return backOffEndsAt + std::chrono::duration_cast<Clock::duration>(jitter(m_generator) * (latest - backOffEndsAt));
-}
-
 TimePoint Dispatcher::clientRetryTime(const Call& call, TimePoint now)
 {
-    if (!m_loadBalancer.hasServer(call.service) || m_loadBalancer.isForming(call.service, now))
-        return outageRetryTime(now, call.request.deadline, m_generator);
-    if (auto throttling = m_loadBalancer.throttling(filterFor(call), now); throttling && throttling->isEveryServer)
-        return throttling->isBackingOff && throttling->rate <= 0 ? retryTimeAfterBackOff(call, throttling->nextSendAt, now) : retryTimeWithinLimits(call, throttling->rate, now);
-    boost::random::uniform_int_distribution<int> jitter(0, static_cast<int>(overloadRetryJitter.count()));
-    return now + overloadRetryDelay + milliseconds(jitter(m_generator));
+    admission::ServiceOutlook outlook;
+    outlook.isDown = !m_loadBalancer.hasServer(call.service) || m_loadBalancer.isForming(call.service, now);
+    auto throttling = m_loadBalancer.throttling(filterFor(call), now);
+    if (throttling && throttling->isEveryServer)
+        outlook.throttling = throttling;
+    return m_retrySchedule.retryTime(now, { call.service, call.request.deadline }, outlook);
 }
 
 void Dispatcher::onCallClosed(CallId id)
@@ -462,7 +407,7 @@
     if (it == m_calls.end())
         return;
     endAttempt(it->second);
-    std::erase(m_queue, id);
+    m_queue.remove(id);
     m_calls.erase(it);
 }
 
@@ -470,7 +415,7 @@
 {
     auto next = m_nextStallCheckAt;
     std::set<ServiceName> services;
-    for (auto id : m_queue) {
+    for (auto id : m_queue.order()) {
         auto it = m_calls.find(id);
         auto& call = it->second;
         auto filter = filterFor(call);
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "src/gateway/admission/request-queue.h"
+#include "src/gateway/admission/retry-schedule.h"
+#include "src/gateway/call-id.h"
 #include "src/gateway/load-balancer.h"
 #include "src/gateway/retry-allowance.h"
 #include "src/gateway/snapshot.h"
@@ -17,9 +20,6 @@
 
 namespace swiftloft::gateway {
 
-/// Identifies a client request within an entry.
-using CallId = Strong<struct CallIdTag, std::uint64_t>;
-
 /// The properties of a request that the dispatcher uses.
 struct CallRequest {
     /// Keeps `route` alive: a request is served under the configuration that was in force when it arrived.
@@ -30,7 +30,12 @@
     /// The earlier of the client's deadline and the route's timeout.
     TimePoint deadline;
     Tokens promptTokens;
+    /// Maximum number of output tokens.
     Tokens outputTokens;
+    /// The client's estimate of the number of output tokens; unset if it sent none.
+    std::optional<Tokens> expectedOutputTokens {};
+    /// Owner of the client's key; unset on routes that need no key.
+    std::optional<OrganisationName> organisation {};
 };
 
 /// Outcome of an attempt to run a request on a backend server.
@@ -191,11 +196,6 @@
     unsigned maxAttempts { 4 };
 };
 
-/// Returns when a client should retry a service that has no working server, for example right after a power loss. The
-/// time is late enough for the service to have recovered, and early enough that a client with this `deadline` still
-/// waits for it.
-TimePoint outageRetryTime(TimePoint now, TimePoint deadline, policy::Generator& generator);
-
 /// The traffic thread's reducer over the requests of one entry: decides which backend server a request is sent to and
 /// when, what follows a failed attempt, and which requests are refused. Events go in and effects come out as data; it
 /// reads no clock and does no I/O.
@@ -262,20 +262,17 @@
     bool isThrottledTooLong(const Call& call, TimePoint now) const;
     RefusalReason refusalReason(const Call& call, TimePoint now) const;
     TimePoint clientRetryTime(const Call& call, TimePoint now);
-    TimePoint retryTimeAfterBackOff(const Call& call, TimePoint backOffEndsAt, TimePoint now);
-    TimePoint retryTimeWithinLimits(const Call& call, double rate, TimePoint now);
 
     DispatcherOptions m_options;
     policy::Generator m_generator;
     LoadBalancer m_loadBalancer;
     RetryAllowance m_retries;
     std::map<CallId, Call> m_calls;
-    /// Requests that wait for a server, the most urgent and then the oldest first.
-    std::vector<CallId> m_queue;
+    /// Requests that wait for a server.
+    admission::RequestQueue m_queue;
     /// When streams are next checked for servers that have fallen silent; unset while no stream runs.
     std::optional<TimePoint> m_nextStallCheckAt;
-    /// Retry time for the next client that is refused because of limits, by service.
-    std::map<ServiceName, TimePoint> m_nextClientRetryAt;
+    admission::RetrySchedule m_retrySchedule;
     /// Time of the last event.
     TimePoint m_lastEventAt;
 };
--- a/src/gateway/load-balancer.cc
+++ b/src/gateway/load-balancer.cc
@@ -1,5 +1,6 @@
 #include "src/gateway/load-balancer.h"
 
+#include "src/gateway/placement/server-cost.h"
 #include "src/log/logger.h"
 
 #include <algorithm>
@@ -11,27 +12,6 @@
 
 namespace {
 
-/// A server that failed recently is selected only if all others have this much more load.
-constexpr double suspectCost = 1e6;
-/// Puts a slow rank behind all others with capacity, and before servers that failed. Each request on a slow rank
-/// lengthens every step of the whole group, so the streams of all ranks would pause for longer than clients accept.
-constexpr double slowCost = 5e5;
-/// Puts a cold server behind all others with capacity: it works slower until it is warm.
-constexpr double coldCost = 2e5;
-/// Without load reports, servers of other data centres rank behind all local servers that have capacity: only the
-/// capacity of the local ones is known, and full servers reject requests.
-constexpr double remoteCost = 1e5;
-/// If another data centre reports its average load, each of its servers counts as having that load plus half a request,
-/// because the average is less precise than the known load of single servers. Without such reports, the clients of the
-/// data centre with the most clients per server are served late while other data centres have capacity.
-constexpr double remoteLoadMargin = 0.5;
-/// Number of prompt tokens equivalent to one more running request, if the engine's traits don't say.
-constexpr double defaultTokensPerRequest = 100;
-/// A running request lengthens each step until it ends; a prompt is processed once. To compare the two by the time that
-/// they make later arrivals wait, the time that a running request adds to one step is counted for about this many
-/// steps.
-constexpr double effectiveSteps = 30;
-
 /// The latest report of each closed or slow rank, from its agent or from another entry.
 std::map<Endpoint, Snapshot::DegradedReport> latestDegradedReports(const Snapshot& snapshot)
 {
@@ -73,8 +53,7 @@
         if (server.isEngine) {
             auto& traits = *service->engine;
             server.isRank = traits.layers > 0;
-            double tokensPerMs = traits.promptTokensPerSecond / 1000;
-            server.tokensPerRequest = tokensPerMs > 0 ? effectiveSteps * traits.stepMsPerRequest * tokensPerMs : defaultTokensPerRequest;
+            server.tokensPerRequest = placement::tokensPerRequest(traits);
         }
         servers.emplace(listed.incarnation(), std::move(server));
     }
@@ -213,20 +192,7 @@
 
 double LoadBalancer::costOf(const Server& server, const Load& load, TimePoint now) const
 {
-    double running = load.running;
-    auto promptTokens = static_cast<double>(load.promptTokens);
-    if (server.remoteLoad) {
-        running += server.remoteLoad->running + remoteLoadMargin;
-        promptTokens += server.remoteLoad->promptTokens;
-    }
-    double cost = server.isEngine ? promptTokens + server.tokensPerRequest * running : running;
-    if (server.isRemote && !server.remoteLoad)
-        cost += remoteCost;
-    if (isSlow(server, now))
-        cost += slowCost;
-    if (m_coldLimits.isCold(now, server.hash))
-        cost += coldCost;
-    return server.suspectUntil > now ? cost + suspectCost : cost;
+    return placement::serverCost({ load, server.isEngine, server.tokensPerRequest, server.isRemote, server.remoteLoad, isSlow(server, now), m_coldLimits.isCold(now, server.hash), server.suspectUntil > now });
 }
 
 /// Right after a power loss, engines are listed before their groups have formed and before their agents have reported.
--- a/src/gateway/model.h
+++ b/src/gateway/model.h
@@ -151,7 +151,10 @@
     /// The client's deadline; unset if the client sent none.
     std::optional<TimePoint> clientDeadline;
     Tokens promptTokens;
+    /// Maximum number of output tokens.
     Tokens outputTokens;
+    /// The client's estimate of the number of output tokens; unset if it sent none.
+    std::optional<Tokens> expectedOutputTokens;
     /// The last event that the client received, if it resumes a stream.
     std::optional<std::uint64_t> lastEvent;
 };
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -94,7 +94,7 @@
     auto& configuration = snapshot->configuration;
     if (!configuration || (!snapshot->isReady && !snapshot->isLeaving)) {
         auto deadline = call.head.clientDeadline.value_or(call.arrivedAt + defaultClientTimeout);
-        co_await respond(call, http::status::service_unavailable, "not-ready", outageRetryTime(call.arrivedAt, deadline, m_generator));
+        co_await respond(call, http::status::service_unavailable, "not-ready", admission::outageRetryTime(call.arrivedAt, deadline, m_generator));
         co_return;
     }
     call.configuration = configuration;
@@ -119,7 +119,7 @@
     call.lastEvent = call.head.lastEvent;
     call.handle = std::make_unique<AsyncDispatcher::CallHandle>(m_dispatcher, m_dispatcher.nextId());
     call.handle->setOnCancelAttempt([&call] { cancelAttempt(call); });
-    CallRequest request { configuration, call.route, priority, call.arrivedAt, call.deadline, call.head.promptTokens, call.head.outputTokens };
+    CallRequest request { configuration, call.route, priority, call.arrivedAt, call.deadline, call.head.promptTokens, call.head.outputTokens, call.head.expectedOutputTokens, call.organisation };
     auto decision = co_await call.handle->submit(std::move(request));
     while (auto* start = std::get_if<dispatch::StartAttempt>(&decision)) {
         auto next = *start;
