Keep requests of routes and organisations in their homes

A route or organisation may name homes in the configuration: regions whose servers may get its requests. They were not read, so any server of the service got them, and the directory named entries without regard to them.

An unknown region is refused: in the settings with file and key, in the configuration with owner, key and region; the configuration in force stays. The server filter carries the homes that route and organisation share as bits, so that selection, throttling, waiting for groups, stall checks and the order of the queue honour them. Without a usable server in the homes a request is refused at once (`no-home-server`, with a time to retry; `no-common-home`, without). The directory is a module of its own: for a host with homes it names entries of a home or of the client's region while one serves. Without homes all decide as before.

--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -86,6 +86,10 @@
         return fmt::format("refused for want of room: {} of the places of {} were taken and {} requests waited at the entry; it has not run", part("occupancy"), part("service"), part("waiting"));
     if (reason == "no-server")
         return fmt::format("refused: {} had no backend server that may get work; it has not run", part("service"));
+    if (reason == "no-home-server")
+        return fmt::format("refused: {} had no backend server that may get work in the homes of the request's route and organisation; it has not run", part("service"));
+    if (reason == "no-common-home")
+        return "refused: the homes of the request's route and those of its organisation have no region in common; it has not run";
     if (reason == "tries-spent")
         return fmt::format("refused after {} tries, none of which ran it; the tries say why", part("attempts"));
     if (reason == "lost")
--- a/src/gateway/configuration.cc
+++ b/src/gateway/configuration.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace swiftloft::gateway {
 
@@ -51,6 +52,7 @@
         auto& route = m_parts.routes[n];
         if (!m_routes.emplace(routeKey(route.host, route.prefix), n).second)
             return false;
+        addHostHomes(route);
     }
     for (std::size_t n = 0; n < m_parts.organisations.size(); ++n) {
         for (auto& key : m_parts.organisations[n].keys)
@@ -59,6 +61,23 @@
     return true;
 }
 
+void Configuration::addHostHomes(const Route& route)
+{
+    if (route.homes.empty())
+        return;
+    auto [it, isNew] = m_hostHomes.try_emplace(route.host, HostHomes { route.homes, {} });
+    auto& homes = it->second;
+    auto isIn = [](const std::vector<RegionName>& regions, const RegionName& region) { return std::find(regions.begin(), regions.end(), region) != regions.end(); };
+    std::erase_if(homes.shared, [&](auto& region) { return !isIn(route.homes, region); });
+    std::copy_if(route.homes.begin(), route.homes.end(), std::back_inserter(homes.all), [&](auto& region) { return !isIn(homes.all, region); });
+}
+
+const HostHomes* Configuration::findHostHomes(std::string_view host) const
+{
+    auto it = m_hostHomes.empty() ? m_hostHomes.end() : m_hostHomes.find(std::string(host));
+    return it == m_hostHomes.end() ? nullptr : &it->second;
+}
+
 const Route* Configuration::findRoute(std::string_view host, std::string_view path) const
 {
     // Prefixes end with a slash, so only a slash of the path can be the end of a match.
--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -26,6 +26,14 @@
     ClientLimits limits;
 };
 
+/// The homes of a host's routes. Routes without homes are left out.
+struct HostHomes {
+    /// Regions that are a home of each of the routes.
+    std::vector<RegionName> shared;
+    /// Regions that are a home of at least one of the routes.
+    std::vector<RegionName> all;
+};
+
 /// One published configuration, immutable and indexed for the lookups of each request.
 class Configuration {
 public:
@@ -36,6 +44,7 @@
     ConfigurationVersion version() const { return m_parts.version; }
     const ClientLimits& limits() const { return m_parts.limits; }
     const std::vector<Route>& routes() const { return m_parts.routes; }
+    const std::vector<OrganisationKeys>& organisations() const { return m_parts.organisations; }
     const std::vector<Service>& services() const { return m_parts.services; }
 
     /// Returns the route of `host` with the longest prefix of `path`; null when there is none.
@@ -44,6 +53,8 @@
     const OrganisationKeys* findOrganisation(std::string_view key) const;
     /// Returns null for a service that the configuration does not describe.
     const Service* findService(const ServiceName& name) const;
+    /// Returns null if no route of `host` has homes.
+    const HostHomes* findHostHomes(std::string_view host) const;
     /// False when no organisation is configured. Requests then need no key.
     bool hasOrganisations() const { return !m_parts.organisations.empty(); }
 
@@ -51,11 +62,14 @@
     explicit Configuration(ConfigurationParts parts);
     std::string validationError(const Route& route) const;
     bool buildIndexes();
+    void addHostHomes(const Route& route);
 
     ConfigurationParts m_parts;
     /// Index of routes. The key is the host, a newline and the prefix.
     boost::unordered_flat_map<std::string, std::size_t> m_routes;
     boost::unordered_flat_map<std::string, std::size_t> m_keys;
+    /// The homes of the routes of each host that has a route with homes.
+    boost::unordered_flat_map<std::string, HostHomes> m_hostHomes;
 };
 
 } // namespace swiftloft::gateway
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <boost/random/discrete_distribution.hpp>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <set>
 
 namespace swiftloft::gateway {
@@ -62,6 +64,10 @@
         return "resting";
     case RefusalReason::NoServer:
         return "no-server";
+    case RefusalReason::NoHomeServer:
+        return "no-home-server";
+    case RefusalReason::NoCommonHome:
+        return "no-common-home";
     case RefusalReason::AttemptsExhausted:
         return "tries-spent";
     case RefusalReason::Lost:
@@ -75,7 +81,7 @@
 Dispatcher::Dispatcher(const DispatcherOptions& options, policy::Generator generator)
     : m_options(options)
     , m_generator(generator)
-    , m_loadBalancer(options.coldLimits)
+    , m_loadBalancer(options.coldLimits, options.regions)
     , m_retries(options.retries)
     , m_retrySchedule(generator)
 {
@@ -123,9 +129,10 @@
     auto wait = objective > milliseconds(0) ? std::chrono::duration_cast<Clock::duration>(m_options.queueTimeShare * objective) : m_options.defaultQueueTime;
     call.queueDeadline = std::min(event.request.arrivedAt + wait, event.request.deadline);
     call.service = pickService(*event.request.route);
+    call.homes = homesOf(event.request.route->homes, event.request.organisationHomes, m_options.regions);
     m_retries.onRequest(call.service, now);
-    if (!m_loadBalancer.hasServer(call.service)) {
-        refuse(now, event.call, call, RefusalReason::NoServer, clientRetryTime(call, now), effects);
+    if (!m_loadBalancer.hasServer(filterFor(call))) {
+        refuse(now, event.call, call, refusalReason(call, now), clientRetryTime(call, now), effects);
         return;
     }
     m_queue.push({ event.call, event.request.priority });
@@ -147,8 +154,8 @@
 {
     // Once a request has run on the permitted number of servers, only those may get it again.
     if (call.ranOn.size() >= std::max(call.request.route->maximumServers, 1U))
-        return { call.service, {}, call.ranOn };
-    return { call.service, call.triedServers, std::nullopt };
+        return { call.service, {}, call.ranOn, call.homes };
+    return { call.service, call.triedServers, std::nullopt, call.homes };
 }
 
 bool Dispatcher::tryStartAttempt(CallId id, Call& call, TimePoint now, Effects& effects)
@@ -174,18 +181,18 @@
 void Dispatcher::dispatchQueued(TimePoint now, Effects& effects)
 {
     extendWaitForFormingGroups(now);
-    // If a request that may go to any server finds no capacity, no other request of the service does: with hundreds of
-    // servers each search is expensive.
-    std::set<ServiceName> fullServices;
+    // If a request that may go to any server finds no capacity, no other request of the service with the same homes does:
+    // with hundreds of servers each search is expensive.
+    std::set<std::pair<ServiceName, HomeSet>> fullServices;
     for (auto id : m_queue.order()) {
         auto& call = m_calls[id];
-        bool mayStart = now >= call.retryAt && !fullServices.contains(call.service);
+        bool mayStart = now >= call.retryAt && !fullServices.contains({ call.service, call.homes });
         if (mayStart && tryStartAttempt(id, call, now, effects)) {
             m_queue.remove(id);
             continue;
         }
         if (mayStart && call.attempts == 0)
-            fullServices.insert(call.service);
+            fullServices.emplace(call.service, call.homes);
         if (now < call.queueDeadline && m_loadBalancer.hasServer(filterFor(call)) && !isThrottledTooLong(call, now))
             continue;
         m_queue.remove(id);
@@ -206,8 +213,11 @@
 
 RefusalReason Dispatcher::refusalReason(const Call& call, TimePoint now) const
 {
-    if (!m_loadBalancer.hasServer(call.service))
-        return RefusalReason::NoServer;
+    if (!m_loadBalancer.hasServer({ call.service, {}, std::nullopt, call.homes })) {
+        if (call.homes.isEmpty())
+            return RefusalReason::NoCommonHome;
+        return m_loadBalancer.hasServer(call.service) ? RefusalReason::NoHomeServer : RefusalReason::NoServer;
+    }
     auto throttling = m_loadBalancer.throttling(filterFor(call), now);
     if (!throttling || !throttling->isEveryServer)
         return RefusalReason::Overloaded;
@@ -221,12 +231,12 @@
 /// the other servers become free.
 void Dispatcher::extendWaitForFormingGroups(TimePoint now)
 {
-    std::map<ServiceName, bool> isForming;
+    std::map<std::pair<ServiceName, HomeSet>, bool> isForming;
     for (auto id : m_queue.order()) {
         auto& call = m_calls[id];
-        auto [it, isNew] = isForming.try_emplace(call.service, false);
+        auto [it, isNew] = isForming.try_emplace({ call.service, call.homes }, false);
         if (isNew)
-            it->second = m_loadBalancer.isForming(call.service, now);
+            it->second = m_loadBalancer.isForming(call.service, now, call.homes);
         if (!it->second)
             continue;
         auto formingDeadline = std::min(call.request.arrivedAt + m_options.recoveryTimeout, call.request.deadline);
@@ -265,7 +275,7 @@
         return false;
     bool mayRunElsewhere = call.ranOn.size() + 1 < std::max(call.request.route->maximumServers, 1U);
     bool isServerSilent = m_loadBalancer.lastActivityAt(*call.currentServer) <= silenceThreshold && (call.hasResponseStarted || m_loadBalancer.isSuspect(*call.currentServer, now));
-    return mayRunElsewhere && isServerSilent && m_loadBalancer.hasActivityElsewhere(call.service, *call.currentServer, now) && m_loadBalancer.hasCapacityElsewhere(call.service, *call.currentServer, now);
+    return mayRunElsewhere && isServerSilent && m_loadBalancer.hasActivityElsewhere(call.service, *call.currentServer, now, call.homes) && m_loadBalancer.hasCapacityElsewhere(call.service, *call.currentServer, now, call.homes);
 }
 
 void Dispatcher::onStreamProgressed(TimePoint now, CallId id)
@@ -388,13 +398,18 @@
 
 void Dispatcher::refuse(TimePoint now, CallId id, const Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, Effects& effects)
 {
-    effects.push_back(Refuse { id, reason, call.verdict, retryAt, call.service, m_loadBalancer.occupancy(call.service, now), m_queue.size() });
+    Refuse refusal { id, reason, call.verdict, retryAt, call.service, m_loadBalancer.occupancy(call.service, now), m_queue.size() };
+    if (call.homes.isRestricted())
+        refusal.homes = fmt::format("{}", fmt::join(m_options.regions.names(call.homes.bits()), ","));
+    effects.push_back(std::move(refusal));
 }
 
-TimePoint Dispatcher::clientRetryTime(const Call& call, TimePoint now)
+std::optional<TimePoint> Dispatcher::clientRetryTime(const Call& call, TimePoint now)
 {
+    if (call.homes.isEmpty())
+        return std::nullopt;
     admission::ServiceOutlook outlook;
-    outlook.isDown = !m_loadBalancer.hasServer(call.service) || m_loadBalancer.isForming(call.service, now);
+    outlook.isDown = !m_loadBalancer.hasServer({ call.service, {}, std::nullopt, call.homes }) || m_loadBalancer.isForming(call.service, now, call.homes);
     auto throttling = m_loadBalancer.throttling(filterFor(call), now);
     if (throttling && throttling->isEveryServer)
         outlook.throttling = throttling;
@@ -414,12 +429,12 @@
 std::optional<TimePoint> Dispatcher::nextTick() const
 {
     auto next = m_nextStallCheckAt;
-    std::set<ServiceName> services;
+    std::set<std::pair<ServiceName, HomeSet>> services;
     for (auto id : m_queue.order()) {
         auto it = m_calls.find(id);
         auto& call = it->second;
         auto filter = filterFor(call);
-        bool isNewFilter = filter.allowed || services.insert(call.service).second;
+        bool isNewFilter = filter.allowed || services.emplace(call.service, call.homes).second;
         if (auto throttling = isNewFilter ? m_loadBalancer.throttling(filter, m_lastEventAt) : std::nullopt)
             next = std::min(next.value_or(throttling->nextSendAt), throttling->nextSendAt);
         // A request whose retry delay is over and that found no capacity waits for another event.
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -36,6 +37,8 @@
     std::optional<Tokens> expectedOutputTokens {};
     /// Owner of the client's key; unset on routes that need no key.
     std::optional<OrganisationName> organisation {};
+    /// Homes of the organisation; a part of `configuration`.
+    std::span<const RegionName> organisationHomes {};
 };
 
 /// Outcome of an attempt to run a request on a backend server.
@@ -71,6 +74,10 @@
     BackingOff,
     /// The service has no usable server.
     NoServer,
+    /// The service has usable servers, but none in the homes of the request's route and organisation.
+    NoHomeServer,
+    /// The homes of the request's route and those of its organisation have no region in common.
+    NoCommonHome,
     /// The request did not run, and no further attempt is allowed.
     AttemptsExhausted,
     /// The request may have run, and its result is unknown.
@@ -150,6 +157,8 @@
     ServiceName service {};
     double occupancy { 0 };
     std::size_t queued { 0 };
+    /// Names of the regions whose servers may get the request, separated by commas; unset if any may.
+    std::optional<std::string> homes {};
 };
 /// Cancel the attempt in progress; `AttemptEnded` follows.
 struct CancelAttempt {
@@ -173,6 +182,8 @@
 struct DispatcherOptions {
     RetryAllowanceOptions retries;
     ColdLimitOptions coldLimits {};
+    /// Regions of the data centres; without them, requests with homes get no server.
+    DataCentreRegions regions {};
     /// Share of the latency objective that a request may spend in the queue. A request that waits longer misses its
     /// objective however fast it then runs, and blocks one that could still meet its own.
     double queueTimeShare { 0.4 };
@@ -215,6 +226,8 @@
         CallRequest request;
         /// Drawn once from the route's services by their weights.
         ServiceName service;
+        /// Regions whose servers may get the request.
+        HomeSet homes;
         Verdict verdict { Verdict::NotRun };
         /// Servers that may have run the request.
         std::vector<ServerIncarnation> ranOn;
@@ -256,12 +269,13 @@
     void extendWaitForFormingGroups(TimePoint now);
     void dispatchQueued(TimePoint now, dispatch::Effects& effects);
     void refuse(TimePoint now, CallId id, const Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, dispatch::Effects& effects);
-    /// The servers that the request may be sent to: all of the service, or, once it has run on the permitted number of
+    /// The servers that the request may be sent to: all of the service in its homes, or, once it has run on the permitted number of
     /// servers, only those.
     static LoadBalancer::ServerFilter filterFor(const Call& call);
     bool isThrottledTooLong(const Call& call, TimePoint now) const;
     RefusalReason refusalReason(const Call& call, TimePoint now) const;
-    TimePoint clientRetryTime(const Call& call, TimePoint now);
+    /// Unset if a retry is of no use.
+    std::optional<TimePoint> clientRetryTime(const Call& call, TimePoint now);
 
     DispatcherOptions m_options;
     policy::Generator m_generator;
--- a/src/gateway/entry-daemon.cc
+++ b/src/gateway/entry-daemon.cc
@@ -57,6 +57,13 @@
     return { settings.peers, incarnation, 0, settings.clients, settings.dataCentre, EntryState::Starting };
 }
 
+/// Returns `protocol` with a configuration decoder that refuses homes which are no regions of the settings.
+Protocol withCheckedHomes(Protocol protocol, const EntrySettings& settings)
+{
+    protocol.decodeConfiguration = gateway::withCheckedHomes(std::move(protocol.decodeConfiguration), settings.regions, protocol.homesKey);
+    return protocol;
+}
+
 /// The control thread: carries out the effects of `ControlState` and passes events to it.
 class EntryControl {
 public:
@@ -65,7 +72,7 @@
         , m_traffic(traffic)
         , m_metrics(metrics)
         , m_store(countCalls(makeStore(m_ioContext), metrics))
-        , m_state(selfMember(settings, incarnation), settings.seeds, settings.minEntries, protocol, policy::Generator(std::random_device {}()), Clock::now())
+        , m_state(selfMember(settings, incarnation), settings.seeds, settings.minEntries, withCheckedHomes(protocol, settings), policy::Generator(std::random_device {}()), Clock::now())
         , m_pages(m_ioContext, settings.peers)
         , m_metricsPages(m_ioContext, settings.metrics)
         , m_stop(m_ioContext, [this](int count) { onStop(count); })
--- a/src/gateway/load-balancer.cc
+++ b/src/gateway/load-balancer.cc
@@ -41,6 +41,8 @@
     for (auto& listed : snapshot.servers) {
         auto it = m_servers.find(listed.incarnation());
         Server server = it == m_servers.end() ? Server {} : it->second;
+        if (it == m_servers.end() || server.server.dataCentre != listed.dataCentre)
+            server.regionBit = m_regions.bitOf(listed.dataCentre);
         server.server = listed;
         server.hash = hashOf(listed.incarnation());
         auto report = degraded.find(listed.address);
@@ -152,21 +154,21 @@
     return it != m_servers.end() && it->second.suspectUntil > now;
 }
 
-bool LoadBalancer::hasActivityElsewhere(const ServiceName& service, const ServerIncarnation& incarnation, TimePoint now) const
+bool LoadBalancer::hasActivityElsewhere(const ServiceName& service, const ServerIncarnation& incarnation, TimePoint now, const HomeSet& homes) const
 {
     auto isActive = [&](auto& it) {
         auto& server = it.second;
         bool isIdle = !server.isRank && server.ownLoad.running == 0 && mayReceiveRequests(server, now) && !isBackingOff(server, now) && server.suspectUntil <= now;
-        return it.first != incarnation && server.server.service == service && (isIdle || server.lastActivityAt + activityWindow > now);
+        return it.first != incarnation && server.server.service == service && homes.allows(server.regionBit) && (isIdle || server.lastActivityAt + activityWindow > now);
     };
     return std::any_of(m_servers.begin(), m_servers.end(), isActive);
 }
 
-bool LoadBalancer::hasCapacityElsewhere(const ServiceName& service, const ServerIncarnation& incarnation, TimePoint now) const
+bool LoadBalancer::hasCapacityElsewhere(const ServiceName& service, const ServerIncarnation& incarnation, TimePoint now, const HomeSet& homes) const
 {
     auto canTake = [&](auto& it) {
         auto& server = it.second;
-        bool isCandidate = it.first != incarnation && server.server.service == service && mayReceiveRequests(server, now) && server.suspectUntil <= now;
+        bool isCandidate = it.first != incarnation && server.server.service == service && homes.allows(server.regionBit) && mayReceiveRequests(server, now) && server.suspectUntil <= now;
         return isCandidate && hasCapacity(server, totalLoad(server, now), now);
     };
     return std::any_of(m_servers.begin(), m_servers.end(), canTake);
@@ -307,7 +309,7 @@
 bool LoadBalancer::isCandidate(const Server& server, const ServerFilter& filter)
 {
     auto isIn = [&](std::span<const ServerIncarnation> incarnations) { return std::find(incarnations.begin(), incarnations.end(), server.server.incarnation()) != incarnations.end(); };
-    return server.server.service == filter.service && (!filter.allowed || isIn(*filter.allowed));
+    return server.server.service == filter.service && filter.homes.allows(server.regionBit) && (!filter.allowed || isIn(*filter.allowed));
 }
 
 bool LoadBalancer::isBackingOff(const Server& server, TimePoint now) const
@@ -354,10 +356,11 @@
     return std::any_of(m_servers.begin(), m_servers.end(), [&](auto& it) { return isCandidate(it.second, filter) && isUsable(it.second); });
 }
 
-bool LoadBalancer::isForming(const ServiceName& service, TimePoint now) const
+bool LoadBalancer::isForming(const ServiceName& service, TimePoint now, const HomeSet& homes) const
 {
-    auto mayServe = [&](auto& it) { return it.second.server.service == service && mayReceiveRequests(it.second, now); };
-    return hasServer(service) && std::none_of(m_servers.begin(), m_servers.end(), mayServe);
+    ServerFilter filter { service, {}, std::nullopt, homes };
+    auto mayServe = [&](auto& it) { return isCandidate(it.second, filter) && mayReceiveRequests(it.second, now); };
+    return hasServer(filter) && std::none_of(m_servers.begin(), m_servers.end(), mayServe);
 }
 
 double LoadBalancer::occupancy(const ServiceName& service, TimePoint now) const
--- a/src/gateway/load-balancer.h
+++ b/src/gateway/load-balancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/gateway/cold-server-limits.h"
+#include "src/gateway/homes.h"
 #include "src/gateway/peer-loads.h"
 #include "src/gateway/server-back-offs.h"
 #include "src/gateway/server-limits.h"
@@ -41,7 +42,11 @@
     /// A server counts as active if data has arrived from it within this time, which is several steps of an engine.
     static constexpr milliseconds activityWindow { 300 };
 
-    explicit LoadBalancer(const ColdLimitOptions& coldLimits = {}) { m_coldLimits.setOptions(coldLimits); }
+    explicit LoadBalancer(const ColdLimitOptions& coldLimits = {}, DataCentreRegions regions = {})
+        : m_regions(std::move(regions))
+    {
+        m_coldLimits.setOptions(coldLimits);
+    }
 
     void setServers(TimePoint now, const Snapshot& snapshot);
     void onLoadUpdate(TimePoint now, const LoadUpdate& update);
@@ -60,11 +65,11 @@
     TimePoint lastActivityAt(const ServerIncarnation& incarnation) const;
     /// True if the server recently failed or fell silent, as observed by this entry or reported by another one.
     bool isSuspect(const ServerIncarnation& incarnation, TimePoint now) const;
-    /// True if another server of the service is active, or is available, not suspect and runs no request of this entry.
+    /// True if another server of the service in the regions `homes` is active, or is available, not suspect and runs no request of this entry.
     /// A rank without requests of this entry does not count, because the ranks of a group stall together.
-    bool hasActivityElsewhere(const ServiceName& service, const ServerIncarnation& incarnation, TimePoint now) const;
-    /// True if another server of the service has capacity and is not suspect.
-    bool hasCapacityElsewhere(const ServiceName& service, const ServerIncarnation& incarnation, TimePoint now) const;
+    bool hasActivityElsewhere(const ServiceName& service, const ServerIncarnation& incarnation, TimePoint now, const HomeSet& homes = {}) const;
+    /// True if another server of the service in the regions `homes` has capacity and is not suspect.
+    bool hasCapacityElsewhere(const ServiceName& service, const ServerIncarnation& incarnation, TimePoint now, const HomeSet& homes = {}) const;
     /// Servers that have fallen silent, to be reported to other entries.
     std::vector<SilentServer> silentServers(TimePoint now) const;
     /// The server did not run a request that was sent to it. Returns true if it is a rank, whose group may be forming;
@@ -89,6 +94,8 @@
         std::span<const ServerIncarnation> excluded;
         /// If set, only these servers are allowed.
         std::optional<std::span<const ServerIncarnation>> allowed;
+        /// Only servers of these regions are allowed.
+        HomeSet homes {};
     };
 
     /// Describes the servers to which this entry may send nothing for now because of their limits or back-offs, or
@@ -115,8 +122,8 @@
     /// True while there is a matching usable server, whether it has capacity or not; `filter.excluded` is ignored.
     bool hasServer(const ServerFilter& filter) const;
     bool hasServer(const ServiceName& service) const { return hasServer(ServerFilter { service, {}, std::nullopt }); }
-    /// True while the service has servers and all of them belong to groups that are forming.
-    bool isForming(const ServiceName& service, TimePoint now) const;
+    /// True while the service has servers in the regions `homes` and all of them belong to groups that are forming.
+    bool isForming(const ServiceName& service, TimePoint now, const HomeSet& homes = {}) const;
     /// Requests running on the servers of a service, as far as known, divided by the number of their slots.
     double occupancy(const ServiceName& service, TimePoint now) const;
 
@@ -133,6 +140,8 @@
     struct Server {
         BackendServer server;
         ServerHash hash;
+        /// Bit of the server's region in `DataCentreRegions`.
+        std::uint64_t regionBit { 0 };
         Load ownLoad;
         unsigned failures { 0 };
         TimePoint suspectUntil;
@@ -173,6 +182,7 @@
     Load totalLoad(const Server& server, TimePoint now) const;
     double costOf(const Server& server, const Load& load, TimePoint now) const;
 
+    DataCentreRegions m_regions;
     std::map<ServerIncarnation, Server> m_servers;
     /// Mutable because reads drop the loads of silent entries, which does not change any result.
     mutable PeerLoads m_peerLoads;
--- a/src/gateway/model.h
+++ b/src/gateway/model.h
@@ -49,6 +49,8 @@
     /// Number of backend servers that one request may run on.
     unsigned maximumServers { 1 };
     std::vector<WeightedService> services;
+    /// Regions whose servers may get the requests; empty: any region.
+    std::vector<RegionName> homes {};
 };
 
 /// Published performance traits of a service's engines. Times are those of one engine at normal speed.
@@ -91,6 +93,8 @@
     std::vector<std::string> keys;
     /// Overrides the route's priority.
     std::optional<unsigned> priority;
+    /// Regions whose servers may get the organisation's requests; empty: any region. A route's homes bind as well.
+    std::vector<RegionName> homes {};
 };
 
 /// Size and time limits for client requests.
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/gateway/configuration.h"
+#include "src/gateway/directory.h"
 #include "src/gateway/model.h"
 
 #include <swiftloft/result.h>
@@ -46,12 +47,16 @@
     /// Encodes the directory, the list of entries that a client may use. The client may cache the list until
     /// `expiresAt`.
     std::function<std::string(const std::vector<Endpoint>& entries, TimePoint expiresAt, TimePoint now)> encodeDirectory;
+    /// Decodes the target of a request for the directory; what the client does not say stays empty.
+    std::function<DirectoryQuery(std::string_view target)> decodeDirectoryQuery;
     /// Encodes the value of the header that tells a refused client when to retry.
     std::function<std::string(TimePoint retryAt, TimePoint now)> encodeRetryAfter;
     /// Path of the readiness check.
     std::string readyPath;
     /// Path of the list of entries.
     std::string directoryPath;
+    /// Key of homes in the configuration document; for error messages.
+    std::string homesKey;
 };
 
 /// Number of times that the store was restored from an older copy. A restored store issues revisions again that it had
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -104,6 +104,7 @@
         co_return;
     }
     unsigned priority = call.route->priority;
+    std::span<const RegionName> organisationHomes;
     if (configuration->hasOrganisations() && !call.route->isPublic) {
         auto* organisation = configuration->findOrganisation(call.head.key);
         if (!organisation) {
@@ -112,6 +113,7 @@
         }
         call.organisation = organisation->name;
         priority = organisation->priority.value_or(priority);
+        organisationHomes = organisation->homes;
     }
     call.deadline = call.arrivedAt + call.route->timeout;
     if (call.head.clientDeadline)
@@ -119,7 +121,7 @@
     call.lastEvent = call.head.lastEvent;
     call.handle = std::make_unique<AsyncDispatcher::CallHandle>(m_dispatcher, m_dispatcher.nextId());
     call.handle->setOnCancelAttempt([&call] { cancelAttempt(call); });
-    CallRequest request { configuration, call.route, priority, call.arrivedAt, call.deadline, call.head.promptTokens, call.head.outputTokens, call.head.expectedOutputTokens, call.organisation };
+    CallRequest request { configuration, call.route, priority, call.arrivedAt, call.deadline, call.head.promptTokens, call.head.outputTokens, call.head.expectedOutputTokens, call.organisation, organisationHomes };
     auto decision = co_await call.handle->submit(std::move(request));
     while (auto* start = std::get_if<dispatch::StartAttempt>(&decision)) {
         auto next = *start;
@@ -172,6 +174,8 @@
     call.reason = toString(refusal.reason);
     call.service = refusal.service;
     call.refusalDetails = fmt::format(" verdict={} occupancy={:.2f} waiting={}", toString(refusal.verdict), refusal.occupancy, refusal.queued);
+    if (refusal.homes)
+        call.refusalDetails += fmt::format(" homes={}", refusal.homes->empty() ? "none" : *refusal.homes);
     if (call.hasStreamStarted) {
         // Bytes that were sent can't be withdrawn. The response ends without its end mark, so that the client sees it as truncated.
         call.mustClose = true;
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -78,7 +78,23 @@
     return numberSetter([&target](double seconds) { target = milliseconds(std::llround(seconds * 1000)); }, min, max);
 }
 
-Result<void> readSection(const std::string& text, const std::string& fileName, const std::string& name, const Setters& setters, std::vector<std::string> optional)
+/// Optional keys that begin with `prefix` and end with a name; each has a name as its value.
+struct KeyFamily {
+    std::string prefix;
+    std::map<std::string, std::string> values;
+};
+
+/// Assigns a value to a key of a family. Returns an empty text, or what was expected when the key or value is invalid.
+std::string assignTo(KeyFamily& family, const std::string& key, const std::string& value)
+{
+    auto name = key.substr(family.prefix.size());
+    if (name.empty())
+        return "a name after the key's point";
+    family.values[name] = value;
+    return value.empty() ? "a name" : "";
+}
+
+Result<void> readSection(const std::string& text, const std::string& fileName, const std::string& name, const Setters& setters, std::vector<std::string> optional, KeyFamily* family = nullptr)
 {
     std::vector<std::string> keys;
     for (auto& [key, setter] : setters)
@@ -86,6 +102,8 @@
     process::IniSection section;
     section.name = name;
     section.assign = [&](const std::string& key, const std::string& value) {
+        if (family && key.starts_with(family->prefix))
+            return assignTo(*family, key, value);
         auto it = setters.find(key);
         return it == setters.end() ? fmt::format("one of the keys {}", fmt::join(keys, ", ")) : it->second(value);
     };
@@ -96,6 +114,19 @@
     return process::readIniSection(text, fileName, section);
 }
 
+Result<DataCentreRegions> regionsFrom(const KeyFamily& keys, const DataCentreName& own, const std::string& fileName)
+{
+    std::map<DataCentreName, RegionName> regions;
+    for (auto& [dataCentre, region] : keys.values)
+        regions.emplace(dataCentre, region);
+    if (!regions.empty() && !regions.contains(own))
+        return Error { ErrorCode::InvalidArgument, fmt::format("{}: key '{}{}' is missing: other data centres have a region, so this one needs one", fileName, keys.prefix, own.value()) };
+    auto created = DataCentreRegions::create(std::move(regions));
+    if (!created)
+        return Error { ErrorCode::InvalidArgument, fmt::format("{}: keys '{}...': {}", fileName, keys.prefix, created.error().message) };
+    return created;
+}
+
 constexpr double maxPort = 65535;
 constexpr double maxSeconds = 3600;
 constexpr double minApplyMs = 100;
@@ -106,6 +137,7 @@
 Result<EntrySettings> parseEntrySettings(const std::string& text, const std::string& fileName)
 {
     EntrySettings settings;
+    KeyFamily regions { "region.", {} };
     Setters setters {
         { "id", textSetter(settings.id) },
         { "data-centre", nameSetter(settings.dataCentre) },
@@ -128,9 +160,13 @@
         { "directory-kept-seconds", secondsSetter(settings.directoryMaxAge, 0, maxSeconds) },
         { "least-entries", numberSetter([&](double n) { settings.minEntries = static_cast<std::size_t>(n); }, 1, maxEntries) },
     };
-    auto read = readSection(text, fileName, "entry", setters, { "apply-within-ms", "cold-overshoot", "cold-slack", "seeds", "least-entries" });
+    auto read = readSection(text, fileName, "entry", setters, { "apply-within-ms", "cold-overshoot", "cold-slack", "seeds", "least-entries" }, &regions);
     if (!read)
         return read.error();
+    auto created = regionsFrom(regions, settings.dataCentre, fileName);
+    if (!created)
+        return created.error();
+    settings.regions = *created;
     return settings;
 }
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/gateway/cold-server-limits.h"
+#include "src/gateway/homes.h"
 #include "src/gateway/model.h"
 #include "src/gateway/retry-allowance.h"
 
@@ -15,6 +16,8 @@
 struct EntrySettings {
     std::string id;
     DataCentreName dataCentre;
+    /// The regions of the data centres; empty if the deployment names no homes.
+    DataCentreRegions regions;
     /// Serves client requests.
     Endpoint clients;
     /// Serves the readiness page, which shows whether this entry accepts clients.
--- a/src/gateway/traffic-server.cc
+++ b/src/gateway/traffic-server.cc
@@ -1,6 +1,7 @@
 #include "src/gateway/traffic-server.h"
 
 #include "src/gateway/datagram-metrics.h"
+#include "src/gateway/directory.h"
 #include "src/log/logger.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -32,8 +33,6 @@
 /// Delay after a failed accept, for example when no file descriptors are left.
 constexpr milliseconds acceptRetryDelay { 10 };
 constexpr milliseconds pageTimeout { 3000 };
-/// Upper bound of the entries in one directory response.
-constexpr std::size_t maxDirectoryEntries = 64;
 
 policy::Generator seeded()
 {
@@ -46,7 +45,7 @@
     : m_settings(settings)
     , m_protocol(protocol)
     , m_incarnation(incarnation)
-    , m_dispatcher(m_ioContext, DispatcherOptions { settings.retries, settings.coldLimits }, seeded())
+    , m_dispatcher(m_ioContext, DispatcherOptions { settings.retries, settings.coldLimits, settings.regions }, seeded())
     , m_pool(m_ioContext)
     , m_server(m_dispatcher, m_pool, protocol, metrics, [this] { return m_snapshot; })
     , m_snapshot(std::make_shared<Snapshot>())
@@ -190,7 +189,7 @@
         if (!m_snapshot->isReady)
             response.result(http::status::service_unavailable);
     } else if (path == m_protocol.directoryPath) {
-        auto entries = directoryEntries();
+        auto entries = directoryEntriesFor(target);
         if (entries.empty())
             response.result(http::status::service_unavailable);
         auto now = Clock::now();
@@ -202,28 +201,18 @@
     return response;
 }
 
-/// Entries for a client of this data centre: the local entries, or all entries if fewer than two are local. Clients ask
-/// the nearest entry first, so a client that asks this entry is in the same data centre. At least two entries are
-/// returned, if there are as many, so that one remains when the other dies.
-std::vector<Endpoint> TrafficServer::directoryEntries() const
+std::vector<Endpoint> TrafficServer::directoryEntriesFor(std::string_view target) const
 {
-    std::vector<Endpoint> local;
-    std::vector<Endpoint> all;
-    auto add = [&](const Endpoint& endpoint, const DataCentreName& dataCentre) {
-        all.push_back(endpoint);
-        if (dataCentre == m_settings.dataCentre)
-            local.push_back(endpoint);
-    };
+    auto query = m_protocol.decodeDirectoryQuery ? m_protocol.decodeDirectoryQuery(target) : DirectoryQuery {};
+    std::vector<ServingEntry> serving;
     if (m_snapshot->isReady)
-        add(m_settings.clients, m_settings.dataCentre);
+        serving.push_back({ m_settings.clients, m_settings.dataCentre });
     for (auto& entry : m_snapshot->entries) {
         if (entry.state == EntryState::Serving)
-            add(entry.clients, entry.dataCentre);
+            serving.push_back({ entry.clients, entry.dataCentre });
     }
-    auto& chosen = local.size() >= 2 ? local : all;
-    if (chosen.size() > maxDirectoryEntries)
-        chosen.resize(maxDirectoryEntries);
-    return chosen;
+    auto* homes = m_snapshot->configuration ? m_snapshot->configuration->findHostHomes(query.host) : nullptr;
+    return directoryEntries(serving, query, homes, m_settings.regions, m_settings.dataCentre);
 }
 
 void TrafficServer::scheduleLoadUpdate(TimePoint time)
--- a/src/gateway/traffic-server.h
+++ b/src/gateway/traffic-server.h
@@ -47,7 +47,8 @@
     boost::asio::awaitable<void> serveClient(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> serveStatusPage(boost::asio::ip::tcp::socket socket);
     ClientResponse statusPage(const ClientRequest& request);
-    std::vector<Endpoint> directoryEntries() const;
+    /// `target` is that of the client's request for the directory.
+    std::vector<Endpoint> directoryEntriesFor(std::string_view target) const;
     void sendLoadUpdate();
     void scheduleLoadUpdate(TimePoint time);
     void stopIfIdle();
--- a/test/configuration_test.cc
+++ b/test/configuration_test.cc
@@ -65,3 +65,18 @@
     withoutService.services.clear();
     CHECK_FALSE(make({ withoutService }).has_value());
 }
+
+TEST_CASE("Configuration: the homes of a host are those that its routes share, and those of any of them")
+{
+    auto withHomes = [](Route it, std::vector<RegionName> homes) {
+        it.homes = std::move(homes);
+        return it;
+    };
+    RegionName one("one"), two("two"), three("three");
+    auto configuration = make({ withHomes(route("r1", "a.example", "/1/"), { one, two }), route("open", "a.example", "/2/"), withHomes(route("r3", "a.example", "/3/"), { two, three }), route("r4", "b.example", "/") }).value();
+    auto* homes = configuration->findHostHomes("a.example");
+    REQUIRE(homes);
+    CHECK(homes->shared == std::vector<RegionName> { two });
+    CHECK(homes->all == std::vector<RegionName> { one, two, three });
+    CHECK_FALSE(configuration->findHostHomes("b.example"));
+}
--- a/test/gateway-settings_test.cc
+++ b/test/gateway-settings_test.cc
@@ -68,6 +68,23 @@
     CHECK(parseEntrySettings(without("seeds"), "entry.ini").value().seeds.empty());
 }
 
+TEST_CASE("Entry settings: regions of data centres are optional, and complete for the entry's own")
+{
+    CHECK(parseEntrySettings(entryText, "entry.ini").value().regions.isEmpty());
+    auto regions = parseEntrySettings(entryText + "region.dc = r1\nregion.dc-2 = r1\nregion.dc-3 = r2\n", "entry.ini").value().regions;
+    CHECK(regions.regionOf(swiftloft::DataCentreName("dc-3"))->value() == "r2");
+    CHECK(regions.names() == std::vector<std::string> { "r1", "r2" });
+    auto messageOf = [](const std::string& lines) { return parseEntrySettings(entryText + lines, "entry.ini").error().message; };
+    CHECK(messageOf("region.dc-2 = r1\n") == "entry.ini: key 'region.dc' is missing: other data centres have a region, so this one needs one");
+    CHECK(messageOf("region.dc = \n") == "entry.ini:18: key 'region.dc' has value ''; expected a name");
+    CHECK(messageOf("region.dc = r1\nregion.dc = r2\n") == "entry.ini:19: key 'region.dc' was already set on line 18");
+    CHECK(messageOf("region. = r1\n") == "entry.ini:18: key 'region.' has value 'r1'; expected a name after the key's point");
+    std::string many = "region.dc = r0\n";
+    for (std::size_t n = 1; n <= DataCentreRegions::maxRegions; ++n)
+        many += "region.dc" + std::to_string(n) + " = r" + std::to_string(n) + "\n";
+    CHECK(messageOf(many) == "entry.ini: keys 'region....': 65 regions; at most 64 are possible");
+}
+
 TEST_CASE("Agent settings: the planner's keys are optional")
 {
     const std::string text = "[agent]\nid = a1\ndata-centre = dc\nengine = 10.0.0.5:80\nnews = 10.0.0.5:81\nmetrics = 10.0.0.5:83\ngroup = 10.0.0.5:82\n";
--- a/test/platform-protocol_test.cc
+++ b/test/platform-protocol_test.cc
@@ -317,3 +317,33 @@
     CHECK_FALSE(platform::checkEvacuation("", "{}").has_value());
     CHECK_FALSE(platform::checkEvacuation("a/b", "{}").has_value());
 }
+
+TEST_CASE("Platform: homes of routes and organisations are decoded, and a wrong type is named with its owner")
+{
+    auto decode = [](const std::string& routeHomes, const std::string& organisationHomes) {
+        return platform::decodeConfiguration(R"({"version":1,"routes":[{"name":"r","host":"a.example","prefix":"/","kind":"safe","timeoutMs":100,"service":"s")" + routeHomes
+            + R"(}],"services":[{"name":"s"}],"tenants":[{"name":"cafe","apiKeys":["k1"])" + organisationHomes + "}]}");
+    };
+    using Regions = std::vector<RegionName>;
+    auto none = decode("", R"(,"allowedRegions":null)").value();
+    CHECK(none->routes()[0].homes.empty());
+    CHECK(none->organisations()[0].homes.empty());
+    auto both = decode(R"(,"allowedRegions":["a","b"])", R"(,"allowedRegions":["c"])").value();
+    CHECK(both->routes()[0].homes == Regions { RegionName("a"), RegionName("b") });
+    CHECK(both->organisations()[0].homes == Regions { RegionName("c") });
+    CHECK(decode(R"(,"allowedRegions":"a")", "").error().message == "route r: field 'allowedRegions' is not an array of names of regions");
+    CHECK(decode("", R"(,"allowedRegions":["a",1])").error().message == "organisation cafe: field 'allowedRegions' is not an array of names of regions");
+}
+
+TEST_CASE("Platform: the query for the directory is decoded")
+{
+    auto decode = platform::makeProtocol().decodeDirectoryQuery;
+    auto query = decode("/v1/resolve?name=a.example&region=r%201&zone=z");
+    CHECK(query.host == "a.example");
+    CHECK(query.region == RegionName("r 1"));
+    CHECK(query.dataCentre == DataCentreName("z"));
+    for (auto* target : { "/v1/resolve", "/v1/resolve?other=x", "not a target" }) {
+        auto empty = decode(target);
+        CHECK((empty.host.empty() && !empty.region && !empty.dataCentre));
+    }
+}
