Let requests wait for an entry that has just started

Cause: after a kill of all entries, clients reach the new processes before the store's responses do. Change: a request waits until the entry can serve, at most a second and a quarter of the time that it has left; the number that waits is bounded.

--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -30,15 +30,28 @@
     return lastReceivedAt == TimePoint {} ? milliseconds(-1) : std::chrono::duration_cast<milliseconds>(now - lastReceivedAt);
 }
 
+/// True if the entry has the documents that it needs to serve requests.
+bool mayServe(const Snapshot& snapshot)
+{
+    return snapshot.configuration && (snapshot.isReady || snapshot.isLeaving);
+}
+
 } // namespace
 
-RequestServer::RequestServer(AsyncDispatcher& dispatcher, UpstreamPool& pool, const Protocol& protocol, process::SharedMetrics& metrics, SnapshotSource snapshot)
+RequestServer::RequestServer(AsyncDispatcher& dispatcher, UpstreamPool& pool, const Protocol& protocol, process::SharedMetrics& metrics, SnapshotSource snapshot, bool waitsAtStart)
     : m_dispatcher(dispatcher)
     , m_pool(pool)
     , m_protocol(protocol)
     , m_metrics(metrics)
     , m_snapshot(std::move(snapshot))
+    , m_startupQueue(waitsAtStart)
+{
+}
+
+void RequestServer::onSnapshotChanged()
 {
+    if (mayServe(*m_snapshot()))
+        m_startupQueue.onReady();
 }
 
 asio::awaitable<void> RequestServer::respond(Call& call, http::status status, std::string_view reason, std::optional<TimePoint> retryAt)
@@ -90,13 +103,15 @@
 
 asio::awaitable<void> RequestServer::run(Call& call)
 {
+    auto clientDeadline = call.head.clientDeadline.value_or(call.arrivedAt + defaultClientTimeout);
+    if (!mayServe(*m_snapshot()))
+        co_await m_startupQueue.wait(clientDeadline);
     auto snapshot = m_snapshot();
-    auto& configuration = snapshot->configuration;
-    if (!configuration || (!snapshot->isReady && !snapshot->isLeaving)) {
-        auto deadline = call.head.clientDeadline.value_or(call.arrivedAt + defaultClientTimeout);
-        co_await respond(call, http::status::service_unavailable, "not-ready", admission::outageRetryTime(call.arrivedAt, deadline, m_generator));
+    if (!mayServe(*snapshot)) {
+        co_await respond(call, http::status::service_unavailable, "not-ready", admission::outageRetryTime(Clock::now(), clientDeadline, m_generator));
         co_return;
     }
+    auto& configuration = snapshot->configuration;
     call.configuration = configuration;
     call.route = configuration->findRoute(call.head.host, call.head.path);
     if (!call.route) {
--- a/src/gateway/request-server.h
+++ b/src/gateway/request-server.h
@@ -4,6 +4,7 @@
 #include "src/gateway/downstream-connection.h"
 #include "src/gateway/event-splitter.h"
 #include "src/gateway/protocol.h"
+#include "src/gateway/startup-queue.h"
 #include "src/gateway/upstream-pool.h"
 #include "src/process/metrics.h"
 
@@ -22,11 +23,13 @@
 public:
     using SnapshotSource = std::function<std::shared_ptr<const Snapshot>()>;
 
-    RequestServer(AsyncDispatcher& dispatcher, UpstreamPool& pool, const Protocol& protocol, process::SharedMetrics& metrics, SnapshotSource snapshot);
+    RequestServer(AsyncDispatcher& dispatcher, UpstreamPool& pool, const Protocol& protocol, process::SharedMetrics& metrics, SnapshotSource snapshot, bool waitsAtStart);
 
     /// Responds to `request`. Throws if the client's connection fails. Returns false if the connection must be closed
     /// afterwards.
     boost::asio::awaitable<bool> serve(DownstreamConnection& client, ClientRequest request);
+    /// The snapshot has changed.
+    void onSnapshotChanged();
     /// Responds to a request that could not be read.
     boost::asio::awaitable<void> rejectUnreadable(DownstreamConnection& client, ReadError error);
 
@@ -57,6 +60,7 @@
     const Protocol& m_protocol;
     process::SharedMetrics& m_metrics;
     SnapshotSource m_snapshot;
+    StartupQueue m_startupQueue;
     policy::Generator m_generator { std::random_device {}() };
 };
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -35,6 +35,8 @@
     Endpoint store;
     RetryAllowanceOptions retries;
     ColdLimitOptions coldLimits;
+    /// Requests wait for an entry that has just started; otherwise they are refused until it can serve.
+    bool waitsAtStart { true };
     /// Time within which a change that is published in the store must be in force.
     milliseconds applyTimeout { 2000 };
     /// Maximum time from SIGTERM to the end of the process.
