Give refused clients turns at the rate of admissions

Clients that are refused for lack of capacity returned at a random time between 0.5 and 1.2 s, whatever was waiting; most return once and were refused again. ReturnTurns gives them turns at the rate at which this entry's requests get capacity, the most urgent first. RetrySchedule uses it for services that ask for it; the dispatcher does not ask yet.

--- a/src/gateway/admission/retry-schedule.cc
+++ b/src/gateway/admission/retry-schedule.cc
@@ -20,6 +20,9 @@
 constexpr double maxWaitShare { 0.3 };
 /// No client waits for longer than this.
 constexpr seconds maxClientWait { 60 };
+/// Clients without a turn return between this part and the whole of their maximum wait.
+constexpr double minLateWaitShare { 0.8 };
+
 /// Maximum time for which a client with this deadline waits before it returns.
 Clock::duration maxWaitUntil(TimePoint now, TimePoint deadline)
 {
@@ -64,12 +67,25 @@
     return backOffEndsAt + std::chrono::duration_cast<Clock::duration>(jitter(m_generator) * (latest - backOffEndsAt));
 }
 
+/// Gives the client a turn. A client whose turn would come after its maximum wait returns towards the end of that wait:
+/// there may be more capacity by then, and no time foreseen is better.
+TimePoint RetrySchedule::timeInTurn(TimePoint now, const RefusedRequest& request)
+{
+    auto maxWait = maxWaitUntil(now, request.deadline);
+    if (auto at = m_turns.take(now, request.service, request.priority, now + maxWait))
+        return *at;
+    boost::random::uniform_real_distribution<double> jitter(minLateWaitShare, 1.0);
+    return now + std::chrono::duration_cast<Clock::duration>(jitter(m_generator) * maxWait);
+}
+
 TimePoint RetrySchedule::retryTime(TimePoint now, const RefusedRequest& request, const ServiceOutlook& outlook)
 {
     if (outlook.isDown)
         return outageRetryTime(now, request.deadline, m_generator);
     if (auto& throttling = outlook.throttling)
         return throttling->isBackingOff && throttling->rate <= 0 ? timeAfterBackOff(now, request, throttling->nextSendAt) : timeWithinLimits(now, request, throttling->rate);
+    if (outlook.hasTurns)
+        return timeInTurn(now, request);
     boost::random::uniform_int_distribution<int> jitter(0, static_cast<int>(overloadRetryJitter.count()));
     return now + overloadRetryDelay + milliseconds(jitter(m_generator));
 }
--- a/src/gateway/admission/retry-schedule.h
+++ b/src/gateway/admission/retry-schedule.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/gateway/admission/return-turns.h"
 #include "src/gateway/load-balancer.h"
 
 #include <swiftloft/policy/random.h>
@@ -18,6 +19,8 @@
 struct RefusedRequest {
     ServiceName service;
     TimePoint deadline;
+    /// 0 is the most urgent.
+    unsigned priority { 0 };
 };
 
 /// What is known of a service when one of its requests is refused.
@@ -26,6 +29,8 @@
     bool isDown { false };
     /// Set if limits or back-offs keep this entry from every server that may run the request.
     std::optional<LoadBalancer::Throttling> throttling;
+    /// Clients return in turn, the most urgent first; otherwise at random.
+    bool hasTurns { false };
 };
 
 /// Tells refused clients when to return. Keeps the turns that were given to clients of services with limits. Pure: the
@@ -38,12 +43,17 @@
     }
 
     TimePoint retryTime(TimePoint now, const RefusedRequest& request, const ServiceOutlook& outlook);
+    /// A request of the service has been sent to a server.
+    void onAdmitted(TimePoint now, const ServiceName& service) { m_turns.onAdmitted(now, service); }
+    const ReturnTurns& turns() const { return m_turns; }
 
 private:
     TimePoint timeAfterBackOff(TimePoint now, const RefusedRequest& request, TimePoint backOffEndsAt);
+    TimePoint timeInTurn(TimePoint now, const RefusedRequest& request);
     TimePoint timeWithinLimits(TimePoint now, const RefusedRequest& request, double rate);
 
     policy::Generator m_generator;
+    ReturnTurns m_turns;
     /// Retry time for the next client that is refused because of limits, by service.
     std::map<ServiceName, TimePoint> m_nextReturnAt;
 };
