--- a/test/directory_test.cc
+++ b/test/directory_test.cc
@@ -17,6 +17,7 @@
 std::vector<ServingEntry> serving(const std::vector<std::string>& dataCentres)
 {
     std::vector<ServingEntry> out;
+    out.reserve(dataCentres.size());
     for (auto& dataCentre : dataCentres)
         out.push_back({ endpointOf(static_cast<unsigned>(out.size())), DataCentreName(dataCentre) });
     return out;
@@ -46,7 +47,7 @@
 {
     CHECK(chosen({ "da1", "db1", "da1", "dc1" }, fromC, nullptr) == "da1 da1");
     CHECK(chosen({ "da1", "db1", "dc1" }, {}, nullptr) == "da1 db1 dc1");
-    CHECK(chosen({}, {}, nullptr) == "");
+    CHECK(chosen({}, {}, nullptr).empty());
     CHECK(chosen(std::vector<std::string>(100, "da1"), {}, nullptr).size() == 4 * maxDirectoryEntries - 1);
 }
 
--- a/test/homes_test.cc
+++ b/test/homes_test.cc
@@ -3,6 +3,7 @@
 #include "src/gateway/homes.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include <random>
 
@@ -27,9 +28,9 @@
 DataCentreRegions regions()
 {
     std::map<DataCentreName, RegionName> out;
-    for (std::string region : { "a", "b", "c" }) {
-        for (std::string n : { "1", "2" })
-            out.emplace("d" + region + n, region);
+    for (const auto* region : { "a", "b", "c" }) {
+        for (int n : { 1, 2 })
+            out.emplace(fmt::format("d{}{}", region, n), region);
     }
     return DataCentreRegions::create(out).value();
 }
@@ -141,7 +142,7 @@
     CHECK(allowed(homes({ "a", "b" }), {}) == "da1 db2 ");
     CHECK(allowed({}, homes({ "c" })) == "dc1 ");
     CHECK(allowed(homes({ "a", "b" }), homes({ "b", "c" })) == "db2 ");
-    CHECK(allowed(homes({ "a" }), homes({ "b" })) == "");
+    CHECK(allowed(homes({ "a" }), homes({ "b" })).empty());
     CHECK(homesOf(homes({ "a" }), homes({ "b" }), known).isEmpty());
 }
 
--- a/test/return-turns_test.cc
+++ b/test/return-turns_test.cc
@@ -16,7 +16,7 @@
 {
     ReturnTurns turns;
     for (int n = 0; n < 5 * perSecond; ++n)
-        turns.onAdmitted(start - seconds(5) + n * seconds(5) / (5 * perSecond), service);
+        turns.onAdmitted(start - seconds(5) + n * Clock::duration(seconds(1)) / perSecond, service);
     return turns;
 }
 
