Remind ranks of obsolete maps at the interval of idle reads

Cause: an engine that can't drop a map reports it until the next one is loaded, and the coordinator repeated the order at the retry interval, up to 600 orders a second in a group. That happens after each withdrawn change. Change: the order is repeated at the interval of idle reads. Arming is untouched.

--- a/src/expertmap/coordinator.cc
+++ b/src/expertmap/coordinator.cc
@@ -404,7 +404,7 @@
         auto& staged = m_ranks[r].status->staged;
         bool hasObsoleteMap = std::any_of(staged.begin(), staged.end(), [&](auto it) { return it != version; });
         if (hasObsoleteMap)
-            send(now, r, DropMaps { version }, effects);
+            send(now, r, DropMaps { version }, effects, m_options.idleReadInterval);
         else
             send(now, r, ReadStatus {}, effects, m_options.idleReadInterval);
     }
