Decide changes of the expert map by what they save

Cause: a change copied for a fixed 80 ms, one expert a rank where an expert takes 76 ms, and the group waited for reports between two changes. The most loaded rank stood at 1.84 times the mean. Change: rank 0 forecasts the passes that each of up to four maps leads to, how long demand is likely to last and what copies cost, and takes the sequence of changes with the least loss; a change that a shift overtakes while ranks copy is withdrawn; the next change is planned as soon as the last one is in force. Rank 0 tells entries its imbalance and whether ranks copy.

--- a/include/swiftloft/expertmap/planner.h
+++ b/include/swiftloft/expertmap/planner.h
@@ -55,6 +55,8 @@
     /// not worth a change.
     double imbalance { 0 };
     double plannedImbalance { 0 };
+    /// Set by `ReplicaPlanner`: number of experts that the rank with the most copies has to copy.
+    std::uint32_t copiesPerRank { 0 };
 };
 
 /// Decides which experts of a rank group to move, and when a move is worth its cost.
--- a/include/swiftloft/expertmap/replica-planner.h
+++ b/include/swiftloft/expertmap/replica-planner.h
@@ -6,6 +6,7 @@
 #include <swiftloft/units.h>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <span>
 #include <vector>
@@ -46,6 +47,9 @@
         /// copy in parallel, so that rank determines how long the change takes. If a change were charged for the
         /// copies of all ranks together, no change of a large group could pay off, whatever it gained.
         double minGainPerCopy { 0.024 };
+        /// Part of the step time saved by all changes of a search that a plan keeps. The last changes relieve the
+        /// slowest ranks little, and are left out for the memory that they move.
+        double gainShare { 1 };
         /// Minimum fraction of the step time that a change must save in total.
         double minGain { 0.04 };
     };
@@ -64,6 +68,11 @@
     /// of the step time that depends on the number of tokens, 0 to 1. It is small for a group with little work, and
     /// then no map shortens the steps by much.
     Plan plan(const ExpertMap& current, double loadShare = 1) const;
+    /// Plans several maps, each of which copies more experts than the one before: `copiesPerStage` on each rank, twice
+    /// as many, and so on up to `Options::maxCopiesPerRank`. Each plan contains the moves from `current`. Plans are
+    /// passed to `onStage` in this order, until it returns false. As in `plan`, a plan that is not worthwhile has no
+    /// map, though a later one may have one.
+    void planStages(const ExpertMap& current, double loadShare, std::uint32_t copiesPerStage, const std::function<bool(const Plan&)>& onStage) const;
     /// Returns how many times as long as usual a token takes on the slowest rank.
     double slowestPace() const;
     /// Returns the time of the slowest rank relative to that of evenly loaded ranks at the usual pace, averaged over
--- a/src/agent/pass-time-estimator.cc
+++ b/src/agent/pass-time-estimator.cc
@@ -31,6 +31,13 @@
     return shortest;
 }
 
+std::optional<Clock::duration> PassTimeEstimator::recent() const
+{
+    auto& last = m_measurements[(m_nextIndex + maxMeasurements - 1) % maxMeasurements];
+    auto& before = m_measurements[(m_nextIndex + maxMeasurements - 2) % maxMeasurements];
+    return last && before ? std::min(last, before) : last;
+}
+
 double loadDependentShare(const std::optional<Clock::duration>& passTime, Clock::duration basePassTime)
 {
     if (!passTime || *passTime <= Clock::duration(0))
--- a/src/agent/pass-time-estimator.h
+++ b/src/agent/pass-time-estimator.h
@@ -23,6 +23,9 @@
     /// Returns the shortest of the kept measurements, or `nullopt` before the first one. The shortest is used because a
     /// measurement that includes time without work is longer than the passes were.
     std::optional<Clock::duration> shortest() const;
+    /// Returns the shorter of the last two measurements, or `nullopt` before the first one. Follows a rising load
+    /// sooner than `shortest`.
+    std::optional<Clock::duration> recent() const;
 
 private:
     std::optional<StepNumber> m_startStep;
--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -58,6 +58,7 @@
 /// engine, one between agents, and the delay after the neighbour's hold.
 constexpr milliseconds leadTime { 85 };
 constexpr std::uint64_t maxLeadSteps = 64;
+constexpr double megabytesPerGigabyte = 1000;
 
 /// Maximum number of orders that rank 0 sends per second while it waits. Each order is answered, and both directions
 /// together may take a third of a link of 6 Mbit/s. A link that is full of status queries loses the orders.
@@ -84,15 +85,27 @@
     return options;
 }
 
+/// Shortest time of copies that is worth a change of its own, because each change takes the time of a switch as well.
+constexpr milliseconds minCopyTime { 40 };
+/// Number of maps that are compared for one change. Bounds the time of a plan.
+constexpr std::uint32_t maxCopyStages = 4;
+
+/// Part of the possible gain of a change that is worth its copies. Ranks that are not among the slowest would copy for the
+/// rest.
+constexpr double plannedGainShare = 0.9;
+
+/// Time in which a rank copies one expert; 0 if unknown.
+ForecastTime copyTimePerExpert(const gateway::EngineTraits& traits)
+{
+    constexpr double bitsPerByte = 8;
+    return traits.linkMbps > 0 ? ForecastTime(traits.expertMegabytes * bitsPerByte / traits.linkMbps) : ForecastTime(0);
+}
+
 /// Number of experts that a rank can copy in `time`, at least one.
 std::uint32_t expertsCopiedWithin(milliseconds time, const gateway::EngineTraits& traits)
 {
-    constexpr double bitsPerByte = 8;
-    constexpr double msPerSecond = 1000;
-    if (traits.expertMegabytes <= 0 || traits.linkMbps <= 0)
-        return 1;
-    auto expertMs = traits.expertMegabytes * bitsPerByte / traits.linkMbps * msPerSecond;
-    return std::max(1U, static_cast<std::uint32_t>(static_cast<double>(time.count()) / expertMs));
+    auto timePerExpert = copyTimePerExpert(traits);
+    return timePerExpert > ForecastTime(0) ? std::max(1U, static_cast<std::uint32_t>(time / timePerExpert)) : 1;
 }
 
 /// Duration of a pass with next to no load. A pass is what the engine runs between two checks of its request queue.
@@ -236,7 +249,12 @@
         m_isOrderInProgress = false;
     }
     co_await reportLoads();
-    if (m_mapScheduler && m_member && m_member->coordinator())
+    tickMapScheduler();
+}
+
+void RankDaemon::tickMapScheduler()
+{
+    if (m_mapScheduler && m_view && m_member && m_member->coordinator())
         m_mapScheduler->tick(Clock::now(), m_member->coordinator()->phase(), m_view->step, m_view->prepared, m_generator);
 }
 
@@ -282,10 +300,14 @@
         if (m_mapScheduler)
             m_mapScheduler->onLoads(loads);
     };
-    hooks.onMapChanged = [this](const SwitchPoint&) {
+    hooks.onMapChanged = [this](const SwitchPoint& point) {
         m_metrics.count("swiftloft_agent_map_changes_total", {});
-        if (m_mapScheduler)
-            m_mapScheduler->onMapChanged(Clock::now());
+        if (!m_mapScheduler)
+            return;
+        m_mapScheduler->onMapChanged(Clock::now(), point.version);
+        // The next change is requested right away, because the group's link is idle. Callers of this hook are still
+        // using the coordinator.
+        asio::post(m_ioContext, [this] { tickMapScheduler(); });
     };
     auto member = GroupMember::create(m_ioContext, options, std::move(hooks));
     if (!member) {
@@ -308,20 +330,33 @@
     ReplicaPlanner::Options plannerOptions;
     plannerOptions.halfLife = m_settings.loadHalfLife;
     plannerOptions.minGain = m_settings.minGain;
-    plannerOptions.maxCopiesPerRank = expertsCopiedWithin(m_settings.maxCopyTime, m_brief->traits);
+    plannerOptions.gainShare = plannedGainShare;
+    auto& traits = m_brief->traits;
+    MapScheduler::Options options { basePassTime(traits), { copyTimePerExpert(traits), traits.expertMegabytes / megabytesPerGigabyte, ForecastTime(m_settings.movedGigabytePrice) },
+        expertsCopiedWithin(minCopyTime, traits) };
+    plannerOptions.maxCopiesPerRank = maxCopyStages * options.copiesPerStage;
+    if (m_settings.maxCopyTime)
+        plannerOptions.maxCopiesPerRank = std::min(plannerOptions.maxCopiesPerRank, expertsCopiedWithin(*m_settings.maxCopyTime, traits));
     plannerOptions.maxCopiesPerRankAndLayer = std::max(m_brief->traits.spareSlots, 1U);
     auto group = m_member->options().group.value();
     MapScheduler::Hooks hooks;
-    hooks.onMapChangeRequested = [this, group](const VersionedMap& map, const Plan& plan) {
-        log::write(log::Event::MapChangeWanted, "group={} version={:016x} experts={} gain={:.3f} imbalance={:.2f} planned={:.2f}", group, map.version.value(),
-            plan.moves.size(), plan.gain, plan.imbalance, plan.plannedImbalance);
+    hooks.onMapChangeRequested = [this, group](const VersionedMap& map, const Plan& plan, ForecastTime saved) {
+        log::write(log::Event::MapChangeWanted, "group={} version={:016x} experts={} copies-per-rank={} gain={:.3f} imbalance={:.2f} planned={:.2f} saved-seconds={:.2f}", group,
+            map.version.value(), plan.moves.size(), plan.copiesPerRank, plan.gain, plan.imbalance, plan.plannedImbalance, saved.count());
+        m_metrics.count("swiftloft_agent_map_seconds_foreseen_total", {}, saved.count());
         m_metrics.count("swiftloft_agent_experts_moved_total", {}, static_cast<double>(plan.moves.size()));
         m_member->requestMapChange(map);
     };
-    hooks.onMapChangeWithdrawn = [this, group] {
-        log::write(log::Event::MapChangeGivenUp, "group={} phase={}", group, toString(m_member->coordinator()->phase()));
+    hooks.onMapChangeWithdrawn = [this, group](std::string_view reason) {
+        log::write(log::Event::MapChangeGivenUp, "group={} reason={} phase={}", group, reason, toString(m_member->coordinator()->phase()));
+        m_metrics.count("swiftloft_agent_map_changes_withdrawn_total", { { "reason", std::string(reason) } });
         m_member->withdrawMapChange();
     };
+    hooks.onMapChangeJudged = [this, group](double planned, double seen) {
+        log::write(log::Event::MapChangeJudged, "group={} planned={:.2f} seen={:.2f}", group, planned, seen);
+        m_metrics.set("swiftloft_agent_planned_imbalance", {}, planned);
+        m_metrics.set("swiftloft_agent_seen_imbalance", {}, seen);
+    };
     hooks.onPlanned = [this](const Plan& plan, Clock::duration took) {
         m_metrics.observe("swiftloft_agent_plan_seconds", {}, std::chrono::duration<double>(took).count());
         m_metrics.count("swiftloft_agent_plans_total", { { "outcome", plan.map ? "wanted" : "refused" } });
@@ -330,7 +365,7 @@
     hooks.onNotPlanned = [group](std::string_view reason, const std::string& detail) {
         log::write(log::Event::MapNotPlanned, "group={} reason={} {}", group, reason, detail);
     };
-    m_mapScheduler.emplace(LoadCollector(shape, ReplicaPlanner::create(shape, plannerOptions).value()), basePassTime(m_brief->traits), m_lastVersion, std::move(hooks));
+    m_mapScheduler.emplace(LoadCollector(shape, ReplicaPlanner::create(shape, plannerOptions).value()), options, m_lastVersion, std::move(hooks));
 }
 
 void RankDaemon::stopMember()
@@ -441,6 +476,10 @@
     m_nextStatusAt = now + (isHealthy ? statusInterval : degradedStatusInterval);
     m_paceSentToEntries = m_view->pace;
     RankStatus status { m_settings.engine, m_view->group, gateway::GroupEpoch(m_view->epoch), m_view->rank, m_view->ranks, m_view->isOpen, m_view->pace, m_view->startedAt, m_member && m_member->hasAllAddresses() };
+    if (m_mapScheduler && m_member) {
+        status.imbalance = m_mapScheduler->imbalance(now);
+        status.isCopying = m_member->coordinator() && m_member->coordinator()->phase() == CoordinatorPhase::Staging;
+    }
     std::erase_if(m_entries, [&](auto& it) { return it.second + entryLifetime < now; });
     auto bytes = encode(gateway::ControlMessage(status));
     for (auto& [address, receivedAt] : m_entries)
--- a/src/agent/rank-daemon.h
+++ b/src/agent/rank-daemon.h
@@ -47,6 +47,7 @@
     void recordPace();
     void sendStatusToEntries(TimePoint now);
     void startMapScheduler();
+    void tickMapScheduler();
     boost::asio::awaitable<std::optional<expertmap::EngineStatus>> awaitStaged(std::shared_ptr<RankEngine> engine, MapVersion version, std::optional<expertmap::EngineStatus> status);
     void updateAddresses(const gateway::GroupBrief& brief);
     expertmap::MapShape shapeOf(const gateway::GroupBrief& brief) const;
--- a/src/expertmap/replica-planner.cc
+++ b/src/expertmap/replica-planner.cc
@@ -133,30 +133,54 @@
         , m_isDone(shape.layers)
         , m_copiesByRank(shape.ranks)
         , m_copiesByLayer(shape.layers, std::vector<std::uint32_t>(shape.ranks))
+        , m_initialStepTime(stepTime())
     {
     }
 
-    /// Returns the sum of the layers' peak ratios, a measure of the step time.
-    double stepTime() const
+    /// Improves the map until no rank may copy more. `maxCopiesPerRank` counts from the initial map.
+    void run(std::uint32_t maxCopiesPerRank)
     {
-        return std::accumulate(m_layers.begin(), m_layers.end(), 0.0, [](double sum, auto& it) { return sum + it.peakRatio(); });
+        m_maxCopiesPerRank = maxCopiesPerRank;
+        std::fill(m_isDone.begin(), m_isDone.end(), false);
+        while (auto layer = worstLayer())
+            improve(*layer);
     }
 
-    void run()
+    /// Returns the fewest changes that save at least `share` of the step time that all changes so far save.
+    std::size_t changesForGainShare(double share) const
     {
-        while (auto layer = worstLayer())
-            improve(*layer);
+        if (m_changes.empty())
+            return 0;
+        double enough = m_initialStepTime - share * (m_initialStepTime - m_changes.back().stepTime);
+        auto reached = std::find_if(m_changes.begin(), m_changes.end(), [&](auto& it) { return it.stepTime <= enough; });
+        return std::min<std::size_t>(reached - m_changes.begin() + 1, m_changes.size());
     }
 
-    std::vector<ExpertIndex> slots() const
+    /// Returns the step time after the first `count` changes, in the unit of `initialStepTime`.
+    double stepTimeAfter(std::size_t count) const { return count == 0 ? m_initialStepTime : m_changes[count - 1].stepTime; }
+
+    /// Returns the map that results from the first `count` changes of `current`, the map of the search.
+    ExpertMap mapAfter(const ExpertMap& current, std::size_t count) const
     {
-        std::vector<ExpertIndex> slots;
-        for (auto& layer : m_layers)
-            slots.insert(slots.end(), layer.slots().begin(), layer.slots().end());
-        return slots;
+        std::vector<ExpertIndex> slots(current.slots().begin(), current.slots().end());
+        for (std::size_t n = 0; n < count; ++n) {
+            auto& [layer, change, stepTime] = m_changes[n];
+            auto first = slots.begin() + static_cast<std::ptrdiff_t>(layer) * m_shape.slotsPerLayer();
+            if (change.swapSlot)
+                first[*change.swapSlot] = first[change.slot];
+            first[change.slot] = ExpertIndex(change.expert);
+        }
+        return ExpertMap::create(m_shape, std::move(slots)).value();
     }
 
 private:
+    struct LayerChange {
+        std::uint32_t layer { 0 };
+        internal::ReplicaChange change;
+        /// Step time after this change.
+        double stepTime { 0 };
+    };
+
     /// Returns the layer that is farthest from balanced. It comes first because each rank may copy only a limited
     /// number of experts.
     std::optional<std::uint32_t> worstLayer() const
@@ -179,7 +203,15 @@
         countCopy(layer, found->slot);
         if (found->swapSlot)
             countCopy(layer, *found->swapSlot);
+        double before = m_layers[layer].peakRatio();
         m_layers[layer].apply(*found);
+        m_changes.push_back({ layer, *found, stepTimeAfter(m_changes.size()) + m_layers[layer].peakRatio() - before });
+    }
+
+    /// Returns the sum of the layers' peak ratios, a measure of the step time.
+    double stepTime() const
+    {
+        return std::accumulate(m_layers.begin(), m_layers.end(), 0.0, [](double sum, auto& it) { return sum + it.peakRatio(); });
     }
 
     std::vector<std::uint32_t> copyBudgets(std::uint32_t layer) const
@@ -187,7 +219,7 @@
         std::vector<std::uint32_t> left(m_shape.ranks);
         for (std::uint32_t r = 0; r < m_shape.ranks; ++r) {
             auto leftInLayer = m_options.maxCopiesPerRankAndLayer - std::min(m_copiesByLayer[layer][r], m_options.maxCopiesPerRankAndLayer);
-            auto leftOnRank = m_options.maxCopiesPerRank - std::min(m_copiesByRank[r], m_options.maxCopiesPerRank);
+            auto leftOnRank = m_maxCopiesPerRank - std::min(m_copiesByRank[r], m_maxCopiesPerRank);
             left[r] = std::min(leftInLayer, leftOnRank);
         }
         return left;
@@ -203,9 +235,12 @@
     const MapShape& m_shape;
     const ReplicaPlanner::Options& m_options;
     std::vector<ReplicaLayer> m_layers;
+    std::uint32_t m_maxCopiesPerRank { 0 };
     std::vector<bool> m_isDone;
     std::vector<std::uint32_t> m_copiesByRank;
     std::vector<std::vector<std::uint32_t>> m_copiesByLayer;
+    double m_initialStepTime { 0 };
+    std::vector<LayerChange> m_changes;
 };
 
 /// Returns the experts that ranks hold in `to` and not in `from`.
@@ -244,31 +279,45 @@
 }
 
 Plan ReplicaPlanner::plan(const ExpertMap& current, double loadShare) const
+{
+    Plan plan;
+    planStages(current, loadShare, m_options.maxCopiesPerRank, [&](const Plan& stage) {
+        plan = stage;
+        return false;
+    });
+    return plan;
+}
+
+void ReplicaPlanner::planStages(const ExpertMap& current, double loadShare, std::uint32_t copiesPerStage, const std::function<bool(const Plan&)>& onStage) const
 {
     std::vector<ReplicaLayer> layers;
     for (std::uint32_t n = 0; n < m_shape.layers; ++n)
         layers.emplace_back(m_shape, current.layer(LayerIndex(n)), layerTokens(n), m_paces);
     MapSearch search(m_shape, m_options, std::move(layers));
-    double before = search.stepTime();
+    double before = search.stepTimeAfter(0);
     Plan plan;
     plan.reason = PlanReason::NotEnoughData;
     plan.imbalance = before / m_shape.layers;
-    if (!hasEnoughTokens())
-        return plan;
-    search.run();
-    plan.plannedImbalance = search.stepTime() / m_shape.layers;
-    auto map = ExpertMap::create(m_shape, search.slots()).value();
-    auto moves = movesBetween(current, map);
-    double loadTimeSaved = (before - search.stepTime()) / before;
-    plan.gain = loadTimeSaved * loadShare;
-    plan.reason = PlanReason::NoGain;
-    bool isWorthwhile = !moves.empty() && plan.gain >= m_options.minGain && loadTimeSaved >= m_options.minGainPerCopy * maxCopiesOfRank(moves, m_shape.ranks);
-    if (!isWorthwhile)
-        return plan;
-    plan.reason = PlanReason::Moved;
-    plan.moves = std::move(moves);
-    plan.map = std::move(map);
-    return plan;
+    if (!hasEnoughTokens()) {
+        onStage(plan);
+        return;
+    }
+    for (auto copies = copiesPerStage; true; copies += copiesPerStage) {
+        search.run(std::min(copies, m_options.maxCopiesPerRank));
+        auto changes = search.changesForGainShare(m_options.gainShare);
+        double after = search.stepTimeAfter(changes);
+        auto map = search.mapAfter(current, changes);
+        plan.moves = movesBetween(current, map);
+        plan.copiesPerRank = maxCopiesOfRank(plan.moves, m_shape.ranks);
+        plan.plannedImbalance = after / m_shape.layers;
+        double loadTimeSaved = (before - after) / before;
+        plan.gain = loadTimeSaved * loadShare;
+        bool isWorthwhile = !plan.moves.empty() && plan.gain >= m_options.minGain && loadTimeSaved >= m_options.minGainPerCopy * plan.copiesPerRank;
+        plan.reason = isWorthwhile ? PlanReason::Moved : PlanReason::NoGain;
+        plan.map = isWorthwhile ? std::optional(std::move(map)) : std::nullopt;
+        if (!onStage(plan) || copies >= m_options.maxCopiesPerRank)
+            return;
+    }
 }
 
 } // namespace swiftloft::expertmap
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -147,9 +147,10 @@
         { "entries", endpointListSetter(settings.entries) },
         { "load-half-life-seconds", secondsSetter(settings.loadHalfLife, 0.01, maxSeconds) },
         { "least-gain", numberSetter([&](double gain) { settings.minGain = gain; }, 0, 1) },
-        { "copy-within-seconds", secondsSetter(settings.maxCopyTime, 0.001, maxSeconds) },
+        { "copy-within-seconds", numberSetter([&](double time) { settings.maxCopyTime = milliseconds(std::llround(time * 1000)); }, 0.001, maxSeconds) },
+        { "moved-gigabyte-price-seconds", numberSetter([&](double price) { settings.movedGigabytePrice = price; }, 0, maxSeconds) },
     };
-    auto read = readSection(text, fileName, "agent", setters, { "entries", "load-half-life-seconds", "least-gain", "copy-within-seconds" });
+    auto read = readSection(text, fileName, "agent", setters, { "entries", "load-half-life-seconds", "least-gain", "copy-within-seconds", "moved-gigabyte-price-seconds" });
     if (!read)
         return read.error();
     return settings;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -65,10 +65,10 @@
     /// Minimum part of the time of a pass that a change of the expert map must save.
     double minGain { 0.07 };
     /// Maximum time for which ranks copy for one change of the expert map. Each rank copies as many experts as fit into
-    /// this time, at least one. Ranks copy in parallel, so a change takes as long as the rank with the most copies, and
-    /// passes last 15 in 100 longer meanwhile; with uneven experts this delays streams. With a much shorter time, each
-    /// shift of demand needs several changes.
-    milliseconds maxCopyTime { 80 };
+    /// this time, at least one. If unset, only the forecast of what a change saves bounds the copies.
+    std::optional<milliseconds> maxCopyTime;
+    /// Seconds of a group's time that one gigabyte less of moved expert weights is worth. 0 counts only time.
+    double movedGigabytePrice { 0 };
 };
 
 Result<EntrySettings> parseEntrySettings(const std::string& text, const std::string& fileName);
--- a/test/gateway-settings_test.cc
+++ b/test/gateway-settings_test.cc
@@ -73,6 +73,10 @@
     const std::string text = "[agent]\nid = a1\ndata-centre = dc\nengine = 10.0.0.5:80\nnews = 10.0.0.5:81\nmetrics = 10.0.0.5:83\ngroup = 10.0.0.5:82\n";
     auto settings = parseAgentSettings(text, "agent.ini").value();
     CHECK(settings.maxCopyTime == AgentSettings().maxCopyTime);
+    CHECK(settings.movedGigabytePrice == 0);
+    CHECK(parseAgentSettings(text + "copy-within-seconds = 0.2\n", "agent.ini").value().maxCopyTime == std::chrono::milliseconds(200));
+    CHECK(parseAgentSettings(text + "moved-gigabyte-price-seconds = 0.5\n", "agent.ini").value().movedGigabytePrice == 0.5);
+    CHECK_FALSE(parseAgentSettings(text + "moved-gigabyte-price-seconds = -1\n", "agent.ini").has_value());
     CHECK(parseAgentSettings(text + "least-gain = 0.1\n", "agent.ini").value().minGain == 0.1);
     CHECK_FALSE(parseAgentSettings(text + "least-gain = 2\n", "agent.ini").has_value());
 }
--- a/test/replica-planner_test.cc
+++ b/test/replica-planner_test.cc
@@ -228,3 +228,33 @@
         CHECK(planner.imbalance(even) < 1.15);
     }
 }
+
+TEST_CASE("ReplicaPlanner: stages copy more and leave ranks more even, each within its copies")
+{
+    ReplicaPlanner::Options options;
+    options.maxCopiesPerRank = 4;
+    auto planner = plannerFor(1, options);
+    std::vector<Plan> plans;
+    planner.planStages(roundRobinMap(), 1, 1, [&](const Plan& plan) {
+        plans.push_back(plan);
+        return true;
+    });
+    REQUIRE(plans.size() == 4);
+    for (std::uint32_t n = 0; n < plans.size(); ++n) {
+        CAPTURE(n);
+        CHECK(plans[n].copiesPerRank <= n + 1);
+        CHECK(plans[n].plannedImbalance == Approx(planner.imbalance(plans[n].map.value())));
+        if (n > 0)
+            CHECK(plans[n].plannedImbalance < plans[n - 1].plannedImbalance);
+    }
+}
+
+TEST_CASE("ReplicaPlanner: a plan that keeps most of the gain moves fewer experts")
+{
+    auto whole = plannerFor(1).plan(roundRobinMap());
+    ReplicaPlanner::Options options;
+    options.gainShare = 0.9;
+    auto part = plannerFor(1, options).plan(roundRobinMap());
+    CHECK(part.gain >= 0.9 * whole.gain);
+    CHECK(part.moves.size() < whole.moves.size());
+}
