--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -1,5 +1,6 @@
 #include "src/agent/rank-daemon.h"
 
+#include "src/agent/map-planning-options.h"
 #include "src/gateway/datagram-metrics.h"
 #include "src/log/logger.h"
 #include "src/log/problem.h"
@@ -58,7 +59,6 @@
 /// engine, one between agents, and the delay after the neighbour's hold.
 constexpr milliseconds leadTime { 85 };
 constexpr std::uint64_t maxLeadSteps = 64;
-constexpr double megabytesPerGigabyte = 1000;
 
 /// Maximum number of orders that rank 0 sends per second while it waits. Each order is answered, and both directions
 /// together may take a third of a link of 6 Mbit/s. A link that is full of status queries loses the orders.
@@ -85,36 +85,6 @@
     return options;
 }
 
-/// Shortest time of copies that is worth a change of its own, because each change takes the time of a switch as well.
-constexpr milliseconds minCopyTime { 40 };
-/// Number of maps that are compared for one change. Bounds the time of a plan.
-constexpr std::uint32_t maxCopyStages = 4;
-
-/// Part of the possible gain of a change that is worth its copies. Ranks that are not among the slowest would copy for the
-/// rest.
-constexpr double plannedGainShare = 0.9;
-
-/// Time in which a rank copies one expert; 0 if unknown.
-ForecastTime copyTimePerExpert(const gateway::EngineTraits& traits)
-{
-    constexpr double bitsPerByte = 8;
-    return traits.linkMbps > 0 ? ForecastTime(traits.expertMegabytes * bitsPerByte / traits.linkMbps) : ForecastTime(0);
-}
-
-/// Number of experts that a rank can copy in `time`, at least one.
-std::uint32_t expertsCopiedWithin(milliseconds time, const gateway::EngineTraits& traits)
-{
-    auto timePerExpert = copyTimePerExpert(traits);
-    return timePerExpert > ForecastTime(0) ? std::max(1U, static_cast<std::uint32_t>(time / timePerExpert)) : 1;
-}
-
-/// Duration of a pass with next to no load. A pass is what the engine runs between two checks of its request queue.
-Clock::duration basePassTime(const gateway::EngineTraits& traits)
-{
-    std::chrono::duration<double, std::milli> pass(traits.stepMs * traits.stepsPerPass);
-    return std::chrono::duration_cast<Clock::duration>(pass);
-}
-
 /// Returns true if the rank reports token counts: every rank of a small group, and one rank per stride in a large
 /// group.
 bool isCountingRank(RankIndex rank, std::uint32_t ranks)
@@ -327,17 +297,7 @@
 void RankDaemon::startMapScheduler()
 {
     auto& shape = m_member->options().shape;
-    ReplicaPlanner::Options plannerOptions;
-    plannerOptions.halfLife = m_settings.loadHalfLife;
-    plannerOptions.minGain = m_settings.minGain;
-    plannerOptions.gainShare = plannedGainShare;
-    auto& traits = m_brief->traits;
-    MapScheduler::Options options { basePassTime(traits), { copyTimePerExpert(traits), traits.expertMegabytes / megabytesPerGigabyte, ForecastTime(m_settings.movedGigabytePrice) },
-        expertsCopiedWithin(minCopyTime, traits) };
-    plannerOptions.maxCopiesPerRank = maxCopyStages * options.copiesPerStage;
-    if (m_settings.maxCopyTime)
-        plannerOptions.maxCopiesPerRank = std::min(plannerOptions.maxCopiesPerRank, expertsCopiedWithin(*m_settings.maxCopyTime, traits));
-    plannerOptions.maxCopiesPerRankAndLayer = std::max(m_brief->traits.spareSlots, 1U);
+    auto options = mapPlanningOptions(m_settings, m_brief->traits);
     auto group = m_member->options().group.value();
     MapScheduler::Hooks hooks;
     hooks.onMapChangeRequested = [this, group](const VersionedMap& map, const Plan& plan, ForecastTime saved) {
@@ -365,7 +325,7 @@
     hooks.onNotPlanned = [group](std::string_view reason, const std::string& detail) {
         log::write(log::Event::MapNotPlanned, "group={} reason={} {}", group, reason, detail);
     };
-    m_mapScheduler.emplace(LoadCollector(shape, ReplicaPlanner::create(shape, plannerOptions).value()), options, m_lastVersion, std::move(hooks));
+    m_mapScheduler.emplace(LoadCollector(shape, ReplicaPlanner::create(shape, options.planner).value()), options.scheduler, m_lastVersion, std::move(hooks));
 }
 
 void RankDaemon::stopMember()
