Serve urgent requests first over all entries while capacity is short

Cause: priority ordered the queue of one entry only, and which entry took the next free slot was chance.

Change: entries whose requests wait or are refused report their demand by priority with their updates of load, and in sum to other data centres. A request takes a free slot only if more are free than are kept for more urgent requests elsewhere; what waits behind keeps one start for each ten. While a service is short, no request waits longer than a more urgent one. Engines are told the priority. Requests that lost their server now stay before more urgent ones that arrive later, as the queue's comment said.

--- a/src/gateway/admission/request-queue.cc
+++ b/src/gateway/admission/request-queue.cc
@@ -6,13 +6,13 @@
 
 void RequestQueue::push(const QueuedRequest& request)
 {
-    auto isLessUrgent = [&](const QueuedRequest& it) { return it.priority > request.priority; };
+    auto isLessUrgent = [&](const QueuedRequest& it) { return !it.isFirst && it.priority > request.priority; };
     m_requests.insert(std::find_if(m_requests.begin(), m_requests.end(), isLessUrgent), request);
 }
 
 void RequestQueue::pushFirst(const QueuedRequest& request)
 {
-    m_requests.insert(m_requests.begin(), request);
+    m_requests.insert(m_requests.begin(), request)->isFirst = true;
 }
 
 void RequestQueue::remove(CallId call)
--- a/src/gateway/admission/request-queue.h
+++ b/src/gateway/admission/request-queue.h
@@ -2,6 +2,10 @@
 
 #include "src/gateway/call-id.h"
 
+#include <swiftloft/ids.h>
+#include <swiftloft/units.h>
+
+#include <optional>
 #include <vector>
 
 /// Decides which requests are admitted, in which order, and when refused clients are told to return.
@@ -12,6 +16,13 @@
     CallId call;
     /// 0 is the most urgent.
     unsigned priority { 0 };
+    ServiceName service {};
+    /// Owner of the client's key; unset on routes that need no key.
+    std::optional<OrganisationName> organisation {};
+    /// Work that the request is expected to be.
+    Tokens work {};
+    /// The request has lost its server, and its client is already waiting.
+    bool isFirst { false };
 };
 
 /// The requests of one entry that wait for a server, in the order in which free capacity goes to them. Pure.
@@ -25,6 +36,7 @@
     void remove(CallId call);
     /// The queued requests, the next one to be served first. A copy, so that the caller may remove requests meanwhile.
     std::vector<CallId> order() const;
+    const std::vector<QueuedRequest>& requests() const { return m_requests; }
     std::size_t size() const { return m_requests.size(); }
 
 private:
--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -36,6 +36,7 @@
     ConfigurationVersion version() const { return m_parts.version; }
     const ClientLimits& limits() const { return m_parts.limits; }
     const std::vector<Route>& routes() const { return m_parts.routes; }
+    const std::vector<OrganisationKeys>& organisations() const { return m_parts.organisations; }
     const std::vector<Service>& services() const { return m_parts.services; }
 
     /// Returns the route of `host` with the longest prefix of `path`; null when there is none.
@@ -58,4 +59,10 @@
     boost::unordered_flat_map<std::string, std::size_t> m_keys;
 };
 
+/// Priority of an organisation's requests on a route: its own, else that of the route. `organisation` may be null.
+inline unsigned priorityOf(const Route& route, const OrganisationKeys* organisation)
+{
+    return organisation ? organisation->priority.value_or(route.priority) : route.priority;
+}
+
 } // namespace swiftloft::gateway
--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -38,9 +38,10 @@
         onPullAnswered(now, *answered);
     else if (auto* pullFailed = std::get_if<PullFailed>(&event))
         m_pulls.onFailed(pullFailed->topic);
-    else if (auto* measured = std::get_if<LoadsMeasured>(&event))
+    else if (auto* measured = std::get_if<LoadsMeasured>(&event)) {
         m_ownLoads = measured->loads;
-    else if (auto* leaving = std::get_if<LeavingReported>(&event))
+        m_ownDemands = measured->demands;
+    } else if (auto* leaving = std::get_if<LeavingReported>(&event))
         markLeavingChanged(m_departures.onAnnounced(now, hashOf(leaving->server)));
     else if (std::holds_alternative<StopRequested>(event)) {
         m_isLeaving = true;
@@ -85,7 +86,7 @@
     markEvacuationsChanged(m_evacuations.onPeerReport(now, hello.evacuations));
     m_isSnapshotChanged |= m_ranks.onPeerDegradedRanks(now, hello.sender.control, hello.degraded);
     if (!hello.loads.empty() && !m_entries.isLocal(hello.sender.dataCentre))
-        m_remoteLoads[hello.sender.dataCentre] = { hello.loads, now };
+        m_remoteLoads[hello.sender.dataCentre] = { hello.loads, hello.demands, now };
     if (hello.sender.isWatching && !m_watcherDocuments)
         m_watcherDocuments = { ConfigurationVersion(hello.configuration), hello.servers };
     pullIfBehind(now, hello, effects);
@@ -371,6 +372,7 @@
     if (m_entries.isLoadSharedLocally(now)) {
         remoteHello.degraded.clear();
         remoteHello.loads = m_ownLoads;
+        remoteHello.demands = m_ownDemands;
     }
     effects.push_back(SendHello { std::move(targets.remote), std::move(remoteHello) });
 }
@@ -395,6 +397,10 @@
             if (reported.receivedAt + remoteLoadLifetime > now)
                 snapshot.remoteLoads.push_back({ dataCentre, load });
         }
+        for (auto& demand : reported.demands) {
+            if (reported.receivedAt + remoteDemandLifetime > now)
+                snapshot.remoteDemands.push_back({ dataCentre, demand, reported.receivedAt });
+        }
     }
     snapshot.dataCentre = m_entries.self().dataCentre;
     snapshot.isLoadSharedLocally = m_entries.isLoadSharedLocally(now);
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -49,6 +49,8 @@
 /// The traffic thread measured the load of the servers of the local data centre.
 struct LoadsMeasured {
     std::vector<ServiceLoad> loads;
+    /// Demand at the entries of the local data centre, for services that are short of capacity.
+    std::vector<ServiceDemand> demands {};
 };
 /// The traffic thread received a response in which a server reported that it is leaving.
 struct LeavingReported {
@@ -140,6 +142,8 @@
     /// Each entry receives seven of these hellos a second, and one from a given one of five data centres every six
     /// tenths of a second.
     static constexpr milliseconds remoteLoadLifetime { 3000 };
+    /// Lifetime of the demand reported by another data centre, which is sent with the load.
+    static constexpr milliseconds remoteDemandLifetime { 1500 };
     /// Maximum number of local entries that are notified immediately of a newer document. Each of them fetches it and
     /// notifies as many others. If all were notified immediately, 29 of them would share one link for a document of
     /// hundreds of kilobytes.
@@ -244,8 +248,10 @@
     bool m_isDegradedChanged { false };
     TimePoint m_degradedAnnouncedAt;
     std::vector<ServiceLoad> m_ownLoads;
+    std::vector<ServiceDemand> m_ownDemands;
     struct ReportedLoads {
         std::vector<ServiceLoad> loads;
+        std::vector<ServiceDemand> demands;
         TimePoint receivedAt;
     };
     std::map<DataCentreName, ReportedLoads> m_remoteLoads;
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -77,6 +77,7 @@
     , m_generator(generator)
     , m_loadBalancer(options.coldLimits)
     , m_retries(options.retries)
+    , m_admission(options.admission)
     , m_retrySchedule(generator)
 {
 }
@@ -96,7 +97,7 @@
     else if (auto* responseStarted = std::get_if<ResponseStarted>(&event))
         onResponseStarted(now, responseStarted->call);
     else if (auto* closed = std::get_if<CallClosed>(&event))
-        onCallClosed(closed->call);
+        onCallClosed(now, closed->call);
     else if (auto* limit = std::get_if<LimitReceived>(&event))
         m_loadBalancer.onLimitReceived(now, limit->server, limit->sentAt, limit->limit);
     else if (auto* backOff = std::get_if<BackOffRequested>(&event))
@@ -106,9 +107,12 @@
             effects.push_back(PublishLeaving { leaving->server });
     } else if (auto* changed = std::get_if<SnapshotChanged>(&event)) {
         m_loadBalancer.setServers(now, *changed->snapshot);
+        m_admission.setFleet(now, *changed->snapshot);
         m_retries.raiseMaxEntries(changed->snapshot->maxEntries);
-    } else if (auto* load = std::get_if<LoadReceived>(&event))
+    } else if (auto* load = std::get_if<LoadReceived>(&event)) {
         m_loadBalancer.onLoadUpdate(now, load->update);
+        m_admission.onLoadUpdate(now, load->update);
+    }
     cancelStalledAttempts(now, effects);
     dispatchQueued(now, effects);
     m_lastEventAt = now;
@@ -119,16 +123,26 @@
 {
     auto& call = m_calls[event.call];
     call.request = event.request;
-    auto objective = event.request.route->objective;
-    auto wait = objective > milliseconds(0) ? std::chrono::duration_cast<Clock::duration>(m_options.queueTimeShare * objective) : m_options.defaultQueueTime;
-    call.queueDeadline = std::min(event.request.arrivedAt + wait, event.request.deadline);
     call.service = pickService(*event.request.route);
     m_retries.onRequest(call.service, now);
     if (!m_loadBalancer.hasServer(call.service)) {
         refuse(now, event.call, call, RefusalReason::NoServer, clientRetryTime(call, now), effects);
         return;
     }
-    m_queue.push({ event.call, event.request.priority });
+    m_admission.onArrived(now, queuedRequest(event.call, call));
+    m_queue.push(queuedRequest(event.call, call));
+}
+
+admission::QueuedRequest Dispatcher::queuedRequest(CallId id, const Call& call)
+{
+    auto& request = call.request;
+    return { id, request.priority, call.service, request.organisation, request.promptTokens + request.expectedOutputTokens.value_or(request.outputTokens), call.attempts > 0 };
+}
+
+void Dispatcher::updateQueueDeadline(CallId id, Call& call, TimePoint now)
+{
+    if (!call.isQueueTimeExtended)
+        call.queueDeadline = std::min(m_admission.queueDeadline(now, queuedRequest(id, call), call.request.arrivedAt, call.request.route->objective), call.request.deadline);
 }
 
 ServiceName Dispatcher::pickService(const Route& route)
@@ -159,7 +173,10 @@
     bool isOutsideAllowance = call.attempts == 0 || call.isAttemptCancelled;
     if (!isOutsideAllowance && !m_retries.tryTake(call.service, now))
         return false;
+    if (call.attempts == 0)
+        m_admission.onAdmitted(now, queuedRequest(id, call));
     ++call.attempts;
+    call.sentAt = now;
     call.currentServer = server->incarnation();
     call.hasResponseStarted = false;
     call.lastActivityAt = now;
@@ -173,13 +190,16 @@
 
 void Dispatcher::dispatchQueued(TimePoint now, Effects& effects)
 {
+    auto order = m_admission.beginRound(now, m_queue);
     extendWaitForFormingGroups(now);
     // If a request that may go to any server finds no capacity, no other request of the service does: with hundreds of
     // servers each search is expensive.
     std::set<ServiceName> fullServices;
-    for (auto id : m_queue.order()) {
+    for (auto id : order) {
         auto& call = m_calls[id];
-        bool mayStart = now >= call.retryAt && !fullServices.contains(call.service);
+        updateQueueDeadline(id, call, now);
+        bool isHeldBack = !m_admission.mayStart(now, queuedRequest(id, call), [&] { return m_loadBalancer.freeSlots(call.service, now); });
+        bool mayStart = now >= call.retryAt && !fullServices.contains(call.service) && !isHeldBack;
         if (mayStart && tryStartAttempt(id, call, now, effects)) {
             m_queue.remove(id);
             continue;
@@ -194,6 +214,7 @@
         else
             refuse(now, id, call, refusalReason(call, now), clientRetryTime(call, now), effects);
     }
+    m_admission.endRound(now, m_queue);
 }
 
 /// True if, because of limits and back-offs, no server may get the request while it waits, so that it is refused
@@ -230,7 +251,9 @@
         if (!it->second)
             continue;
         auto formingDeadline = std::min(call.request.arrivedAt + m_options.recoveryTimeout, call.request.deadline);
+        updateQueueDeadline(id, call, now);
         call.queueDeadline = std::max(call.queueDeadline, formingDeadline);
+        call.isQueueTimeExtended = true;
     }
 }
 
@@ -277,11 +300,13 @@
     m_loadBalancer.onActivity(now, *it->second.currentServer);
 }
 
-void Dispatcher::endAttempt(Call& call)
+void Dispatcher::endAttempt(Call& call, TimePoint now)
 {
     if (!call.currentServer)
         return;
     m_loadBalancer.onAttemptEnded(*call.currentServer, { call.request.promptTokens }, call.hasResponseStarted);
+    if (call.hasResponseStarted)
+        m_admission.onSlotReleased(call.service, now - call.sentAt);
     call.currentServer.reset();
 }
 
@@ -302,7 +327,7 @@
         return;
     auto& call = it->second;
     auto server = *call.currentServer;
-    endAttempt(call);
+    endAttempt(call, now);
     if (event.outcome == AttemptOutcome::Answered) {
         m_loadBalancer.onSuccess(server);
         return;
@@ -336,9 +361,10 @@
 void Dispatcher::queueForRetry(CallId id, Call& call, TimePoint now, TimePoint until)
 {
     call.queueDeadline = std::min(until, call.request.deadline);
+    call.isQueueTimeExtended = true;
     call.triedServers.clear();
     call.retryAt = now + m_options.retryDelay;
-    m_queue.pushFirst({ id, call.request.priority });
+    m_queue.pushFirst(queuedRequest(id, call));
 }
 
 /// Guards against refusals right after a power loss, when groups are forming and no agent has reported it yet. A
@@ -388,6 +414,8 @@
 
 void Dispatcher::refuse(TimePoint now, CallId id, const Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, Effects& effects)
 {
+    if (call.verdict == Verdict::NotRun && reason != RefusalReason::NoServer)
+        m_admission.onRefused(now, call.service, call.request.priority);
     effects.push_back(Refuse { id, reason, call.verdict, retryAt, call.service, m_loadBalancer.occupancy(call.service, now), m_queue.size() });
 }
 
@@ -401,12 +429,12 @@
     return m_retrySchedule.retryTime(now, { call.service, call.request.deadline }, outlook);
 }
 
-void Dispatcher::onCallClosed(CallId id)
+void Dispatcher::onCallClosed(TimePoint now, CallId id)
 {
     auto it = m_calls.find(id);
     if (it == m_calls.end())
         return;
-    endAttempt(it->second);
+    endAttempt(it->second, now);
     m_queue.remove(id);
     m_calls.erase(it);
 }
@@ -414,6 +442,8 @@
 std::optional<TimePoint> Dispatcher::nextTick() const
 {
     auto next = m_nextStallCheckAt;
+    if (auto at = m_admission.nextCheck(); at && m_queue.size() > 0)
+        next = std::min(next.value_or(*at), *at);
     std::set<ServiceName> services;
     for (auto id : m_queue.order()) {
         auto it = m_calls.find(id);
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/gateway/admission/admission-controller.h"
 #include "src/gateway/admission/request-queue.h"
 #include "src/gateway/admission/retry-schedule.h"
 #include "src/gateway/call-id.h"
@@ -173,11 +174,7 @@
 struct DispatcherOptions {
     RetryAllowanceOptions retries;
     ColdLimitOptions coldLimits {};
-    /// Share of the latency objective that a request may spend in the queue. A request that waits longer misses its
-    /// objective however fast it then runs, and blocks one that could still meet its own.
-    double queueTimeShare { 0.4 };
-    /// Queue time for routes without an objective.
-    milliseconds defaultQueueTime { 100 };
+    admission::AdmissionOptions admission {};
     /// Maximum time that an idempotent request waits for another server after it has lost its own. A rank group that
     /// lost a rank has either recovered by then or will not recover soon. Clients give up on a stream that pauses for
     /// two seconds, so a longer wait is of no use.
@@ -208,6 +205,8 @@
     std::optional<TimePoint> nextTick() const;
     /// The servers and their known load.
     const LoadBalancer& loadBalancer() const { return m_loadBalancer; }
+    /// Who is admitted, and what waits.
+    const admission::AdmissionController& admission() const { return m_admission; }
     std::size_t queuedRequests() const { return m_queue.size(); }
 
 private:
@@ -230,6 +229,10 @@
         /// allowance.
         bool isAttemptCancelled { false };
         TimePoint queueDeadline;
+        /// The queue deadline no longer follows from the arrival alone.
+        bool isQueueTimeExtended { false };
+        /// When the request was sent to the current server.
+        TimePoint sentAt;
         /// No attempt starts before this time; it is in the past until all servers that may run the request have
         /// failed.
         TimePoint retryAt;
@@ -241,9 +244,9 @@
     void onAttemptEnded(TimePoint now, const dispatch::AttemptEnded& event, dispatch::Effects& effects);
     void onResponseStarted(TimePoint now, CallId id);
     void onStreamProgressed(TimePoint now, CallId id);
-    void onCallClosed(CallId id);
+    void onCallClosed(TimePoint now, CallId id);
     ServiceName pickService(const Route& route);
-    void endAttempt(Call& call);
+    void endAttempt(Call& call, TimePoint now);
     void updateServerState(TimePoint now, const ServerIncarnation& server, AttemptOutcome outcome, Call& call);
     bool mayWaitForGroups(const Call& call, AttemptOutcome outcome, TimePoint now) const;
     void queueForRetry(CallId id, Call& call, TimePoint now, TimePoint until);
@@ -254,6 +257,9 @@
     void cancelStalledAttempts(TimePoint now, dispatch::Effects& effects);
     bool isStalled(const Call& call, TimePoint now) const;
     void extendWaitForFormingGroups(TimePoint now);
+    static admission::QueuedRequest queuedRequest(CallId id, const Call& call);
+    /// Sets the queue deadline of a request that has not been sent to a server yet.
+    void updateQueueDeadline(CallId id, Call& call, TimePoint now);
     void dispatchQueued(TimePoint now, dispatch::Effects& effects);
     void refuse(TimePoint now, CallId id, const Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, dispatch::Effects& effects);
     /// The servers that the request may be sent to: all of the service, or, once it has run on the permitted number of
@@ -268,6 +274,7 @@
     LoadBalancer m_loadBalancer;
     RetryAllowance m_retries;
     std::map<CallId, Call> m_calls;
+    admission::AdmissionController m_admission;
     /// Requests that wait for a server.
     admission::RequestQueue m_queue;
     /// When streams are next checked for servers that have fallen silent; unset while no stream runs.
--- a/src/gateway/entry-daemon.cc
+++ b/src/gateway/entry-daemon.cc
@@ -75,8 +75,8 @@
     {
         m_controlSocket = ControlSocket::create(m_ioContext, settings.peers, [this](auto&, ControlMessage message) { onMessage(std::move(message)); }).value();
         m_controlSocket->setOnDatagram(datagramCounter(metrics, "swiftloft_entry"));
-        m_traffic.setOnLoadsMeasured([this](std::vector<ServiceLoad> loads) {
-            asio::post(m_ioContext, [this, loads = std::move(loads)] { apply(control::LoadsMeasured { loads }); });
+        m_traffic.setOnLoadsMeasured([this](std::vector<ServiceLoad> loads, std::vector<ServiceDemand> demands) {
+            asio::post(m_ioContext, [this, loads = std::move(loads), demands = std::move(demands)] { apply(control::LoadsMeasured { loads, demands }); });
         });
         m_traffic.setOnServerLeaving([this](const ServerIncarnation& server) {
             asio::post(m_ioContext, [this, server] { apply(control::LeavingReported { server }); });
--- a/src/gateway/load-balancer.cc
+++ b/src/gateway/load-balancer.cc
@@ -373,6 +373,23 @@
     return slotCount > 0 ? running / slotCount : 1;
 }
 
+admission::FreeSlots LoadBalancer::freeSlots(const ServiceName& service, TimePoint now) const
+{
+    admission::FreeSlots free;
+    for (auto& [incarnation, server] : m_servers) {
+        if (server.server.service != service || !mayReceiveRequests(server, now))
+            continue;
+        auto load = totalLoad(server, now);
+        if (!hasCapacity(server, load, now))
+            continue;
+        bool isLimited = (!m_limits.isEmpty() && m_limits.limitOf(server.hash)) || m_coldLimits.isCold(now, server.hash);
+        free.hasOwnShare |= isLimited;
+        if (!isLimited)
+            free.shared += server.server.slots - load.running - (server.remoteLoad ? server.remoteLoad->running : 0);
+    }
+    return free;
+}
+
 std::uint32_t LoadBalancer::runningRequests(const ServerIncarnation& incarnation, TimePoint now) const
 {
     auto it = m_servers.find(incarnation);
--- a/src/gateway/load-balancer.h
+++ b/src/gateway/load-balancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/gateway/admission/free-slots.h"
 #include "src/gateway/cold-server-limits.h"
 #include "src/gateway/peer-loads.h"
 #include "src/gateway/server-back-offs.h"
@@ -120,6 +121,9 @@
     /// Requests running on the servers of a service, as far as known, divided by the number of their slots.
     double occupancy(const ServiceName& service, TimePoint now) const;
 
+    /// Slots of a service that requests could get now, as far as known.
+    admission::FreeSlots freeSlots(const ServiceName& service, TimePoint now) const;
+
     /// Requests running on a server, as far as known.
     std::uint32_t runningRequests(const ServerIncarnation& incarnation, TimePoint now) const;
 
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -31,6 +31,8 @@
     std::optional<OrganisationName> organisation;
     /// Last event that the client has of the stream. The server resumes the stream after this event.
     std::optional<std::uint64_t> lastEvent;
+    /// 0 is the most urgent; unset if urgency is not to be told to the server.
+    std::optional<unsigned> priority {};
 };
 
 /// Translates between the gateway's types and the formats of clients, backend servers and published documents. The adapter
--- a/src/gateway/request-call.h
+++ b/src/gateway/request-call.h
@@ -20,6 +20,9 @@
     /// Error response of a backend server that may be forwarded to the client.
     std::optional<ClientResponse> serverError;
 
+    /// 0 is the most urgent.
+    unsigned priority { 0 };
+
     // State of a stream.
     /// The response head was sent to the client.
     bool hasStreamStarted { false };
--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -80,7 +80,7 @@
     auto request = call.request;
     eraseHopByHop(request.base());
     auto now = Clock::now();
-    m_protocol.prepareUpstreamRequest(request.base(), { server.id, call.deadline, call.organisation, call.lastEvent }, now);
+    m_protocol.prepareUpstreamRequest(request.base(), { server.id, call.deadline, call.organisation, call.lastEvent, m_dispatcher.reducer().admission().priorityForServer(server.service, call.priority) }, now);
     if (!request.body().empty() || request.find(http::field::content_length) != request.end())
         request.content_length(request.body().size());
     request.version(11);
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -103,24 +103,25 @@
         co_await respond(call, http::status::not_found, "no-such-route");
         co_return;
     }
-    unsigned priority = call.route->priority;
+    const OrganisationKeys* organisation = nullptr;
     if (configuration->hasOrganisations() && !call.route->isPublic) {
-        auto* organisation = configuration->findOrganisation(call.head.key);
+        organisation = configuration->findOrganisation(call.head.key);
         if (!organisation) {
             co_await respond(call, http::status::unauthorized, "unknown-key");
             co_return;
         }
         call.organisation = organisation->name;
-        priority = organisation->priority.value_or(priority);
     }
+    call.priority = priorityOf(*call.route, organisation);
     call.deadline = call.arrivedAt + call.route->timeout;
     if (call.head.clientDeadline)
         call.deadline = std::min(call.deadline, *call.head.clientDeadline);
     call.lastEvent = call.head.lastEvent;
     call.handle = std::make_unique<AsyncDispatcher::CallHandle>(m_dispatcher, m_dispatcher.nextId());
     call.handle->setOnCancelAttempt([&call] { cancelAttempt(call); });
-    CallRequest request { configuration, call.route, priority, call.arrivedAt, call.deadline, call.head.promptTokens, call.head.outputTokens, call.head.expectedOutputTokens, call.organisation };
+    CallRequest request { configuration, call.route, call.priority, call.arrivedAt, call.deadline, call.head.promptTokens, call.head.outputTokens, call.head.expectedOutputTokens, call.organisation };
     auto decision = co_await call.handle->submit(std::move(request));
+    countAdmission(call, decision);
     while (auto* start = std::get_if<dispatch::StartAttempt>(&decision)) {
         auto next = *start;
         decision = co_await attempt(call, std::move(next));
@@ -133,6 +134,20 @@
         co_await forwardServerError(call);
 }
 
+void RequestServer::countAdmission(const Call& call, const CallDecision& decision) const
+{
+    auto* start = std::get_if<dispatch::StartAttempt>(&decision);
+    auto* refusal = std::get_if<dispatch::Refuse>(&decision);
+    auto& service = start ? start->server.service : refusal ? refusal->service
+                                                            : call.service;
+    auto outcome = start ? "admitted" : refusal ? toString(refusal->reason)
+                                                : "failed";
+    process::Labels labels { { "service", service.value() }, { "priority", fmt::format("{}", call.priority) }, { "outcome", "wanted" } };
+    m_metrics.count("swiftloft_entry_admission_total", labels);
+    labels.back().value = outcome;
+    m_metrics.count("swiftloft_entry_admission_total", labels);
+}
+
 void RequestServer::cancelAttempt(Call& call)
 {
     call.isAttemptCancelled = true;
--- a/src/gateway/request-server.h
+++ b/src/gateway/request-server.h
@@ -50,6 +50,8 @@
     boost::asio::awaitable<void> refuse(Call& call, const dispatch::Refuse& refusal);
     boost::asio::awaitable<void> forwardServerError(Call& call);
     void logOutcome(const Call& call) const;
+    /// Counts the first decision about a request.
+    void countAdmission(const Call& call, const CallDecision& decision) const;
     void recordMetrics(const Call& call, bool isServed, TimePoint now) const;
 
     AsyncDispatcher& m_dispatcher;
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -73,6 +73,15 @@
     };
 }
 
+Setter switchSetter(bool& target)
+{
+    return [&target](const std::string& value) {
+        bool isValid = value == "on" || value == "off";
+        target = isValid ? value == "on" : target;
+        return std::string(isValid ? "" : "on or off");
+    };
+}
+
 Setter secondsSetter(milliseconds& target, double min, double max)
 {
     return numberSetter([&target](double seconds) { target = milliseconds(std::llround(seconds * 1000)); }, min, max);
@@ -126,9 +135,10 @@
         { "cold-slack", numberSetter([&](double slack) { settings.coldLimits.slack = slack; }, 0, 1e9) },
         { "stop-within-seconds", secondsSetter(settings.stopTimeout, 0.1, maxSeconds) },
         { "directory-kept-seconds", secondsSetter(settings.directoryMaxAge, 0, maxSeconds) },
+        { "urgency", switchSetter(settings.isUrgencyOn) },
         { "least-entries", numberSetter([&](double n) { settings.minEntries = static_cast<std::size_t>(n); }, 1, maxEntries) },
     };
-    auto read = readSection(text, fileName, "entry", setters, { "apply-within-ms", "cold-overshoot", "cold-slack", "seeds", "least-entries" });
+    auto read = readSection(text, fileName, "entry", setters, { "apply-within-ms", "cold-overshoot", "cold-slack", "seeds", "least-entries", "urgency" });
     if (!read)
         return read.error();
     return settings;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -39,6 +39,8 @@
     milliseconds applyTimeout { 2000 };
     /// Maximum time from SIGTERM to the end of the process.
     milliseconds stopTimeout { 0 };
+    /// Urgent requests go first over all entries, where the configuration has several priorities.
+    bool isUrgencyOn { true };
     /// Maximum time for which a client may cache the directory of entries.
     milliseconds directoryMaxAge { 0 };
     /// Minimum number of entries among which budgets, such as that for retries, are divided. When more entries are
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -60,6 +60,13 @@
         ServiceLoad load;
     };
     std::vector<RemoteLoad> remoteLoads;
+    /// Demand at the entries of another data centre, as reported by that data centre.
+    struct RemoteDemand {
+        DataCentreName dataCentre;
+        ServiceDemand demand;
+        TimePoint receivedAt;
+    };
+    std::vector<RemoteDemand> remoteDemands;
     /// Data centre of this entry.
     DataCentreName dataCentre;
     /// True if entries exchange the load of single servers only within their data centre.
--- a/src/gateway/traffic-server.cc
+++ b/src/gateway/traffic-server.cc
@@ -45,8 +45,9 @@
 TrafficServer::TrafficServer(const EntrySettings& settings, const Protocol& protocol, process::SharedMetrics& metrics, Incarnation incarnation)
     : m_settings(settings)
     , m_protocol(protocol)
+    , m_metrics(metrics)
     , m_incarnation(incarnation)
-    , m_dispatcher(m_ioContext, DispatcherOptions { settings.retries, settings.coldLimits }, seeded())
+    , m_dispatcher(m_ioContext, DispatcherOptions { settings.retries, settings.coldLimits, { settings.isUrgencyOn } }, seeded())
     , m_pool(m_ioContext)
     , m_server(m_dispatcher, m_pool, protocol, metrics, [this] { return m_snapshot; })
     , m_snapshot(std::make_shared<Snapshot>())
@@ -101,7 +102,7 @@
         m_pool.applySnapshot(*snapshot);
         m_dispatcher.apply(dispatch::SnapshotChanged { snapshot });
         if (m_onLoadsMeasured)
-            m_onLoadsMeasured(m_dispatcher.reducer().loadBalancer().localLoads(Clock::now()));
+            m_onLoadsMeasured(m_dispatcher.reducer().loadBalancer().localLoads(Clock::now()), m_dispatcher.reducer().admission().localDemands(Clock::now()));
     });
 }
 
@@ -258,7 +259,8 @@
         limits = loadBalancer.limits().reports(now);
         m_limitsRepeatAt = now + limitRepeatInterval;
     }
-    auto bytes = encode(ControlMessage(LoadUpdate { m_incarnation, ++m_loadSequence, std::move(loads), std::move(limits), loadBalancer.silentServers(now) }));
+    LoadUpdate update { m_incarnation, ++m_loadSequence, std::move(loads), std::move(limits), loadBalancer.silentServers(now), demandsToReport(now) };
+    auto bytes = encode(ControlMessage(update));
     int recipients = 0;
     for (auto& entry : m_snapshot->entries) {
         if (m_snapshot->isLoadSharedLocally && !isLimitChanged && !isRecipient(entry.dataCentre))
@@ -267,12 +269,44 @@
         ++recipients;
     }
     m_remoteRecipients = std::move(used);
+    m_loadRecipients = recipients;
     m_loadUpdateNotBefore = now + std::max(minLoadUpdateInterval, recipients * loadUpdateIntervalPerEntry);
-    // The load is sent again while requests are running, because datagrams get lost and their content expires.
-    if (isBusy)
+    // The load is sent again while requests are running, because datagrams get lost and their content expires; so is the
+    // demand while a service is short of capacity.
+    if (isBusy || !m_reportedDemands.empty())
         scheduleLoadUpdate(now + PeerLoads::reportInterval);
 }
 
+/// Demand of the services that are short of capacity here. A service that no longer is gets one more report, without
+/// priorities.
+std::vector<ServiceDemand> TrafficServer::demandsToReport(TimePoint now)
+{
+    if (now < m_demandsNotBefore)
+        return {};
+    auto demands = m_dispatcher.reducer().admission().demands(now);
+    std::set<ServiceName> reported;
+    for (auto& it : demands) {
+        reported.insert(it.service);
+        recordQueued(it);
+    }
+    for (auto& service : m_reportedDemands) {
+        if (reported.contains(service))
+            continue;
+        recordQueued(m_dispatcher.reducer().admission().demand(service, now));
+        demands.push_back({ service, {}, {} });
+    }
+    m_reportedDemands = std::move(reported);
+    if (!demands.empty())
+        m_demandsNotBefore = now + admission::PeerDemand::intervalFor(m_loadRecipients);
+    return demands;
+}
+
+void TrafficServer::recordQueued(const ServiceDemand& demand)
+{
+    for (auto& it : demand.priorities)
+        m_metrics.set("swiftloft_entry_queued_requests", { { "service", demand.service.value() }, { "priority", fmt::format("{}", it.priority) } }, it.queued);
+}
+
 void TrafficServer::stop(TimePoint deadline)
 {
     asio::post(m_ioContext, [this, deadline] {
--- a/src/gateway/traffic-server.h
+++ b/src/gateway/traffic-server.h
@@ -29,7 +29,7 @@
     void run();
     /// May be called from any thread.
     void setSnapshot(std::shared_ptr<const Snapshot> snapshot);
-    using OnLoadsMeasured = std::function<void(std::vector<ServiceLoad> loads)>;
+    using OnLoadsMeasured = std::function<void(std::vector<ServiceLoad> loads, std::vector<ServiceDemand> demands)>;
     /// `hook` is called on the traffic thread with each new snapshot. Must be set before `run`.
     void setOnLoadsMeasured(OnLoadsMeasured hook) { m_onLoadsMeasured = std::move(hook); }
     /// `hook` is called on the traffic thread when a server reports for the first time that it is leaving. Must be set before
@@ -49,6 +49,8 @@
     ClientResponse statusPage(const ClientRequest& request);
     std::vector<Endpoint> directoryEntries() const;
     void sendLoadUpdate();
+    std::vector<ServiceDemand> demandsToReport(TimePoint now);
+    void recordQueued(const ServiceDemand& demand);
     void scheduleLoadUpdate(TimePoint time);
     void stopIfIdle();
 
@@ -62,6 +64,7 @@
     IoContext m_ioContext { 1 };
     const EntrySettings& m_settings;
     const Protocol& m_protocol;
+    process::SharedMetrics& m_metrics;
     Incarnation m_incarnation;
     AsyncDispatcher m_dispatcher;
     UpstreamPool m_pool;
@@ -77,10 +80,15 @@
     std::uint64_t m_loadSequence { 0 };
     /// Remote data centres whose entries received the last load update.
     std::set<DataCentreName> m_remoteRecipients;
+    /// Number of entries that received the last load update.
+    int m_loadRecipients { 0 };
     TimePoint m_loadUpdateNotBefore;
     /// Version of the server limits that was sent last, and when unchanged limits are sent again.
     std::uint64_t m_sentLimitVersion { 0 };
     TimePoint m_limitsRepeatAt;
+    /// Services whose shortage was reported to other entries, and when it is next reported.
+    std::set<ServiceName> m_reportedDemands;
+    TimePoint m_demandsNotBefore;
     /// When the next load update is sent; unset if none is scheduled.
     std::optional<TimePoint> m_loadUpdateAt;
     std::set<DownstreamConnection*> m_clientConnections;
--- a/test/control-state_test.cc
+++ b/test/control-state_test.cc
@@ -419,6 +419,25 @@
     CHECK(rig.state.snapshot(rig.now + ControlState::remoteLoadLifetime).remoteLoads.empty());
 }
 
+TEST_CASE("ControlState: the demand reported by another data centre counts until its next report, for a limited time")
+{
+    Rig rig;
+    rig.listBoth(7);
+    auto hello = rig.hello(7, 6);
+    hello.sender.dataCentre = DataCentreName("b");
+    hello.sender.control = endpoint(9);
+    hello.loads = { { ServiceName("model"), 3, 0 } };
+    hello.demands = { { ServiceName("model"), { { 0, 4 } }, {} } };
+    rig.apply(HelloReceived { hello });
+    auto demands = rig.state.snapshot(rig.now).remoteDemands;
+    REQUIRE(demands.size() == 1);
+    CHECK(demands[0].demand == hello.demands[0]);
+    CHECK(rig.state.snapshot(rig.now + ControlState::remoteDemandLifetime).remoteDemands.empty());
+    hello.demands.clear();
+    rig.apply(HelloReceived { hello });
+    CHECK(rig.state.snapshot(rig.now).remoteDemands.empty());
+}
+
 // Guards against this failure: changes in the store after its restore from an older copy are ignored as old, and
 // leaving servers continue to get requests.
 TEST_CASE("ControlState: a server that leaves after the store is restored from an older copy gets no requests")
--- a/test/gateway-fleet.h
+++ b/test/gateway-fleet.h
@@ -26,6 +26,15 @@
     /// Fraction of the datagrams that is lost.
     double loss { 0 };
     std::uint64_t seed { 1 };
+    /// Requests of one priority.
+    struct Kind {
+        unsigned priority { 1 };
+        /// Requests per second; relative to that of the other kinds.
+        double demand { 1 };
+        milliseconds objective { 400 };
+    };
+    std::vector<Kind> kinds { Kind {} };
+    bool isUrgencyOn { true };
 };
 
 class GatewayFleet {
@@ -38,13 +47,7 @@
         , m_servers(static_cast<std::size_t>(options.servers))
         , m_entries(static_cast<std::size_t>(options.entries))
     {
-        m_route.name = "r";
-        m_route.isIdempotent = true;
-        m_route.isStream = true;
-        m_route.timeout = seconds(8);
-        m_route.objective = milliseconds(400);
-        m_route.maximumServers = 2;
-        m_route.services = { { model(), 1 } };
+        createRoutes();
         for (int n = 0; n < options.servers; ++n)
             m_servers[static_cast<std::size_t>(n)].listed = { BackendServerId(fmt::format("s{}", n)), model(), endpoint(1000 + n), dataCentreOf(n), options.slots, ServerState::Ready };
         for (int n = 0; n < options.entries; ++n)
@@ -149,7 +152,18 @@
         milliseconds queuedFor { 0 };
         /// Time from the refusal to the retry time that it names; zero if it names none.
         milliseconds retryAfter { 0 };
+        TimePoint at;
+        int entry { 0 };
+        unsigned priority { 0 };
+    };
+    /// The start of a request that its server runs.
+    struct Start {
+        TimePoint at;
+        int entry { 0 };
+        unsigned priority { 0 };
     };
+    const std::vector<Start>& starts() const { return m_starts; }
+    static TimePoint startTime() { return origin(); }
     const std::vector<Refusal>& refusals() const { return m_refusals; }
 
     /// A violation at any server; empty if there was none.
@@ -187,6 +201,8 @@
         std::uint64_t sequence { 0 };
         TimePoint loadUpdateNotBefore;
         bool isLoadUpdateScheduled { false };
+        TimePoint demandsNotBefore;
+        bool isShort { false };
         TimePoint frozenUntil;
         bool isDisconnected { false };
         bool isTerminated { false };
@@ -194,6 +210,7 @@
     };
     struct Call {
         int entry { 0 };
+        const gateway::Route* route { nullptr };
         Incarnation incarnation;
         TimePoint arrivedAt;
         TimePoint deadline;
@@ -241,6 +258,7 @@
         auto& entry = entryAt(n);
         gateway::DispatcherOptions options;
         options.retries.slack = 90;
+        options.admission.isUrgencyOn = m_options.isUrgencyOn;
         entry = {};
         entry.incarnation = Incarnation(++m_lastIncarnation);
         entry.dispatcher = std::make_unique<gateway::Dispatcher>(options, policy::Generator(static_cast<unsigned>(m_options.seed * 1000 + m_lastIncarnation)));
@@ -258,6 +276,7 @@
     {
         for (int n = 0; n < m_options.entries; ++n) {
             auto snapshot = std::make_shared<gateway::Snapshot>();
+            snapshot->configuration = m_configuration;
             for (auto& server : m_servers)
                 snapshot->servers.push_back(server.listed);
             for (int other = 0; other < m_options.entries; ++other) {
@@ -272,16 +291,47 @@
         }
     }
 
+    void createRoutes()
+    {
+        gateway::ConfigurationParts parts;
+        for (auto& kind : m_options.kinds) {
+            gateway::Route route;
+            route.name = fmt::format("r{}", parts.routes.size());
+            route.prefix = fmt::format("/{}/", route.name);
+            route.isIdempotent = true;
+            route.isStream = true;
+            route.timeout = seconds(8);
+            route.objective = kind.objective;
+            route.priority = kind.priority;
+            route.maximumServers = 2;
+            route.services = { { model(), 1 } };
+            parts.routes.push_back(std::move(route));
+        }
+        m_configuration = gateway::Configuration::create(std::move(parts)).value();
+    }
+
+    const gateway::Route& drawRoute()
+    {
+        auto& routes = m_configuration->routes();
+        if (routes.size() == 1)
+            return routes.front();
+        std::vector<double> weights;
+        for (auto& kind : m_options.kinds)
+            weights.push_back(kind.demand);
+        return routes[std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(m_random)];
+    }
+
     void scheduleArrival()
     {
         std::exponential_distribution<double> gap(m_options.demand);
         schedule(m_now + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(gap(m_random))), [this] {
-            arrive(m_now + m_route.timeout, false);
+            auto& route = drawRoute();
+            arrive(route, m_now + route.timeout, false);
             scheduleArrival();
         });
     }
 
-    void arrive(TimePoint deadline, bool isRetry)
+    void arrive(const gateway::Route& route, TimePoint deadline, bool isRetry)
     {
         int n = std::uniform_int_distribution<int>(0, m_options.entries - 1)(m_random);
         while (entryAt(n).isTerminated)
@@ -291,8 +341,8 @@
             ++m_requestedIn[n % m_options.dataCentres];
         }
         gateway::CallId id(++m_lastCall);
-        m_calls[id] = { n, entryAt(n).incarnation, m_now, deadline, isRetry, 0, m_now, false, false };
-        gateway::CallRequest request { nullptr, &m_route, 1, m_now, deadline, Tokens(800), Tokens(100) };
+        m_calls[id] = { n, &route, entryAt(n).incarnation, m_now, deadline, isRetry, 0, m_now, false, false };
+        gateway::CallRequest request { m_configuration, &route, route.priority, m_now, deadline, Tokens(800), Tokens(100) };
         apply(n, gateway::dispatch::RequestArrived { id, request });
     }
 
@@ -351,7 +401,7 @@
         if (entry.frozenUntil > m_now)
             return scheduleLoadUpdate(n, entry.frozenUntil);
         auto& loadBalancer = entry.dispatcher->loadBalancer();
-        gateway::LoadUpdate update { entry.incarnation, ++entry.sequence, loadBalancer.ownLoads(), loadBalancer.limits().reports(m_now), loadBalancer.silentServers(m_now) };
+        gateway::LoadUpdate update { entry.incarnation, ++entry.sequence, loadBalancer.ownLoads(), loadBalancer.limits().reports(m_now), loadBalancer.silentServers(m_now), demandsToReport(entry) };
         for (int other = 0; other < m_options.entries; ++other) {
             bool isLost = uniform(0, 1) < m_options.loss;
             if (other == n || !areConnected(n, other) || isLost)
@@ -359,10 +409,22 @@
             schedule(m_now + networkDelay, [this, other, update] { apply(other, gateway::dispatch::LoadReceived { update }); });
         }
         entry.loadUpdateNotBefore = m_now + minLoadUpdateInterval;
-        if (!update.servers.empty())
+        if (!update.servers.empty() || entry.isShort)
             scheduleLoadUpdate(n, m_now + gateway::PeerLoads::reportInterval);
     }
 
+    std::vector<gateway::ServiceDemand> demandsToReport(Entry& entry)
+    {
+        if (m_now < entry.demandsNotBefore)
+            return {};
+        auto demands = entry.dispatcher->admission().demands(m_now);
+        if (demands.empty() && entry.isShort)
+            demands.push_back({ model(), {}, {} });
+        entry.isShort = !demands.empty() && !demands.front().priorities.empty();
+        entry.demandsNotBefore = m_now + gateway::admission::PeerDemand::reportInterval;
+        return demands;
+    }
+
     Server* serverOf(const gateway::ServerIncarnation& incarnation)
     {
         auto it = std::find_if(m_servers.begin(), m_servers.end(), [&](auto& server) { return server.listed.incarnation() == incarnation; });
@@ -429,6 +491,7 @@
         }
         m_startedAfterDisconnect += m_calls[it.id].isClientGone ? 1 : 0;
         ++server->running;
+        m_starts.push_back({ m_now, m_calls[it.id].entry, m_calls[it.id].route->priority });
         ++server->ran;
         auto work = milliseconds(static_cast<int>(uniform(400, 3000)));
         scheduleHead(it, firstEventDelay);
@@ -535,12 +598,12 @@
         ended.isOver = true;
         auto call = ended;
         auto retryAfter = effect.retryAt ? std::chrono::duration_cast<milliseconds>(*effect.retryAt - m_now) : milliseconds(0);
-        m_refusals.push_back({ std::chrono::duration_cast<milliseconds>(m_now - call.arrivedAt), retryAfter });
+        m_refusals.push_back({ std::chrono::duration_cast<milliseconds>(m_now - call.arrivedAt), retryAfter, m_now, call.entry, call.route->priority });
         schedule(m_now, [this, call, id = effect.call] { apply(call.entry, gateway::dispatch::CallClosed { id }, call.incarnation); });
         if (!effect.retryAt)
             return;
         if (!call.isRetry)
-            schedule(*effect.retryAt, [this, deadline = call.deadline] { arrive(deadline, true); });
+            schedule(*effect.retryAt, [this, call] { arrive(*call.route, call.deadline, true); });
     }
 
     void perform(const gateway::dispatch::ForwardError&) { }
@@ -550,7 +613,7 @@
     std::mt19937_64 m_random;
     std::vector<Server> m_servers;
     std::vector<Entry> m_entries;
-    gateway::Route m_route;
+    std::shared_ptr<const gateway::Configuration> m_configuration;
     TimePoint m_now { origin() };
     std::priority_queue<Scheduled> m_queue;
     std::uint64_t m_order { 0 };
@@ -565,6 +628,7 @@
     std::map<int, int> m_requestedIn;
     std::map<int, int> m_servedIn;
     std::vector<Refusal> m_refusals;
+    std::vector<Start> m_starts;
 };
 
 } // namespace swiftloft::test
--- a/test/gateway-settings_test.cc
+++ b/test/gateway-settings_test.cc
@@ -63,6 +63,13 @@
     CHECK_FALSE(parseEntrySettings(entryText + "id = twice\n", "entry.ini").has_value());
 }
 
+TEST_CASE("Entry settings: parts of admission are on unless switched off")
+{
+    CHECK(parseEntrySettings(entryText, "entry.ini").value().isUrgencyOn);
+    CHECK_FALSE(parseEntrySettings(entryText + "urgency = off\n", "entry.ini").value().isUrgencyOn);
+    CHECK(parseEntrySettings(entryText + "urgency = 1\n", "entry.ini").error().message == "entry.ini:18: key 'urgency' has value '1'; expected on or off");
+}
+
 TEST_CASE("Entry settings: seeds are optional")
 {
     CHECK(parseEntrySettings(without("seeds"), "entry.ini").value().seeds.empty());
--- a/test/platform-protocol_test.cc
+++ b/test/platform-protocol_test.cc
@@ -91,6 +91,21 @@
     CHECK(valueOf(open, "X-Tenant") == "(absent)");
 }
 
+// Guards against this failure: a client sets the priority itself, or a priority beyond the platform's range is sent.
+TEST_CASE("Platform: the server is told the priority that the entry names, and no other")
+{
+    auto protocol = platform::makeProtocol();
+    auto told = [&](std::optional<unsigned> priority) {
+        auto fields = clientRequest();
+        fields.set("X-Request-Priority", "0");
+        protocol.prepareUpstreamRequest(fields, { BackendServerId("s1"), start, std::nullopt, std::nullopt, priority }, start);
+        return valueOf(fields, "X-Request-Priority");
+    };
+    CHECK(told(std::nullopt) == "(absent)");
+    CHECK(told(2) == "2");
+    CHECK(told(12) == "9");
+}
+
 TEST_CASE("Platform: only some responses guarantee that the request did not run")
 {
     auto decode = [protocol = platform::makeProtocol()](const ResponseFields& it) { return protocol.decodeResponse(it, start); };
