--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -72,4 +72,10 @@
     boost::unordered_flat_map<std::string, HostHomes> m_hostHomes;
 };
 
+/// Priority of an organisation's requests on a route: its own, else that of the route. `organisation` may be null.
+inline unsigned priorityOf(const Route& route, const OrganisationKeys* organisation)
+{
+    return organisation ? organisation->priority.value_or(route.priority) : route.priority;
+}
+
 } // namespace swiftloft::gateway
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -168,9 +168,10 @@
         { "stop-within-seconds", secondsSetter(settings.stopTimeout, 0.1, maxSeconds) },
         { "directory-kept-seconds", secondsSetter(settings.directoryMaxAge, 0, maxSeconds) },
         { "startup-wait", switchSetter(settings.waitsAtStart) },
+        { "urgency", switchSetter(settings.isUrgencyOn) },
         { "least-entries", numberSetter([&](double n) { settings.minEntries = static_cast<std::size_t>(n); }, 1, maxEntries) },
     };
-    auto read = readSection(text, fileName, "entry", setters, { "apply-within-ms", "cold-overshoot", "cold-slack", "seeds", "least-entries", "startup-wait" }, &regions);
+    auto read = readSection(text, fileName, "entry", setters, { "apply-within-ms", "cold-overshoot", "cold-slack", "seeds", "least-entries", "startup-wait", "urgency" }, &regions);
     if (!read)
         return read.error();
     auto created = regionsFrom(regions, settings.dataCentre, fileName);
