Estimate what a service can finish, and refuse at once what can't end

Cause: with one rank at twelve times its pace in the only group, all streams are admitted. Each makes the passes of the others longer, and most are cut at their clients' deadlines.

Change: src/gateway/capacity/ estimates the duration of a pass of each group from the intervals between events of the entry's own streams, the reported pass and the reported pace, and the events of a stream from the client's estimate and what the route's streams had. While a mean stream takes over half of the time that clients give, a stream that has not started and can't end in time is refused at once. Old news refuses nothing. A request that finds the slots of plain servers taken is refused at once if none can become free in time.

--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -26,6 +26,11 @@
     return outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Lost || outcome == AttemptOutcome::TimedOut || outcome == AttemptOutcome::ServerError;
 }
 
+capacity::RequestView requestView(const CallRequest& request, TimePoint queueDeadline, std::size_t queuedBefore)
+{
+    return { *request.route, request.priority, request.arrivedAt, request.deadline, { request.outputTokens, request.expectedOutputTokens }, queueDeadline, queuedBefore };
+}
+
 } // namespace
 
 std::string_view toString(AttemptOutcome outcome)
@@ -60,6 +65,8 @@
         return "limited";
     case RefusalReason::BackingOff:
         return "resting";
+    case RefusalReason::Unfinishable:
+        return "no-time";
     case RefusalReason::NoServer:
         return "no-server";
     case RefusalReason::AttemptsExhausted:
@@ -76,6 +83,7 @@
     : m_options(options)
     , m_generator(generator)
     , m_loadBalancer(options.coldLimits)
+    , m_estimate(options.estimate)
     , m_retries(options.retries)
     , m_retrySchedule(generator)
 {
@@ -96,7 +104,7 @@
     else if (auto* responseStarted = std::get_if<ResponseStarted>(&event))
         onResponseStarted(now, responseStarted->call);
     else if (auto* closed = std::get_if<CallClosed>(&event))
-        onCallClosed(closed->call);
+        onCallClosed(closed->call, now);
     else if (auto* limit = std::get_if<LimitReceived>(&event))
         m_loadBalancer.onLimitReceived(now, limit->server, limit->sentAt, limit->limit);
     else if (auto* backOff = std::get_if<BackOffRequested>(&event))
@@ -106,6 +114,7 @@
             effects.push_back(PublishLeaving { leaving->server });
     } else if (auto* changed = std::get_if<SnapshotChanged>(&event)) {
         m_loadBalancer.setServers(now, *changed->snapshot);
+        m_estimate.setSnapshot(now, *changed->snapshot);
         m_retries.raiseMaxEntries(changed->snapshot->maxEntries);
     } else if (auto* load = std::get_if<LoadReceived>(&event))
         m_loadBalancer.onLoadUpdate(now, load->update);
@@ -128,6 +137,7 @@
         refuse(now, event.call, call, RefusalReason::NoServer, clientRetryTime(call, now), effects);
         return;
     }
+    m_estimate.onRequestArrived(call.service, requestView(call.request, call.queueDeadline, 0));
     m_queue.push({ event.call, event.request.priority });
 }
 
@@ -168,6 +178,7 @@
         m_nextStallCheckAt = now + stallCheckInterval;
     effects.push_back(StartAttempt { id, *server, m_loadBalancer.runningRequests(server->incarnation(), now), m_loadBalancer.limitOf(server->incarnation()) });
     m_loadBalancer.onAttemptStarted(now, server->incarnation(), { call.request.promptTokens });
+    m_estimate.onAttemptStarted(now, call.clock, server->incarnation());
     return true;
 }
 
@@ -177,8 +188,13 @@
     // If a request that may go to any server finds no capacity, no other request of the service does: with hundreds of
     // servers each search is expensive.
     std::set<ServiceName> fullServices;
+    std::size_t queuedBefore = 0;
     for (auto id : m_queue.order()) {
         auto& call = m_calls[id];
+        if (auto forecast = forecastRefusal(call, now, queuedBefore, false)) {
+            refuseUnfinishable(id, call, *forecast, now, effects);
+            continue;
+        }
         bool mayStart = now >= call.retryAt && !fullServices.contains(call.service);
         if (mayStart && tryStartAttempt(id, call, now, effects)) {
             m_queue.remove(id);
@@ -186,6 +202,10 @@
         }
         if (mayStart && call.attempts == 0)
             fullServices.insert(call.service);
+        if (auto forecast = forecastRefusal(call, now, queuedBefore++, true)) {
+            refuseUnfinishable(id, call, *forecast, now, effects);
+            continue;
+        }
         if (now < call.queueDeadline && m_loadBalancer.hasServer(filterFor(call)) && !isThrottledTooLong(call, now))
             continue;
         m_queue.remove(id);
@@ -275,12 +295,14 @@
         return;
     it->second.lastActivityAt = now;
     m_loadBalancer.onActivity(now, *it->second.currentServer);
+    capacity::ServiceEstimate::onEvent(now, it->second.clock);
 }
 
-void Dispatcher::endAttempt(Call& call)
+void Dispatcher::endAttempt(Call& call, TimePoint now, bool isComplete)
 {
     if (!call.currentServer)
         return;
+    m_estimate.onAttemptEnded(now, call.clock, call.service, *call.currentServer, *call.request.route, isComplete);
     m_loadBalancer.onAttemptEnded(*call.currentServer, { call.request.promptTokens }, call.hasResponseStarted);
     call.currentServer.reset();
 }
@@ -302,7 +324,7 @@
         return;
     auto& call = it->second;
     auto server = *call.currentServer;
-    endAttempt(call);
+    endAttempt(call, now, event.outcome == AttemptOutcome::Answered);
     if (event.outcome == AttemptOutcome::Answered) {
         m_loadBalancer.onSuccess(server);
         return;
@@ -386,6 +408,28 @@
     refuse(now, id, call, outcome == AttemptOutcome::TimedOut ? RefusalReason::TimedOut : RefusalReason::Lost, std::nullopt, effects);
 }
 
+/// A request that has been sent to a server once goes on: its client has waited, and what it got would be lost.
+std::optional<capacity::Forecast> Dispatcher::forecastRefusal(const Call& call, TimePoint now, std::size_t queuedBefore, bool isFull)
+{
+    if (call.attempts > 0)
+        return std::nullopt;
+    auto view = requestView(call.request, call.queueDeadline, queuedBefore);
+    if (isFull)
+        return m_estimate.queueRefusalOf(now, call.service, view);
+    if (!m_estimate.isWatching(now, call.service))
+        return std::nullopt;
+    return m_estimate.refusalOf(now, call.service, view, m_loadBalancer.useOf(call.service, now));
+}
+
+void Dispatcher::refuseUnfinishable(CallId id, const Call& call, const capacity::Forecast& forecast, TimePoint now, Effects& effects)
+{
+    m_queue.remove(id);
+    // A slow rank lasts for seconds; slots of a plain server become free all the time.
+    auto retryAt = call.request.route->isStream ? admission::outageRetryTime(now, call.request.deadline, m_generator) : clientRetryTime(call, now);
+    refuse(now, id, call, RefusalReason::Unfinishable, retryAt, effects);
+    std::get<Refuse>(effects.back()).forecast = forecast;
+}
+
 void Dispatcher::refuse(TimePoint now, CallId id, const Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, Effects& effects)
 {
     effects.push_back(Refuse { id, reason, call.verdict, retryAt, call.service, m_loadBalancer.occupancy(call.service, now), m_queue.size() });
@@ -401,12 +445,12 @@
     return m_retrySchedule.retryTime(now, { call.service, call.request.deadline }, outlook);
 }
 
-void Dispatcher::onCallClosed(CallId id)
+void Dispatcher::onCallClosed(CallId id, TimePoint now)
 {
     auto it = m_calls.find(id);
     if (it == m_calls.end())
         return;
-    endAttempt(it->second);
+    endAttempt(it->second, now, false);
     m_queue.remove(id);
     m_calls.erase(it);
 }
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -3,6 +3,7 @@
 #include "src/gateway/admission/request-queue.h"
 #include "src/gateway/admission/retry-schedule.h"
 #include "src/gateway/call-id.h"
+#include "src/gateway/capacity/service-estimate.h"
 #include "src/gateway/load-balancer.h"
 #include "src/gateway/retry-allowance.h"
 #include "src/gateway/snapshot.h"
@@ -69,6 +70,8 @@
     Limited,
     /// All servers have requested back-offs that do not end in time; the client should retry later.
     BackingOff,
+    /// The response can't end before the client's deadline; the client should retry later.
+    Unfinishable,
     /// The service has no usable server.
     NoServer,
     /// The request did not run, and no further attempt is allowed.
@@ -150,6 +153,8 @@
     ServiceName service {};
     double occupancy { 0 };
     std::size_t queued { 0 };
+    /// The numbers that decided; only for `Unfinishable`.
+    std::optional<capacity::Forecast> forecast {};
 };
 /// Cancel the attempt in progress; `AttemptEnded` follows.
 struct CancelAttempt {
@@ -173,6 +178,7 @@
 struct DispatcherOptions {
     RetryAllowanceOptions retries;
     ColdLimitOptions coldLimits {};
+    capacity::EstimateOptions estimate {};
     /// Share of the latency objective that a request may spend in the queue. A request that waits longer misses its
     /// objective however fast it then runs, and blocks one that could still meet its own.
     double queueTimeShare { 0.4 };
@@ -209,6 +215,7 @@
     /// The servers and their known load.
     const LoadBalancer& loadBalancer() const { return m_loadBalancer; }
     std::size_t queuedRequests() const { return m_queue.size(); }
+    const capacity::ServiceEstimate& serviceEstimate() const { return m_estimate; }
 
 private:
     struct Call {
@@ -235,15 +242,17 @@
         TimePoint retryAt;
         /// Outcome of the last attempt; unset before the first one ends.
         std::optional<AttemptOutcome> lastOutcome;
+        /// Events of the current attempt.
+        capacity::StreamClock clock;
     };
 
     void onRequestArrived(TimePoint now, const dispatch::RequestArrived& event, dispatch::Effects& effects);
     void onAttemptEnded(TimePoint now, const dispatch::AttemptEnded& event, dispatch::Effects& effects);
     void onResponseStarted(TimePoint now, CallId id);
     void onStreamProgressed(TimePoint now, CallId id);
-    void onCallClosed(CallId id);
+    void onCallClosed(CallId id, TimePoint now);
     ServiceName pickService(const Route& route);
-    void endAttempt(Call& call);
+    void endAttempt(Call& call, TimePoint now, bool isComplete);
     void updateServerState(TimePoint now, const ServerIncarnation& server, AttemptOutcome outcome, Call& call);
     bool mayWaitForGroups(const Call& call, AttemptOutcome outcome, TimePoint now) const;
     void queueForRetry(CallId id, Call& call, TimePoint now, TimePoint until);
@@ -255,6 +264,9 @@
     bool isStalled(const Call& call, TimePoint now) const;
     void extendWaitForFormingGroups(TimePoint now);
     void dispatchQueued(TimePoint now, dispatch::Effects& effects);
+    /// Set if the request, which waits before its first attempt, can't end in time and is to be refused now.
+    std::optional<capacity::Forecast> forecastRefusal(const Call& call, TimePoint now, std::size_t queuedBefore, bool isFull);
+    void refuseUnfinishable(CallId id, const Call& call, const capacity::Forecast& forecast, TimePoint now, dispatch::Effects& effects);
     void refuse(TimePoint now, CallId id, const Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, dispatch::Effects& effects);
     /// The servers that the request may be sent to: all of the service, or, once it has run on the permitted number of
     /// servers, only those.
@@ -266,6 +278,7 @@
     DispatcherOptions m_options;
     policy::Generator m_generator;
     LoadBalancer m_loadBalancer;
+    capacity::ServiceEstimate m_estimate;
     RetryAllowance m_retries;
     std::map<CallId, Call> m_calls;
     /// Requests that wait for a server.
--- a/src/gateway/load-balancer.cc
+++ b/src/gateway/load-balancer.cc
@@ -373,6 +373,18 @@
     return slotCount > 0 ? running / slotCount : 1;
 }
 
+capacity::ServiceUse LoadBalancer::useOf(const ServiceName& service, TimePoint now) const
+{
+    capacity::ServiceUse use;
+    for (auto& [incarnation, server] : m_servers) {
+        if (server.server.service != service || !mayReceiveRequests(server, now))
+            continue;
+        use.running += totalLoad(server, now).running + (server.remoteLoad ? server.remoteLoad->running : 0);
+        use.slots += server.server.slots;
+    }
+    return use;
+}
+
 std::uint32_t LoadBalancer::runningRequests(const ServerIncarnation& incarnation, TimePoint now) const
 {
     auto it = m_servers.find(incarnation);
--- a/src/gateway/load-balancer.h
+++ b/src/gateway/load-balancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/gateway/capacity/service-use.h"
 #include "src/gateway/cold-server-limits.h"
 #include "src/gateway/peer-loads.h"
 #include "src/gateway/server-back-offs.h"
@@ -119,6 +120,8 @@
     bool isForming(const ServiceName& service, TimePoint now) const;
     /// Requests running on the servers of a service, as far as known, divided by the number of their slots.
     double occupancy(const ServiceName& service, TimePoint now) const;
+    /// Requests that run on the servers of a service that may receive requests, as far as known, and their slots.
+    capacity::ServiceUse useOf(const ServiceName& service, TimePoint now) const;
 
     /// Requests running on a server, as far as known.
     std::uint32_t runningRequests(const ServerIncarnation& incarnation, TimePoint now) const;
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -30,6 +30,12 @@
     return lastReceivedAt == TimePoint {} ? milliseconds(-1) : std::chrono::duration_cast<milliseconds>(now - lastReceivedAt);
 }
 
+std::string formatted(const capacity::Forecast& forecast)
+{
+    auto ms = [](Clock::duration time) { return std::chrono::duration_cast<milliseconds>(time).count(); };
+    return fmt::format(" needs-ms={} left-ms={} pass-ms={} age-ms={} events={:.1f} running={:.0f} group={}", ms(forecast.duration), ms(forecast.timeLeft), ms(forecast.pass.length), ms(forecast.pass.age), forecast.events, forecast.running, forecast.group.value().empty() ? "-" : forecast.group.value());
+}
+
 } // namespace
 
 RequestServer::RequestServer(AsyncDispatcher& dispatcher, UpstreamPool& pool, const Protocol& protocol, process::SharedMetrics& metrics, SnapshotSource snapshot)
@@ -172,6 +178,8 @@
     call.reason = toString(refusal.reason);
     call.service = refusal.service;
     call.refusalDetails = fmt::format(" verdict={} occupancy={:.2f} waiting={}", toString(refusal.verdict), refusal.occupancy, refusal.queued);
+    if (auto& forecast = refusal.forecast)
+        call.refusalDetails += formatted(*forecast);
     if (call.hasStreamStarted) {
         // Bytes that were sent can't be withdrawn. The response ends without its end mark, so that the client sees it as truncated.
         call.mustClose = true;
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -73,6 +73,14 @@
     };
 }
 
+Setter switchSetter(bool& target)
+{
+    return [&target](const std::string& value) {
+        target = value == "on";
+        return std::string(value == "on" || value == "off" ? "" : "on or off");
+    };
+}
+
 Setter secondsSetter(milliseconds& target, double min, double max)
 {
     return numberSetter([&target](double seconds) { target = milliseconds(std::llround(seconds * 1000)); }, min, max);
@@ -124,11 +132,12 @@
         { "apply-within-ms", numberSetter([&](double ms) { settings.applyTimeout = milliseconds(std::llround(ms)); }, minApplyMs, 1000 * maxSeconds) },
         { "cold-overshoot", numberSetter([&](double factor) { settings.coldLimits.overshoot = factor; }, 0, 1000) },
         { "cold-slack", numberSetter([&](double slack) { settings.coldLimits.slack = slack; }, 0, 1e9) },
+        { "estimate", switchSetter(settings.estimate.isEnabled) },
         { "stop-within-seconds", secondsSetter(settings.stopTimeout, 0.1, maxSeconds) },
         { "directory-kept-seconds", secondsSetter(settings.directoryMaxAge, 0, maxSeconds) },
         { "least-entries", numberSetter([&](double n) { settings.minEntries = static_cast<std::size_t>(n); }, 1, maxEntries) },
     };
-    auto read = readSection(text, fileName, "entry", setters, { "apply-within-ms", "cold-overshoot", "cold-slack", "seeds", "least-entries" });
+    auto read = readSection(text, fileName, "entry", setters, { "apply-within-ms", "cold-overshoot", "cold-slack", "estimate", "seeds", "least-entries" });
     if (!read)
         return read.error();
     return settings;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/gateway/capacity/service-estimate.h"
 #include "src/gateway/cold-server-limits.h"
 #include "src/gateway/model.h"
 #include "src/gateway/retry-allowance.h"
@@ -35,6 +36,7 @@
     Endpoint store;
     RetryAllowanceOptions retries;
     ColdLimitOptions coldLimits;
+    capacity::EstimateOptions estimate;
     /// Time within which a change that is published in the store must be in force.
     milliseconds applyTimeout { 2000 };
     /// Maximum time from SIGTERM to the end of the process.
--- a/src/gateway/traffic-server.cc
+++ b/src/gateway/traffic-server.cc
@@ -46,7 +46,8 @@
     : m_settings(settings)
     , m_protocol(protocol)
     , m_incarnation(incarnation)
-    , m_dispatcher(m_ioContext, DispatcherOptions { settings.retries, settings.coldLimits }, seeded())
+    , m_estimateMetrics(metrics)
+    , m_dispatcher(m_ioContext, DispatcherOptions { settings.retries, settings.coldLimits, settings.estimate }, seeded())
     , m_pool(m_ioContext)
     , m_server(m_dispatcher, m_pool, protocol, metrics, [this] { return m_snapshot; })
     , m_snapshot(std::make_shared<Snapshot>())
@@ -100,6 +101,7 @@
         m_snapshot = snapshot;
         m_pool.applySnapshot(*snapshot);
         m_dispatcher.apply(dispatch::SnapshotChanged { snapshot });
+        m_estimateMetrics.update(Clock::now(), m_dispatcher.reducer().serviceEstimate());
         if (m_onLoadsMeasured)
             m_onLoadsMeasured(m_dispatcher.reducer().loadBalancer().localLoads(Clock::now()));
     });
--- a/src/gateway/traffic-server.h
+++ b/src/gateway/traffic-server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/gateway/async-dispatcher.h"
+#include "src/gateway/capacity/estimate-metrics.h"
 #include "src/gateway/control-message.h"
 #include "src/gateway/request-server.h"
 #include "src/gateway/settings.h"
@@ -63,6 +64,7 @@
     const EntrySettings& m_settings;
     const Protocol& m_protocol;
     Incarnation m_incarnation;
+    capacity::EstimateMetrics m_estimateMetrics;
     AsyncDispatcher m_dispatcher;
     UpstreamPool m_pool;
     RequestServer m_server;
--- a/test/gateway-settings_test.cc
+++ b/test/gateway-settings_test.cc
@@ -76,3 +76,12 @@
     CHECK(parseAgentSettings(text + "least-gain = 0.1\n", "agent.ini").value().minGain == 0.1);
     CHECK_FALSE(parseAgentSettings(text + "least-gain = 2\n", "agent.ini").has_value());
 }
+
+TEST_CASE("Entry settings: the estimate is on unless it is switched off, and other words are refused")
+{
+    CHECK(parseEntrySettings(entryText, "entry.ini").value().estimate.isEnabled);
+    CHECK_FALSE(parseEntrySettings(entryText + "estimate = off\n", "entry.ini").value().estimate.isEnabled);
+    auto refused = parseEntrySettings(entryText + "estimate = maybe\n", "entry.ini");
+    REQUIRE_FALSE(refused.has_value());
+    CHECK(refused.error().message.find("on or off") != std::string::npos);
+}
