--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -28,6 +28,11 @@
     return outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Lost || outcome == AttemptOutcome::TimedOut || outcome == AttemptOutcome::ServerError;
 }
 
+capacity::RequestView requestView(const CallRequest& request, TimePoint queueDeadline, std::size_t queuedBefore)
+{
+    return { *request.route, request.priority, request.arrivedAt, request.deadline, { request.outputTokens, request.expectedOutputTokens }, queueDeadline, queuedBefore };
+}
+
 } // namespace
 
 std::string_view toString(AttemptOutcome outcome)
@@ -62,6 +67,8 @@
         return "limited";
     case RefusalReason::BackingOff:
         return "resting";
+    case RefusalReason::Unfinishable:
+        return "no-time";
     case RefusalReason::NoServer:
         return "no-server";
     case RefusalReason::NoHomeServer:
@@ -82,6 +89,7 @@
     : m_options(options)
     , m_generator(generator)
     , m_loadBalancer(options.coldLimits, options.regions)
+    , m_estimate(options.estimate)
     , m_retries(options.retries)
     , m_admission(options.admission)
     , m_retrySchedule(generator)
@@ -114,6 +122,7 @@
     } else if (auto* changed = std::get_if<SnapshotChanged>(&event)) {
         m_loadBalancer.setServers(now, *changed->snapshot);
         m_admission.setFleet(now, *changed->snapshot);
+        m_estimate.setSnapshot(now, *changed->snapshot);
         m_retries.raiseMaxEntries(changed->snapshot->maxEntries);
     } else if (auto* load = std::get_if<LoadReceived>(&event)) {
         m_loadBalancer.onLoadUpdate(now, load->update);
@@ -137,6 +146,8 @@
         return;
     }
     m_admission.onArrived(now, queuedRequest(event.call, call));
+    updateQueueDeadline(event.call, call, now);
+    m_estimate.onRequestArrived(call.service, requestView(call.request, call.queueDeadline, 0));
     m_queue.push(queuedRequest(event.call, call));
 }
 
@@ -194,6 +205,7 @@
         m_nextStallCheckAt = now + stallCheckInterval;
     effects.push_back(StartAttempt { id, *server, m_loadBalancer.runningRequests(server->incarnation(), now), m_loadBalancer.limitOf(server->incarnation()) });
     m_loadBalancer.onAttemptStarted(now, server->incarnation(), { call.request.promptTokens });
+    m_estimate.onAttemptStarted(now, call.clock, server->incarnation());
     return true;
 }
 
@@ -204,9 +216,14 @@
     // If a request that may go to any server finds no capacity, no other request of the service with the same homes does:
     // with hundreds of servers each search is expensive.
     std::set<std::pair<ServiceName, HomeSet>> fullServices;
+    std::size_t queuedBefore = 0;
     for (auto id : order) {
         auto& call = m_calls[id];
         updateQueueDeadline(id, call, now);
+        if (auto forecast = forecastRefusal(call, now, queuedBefore, false)) {
+            refuseUnfinishable(id, call, *forecast, now, effects);
+            continue;
+        }
         bool isHeldBack = !m_admission.mayStart(now, queuedRequest(id, call), [&] { return m_loadBalancer.freeSlots(call.service, now); });
         bool mayStart = now >= call.retryAt && !fullServices.contains({ call.service, call.homes }) && !isHeldBack;
         if (mayStart && tryStartAttempt(id, call, now, effects)) {
@@ -215,6 +232,11 @@
         }
         if (mayStart && call.attempts == 0)
             fullServices.emplace(call.service, call.homes);
+        auto before = queuedBefore++;
+        if (auto forecast = isHeldBack ? std::nullopt : forecastRefusal(call, now, before, true)) {
+            refuseUnfinishable(id, call, *forecast, now, effects);
+            continue;
+        }
         if (now < call.queueDeadline && m_loadBalancer.hasServer(filterFor(call)) && !isThrottledTooLong(call, now))
             continue;
         m_queue.remove(id);
@@ -310,12 +332,14 @@
         return;
     it->second.lastActivityAt = now;
     m_loadBalancer.onActivity(now, *it->second.currentServer);
+    capacity::ServiceEstimate::onEvent(now, it->second.clock);
 }
 
-void Dispatcher::endAttempt(Call& call, TimePoint now)
+void Dispatcher::endAttempt(Call& call, TimePoint now, bool isComplete)
 {
     if (!call.currentServer)
         return;
+    m_estimate.onAttemptEnded(now, call.clock, call.service, *call.currentServer, *call.request.route, isComplete);
     m_loadBalancer.onAttemptEnded(*call.currentServer, { call.request.promptTokens }, call.hasResponseStarted);
     if (call.hasResponseStarted)
         m_admission.onSlotReleased(call.service, now - call.sentAt);
@@ -339,7 +363,7 @@
         return;
     auto& call = it->second;
     auto server = *call.currentServer;
-    endAttempt(call, now);
+    endAttempt(call, now, event.outcome == AttemptOutcome::Answered);
     if (event.outcome == AttemptOutcome::Answered) {
         m_loadBalancer.onSuccess(server);
         return;
@@ -424,6 +448,28 @@
     refuse(now, id, call, outcome == AttemptOutcome::TimedOut ? RefusalReason::TimedOut : RefusalReason::Lost, std::nullopt, effects);
 }
 
+/// A request that has been sent to a server once goes on: its client has waited, and what it got would be lost.
+std::optional<capacity::Forecast> Dispatcher::forecastRefusal(const Call& call, TimePoint now, std::size_t queuedBefore, bool isFull)
+{
+    if (call.attempts > 0)
+        return std::nullopt;
+    auto view = requestView(call.request, call.queueDeadline, queuedBefore);
+    if (isFull)
+        return m_estimate.queueRefusalOf(now, call.service, view);
+    if (!m_estimate.isWatching(now, call.service))
+        return std::nullopt;
+    return m_estimate.refusalOf(now, call.service, view, m_loadBalancer.useOf(call.service, now));
+}
+
+void Dispatcher::refuseUnfinishable(CallId id, const Call& call, const capacity::Forecast& forecast, TimePoint now, Effects& effects)
+{
+    m_queue.remove(id);
+    // A slow rank lasts for seconds; slots of a plain server become free all the time.
+    auto retryAt = call.request.route->isStream ? admission::outageRetryTime(now, call.request.deadline, m_generator) : clientRetryTime(call, now);
+    refuse(now, id, call, RefusalReason::Unfinishable, retryAt, effects);
+    std::get<Refuse>(effects.back()).forecast = forecast;
+}
+
 void Dispatcher::refuse(TimePoint now, CallId id, const Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, Effects& effects)
 {
     bool isOutage = reason == RefusalReason::NoServer || reason == RefusalReason::NoHomeServer || reason == RefusalReason::NoCommonHome;
@@ -453,7 +499,7 @@
     auto it = m_calls.find(id);
     if (it == m_calls.end())
         return;
-    endAttempt(it->second, now);
+    endAttempt(it->second, now, false);
     m_queue.remove(id);
     m_calls.erase(it);
 }
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -4,6 +4,7 @@
 #include "src/gateway/admission/request-queue.h"
 #include "src/gateway/admission/retry-schedule.h"
 #include "src/gateway/call-id.h"
+#include "src/gateway/capacity/service-estimate.h"
 #include "src/gateway/load-balancer.h"
 #include "src/gateway/retry-allowance.h"
 #include "src/gateway/snapshot.h"
@@ -73,6 +74,8 @@
     Limited,
     /// All servers have requested back-offs that do not end in time; the client should retry later.
     BackingOff,
+    /// The response can't end before the client's deadline; the client should retry later.
+    Unfinishable,
     /// The service has no usable server.
     NoServer,
     /// The service has usable servers, but none in the homes of the request's route and organisation.
@@ -160,6 +163,8 @@
     std::size_t queued { 0 };
     /// Names of the regions whose servers may get the request, separated by commas; unset if any may.
     std::optional<std::string> homes {};
+    /// The numbers that decided; only for `Unfinishable`.
+    std::optional<capacity::Forecast> forecast {};
 };
 /// Cancel the attempt in progress; `AttemptEnded` follows.
 struct CancelAttempt {
@@ -186,6 +191,7 @@
     /// Regions of the data centres; without them, requests with homes get no server.
     DataCentreRegions regions {};
     admission::AdmissionOptions admission {};
+    capacity::EstimateOptions estimate {};
     /// Maximum time that an idempotent request waits for another server after it has lost its own. A rank group that
     /// lost a rank has either recovered by then or will not recover soon. Clients give up on a stream that pauses for
     /// two seconds, so a longer wait is of no use.
@@ -219,6 +225,7 @@
     /// Who is admitted, and what waits.
     const admission::AdmissionController& admission() const { return m_admission; }
     std::size_t queuedRequests() const { return m_queue.size(); }
+    const capacity::ServiceEstimate& serviceEstimate() const { return m_estimate; }
 
 private:
     struct Call {
@@ -251,6 +258,8 @@
         TimePoint retryAt;
         /// Outcome of the last attempt; unset before the first one ends.
         std::optional<AttemptOutcome> lastOutcome;
+        /// Events of the current attempt.
+        capacity::StreamClock clock;
     };
 
     void onRequestArrived(TimePoint now, const dispatch::RequestArrived& event, dispatch::Effects& effects);
@@ -259,7 +268,7 @@
     void onStreamProgressed(TimePoint now, CallId id);
     void onCallClosed(TimePoint now, CallId id);
     ServiceName pickService(const Route& route);
-    void endAttempt(Call& call, TimePoint now);
+    void endAttempt(Call& call, TimePoint now, bool isComplete);
     void updateServerState(TimePoint now, const ServerIncarnation& server, AttemptOutcome outcome, Call& call);
     bool mayWaitForGroups(const Call& call, AttemptOutcome outcome, TimePoint now) const;
     void queueForRetry(CallId id, Call& call, TimePoint now, TimePoint until);
@@ -274,6 +283,9 @@
     /// Sets the queue deadline of a request that has not been sent to a server yet.
     void updateQueueDeadline(CallId id, Call& call, TimePoint now);
     void dispatchQueued(TimePoint now, dispatch::Effects& effects);
+    /// Set if the request, which waits before its first attempt, can't end in time and is to be refused now.
+    std::optional<capacity::Forecast> forecastRefusal(const Call& call, TimePoint now, std::size_t queuedBefore, bool isFull);
+    void refuseUnfinishable(CallId id, const Call& call, const capacity::Forecast& forecast, TimePoint now, dispatch::Effects& effects);
     void refuse(TimePoint now, CallId id, const Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, dispatch::Effects& effects);
     /// The servers that the request may be sent to: all of the service in its homes, or, once it has run on the permitted number of
     /// servers, only those.
@@ -286,6 +298,7 @@
     DispatcherOptions m_options;
     policy::Generator m_generator;
     LoadBalancer m_loadBalancer;
+    capacity::ServiceEstimate m_estimate;
     RetryAllowance m_retries;
     std::map<CallId, Call> m_calls;
     admission::AdmissionController m_admission;
--- a/src/gateway/load-balancer.cc
+++ b/src/gateway/load-balancer.cc
@@ -393,6 +393,18 @@
     return free;
 }
 
+capacity::ServiceUse LoadBalancer::useOf(const ServiceName& service, TimePoint now) const
+{
+    capacity::ServiceUse use;
+    for (auto& [incarnation, server] : m_servers) {
+        if (server.server.service != service || !mayReceiveRequests(server, now))
+            continue;
+        use.running += totalLoad(server, now).running + (server.remoteLoad ? server.remoteLoad->running : 0);
+        use.slots += server.server.slots;
+    }
+    return use;
+}
+
 std::uint32_t LoadBalancer::runningRequests(const ServerIncarnation& incarnation, TimePoint now) const
 {
     auto it = m_servers.find(incarnation);
--- a/src/gateway/load-balancer.h
+++ b/src/gateway/load-balancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/gateway/admission/free-slots.h"
+#include "src/gateway/capacity/service-use.h"
 #include "src/gateway/cold-server-limits.h"
 #include "src/gateway/homes.h"
 #include "src/gateway/peer-loads.h"
@@ -127,6 +128,8 @@
     bool isForming(const ServiceName& service, TimePoint now, const HomeSet& homes = {}) const;
     /// Requests running on the servers of a service, as far as known, divided by the number of their slots.
     double occupancy(const ServiceName& service, TimePoint now) const;
+    /// Requests that run on the servers of a service that may receive requests, as far as known, and their slots.
+    capacity::ServiceUse useOf(const ServiceName& service, TimePoint now) const;
 
     /// Slots of a service that requests could get now, as far as known.
     admission::FreeSlots freeSlots(const ServiceName& service, TimePoint now) const;
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -36,6 +36,12 @@
     return snapshot.configuration && (snapshot.isReady || snapshot.isLeaving);
 }
 
+std::string formatted(const capacity::Forecast& forecast)
+{
+    auto ms = [](Clock::duration time) { return std::chrono::duration_cast<milliseconds>(time).count(); };
+    return fmt::format(" needs-ms={} left-ms={} pass-ms={} age-ms={} events={:.1f} running={:.0f} group={}", ms(forecast.duration), ms(forecast.timeLeft), ms(forecast.pass.length), ms(forecast.pass.age), forecast.events, forecast.running, forecast.group.value().empty() ? "-" : forecast.group.value());
+}
+
 } // namespace
 
 RequestServer::RequestServer(AsyncDispatcher& dispatcher, UpstreamPool& pool, const Protocol& protocol, process::SharedMetrics& metrics, SnapshotSource snapshot, bool waitsAtStart)
@@ -207,6 +213,8 @@
     call.refusalDetails = fmt::format(" verdict={} occupancy={:.2f} waiting={}", toString(refusal.verdict), refusal.occupancy, refusal.queued);
     if (refusal.homes)
         call.refusalDetails += fmt::format(" homes={}", refusal.homes->empty() ? "none" : *refusal.homes);
+    if (auto& forecast = refusal.forecast)
+        call.refusalDetails += formatted(*forecast);
     if (call.hasStreamStarted) {
         // Bytes that were sent can't be withdrawn. The response ends without its end mark, so that the client sees it as truncated.
         call.mustClose = true;
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -165,13 +165,14 @@
         { "apply-within-ms", numberSetter([&](double ms) { settings.applyTimeout = milliseconds(std::llround(ms)); }, minApplyMs, 1000 * maxSeconds) },
         { "cold-overshoot", numberSetter([&](double factor) { settings.coldLimits.overshoot = factor; }, 0, 1000) },
         { "cold-slack", numberSetter([&](double slack) { settings.coldLimits.slack = slack; }, 0, 1e9) },
+        { "estimate", switchSetter(settings.estimate.isEnabled) },
         { "stop-within-seconds", secondsSetter(settings.stopTimeout, 0.1, maxSeconds) },
         { "directory-kept-seconds", secondsSetter(settings.directoryMaxAge, 0, maxSeconds) },
         { "startup-wait", switchSetter(settings.waitsAtStart) },
         { "urgency", switchSetter(settings.isUrgencyOn) },
         { "least-entries", numberSetter([&](double n) { settings.minEntries = static_cast<std::size_t>(n); }, 1, maxEntries) },
     };
-    auto read = readSection(text, fileName, "entry", setters, { "apply-within-ms", "cold-overshoot", "cold-slack", "seeds", "least-entries", "startup-wait", "urgency" }, &regions);
+    auto read = readSection(text, fileName, "entry", setters, { "apply-within-ms", "cold-overshoot", "cold-slack", "estimate", "seeds", "least-entries", "startup-wait", "urgency" }, &regions);
     if (!read)
         return read.error();
     auto created = regionsFrom(regions, settings.dataCentre, fileName);
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/gateway/capacity/service-estimate.h"
 #include "src/gateway/cold-server-limits.h"
 #include "src/gateway/homes.h"
 #include "src/gateway/model.h"
@@ -40,6 +41,7 @@
     ColdLimitOptions coldLimits;
     /// Requests wait for an entry that has just started; otherwise they are refused until it can serve.
     bool waitsAtStart { true };
+    capacity::EstimateOptions estimate;
     /// Time within which a change that is published in the store must be in force.
     milliseconds applyTimeout { 2000 };
     /// Maximum time from SIGTERM to the end of the process.
--- a/src/gateway/traffic-server.cc
+++ b/src/gateway/traffic-server.cc
@@ -46,7 +46,8 @@
     , m_protocol(protocol)
     , m_metrics(metrics)
     , m_incarnation(incarnation)
-    , m_dispatcher(m_ioContext, DispatcherOptions { settings.retries, settings.coldLimits, settings.regions, { settings.isUrgencyOn } }, seeded())
+    , m_estimateMetrics(metrics)
+    , m_dispatcher(m_ioContext, DispatcherOptions { settings.retries, settings.coldLimits, settings.regions, { settings.isUrgencyOn }, settings.estimate }, seeded())
     , m_pool(m_ioContext)
     , m_server(
           m_dispatcher, m_pool, protocol, metrics, [this] { return m_snapshot; }, settings.waitsAtStart)
@@ -102,6 +103,7 @@
         m_pool.applySnapshot(*snapshot);
         m_dispatcher.apply(dispatch::SnapshotChanged { snapshot });
         m_server.onSnapshotChanged();
+        m_estimateMetrics.update(Clock::now(), m_dispatcher.reducer().serviceEstimate());
         if (m_onLoadsMeasured)
             m_onLoadsMeasured(m_dispatcher.reducer().loadBalancer().localLoads(Clock::now()), m_dispatcher.reducer().admission().localDemands(Clock::now()));
     });
