--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <boost/random/discrete_distribution.hpp>
-#include <fmt/format.h>
-#include <fmt/ranges.h>
 #include <set>
 
 namespace swiftloft::gateway {
@@ -28,11 +26,6 @@
     return outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Lost || outcome == AttemptOutcome::TimedOut || outcome == AttemptOutcome::ServerError;
 }
 
-capacity::RequestView requestView(const CallRequest& request, TimePoint queueDeadline, std::size_t queuedBefore)
-{
-    return { *request.route, request.priority, request.arrivedAt, request.deadline, { request.outputTokens, request.expectedOutputTokens }, queueDeadline, queuedBefore };
-}
-
 } // namespace
 
 std::string_view toString(AttemptOutcome outcome)
@@ -58,33 +51,6 @@
     return "unknown";
 }
 
-std::string_view toString(RefusalReason reason)
-{
-    switch (reason) {
-    case RefusalReason::Overloaded:
-        return "overloaded";
-    case RefusalReason::Limited:
-        return "limited";
-    case RefusalReason::BackingOff:
-        return "resting";
-    case RefusalReason::Unfinishable:
-        return "no-time";
-    case RefusalReason::NoServer:
-        return "no-server";
-    case RefusalReason::NoHomeServer:
-        return "no-home-server";
-    case RefusalReason::NoCommonHome:
-        return "no-common-home";
-    case RefusalReason::AttemptsExhausted:
-        return "tries-spent";
-    case RefusalReason::Lost:
-        return "lost";
-    case RefusalReason::TimedOut:
-        return "timed-out";
-    }
-    return "unknown";
-}
-
 Dispatcher::Dispatcher(const DispatcherOptions& options, policy::Generator generator)
     : m_options(options)
     , m_generator(generator)
@@ -248,27 +214,6 @@
     m_admission.endRound(now, m_queue);
 }
 
-/// True if, because of limits and back-offs, no server may get the request while it waits, so that it is refused
-/// immediately.
-bool Dispatcher::isThrottledTooLong(const Call& call, TimePoint now) const
-{
-    auto throttling = m_loadBalancer.throttling(filterFor(call), now);
-    return throttling && throttling->isEveryServer && throttling->nextSendAt > call.queueDeadline;
-}
-
-RefusalReason Dispatcher::refusalReason(const Call& call, TimePoint now) const
-{
-    if (!m_loadBalancer.hasServer({ call.service, {}, std::nullopt, call.homes })) {
-        if (call.homes.isEmpty())
-            return RefusalReason::NoCommonHome;
-        return m_loadBalancer.hasServer(call.service) ? RefusalReason::NoHomeServer : RefusalReason::NoServer;
-    }
-    auto throttling = m_loadBalancer.throttling(filterFor(call), now);
-    if (!throttling || !throttling->isEveryServer)
-        return RefusalReason::Overloaded;
-    return throttling->isBackingOff ? RefusalReason::BackingOff : RefusalReason::Limited;
-}
-
 /// Extends the wait of requests whose service is re-forming as a whole. All capacity of the service is about to become
 /// free at the same moment. A client refused now would retry in the middle of the rush that follows, while a queued
 /// request is served before the rush. The extended wait stays in force when the first group is back. Otherwise all
@@ -434,66 +379,6 @@
     return now + minAttemptTime < call.request.deadline;
 }
 
-void Dispatcher::failCall(CallId id, Call& call, AttemptOutcome outcome, TimePoint now, Effects& effects)
-{
-    if (outcome == AttemptOutcome::ServerError) {
-        effects.push_back(ForwardError { id });
-        return;
-    }
-    if (call.verdict == Verdict::NotRun) {
-        auto reason = isThrottledTooLong(call, now) ? refusalReason(call, now) : RefusalReason::AttemptsExhausted;
-        refuse(now, id, call, reason, clientRetryTime(call, now), effects);
-        return;
-    }
-    refuse(now, id, call, outcome == AttemptOutcome::TimedOut ? RefusalReason::TimedOut : RefusalReason::Lost, std::nullopt, effects);
-}
-
-/// A request that has been sent to a server once goes on: its client has waited, and what it got would be lost.
-std::optional<capacity::Forecast> Dispatcher::forecastRefusal(const Call& call, TimePoint now, std::size_t queuedBefore, bool isFull)
-{
-    if (call.attempts > 0)
-        return std::nullopt;
-    auto view = requestView(call.request, call.queueDeadline, queuedBefore);
-    if (isFull)
-        return m_estimate.queueRefusalOf(now, call.service, view);
-    if (!m_estimate.isWatching(now, call.service))
-        return std::nullopt;
-    return m_estimate.refusalOf(now, call.service, view, m_loadBalancer.useOf(call.service, now));
-}
-
-void Dispatcher::refuseUnfinishable(CallId id, const Call& call, const capacity::Forecast& forecast, TimePoint now, Effects& effects)
-{
-    m_queue.remove(id);
-    // A slow rank lasts for seconds; slots of a plain server become free all the time.
-    auto retryAt = call.request.route->isStream ? admission::outageRetryTime(now, call.request.deadline, m_generator) : clientRetryTime(call, now);
-    refuse(now, id, call, RefusalReason::Unfinishable, retryAt, effects);
-    std::get<Refuse>(effects.back()).forecast = forecast;
-}
-
-void Dispatcher::refuse(TimePoint now, CallId id, const Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, Effects& effects)
-{
-    bool isOutage = reason == RefusalReason::NoServer || reason == RefusalReason::NoHomeServer || reason == RefusalReason::NoCommonHome;
-    if (call.verdict == Verdict::NotRun && !isOutage)
-        m_admission.onRefused(now, call.service, call.request.priority);
-    Refuse refusal { id, reason, call.verdict, retryAt, call.service, m_loadBalancer.occupancy(call.service, now), m_queue.size() };
-    if (call.homes.isRestricted())
-        refusal.homes = fmt::format("{}", fmt::join(m_options.regions.names(call.homes.bits()), ","));
-    effects.push_back(std::move(refusal));
-}
-
-std::optional<TimePoint> Dispatcher::clientRetryTime(const Call& call, TimePoint now)
-{
-    if (call.homes.isEmpty())
-        return std::nullopt;
-    admission::ServiceOutlook outlook;
-    outlook.isDown = !m_loadBalancer.hasServer({ call.service, {}, std::nullopt, call.homes }) || m_loadBalancer.isForming(call.service, now, call.homes);
-    auto throttling = m_loadBalancer.throttling(filterFor(call), now);
-    if (throttling && throttling->isEveryServer)
-        outlook.throttling = throttling;
-    outlook.hasTurns = m_admission.hasPriorities(call.service);
-    return m_retrySchedule.retryTime(now, { call.service, call.request.deadline, call.request.priority }, outlook);
-}
-
 void Dispatcher::onCallClosed(TimePoint now, CallId id)
 {
     auto it = m_calls.find(id);
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -283,6 +283,7 @@
     /// Sets the queue deadline of a request that has not been sent to a server yet.
     void updateQueueDeadline(CallId id, Call& call, TimePoint now);
     void dispatchQueued(TimePoint now, dispatch::Effects& effects);
+    static capacity::RequestView requestView(const CallRequest& request, TimePoint queueDeadline, std::size_t queuedBefore);
     /// Set if the request, which waits before its first attempt, can't end in time and is to be refused now.
     std::optional<capacity::Forecast> forecastRefusal(const Call& call, TimePoint now, std::size_t queuedBefore, bool isFull);
     void refuseUnfinishable(CallId id, const Call& call, const capacity::Forecast& forecast, TimePoint now, dispatch::Effects& effects);
