--- a/test/return-turns_test.cc
+++ b/test/return-turns_test.cc
@@ -1,4 +1,4 @@
-#include "src/gateway/admission/return-turns.h"
+#include "src/gateway/admission/retry-schedule.h"
 
 #include <catch2/catch.hpp>
 
@@ -64,3 +64,24 @@
         given += turns.take(start, service, 0, latest) ? 1 : 0;
     CHECK(given == ReturnTurns::maxTurns);
 }
+
+// Guards against clients that are refused twice: a crowd of drafts is told to return at the same time as the urgent clients
+// that are refused after it, and all of them find the service full again.
+TEST_CASE("RetrySchedule: while a service is short, urgent clients return first, and each within the time that it waits")
+{
+    RetrySchedule schedule { policy::Generator(1) };
+    for (int n = 0; n < 50; ++n)
+        schedule.onAdmitted(start - seconds(5) + n * milliseconds(100), service);
+    ServiceOutlook outlook;
+    outlook.hasTurns = true;
+    auto deadline = start + seconds(8);
+    TimePoint lastDraft;
+    for (int n = 0; n < 40; ++n) {
+        lastDraft = schedule.retryTime(start, { service, deadline, 2 }, outlook);
+        CHECK(lastDraft - start >= ReturnTurns::minDelay);
+        CHECK(lastDraft - start <= milliseconds(8000) / 3);
+    }
+    auto urgent = schedule.retryTime(start, { service, deadline, 0 }, outlook);
+    CHECK(urgent - start < milliseconds(500));
+    CHECK(lastDraft - start > seconds(1));
+}
