Bound the copies of a change of the expert map by 80 ms or four experts

Cause: without a bound, the forecast copied longer on deployments whose passes are close to the allowed gap of streams, which rank 0 does not know: passes last 15 in 100 longer meanwhile (docs/design/worst-load.md). Change: the former 80 ms hold again, except where four experts take longer.

--- a/src/agent/map-planning-options.cc
+++ b/src/agent/map-planning-options.cc
@@ -11,6 +11,9 @@
 constexpr double megabytesPerGigabyte = 1000;
 /// Shortest time of copies that is worth a change of its own, because each change takes the time of a switch as well.
 constexpr milliseconds minCopyTime { 40 };
+/// Longest time of the copies of one change, if the settings don't say. Passes last longer meanwhile, and where they are
+/// close to the gap that callers allow, all streams of the group are late for that time.
+constexpr milliseconds defaultMaxCopyTime { 80 };
 /// Number of maps that are compared for one change. Bounds the time of a plan.
 constexpr std::uint32_t maxCopyStages = 4;
 
@@ -51,8 +54,9 @@
     options.planner.minGain = settings.minGain;
     options.planner.gainShare = plannedGainShare;
     options.planner.maxCopiesPerRank = maxCopyStages * options.scheduler.copiesPerStage;
-    if (settings.maxCopyTime)
-        options.planner.maxCopiesPerRank = std::min(options.planner.maxCopiesPerRank, expertsCopiedWithin(*settings.maxCopyTime, traits));
+    // Where experts take so long that hardly any fits into the default time, the forecast alone decides.
+    auto maxCopies = settings.maxCopyTime ? expertsCopiedWithin(*settings.maxCopyTime, traits) : std::max(expertsCopiedWithin(defaultMaxCopyTime, traits), maxCopyStages);
+    options.planner.maxCopiesPerRank = std::min(options.planner.maxCopiesPerRank, maxCopies);
     options.planner.maxCopiesPerRankAndLayer = std::max(traits.spareSlots, 1U);
     return options;
 }
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -74,7 +74,7 @@
     /// Minimum part of the time of a pass that a change of the expert map must save.
     double minGain { 0.07 };
     /// Maximum time for which ranks copy for one change of the expert map. Each rank copies as many experts as fit into
-    /// this time, at least one. If unset, only the forecast of what a change saves bounds the copies.
+    /// this time, at least one. If unset, `mapPlanningOptions` bounds the copies.
     std::optional<milliseconds> maxCopyTime;
     /// Seconds of a group's time that one gigabyte less of moved expert weights is worth. 0 counts only time.
     double movedGigabytePrice { 0 };
