Log the fingerprint of requests that fail at a backend server

The logs of the incident can't tell whether an engine ended under a repeat of the client or under a retry of the entry: both carry ids that are new each time. AttemptFailed and RequestFailed now name a fingerprint, a hash of the caller, the path with its query, and the body, which is equal for all repeats. It is computed only for requests that fail after they were sent.

--- a/include/swiftloft/policy/fingerprint.h
+++ b/include/swiftloft/policy/fingerprint.h
@@ -11,4 +11,17 @@
 /// Needs one pass over the body and does not copy it.
 Fingerprint fingerprintOf(const OrganisationName& organisation, const ServiceName& service, std::string_view body);
 
+/// The parts of an HTTP request that a resend has in common with the original.
+struct RequestContent {
+    /// Empty on routes that need no key.
+    OrganisationName organisation;
+    /// Path and query.
+    std::string_view target;
+    std::string_view body;
+};
+
+/// Fingerprint of an HTTP request, equal when all parts of its content are equal byte for byte. Needs one pass over the
+/// body and does not copy it.
+Fingerprint fingerprintOf(const RequestContent& content);
+
 } // namespace swiftloft::policy
--- a/src/gateway/request-call.h
+++ b/src/gateway/request-call.h
@@ -3,6 +3,8 @@
 #include "src/gateway/event-splitter.h"
 #include "src/gateway/request-server.h"
 
+#include <swiftloft/policy/fingerprint.h>
+
 namespace swiftloft::gateway {
 
 /// State of one client request, from its arrival to its end. Private to the source files of `RequestServer`.
@@ -51,6 +53,18 @@
     TimePoint lastEventAt;
     milliseconds longestEventGap { 0 };
     bool mustClose { false };
+
+    /// Unset until `fingerprint` is called.
+    std::optional<Fingerprint> computedFingerprint {};
+
+    Fingerprint fingerprint()
+    {
+        if (!computedFingerprint) {
+            std::string_view target(request.target().data(), request.target().size());
+            computedFingerprint = policy::fingerprintOf({ organisation.value_or(OrganisationName()), target, request.body() });
+        }
+        return *computedFingerprint;
+    }
 };
 
 } // namespace swiftloft::gateway
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -201,8 +201,8 @@
         call.handle->reportCompleted();
         co_return CallDecision(dispatch::ForwardError { call.handle->id() });
     }
-    log::write(log::Event::AttemptFailed, "id={} server={} end={} after-ms={}", call.head.id, server.id.value(), toString(outcome),
-        std::chrono::duration_cast<milliseconds>(Clock::now() - call.arrivedAt).count());
+    log::write(log::Event::AttemptFailed, "id={} server={} end={} after-ms={} fingerprint={:016x}", call.head.id, server.id.value(), toString(outcome),
+        std::chrono::duration_cast<milliseconds>(Clock::now() - call.arrivedAt).count(), call.fingerprint().value());
     co_return co_await call.handle->reportAttemptEnd(outcome);
 }
 
@@ -241,11 +241,13 @@
     co_await call.client.writeResponse(*call.serverError);
 }
 
-void RequestServer::logOutcome(const Call& call) const
+void RequestServer::logOutcome(Call& call) const
 {
     auto now = Clock::now();
     auto sinceArrival = [&](TimePoint time) { return std::chrono::duration_cast<milliseconds>(time - call.arrivedAt).count(); };
     bool isServed = call.isComplete && call.reason == answeredReason;
+    if (!isServed && call.attempts > 0)
+        call.refusalDetails += fmt::format(" fingerprint={:016x}", call.fingerprint().value());
     log::write(isServed ? log::Event::RequestServed : log::Event::RequestFailed, "id={} route={} organisation={} status={} reason={} attempts={} service={} servers={} configuration={} first-ms={} pause-ms={} silent-ms={} ms={}{}", call.head.id,
         call.route ? call.route->name : "-", call.organisation ? call.organisation->value() : "-", call.status, call.reason, call.attempts, call.service.value(), call.servers,
         call.configuration ? call.configuration->version().value() : 0, call.firstByteAt ? sinceArrival(*call.firstByteAt) : -1, call.longestEventGap.count(), silenceDuration(call.sentAt, call.lastEventAt, now).count(), sinceArrival(now), call.refusalDetails);
--- a/src/gateway/request-server.h
+++ b/src/gateway/request-server.h
@@ -52,7 +52,7 @@
     void releaseConnection(UpstreamConnectionPtr connection, const http::response_parser<http::buffer_body>& parser);
     boost::asio::awaitable<void> refuse(Call& call, const dispatch::Refuse& refusal);
     boost::asio::awaitable<void> forwardServerError(Call& call);
-    void logOutcome(const Call& call) const;
+    void logOutcome(Call& call) const;
     /// Counts the first decision about a request.
     void countAdmission(const Call& call, const CallDecision& decision) const;
     void recordMetrics(const Call& call, bool isServed, TimePoint now) const;
--- a/src/policy/fingerprint.cc
+++ b/src/policy/fingerprint.cc
@@ -68,4 +68,12 @@
     return Fingerprint(XXH3_64bits_digest(state.get()));
 }
 
+Fingerprint fingerprintOf(const RequestContent& content)
+{
+    auto& organisation = content.organisation.value();
+    auto seed = XXH3_64bits(organisation.data(), organisation.size());
+    seed = XXH3_64bits_withSeed(content.target.data(), content.target.size(), seed);
+    return Fingerprint(XXH3_64bits_withSeed(content.body.data(), content.body.size(), seed));
+}
+
 } // namespace swiftloft::policy
