Test that a request which has crashed three servers is not sent on

The checker counts what the rule counts: arrivals at servers, sent by entries in touch later than 3 s after the third crash.

--- a/test/gateway-fleet.h
+++ b/test/gateway-fleet.h
@@ -2,6 +2,7 @@
 
 #include "src/gateway/dispatcher.h"
 #include "test/back-off-rule.h"
+#include "test/crash-rule.h"
 #include "test/limit-rule.h"
 
 #include <functional>
@@ -10,7 +11,7 @@
 #include <set>
 
 /// Simulates a fleet of entries with the product's decision code in virtual time, in front of backend servers that
-/// advertise limits and stall. All requests are streams with one event per `eventInterval`; clients disconnect after
+/// advertise limits, stall and crash. All requests are streams with one event per `eventInterval`; clients disconnect after
 /// `clientTimeout` without an event.
 namespace swiftloft::test {
 
@@ -35,6 +36,10 @@
     };
     std::vector<Kind> kinds { Kind {} };
     bool isUrgencyOn { true };
+    /// The servers are the ranks of one group: while one of them is down, all stall, and then reject requests.
+    bool isRankGroup { false };
+    /// Number of times that a client repeats a request that was lost, each time through any entry.
+    int clientRepeats { 0 };
 };
 
 class GatewayFleet {
@@ -96,36 +101,62 @@
         ++it.restarts;
         sendSnapshots();
     }
+    /// The server's process ends. A new one starts at its address after `downTime`.
+    void crashServer(int server, milliseconds downTime)
+    {
+        auto& it = m_servers[static_cast<std::size_t>(server)];
+        if (it.isDown)
+            return;
+        it.isDown = true;
+        ++it.restarts;
+        it.running = 0;
+        for (auto& attempt : std::exchange(it.attempts, {}))
+            lose(attempt, m_options.isRankGroup ? groupStallTime : networkDelay);
+        if (m_options.isRankGroup)
+            stallGroup(m_now + downTime + groupFormingTime);
+        schedule(m_now + downTime, [this, server] {
+            m_servers[static_cast<std::size_t>(server)].isDown = false;
+            restartServer(server);
+        });
+    }
+    /// A client sends a request that crashes each server that begins to run it, and sends it again `pause` after each
+    /// end, for ever.
+    void sendCrashingRequest(std::size_t body, std::function<milliseconds()> pause)
+    {
+        m_crashing[body].pause = std::move(pause);
+        arrive(m_configuration->routes().front(), m_now + m_configuration->routes().front().timeout, { .body = body });
+    }
+    const CrashRule& crashRuleOf(std::size_t body) const { return m_crashing.at(body).rule; }
     /// The server stops reading, running and responding for this long, and then resumes where it stopped.
     void freezeServer(int server, milliseconds time) { m_servers[static_cast<std::size_t>(server)].frozenUntil = m_now + time; }
     void restartEntry(int entry)
     {
-        exempt(entry);
+        exempt(entry, m_now);
         startEntry(entry);
         sendSnapshots();
     }
     void freezeEntry(int entry, milliseconds time)
     {
-        exempt(entry);
+        exempt(entry, m_now + time);
         entryAt(entry).frozenUntil = m_now + time;
     }
     /// From now on the entry and the others receive no messages from each other.
     void disconnectEntry(int entry)
     {
-        exempt(entry);
+        exempt(entry, TimePoint::max() - CrashRule::stableWindow);
         entryAt(entry).isDisconnected = true;
         sendSnapshots();
     }
     void reconnectEntry(int entry)
     {
-        exempt(entry);
+        exempt(entry, m_now);
         entryAt(entry).isDisconnected = false;
         sendSnapshots();
     }
     /// The entry ends permanently without notice.
     void killEntry(int entry)
     {
-        exempt(entry);
+        exempt(entry, m_now);
         entryAt(entry).isTerminated = true;
         sendSnapshots();
     }
@@ -155,6 +186,9 @@
         TimePoint at;
         int entry { 0 };
         unsigned priority { 0 };
+        gateway::RefusalReason reason { gateway::RefusalReason::Overloaded };
+        /// The request crashes the servers that run it.
+        bool isOfCrashing { false };
     };
     /// The start of a request that its server runs.
     struct Start {
@@ -175,6 +209,10 @@
             if (!server.backOffRule.violation().empty())
                 return server.backOffRule.violation();
         }
+        for (auto& [body, request] : m_crashing) {
+            if (!request.rule.violation().empty())
+                return request.rule.violation();
+        }
         return "";
     }
 
@@ -182,6 +220,25 @@
     using BackendServer = gateway::BackendServer;
     using ServerState = gateway::ServerState;
 
+    /// One attempt of a request at a server.
+    struct Attempt {
+        gateway::CallId id;
+        gateway::ServerIncarnation incarnation;
+        int attempt { 0 };
+        TimePoint sentAt;
+    };
+    /// A request that crashes the servers that run it.
+    struct CrashingRequest {
+        CrashRule rule;
+        std::function<milliseconds()> pause;
+    };
+    /// What a client sends; equal for all repeats of a request.
+    struct Work {
+        std::size_t body { 0 };
+        int repeats { 0 };
+        /// The request was refused before and is sent again at the time that the refusal named.
+        bool isRetry { false };
+    };
     struct Server {
         BackendServer listed;
         std::optional<double> limit;
@@ -194,6 +251,10 @@
         int arrived { 0 };
         int restarts { 0 };
         TimePoint frozenUntil;
+        /// Connections are refused.
+        bool isDown { false };
+        /// Attempts that the server runs.
+        std::vector<Attempt> attempts;
     };
     struct Entry {
         std::unique_ptr<gateway::Dispatcher> dispatcher;
@@ -214,13 +275,15 @@
         Incarnation incarnation;
         TimePoint arrivedAt;
         TimePoint deadline;
-        bool isRetry { false };
+        Work work;
         /// Attempt in progress; data of earlier attempts is ignored.
         int attempt { 0 };
         TimePoint lastDataAt;
         bool isOver { false };
         /// The client disconnected without a complete response.
         bool isClientGone { false };
+        /// The attempt whose server crashed.
+        int lostAttempt { -1 };
     };
     struct Scheduled {
         TimePoint at;
@@ -235,6 +298,14 @@
     static constexpr milliseconds clientTimeout { 2000 };
     static constexpr milliseconds minLoadUpdateInterval { 20 };
     static constexpr milliseconds snapshotInterval { 400 };
+    /// Time from a crash in a rank group until the other ranks reject requests, and from the start of the new process
+    /// until the group accepts requests.
+    static constexpr milliseconds groupStallTime { 1500 };
+    static constexpr milliseconds groupFormingTime { 600 };
+    /// Time from the start of a request until its server crashes.
+    static constexpr milliseconds crashDelay { 60 };
+    static constexpr milliseconds crashedDownTime { 3300 };
+    static constexpr milliseconds repeatDelay { 100 };
 
     static TimePoint origin() { return TimePoint { seconds(100) }; }
     static ServiceName model() { return ServiceName("model"); }
@@ -245,8 +316,10 @@
 
     void schedule(TimePoint at, Action action) { m_queue.push({ at, ++m_order, std::move(action) }); }
 
-    void exempt(int entry)
+    void exempt(int entry, TimePoint until)
     {
+        for (auto& [body, request] : m_crashing)
+            request.rule.onExempted(entry, until);
         for (auto& server : m_servers) {
             server.rule.onExempted(m_now, entry);
             server.backOffRule.onExempted(entry);
@@ -327,22 +400,22 @@
         std::exponential_distribution<double> gap(m_options.demand);
         schedule(m_now + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(gap(m_random))), [this] {
             auto& route = drawRoute();
-            arrive(route, m_now + route.timeout, false);
+            arrive(route, m_now + route.timeout, { .body = ++m_lastBody });
             scheduleArrival();
         });
     }
 
-    void arrive(const gateway::Route& route, TimePoint deadline, bool isRetry)
+    void arrive(const gateway::Route& route, TimePoint deadline, const Work& work)
     {
         int n = std::uniform_int_distribution<int>(0, m_options.entries - 1)(m_random);
         while (entryAt(n).isTerminated)
             n = (n + 1) % m_options.entries;
-        if (!isRetry) {
+        if (!work.isRetry && !work.repeats && !m_crashing.contains(work.body)) {
             ++m_requested;
             ++m_requestedIn[n % m_options.dataCentres];
         }
         gateway::CallId id(++m_lastCall);
-        m_calls[id] = { n, &route, entryAt(n).incarnation, m_now, deadline, isRetry, 0, m_now, false, false };
+        m_calls[id] = { n, &route, entryAt(n).incarnation, m_now, deadline, work, 0, m_now, false, false };
         gateway::CallRequest request { m_configuration, &route, route.priority, m_now, deadline, Tokens(800), Tokens(100) };
         apply(n, gateway::dispatch::RequestArrived { id, request });
     }
@@ -448,14 +521,6 @@
         schedule(m_now, [this, id = effect.call, attempt] { finish({ id, {}, attempt + 1, m_now }, gateway::AttemptOutcome::Stalled); });
     }
 
-    /// One attempt of a request at a server.
-    struct Attempt {
-        gateway::CallId id;
-        gateway::ServerIncarnation incarnation;
-        int attempt { 0 };
-        TimePoint sentAt;
-    };
-
     bool isCurrent(const Attempt& it) { return !m_calls[it.id].isOver && m_calls[it.id].attempt == it.attempt; }
 
     /// Runs the action now, or when the server resumes.
@@ -473,6 +538,10 @@
         auto* server = serverOf(it.incarnation);
         if (!server)
             return finishAfter(networkDelay, it, gateway::AttemptOutcome::Misdirected);
+        if (server->isDown)
+            return finishAfter(networkDelay, it, gateway::AttemptOutcome::NotSent);
+        if (auto crashing = m_crashing.find(m_calls[it.id].work.body); crashing != m_crashing.end())
+            crashing->second.rule.onArrival(it.sentAt, m_calls[it.id].entry);
         ++server->arrived;
         server->rule.onArrival(m_now, m_calls[it.id].entry);
         server->backOffRule.onArrival(m_now, m_calls[it.id].entry);
@@ -484,6 +553,8 @@
         auto* server = serverOf(it.incarnation);
         if (!server)
             return;
+        if (m_now < m_groupClosedUntil)
+            return finishAfter(std::max<Clock::duration>(m_groupStalledUntil - m_now, Clock::duration(0)) + networkDelay, it, gateway::AttemptOutcome::NotRun);
         if (server->backOff && uniform(0, 1) < server->shedShare)
             return reject(it, *server);
         if (server->running >= m_options.slots) {
@@ -494,6 +565,9 @@
         ++server->running;
         m_starts.push_back({ m_now, m_calls[it.id].entry, m_calls[it.id].route->priority });
         ++server->ran;
+        server->attempts.push_back(it);
+        if (m_crashing.contains(m_calls[it.id].work.body))
+            return schedule(m_now + crashDelay, [this, it] { crashUnder(it); });
         auto work = milliseconds(static_cast<int>(uniform(400, 3000)));
         scheduleHead(it, firstEventDelay);
         schedule(m_now + firstEventDelay + eventInterval, [this, it, until = m_now + work] { sendEvent(it, until); });
@@ -514,7 +588,7 @@
 
     void sendEvent(const Attempt& it, TimePoint until)
     {
-        if (!isCurrent(it) || m_now >= until)
+        if (!isCurrent(it) || m_now >= until || m_calls[it.id].lostAttempt == it.attempt)
             return;
         atServer(it.incarnation, [this, it] {
             if (!isCurrent(it))
@@ -528,9 +602,13 @@
     void complete(const Attempt& it, int restarts)
     {
         atServer(it.incarnation, [this, it, restarts] {
+            if (m_calls[it.id].lostAttempt == it.attempt)
+                return;
             auto* server = serverOf(it.incarnation);
-            if (server && server->restarts == restarts)
+            if (server && server->restarts == restarts) {
                 --server->running;
+                std::erase_if(server->attempts, [&](auto& each) { return each.id == it.id && each.attempt == it.attempt; });
+            }
             finishAfter(networkDelay, it, gateway::AttemptOutcome::Answered);
         });
     }
@@ -544,7 +622,7 @@
     void sendHead(const Attempt& it)
     {
         auto* server = serverOf(it.incarnation);
-        if (!server || !isCurrent(it))
+        if (!server || !isCurrent(it) || m_calls[it.id].lostAttempt == it.attempt)
             return;
         std::optional<gateway::AdvertisedLimit> limit;
         if (server->limit)
@@ -561,7 +639,48 @@
         });
     }
 
-    void finishAfter(milliseconds delay, const Attempt& it, gateway::AttemptOutcome outcome)
+    /// The server that runs the attempt has crashed, or its group has lost a rank; the entry is told after `delay`.
+    void lose(const Attempt& it, milliseconds delay)
+    {
+        m_calls[it.id].lostAttempt = it.attempt;
+        finishAfter(delay, it, gateway::AttemptOutcome::Lost);
+    }
+
+    /// All ranks stall, and lose their requests after `groupStallTime`.
+    void stallGroup(TimePoint until)
+    {
+        m_groupClosedUntil = until;
+        m_groupStalledUntil = m_now + groupStallTime;
+        for (auto& server : m_servers) {
+            for (auto& attempt : std::exchange(server.attempts, {}))
+                lose(attempt, groupStallTime);
+            server.running = 0;
+            ++server.restarts;
+        }
+    }
+
+    /// The request crashes the server that runs it, unless the server has ended before.
+    void crashUnder(const Attempt& it)
+    {
+        auto* server = serverOf(it.incarnation);
+        bool isRunning = server && !server->isDown && m_calls[it.id].lostAttempt != it.attempt;
+        if (!isRunning)
+            return;
+        m_crashing[m_calls[it.id].work.body].rule.onCrash(m_now);
+        crashServer(static_cast<int>(server - m_servers.data()), crashedDownTime);
+    }
+
+    /// The call has ended without a response.
+    void onUnanswered(const Call& call)
+    {
+        auto crashing = m_crashing.find(call.work.body);
+        if (crashing != m_crashing.end())
+            schedule(m_now + crashing->second.pause(), [this, body = call.work.body, route = call.route] { arrive(*route, m_now + route->timeout, { .body = body }); });
+        else if (call.work.repeats < m_options.clientRepeats)
+            schedule(m_now + repeatDelay, [this, call] { arrive(*call.route, call.deadline, { call.work.body, call.work.repeats + 1 }); });
+    }
+
+    void finishAfter(Clock::duration delay, const Attempt& it, gateway::AttemptOutcome outcome)
     {
         schedule(m_now + delay, [this, it, outcome] { finish(it, outcome); });
     }
@@ -590,6 +709,7 @@
         call.isOver = true;
         call.isClientGone = true;
         ++m_disconnectedClients;
+        onUnanswered(Call(call));
         apply(call.entry, gateway::dispatch::CallClosed { id }, call.incarnation);
     }
 
@@ -599,12 +719,12 @@
         ended.isOver = true;
         auto call = ended;
         auto retryAfter = effect.retryAt ? std::chrono::duration_cast<milliseconds>(*effect.retryAt - m_now) : milliseconds(0);
-        m_refusals.push_back({ std::chrono::duration_cast<milliseconds>(m_now - call.arrivedAt), retryAfter, m_now, call.entry, call.route->priority });
+        m_refusals.push_back({ std::chrono::duration_cast<milliseconds>(m_now - call.arrivedAt), retryAfter, m_now, call.entry, call.route->priority, effect.reason, m_crashing.contains(call.work.body) });
         schedule(m_now, [this, call, id = effect.call] { apply(call.entry, gateway::dispatch::CallClosed { id }, call.incarnation); });
-        if (!effect.retryAt)
-            return;
-        if (!call.isRetry)
-            schedule(*effect.retryAt, [this, call] { arrive(*call.route, call.deadline, true); });
+        if (!effect.retryAt || m_crashing.contains(call.work.body))
+            return onUnanswered(call);
+        if (!call.work.isRetry)
+            schedule(*effect.retryAt, [this, call] { arrive(*call.route, call.deadline, { call.work.body, call.work.repeats, true }); });
     }
 
     void perform(const gateway::dispatch::ForwardError&) { }
@@ -630,6 +750,11 @@
     std::map<int, int> m_servedIn;
     std::vector<Refusal> m_refusals;
     std::vector<Start> m_starts;
+    std::map<std::size_t, CrashingRequest> m_crashing;
+    /// Bodies below this number are those of crashing requests.
+    std::size_t m_lastBody { 1000 };
+    TimePoint m_groupStalledUntil;
+    TimePoint m_groupClosedUntil;
 };
 
 } // namespace swiftloft::test
