Let the crash quarantine take a threshold and review a request after its quarantine

The number of crashes that quarantine a request was fixed at two, which suits an agent that runs a suspect alone. An entry that only knows which requests were in flight needs more.

--- a/include/swiftloft/policy/crash-quarantine.h
+++ b/include/swiftloft/policy/crash-quarantine.h
@@ -68,9 +68,14 @@
 };
 
 struct CrashQuarantineOptions {
-    /// Time for which a request is a suspect after one crash; a second crash within this time quarantines it.
+    /// Time for which a request is a suspect after a crash.
     seconds suspicionPeriod { 600 };
+    /// Number of crashes within `suspicionPeriod`, none of them cleared, that quarantine a request.
+    std::size_t threshold { 2 };
     seconds quarantinePeriod { 3600 };
+    /// A request that was quarantined remains a suspect for this long afterwards, and one more crash quarantines it
+    /// again.
+    seconds reviewPeriod { 0 };
     std::size_t capacity { 4096 };
     /// Messages that have passed through this many nodes are dropped. Well above the number that any propagation needs.
     std::uint32_t maxHops { 16 };
@@ -79,8 +84,8 @@
 /// Detects requests that crash the servers that run them. Used by entries and, as a second line of defence, by agents.
 ///
 /// All requests in flight at a crash become suspects. A suspect runs alone; when it succeeds, it is cleared, which
-/// releases requests that merely ran beside the cause. Two crashes that were not cleared quarantine a request. The
-/// state is a set of (fingerprint, crash, cleared) tuples, so messages may be duplicated, delayed and reordered: all
+/// releases requests that merely ran beside the cause. A number of crashes that were not cleared quarantine a request.
+/// The state is a set of (fingerprint, crash, cleared) tuples, so messages may be duplicated, delayed and reordered: all
 /// nodes that have received the same messages make the same decisions.
 class CrashQuarantine {
 public:
@@ -103,6 +108,7 @@
     void tick(TimePoint now);
 
     std::size_t size() const { return m_records.size(); }
+    bool isQuarantined(Fingerprint fingerprint, TimePoint now) const { return check(fingerprint, now).action == QuarantineAction::Refuse; }
 
 private:
     struct Crash {
@@ -119,6 +125,7 @@
 
     explicit CrashQuarantine(CrashQuarantineOptions options);
     bool merge(Fingerprint fingerprint, Crash crash, TimePoint now);
+    static bool makeRoom(std::vector<Crash>& crashes);
     void evictToCapacity(TimePoint now);
     void extendQuarantine(Record& record, TimePoint now) const;
     SuspicionMessage messageOf(Fingerprint fingerprint, const Crash& crash, TimePoint now) const;
--- a/src/policy/crash-quarantine.cc
+++ b/src/policy/crash-quarantine.cc
@@ -1,5 +1,6 @@
 #include <swiftloft/policy/crash-quarantine.h>
 
+#include <fmt/format.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -9,9 +10,8 @@
 
 namespace {
 
-constexpr std::size_t quarantineThreshold = 2;
 /// Maximum number of crashes recorded per fingerprint. More uncleared crashes than this do not change any decision.
-constexpr std::size_t maxCrashes = 4;
+constexpr std::size_t maxCrashes = 8;
 
 template <typename Crashes>
 std::size_t countUncleared(const Crashes& crashes, TimePoint now)
@@ -83,8 +83,10 @@
 
 Result<CrashQuarantine> CrashQuarantine::create(CrashQuarantineOptions options)
 {
-    if (options.suspicionPeriod.count() <= 0 || options.quarantinePeriod < options.suspicionPeriod || !options.capacity)
-        return Error { ErrorCode::InvalidArgument, "crash quarantine: suspicion period and capacity must be positive, quarantine period must be at least the suspicion period" };
+    if (options.suspicionPeriod.count() <= 0 || options.quarantinePeriod < options.suspicionPeriod || options.reviewPeriod.count() < 0 || !options.capacity)
+        return Error { ErrorCode::InvalidArgument, "crash quarantine: suspicion period and capacity must be positive, quarantine period must be at least the suspicion period, review period must not be negative" };
+    if (options.threshold == 0 || options.threshold >= maxCrashes)
+        return Error { ErrorCode::InvalidArgument, fmt::format("crash quarantine: threshold is {}, must be 1 to {}", options.threshold, maxCrashes - 1) };
     return CrashQuarantine(options);
 }
 
@@ -98,7 +100,7 @@
     if (!n)
         return {};
     auto until = earliestExpiry(record.crashes, now);
-    if (n >= quarantineThreshold)
+    if (n >= m_options.threshold)
         return { QuarantineAction::Refuse, until };
     // Two copies of one suspect could crash two servers before the first crash is known.
     if (record.running)
@@ -154,7 +156,7 @@
         return false;
     // The remaining time sent by a peer is not trusted: it is capped at the longest time that this node would set
     // itself.
-    auto remaining = std::min<milliseconds>(message.remaining, m_options.quarantinePeriod);
+    auto remaining = std::min<milliseconds>(message.remaining, m_options.quarantinePeriod + m_options.reviewPeriod);
     return merge(message.fingerprint, { message.crash, now + remaining, message.isCleared, message.hops + 1 }, now);
 }
 
@@ -192,19 +194,36 @@
         known->isCleared = known->isCleared || crash.isCleared;
         return isNewlyCleared;
     }
-    if (crashes.size() >= maxCrashes)
+    if (!makeRoom(crashes))
         return false;
     crashes.push_back(crash);
     extendQuarantine(it->second, now);
     return true;
 }
 
+/// Returns false if `crashes` is full and none of them is cleared.
+bool CrashQuarantine::makeRoom(std::vector<Crash>& crashes)
+{
+    if (crashes.size() < maxCrashes)
+        return true;
+    auto it = std::find_if(crashes.begin(), crashes.end(), [](auto& each) { return each.isCleared; });
+    if (it == crashes.end())
+        return false;
+    crashes.erase(it);
+    return true;
+}
+
+/// During the review after the quarantine, one crash less than the threshold is in force.
 void CrashQuarantine::extendQuarantine(Record& record, TimePoint now) const
 {
-    if (countUncleared(record.crashes, now) < quarantineThreshold)
+    if (countUncleared(record.crashes, now) < m_options.threshold)
         return;
-    for (auto& it : record.crashes)
-        it.expiresAt = std::max(it.expiresAt, now + m_options.quarantinePeriod);
+    std::size_t kept = 0;
+    for (auto& it : record.crashes) {
+        bool isKept = !it.isCleared && kept + 1 < m_options.threshold;
+        kept += isKept ? 1 : 0;
+        it.expiresAt = std::max(it.expiresAt, now + m_options.quarantinePeriod + (isKept ? m_options.reviewPeriod : seconds(0)));
+    }
 }
 
 /// Guards against a flood of crash reports exhausting the memory. Evicts suspects first, in order of expiry, then
@@ -215,7 +234,7 @@
         return;
     tick(now);
     while (m_records.size() >= m_options.capacity) {
-        auto rank = [&](auto& entry) { return std::pair(countUncleared(entry.second.crashes, now) >= quarantineThreshold, latestExpiry(entry.second.crashes)); };
+        auto rank = [&](auto& entry) { return std::pair(countUncleared(entry.second.crashes, now) >= m_options.threshold, latestExpiry(entry.second.crashes)); };
         auto it = std::min_element(m_records.begin(), m_records.end(), [&](auto& a, auto& b) { return rank(a) < rank(b); });
         m_records.erase(it);
     }
--- a/test/crash-quarantine_test.cc
+++ b/test/crash-quarantine_test.cc
@@ -247,6 +247,42 @@
     CHECK(quarantine.empty());
 }
 
+// Guards against this failure: a request that comes again for hours crashes as many servers after each quarantine as
+// before the first one.
+TEST_CASE("CrashQuarantine: a request that comes again for a day crashes one more server per quarantine period")
+{
+    auto quarantine = CrashQuarantine::create({ .threshold = 3, .reviewPeriod = seconds(600) }).value();
+    std::uint64_t crashes = 0;
+    for (auto now = start; now < start + std::chrono::hours(24); now += seconds(5)) {
+        quarantine.tick(now);
+        if (quarantine.check(poison, now).action != QuarantineAction::Refuse)
+            quarantine.onCrash({ CrashId(++crashes), { poison } }, now);
+    }
+    CHECK(crashes == 3 + 23);
+}
+
+// Guards against this failure: a request that is innocent of some crashes is never suspected again.
+TEST_CASE("CrashQuarantine: crashes count after many that were cleared")
+{
+    auto quarantine = makeQuarantine();
+    for (std::uint64_t n = 1; n <= 20; ++n) {
+        quarantine.onCrash({ CrashId(n), { neighbour } }, start);
+        CHECK(quarantine.check(neighbour, start).action == QuarantineAction::RunAlone);
+        quarantine.onSuccess(neighbour, start);
+        CHECK(quarantine.check(neighbour, start).action == QuarantineAction::Admit);
+    }
+    quarantine.onCrash({ CrashId(100), { neighbour } }, start);
+    quarantine.onCrash({ CrashId(101), { neighbour } }, start);
+    CHECK(quarantine.check(neighbour, start).action == QuarantineAction::Refuse);
+}
+
+TEST_CASE("CrashQuarantine: invalid options are rejected")
+{
+    CHECK(CrashQuarantine::create({ .threshold = 0 }).has_error());
+    CHECK(CrashQuarantine::create({ .threshold = 8 }).has_error());
+    CHECK(CrashQuarantine::create({ .reviewPeriod = seconds(-1) }).has_error());
+}
+
 TEST_CASE("isolationServer: all entries select the same server, whatever the order of their lists, and few selections change when one leaves")
 {
     std::vector<BackendServerId> servers;
