--- a/src/gateway/async-dispatcher.cc
+++ b/src/gateway/async-dispatcher.cc
@@ -92,6 +92,12 @@
         m_onServerLeaving(effect.server);
 }
 
+void AsyncDispatcher::perform(const dispatch::ProbeServer& effect)
+{
+    if (m_onProbe)
+        m_onProbe(effect.server);
+}
+
 void AsyncDispatcher::apply(const dispatch::Event& event)
 {
     if (m_isClosed)
@@ -104,7 +110,7 @@
     if (std::holds_alternative<dispatch::StreamProgressed>(event))
         return;
     armTimer();
-    bool isLoad = std::holds_alternative<dispatch::LoadReceived>(event) || std::holds_alternative<dispatch::SnapshotChanged>(event);
+    bool isLoad = std::holds_alternative<dispatch::LoadReceived>(event) || std::holds_alternative<dispatch::SnapshotChanged>(event) || std::holds_alternative<dispatch::SuspicionsReceived>(event);
     if (m_onLoadChanged && !isLoad)
         m_onLoadChanged();
 }
--- a/src/gateway/async-dispatcher.h
+++ b/src/gateway/async-dispatcher.h
@@ -56,6 +56,11 @@
     using OnServerLeaving = std::function<void(const ServerIncarnation& server)>;
     /// `hook` is called when a server reports for the first time that it is leaving.
     void setOnServerLeaving(OnServerLeaving hook) { m_onServerLeaving = std::move(hook); }
+    using OnProbe = std::function<void(const BackendServer& server)>;
+    /// `hook` is called to find out whether a server's address refuses connections; it reports that by `apply`.
+    void setOnProbe(OnProbe hook) { m_onProbe = std::move(hook); }
+    /// See `Dispatcher::nextSuspicions`.
+    std::vector<policy::SuspicionMessage> nextSuspicions() { return m_reducer.nextSuspicions(Clock::now()); }
 
 private:
     struct Waiter {
@@ -72,6 +77,7 @@
     void deliver(CallId id, CallDecision decision);
     void perform(const dispatch::CancelAttempt& effect);
     void perform(const dispatch::PublishLeaving& effect);
+    void perform(const dispatch::ProbeServer& effect);
     template <typename Decision>
     void perform(const Decision& effect) { deliver(effect.call, effect); }
     void armTimer();
@@ -83,6 +89,7 @@
     std::map<CallId, std::function<void()>> m_onCancelAttempt;
     std::function<void()> m_onLoadChanged;
     OnServerLeaving m_onServerLeaving;
+    OnProbe m_onProbe;
     std::uint64_t m_lastId { 0 };
     bool m_isClosed { false };
 };
--- a/src/gateway/control-message.cc
+++ b/src/gateway/control-message.cc
@@ -150,6 +150,20 @@
     return group;
 }
 
+void build(schema::Suspicion::Builder out, const policy::SuspicionMessage& message)
+{
+    out.setFingerprint(message.fingerprint.value());
+    out.setCrash(message.crash.value());
+    out.setIsCleared(message.isCleared);
+    out.setHops(clamped<std::uint8_t>(message.hops));
+    out.setRemainingMs(clamped<std::uint32_t>(message.remaining.count()));
+}
+
+policy::SuspicionMessage parse(schema::Suspicion::Reader in)
+{
+    return { Fingerprint(in.getFingerprint()), policy::CrashId(in.getCrash()), in.getIsCleared(), milliseconds(in.getRemainingMs()), in.getHops() };
+}
+
 /// Writes a message into the union of a datagram.
 struct DatagramBuilder {
     schema::Datagram::Builder out;
@@ -202,6 +216,9 @@
         auto groups = hello.initGroups(static_cast<unsigned>(it.groups.size()));
         for (unsigned n = 0; n < groups.size(); ++n)
             build(groups[n], it.groups[n]);
+        auto suspicions = hello.initSuspicions(static_cast<unsigned>(it.suspicions.size()));
+        for (unsigned n = 0; n < suspicions.size(); ++n)
+            build(suspicions[n], it.suspicions[n]);
     }
     void operator()(const LoadUpdate& it)
     {
@@ -230,6 +247,12 @@
         auto demands = load.initDemands(static_cast<unsigned>(it.demands.size()));
         for (unsigned n = 0; n < demands.size(); ++n)
             build(demands[n], it.demands[n]);
+        auto suspicions = load.initSuspicions(static_cast<unsigned>(it.suspicions.size()));
+        for (unsigned n = 0; n < suspicions.size(); ++n)
+            build(suspicions[n], it.suspicions[n]);
+        auto trials = load.initTrials(static_cast<unsigned>(it.trials.size()));
+        for (unsigned n = 0; n < trials.size(); ++n)
+            trials.set(n, it.trials[n].value());
     }
     void operator()(const RankStatus& it)
     {
@@ -296,6 +319,8 @@
         hello.demands.push_back(parse(demand));
     for (auto group : in.getGroups())
         hello.groups.push_back(parse(group));
+    for (auto suspicion : in.getSuspicions())
+        hello.suspicions.push_back(parse(suspicion));
     return hello;
 }
 
@@ -315,6 +340,10 @@
         load.silent.push_back({ ServerHash(server.getServer()), milliseconds(server.getRemainingMs()) });
     for (auto demand : in.getDemands())
         load.demands.push_back(parse(demand));
+    for (auto suspicion : in.getSuspicions())
+        load.suspicions.push_back(parse(suspicion));
+    for (auto trial : in.getTrials())
+        load.trials.emplace_back(trial);
     return load;
 }
 
--- a/src/gateway/control-message.h
+++ b/src/gateway/control-message.h
@@ -4,6 +4,7 @@
 #include "src/gateway/protocol.h"
 
 #include <swiftloft/membership/types.h>
+#include <swiftloft/policy/crash-quarantine.h>
 #include <swiftloft/result.h>
 
 #include <boost/asio/io_context.hpp>
@@ -185,6 +186,8 @@
     std::vector<ServiceDemand> demands {};
     /// Groups whose agents report to the sender.
     std::vector<GroupStatus> groups {};
+    /// Requests that may have crashed servers: a part of what the sender knows of them.
+    std::vector<policy::SuspicionMessage> suspicions {};
 };
 
 struct ServerLoad {
@@ -222,6 +225,10 @@
     std::vector<SilentServer> silent;
     /// Demand at the sender.
     std::vector<ServiceDemand> demands {};
+    /// What the sender has recently found out about requests that may have crashed servers.
+    std::vector<policy::SuspicionMessage> suspicions {};
+    /// Suspects that the sender runs now.
+    std::vector<Fingerprint> trials {};
 };
 
 /// Message from an agent to entries about its engine's rank.
--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -41,6 +41,7 @@
     else if (auto* measured = std::get_if<LoadsMeasured>(&event)) {
         m_ownLoads = measured->loads;
         m_ownDemands = measured->demands;
+        m_suspicions = measured->suspicions;
     } else if (auto* leaving = std::get_if<LeavingReported>(&event))
         markLeavingChanged(m_departures.onAnnounced(now, hashOf(leaving->server)));
     else if (std::holds_alternative<StopRequested>(event)) {
@@ -89,6 +90,8 @@
         m_remoteLoads[hello.sender.dataCentre] = { hello.loads, hello.demands, now };
     if (hello.sender.isWatching && !m_watcherDocuments)
         m_watcherDocuments = { ConfigurationVersion(hello.configuration), hello.servers };
+    if (!hello.suspicions.empty())
+        effects.emplace_back(ForwardSuspicions { hello.suspicions });
     pullIfBehind(now, hello, effects);
     // When a whole fleet starts together, each entry knows only the seeds. Without the immediate reply, every entry
     // would consider itself the first of its data centre until hellos have spread: it would watch the store and receive
@@ -354,6 +357,7 @@
     out.servers = m_lastServerChange;
     out.leaving = m_departures.reports(now);
     out.evacuations = m_evacuations.report();
+    out.suspicions = m_suspicions;
     if (m_entries.isRelay(now))
         out.degraded = m_ranks.degradedRanks(now);
     return out;
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -51,6 +51,8 @@
     std::vector<ServiceLoad> loads;
     /// Demand at the entries of the local data centre, for services that are short of capacity.
     std::vector<ServiceDemand> demands {};
+    /// Requests that may have crashed servers: a part of what the traffic thread knows of them.
+    std::vector<policy::SuspicionMessage> suspicions {};
 };
 /// The traffic thread received a response in which a server reported that it is leaving.
 struct LeavingReported {
@@ -85,7 +87,12 @@
     GroupBrief brief;
 };
 
-using Effect = std::variant<PublishSnapshot, SendHello, Pull, SetWatching, SendBrief>;
+/// Hand to the traffic thread what another entry reports of requests that may have crashed servers.
+struct ForwardSuspicions {
+    std::vector<policy::SuspicionMessage> suspicions;
+};
+
+using Effect = std::variant<PublishSnapshot, SendHello, Pull, SetWatching, SendBrief, ForwardSuspicions>;
 using Effects = std::vector<Effect>;
 
 } // namespace control
@@ -249,6 +256,7 @@
     TimePoint m_degradedAnnouncedAt;
     std::vector<ServiceLoad> m_ownLoads;
     std::vector<ServiceDemand> m_ownDemands;
+    std::vector<policy::SuspicionMessage> m_suspicions;
     struct ReportedLoads {
         std::vector<ServiceLoad> loads;
         std::vector<ServiceDemand> demands;
--- /dev/null
+++ b/src/gateway/crashes/crash-tracker.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "src/gateway/call-id.h"
+#include "src/gateway/control-message.h"
+
+#include <swiftloft/policy/crash-quarantine.h>
+
+#include <map>
+#include <set>
+#include <span>
+#include <vector>
+
+/// Requests that crash the backend servers that run them.
+namespace swiftloft::gateway::crashes {
+
+/// How an entry learned that the process of a backend server has ended.
+enum class Evidence {
+    /// Its address refuses connections.
+    ConnectionRefused,
+    /// Another server responds or is listed at its address.
+    Replaced,
+    /// Its agent reports that the engine's port refuses connections.
+    AgentReport,
+};
+
+std::string_view toString(Evidence evidence);
+
+struct TrackerOptions {
+    /// Three crashes: a request that is repeated while the ranks of a group fail one after the other is in flight at two
+    /// crashes without being their cause.
+    policy::CrashQuarantineOptions quarantine { .threshold = 3, .reviewPeriod = seconds(600) };
+    /// Evidence of a crash that arrives later than this after the end of a run says nothing about the run.
+    milliseconds evidenceTimeout { 10'000 };
+    std::size_t maxLostRuns { 4096 };
+};
+
+/// Finds out at which crashes of backend servers a request was in flight, and decides by that whether the request may
+/// run. Pure: the time is passed in with each call.
+///
+/// A run that ends without a response convicts nobody: connections break for many reasons. It is remembered, and becomes
+/// part of a crash report once there is evidence that the process of its server has ended. All entries compute the same
+/// id for a crash, because an incarnation of a server ends only once.
+class CrashTracker {
+public:
+    /// Reports of local crashes are sent to the other entries again for this long, because datagrams get lost. After that
+    /// they are part of hellos.
+    static constexpr milliseconds propagationTime { 1200 };
+    /// Trials reported by another entry are valid for this long.
+    static constexpr milliseconds trialLifetime { 600 };
+    /// Minimum interval between probes of one server.
+    static constexpr milliseconds probeInterval { 1000 };
+    static constexpr std::size_t maxReports { 32 };
+
+    /// Throws if the options are invalid.
+    explicit CrashTracker(const TrackerOptions& options = {});
+
+    /// False while no request is suspect, so that no fingerprint needs to be computed.
+    bool isActive() const { return !m_quarantine.empty(); }
+    policy::QuarantineAction check(TimePoint now, Fingerprint fingerprint) const;
+    /// A run for which `check` returned `RunAlone` has started or ended.
+    void onTrialStarted(Fingerprint fingerprint);
+    void onTrialEnded(Fingerprint fingerprint);
+
+    /// A run that ended without a response.
+    struct LostRun {
+        CallId call;
+        ServerIncarnation server;
+        Fingerprint fingerprint;
+    };
+    void onRunLost(TimePoint now, const LostRun& run);
+    /// The call has got its response, so that no crash is due to it. `fingerprint` is called only while `isActive`.
+    void onAnswered(TimePoint now, CallId call, const std::function<Fingerprint()>& fingerprint);
+    /// The process of the server has ended. `inFlight`: requests that it was running. `lastActivityAt`: when data last
+    /// arrived from it.
+    void onServerEnded(TimePoint now, const ServerIncarnation& server, Evidence evidence, std::span<const Fingerprint> inFlight, TimePoint lastActivityAt);
+    /// Servers with lost runs for which there is no evidence yet.
+    std::set<ServerIncarnation> unexplainedServers() const;
+    /// True if it is due to find out whether the server refuses connections. Records that it is found out now.
+    bool beginProbe(TimePoint now, const ServerIncarnation& server);
+
+    void onReports(TimePoint now, std::span<const policy::SuspicionMessage> reports);
+    void onPeerTrials(TimePoint now, Incarnation peer, std::span<const Fingerprint> trials);
+    /// Incremented when there is something new for the other entries.
+    std::uint64_t localVersion() const { return m_localVersion; }
+    /// What this entry itself has found out recently.
+    std::vector<policy::SuspicionMessage> localReports(TimePoint now) const;
+    /// A part of what is known, at most `maxReports`; the next call returns the next part. Quarantined requests are in
+    /// every part.
+    std::vector<policy::SuspicionMessage> nextReports(TimePoint now);
+    std::vector<Fingerprint> trials() const;
+    /// Removes what has expired.
+    void tick(TimePoint now);
+
+    std::size_t suspects() const { return m_quarantine.size(); }
+
+private:
+    struct RememberedRun {
+        LostRun run;
+        TimePoint endedAt;
+    };
+    struct LocalReport {
+        policy::SuspicionMessage message;
+        TimePoint until;
+    };
+
+    void report(TimePoint now, const ServerIncarnation& server, Evidence evidence, const std::vector<Fingerprint>& fingerprints, TimePoint runEndedAt);
+    void publish(TimePoint now, const std::vector<policy::SuspicionMessage>& messages);
+    bool isTriedElsewhere(TimePoint now, Fingerprint fingerprint) const;
+
+    TrackerOptions m_options;
+    policy::CrashQuarantine m_quarantine;
+    std::vector<RememberedRun> m_lostRuns;
+    /// Servers whose process has ended, with the evidence, and when that is forgotten.
+    struct EndedServer {
+        Evidence evidence { Evidence::ConnectionRefused };
+        TimePoint forgetAt;
+    };
+    std::map<ServerIncarnation, EndedServer> m_endedServers;
+    std::map<ServerIncarnation, TimePoint> m_nextProbeAt;
+    std::map<Fingerprint, unsigned> m_trials;
+    struct PeerTrials {
+        std::vector<Fingerprint> fingerprints;
+        TimePoint expiresAt;
+    };
+    std::map<Incarnation, PeerTrials> m_peerTrials;
+    std::vector<LocalReport> m_localReports;
+    std::uint64_t m_localVersion { 0 };
+    std::size_t m_nextReport { 0 };
+};
+
+} // namespace swiftloft::gateway::crashes
--- /dev/null
+++ b/src/gateway/dispatcher-crashes.cc
@@ -0,0 +1,99 @@
+#include "src/gateway/dispatcher.h"
+
+/// The part of the dispatcher that keeps requests from crashing one server after the other.
+namespace swiftloft::gateway {
+
+using namespace dispatch;
+using policy::QuarantineAction;
+
+namespace {
+
+/// An attempt that was started within this time may not have reached its server yet.
+constexpr milliseconds sendingTime { 50 };
+
+bool isLost(AttemptOutcome outcome)
+{
+    return outcome == AttemptOutcome::Lost || outcome == AttemptOutcome::Stalled || outcome == AttemptOutcome::TimedOut;
+}
+
+} // namespace
+
+QuarantineAction Dispatcher::quarantineAction(const Call& call, TimePoint now) const
+{
+    if (!m_crashes.isActive() || !call.request.fingerprint)
+        return QuarantineAction::Admit;
+    return m_crashes.check(now, call.request.fingerprint());
+}
+
+bool Dispatcher::refuseIfQuarantined(CallId id, Call& call, TimePoint now, Effects& effects)
+{
+    if (quarantineAction(call, now) != QuarantineAction::Refuse)
+        return false;
+    refuse(now, id, call, RefusalReason::Quarantined, std::nullopt, effects);
+    return true;
+}
+
+void Dispatcher::recordOutcome(CallId id, Call& call, const ServerIncarnation& server, AttemptOutcome outcome, TimePoint now)
+{
+    if (!call.request.fingerprint)
+        return;
+    if (call.isTrial)
+        m_crashes.onTrialEnded(call.request.fingerprint());
+    if (outcome == AttemptOutcome::Answered)
+        m_crashes.onAnswered(now, id, call.request.fingerprint);
+    else if (isLost(outcome))
+        m_crashes.onRunLost(now, { id, server, call.request.fingerprint() });
+}
+
+void Dispatcher::onServerEnded(TimePoint now, const ServerIncarnation& server, crashes::Evidence evidence)
+{
+    if (!m_loadBalancer.isReady(server))
+        return;
+    std::vector<Fingerprint> inFlight;
+    for (auto& [id, call] : m_calls) {
+        bool isRunning = call.currentServer == server && call.request.fingerprint && call.sentAt + sendingTime <= now;
+        if (isRunning)
+            inFlight.push_back(call.request.fingerprint());
+    }
+    m_crashes.onServerEnded(now, server, evidence, inFlight, m_loadBalancer.lastActivityAt(server));
+}
+
+void Dispatcher::gatherEvidence(TimePoint now, const ServerIncarnation& server, AttemptOutcome outcome, const Call& call, Effects& effects)
+{
+    if (outcome == AttemptOutcome::Misdirected)
+        onServerEnded(now, server, crashes::Evidence::Replaced);
+    else if (outcome == AttemptOutcome::ConnectionRefused)
+        onServerEnded(now, server, crashes::Evidence::ConnectionRefused);
+    // Agents of ranks and requests that follow to a rank show soon enough that it has ended.
+    bool isProbeUseful = outcome == AttemptOutcome::Lost && call.request.fingerprint && m_loadBalancer.isPlainServer(server);
+    if (isProbeUseful && m_crashes.beginProbe(now, server))
+        effects.push_back(ProbeServer { *m_loadBalancer.find(server) });
+}
+
+std::set<ServerIncarnation> Dispatcher::serversOfInterest() const
+{
+    auto servers = m_crashes.unexplainedServers();
+    for (auto& [id, call] : m_calls) {
+        if (call.currentServer)
+            servers.insert(*call.currentServer);
+    }
+    return servers;
+}
+
+void Dispatcher::findEndedServers(TimePoint now, const Snapshot& snapshot)
+{
+    std::map<Endpoint, ServerIncarnation> addresses;
+    for (auto& it : serversOfInterest()) {
+        if (auto* server = m_loadBalancer.find(it))
+            addresses.emplace(server->address, it);
+    }
+    if (addresses.empty())
+        return;
+    for (auto& server : snapshot.servers) {
+        auto it = addresses.find(server.address);
+        if (it != addresses.end() && it->second != server.incarnation())
+            onServerEnded(now, it->second, crashes::Evidence::Replaced);
+    }
+}
+
+} // namespace swiftloft::gateway
--- a/src/gateway/dispatcher-refusals.cc
+++ b/src/gateway/dispatcher-refusals.cc
@@ -25,6 +25,10 @@
         return "no-home-server";
     case RefusalReason::NoCommonHome:
         return "no-common-home";
+    case RefusalReason::Quarantined:
+        return "quarantined";
+    case RefusalReason::SuspectRunning:
+        return "suspect-running";
     case RefusalReason::AttemptsExhausted:
         return "tries-spent";
     case RefusalReason::Lost:
@@ -99,8 +103,9 @@
 
 void Dispatcher::refuse(TimePoint now, CallId id, const Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, Effects& effects)
 {
-    bool isOutage = reason == RefusalReason::NoServer || reason == RefusalReason::NoHomeServer || reason == RefusalReason::NoCommonHome;
-    if (call.verdict == Verdict::NotRun && !isOutage)
+    bool isForCapacity = reason != RefusalReason::NoServer && reason != RefusalReason::NoHomeServer && reason != RefusalReason::NoCommonHome
+        && reason != RefusalReason::Quarantined && reason != RefusalReason::SuspectRunning;
+    if (call.verdict == Verdict::NotRun && isForCapacity)
         m_admission.onRefused(now, call.service, call.request.priority);
     Refuse refusal { id, reason, call.verdict, retryAt, call.service, m_loadBalancer.occupancy(call.service, now), m_queue.size() };
     if (call.homes.isRestricted())
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -17,13 +17,13 @@
 
 bool isNotRun(AttemptOutcome outcome)
 {
-    return outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::Misdirected;
+    return outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::ConnectionRefused || outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::Misdirected;
 }
 
 bool isServerSuspect(AttemptOutcome outcome)
 {
     // A stalled server already became suspect when the attempt was cancelled.
-    return outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Lost || outcome == AttemptOutcome::TimedOut || outcome == AttemptOutcome::ServerError;
+    return outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::ConnectionRefused || outcome == AttemptOutcome::Lost || outcome == AttemptOutcome::TimedOut || outcome == AttemptOutcome::ServerError;
 }
 
 } // namespace
@@ -35,6 +35,8 @@
         return "answered";
     case AttemptOutcome::NotSent:
         return "not-sent";
+    case AttemptOutcome::ConnectionRefused:
+        return "connection-refused";
     case AttemptOutcome::NotRun:
         return "not-run";
     case AttemptOutcome::Misdirected:
@@ -56,6 +58,7 @@
     , m_generator(generator)
     , m_loadBalancer(options.coldLimits, options.regions)
     , m_estimate(options.estimate)
+    , m_crashes(options.crashes)
     , m_retries(options.retries)
     , m_admission(options.admission)
     , m_retrySchedule(generator)
@@ -85,21 +88,33 @@
     else if (auto* leaving = std::get_if<LeavingReported>(&event)) {
         if (m_loadBalancer.onLeavingReported(leaving->server))
             effects.push_back(PublishLeaving { leaving->server });
-    } else if (auto* changed = std::get_if<SnapshotChanged>(&event)) {
-        m_loadBalancer.setServers(now, *changed->snapshot);
-        m_admission.setFleet(now, *changed->snapshot);
-        m_estimate.setSnapshot(now, *changed->snapshot);
-        m_retries.raiseMaxEntries(changed->snapshot->maxEntries);
-    } else if (auto* load = std::get_if<LoadReceived>(&event)) {
+    } else if (auto* changed = std::get_if<SnapshotChanged>(&event))
+        onSnapshotChanged(now, *changed->snapshot);
+    else if (auto* load = std::get_if<LoadReceived>(&event)) {
         m_loadBalancer.onLoadUpdate(now, load->update);
         m_admission.onLoadUpdate(now, load->update);
-    }
+        m_crashes.onReports(now, load->update.suspicions);
+        m_crashes.onPeerTrials(now, load->update.incarnation, load->update.trials);
+    } else if (auto* suspicions = std::get_if<SuspicionsReceived>(&event))
+        m_crashes.onReports(now, suspicions->reports);
+    else if (auto* refused = std::get_if<ProbeRefused>(&event))
+        onServerEnded(now, refused->server, crashes::Evidence::ConnectionRefused);
     cancelStalledAttempts(now, effects);
     dispatchQueued(now, effects);
     m_lastEventAt = now;
     return effects;
 }
 
+void Dispatcher::onSnapshotChanged(TimePoint now, const Snapshot& snapshot)
+{
+    findEndedServers(now, snapshot);
+    m_loadBalancer.setServers(now, snapshot);
+    m_admission.setFleet(now, snapshot);
+    m_estimate.setSnapshot(now, snapshot);
+    m_retries.raiseMaxEntries(snapshot.maxEntries);
+    m_crashes.tick(now);
+}
+
 void Dispatcher::onRequestArrived(TimePoint now, const RequestArrived& event, Effects& effects)
 {
     auto& call = m_calls[event.call];
@@ -111,6 +126,8 @@
         refuse(now, event.call, call, refusalReason(call, now), clientRetryTime(call, now), effects);
         return;
     }
+    if (refuseIfQuarantined(event.call, call, now, effects))
+        return;
     m_admission.onArrived(now, queuedRequest(event.call, call));
     updateQueueDeadline(event.call, call, now);
     m_estimate.onRequestArrived(call.service, requestView(call.request, call.queueDeadline, 0));
@@ -151,7 +168,12 @@
 
 bool Dispatcher::tryStartAttempt(CallId id, Call& call, TimePoint now, Effects& effects)
 {
-    auto server = m_loadBalancer.choose(filterFor(call), now, m_generator);
+    auto action = quarantineAction(call, now);
+    if (action == policy::QuarantineAction::Wait || action == policy::QuarantineAction::Refuse)
+        return false;
+    auto filter = filterFor(call);
+    filter.prefersIdle = action == policy::QuarantineAction::RunAlone;
+    auto server = m_loadBalancer.choose(filter, now, m_generator);
     if (!server)
         return false;
     bool isOutsideAllowance = call.attempts == 0 || call.isAttemptCancelled;
@@ -161,6 +183,9 @@
         m_admission.onAdmitted(now, queuedRequest(id, call));
         m_retrySchedule.onAdmitted(now, call.service);
     }
+    call.isTrial = action == policy::QuarantineAction::RunAlone;
+    if (call.isTrial)
+        m_crashes.onTrialStarted(call.request.fingerprint());
     ++call.attempts;
     call.sentAt = now;
     call.currentServer = server->incarnation();
@@ -185,13 +210,18 @@
     std::size_t queuedBefore = 0;
     for (auto id : order) {
         auto& call = m_calls[id];
+        if (refuseIfQuarantined(id, call, now, effects)) {
+            m_queue.remove(id);
+            continue;
+        }
         updateQueueDeadline(id, call, now);
         if (auto forecast = forecastRefusal(call, now, queuedBefore, false)) {
             refuseUnfinishable(id, call, *forecast, now, effects);
             continue;
         }
         bool isHeldBack = !m_admission.mayStart(now, queuedRequest(id, call), [&] { return m_loadBalancer.freeSlots(call.service, now); });
-        bool mayStart = now >= call.retryAt && !fullServices.contains({ call.service, call.homes }) && !isHeldBack;
+        bool isTried = quarantineAction(call, now) == policy::QuarantineAction::Wait;
+        bool mayStart = !isTried && now >= call.retryAt && !fullServices.contains({ call.service, call.homes }) && !isHeldBack;
         if (mayStart && tryStartAttempt(id, call, now, effects)) {
             m_queue.remove(id);
             continue;
@@ -199,7 +229,7 @@
         if (mayStart && call.attempts == 0)
             fullServices.emplace(call.service, call.homes);
         auto before = queuedBefore++;
-        if (auto forecast = isHeldBack ? std::nullopt : forecastRefusal(call, now, before, true)) {
+        if (auto forecast = isHeldBack || isTried ? std::nullopt : forecastRefusal(call, now, before, true)) {
             refuseUnfinishable(id, call, *forecast, now, effects);
             continue;
         }
@@ -208,6 +238,8 @@
         m_queue.remove(id);
         if (call.lastOutcome)
             failCall(id, call, *call.lastOutcome, now, effects);
+        else if (isTried)
+            refuse(now, id, call, RefusalReason::SuspectRunning, clientRetryTime(call, now), effects);
         else
             refuse(now, id, call, refusalReason(call, now), clientRetryTime(call, now), effects);
     }
@@ -280,11 +312,12 @@
     capacity::ServiceEstimate::onEvent(now, it->second.clock);
 }
 
-void Dispatcher::endAttempt(Call& call, TimePoint now, bool isComplete)
+void Dispatcher::endAttempt(CallId id, Call& call, TimePoint now, AttemptOutcome outcome)
 {
     if (!call.currentServer)
         return;
-    m_estimate.onAttemptEnded(now, call.clock, call.service, *call.currentServer, *call.request.route, isComplete);
+    recordOutcome(id, call, *call.currentServer, outcome, now);
+    m_estimate.onAttemptEnded(now, call.clock, call.service, *call.currentServer, *call.request.route, outcome == AttemptOutcome::Answered);
     m_loadBalancer.onAttemptEnded(*call.currentServer, { call.request.promptTokens }, call.hasResponseStarted);
     if (call.hasResponseStarted)
         m_admission.onSlotReleased(call.service, now - call.sentAt);
@@ -308,11 +341,12 @@
         return;
     auto& call = it->second;
     auto server = *call.currentServer;
-    endAttempt(call, now, event.outcome == AttemptOutcome::Answered);
+    endAttempt(event.call, call, now, event.outcome);
     if (event.outcome == AttemptOutcome::Answered) {
         m_loadBalancer.onSuccess(server);
         return;
     }
+    gatherEvidence(now, server, event.outcome, call, effects);
     updateServerState(now, server, event.outcome, call);
     call.lastOutcome = event.outcome;
     call.triedServers.push_back(server);
@@ -320,6 +354,8 @@
         call.ranOn.push_back(server);
         call.verdict = combine(call.verdict, event.outcome == AttemptOutcome::ServerError ? Verdict::Ran : Verdict::MayHaveRun);
     }
+    if (refuseIfQuarantined(event.call, call, now, effects))
+        return;
     if (mayWaitForGroups(call, event.outcome, now)) {
         queueForRetry(event.call, call, now, call.request.arrivedAt + m_options.recoveryTimeout);
         return;
@@ -372,6 +408,9 @@
     bool isSafe = call.request.route->isIdempotent || call.verdict == Verdict::NotRun;
     if (!isSafe || outcome == AttemptOutcome::TimedOut || call.attempts >= m_options.maxAttempts)
         return false;
+    // The server of a trial may have crashed under it: another attempt could crash one more server before that is known.
+    if (call.isTrial && !isNotRun(outcome) && outcome != AttemptOutcome::ServerError)
+        return false;
     // A server error is mostly caused by the request itself. The request is therefore retried on another server only:
     // once it has run on as many servers as the route allows, it is not sent to these again.
     if (outcome == AttemptOutcome::ServerError && call.ranOn.size() >= call.request.route->maximumServers)
@@ -384,7 +423,8 @@
     auto it = m_calls.find(id);
     if (it == m_calls.end())
         return;
-    endAttempt(it->second, now, false);
+    // The client has left during an attempt, or there is none.
+    endAttempt(id, it->second, now, AttemptOutcome::Lost);
     m_queue.remove(id);
     m_calls.erase(it);
 }
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -5,6 +5,7 @@
 #include "src/gateway/admission/retry-schedule.h"
 #include "src/gateway/call-id.h"
 #include "src/gateway/capacity/service-estimate.h"
+#include "src/gateway/crashes/crash-tracker.h"
 #include "src/gateway/load-balancer.h"
 #include "src/gateway/retry-allowance.h"
 #include "src/gateway/snapshot.h"
@@ -12,6 +13,7 @@
 #include <swiftloft/policy/random.h>
 #include <swiftloft/verdict.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -41,6 +43,9 @@
     std::optional<OrganisationName> organisation {};
     /// Homes of the organisation; a part of `configuration`.
     std::span<const RegionName> organisationHomes {};
+    /// Computes the fingerprint of the request, the same for all repeats of it; valid until the call is closed. Unset:
+    /// the request is never suspected of crashing servers.
+    std::function<Fingerprint()> fingerprint {};
 };
 
 /// Outcome of an attempt to run a request on a backend server.
@@ -49,6 +54,8 @@
     Answered,
     /// Nothing was written to the server.
     NotSent,
+    /// Nothing was written, because the server's address refused the connection.
+    ConnectionRefused,
     /// The server guarantees that it did not run the request.
     NotRun,
     /// A server other than the expected one responded, and it did not run the request.
@@ -82,6 +89,10 @@
     NoHomeServer,
     /// The homes of the request's route and those of its organisation have no region in common.
     NoCommonHome,
+    /// The request has crashed servers and may not run again.
+    Quarantined,
+    /// The request may have crashed a server, and another copy of it is running; the client should retry later.
+    SuspectRunning,
     /// The request did not run, and no further attempt is allowed.
     AttemptsExhausted,
     /// The request may have run, and its result is unknown.
@@ -136,10 +147,18 @@
 struct LoadReceived {
     LoadUpdate update;
 };
+/// Another entry reports requests that may have crashed servers.
+struct SuspicionsReceived {
+    std::vector<policy::SuspicionMessage> reports;
+};
+/// The address of a server refused a connection that carried no request.
+struct ProbeRefused {
+    ServerIncarnation server;
+};
 /// The time of `Dispatcher::nextTick` has been reached.
 struct Ticked { };
 
-using Event = std::variant<RequestArrived, AttemptEnded, ResponseStarted, StreamProgressed, CallClosed, LimitReceived, BackOffRequested, LeavingReported, SnapshotChanged, LoadReceived, Ticked>;
+using Event = std::variant<RequestArrived, AttemptEnded, ResponseStarted, StreamProgressed, CallClosed, LimitReceived, BackOffRequested, LeavingReported, SnapshotChanged, LoadReceived, SuspicionsReceived, ProbeRefused, Ticked>;
 
 struct StartAttempt {
     CallId call;
@@ -180,7 +199,12 @@
     ServerIncarnation server;
 };
 
-using Effect = std::variant<StartAttempt, Refuse, ForwardError, CancelAttempt, PublishLeaving>;
+/// Find out whether the server's address refuses connections; `ProbeRefused` follows if it does.
+struct ProbeServer {
+    BackendServer server;
+};
+
+using Effect = std::variant<StartAttempt, Refuse, ForwardError, CancelAttempt, PublishLeaving, ProbeServer>;
 using Effects = std::vector<Effect>;
 
 } // namespace dispatch
@@ -192,6 +216,7 @@
     DataCentreRegions regions {};
     admission::AdmissionOptions admission {};
     capacity::EstimateOptions estimate {};
+    crashes::TrackerOptions crashes {};
     /// Maximum time that an idempotent request waits for another server after it has lost its own. A rank group that
     /// lost a rank has either recovered by then or will not recover soon. Clients give up on a stream that pauses for
     /// two seconds, so a longer wait is of no use.
@@ -226,6 +251,10 @@
     const admission::AdmissionController& admission() const { return m_admission; }
     std::size_t queuedRequests() const { return m_queue.size(); }
     const capacity::ServiceEstimate& serviceEstimate() const { return m_estimate; }
+    /// The requests that may have crashed servers.
+    const crashes::CrashTracker& crashTracker() const { return m_crashes; }
+    /// A part of what is known of these requests, for other entries; the next call returns the next part.
+    std::vector<policy::SuspicionMessage> nextSuspicions(TimePoint now) { return m_crashes.nextReports(now); }
 
 private:
     struct Call {
@@ -260,6 +289,8 @@
         std::optional<AttemptOutcome> lastOutcome;
         /// Events of the current attempt.
         capacity::StreamClock clock;
+        /// The last attempt is or was a trial: the request may have crashed a server before.
+        bool isTrial { false };
     };
 
     void onRequestArrived(TimePoint now, const dispatch::RequestArrived& event, dispatch::Effects& effects);
@@ -268,7 +299,19 @@
     void onStreamProgressed(TimePoint now, CallId id);
     void onCallClosed(TimePoint now, CallId id);
     ServiceName pickService(const Route& route);
-    void endAttempt(Call& call, TimePoint now, bool isComplete);
+    void endAttempt(CallId id, Call& call, TimePoint now, AttemptOutcome outcome);
+    void recordOutcome(CallId id, Call& call, const ServerIncarnation& server, AttemptOutcome outcome, TimePoint now);
+    void onSnapshotChanged(TimePoint now, const Snapshot& snapshot);
+    policy::QuarantineAction quarantineAction(const Call& call, TimePoint now) const;
+    /// Refuses the request and returns true if it has crashed servers and may not run again.
+    bool refuseIfQuarantined(CallId id, Call& call, TimePoint now, dispatch::Effects& effects);
+    /// The server's process has ended. Nothing follows from the end of a server that was leaving.
+    void onServerEnded(TimePoint now, const ServerIncarnation& server, crashes::Evidence evidence);
+    /// Concludes from the outcome of an attempt whether the server's process has ended, or has that found out.
+    void gatherEvidence(TimePoint now, const ServerIncarnation& server, AttemptOutcome outcome, const Call& call, dispatch::Effects& effects);
+    /// Servers that run requests of this entry, or lost some for an unknown reason.
+    std::set<ServerIncarnation> serversOfInterest() const;
+    void findEndedServers(TimePoint now, const Snapshot& snapshot);
     void updateServerState(TimePoint now, const ServerIncarnation& server, AttemptOutcome outcome, Call& call);
     bool mayWaitForGroups(const Call& call, AttemptOutcome outcome, TimePoint now) const;
     void queueForRetry(CallId id, Call& call, TimePoint now, TimePoint until);
@@ -300,6 +343,7 @@
     policy::Generator m_generator;
     LoadBalancer m_loadBalancer;
     capacity::ServiceEstimate m_estimate;
+    crashes::CrashTracker m_crashes;
     RetryAllowance m_retries;
     std::map<CallId, Call> m_calls;
     admission::AdmissionController m_admission;
--- a/src/gateway/entry-daemon.cc
+++ b/src/gateway/entry-daemon.cc
@@ -82,8 +82,8 @@
     {
         m_controlSocket = ControlSocket::create(m_ioContext, settings.peers, [this](auto&, ControlMessage message) { onMessage(std::move(message)); }).value();
         m_controlSocket->setOnDatagram(datagramCounter(metrics, "swiftloft_entry"));
-        m_traffic.setOnLoadsMeasured([this](std::vector<ServiceLoad> loads, std::vector<ServiceDemand> demands) {
-            asio::post(m_ioContext, [this, loads = std::move(loads), demands = std::move(demands)] { apply(control::LoadsMeasured { loads, demands }); });
+        m_traffic.setOnLoadsMeasured([this](TrafficServer::Measurements measured) {
+            asio::post(m_ioContext, [this, measured = std::move(measured)] { apply(control::LoadsMeasured { measured.loads, measured.demands, measured.suspicions }); });
         });
         m_traffic.setOnServerLeaving([this](const ServerIncarnation& server) {
             asio::post(m_ioContext, [this, server] { apply(control::LeavingReported { server }); });
@@ -141,6 +141,8 @@
         m_controlSocket->send(Endpoint(effect.to.address(), m_settings.agentPort), effect.brief);
     }
 
+    void perform(const control::ForwardSuspicions& effect) { m_traffic.onSuspicions(effect.suspicions); }
+
     void perform(const control::SetWatching& effect)
     {
         m_follower.setMaxBackOff(effect.maxBackOff);
--- a/src/gateway/load-balancer.cc
+++ b/src/gateway/load-balancer.cc
@@ -28,6 +28,9 @@
     return degraded;
 }
 
+/// Exceeds every other cost, for requests that prefer idle servers.
+constexpr double costPerRunningRequest { 1e9 };
+
 } // namespace
 
 void LoadBalancer::setServers(TimePoint now, const Snapshot& snapshot)
@@ -343,6 +346,8 @@
         if (!hasCapacity(server, load, now))
             continue;
         double cost = costOf(server, load, now) + tieBreak(generator);
+        if (filter.prefersIdle)
+            cost += load.running * costPerRunningRequest;
         if (cost < bestCost) {
             bestCost = cost;
             best = &server;
@@ -351,6 +356,24 @@
     return best ? std::optional(best->server) : std::nullopt;
 }
 
+const BackendServer* LoadBalancer::find(const ServerIncarnation& incarnation) const
+{
+    auto it = m_servers.find(incarnation);
+    return it == m_servers.end() ? nullptr : &it->second.server;
+}
+
+bool LoadBalancer::isReady(const ServerIncarnation& incarnation) const
+{
+    auto it = m_servers.find(incarnation);
+    return it != m_servers.end() && it->second.server.state == ServerState::Ready && !it->second.isLeaving;
+}
+
+bool LoadBalancer::isPlainServer(const ServerIncarnation& incarnation) const
+{
+    auto it = m_servers.find(incarnation);
+    return it != m_servers.end() && !it->second.isRank;
+}
+
 bool LoadBalancer::hasServer(const ServerFilter& filter) const
 {
     return std::any_of(m_servers.begin(), m_servers.end(), [&](auto& it) { return isCandidate(it.second, filter) && isUsable(it.second); });
--- a/src/gateway/load-balancer.h
+++ b/src/gateway/load-balancer.h
@@ -98,6 +98,8 @@
         std::optional<std::span<const ServerIncarnation>> allowed;
         /// Only servers of these regions are allowed.
         HomeSet homes {};
+        /// Prefer the server that runs the fewest requests.
+        bool prefersIdle { false };
     };
 
     /// Describes the servers to which this entry may send nothing for now because of their limits or back-offs, or
@@ -115,6 +117,13 @@
     /// Unset if no limit or back-off keeps this entry from a matching server; `filter.excluded` is ignored.
     std::optional<Throttling> throttling(const ServerFilter& filter, TimePoint now) const;
 
+    /// Null if the server is not listed.
+    const BackendServer* find(const ServerIncarnation& incarnation) const;
+    /// True if the server is listed and has not reported that it is leaving.
+    bool isReady(const ServerIncarnation& incarnation) const;
+    /// True for a listed server that is no rank of a group.
+    bool isPlainServer(const ServerIncarnation& incarnation) const;
+
     /// Another server responds at this server's address.
     void onReplaced(const ServerIncarnation& incarnation);
 
--- a/src/gateway/news.capnp
+++ b/src/gateway/news.capnp
@@ -36,6 +36,16 @@
   evacuationsAsOf @11 :UInt64;
   demands @12 :List(ServiceDemand); # of the sender's data centre; sent like `loads`
   groups @13 :List(GroupStatus);   # sent like `degraded`
+  suspicions @14 :List(Suspicion); # a part of those that the sender knows
+}
+
+# A request that was in flight when a backend server crashed.
+struct Suspicion {
+  fingerprint @0 :UInt64;
+  crash @1 :UInt64;                # hash of the server's id and start
+  isCleared @2 :Bool;              # the request has succeeded since
+  hops @3 :UInt8;                  # number of nodes that have forwarded it
+  remainingMs @4 :UInt32;          # how long it is still valid
 }
 
 # Requests for a service that an entry, or the entries of a data centre together, have received.
@@ -133,6 +143,8 @@
   limits @3 :List(LimitWord);
   silent @4 :List(SilentServer);
   demands @5 :List(ServiceDemand); # of this entry
+  suspicions @6 :List(Suspicion);  # that the sender has found out recently
+  trials @7 :List(UInt64);         # fingerprints of the suspects that the sender runs now
 }
 
 # A server that stalled in the middle of its streams while others went on.
--- a/src/gateway/news.capnp.h
+++ b/src/gateway/news.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(dfd205ecdbaacb20);
 CAPNP_DECLARE_SCHEMA(da33220f171a1d9c);
+CAPNP_DECLARE_SCHEMA(d3aa7dad5978e83a);
 CAPNP_DECLARE_SCHEMA(f598f81f621d0a53);
 CAPNP_DECLARE_SCHEMA(bbc8694ceec8ab96);
 CAPNP_DECLARE_SCHEMA(c635b8393a2d0e50);
@@ -68,7 +69,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da33220f171a1d9c, 6, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(da33220f171a1d9c, 6, 9)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Suspicion {
+  Suspicion() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d3aa7dad5978e83a, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -248,7 +264,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dcfcb5c952e3e94a, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(dcfcb5c952e3e94a, 2, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -562,6 +578,9 @@
   inline bool hasGroups() const;
   inline  ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>::Reader getGroups() const;
 
+  inline bool hasSuspicions() const;
+  inline  ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader getSuspicions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -664,6 +683,13 @@
   inline void adoptGroups(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::GroupStatus,  ::capnp::Kind::STRUCT>> disownGroups();
 
+  inline bool hasSuspicions();
+  inline  ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder getSuspicions();
+  inline void setSuspicions( ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder initSuspicions(unsigned int size);
+  inline void adoptSuspicions(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>> disownSuspicions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -691,6 +717,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class Suspicion::Reader {
+public:
+  typedef Suspicion Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint() const;
+
+  inline  ::uint64_t getCrash() const;
+
+  inline bool getIsCleared() const;
+
+  inline  ::uint8_t getHops() const;
+
+  inline  ::uint32_t getRemainingMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Suspicion::Builder {
+public:
+  typedef Suspicion Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline  ::uint64_t getCrash();
+  inline void setCrash( ::uint64_t value);
+
+  inline bool getIsCleared();
+  inline void setIsCleared(bool value);
+
+  inline  ::uint8_t getHops();
+  inline void setHops( ::uint8_t value);
+
+  inline  ::uint32_t getRemainingMs();
+  inline void setRemainingMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Suspicion::Pipeline {
+public:
+  typedef Suspicion Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ServiceDemand::Reader {
 public:
   typedef ServiceDemand Reads;
@@ -1780,6 +1902,12 @@
   inline bool hasDemands() const;
   inline  ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
 
+  inline bool hasSuspicions() const;
+  inline  ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader getSuspicions() const;
+
+  inline bool hasTrials() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getTrials() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1842,6 +1970,21 @@
   inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::ServiceDemand,  ::capnp::Kind::STRUCT>> disownDemands();
 
+  inline bool hasSuspicions();
+  inline  ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder getSuspicions();
+  inline void setSuspicions( ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder initSuspicions(unsigned int size);
+  inline void adoptSuspicions(::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>> disownSuspicions();
+
+  inline bool hasTrials();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getTrials();
+  inline void setTrials( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTrials(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initTrials(unsigned int size);
+  inline void adoptTrials(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTrials();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3212,6 +3355,110 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool Hello::Reader::hasSuspicions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasSuspicions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader Hello::Reader::getSuspicions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::getSuspicions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setSuspicions( ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder Hello::Builder::initSuspicions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptSuspicions(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>> Hello::Builder::disownSuspicions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Suspicion::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Suspicion::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Suspicion::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Suspicion::Reader::getCrash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Suspicion::Builder::getCrash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Suspicion::Builder::setCrash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Suspicion::Reader::getIsCleared() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Suspicion::Builder::getIsCleared() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Suspicion::Builder::setIsCleared(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Suspicion::Reader::getHops() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Suspicion::Builder::getHops() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+inline void Suspicion::Builder::setHops( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Suspicion::Reader::getRemainingMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Suspicion::Builder::getRemainingMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Suspicion::Builder::setRemainingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServiceDemand::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4206,6 +4453,78 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool LoadNews::Reader::hasSuspicions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadNews::Builder::hasSuspicions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader LoadNews::Reader::getSuspicions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder LoadNews::Builder::getSuspicions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void LoadNews::Builder::setSuspicions( ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>::Builder LoadNews::Builder::initSuspicions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void LoadNews::Builder::adoptSuspicions(
+    ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>> LoadNews::Builder::disownSuspicions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::swiftloft::gateway::schema::Suspicion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool LoadNews::Reader::hasTrials() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadNews::Builder::hasTrials() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadNews::Reader::getTrials() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadNews::Builder::getTrials() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void LoadNews::Builder::setTrials( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void LoadNews::Builder::setTrials(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadNews::Builder::initTrials(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void LoadNews::Builder::adoptTrials(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> LoadNews::Builder::disownTrials() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t SilentServer::Reader::getServer() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/request-call.h
+++ b/src/gateway/request-call.h
@@ -17,6 +17,8 @@
     std::shared_ptr<const Configuration> configuration;
     const Route* route { nullptr };
     std::optional<OrganisationName> organisation;
+    /// Unset until `fingerprint` is called. Stands before `handle`, whose destructor may call it.
+    std::optional<Fingerprint> computedFingerprint {};
     std::unique_ptr<AsyncDispatcher::CallHandle> handle;
 
     /// Error response of a backend server that may be forwarded to the client.
@@ -54,9 +56,6 @@
     milliseconds longestEventGap { 0 };
     bool mustClose { false };
 
-    /// Unset until `fingerprint` is called.
-    std::optional<Fingerprint> computedFingerprint {};
-
     Fingerprint fingerprint()
     {
         if (!computedFingerprint) {
--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -74,8 +74,8 @@
     UpstreamConnectionPtr connection;
     try {
         connection = co_await acquireConnection(call, server);
-    } catch (const boost::system::system_error&) {
-        co_return AttemptOutcome::NotSent;
+    } catch (const boost::system::system_error& error) {
+        co_return error.code() == asio::error::connection_refused ? AttemptOutcome::ConnectionRefused : AttemptOutcome::NotSent;
     }
     auto request = call.request;
     eraseHopByHop(request.base());
@@ -155,6 +155,16 @@
     co_return AttemptOutcome::Lost;
 }
 
+asio::awaitable<void> RequestServer::probe(BackendServer server)
+{
+    try {
+        co_await m_pool.connect(server, Clock::now() + connectTimeout);
+    } catch (const boost::system::system_error& error) {
+        if (error.code() == asio::error::connection_refused)
+            m_dispatcher.apply(dispatch::ProbeRefused { server.incarnation() });
+    }
+}
+
 void RequestServer::recordLimit(const Call& call, const ServerIncarnation& server, const ResponseHead& head)
 {
     if (head.limit)
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -89,7 +89,7 @@
 asio::awaitable<bool> RequestServer::serve(DownstreamConnection& client, ClientRequest request)
 {
     using namespace asio::experimental::awaitable_operators;
-    Call call { client, std::move(request), {}, Clock::now(), {}, nullptr, nullptr, std::nullopt, nullptr, std::nullopt };
+    Call call { client, std::move(request), {}, Clock::now(), {}, nullptr, nullptr, std::nullopt, std::nullopt, nullptr, std::nullopt };
     auto head = m_protocol.decodeRequest(call.request.base(), call.arrivedAt);
     if (!head) {
         co_await respond(call, http::status::bad_request, "malformed-request");
@@ -143,7 +143,7 @@
     std::span<const RegionName> organisationHomes;
     if (organisation)
         organisationHomes = organisation->homes;
-    CallRequest request { configuration, call.route, call.priority, call.arrivedAt, call.deadline, call.head.promptTokens, call.head.outputTokens, call.head.expectedOutputTokens, call.organisation, organisationHomes };
+    CallRequest request { configuration, call.route, call.priority, call.arrivedAt, call.deadline, call.head.promptTokens, call.head.outputTokens, call.head.expectedOutputTokens, call.organisation, organisationHomes, [&call] { return call.fingerprint(); } };
     auto decision = co_await call.handle->submit(std::move(request));
     countAdmission(call, decision);
     while (auto* start = std::get_if<dispatch::StartAttempt>(&decision)) {
--- a/src/gateway/traffic-server.cc
+++ b/src/gateway/traffic-server.cc
@@ -26,7 +26,7 @@
 /// The interval is also at least this long for each recipient, which limits the cost in a large data centre to 500 datagrams a
 /// second.
 constexpr milliseconds loadUpdateIntervalPerEntry { 2 };
-/// Known limits are sent again at this interval while requests are running, because datagrams get lost.
+/// Known limits and suspicions are sent again at this interval while requests are running, because datagrams get lost.
 constexpr milliseconds limitRepeatInterval { 400 };
 /// An entry continues to accept connections for this long after SIGTERM, because clients cache their lists of entries.
 constexpr milliseconds acceptGracePeriod { 3000 };
@@ -64,6 +64,7 @@
     };
     m_loadSocket = ControlSocket::create(m_ioContext, settings.load, onMessage).value();
     m_loadSocket->setOnDatagram(datagramCounter(metrics, "swiftloft_entry"));
+    m_dispatcher.setOnProbe([this](const BackendServer& server) { co_spawn(m_ioContext, m_server.probe(server), asio::detached); });
     m_dispatcher.setOnLoadChanged([this] { scheduleLoadUpdate(std::max(Clock::now(), m_loadUpdateNotBefore)); });
     auto page = [this](asio::ip::tcp::socket socket) { return serveStatusPage(std::move(socket)); };
     listen(m_ready, settings.ready, page);
@@ -105,10 +106,16 @@
         m_server.onSnapshotChanged();
         m_estimateMetrics.update(Clock::now(), m_dispatcher.reducer().serviceEstimate());
         if (m_onLoadsMeasured)
-            m_onLoadsMeasured(m_dispatcher.reducer().loadBalancer().localLoads(Clock::now()), m_dispatcher.reducer().admission().localDemands(Clock::now()));
+            m_onLoadsMeasured({ m_dispatcher.reducer().loadBalancer().localLoads(Clock::now()), m_dispatcher.reducer().admission().localDemands(Clock::now()), m_dispatcher.nextSuspicions() });
+        m_metrics.set("swiftloft_entry_suspect_requests", {}, static_cast<double>(m_dispatcher.reducer().crashTracker().suspects()));
     });
 }
 
+void TrafficServer::onSuspicions(std::vector<policy::SuspicionMessage> suspicions)
+{
+    asio::post(m_ioContext, [this, suspicions = std::move(suspicions)] { m_dispatcher.apply(dispatch::SuspicionsReceived { suspicions }); });
+}
+
 void TrafficServer::listen(Acceptor& acceptor, const Endpoint& endpoint, ConnectionHandler serve)
 {
     acceptor.open(endpoint.protocol());
@@ -252,11 +259,13 @@
         limits = loadBalancer.limits().reports(now);
         m_limitsRepeatAt = now + limitRepeatInterval;
     }
-    LoadUpdate update { m_incarnation, ++m_loadSequence, std::move(loads), std::move(limits), loadBalancer.silentServers(now), demandsToReport(now) };
+    auto& crashTracker = m_dispatcher.reducer().crashTracker();
+    bool isSuspicionChanged = std::exchange(m_sentSuspicionVersion, crashTracker.localVersion()) != crashTracker.localVersion();
+    LoadUpdate update { m_incarnation, ++m_loadSequence, std::move(loads), std::move(limits), loadBalancer.silentServers(now), demandsToReport(now), suspicionsToReport(now, isSuspicionChanged), crashTracker.trials() };
     auto bytes = encode(ControlMessage(update));
     int recipients = 0;
     for (auto& entry : m_snapshot->entries) {
-        if (m_snapshot->isLoadSharedLocally && !isLimitChanged && !isRecipient(entry.dataCentre))
+        if (m_snapshot->isLoadSharedLocally && !isLimitChanged && !isSuspicionChanged && !isRecipient(entry.dataCentre))
             continue;
         m_loadSocket->sendEncoded(Endpoint(entry.control.address(), m_settings.load.port()), ControlMessageKind::Load, bytes);
         ++recipients;
@@ -270,6 +279,14 @@
         scheduleLoadUpdate(now + PeerLoads::reportInterval);
 }
 
+std::vector<policy::SuspicionMessage> TrafficServer::suspicionsToReport(TimePoint now, bool isChanged)
+{
+    if (!isChanged && now < m_suspicionsRepeatAt)
+        return {};
+    m_suspicionsRepeatAt = now + limitRepeatInterval;
+    return m_dispatcher.reducer().crashTracker().localReports(now);
+}
+
 /// Demand of the services that are short of capacity here. A service that no longer is gets one more report, without
 /// priorities.
 std::vector<ServiceDemand> TrafficServer::demandsToReport(TimePoint now)
--- a/src/gateway/traffic-server.h
+++ b/src/gateway/traffic-server.h
@@ -30,7 +30,15 @@
     void run();
     /// May be called from any thread.
     void setSnapshot(std::shared_ptr<const Snapshot> snapshot);
-    using OnLoadsMeasured = std::function<void(std::vector<ServiceLoad> loads, std::vector<ServiceDemand> demands)>;
+    /// May be called from any thread.
+    void onSuspicions(std::vector<policy::SuspicionMessage> suspicions);
+    /// What the traffic thread reports to the other entries through hellos.
+    struct Measurements {
+        std::vector<ServiceLoad> loads;
+        std::vector<ServiceDemand> demands;
+        std::vector<policy::SuspicionMessage> suspicions;
+    };
+    using OnLoadsMeasured = std::function<void(Measurements measurements)>;
     /// `hook` is called on the traffic thread with each new snapshot. Must be set before `run`.
     void setOnLoadsMeasured(OnLoadsMeasured hook) { m_onLoadsMeasured = std::move(hook); }
     /// `hook` is called on the traffic thread when a server reports for the first time that it is leaving. Must be set before
@@ -52,6 +60,7 @@
     std::vector<Endpoint> directoryEntriesFor(std::string_view target) const;
     void sendLoadUpdate();
     std::vector<ServiceDemand> demandsToReport(TimePoint now);
+    std::vector<policy::SuspicionMessage> suspicionsToReport(TimePoint now, bool isChanged);
     void recordQueued(const ServiceDemand& demand);
     void scheduleLoadUpdate(TimePoint time);
     void stopIfIdle();
@@ -89,6 +98,9 @@
     /// Version of the server limits that was sent last, and when unchanged limits are sent again.
     std::uint64_t m_sentLimitVersion { 0 };
     TimePoint m_limitsRepeatAt;
+    /// The same for requests that may have crashed servers.
+    std::uint64_t m_sentSuspicionVersion { 0 };
+    TimePoint m_suspicionsRepeatAt;
     /// Services whose shortage was reported to other entries, and when it is next reported.
     std::set<ServiceName> m_reportedDemands;
     TimePoint m_demandsNotBefore;
--- a/test/gateway-fleet.h
+++ b/test/gateway-fleet.h
@@ -59,6 +59,7 @@
             startEntry(n);
         sendSnapshots();
         scheduleArrival();
+        scheduleHellos();
     }
 
     /// Runs the simulation until this time after its start.
@@ -297,7 +298,7 @@
     static constexpr milliseconds eventInterval { 60 };
     static constexpr milliseconds clientTimeout { 2000 };
     static constexpr milliseconds minLoadUpdateInterval { 20 };
-    static constexpr milliseconds snapshotInterval { 400 };
+    static constexpr milliseconds helloInterval { 400 };
     /// Time from a crash in a rank group until the other ranks reject requests, and from the start of the new process
     /// until the group accepts requests.
     static constexpr milliseconds groupStallTime { 1500 };
@@ -367,6 +368,8 @@
     void createRoutes()
     {
         gateway::ConfigurationParts parts;
+        if (m_options.isRankGroup)
+            parts.services.push_back({ model(), "/health", 0, gateway::EngineTraits { .layers = 1 } });
         for (auto& kind : m_options.kinds) {
             gateway::Route route;
             route.name = fmt::format("r{}", parts.routes.size());
@@ -417,6 +420,7 @@
         gateway::CallId id(++m_lastCall);
         m_calls[id] = { n, &route, entryAt(n).incarnation, m_now, deadline, work, 0, m_now, false, false };
         gateway::CallRequest request { m_configuration, &route, route.priority, m_now, deadline, Tokens(800), Tokens(100) };
+        request.fingerprint = [body = work.body] { return Fingerprint(body); };
         apply(n, gateway::dispatch::RequestArrived { id, request });
     }
 
@@ -431,6 +435,7 @@
             return;
         }
         auto effects = entry.dispatcher->apply(m_now, event);
+        m_applyingEntry = n;
         for (auto& effect : effects)
             std::visit([this](auto& it) { perform(it); }, effect);
         armTick(n);
@@ -476,6 +481,8 @@
             return scheduleLoadUpdate(n, entry.frozenUntil);
         auto& loadBalancer = entry.dispatcher->loadBalancer();
         gateway::LoadUpdate update { entry.incarnation, ++entry.sequence, loadBalancer.ownLoads(), loadBalancer.limits().reports(m_now), loadBalancer.silentServers(m_now), demandsToReport(entry) };
+        update.suspicions = entry.dispatcher->crashTracker().localReports(m_now);
+        update.trials = entry.dispatcher->crashTracker().trials();
         for (int other = 0; other < m_options.entries; ++other) {
             bool isLost = uniform(0, 1) < m_options.loss;
             if (other == n || !areConnected(n, other) || isLost)
@@ -487,6 +494,27 @@
             scheduleLoadUpdate(n, m_now + gateway::PeerLoads::reportInterval);
     }
 
+    /// Each entry sends what it knows of suspects to one other entry per round.
+    void scheduleHellos()
+    {
+        schedule(m_now + helloInterval, [this] {
+            for (int n = 0; n < m_options.entries; ++n)
+                sendHello(n);
+            scheduleHellos();
+        });
+    }
+
+    void sendHello(int n)
+    {
+        auto& entry = entryAt(n);
+        int other = std::uniform_int_distribution<int>(0, m_options.entries - 1)(m_helloRandom);
+        if (other == n || entry.isTerminated || entry.frozenUntil > m_now || !areConnected(n, other))
+            return;
+        auto reports = entry.dispatcher->nextSuspicions(m_now);
+        if (!reports.empty())
+            schedule(m_now + networkDelay, [this, other, reports] { apply(other, gateway::dispatch::SuspicionsReceived { reports }); });
+    }
+
     std::vector<gateway::ServiceDemand> demandsToReport(Entry& entry)
     {
         if (m_now < entry.demandsNotBefore)
@@ -539,7 +567,7 @@
         if (!server)
             return finishAfter(networkDelay, it, gateway::AttemptOutcome::Misdirected);
         if (server->isDown)
-            return finishAfter(networkDelay, it, gateway::AttemptOutcome::NotSent);
+            return finishAfter(networkDelay, it, gateway::AttemptOutcome::ConnectionRefused);
         if (auto crashing = m_crashing.find(m_calls[it.id].work.body); crashing != m_crashing.end())
             crashing->second.rule.onArrival(it.sentAt, m_calls[it.id].entry);
         ++server->arrived;
@@ -729,9 +757,20 @@
 
     void perform(const gateway::dispatch::ForwardError&) { }
     void perform(const gateway::dispatch::PublishLeaving&) { }
+    void perform(const gateway::dispatch::ProbeServer& effect)
+    {
+        auto* server = serverOf(effect.server.incarnation());
+        if (!server || !server->isDown)
+            return;
+        auto n = m_applyingEntry;
+        schedule(m_now + 2 * networkDelay, [this, n, incarnation = effect.server.incarnation()] { apply(n, gateway::dispatch::ProbeRefused { incarnation }); });
+    }
 
     FleetOptions m_options;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_helloRandom { 7 };
+    /// The entry whose effects are performed.
+    int m_applyingEntry { 0 };
     std::vector<Server> m_servers;
     std::vector<Entry> m_entries;
     std::shared_ptr<const gateway::Configuration> m_configuration;
--- a/test/list-fleet.h
+++ b/test/list-fleet.h
@@ -374,6 +374,7 @@
         else
             send(addressOf(entry), gateway::control::PullFailed { effect.topic }, 2 * networkDelay);
     }
+    void perform(Entry&, const gateway::control::ForwardSuspicions&) { }
     void perform(Entry& entry, const gateway::control::SetWatching& effect)
     {
         entry.maxBackOff = effect.maxBackOff;
