Learn from agents that an engine has ended; count runs in progress half

Evidence that an engine's process has ended came from connections that other requests opened there, or from the list seconds later.

--- a/include/swiftloft/policy/crash-quarantine.h
+++ b/include/swiftloft/policy/crash-quarantine.h
@@ -30,6 +30,8 @@
 struct CrashReport {
     CrashId crash;
     std::vector<Fingerprint> inFlight;
+    /// Requests that had been running for a while when the server crashed, and are less likely its cause.
+    std::vector<Fingerprint> inProgress {};
 };
 
 /// States that requests with this fingerprint are suspected of having caused this crash, or, when `isCleared` is set,
@@ -44,6 +46,8 @@
     milliseconds remaining { 0 };
     /// Number of nodes that have forwarded this suspicion.
     std::uint32_t hops { 0 };
+    /// The request had been running for a while when the server crashed.
+    bool isWeak { false };
 
     friend bool operator==(const SuspicionMessage&, const SuspicionMessage&) = default;
 };
@@ -70,7 +74,8 @@
 struct CrashQuarantineOptions {
     /// Time for which a request is a suspect after a crash.
     seconds suspicionPeriod { 600 };
-    /// Number of crashes within `suspicionPeriod`, none of them cleared, that quarantine a request.
+    /// Number of crashes within `suspicionPeriod`, none of them cleared, that quarantine a request. A crash at which the
+    /// request had been running for a while counts half.
     std::size_t threshold { 2 };
     seconds quarantinePeriod { 3600 };
     /// A request that was quarantined remains a suspect for this long afterwards, and one more crash quarantines it
@@ -116,6 +121,7 @@
         TimePoint expiresAt;
         bool isCleared { false };
         std::uint32_t hops { 0 };
+        bool isWeak { false };
     };
     struct Record {
         std::vector<Crash> crashes;
@@ -126,6 +132,7 @@
     explicit CrashQuarantine(CrashQuarantineOptions options);
     bool merge(Fingerprint fingerprint, Crash crash, TimePoint now);
     static bool makeRoom(std::vector<Crash>& crashes);
+    bool isOverThreshold(const Record& record, TimePoint now) const;
     void evictToCapacity(TimePoint now);
     void extendQuarantine(Record& record, TimePoint now) const;
     SuspicionMessage messageOf(Fingerprint fingerprint, const Crash& crash, TimePoint now) const;
--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -185,13 +185,12 @@
         auto dueAt = Clock::now() + pollInterval;
         try {
             co_await pollOnce();
+        } catch (const boost::system::system_error& error) {
+            onEngineSilent();
+            if (error.code() == asio::error::connection_refused)
+                reportEngineEnd(Clock::now());
         } catch (const std::exception&) {
-            // The engine is down or restarting, or its group has ended. Its status is not reported until it responds
-            // again.
-            if (m_view)
-                log::write(log::Event::EngineSilent, "engine={}:{}", m_settings.engine.address().to_string(), m_settings.engine.port());
-            m_view.reset();
-            stopMember();
+            onEngineSilent();
         }
         m_timer.expires_at(dueAt);
         boost::system::error_code ec;
@@ -199,6 +198,29 @@
     }
 }
 
+/// The engine is down or restarting, or its group has ended. Its status is not reported until it responds again, unless
+/// its process has ended.
+void RankDaemon::onEngineSilent()
+{
+    if (m_view) {
+        log::write(log::Event::EngineSilent, "engine={}:{}", m_settings.engine.address().to_string(), m_settings.engine.port());
+        m_lastView = m_view;
+        m_nextStatusAt = Clock::now();
+    }
+    m_view.reset();
+    stopMember();
+}
+
+void RankDaemon::reportEngineEnd(TimePoint now)
+{
+    if (!m_lastView || now < m_nextStatusAt)
+        return;
+    m_nextStatusAt = now + degradedStatusInterval;
+    RankStatus status { m_settings.engine, m_lastView->group, gateway::GroupEpoch(m_lastView->epoch), m_lastView->rank, m_lastView->ranks, false, m_lastView->pace, m_lastView->startedAt };
+    status.hasEngineEnded = true;
+    sendToEntries(now, status);
+}
+
 asio::awaitable<void> RankDaemon::pollOnce()
 {
     auto view = co_await m_port.read(Clock::now() + responseTimeout);
@@ -440,6 +462,11 @@
         status.imbalance = m_mapScheduler->imbalance(now);
         status.isCopying = m_member->coordinator() && m_member->coordinator()->phase() == CoordinatorPhase::Staging;
     }
+    sendToEntries(now, status);
+}
+
+void RankDaemon::sendToEntries(TimePoint now, const RankStatus& status)
+{
     std::erase_if(m_entries, [&](auto& it) { return it.second + entryLifetime < now; });
     auto bytes = encode(gateway::ControlMessage(status));
     for (auto& [address, receivedAt] : m_entries)
--- a/src/agent/rank-daemon.h
+++ b/src/agent/rank-daemon.h
@@ -46,6 +46,10 @@
     boost::asio::awaitable<void> reportLoads();
     void recordPace();
     void sendStatusToEntries(TimePoint now);
+    void sendToEntries(TimePoint now, const gateway::RankStatus& status);
+    void onEngineSilent();
+    /// Reports to the entries, at most every `degradedStatusInterval`, that the engine's process has ended.
+    void reportEngineEnd(TimePoint now);
     void startMapScheduler();
     void tickMapScheduler();
     boost::asio::awaitable<std::optional<expertmap::EngineStatus>> awaitStaged(std::shared_ptr<RankEngine> engine, MapVersion version, std::optional<expertmap::EngineStatus> status);
@@ -65,6 +69,8 @@
     bool m_isStopped { false };
 
     std::optional<EngineView> m_view;
+    /// The last view before the engine fell silent.
+    std::optional<EngineView> m_lastView;
     std::optional<gateway::GroupBrief> m_brief;
     /// Entries that have sent a brief (the control message with the group's epoch and the addresses of its ranks), and
     /// the time of the last brief of each.
--- a/src/gateway/control-message.cc
+++ b/src/gateway/control-message.cc
@@ -157,11 +157,12 @@
     out.setIsCleared(message.isCleared);
     out.setHops(clamped<std::uint8_t>(message.hops));
     out.setRemainingMs(clamped<std::uint32_t>(message.remaining.count()));
+    out.setIsWeak(message.isWeak);
 }
 
 policy::SuspicionMessage parse(schema::Suspicion::Reader in)
 {
-    return { Fingerprint(in.getFingerprint()), policy::CrashId(in.getCrash()), in.getIsCleared(), milliseconds(in.getRemainingMs()), in.getHops() };
+    return { Fingerprint(in.getFingerprint()), policy::CrashId(in.getCrash()), in.getIsCleared(), milliseconds(in.getRemainingMs()), in.getHops(), in.getIsWeak() };
 }
 
 /// Writes a message into the union of a datagram.
@@ -194,6 +195,7 @@
             degraded[n].setAgeMs(static_cast<std::uint32_t>(it.degraded[n].age.count()));
             degraded[n].setIsOpen(it.degraded[n].isOpen);
             degraded[n].setPace(static_cast<float>(it.degraded[n].pace));
+            degraded[n].setHasEngineEnded(it.degraded[n].hasEngineEnded);
         }
         auto loads = hello.initLoads(static_cast<unsigned>(it.loads.size()));
         for (unsigned n = 0; n < loads.size(); ++n) {
@@ -271,6 +273,7 @@
         rank.setIsCopying(it.isCopying);
         rank.setHeldTokens(clamped<std::uint32_t>(it.heldTokens.value()));
         rank.setTokenCapacity(clamped<std::uint32_t>(it.tokenCapacity.value()));
+        rank.setHasEngineEnded(it.hasEngineEnded);
     }
     void operator()(const GroupBrief& it)
     {
@@ -298,7 +301,7 @@
 {
     Hello hello { parse(in.getSender()), in.getConfiguration(), { StoreEra(in.getServersEra()), in.getServers() }, {}, {}, in.getKnown(), {}, {} };
     for (auto rank : in.getDegraded())
-        hello.degraded.push_back({ endpointFrom(rank.getAddress()), milliseconds(rank.getAgeMs()), rank.getIsOpen(), rank.getPace() });
+        hello.degraded.push_back({ endpointFrom(rank.getAddress()), milliseconds(rank.getAgeMs()), rank.getIsOpen(), rank.getPace(), rank.getHasEngineEnded() });
     for (auto load : in.getLoads()) {
         bool isValid = load.getRunning() >= 0 && load.getPromptTokens() >= 0;
         if (!isValid)
@@ -353,7 +356,7 @@
         throw MalformedField {};
     return { endpointFrom(in.getAddress()), EngineGroupName(in.getGroup().cStr()), GroupEpoch(in.getEpoch()), RankIndex(in.getRank()), in.getRanks(),
         in.getIsOpen(), in.getPace(), ServerStartTime(in.getStartedAt()), in.getKnowsGroup(), quantityFrom(in.getPassMs()), quantityFrom(in.getImbalance()),
-        in.getIsCopying(), Tokens(in.getHeldTokens()), Tokens(in.getTokenCapacity()) };
+        in.getIsCopying(), Tokens(in.getHeldTokens()), Tokens(in.getTokenCapacity()), in.getHasEngineEnded() };
 }
 
 GroupBrief parse(schema::GroupBrief::Reader in)
--- a/src/gateway/control-message.h
+++ b/src/gateway/control-message.h
@@ -73,6 +73,8 @@
     bool isOpen { false };
     /// 1 is normal, a higher value is slower.
     double pace { 1 };
+    /// The engine's port refuses connections: its process has ended.
+    bool hasEngineEnded { false };
 };
 
 /// Average load of the servers of a service in one data centre.
@@ -255,6 +257,8 @@
     /// Tokens in the engine's memory that can't yield, and tokens that fit into it; a capacity of 0 is unknown.
     Tokens heldTokens {};
     Tokens tokenCapacity {};
+    /// The engine's port refuses connections: its process has ended. The other fields are those of its last report.
+    bool hasEngineEnded { false };
 };
 
 struct RankAddress {
--- a/src/gateway/crashes/crash-tracker.cc
+++ b/src/gateway/crashes/crash-tracker.cc
@@ -82,7 +82,7 @@
 {
     auto ended = m_endedServers.find(run.server);
     if (ended != m_endedServers.end()) {
-        report(now, run.server, ended->second.evidence, { run.fingerprint }, now);
+        report(now, run, ended->second.evidence, now);
         return;
     }
     if (m_lostRuns.size() >= m_options.maxLostRuns)
@@ -102,26 +102,29 @@
     publish(now, cleared);
 }
 
-void CrashTracker::onServerEnded(TimePoint now, const ServerIncarnation& server, Evidence evidence, std::span<const Fingerprint> inFlight, TimePoint lastActivityAt)
+void CrashTracker::onServerEnded(TimePoint now, const ServerIncarnation& server, Evidence evidence, std::span<const LostRun> inFlight, TimePoint lastActivityAt)
 {
     m_endedServers.try_emplace(server, EndedServer { evidence, now + m_options.evidenceTimeout });
-    report(now, server, evidence, { inFlight.begin(), inFlight.end() }, now);
+    for (auto& it : inFlight)
+        report(now, it, evidence, now);
     for (auto& it : m_lostRuns) {
         // The server has survived a run after which it still sent data.
         bool isSuspect = it.run.server == server && it.endedAt >= lastActivityAt && it.endedAt + m_options.evidenceTimeout > now;
         if (isSuspect)
-            report(now, server, evidence, { it.run.fingerprint }, it.endedAt);
+            report(now, it.run, evidence, it.endedAt);
     }
     std::erase_if(m_lostRuns, [&](auto& it) { return it.run.server == server; });
 }
 
-void CrashTracker::report(TimePoint now, const ServerIncarnation& server, Evidence evidence, const std::vector<Fingerprint>& fingerprints, TimePoint runEndedAt)
+void CrashTracker::report(TimePoint now, const LostRun& run, Evidence evidence, TimePoint runEndedAt)
 {
-    auto messages = m_quarantine.onCrash({ crashIdOf(server), fingerprints }, now);
+    policy::CrashReport crash { crashIdOf(run.server), {} };
+    (run.hadProgress ? crash.inProgress : crash.inFlight).push_back(run.fingerprint);
+    auto messages = m_quarantine.onCrash(crash, now);
     auto age = std::chrono::duration_cast<milliseconds>(now - runEndedAt).count();
     for (auto& it : messages) {
         auto event = m_quarantine.isQuarantined(it.fingerprint, now) ? log::Event::RequestQuarantined : log::Event::RequestSuspected;
-        log::write(event, "fingerprint={:016x} server={} evidence={} age-ms={}", it.fingerprint.value(), server.id.value(), toString(evidence), age);
+        log::write(event, "fingerprint={:016x} server={} evidence={} age-ms={} progress={}", it.fingerprint.value(), run.server.id.value(), toString(evidence), age, run.hadProgress ? "yes" : "no");
     }
     publish(now, messages);
 }
--- a/src/gateway/crashes/crash-tracker.h
+++ b/src/gateway/crashes/crash-tracker.h
@@ -50,6 +50,8 @@
     /// Minimum interval between probes of one server.
     static constexpr milliseconds probeInterval { 1000 };
     static constexpr std::size_t maxReports { 32 };
+    /// A request that crashes servers does so soon after it begins to run.
+    static constexpr milliseconds minProgressTime { 500 };
 
     /// Throws if the options are invalid.
     explicit CrashTracker(const TrackerOptions& options = {});
@@ -66,13 +68,15 @@
         CallId call;
         ServerIncarnation server;
         Fingerprint fingerprint;
+        /// The server had sent data of its response for at least `minProgressTime`.
+        bool hadProgress { false };
     };
     void onRunLost(TimePoint now, const LostRun& run);
     /// The call has got its response, so that no crash is due to it. `fingerprint` is called only while `isActive`.
     void onAnswered(TimePoint now, CallId call, const std::function<Fingerprint()>& fingerprint);
-    /// The process of the server has ended. `inFlight`: requests that it was running. `lastActivityAt`: when data last
-    /// arrived from it.
-    void onServerEnded(TimePoint now, const ServerIncarnation& server, Evidence evidence, std::span<const Fingerprint> inFlight, TimePoint lastActivityAt);
+    /// The process of the server has ended. `inFlight`: runs on it that have not ended yet. `lastActivityAt`: when data
+    /// last arrived from it.
+    void onServerEnded(TimePoint now, const ServerIncarnation& server, Evidence evidence, std::span<const LostRun> inFlight, TimePoint lastActivityAt);
     /// Servers with lost runs for which there is no evidence yet.
     std::set<ServerIncarnation> unexplainedServers() const;
     /// True if it is due to find out whether the server refuses connections. Records that it is found out now.
@@ -103,7 +107,7 @@
         TimePoint until;
     };
 
-    void report(TimePoint now, const ServerIncarnation& server, Evidence evidence, const std::vector<Fingerprint>& fingerprints, TimePoint runEndedAt);
+    void report(TimePoint now, const LostRun& run, Evidence evidence, TimePoint runEndedAt);
     void publish(TimePoint now, const std::vector<policy::SuspicionMessage>& messages);
     bool isTriedElsewhere(TimePoint now, Fingerprint fingerprint) const;
 
--- a/src/gateway/dispatcher-crashes.cc
+++ b/src/gateway/dispatcher-crashes.cc
@@ -33,6 +33,12 @@
     return true;
 }
 
+crashes::CrashTracker::LostRun Dispatcher::runOf(CallId id, const Call& call, const ServerIncarnation& server)
+{
+    bool hadProgress = call.hasResponseStarted && call.lastActivityAt - call.responseStartedAt >= crashes::CrashTracker::minProgressTime;
+    return { id, server, call.request.fingerprint(), hadProgress };
+}
+
 void Dispatcher::recordOutcome(CallId id, Call& call, const ServerIncarnation& server, AttemptOutcome outcome, TimePoint now)
 {
     if (!call.request.fingerprint)
@@ -42,18 +48,18 @@
     if (outcome == AttemptOutcome::Answered)
         m_crashes.onAnswered(now, id, call.request.fingerprint);
     else if (isLost(outcome))
-        m_crashes.onRunLost(now, { id, server, call.request.fingerprint() });
+        m_crashes.onRunLost(now, runOf(id, call, server));
 }
 
 void Dispatcher::onServerEnded(TimePoint now, const ServerIncarnation& server, crashes::Evidence evidence)
 {
     if (!m_loadBalancer.isReady(server))
         return;
-    std::vector<Fingerprint> inFlight;
+    std::vector<crashes::CrashTracker::LostRun> inFlight;
     for (auto& [id, call] : m_calls) {
         bool isRunning = call.currentServer == server && call.request.fingerprint && call.sentAt + sendingTime <= now;
         if (isRunning)
-            inFlight.push_back(call.request.fingerprint());
+            inFlight.push_back(runOf(id, call, server));
     }
     m_crashes.onServerEnded(now, server, evidence, inFlight, m_loadBalancer.lastActivityAt(server));
 }
@@ -94,6 +100,20 @@
         if (it != addresses.end() && it->second != server.incarnation())
             onServerEnded(now, it->second, crashes::Evidence::Replaced);
     }
+    // A report from before the server was listed concerns its predecessor at the address.
+    auto onReport = [&](const Endpoint& address, TimePoint reportedAt) {
+        auto it = addresses.find(address);
+        if (it != addresses.end() && reportedAt > m_loadBalancer.listedAt(it->second))
+            onServerEnded(now, it->second, crashes::Evidence::AgentReport);
+    };
+    for (auto& rank : snapshot.ranks) {
+        if (rank.status.hasEngineEnded)
+            onReport(rank.status.address, rank.receivedAt);
+    }
+    for (auto& report : snapshot.peerDegradedRanks) {
+        if (report.hasEngineEnded)
+            onReport(report.address, report.reportedAt);
+    }
 }
 
 } // namespace swiftloft::gateway
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -330,6 +330,7 @@
     if (it == m_calls.end() || !it->second.currentServer || it->second.hasResponseStarted)
         return;
     it->second.hasResponseStarted = true;
+    it->second.responseStartedAt = now;
     onStreamProgressed(now, id);
     m_loadBalancer.onResponseStarted(*it->second.currentServer, { it->second.request.promptTokens });
 }
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -272,6 +272,8 @@
         unsigned rankRejections { 0 };
         std::optional<ServerIncarnation> currentServer;
         bool hasResponseStarted { false };
+        /// When the current response started.
+        TimePoint responseStartedAt;
         /// Time of the last data from the current server, or of the send if none has arrived.
         TimePoint lastActivityAt;
         /// The attempt in progress has been cancelled. The retry that follows has already been charged to the retry
@@ -300,6 +302,7 @@
     void onCallClosed(TimePoint now, CallId id);
     ServiceName pickService(const Route& route);
     void endAttempt(CallId id, Call& call, TimePoint now, AttemptOutcome outcome);
+    static crashes::CrashTracker::LostRun runOf(CallId id, const Call& call, const ServerIncarnation& server);
     void recordOutcome(CallId id, Call& call, const ServerIncarnation& server, AttemptOutcome outcome, TimePoint now);
     void onSnapshotChanged(TimePoint now, const Snapshot& snapshot);
     policy::QuarantineAction quarantineAction(const Call& call, TimePoint now) const;
--- a/src/gateway/load-balancer.cc
+++ b/src/gateway/load-balancer.cc
@@ -43,7 +43,7 @@
     auto degraded = latestDegradedReports(snapshot);
     for (auto& listed : snapshot.servers) {
         auto it = m_servers.find(listed.incarnation());
-        Server server = it == m_servers.end() ? Server {} : it->second;
+        Server server = it == m_servers.end() ? Server { .listedAt = now } : it->second;
         if (it == m_servers.end() || server.server.dataCentre != listed.dataCentre)
             server.regionBit = m_regions.bitOf(listed.dataCentre);
         server.server = listed;
@@ -368,6 +368,12 @@
     return it != m_servers.end() && it->second.server.state == ServerState::Ready && !it->second.isLeaving;
 }
 
+std::optional<TimePoint> LoadBalancer::listedAt(const ServerIncarnation& incarnation) const
+{
+    auto it = m_servers.find(incarnation);
+    return it == m_servers.end() ? std::nullopt : std::optional(it->second.listedAt);
+}
+
 bool LoadBalancer::isPlainServer(const ServerIncarnation& incarnation) const
 {
     auto it = m_servers.find(incarnation);
--- a/src/gateway/load-balancer.h
+++ b/src/gateway/load-balancer.h
@@ -121,6 +121,8 @@
     const BackendServer* find(const ServerIncarnation& incarnation) const;
     /// True if the server is listed and has not reported that it is leaving.
     bool isReady(const ServerIncarnation& incarnation) const;
+    /// When the server was first listed at this entry; unset if it is not listed.
+    std::optional<TimePoint> listedAt(const ServerIncarnation& incarnation) const;
     /// True for a listed server that is no rank of a group.
     bool isPlainServer(const ServerIncarnation& incarnation) const;
 
@@ -156,6 +158,7 @@
     struct Server {
         BackendServer server;
         ServerHash hash;
+        TimePoint listedAt;
         /// Bit of the server's region in `DataCentreRegions`.
         std::uint64_t regionBit { 0 };
         Load ownLoad;
--- a/src/gateway/news.capnp
+++ b/src/gateway/news.capnp
@@ -46,6 +46,7 @@
   isCleared @2 :Bool;              # the request has succeeded since
   hops @3 :UInt8;                  # number of nodes that have forwarded it
   remainingMs @4 :UInt32;          # how long it is still valid
+  isWeak @5 :Bool;                 # the request had been running for a while when the server crashed
 }
 
 # Requests for a service that an entry, or the entries of a data centre together, have received.
@@ -109,6 +110,7 @@
   ageMs @1 :UInt32;                # since its agent reported it
   isOpen @2 :Bool;                 # its group accepts requests
   pace @3 :Float32 = 1;            # how much longer its work takes than usual
+  hasEngineEnded @4 :Bool;         # the engine's port refuses connections
 }
 
 # A server that is leaving or has left.
@@ -169,6 +171,7 @@
   isCopying @11 :Bool;             # from rank 0: ranks copy experts for a change of the expert map
   heldTokens @12 :UInt32;          # tokens in the engine's memory that can't yield
   tokenCapacity @13 :UInt32;       # tokens that fit into the engine's memory; 0 is unknown
+  hasEngineEnded @14 :Bool;        # the engine's port refuses connections; the other fields are of the engine's last report
 }
 
 struct RankAddress {
--- a/src/gateway/news.capnp.h
+++ b/src/gateway/news.capnp.h
@@ -744,6 +744,8 @@
 
   inline  ::uint32_t getRemainingMs() const;
 
+  inline bool getIsWeak() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -787,6 +789,9 @@
   inline  ::uint32_t getRemainingMs();
   inline void setRemainingMs( ::uint32_t value);
 
+  inline bool getIsWeak();
+  inline void setIsWeak(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1521,6 +1526,8 @@
 
   inline float getPace() const;
 
+  inline bool getHasEngineEnded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1565,6 +1572,9 @@
   inline float getPace();
   inline void setPace(float value);
 
+  inline bool getHasEngineEnded();
+  inline void setHasEngineEnded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2139,6 +2149,8 @@
 
   inline  ::uint32_t getTokenCapacity() const;
 
+  inline bool getHasEngineEnded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2217,6 +2229,9 @@
   inline  ::uint32_t getTokenCapacity();
   inline void setTokenCapacity( ::uint32_t value);
 
+  inline bool getHasEngineEnded();
+  inline void setHasEngineEnded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3459,6 +3474,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Suspicion::Reader::getIsWeak() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool Suspicion::Builder::getIsWeak() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void Suspicion::Builder::setIsWeak(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServiceDemand::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4107,6 +4136,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, 1065353216u);
 }
 
+inline bool DegradedRank::Reader::getHasEngineEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+
+inline bool DegradedRank::Builder::getHasEngineEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+inline void DegradedRank::Builder::setHasEngineEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t LeavingServer::Reader::getServer() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4789,6 +4832,20 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RankNews::Reader::getHasEngineEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+
+inline bool RankNews::Builder::getHasEngineEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+inline void RankNews::Builder::setHasEngineEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t RankAddress::Reader::getRank() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/rank-registry.cc
+++ b/src/gateway/rank-registry.cc
@@ -26,7 +26,7 @@
     if (isOldIncarnation)
         return {};
     bool isNewEpoch = it == m_ranks.end() || it->second.status.epoch != status.epoch || it->second.status.group != status.group;
-    bool isChange = isNewEpoch || it->second.status.isOpen != status.isOpen || !isPaceAlike(it->second.status.pace, status.pace);
+    bool isChange = isNewEpoch || it->second.status.isOpen != status.isOpen || it->second.status.hasEngineEnded != status.hasEngineEnded || !isPaceAlike(it->second.status.pace, status.pace);
     m_ranks[status.address] = { status, now };
     auto& group = m_groups.try_emplace(status.group, Group { status.epoch, now, {} }).first->second;
     if (group.epoch < status.epoch) {
@@ -46,18 +46,18 @@
 /// all queued requests to it, and most would be rejected.
 bool RankRegistry::isClosed(const RankStatus& status) const
 {
-    return !status.isOpen && status.epoch >= m_groups.at(status.group).openEpoch;
+    return status.hasEngineEnded || (!status.isOpen && status.epoch >= m_groups.at(status.group).openEpoch);
 }
 
 bool RankRegistry::onPeerDegradedRanks(TimePoint now, const Endpoint& peer, std::span<const DegradedRank> degraded)
 {
     auto& previous = m_peerDegradedRanks[peer];
-    auto isSame = [](auto& one, auto& other) { return one.address == other.address && one.isOpen == other.isOpen && isPaceAlike(one.pace, other.pace); };
+    auto isSame = [](auto& one, auto& other) { return one.address == other.address && one.isOpen == other.isOpen && one.hasEngineEnded == other.hasEngineEnded && isPaceAlike(one.pace, other.pace); };
     bool isChange = !std::equal(previous.begin(), previous.end(), degraded.begin(), degraded.end(), isSame);
     previous.clear();
     // The age is that of the agent's status, so a peer that is cut off from the agents does not keep a rank degraded.
     for (auto& it : degraded)
-        previous.push_back({ it.address, now - it.age, it.isOpen, it.pace });
+        previous.push_back({ it.address, now - it.age, it.isOpen, it.pace, it.hasEngineEnded });
     return isChange;
 }
 
@@ -68,7 +68,7 @@
         bool isOpen = !isClosed(rank.status);
         bool isDegraded = !isOpen || rank.status.pace >= slowPace;
         if (isDegraded && rank.receivedAt + degradedPropagationTime > now)
-            degraded.push_back({ address, std::chrono::duration_cast<milliseconds>(now - rank.receivedAt), isOpen, rank.status.pace });
+            degraded.push_back({ address, std::chrono::duration_cast<milliseconds>(now - rank.receivedAt), isOpen, rank.status.pace, rank.status.hasEngineEnded });
     }
     return degraded;
 }
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -38,6 +38,7 @@
         TimePoint reportedAt;
         bool isOpen { false };
         double pace { 1 };
+        bool hasEngineEnded { false };
     };
     std::vector<DegradedReport> peerDegradedRanks;
     /// A rank group, and the time of rank 0's status behind its figures.
--- a/src/policy/crash-quarantine.cc
+++ b/src/policy/crash-quarantine.cc
@@ -12,6 +12,9 @@
 
 /// Maximum number of crashes recorded per fingerprint. More uncleared crashes than this do not change any decision.
 constexpr std::size_t maxCrashes = 8;
+/// Weight of a crash, and of one at which the request had been running for a while.
+constexpr std::size_t crashWeight = 2;
+constexpr std::size_t weakCrashWeight = 1;
 
 template <typename Crashes>
 std::size_t countUncleared(const Crashes& crashes, TimePoint now)
@@ -85,8 +88,9 @@
 {
     if (options.suspicionPeriod.count() <= 0 || options.quarantinePeriod < options.suspicionPeriod || options.reviewPeriod.count() < 0 || !options.capacity)
         return Error { ErrorCode::InvalidArgument, "crash quarantine: suspicion period and capacity must be positive, quarantine period must be at least the suspicion period, review period must not be negative" };
-    if (options.threshold == 0 || options.threshold >= maxCrashes)
-        return Error { ErrorCode::InvalidArgument, fmt::format("crash quarantine: threshold is {}, must be 1 to {}", options.threshold, maxCrashes - 1) };
+    constexpr auto maxThreshold = maxCrashes * weakCrashWeight / crashWeight;
+    if (options.threshold == 0 || options.threshold > maxThreshold)
+        return Error { ErrorCode::InvalidArgument, fmt::format("crash quarantine: threshold is {}, must be 1 to {}", options.threshold, maxThreshold) };
     return CrashQuarantine(options);
 }
 
@@ -100,7 +104,7 @@
     if (!n)
         return {};
     auto until = earliestExpiry(record.crashes, now);
-    if (n >= m_options.threshold)
+    if (isOverThreshold(record, now))
         return { QuarantineAction::Refuse, until };
     // Two copies of one suspect could crash two servers before the first crash is known.
     if (record.running)
@@ -140,11 +144,15 @@
 std::vector<SuspicionMessage> CrashQuarantine::onCrash(const CrashReport& report, TimePoint now)
 {
     std::vector<SuspicionMessage> messages;
-    for (auto fingerprint : report.inFlight) {
-        Crash crash { report.crash, now + m_options.suspicionPeriod, false };
+    auto add = [&](Fingerprint fingerprint, bool isWeak) {
+        Crash crash { report.crash, now + m_options.suspicionPeriod, false, 0, isWeak };
         if (merge(fingerprint, crash, now))
             messages.push_back(messageOf(fingerprint, crash, now));
-    }
+    };
+    for (auto fingerprint : report.inFlight)
+        add(fingerprint, false);
+    for (auto fingerprint : report.inProgress)
+        add(fingerprint, true);
     return messages;
 }
 
@@ -157,7 +165,7 @@
     // The remaining time sent by a peer is not trusted: it is capped at the longest time that this node would set
     // itself.
     auto remaining = std::min<milliseconds>(message.remaining, m_options.quarantinePeriod + m_options.reviewPeriod);
-    return merge(message.fingerprint, { message.crash, now + remaining, message.isCleared, message.hops + 1 }, now);
+    return merge(message.fingerprint, { message.crash, now + remaining, message.isCleared, message.hops + 1, message.isWeak }, now);
 }
 
 std::vector<SuspicionMessage> CrashQuarantine::snapshot(TimePoint now) const
@@ -192,7 +200,12 @@
         // would postpone the expiry indefinitely.
         bool isNewlyCleared = crash.isCleared && !known->isCleared;
         known->isCleared = known->isCleared || crash.isCleared;
-        return isNewlyCleared;
+        // Of several copies on the crashed server, one that had just begun counts in full.
+        bool isNewlyStrong = known->isWeak && !crash.isWeak;
+        known->isWeak = known->isWeak && crash.isWeak;
+        if (isNewlyStrong)
+            extendQuarantine(it->second, now);
+        return isNewlyCleared || isNewlyStrong;
     }
     if (!makeRoom(crashes))
         return false;
@@ -201,6 +214,16 @@
     return true;
 }
 
+bool CrashQuarantine::isOverThreshold(const Record& record, TimePoint now) const
+{
+    std::size_t weight = 0;
+    for (auto& it : record.crashes) {
+        if (!it.isCleared && it.expiresAt > now)
+            weight += it.isWeak ? weakCrashWeight : crashWeight;
+    }
+    return weight >= m_options.threshold * crashWeight;
+}
+
 /// Returns false if `crashes` is full and none of them is cleared.
 bool CrashQuarantine::makeRoom(std::vector<Crash>& crashes)
 {
@@ -216,12 +239,13 @@
 /// During the review after the quarantine, one crash less than the threshold is in force.
 void CrashQuarantine::extendQuarantine(Record& record, TimePoint now) const
 {
-    if (countUncleared(record.crashes, now) < m_options.threshold)
+    if (!isOverThreshold(record, now))
         return;
     std::size_t kept = 0;
     for (auto& it : record.crashes) {
-        bool isKept = !it.isCleared && kept + 1 < m_options.threshold;
-        kept += isKept ? 1 : 0;
+        auto weight = it.isWeak ? weakCrashWeight : crashWeight;
+        bool isKept = !it.isCleared && kept + weight < m_options.threshold * crashWeight;
+        kept += isKept ? weight : 0;
         it.expiresAt = std::max(it.expiresAt, now + m_options.quarantinePeriod + (isKept ? m_options.reviewPeriod : seconds(0)));
     }
 }
@@ -234,7 +258,7 @@
         return;
     tick(now);
     while (m_records.size() >= m_options.capacity) {
-        auto rank = [&](auto& entry) { return std::pair(countUncleared(entry.second.crashes, now) >= m_options.threshold, latestExpiry(entry.second.crashes)); };
+        auto rank = [&](auto& entry) { return std::pair(isOverThreshold(entry.second, now), latestExpiry(entry.second.crashes)); };
         auto it = std::min_element(m_records.begin(), m_records.end(), [&](auto& a, auto& b) { return rank(a) < rank(b); });
         m_records.erase(it);
     }
@@ -242,7 +266,7 @@
 
 SuspicionMessage CrashQuarantine::messageOf(Fingerprint fingerprint, const Crash& crash, TimePoint now) const
 {
-    return { fingerprint, crash.id, crash.isCleared, std::chrono::duration_cast<milliseconds>(crash.expiresAt - now), crash.hops };
+    return { fingerprint, crash.id, crash.isCleared, std::chrono::duration_cast<milliseconds>(crash.expiresAt - now), crash.hops, crash.isWeak };
 }
 
 } // namespace swiftloft::policy
--- a/test/crash-quarantine_test.cc
+++ b/test/crash-quarantine_test.cc
@@ -276,10 +276,26 @@
     CHECK(quarantine.check(neighbour, start).action == QuarantineAction::Refuse);
 }
 
+TEST_CASE("CrashQuarantine: a crash at which the request had been running for a while counts half")
+{
+    auto quarantine = makeQuarantine();
+    for (std::uint64_t n = 1; n <= 3; ++n)
+        quarantine.onCrash({ CrashId(n), {}, { neighbour } }, start);
+    CHECK(quarantine.check(neighbour, start).action == QuarantineAction::RunAlone);
+    auto other = makeQuarantine();
+    for (auto& message : quarantine.snapshot(start))
+        other.onMessage(message, start);
+    CHECK(other.check(neighbour, start).action == QuarantineAction::RunAlone);
+    other.onCrash({ CrashId(3), { neighbour } }, start);
+    CHECK(other.check(neighbour, start).action == QuarantineAction::Refuse);
+    quarantine.onCrash({ CrashId(4), {}, { neighbour } }, start);
+    CHECK(quarantine.check(neighbour, start).action == QuarantineAction::Refuse);
+}
+
 TEST_CASE("CrashQuarantine: invalid options are rejected")
 {
     CHECK(CrashQuarantine::create({ .threshold = 0 }).has_error());
-    CHECK(CrashQuarantine::create({ .threshold = 8 }).has_error());
+    CHECK(CrashQuarantine::create({ .threshold = 5 }).has_error());
     CHECK(CrashQuarantine::create({ .reviewPeriod = seconds(-1) }).has_error());
 }
 
--- /dev/null
+++ b/test/crash-tracker_test.cc
@@ -0,0 +1,156 @@
+#include "src/gateway/crashes/crash-tracker.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+using namespace swiftloft;
+using namespace swiftloft::gateway;
+using namespace swiftloft::gateway::crashes;
+using policy::QuarantineAction;
+
+namespace {
+
+const TimePoint start { seconds(1000) };
+constexpr Fingerprint cause { 666 };
+constexpr Fingerprint neighbour { 7 };
+
+ServerIncarnation server(int n)
+{
+    return { BackendServerId(fmt::format("s{}", n)), {} };
+}
+
+std::function<Fingerprint()> hook(Fingerprint fingerprint)
+{
+    return [fingerprint] { return fingerprint; };
+}
+
+/// The request is lost at the server, which then shows that its process has ended.
+void crash(CrashTracker& tracker, TimePoint now, int n, Fingerprint fingerprint = cause)
+{
+    tracker.onRunLost(now, { CallId(static_cast<std::uint64_t>(n)), server(n), fingerprint });
+    tracker.onServerEnded(now, server(n), Evidence::ConnectionRefused, {}, {});
+}
+
+} // namespace
+
+// Guards against this failure: requests whose connections break, because of a partition, a frozen machine or a lost
+// response, are refused as if they had crashed servers.
+TEST_CASE("Crash tracker: broken connections alone make no request a suspect")
+{
+    CrashTracker tracker;
+    for (int n = 0; n < 50; ++n)
+        tracker.onRunLost(start, { CallId(1), server(n), cause });
+    CHECK(tracker.check(start, cause) == QuarantineAction::Admit);
+    CHECK_FALSE(tracker.isActive());
+}
+
+// Guards against this failure: the end of a server shows only when its successor is listed, seconds after the request
+// was lost, and the request goes on to the next server.
+TEST_CASE("Crash tracker: evidence that arrives seconds later counts, whichever source it has, once per crash")
+{
+    CrashTracker tracker;
+    auto now = start;
+    for (int n = 1; n <= 3; ++n) {
+        CHECK(tracker.check(now, cause) != QuarantineAction::Refuse);
+        tracker.onRunLost(now, { CallId(1), server(n), cause });
+        now += milliseconds(4000);
+        for (auto evidence : { Evidence::AgentReport, Evidence::Replaced, Evidence::ConnectionRefused })
+            tracker.onServerEnded(now, server(n), evidence, {}, {});
+    }
+    CHECK(tracker.check(now, cause) == QuarantineAction::Refuse);
+}
+
+TEST_CASE("Crash tracker: a run that is lost after the evidence counts")
+{
+    CrashTracker tracker;
+    tracker.onServerEnded(start, server(1), Evidence::AgentReport, {}, {});
+    tracker.onRunLost(start + milliseconds(1500), { CallId(1), server(1), cause });
+    CHECK(tracker.check(start + milliseconds(1500), cause) == QuarantineAction::RunAlone);
+}
+
+TEST_CASE("Crash tracker: a server that sent data after the end of a run did not crash under it")
+{
+    CrashTracker tracker;
+    tracker.onRunLost(start, { CallId(1), server(1), cause });
+    tracker.onServerEnded(start + milliseconds(900), server(1), Evidence::ConnectionRefused, {}, start + milliseconds(500));
+    CHECK_FALSE(tracker.isActive());
+}
+
+TEST_CASE("Crash tracker: a call that was answered elsewhere is no suspect")
+{
+    CrashTracker tracker;
+    tracker.onRunLost(start, { CallId(1), server(1), cause });
+    tracker.onAnswered(start, CallId(1), hook(cause));
+    tracker.onServerEnded(start, server(1), Evidence::ConnectionRefused, {}, {});
+    CHECK_FALSE(tracker.isActive());
+}
+
+// Guards against this failure: entries that each observe one crash add it up.
+TEST_CASE("Crash tracker: all entries give a crash the same id, and a success at one clears the request at all")
+{
+    CrashTracker here;
+    CrashTracker there;
+    crash(here, start, 1, neighbour);
+    crash(there, start, 1, neighbour);
+    crash(here, start, 2, neighbour);
+    there.onReports(start, here.localReports(start));
+    here.onReports(start, there.localReports(start));
+    CHECK(here.check(start, neighbour) == QuarantineAction::RunAlone);
+    here.onAnswered(start, CallId(9), hook(neighbour));
+    there.onReports(start, here.localReports(start));
+    CHECK(there.check(start, neighbour) == QuarantineAction::Admit);
+}
+
+// Guards against this failure: several entries run copies of one suspect, and each copy crashes a server.
+TEST_CASE("Crash tracker: while one entry runs a suspect, it waits at the others")
+{
+    CrashTracker here;
+    CrashTracker there;
+    crash(here, start, 1);
+    there.onReports(start, here.localReports(start));
+    here.onTrialStarted(cause);
+    CHECK(here.check(start, cause) == QuarantineAction::Wait);
+    there.onPeerTrials(start, Incarnation(1), here.trials());
+    CHECK(there.check(start, cause) == QuarantineAction::Wait);
+    here.onTrialEnded(cause);
+    CHECK(here.check(start, cause) == QuarantineAction::RunAlone);
+    CHECK(there.check(start + CrashTracker::trialLifetime, cause) == QuarantineAction::RunAlone);
+    there.onPeerTrials(start, Incarnation(1), here.trials());
+    CHECK(there.check(start, cause) == QuarantineAction::RunAlone);
+}
+
+// Guards against this failure: a crash makes so many suspects that an entry that has just started does not learn in time
+// which requests are refused.
+TEST_CASE("Crash tracker: every part of the reports has the quarantined requests, and the parts cover all suspects")
+{
+    CrashTracker tracker;
+    std::vector<CrashTracker::LostRun> inFlight;
+    for (std::uint64_t n = 0; n < 200; ++n)
+        inFlight.push_back({ CallId(n), server(9), Fingerprint(1000 + n) });
+    tracker.onServerEnded(start, server(9), Evidence::AgentReport, inFlight, {});
+    for (int n = 1; n <= 3; ++n)
+        crash(tracker, start, n);
+    CrashTracker newcomer;
+    for (int n = 0; n < 10; ++n) {
+        auto part = tracker.nextReports(start);
+        CHECK(part.size() <= CrashTracker::maxReports);
+        newcomer.onReports(start, part);
+        CHECK(newcomer.check(start, cause) == QuarantineAction::Refuse);
+    }
+    CHECK(newcomer.suspects() == tracker.suspects());
+}
+
+TEST_CASE("Crash tracker: memory is bounded and everything expires")
+{
+    CrashTracker tracker({ .maxLostRuns = 100 });
+    for (int n = 0; n < 1000; ++n)
+        tracker.onRunLost(start, { CallId(1), server(n), Fingerprint(static_cast<std::uint64_t>(n)) });
+    CHECK(tracker.unexplainedServers().size() == 100);
+    crash(tracker, start, 2000);
+    CHECK(tracker.beginProbe(start, server(5)));
+    CHECK_FALSE(tracker.beginProbe(start, server(5)));
+    tracker.tick(start + seconds(601));
+    CHECK(tracker.unexplainedServers().empty());
+    CHECK_FALSE(tracker.isActive());
+    CHECK(tracker.localReports(start + seconds(601)).empty());
+}
--- a/test/gateway-fleet.h
+++ b/test/gateway-fleet.h
@@ -40,6 +40,8 @@
     bool isRankGroup { false };
     /// Number of times that a client repeats a request that was lost, each time through any entry.
     int clientRepeats { 0 };
+    /// Share of the requests that have the same body.
+    double popularShare { 0 };
 };
 
 class GatewayFleet {
@@ -403,7 +405,8 @@
         std::exponential_distribution<double> gap(m_options.demand);
         schedule(m_now + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(gap(m_random))), [this] {
             auto& route = drawRoute();
-            arrive(route, m_now + route.timeout, { .body = ++m_lastBody });
+            bool isPopular = m_options.popularShare > 0 && uniform(0, 1) < m_options.popularShare;
+            arrive(route, m_now + route.timeout, { .body = isPopular ? popularBody : ++m_lastBody });
             scheduleArrival();
         });
     }
@@ -790,8 +793,9 @@
     std::vector<Refusal> m_refusals;
     std::vector<Start> m_starts;
     std::map<std::size_t, CrashingRequest> m_crashing;
-    /// Bodies below this number are those of crashing requests.
-    std::size_t m_lastBody { 1000 };
+    /// Bodies below `popularBody` are those of crashing requests.
+    static constexpr std::size_t popularBody { 1000 };
+    std::size_t m_lastBody { popularBody };
     TimePoint m_groupStalledUntil;
     TimePoint m_groupClosedUntil;
 };
