Teach the fake platform, the soak and a process test requests that crash servers

A request with a certain body ends the server that begins to run it; the port is closed, and a new server with another id starts at the address 1.5 s later. The soak sends one such request again and again through all entries beside its other faults, and judges by the rule. A real entry refuses the request after the third crash (3 crashes) and serves others.

--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -1,6 +1,7 @@
 #include "test/ctl-runner.h"
 #include "test/process/http-call.h"
 #include "test/process/process-harness.h"
+#include "test/process/relay.h"
 #include "test/soak/fake-platform.h"
 
 #include <boost/asio/buffer.hpp>
@@ -14,6 +15,7 @@
 #include <fstream>
 #include <future>
 #include <sstream>
+#include <thread>
 
 using namespace swiftloft;
 using namespace swiftloft::process_test;
@@ -24,9 +26,16 @@
 /// A real entry process connected to the fake platform, with its log in a file.
 class EntryRig {
 public:
-    EntryRig()
-        : platform(2, 8)
+    /// With relays, servers can crash.
+    explicit EntryRig(int servers = 2, bool hasRelays = false)
+        : platform(servers, 8)
     {
+        for (std::size_t n = 0; hasRelays && n < platform.servers(); ++n) {
+            relays.push_back(std::make_unique<Relay>(platform.addressOf(n)));
+            platform.setListedAddress(n, relays.back()->address());
+        }
+        if (hasRelays)
+            platform.setOnCrash([this](std::size_t server, bool isDown) { relays[server]->setDown(isDown); });
         platform.publish("k1", "org-k1");
         auto at = [] { return fmt::format("127.0.0.1:{}", freePort()); };
         clients = at();
@@ -71,6 +80,7 @@
     }
 
     TemporaryFolder folder;
+    std::vector<std::unique_ptr<Relay>> relays;
     FakePlatform platform;
     std::string clients;
     std::string ready;
@@ -345,3 +355,37 @@
     CHECK_THAT(explained("e3").out, Contains("unknown-key in configuration 1"));
     CHECK(explained("e9").code == ctl::ExitCode::Finding);
 }
+
+// Guards against this failure: a request that crashes each server comes again under a new id, and the entry sends it to
+// one server after the other.
+TEST_CASE("Platform entry: a request that crashes servers is refused at once after the third crash, and others are served")
+{
+    EntryRig rig(4, true);
+    rig.start();
+    REQUIRE(rig.isReady());
+    auto crashing = [&](int n) {
+        auto request = rig.request("safe", fmt::format("c{}", n));
+        request.body = FakePlatform::crashingBody;
+        return call(request);
+    };
+    auto until = Clock::now() + seconds(12);
+    int n = 0;
+    unsigned lastStatus = 0;
+    while (Clock::now() < until && lastStatus != 503) {
+        lastStatus = crashing(++n).head.result_int();
+        std::this_thread::sleep_for(milliseconds(300));
+    }
+    INFO(rig.log());
+    REQUIRE(lastStatus == 503);
+    auto crashes = rig.platform.crashes();
+    CHECK(crashes == 3);
+    for (int k = 0; k < 10; ++k) {
+        auto before = Clock::now();
+        CHECK(crashing(++n).head.result_int() == 503);
+        CHECK(Clock::now() < before + milliseconds(500));
+    }
+    CHECK(rig.platform.crashes() == crashes);
+    CHECK(rig.platform.violations().empty());
+    CHECK(waitUntil(Clock::now() + seconds(5), [&] { return call(rig.request("safe", fmt::format("w{}", ++n))).head.result_int() == 200; }));
+    CHECK_THAT(rig.log(), Contains("RequestQuarantined") && Contains("reason=quarantined"));
+}
--- a/test/process/relay.cc
+++ b/test/process/relay.cc
@@ -57,6 +57,7 @@
     , m_target(standin::parseEndpoint(target).value())
     , m_acceptor(m_io, tcp::endpoint(asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)))
 {
+    m_endpoint = m_acceptor.local_endpoint();
     asio::co_spawn(m_io, acceptLoop(), asio::detached);
     m_thread = std::thread([this] { m_io.run(); });
 }
@@ -69,8 +70,7 @@
 
 std::string Relay::address() const
 {
-    auto endpoint = m_acceptor.local_endpoint();
-    return fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
+    return fmt::format("{}:{}", m_endpoint.address().to_string(), m_endpoint.port());
 }
 
 void Relay::onThread(const std::function<void()>& action)
@@ -113,6 +113,27 @@
     onThread([&] { m_isRefusing = isRefusing; });
 }
 
+void Relay::setDown(bool isDown)
+{
+    onThread([&] {
+        if (isDown == !m_acceptor.is_open())
+            return;
+        if (isDown) {
+            m_acceptor.close();
+            for (auto& weak : m_connections) {
+                if (auto connection = weak.lock())
+                    connection->close();
+            }
+            return;
+        }
+        m_acceptor.open(m_endpoint.protocol());
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(m_endpoint);
+        m_acceptor.listen();
+        asio::co_spawn(m_io, acceptLoop(), asio::detached);
+    });
+}
+
 void Relay::setDelay(milliseconds delay)
 {
     onThread([&] { m_delay = delay; });
--- a/test/process/relay.h
+++ b/test/process/relay.h
@@ -37,6 +37,8 @@
     void setSilentForNew(bool);
     /// New connections are closed at once.
     void setRefusing(bool);
+    /// Closes all open connections and the port, as if the process had ended; or listens again at the same address.
+    void setDown(bool);
     /// Holds each piece back for so long, both ways.
     void setDelay(milliseconds);
 
@@ -54,6 +56,7 @@
     boost::asio::io_context m_io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     boost::asio::ip::tcp::endpoint m_target;
+    boost::asio::ip::tcp::endpoint m_endpoint;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::list<std::weak_ptr<Connection>> m_connections;
     std::size_t m_accepted { 0 };
--- a/test/soak/fake-platform.cc
+++ b/test/soak/fake-platform.cc
@@ -120,6 +120,8 @@
     }
     for (auto& [server, announced] : m_leavingAnnouncedAt)
         announced.erase(entry);
+    for (auto& [organisation, rule] : m_crashRules)
+        rule.onExempted(entry, Clock::now());
 }
 
 std::string FakePlatform::requestIdVia(const std::string& id, std::size_t entry)
@@ -137,6 +139,10 @@
         if (!server.backOffRule.violation().empty())
             found.push_back(fmt::format("server {}: {}", server.id, server.backOffRule.violation()));
     }
+    for (auto& [organisation, rule] : m_crashRules) {
+        if (!rule.violation().empty())
+            found.push_back(fmt::format("organisation {}: {}", organisation, rule.violation()));
+    }
     return found;
 }
 
@@ -186,7 +192,7 @@
 {
     std::scoped_lock lock(m_mutex);
     auto& server = m_servers[index];
-    if (server.isLeaving)
+    if (server.isLeaving || server.isDown)
         return server.id;
     server.state = "draining";
     listServer(index);
@@ -198,7 +204,7 @@
 {
     std::scoped_lock lock(m_mutex);
     auto& server = m_servers[index];
-    if (server.isLeaving)
+    if (server.isLeaving || server.isDown)
         return server.id;
     m_items["servers/" + server.id] = { "", ++m_revision, true };
     replaceAfter(index, server.id, seconds(5));
@@ -210,17 +216,49 @@
 {
     m_drainedAt[id] = Clock::now();
     m_servers[index].isLeaving = true;
-    runAfter(time, [this, index, id] {
-        auto& server = m_servers[index];
-        if (auto it = m_items.find("servers/" + id); it != m_items.end() && !it->second.isRemoved)
-            it->second = { "", ++m_revision, true };
-        server.id = fmt::format("i-{}", ++m_lastId);
-        server.state = "ready";
-        server.isLeaving = false;
-        setLimit(index, std::nullopt);
-        setBackOff(index, std::nullopt);
-        server.backOffRule.onReplaced();
-        listServer(index);
+    runAfter(time, [this, index, id] { startSuccessor(index, id); });
+}
+
+void FakePlatform::startSuccessor(std::size_t index, const std::string& id)
+{
+    auto& server = m_servers[index];
+    if (auto it = m_items.find("servers/" + id); it != m_items.end() && !it->second.isRemoved)
+        it->second = { "", ++m_revision, true };
+    server.id = fmt::format("i-{}", ++m_lastId);
+    server.state = "ready";
+    server.isLeaving = false;
+    server.isDown = false;
+    setLimit(index, std::nullopt);
+    setBackOff(index, std::nullopt);
+    server.backOffRule.onReplaced();
+    listServer(index);
+}
+
+void FakePlatform::setOnCrash(OnCrash hook)
+{
+    std::scoped_lock lock(m_mutex);
+    m_onCrash = std::move(hook);
+}
+
+int FakePlatform::crashes() const
+{
+    std::scoped_lock lock(m_mutex);
+    return m_crashes;
+}
+
+/// The list entry stays until the successor starts.
+void FakePlatform::crash(std::size_t index)
+{
+    std::scoped_lock lock(m_mutex);
+    auto& server = m_servers[index];
+    if (server.isLeaving || server.isDown || !m_onCrash)
+        return;
+    server.isDown = true;
+    ++m_crashes;
+    m_onCrash(index, true);
+    runAfter(crashedDownTime, [this, index, id = server.id] {
+        m_onCrash(index, false);
+        startSuccessor(index, id);
     });
 }
 
@@ -369,6 +407,9 @@
         auto& server = m_servers[index];
         mode = server.mode;
         auto entry = entryOf(exchange.header("X-Request-Id"));
+        bool isCrashing = exchange.request().body() == crashingBody;
+        if (isCrashing)
+            m_crashRules[exchange.header("X-Tenant")].onArrival(Clock::now(), entry);
         server.limitRule.onArrival(Clock::now(), entry);
         server.backOffRule.onArrival(Clock::now(), entry);
         if (server.limit) {
@@ -409,13 +450,25 @@
         std::rethrow_exception(failure);
 }
 
-asio::awaitable<void> FakePlatform::answer(std::size_t, Exchange& exchange, ServerMode mode)
+asio::awaitable<void> FakePlatform::answer(std::size_t index, Exchange& exchange, ServerMode mode)
 {
     auto id = exchange.header("X-Request-Id");
     if (mode == ServerMode::StrayResponses)
         id += "-other";
     exchange.setHeader("X-Request-Id", id);
     exchange.setHeader("X-Response-Stamp", "signed");
+    if (exchange.request().body() == crashingBody) {
+        co_await pause(plainRequestTime);
+        {
+            std::scoped_lock lock(m_mutex);
+            bool isRunning = !m_servers[index].isDown && !m_servers[index].isLeaving;
+            if (isRunning)
+                m_crashRules[exchange.header("X-Tenant")].onCrash(Clock::now());
+        }
+        crash(index);
+        exchange.drop();
+        co_return;
+    }
     if (mode == ServerMode::Silent)
         co_await pause(silenceDuration);
     if (exchange.path().starts_with("/stream/"))
--- a/test/soak/fake-platform.h
+++ b/test/soak/fake-platform.h
@@ -2,6 +2,7 @@
 
 #include "standin/http-server.h"
 #include "test/back-off-rule.h"
+#include "test/crash-rule.h"
 #include "test/limit-rule.h"
 
 #include <swiftloft/units.h>
@@ -73,7 +74,8 @@
     void setLimit(std::size_t server, std::optional<double> rate);
     /// Makes the server reject all requests and ask for a back-off of this length; unset to stop.
     void setBackOff(std::size_t server, std::optional<milliseconds> backOff);
-    /// Exempts an entry that is killed, stopped, paused or resumed from the limits and back-offs that were requested around now.
+    /// Exempts an entry that is killed, stopped, paused or resumed from the limits and back-offs that were requested around now,
+    /// and from the rule about crashing requests.
     void exemptEntry(int entry);
     /// Request id that tells the fake platform through which entry the request is sent. A plain id counts as entry 0.
     static std::string requestIdVia(const std::string& id, std::size_t entry);
@@ -94,6 +96,17 @@
     /// Lists the server as draining. After a moment a new server with another id takes its place and its address. Returns the id
     /// of the server.
     std::string drain(std::size_t server);
+    /// Body of a request that crashes each server that begins to run it.
+    static constexpr std::string_view crashingBody { "crash" };
+    using OnCrash = std::function<void(std::size_t server, bool isDown)>;
+    /// `hook` is called on the platform's thread when a server crashes, and when a new one starts at its address. It must
+    /// close and open the address at which the server is listed.
+    void setOnCrash(OnCrash hook);
+    /// Ends the server's process. A new server with another id starts at the address after `crashedDownTime`.
+    void crash(std::size_t server);
+    static constexpr milliseconds crashedDownTime { 1500 };
+    /// Number of crashes so far.
+    int crashes() const;
     std::size_t servers() const { return m_servers.size(); }
     std::string addressOf(std::size_t server) const { return m_servers[server].http ? m_servers[server].ownAddress : ""; }
     /// Lists the server at another address, such as that of a relay in front of it.
@@ -129,6 +142,7 @@
         test::LimitRule limitRule;
         std::optional<milliseconds> backOff;
         test::BackOffRule backOffRule;
+        bool isDown { false };
     };
     struct Item {
         std::string value;
@@ -143,6 +157,7 @@
     boost::asio::awaitable<void> stream(standin::Exchange& exchange, ServerMode mode);
     void put(const std::string& key, const std::string& value);
     void listServer(std::size_t index);
+    void startSuccessor(std::size_t index, const std::string& id);
     void replaceAfter(std::size_t index, const std::string& id, milliseconds time);
     void runAfter(milliseconds time, std::function<void()> action);
     void rewriteItems();
@@ -170,6 +185,10 @@
     std::map<std::string, std::vector<Run>> m_runs;
     std::map<std::string, TimePoint> m_drainedAt;
     std::map<std::string, std::map<int, TimePoint>> m_leavingAnnouncedAt;
+    OnCrash m_onCrash;
+    int m_crashes { 0 };
+    /// By organisation: the same body of another caller is another request.
+    std::map<std::string, test::CrashRule> m_crashRules;
     std::thread m_thread;
 };
 
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -65,7 +65,7 @@
             request.set("X-Request-Id", outcome.id);
             request.set("X-Api-Key", outcome.key);
             request.set("X-Deadline-Ms", "4000");
-            request.body() = "work";
+            request.body() = outcome.requestBody;
             request.prepare_payload();
             co_await http::async_write(*m_stream, request, asio::use_awaitable);
             co_await http::async_read(*m_stream, m_buffer, parser, asio::use_awaitable);
@@ -106,6 +106,10 @@
         m_serverRelays.push_back(std::make_unique<process_test::Relay>(m_platform.addressOf(n)));
         m_platform.setListedAddress(n, m_serverRelays.back()->address());
     }
+    m_platform.setOnCrash([this](std::size_t server, bool isDown) {
+        recordEvent(fmt::format("server {} {}", server, isDown ? "crashes" : "starts"));
+        m_serverRelays[server]->setDown(isDown);
+    });
     auto loopback = [](int port) { return fmt::format("127.0.0.1:{}", port); };
     auto firstPeers = loopback(process_test::freePort());
     // Entries on one machine can't share the port for load updates, so each has its own address in the loopback network. The
@@ -175,6 +179,19 @@
     }
 }
 
+void Soak::crashingClientLoop(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    for (int n = 0; !m_isStopped; ++n) {
+        auto entry = static_cast<std::size_t>(pick(random, 0, m_options.entries - 1));
+        Outcome outcome { FakePlatform::requestIdVia(fmt::format("crash-{}", n), entry), "safe", currentKey(), Clock::now() };
+        outcome.requestBody = FakePlatform::crashingBody;
+        PersistentClient(m_entries[entry].clients).exchange(outcome);
+        m_crashingOutcomes.push_back(std::move(outcome));
+        std::this_thread::sleep_for(milliseconds(pick(random, 50, 1000)));
+    }
+}
+
 void Soak::stopGracefully(std::size_t index)
 {
     auto& process = *m_entries[index].process;
@@ -344,6 +361,7 @@
     clients.reserve(static_cast<std::size_t>(m_options.clients));
     for (int n = 0; n < m_options.clients; ++n)
         clients.emplace_back([this, n] { clientLoop(m_options.seed * 1000 + static_cast<std::uint64_t>(n)); });
+    clients.emplace_back([this] { crashingClientLoop(m_options.seed); });
     // Several fault threads run at the same time, so that faults overlap.
     auto end = Clock::now() + m_options.length;
     auto injectUntilEnd = [&](std::uint64_t seed, void (Soak::*fault)(std::mt19937_64&)) {
@@ -443,6 +461,8 @@
         checkBody(outcome, violations);
         checkLeaving(outcome, runs[outcome.id], violations);
     }
+    for (auto& outcome : m_crashingOutcomes)
+        checkRuns(outcome, runs[outcome.id], violations);
     checkDrains(violations);
     auto limits = m_platform.violations();
     violations.insert(violations.end(), limits.begin(), limits.end());
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -38,6 +38,7 @@
     unsigned status { 0 };
     bool isComplete { false };
     std::string body;
+    std::string requestBody { "work" };
 };
 
 class Soak {
@@ -68,6 +69,8 @@
     void startEntry(std::size_t index);
     void recordEvent(const std::string& text);
     void clientLoop(std::uint64_t seed);
+    /// Sends a request that crashes servers again and again, each time through any entry.
+    void crashingClientLoop(std::uint64_t seed);
     void injectEntryFault(std::mt19937_64& random);
     void injectStoreFault(std::mt19937_64& random);
     void restoreOldStore(std::mt19937_64& random);
@@ -93,6 +96,8 @@
     std::atomic<bool> m_isStopped { false };
     mutable std::mutex m_mutex;
     std::vector<Outcome> m_outcomes;
+    /// Of the requests that crash servers.
+    std::vector<Outcome> m_crashingOutcomes;
     std::vector<std::string> m_events;
     std::string m_key;
     /// When each key was revoked.
