Explain refusals of requests that crash servers; tests of evidence, messages and reports

swiftloft-ctl explain names the servers that crashed while a request with the same content was in flight, and shows the suspicions of it however old they are.

--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <fstream>
@@ -59,6 +60,24 @@
     return servers;
 }
 
+/// True for the events that say which crashes a request is suspected of, which may be long before it is refused.
+bool isSuspicion(const LogLine& line)
+{
+    return line.event == "RequestSuspected" || line.event == "RequestQuarantined" || line.event == "SuspectCleared";
+}
+
+/// The servers that crashed while a request with this fingerprint was in flight, separated by commas.
+std::string crashedServers(const Lines& lines, const std::string& fingerprint)
+{
+    std::set<std::string> servers;
+    for (auto& line : lines) {
+        auto server = line.field("server");
+        if (isSuspicion(line) && line.field("fingerprint") == fingerprint && !server.empty() && server != "-")
+            servers.insert(server);
+    }
+    return servers.empty() ? "no server that these logs name" : fmt::format("{}", fmt::join(servers, ", "));
+}
+
 bool isContext(const LogLine& line, const std::set<std::string>& servers, const std::string& entry)
 {
     if (line.field("id").empty() && servers.contains(line.field("server")))
@@ -72,7 +91,7 @@
 }
 
 /// Why a request ended as it did, from its last line.
-std::string causeOf(const LogLine& end)
+std::string causeOf(const LogLine& end, const Lines& lines)
 {
     auto reason = end.field("reason");
     auto part = [&](const char* name) { return end.field(name); };
@@ -90,6 +109,10 @@
         return fmt::format("refused: {} had no backend server that may get work in the homes of the request's route and organisation; it has not run", part("service"));
     if (reason == "no-common-home")
         return "refused: the homes of the request's route and those of its organisation have no region in common; it has not run";
+    if (reason == "quarantined")
+        return fmt::format("refused: its content was in flight when {} crashed; {}", crashedServers(lines, part("fingerprint")), part("verdict") == "not-run" ? "it has not run" : "this attempt may have run");
+    if (reason == "suspect-running")
+        return fmt::format("refused: its content was in flight when {} crashed, and another copy of it was running; it has not run", crashedServers(lines, part("fingerprint")));
     if (reason == "tries-spent")
         return fmt::format("refused after {} tries, none of which ran it; the tries say why", part("attempts"));
     if (reason == "lost")
@@ -121,10 +144,12 @@
     auto from = out.own.front().time - contextAround;
     auto until = out.own.back().time + contextAround;
     for (auto& line : lines) {
-        if (line.time >= from && line.time <= until && isContext(line, servers, out.own.back().process))
+        bool isOfSameContent = isSuspicion(line) && line.field("fingerprint") == out.own.back().field("fingerprint");
+        bool isNear = line.time >= from && line.time <= until && !isSuspicion(line) && isContext(line, servers, out.own.back().process);
+        if (isOfSameContent || isNear)
             out.context.push_back(line);
     }
-    out.cause = causeOf(out.own.back());
+    out.cause = causeOf(out.own.back(), lines);
     return out;
 }
 
--- a/test/control-message_test.cc
+++ b/test/control-message_test.cc
@@ -112,6 +112,29 @@
     CHECK(rankReceived.tokenCapacity == Tokens(90'000));
 }
 
+TEST_CASE("ControlMessage: suspects and ended engines are decoded as they were encoded, in at most 26 bytes per suspect")
+{
+    std::vector<policy::SuspicionMessage> suspicions;
+    for (std::uint64_t n = 1; n <= 32; ++n)
+        suspicions.push_back({ Fingerprint(n * 0x9e3779b97f4a7c15), policy::CrashId(n * 0xc2b2ae3d27d4eb4f), n % 2 == 0, milliseconds(4'000'000 + n), 16, n % 3 == 0 });
+    Hello hello { member(1), 7, {}, {}, {}, 1, { { endpoint(8), milliseconds(70), false, 1, true } } };
+    auto bytesBefore = encode(ControlMessage(hello)).size();
+    hello.suspicions = suspicions;
+    CHECK(encode(ControlMessage(hello)).size() <= bytesBefore + 32 * 26 + 8);
+    auto helloReceived = std::get<Hello>(throughWire(hello));
+    CHECK(helloReceived.suspicions == suspicions);
+    CHECK(helloReceived.degraded.at(0).hasEngineEnded);
+
+    LoadUpdate load { Incarnation(9), 3, {}, {}, {}, {}, suspicions, { Fingerprint(5), Fingerprint(6) } };
+    auto loadReceived = std::get<LoadUpdate>(throughWire(load));
+    CHECK(loadReceived.suspicions == suspicions);
+    CHECK(loadReceived.trials == load.trials);
+
+    RankStatus rank { endpoint(5), EngineGroupName("g"), GroupEpoch(4), RankIndex(0), 12 };
+    rank.hasEngineEnded = true;
+    CHECK(std::get<RankStatus>(throughWire(rank)).hasEngineEnded);
+}
+
 TEST_CASE("ControlMessage: damaged datagrams are either rejected or decoded, without other effects")
 {
     std::mt19937 random(11);
--- a/test/control-state_test.cc
+++ b/test/control-state_test.cc
@@ -241,6 +241,26 @@
     }
 }
 
+// Guards against this failure: an entry that has just started does not learn which requests have crashed servers.
+TEST_CASE("ControlState: suspects of the traffic thread go into every hello, and those of peers to the traffic thread")
+{
+    Rig rig;
+    rig.listBoth(7);
+    std::vector<policy::SuspicionMessage> suspicions { { Fingerprint(1), policy::CrashId(2), false, milliseconds(3000) } };
+    rig.apply(LoadsMeasured { {}, {}, suspicions });
+    rig.now += ControlState::helloInterval;
+    rig.apply(Ticked {});
+    REQUIRE(rig.count<SendHello>() > 0);
+    for (auto& effect : rig.last) {
+        if (auto* it = std::get_if<SendHello>(&effect))
+            CHECK(it->hello.suspicions == suspicions);
+    }
+    auto hello = rig.hello(7, 10);
+    hello.suspicions = suspicions;
+    rig.apply(HelloReceived { hello });
+    CHECK(rig.count<ForwardSuspicions>() == 1);
+}
+
 // A server leaves while this entry can't reach the store. The peer's list no longer contains it.
 TEST_CASE("ControlState: the server list is pulled when a peer knows a later change")
 {
--- a/test/crash-quarantine_test.cc
+++ b/test/crash-quarantine_test.cc
@@ -330,3 +330,13 @@
     CHECK(original != fingerprintOf(OrganisationName("other"), drafting, R"({"prompt": "a \"b\" c",  "n":1})"));
     CHECK(original != fingerprintOf(cafe, ServiceName("notices"), R"({"prompt": "a \"b\" c",  "n":1})"));
 }
+
+// Guards against this failure: a caller is refused because another one sent a body that crashes servers.
+TEST_CASE("fingerprintOf: requests are the same if caller, path, query and body are equal byte for byte")
+{
+    RequestContent content { OrganisationName("cafe"), "/a/b?c=1", "body" };
+    CHECK(fingerprintOf(content) == fingerprintOf({ OrganisationName("cafe"), "/a/b?c=1", "body" }));
+    for (auto& other : { RequestContent { OrganisationName("other"), "/a/b?c=1", "body" }, RequestContent { OrganisationName("cafe"), "/a/b?c=2", "body" },
+             RequestContent { OrganisationName("cafe"), "/a/b?c=1", "body " }, RequestContent { OrganisationName(""), "cafe/a/b?c=1", "body" } })
+        CHECK(fingerprintOf(content) != fingerprintOf(other));
+}
--- a/test/crashing-requests_test.cc
+++ b/test/crashing-requests_test.cc
@@ -115,3 +115,125 @@
     }
     CHECK(n > 20);
 }
+
+namespace {
+
+/// One dispatcher with two plain servers and requests that have fingerprints.
+struct OneEntry {
+    OneEntry()
+    {
+        route.isIdempotent = true;
+        route.timeout = seconds(8);
+        route.maximumServers = 1;
+        route.services = { { model, 1 } };
+        setServers({ server("s1", 1), server("s2", 2) });
+    }
+
+    static gateway::BackendServer server(const std::string& id, std::uint16_t port)
+    {
+        return { BackendServerId(id), model, { boost::asio::ip::address_v4(0x0a000001), port }, DataCentreName("a"), 8, gateway::ServerState::Ready };
+    }
+
+    void setServers(std::vector<gateway::BackendServer> servers)
+    {
+        auto snapshot = std::make_shared<gateway::Snapshot>();
+        snapshot->servers = std::move(servers);
+        snapshot->ranks = ranks;
+        apply(gateway::dispatch::SnapshotChanged { snapshot });
+    }
+
+    /// Sends the request and returns the server that it is sent to.
+    gateway::BackendServer send(std::uint64_t id)
+    {
+        gateway::CallRequest request { nullptr, &route, 1, now, now + route.timeout, Tokens(100), Tokens(50) };
+        request.fingerprint = [] { return Fingerprint(1); };
+        for (auto& effect : apply(gateway::dispatch::RequestArrived { gateway::CallId(id), request })) {
+            if (auto* start = std::get_if<gateway::dispatch::StartAttempt>(&effect))
+                return start->server;
+        }
+        return {};
+    }
+
+    gateway::dispatch::Effects end(std::uint64_t id, gateway::AttemptOutcome outcome) { return apply(gateway::dispatch::AttemptEnded { gateway::CallId(id), outcome }); }
+    gateway::dispatch::Effects apply(const gateway::dispatch::Event& event) { return dispatcher.apply(now, event); }
+    bool isSuspect() const { return dispatcher.crashTracker().isActive(); }
+
+    static inline const ServiceName model { "model" };
+    TimePoint now { seconds(100) };
+    gateway::Route route;
+    std::vector<gateway::Snapshot::Rank> ranks;
+    gateway::Dispatcher dispatcher { gateway::DispatcherOptions {}, policy::Generator(3) };
+};
+
+} // namespace
+
+// Guards against this failure: requests that were cut off at the planned end of a server are taken for the cause of a
+// crash.
+TEST_CASE("Crashing requests: the end of a server that was leaving makes no request a suspect")
+{
+    OneEntry entry;
+    auto server = entry.send(1);
+    bool isReported = GENERATE(false, true);
+    auto leaving = server;
+    leaving.state = gateway::ServerState::Draining;
+    if (isReported)
+        entry.apply(gateway::dispatch::LeavingReported { server.incarnation() });
+    else
+        entry.setServers({ leaving });
+    entry.end(1, gateway::AttemptOutcome::Lost);
+    entry.apply(gateway::dispatch::ProbeRefused { server.incarnation() });
+    CHECK_FALSE(entry.isSuspect());
+}
+
+TEST_CASE("Crashing requests: a plain server that loses a request is probed once, and a refused connection makes the request a suspect")
+{
+    OneEntry entry;
+    auto server = entry.send(1);
+    auto isProbe = [](auto& effect) { return std::holds_alternative<gateway::dispatch::ProbeServer>(effect); };
+    auto effects = entry.end(1, gateway::AttemptOutcome::Lost);
+    CHECK(std::any_of(effects.begin(), effects.end(), isProbe));
+    CHECK_FALSE(entry.isSuspect());
+    entry.apply(gateway::dispatch::ProbeRefused { server.incarnation() });
+    CHECK(entry.isSuspect());
+}
+
+TEST_CASE("Crashing requests: a client that leaves does not hide that its request crashed the server")
+{
+    OneEntry entry;
+    auto server = entry.send(1);
+    entry.apply(gateway::dispatch::CallClosed { gateway::CallId(1) });
+    entry.now += seconds(3);
+    entry.setServers({ OneEntry::server("successor", server.address.port()) });
+    CHECK(entry.isSuspect());
+}
+
+// Guards against this failure: the report of an agent that the previous engine has ended is applied to its successor.
+TEST_CASE("Crashing requests: an agent's report concerns the server that was listed when it was sent")
+{
+    OneEntry entry;
+    auto server = entry.send(1);
+    entry.now += milliseconds(100);
+    bool isOld = GENERATE(false, true);
+    gateway::RankStatus status { server.address };
+    status.hasEngineEnded = true;
+    entry.ranks = { { status, isOld ? TimePoint { seconds(99) } : entry.now } };
+    entry.setServers({ server });
+    CHECK(entry.isSuspect() == !isOld);
+}
+
+// Guards against this failure: while it is not known yet whether a suspect has crashed its server again, the entry sends
+// it to one more.
+TEST_CASE("Crashing requests: a suspect is tried at one server per call")
+{
+    OneEntry entry;
+    entry.route.maximumServers = 2;
+    auto server = entry.send(1);
+    entry.end(1, gateway::AttemptOutcome::Lost);
+    entry.apply(gateway::dispatch::ProbeRefused { server.incarnation() });
+    entry.apply(gateway::dispatch::CallClosed { gateway::CallId(1) });
+    CHECK_FALSE(entry.send(2).id.value().empty());
+    auto effects = entry.end(2, gateway::AttemptOutcome::Lost);
+    auto isStart = [](auto& effect) { return std::holds_alternative<gateway::dispatch::StartAttempt>(effect); };
+    CHECK(std::none_of(effects.begin(), effects.end(), isStart));
+    CHECK(std::any_of(effects.begin(), effects.end(), [](auto& it) { return std::holds_alternative<gateway::dispatch::Refuse>(it) && std::get<gateway::dispatch::Refuse>(it).verdict == Verdict::MayHaveRun; }));
+}
--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -388,4 +388,7 @@
     CHECK(rig.platform.violations().empty());
     CHECK(waitUntil(Clock::now() + seconds(5), [&] { return call(rig.request("safe", fmt::format("w{}", ++n))).head.result_int() == 200; }));
     CHECK_THAT(rig.log(), Contains("RequestQuarantined") && Contains("reason=quarantined"));
+    CHECK(crashing(++n).head.result_int() == 503);
+    auto explanation = ctl::ran({ "explain", fmt::format("c{}", n), rig.logFile() }).out;
+    CHECK_THAT(explanation, Contains("refused: its content was in flight when i-") && Contains("RequestSuspected"));
 }
--- a/test/rank-registry_test.cc
+++ b/test/rank-registry_test.cc
@@ -140,3 +140,23 @@
     registry.onStatus(later, status(1, 1, true, true));
     CHECK(registry.nextBrief(later, endpoint(1), traits, false).ranks.empty());
 }
+
+// Guards against this failure: entries send requests to an engine whose agent has found that its process has ended.
+TEST_CASE("RankRegistry: a rank whose engine has ended is closed, also at the entries that agents do not report to")
+{
+    RankRegistry relay;
+    RankRegistry entry;
+    relay.onStatus(start, status(0, 1, true));
+    CHECK(relay.degradedRanks(start).empty());
+    auto ended = status(0, 1, false);
+    ended.hasEngineEnded = true;
+    CHECK(relay.onStatus(start + milliseconds(100), ended).isChange);
+    CHECK_FALSE(relay.ranks().at(0).status.isOpen);
+    auto sent = relay.degradedRanks(start + milliseconds(100));
+    REQUIRE(sent.size() == 1);
+    CHECK(entry.onPeerDegradedRanks(start + milliseconds(110), endpoint(200), sent));
+    REQUIRE(entry.peerDegradedRanks(start + milliseconds(110)).size() == 1);
+    CHECK(entry.peerDegradedRanks(start + milliseconds(110))[0].hasEngineEnded);
+    CHECK(relay.onStatus(start + milliseconds(3000), status(0, 2, true)).isChange);
+    CHECK(relay.degradedRanks(start + milliseconds(3000)).empty());
+}
