--- a/src/gateway/rank-registry.cc
+++ b/src/gateway/rank-registry.cc
@@ -46,7 +46,7 @@
 /// all queued requests to it, and most would be rejected.
 bool RankRegistry::isClosed(const RankStatus& status) const
 {
-    return status.hasEngineEnded || (!status.isOpen && status.epoch >= m_groups.at(status.group).openEpoch);
+    return !status.isOpen && status.epoch >= m_groups.at(status.group).openEpoch;
 }
 
 bool RankRegistry::onPeerDegradedRanks(TimePoint now, const Endpoint& peer, std::span<const DegradedRank> degraded)
