Count only errors that the engine causes as its end

The agent of our own path took every error of a probe but a time-out for the end of the engine's process, also a lack of descriptors of its own, and reported all requests in flight as suspects (docs/FINDINGS.md). Now refused, reset and closed connections count.

--- a/bench/policy-cost.cc
+++ b/bench/policy-cost.cc
@@ -3,6 +3,7 @@
 #include <swiftloft/policy/claim-table.h>
 #include <swiftloft/policy/crash-quarantine.h>
 #include <swiftloft/policy/dedup-table.h>
+#include <swiftloft/policy/fingerprint.h>
 #include <swiftloft/policy/home-selector.h>
 #include <swiftloft/policy/organisation-limits.h>
 #include <swiftloft/policy/retry-policy.h>
@@ -170,6 +171,16 @@
     HomeSelector m_homes = HomeSelector::create({}).value();
 };
 
+/// Fingerprint of an HTTP request with a body of this size, in nanoseconds.
+double fingerprintCost(std::size_t bodyBytes, std::size_t calls)
+{
+    std::string body(bodyBytes, 'x');
+    return nanosecondsPer(calls, [&](std::size_t i) {
+        body[i % bodyBytes] = static_cast<char>(i);
+        fingerprintOf({ OrganisationName("org"), "/route/x", body });
+    });
+}
+
 /// A key's homes when its slot is asked for the first time under a list, in microseconds.
 double firstHomesCost(std::size_t servers)
 {
@@ -238,6 +249,7 @@
     auto base = heapOf({ 12, 10, 6 });
     fmt::print("heap: {} KB at 12 servers and 10 organisations; {} bytes a server, {} bytes an organisation\n", base / 1024, (heapOf({ 5500, 10, 6 }) - base) / 5488, (heapOf({ 12, 1800, 6 }) - base) / 1790);
     fmt::print("homes of a key, first of its slot: {:.1f} us at 12 servers, {:.1f} us at 5500\n", firstHomesCost(12), firstHomesCost(5500));
+    fmt::print("fingerprint: {:.0f} ns with a body of 1 KB, {:.0f} ns with 16 KB\n", fingerprintCost(1024, calls), fingerprintCost(16384, calls));
     fmt::print("agent: dedup {:.0f} ns, ticket encode and decode {:.0f} ns a request\n", dedupCost(calls), ticketCost(calls));
     return 0;
 }
--- a/src/agent/engine-monitor.cc
+++ b/src/agent/engine-monitor.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/json/parse.hpp>
 
 #include <algorithm>
@@ -24,6 +25,12 @@
 /// Weight of the newest sample in the moving average of the engine's throughput.
 constexpr double speedSampleWeight = 0.2;
 
+/// True for an error that the peer causes. Others, such as a lack of descriptors here, say nothing about the engine.
+bool hasEnded(const boost::system::error_code& ec)
+{
+    return ec == asio::error::connection_refused || ec == asio::error::connection_reset || ec == asio::error::connection_aborted || ec == asio::error::broken_pipe || ec == asio::error::eof || ec == beast::http::error::end_of_stream || ec == beast::http::error::partial_message;
+}
+
 double numberAt(const boost::json::object& object, const char* name)
 {
     auto value = object.if_contains(name);
@@ -65,7 +72,7 @@
         // A server without a load page responds with an error. Any response shows that it is up.
         co_return State::Up;
     } catch (const boost::system::system_error& error) {
-        co_return error.code() == beast::error::timeout ? State::Unresponsive : State::Unreachable;
+        co_return hasEnded(error.code()) ? State::Unreachable : State::Unresponsive;
     }
 }
 
--- a/src/agent/engine-monitor.h
+++ b/src/agent/engine-monitor.h
@@ -28,7 +28,7 @@
         Up,
         /// Connections to the engine fail or are reset: its process has gone.
         Unreachable,
-        /// The engine accepts connections but doesn't respond in time.
+        /// The engine doesn't respond in time, or can't be asked.
         Unresponsive,
     };
 
