--- a/src/gateway/crashes/crash-tracker.cc
+++ b/src/gateway/crashes/crash-tracker.cc
@@ -11,7 +11,14 @@
 
 namespace {
 
-constexpr std::size_t maxLocalReports { CrashTracker::maxReports };
+/// At most `n` of `reports` from position `next` on, which moves behind them.
+std::vector<SuspicionMessage> nextOf(const std::vector<SuspicionMessage>& reports, std::size_t& next, std::size_t n)
+{
+    std::vector<SuspicionMessage> out;
+    for (std::size_t k = 0; k < std::min(n, reports.size()); ++k)
+        out.push_back(reports[next++ % reports.size()]);
+    return out;
+}
 
 policy::CrashId crashIdOf(const ServerIncarnation& server)
 {
@@ -188,14 +195,13 @@
 std::vector<SuspicionMessage> CrashTracker::nextReports(TimePoint now)
 {
     auto all = m_quarantine.snapshot(now);
-    auto suspects = std::stable_partition(all.begin(), all.end(), [&](auto& it) { return m_quarantine.isQuarantined(it.fingerprint, now); });
-    auto first = static_cast<std::size_t>(suspects - all.begin());
-    if (auto n = all.size() - first; n > 0)
-        std::rotate(suspects, suspects + static_cast<std::ptrdiff_t>(m_nextReport % n), all.end());
-    auto size = std::min(all.size(), maxReports);
-    m_nextReport += size - std::min(first, size);
-    all.resize(size);
-    return all;
+    auto middle = std::stable_partition(all.begin(), all.end(), [&](auto& it) { return m_quarantine.isQuarantined(it.fingerprint, now); });
+    std::vector<SuspicionMessage> quarantined(all.begin(), middle);
+    std::vector<SuspicionMessage> suspects(middle, all.end());
+    auto reports = nextOf(quarantined, m_nextQuarantineReport, suspects.empty() ? maxReports : maxQuarantineReports);
+    auto others = nextOf(suspects, m_nextSuspectReport, maxReports - reports.size());
+    reports.insert(reports.end(), others.begin(), others.end());
+    return reports;
 }
 
 void CrashTracker::tick(TimePoint now)
--- a/src/gateway/crashes/crash-tracker.h
+++ b/src/gateway/crashes/crash-tracker.h
@@ -49,7 +49,10 @@
     static constexpr milliseconds trialLifetime { 600 };
     /// Minimum interval between probes of one server.
     static constexpr milliseconds probeInterval { 1000 };
-    static constexpr std::size_t maxReports { 32 };
+    /// Reports in one hello, and how many of them may be about quarantined requests.
+    static constexpr std::size_t maxReports { 8 };
+    static constexpr std::size_t maxQuarantineReports { 6 };
+    static constexpr std::size_t maxLocalReports { 32 };
     /// A request that crashes servers does so soon after it begins to run.
     static constexpr milliseconds minProgressTime { 500 };
 
@@ -88,8 +91,8 @@
     std::uint64_t localVersion() const { return m_localVersion; }
     /// What this entry itself has found out recently.
     std::vector<policy::SuspicionMessage> localReports(TimePoint now) const;
-    /// A part of what is known, at most `maxReports`; the next call returns the next part. Quarantined requests are in
-    /// every part.
+    /// A part of what is known, at most `maxReports`; the next call returns the next part. Quarantined requests come more
+    /// often than suspects.
     std::vector<policy::SuspicionMessage> nextReports(TimePoint now);
     std::vector<Fingerprint> trials() const;
     /// Removes what has expired.
@@ -129,7 +132,9 @@
     std::map<Incarnation, PeerTrials> m_peerTrials;
     std::vector<LocalReport> m_localReports;
     std::uint64_t m_localVersion { 0 };
-    std::size_t m_nextReport { 0 };
+    /// Positions of the next part among the reports of quarantined requests and of suspects.
+    std::size_t m_nextQuarantineReport { 0 };
+    std::size_t m_nextSuspectReport { 0 };
 };
 
 } // namespace swiftloft::gateway::crashes
--- a/test/crash-tracker_test.cc
+++ b/test/crash-tracker_test.cc
@@ -131,7 +131,7 @@
     for (int n = 1; n <= 3; ++n)
         crash(tracker, start, n);
     CrashTracker newcomer;
-    for (int n = 0; n < 10; ++n) {
+    for (int n = 0; n < 60; ++n) {
         auto part = tracker.nextReports(start);
         CHECK(part.size() <= CrashTracker::maxReports);
         newcomer.onReports(start, part);
@@ -140,6 +140,22 @@
     CHECK(newcomer.suspects() == tracker.suspects());
 }
 
+TEST_CASE("Crash tracker: many quarantined requests and suspects all reach an entry that has just started")
+{
+    CrashTracker tracker;
+    for (std::uint64_t n = 0; n < 40; ++n) {
+        for (int crashed = 1; crashed <= 3; ++crashed)
+            crash(tracker, start, crashed, Fingerprint(1000 + n));
+    }
+    crash(tracker, start, 4, neighbour);
+    CrashTracker newcomer;
+    for (int n = 0; n < 3 * 40 / 6; ++n)
+        newcomer.onReports(start, tracker.nextReports(start));
+    for (std::uint64_t n = 0; n < 40; ++n)
+        CHECK(newcomer.check(start, Fingerprint(1000 + n)) == QuarantineAction::Refuse);
+    CHECK(newcomer.check(start, neighbour) == QuarantineAction::RunAlone);
+}
+
 TEST_CASE("Crash tracker: memory is bounded and everything expires")
 {
     CrashTracker tracker({ .maxLostRuns = 100 });
--- a/test/crashing-requests_test.cc
+++ b/test/crashing-requests_test.cc
@@ -116,6 +116,22 @@
     CHECK(n > 20);
 }
 
+// Guards against this failure: in a large fleet the entries learn too late which request crashes servers.
+TEST_CASE("Crashing requests: a fleet of 255 entries refuses a request that has crashed three servers")
+{
+    FleetOptions options;
+    options.entries = 255;
+    options.dataCentres = 9;
+    options.maxEntries = 255;
+    options.demand = 30;
+    options.loss = 0.1;
+    GatewayFleet fleet(options);
+    fleet.at(seconds(2), [&] { fleet.sendCrashingRequest(crashingBody, pauses(1, 100, 1500)); });
+    fleet.runUntil(seconds(20));
+    CHECK(fleet.crashRuleOf(crashingBody).crashes() >= 3);
+    CHECK(fleet.crashRuleOf(crashingBody).countedArrivals() == 0);
+}
+
 namespace {
 
 /// One dispatcher with two plain servers and requests that have fingerprints.
