--- a/src/gateway/admission/demand-meter.cc
+++ b/src/gateway/admission/demand-meter.cc
@@ -1,7 +1,6 @@
 #include "src/gateway/admission/demand-meter.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace swiftloft::gateway::admission {
 
@@ -19,19 +18,6 @@
 
 } // namespace
 
-void DecayingSum::add(TimePoint now, double amount, milliseconds window)
-{
-    m_sum = at(now, window) + amount;
-    m_updatedAt = now;
-}
-
-double DecayingSum::at(TimePoint now, milliseconds window) const
-{
-    if (m_sum == 0)
-        return 0;
-    return m_sum * std::exp(-std::chrono::duration<double>(now - m_updatedAt) / std::chrono::duration<double>(window));
-}
-
 DemandMeter::Level& DemandMeter::level(const ServiceName& service, unsigned priority)
 {
     return m_services[service].levels[std::min(priority, leastUrgentPriority)];
--- a/src/gateway/admission/demand-meter.h
+++ b/src/gateway/admission/demand-meter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/gateway/admission/decaying-sum.h"
 #include "src/gateway/control-message.h"
 
 #include <map>
@@ -10,19 +11,8 @@
 /// Less urgent priorities than this are treated as this one, so that the state of a service is bounded.
 constexpr unsigned leastUrgentPriority = 15;
 
-/// Sum of recent events that decays exponentially; divided by its window it is a rate.
-class DecayingSum {
-public:
-    void add(TimePoint now, double amount, milliseconds window);
-    double at(TimePoint now, milliseconds window) const;
-
-private:
-    double m_sum { 0 };
-    TimePoint m_updatedAt;
-};
-
 /// Measures the requests that one entry receives, by service and priority, and whether the entry is short of capacity
-/// for them. Answers the question of peers what waits here. Pure: the time is passed in with each call.
+/// for them: what other entries need to know of it. Pure: the time is passed in with each call.
 class DemandMeter {
 public:
     /// A service counts as short of capacity for this long after a request has last waited for a server or was refused.
--- a/src/gateway/admission/retry-schedule.h
+++ b/src/gateway/admission/retry-schedule.h
@@ -33,8 +33,8 @@
     bool hasTurns { false };
 };
 
-/// Tells refused clients when to return. Keeps the turns that were given to clients of services with limits. Pure: the
-/// time is passed in with each call.
+/// Tells refused clients when to return, and keeps the turns that it has given. Pure: the time is passed in with each
+/// call.
 class RetrySchedule {
 public:
     explicit RetrySchedule(policy::Generator generator)
@@ -45,7 +45,6 @@
     TimePoint retryTime(TimePoint now, const RefusedRequest& request, const ServiceOutlook& outlook);
     /// A request of the service has been sent to a server.
     void onAdmitted(TimePoint now, const ServiceName& service) { m_turns.onAdmitted(now, service); }
-    const ReturnTurns& turns() const { return m_turns; }
 
 private:
     TimePoint timeAfterBackOff(TimePoint now, const RefusedRequest& request, TimePoint backOffEndsAt);
--- a/src/gateway/admission/return-turns.cc
+++ b/src/gateway/admission/return-turns.cc
@@ -1,7 +1,6 @@
 #include "src/gateway/admission/return-turns.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 namespace swiftloft::gateway::admission {
@@ -18,12 +17,6 @@
 
 } // namespace
 
-double ReturnTurns::decayed(const ServiceTurns& service, TimePoint now)
-{
-    auto elapsed = std::max(now - service.countedAt, Clock::duration(0));
-    return service.admissions * std::exp(-inSeconds(elapsed) / inSeconds(rateWindow));
-}
-
 void ReturnTurns::removePast(ServiceTurns& service, TimePoint now)
 {
     service.turns.erase(service.turns.begin(), service.turns.upper_bound({ now, std::numeric_limits<unsigned>::max() }));
@@ -31,22 +24,20 @@
 
 void ReturnTurns::onAdmitted(TimePoint now, const ServiceName& name)
 {
-    auto& service = m_services[name];
-    service.admissions = decayed(service, now) + 1;
-    service.countedAt = now;
+    m_services[name].admissions.add(now, 1, rateWindow);
 }
 
 double ReturnTurns::rate(TimePoint now, const ServiceName& name) const
 {
     auto it = m_services.find(name);
-    return it == m_services.end() ? 0 : decayed(it->second, now) / inSeconds(rateWindow);
+    return it == m_services.end() ? 0 : it->second.admissions.at(now, rateWindow) / inSeconds(rateWindow);
 }
 
 std::optional<TimePoint> ReturnTurns::take(TimePoint now, const ServiceName& name, unsigned priority, TimePoint latest)
 {
     auto& service = m_services[name];
     removePast(service, now);
-    double admissions = decayed(service, now);
+    double admissions = service.admissions.at(now, rateWindow);
     if (admissions < minAdmissions || service.turns.size() >= maxTurns)
         return std::nullopt;
     auto before = std::count_if(service.turns.begin(), service.turns.end(), [&](auto& it) { return it.priority <= priority; });
--- a/src/gateway/admission/return-turns.h
+++ b/src/gateway/admission/return-turns.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "src/gateway/admission/decaying-sum.h"
+
 #include <swiftloft/ids.h>
 #include <swiftloft/units.h>
 
@@ -46,12 +48,9 @@
     };
     struct ServiceTurns {
         std::multiset<Turn> turns;
-        /// Admissions, decayed to `countedAt`.
-        double admissions { 0 };
-        TimePoint countedAt;
+        DecayingSum admissions;
     };
 
-    static double decayed(const ServiceTurns& service, TimePoint now);
     static void removePast(ServiceTurns& service, TimePoint now);
 
     std::map<ServiceName, ServiceTurns> m_services;
--- a/src/gateway/admission/startup-wait.h
+++ b/src/gateway/admission/startup-wait.h
@@ -15,9 +15,9 @@
     std::size_t waiting { 0 };
 };
 
-/// An entry that has just started gets the configuration and the servers within a few hundred milliseconds. Clients of a
-/// request refused before return later than that, and most return only once.
-constexpr milliseconds startupWaitTime { 1500 };
+/// Requests wait only within this time of the start of the process. An entry usually gets the configuration and the
+/// servers in a part of it; clients that are refused before then return later, and most return only once.
+constexpr milliseconds startupPeriod { 1500 };
 /// Clients leave a stream whose first event takes two seconds. The rest of that time is left for the response.
 constexpr milliseconds maxStartupWait { 1000 };
 /// Bounds the memory that the bodies of waiting requests take.
--- a/src/gateway/capacity/service-estimate.cc
+++ b/src/gateway/capacity/service-estimate.cc
@@ -111,21 +111,12 @@
 
 void ServiceEstimate::setReports(const Snapshot& snapshot)
 {
-    std::map<Endpoint, Snapshot::DegradedReport> paces;
-    auto add = [&](const Snapshot::DegradedReport& report) {
-        auto& known = paces.try_emplace(report.address, report).first->second;
-        if (known.reportedAt < report.reportedAt)
-            known = report;
-    };
-    for (auto& rank : snapshot.ranks)
-        add({ rank.status.address, rank.receivedAt, rank.status.isOpen, rank.status.pace });
-    for (auto& report : snapshot.peerDegradedRanks)
-        add(report);
+    auto degraded = latestDegradedReports(snapshot);
     std::map<GroupEstimate*, Snapshot::DegradedReport> slowest;
     for (auto& server : snapshot.servers) {
-        auto it = paces.find(server.address);
+        auto it = degraded.find(server.address);
         auto group = m_groupOf.find(server.incarnation());
-        if (it == paces.end() || it->second.pace < slowPace || group == m_groupOf.end())
+        if (it == degraded.end() || it->second.pace < slowPace || group == m_groupOf.end())
             continue;
         auto& report = slowest.try_emplace(group->second.get(), it->second).first->second;
         if (report.pace < it->second.pace)
--- a/src/gateway/capacity/service-estimate.h
+++ b/src/gateway/capacity/service-estimate.h
@@ -22,12 +22,13 @@
     double releaseShare { 0.4 };
     /// While a group is short of time, the most urgent stream is admitted if it is expected to end within this share of
     /// its time, so that it still ends if passes become longer. Each step down in urgency lowers the share by
-    /// `priorityStep`, to `minTimeShare` at least: shorter streams are left, and more urgent ones find a faster group.
+    /// `priorityStep`, to `minTimeShare` at least. Of less urgent streams only shorter ones are then admitted, which leaves
+    /// shorter passes to the more urgent ones.
     double timeShare { 0.7 };
     double priorityStep { 0.15 };
     double minTimeShare { 0.4 };
-    /// While nothing can end in time, the entries send this many requests a second to a group in all, so that they see
-    /// when it is well again.
+    /// While nothing can end in time, the entries that see each other send this many requests a second to a group
+    /// together, so that they see when it is well again.
     double probesPerSecond { 2 };
 };
 
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -330,12 +330,13 @@
     void updateQueueDeadline(CallId id, Call& call, TimePoint now);
     void dispatchQueued(TimePoint now, dispatch::Effects& effects);
     static capacity::RequestView requestView(const CallRequest& request, TimePoint queueDeadline, std::size_t queuedBefore);
-    /// Set if the request, which waits before its first attempt, can't end in time and is to be refused now.
+    /// Set if the request, which waits before its first attempt, can't end in time and is to be refused now. `isFull`: no
+    /// server has capacity for it.
     std::optional<capacity::Forecast> forecastRefusal(const Call& call, TimePoint now, std::size_t queuedBefore, bool isFull);
     void refuseUnfinishable(CallId id, const Call& call, const capacity::Forecast& forecast, TimePoint now, dispatch::Effects& effects);
     void refuse(TimePoint now, CallId id, const Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, dispatch::Effects& effects);
-    /// The servers that the request may be sent to: all of the service in its homes, or, once it has run on the permitted number of
-    /// servers, only those.
+    /// The servers that the request may be sent to: all of the service in its homes, or, once it has run on the permitted
+    /// number of servers, only those.
     static LoadBalancer::ServerFilter filterFor(const Call& call);
     bool isThrottledTooLong(const Call& call, TimePoint now) const;
     RefusalReason refusalReason(const Call& call, TimePoint now) const;
--- a/src/gateway/load-balancer.cc
+++ b/src/gateway/load-balancer.cc
@@ -12,22 +12,6 @@
 
 namespace {
 
-/// The latest report of each closed or slow rank, from its agent or from another entry.
-std::map<Endpoint, Snapshot::DegradedReport> latestDegradedReports(const Snapshot& snapshot)
-{
-    std::map<Endpoint, Snapshot::DegradedReport> degraded;
-    for (auto& rank : snapshot.ranks) {
-        if (!rank.status.isOpen || rank.status.pace >= slowPace)
-            degraded[rank.status.address] = { rank.status.address, rank.receivedAt, rank.status.isOpen, rank.status.pace };
-    }
-    for (auto& rank : snapshot.peerDegradedRanks) {
-        auto it = degraded.try_emplace(rank.address, rank).first;
-        if (it->second.reportedAt < rank.reportedAt)
-            it->second = rank;
-    }
-    return degraded;
-}
-
 /// Exceeds every other cost, for requests that prefer idle servers.
 constexpr double costPerRunningRequest { 1e9 };
 
--- a/src/gateway/load-balancer.h
+++ b/src/gateway/load-balancer.h
@@ -67,8 +67,9 @@
     TimePoint lastActivityAt(const ServerIncarnation& incarnation) const;
     /// True if the server recently failed or fell silent, as observed by this entry or reported by another one.
     bool isSuspect(const ServerIncarnation& incarnation, TimePoint now) const;
-    /// True if another server of the service in the regions `homes` is active, or is available, not suspect and runs no request of this entry.
-    /// A rank without requests of this entry does not count, because the ranks of a group stall together.
+    /// True if another server of the service in the regions `homes` is active, or is available, not suspect and runs no
+    /// request of this entry. A rank without requests of this entry does not count, because the ranks of a group stall
+    /// together.
     bool hasActivityElsewhere(const ServiceName& service, const ServerIncarnation& incarnation, TimePoint now, const HomeSet& homes = {}) const;
     /// True if another server of the service in the regions `homes` has capacity and is not suspect.
     bool hasCapacityElsewhere(const ServiceName& service, const ServerIncarnation& incarnation, TimePoint now, const HomeSet& homes = {}) const;
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -160,12 +160,15 @@
 
 void RequestServer::countAdmission(const Call& call, const CallDecision& decision) const
 {
-    auto* start = std::get_if<dispatch::StartAttempt>(&decision);
-    auto* refusal = std::get_if<dispatch::Refuse>(&decision);
-    auto& service = start ? start->server.service : refusal ? refusal->service
-                                                            : call.service;
-    auto outcome = start ? "admitted" : refusal ? toString(refusal->reason)
-                                                : "failed";
+    auto service = call.service;
+    std::string_view outcome = "failed";
+    if (auto* start = std::get_if<dispatch::StartAttempt>(&decision)) {
+        service = start->server.service;
+        outcome = "admitted";
+    } else if (auto* refusal = std::get_if<dispatch::Refuse>(&decision)) {
+        service = refusal->service;
+        outcome = toString(refusal->reason);
+    }
     process::Labels labels { { "service", service.value() }, { "priority", fmt::format("{}", call.priority) }, { "outcome", "wanted" } };
     m_metrics.count("swiftloft_entry_admission_total", labels);
     labels.back().value = outcome;
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -3,6 +3,7 @@
 #include "src/gateway/configuration.h"
 #include "src/gateway/control-message.h"
 
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -54,6 +55,7 @@
         bool isCopying { false };
         std::vector<RankPlace> ranks;
     };
+    /// Empty while agents report none.
     std::vector<Group> groups;
     /// Load of the servers of another data centre, as reported by that data centre.
     struct RemoteLoad {
@@ -74,4 +76,7 @@
     bool isLoadSharedLocally { false };
 };
 
+/// The latest report of each closed or slow rank, from its agent or from another entry.
+std::map<Endpoint, Snapshot::DegradedReport> latestDegradedReports(const Snapshot& snapshot);
+
 } // namespace swiftloft::gateway
