--- a/src/gateway/crashes/crash-tracker.h
+++ b/src/gateway/crashes/crash-tracker.h
@@ -37,9 +37,9 @@
 /// Finds out at which crashes of backend servers a request was in flight, and decides by that whether the request may
 /// run. Pure: the time is passed in with each call.
 ///
-/// A run that ends without a response convicts nobody: connections break for many reasons. It is remembered, and becomes
-/// part of a crash report once there is evidence that the process of its server has ended. All entries compute the same
-/// id for a crash, because an incarnation of a server ends only once.
+/// Connections break for many reasons, so a run that ends without a response counts for nothing by itself. It is
+/// remembered, and becomes part of a crash report once there is evidence that the process of its server has ended. All
+/// entries compute the same id for a crash, because an incarnation of a server ends only once.
 class CrashTracker {
 public:
     /// Reports of local crashes are sent to the other entries again for this long, because datagrams get lost. After that
@@ -105,6 +105,15 @@
         LostRun run;
         TimePoint endedAt;
     };
+    /// A server whose process has ended.
+    struct EndedServer {
+        Evidence evidence { Evidence::ConnectionRefused };
+        TimePoint forgetAt;
+    };
+    struct PeerTrials {
+        std::vector<Fingerprint> fingerprints;
+        TimePoint expiresAt;
+    };
     struct LocalReport {
         policy::SuspicionMessage message;
         TimePoint until;
@@ -117,18 +126,11 @@
     TrackerOptions m_options;
     policy::CrashQuarantine m_quarantine;
     std::vector<RememberedRun> m_lostRuns;
-    /// Servers whose process has ended, with the evidence, and when that is forgotten.
-    struct EndedServer {
-        Evidence evidence { Evidence::ConnectionRefused };
-        TimePoint forgetAt;
-    };
     std::map<ServerIncarnation, EndedServer> m_endedServers;
     std::map<ServerIncarnation, TimePoint> m_nextProbeAt;
+    /// Suspects that this entry runs, with the number of copies.
     std::map<Fingerprint, unsigned> m_trials;
-    struct PeerTrials {
-        std::vector<Fingerprint> fingerprints;
-        TimePoint expiresAt;
-    };
+    /// Suspects that other entries run.
     std::map<Incarnation, PeerTrials> m_peerTrials;
     std::vector<LocalReport> m_localReports;
     std::uint64_t m_localVersion { 0 };
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -355,7 +355,8 @@
         call.ranOn.push_back(server);
         call.verdict = combine(call.verdict, event.outcome == AttemptOutcome::ServerError ? Verdict::Ran : Verdict::MayHaveRun);
     }
-    if (refuseIfQuarantined(event.call, call, now, effects))
+    bool hasResponse = event.outcome == AttemptOutcome::ServerError;
+    if (!hasResponse && refuseIfQuarantined(event.call, call, now, effects))
         return;
     if (mayWaitForGroups(call, event.outcome, now)) {
         queueForRetry(event.call, call, now, call.request.arrivedAt + m_options.recoveryTimeout);
@@ -424,7 +425,7 @@
     auto it = m_calls.find(id);
     if (it == m_calls.end())
         return;
-    // The client has left during an attempt, or there is none.
+    // If an attempt is in progress, the client has left.
     endAttempt(id, it->second, now, AttemptOutcome::Lost);
     m_queue.remove(id);
     m_calls.erase(it);
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -301,7 +301,9 @@
     void onStreamProgressed(TimePoint now, CallId id);
     void onCallClosed(TimePoint now, CallId id);
     ServiceName pickService(const Route& route);
+    /// Does nothing if no attempt is in progress.
     void endAttempt(CallId id, Call& call, TimePoint now, AttemptOutcome outcome);
+    // In dispatcher-crashes.cc:
     static crashes::CrashTracker::LostRun runOf(CallId id, const Call& call, const ServerIncarnation& server);
     void recordOutcome(CallId id, Call& call, const ServerIncarnation& server, AttemptOutcome outcome, TimePoint now);
     void onSnapshotChanged(TimePoint now, const Snapshot& snapshot);
