--- a/test/crashing-requests_test.cc
+++ b/test/crashing-requests_test.cc
@@ -30,7 +30,8 @@
     fleet.at(seconds(5), [&] { fleet.sendCrashingRequest(crashingBody, pauses(options.seed, 200, 4500)); });
     fleet.runUntil(seconds(60));
     INFO("seed " << options.seed << ", rank group " << options.isRankGroup);
-    CHECK(fleet.violation() == "");
+    INFO(fleet.violation());
+    CHECK(fleet.violation().empty());
 }
 
 // Guards against this failure: the entries that are restarted, cut off or frozen while a request crashes servers, and
@@ -52,7 +53,8 @@
     fleet.at(seconds(26), [&] { fleet.killEntry((entry + 4) % 7); });
     fleet.runUntil(seconds(60));
     INFO("seed " << options.seed << ", rank group " << options.isRankGroup);
-    CHECK(fleet.violation() == "");
+    INFO(fleet.violation());
+    CHECK(fleet.violation().empty());
 }
 
 // Guards against this failure: servers crash for reasons of their own, one after the other or together, and requests
