Wait for the log line that a test explains

Traced in the log of the failed run: three crashes, refused at once, the line of the last refusal missing when the log was read. The check itself is unchanged.

--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -389,6 +389,8 @@
     CHECK(waitUntil(Clock::now() + seconds(5), [&] { return call(rig.request("safe", fmt::format("w{}", ++n))).head.result_int() == 200; }));
     CHECK_THAT(rig.log(), Contains("RequestQuarantined") && Contains("reason=quarantined"));
     CHECK(crashing(++n).head.result_int() == 503);
+    // The entry logs the outcome after it has sent the response.
+    REQUIRE(waitUntil(Clock::now() + seconds(5), [&] { return rig.log().find(fmt::format("id=c{} route", n)) != std::string::npos; }));
     auto explanation = ctl::ran({ "explain", fmt::format("c{}", n), rig.logFile() }).out;
     CHECK_THAT(explanation, Contains("refused: its content was in flight when i-") && Contains("RequestSuspected"));
 }
