--- a/include/swiftloft/policy/crash-quarantine.h
+++ b/include/swiftloft/policy/crash-quarantine.h
@@ -90,8 +90,8 @@
 ///
 /// All requests in flight at a crash become suspects. A suspect runs alone; when it succeeds, it is cleared, which
 /// releases requests that merely ran beside the cause. A number of crashes that were not cleared quarantine a request.
-/// The state is a set of (fingerprint, crash, cleared) tuples, so messages may be duplicated, delayed and reordered: all
-/// nodes that have received the same messages make the same decisions.
+/// The state is a set of (fingerprint, crash, cleared, weak) tuples, so messages may be duplicated, delayed and reordered:
+/// nodes that have received the same messages decide alike, for up to eight crashes of a fingerprint.
 class CrashQuarantine {
 public:
     static Result<CrashQuarantine> create(CrashQuarantineOptions options);
--- a/src/gateway/crashes/crash-tracker.h
+++ b/src/gateway/crashes/crash-tracker.h
@@ -82,7 +82,7 @@
     void onServerEnded(TimePoint now, const ServerIncarnation& server, Evidence evidence, std::span<const LostRun> inFlight, TimePoint lastActivityAt);
     /// Servers with lost runs for which there is no evidence yet.
     std::set<ServerIncarnation> unexplainedServers() const;
-    /// True if it is due to find out whether the server refuses connections. Records that it is found out now.
+    /// True if a probe of the server's address is due; the next one is due after `probeInterval`.
     bool beginProbe(TimePoint now, const ServerIncarnation& server);
 
     void onReports(TimePoint now, std::span<const policy::SuspicionMessage> reports);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -220,8 +220,8 @@
             continue;
         }
         bool isHeldBack = !m_admission.mayStart(now, queuedRequest(id, call), [&] { return m_loadBalancer.freeSlots(call.service, now); });
-        bool isTried = quarantineAction(call, now) == policy::QuarantineAction::Wait;
-        bool mayStart = !isTried && now >= call.retryAt && !fullServices.contains({ call.service, call.homes }) && !isHeldBack;
+        bool isTrialRunning = quarantineAction(call, now) == policy::QuarantineAction::Wait;
+        bool mayStart = !isTrialRunning && now >= call.retryAt && !fullServices.contains({ call.service, call.homes }) && !isHeldBack;
         if (mayStart && tryStartAttempt(id, call, now, effects)) {
             m_queue.remove(id);
             continue;
@@ -229,7 +229,7 @@
         if (mayStart && call.attempts == 0)
             fullServices.emplace(call.service, call.homes);
         auto before = queuedBefore++;
-        if (auto forecast = isHeldBack || isTried ? std::nullopt : forecastRefusal(call, now, before, true)) {
+        if (auto forecast = isHeldBack || isTrialRunning ? std::nullopt : forecastRefusal(call, now, before, true)) {
             refuseUnfinishable(id, call, *forecast, now, effects);
             continue;
         }
@@ -238,7 +238,7 @@
         m_queue.remove(id);
         if (call.lastOutcome)
             failCall(id, call, *call.lastOutcome, now, effects);
-        else if (isTried)
+        else if (isTrialRunning)
             refuse(now, id, call, RefusalReason::SuspectRunning, clientRetryTime(call, now), effects);
         else
             refuse(now, id, call, refusalReason(call, now), clientRetryTime(call, now), effects);
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -312,7 +312,7 @@
     bool refuseIfQuarantined(CallId id, Call& call, TimePoint now, dispatch::Effects& effects);
     /// The server's process has ended. Nothing follows from the end of a server that was leaving.
     void onServerEnded(TimePoint now, const ServerIncarnation& server, crashes::Evidence evidence);
-    /// Concludes from the outcome of an attempt whether the server's process has ended, or has that found out.
+    /// Concludes from the outcome of an attempt whether the server's process has ended, or starts a probe.
     void gatherEvidence(TimePoint now, const ServerIncarnation& server, AttemptOutcome outcome, const Call& call, dispatch::Effects& effects);
     /// Servers that run requests of this entry, or lost some for an unknown reason.
     std::set<ServerIncarnation> serversOfInterest() const;
--- a/test/crashing-requests_test.cc
+++ b/test/crashing-requests_test.cc
@@ -203,7 +203,7 @@
     CHECK_FALSE(entry.isSuspect());
 }
 
-TEST_CASE("Crashing requests: a plain server that loses a request is probed once, and a refused connection makes the request a suspect")
+TEST_CASE("Crashing requests: a plain server that loses a request is probed, and a refused connection makes the request a suspect")
 {
     OneEntry entry;
     auto server = entry.send(1);
