Send requests until one reaches the server with stray responses

The test sends six requests to an entry with two idle servers, of which one sends stray responses. The entry draws between idle servers, so in 1 of 64 runs all six go to the other one.

Ruled out: the log being read too early, since the entry writes StrayAnswer before it answers.

--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -273,9 +273,15 @@
     REQUIRE(rig.isReady());
     rig.platform.setStoreMode(StoreMode::Silent);
     rig.platform.setServerMode(0, ServerMode::StrayResponses);
-    rig.platform.leave(0);
-    for (int n = 0; n < 6; ++n)
+    auto leavingServer = rig.platform.leave(0);
+    auto isReached = [&] {
+        auto runs = rig.platform.runs();
+        return std::any_of(runs.begin(), runs.end(), [&](auto& it) { return it.second.front().server == leavingServer; });
+    };
+    // The entry draws one of two idle servers for each request.
+    for (int n = 0; n < 60 && !isReached(); ++n)
         call(rig.request("safe", fmt::format("y{}", n)));
+    REQUIRE(isReached());
     CHECK_THAT(rig.log(), Contains("StrayAnswer") && Contains("ServerSaysLeaving e1 server=i-1"));
 }
 
