Let clients of the test fleet repeat no request after its deadline

A client repeated its request at 52.602 s, 0.54 s after the deadline of the request, while another entry's report that it ran the previous copy, which had ended 0.1 s before, was still valid. A request past its deadline can't wait, so it was refused at once. No client repeats a request that it has given up; the fleet did.

--- a/test/gateway-fleet.h
+++ b/test/gateway-fleet.h
@@ -707,7 +707,7 @@
         auto crashing = m_crashing.find(call.work.body);
         if (crashing != m_crashing.end())
             schedule(m_now + crashing->second.pause(), [this, body = call.work.body, route = call.route] { arrive(*route, m_now + route->timeout, { .body = body }); });
-        else if (call.work.repeats < m_options.clientRepeats)
+        else if (call.work.repeats < m_options.clientRepeats && m_now + repeatDelay < call.deadline)
             schedule(m_now + repeatDelay, [this, call] { arrive(*call.route, call.deadline, { call.work.body, call.work.repeats + 1 }); });
     }
 
