Bound the suspects in a load update; log an outcome without changing its call

An entry that runs hundreds of suspects after a crash listed all of them in each update of load. The lifetime of such a report was stated twice and is now that of the load reports. Test: "Crash tracker: the report of the suspects that an entry runs is bounded".

--- a/src/gateway/crashes/crash-tracker.cc
+++ b/src/gateway/crashes/crash-tracker.cc
@@ -79,9 +79,11 @@
 std::vector<Fingerprint> CrashTracker::trials() const
 {
     std::vector<Fingerprint> trials;
-    trials.reserve(m_trials.size());
-    for (auto& [fingerprint, count] : m_trials)
+    for (auto& [fingerprint, count] : m_trials) {
+        if (trials.size() == maxReportedTrials)
+            break;
         trials.push_back(fingerprint);
+    }
     return trials;
 }
 
--- a/src/gateway/crashes/crash-tracker.h
+++ b/src/gateway/crashes/crash-tracker.h
@@ -2,6 +2,7 @@
 
 #include "src/gateway/call-id.h"
 #include "src/gateway/control-message.h"
+#include "src/gateway/peer-loads.h"
 
 #include <swiftloft/policy/crash-quarantine.h>
 
@@ -46,13 +47,15 @@
     /// they are part of hellos.
     static constexpr milliseconds propagationTime { 1200 };
     /// Trials reported by another entry are valid for this long.
-    static constexpr milliseconds trialLifetime { 600 };
+    static constexpr milliseconds trialLifetime { PeerLoads::reportLifetime };
     /// Minimum interval between probes of one server.
     static constexpr milliseconds probeInterval { 1000 };
     /// Reports in one hello, and how many of them may be about quarantined requests.
     static constexpr std::size_t maxReports { 8 };
     static constexpr std::size_t maxQuarantineReports { 6 };
     static constexpr std::size_t maxLocalReports { 32 };
+    /// Trials in one load update. Two entries may run copies of a suspect at a time if one of them has more trials.
+    static constexpr std::size_t maxReportedTrials { 64 };
     /// A request that crashes servers does so soon after it begins to run.
     static constexpr milliseconds minProgressTime { 500 };
 
@@ -94,6 +97,7 @@
     /// A part of what is known, at most `maxReports`; the next call returns the next part. Quarantined requests come more
     /// often than suspects.
     std::vector<policy::SuspicionMessage> nextReports(TimePoint now);
+    /// The suspects that this entry runs, at most `maxReportedTrials`.
     std::vector<Fingerprint> trials() const;
     /// Removes what has expired.
     void tick(TimePoint now);
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -249,11 +249,12 @@
     auto now = Clock::now();
     auto sinceArrival = [&](TimePoint time) { return std::chrono::duration_cast<milliseconds>(time - call.arrivedAt).count(); };
     bool isServed = call.isComplete && call.reason == answeredReason;
+    auto details = call.refusalDetails;
     if (!isServed && (call.attempts > 0 || call.computedFingerprint))
-        call.refusalDetails += fmt::format(" fingerprint={:016x}", call.fingerprint().value());
+        details += fmt::format(" fingerprint={:016x}", call.fingerprint().value());
     log::write(isServed ? log::Event::RequestServed : log::Event::RequestFailed, "id={} route={} organisation={} status={} reason={} attempts={} service={} servers={} configuration={} first-ms={} pause-ms={} silent-ms={} ms={}{}", call.head.id,
         call.route ? call.route->name : "-", call.organisation ? call.organisation->value() : "-", call.status, call.reason, call.attempts, call.service.value(), call.servers,
-        call.configuration ? call.configuration->version().value() : 0, call.firstByteAt ? sinceArrival(*call.firstByteAt) : -1, call.longestEventGap.count(), silenceDuration(call.sentAt, call.lastEventAt, now).count(), sinceArrival(now), call.refusalDetails);
+        call.configuration ? call.configuration->version().value() : 0, call.firstByteAt ? sinceArrival(*call.firstByteAt) : -1, call.longestEventGap.count(), silenceDuration(call.sentAt, call.lastEventAt, now).count(), sinceArrival(now), details);
     recordMetrics(call, isServed, now);
 }
 
--- a/test/crash-tracker_test.cc
+++ b/test/crash-tracker_test.cc
@@ -119,6 +119,15 @@
     CHECK(there.check(start, cause) == QuarantineAction::RunAlone);
 }
 
+// Guards against this failure: a crash makes so many suspects that a load update no longer fits into a datagram.
+TEST_CASE("Crash tracker: the report of the suspects that an entry runs is bounded")
+{
+    CrashTracker tracker;
+    for (std::uint64_t n = 1; n <= 10 * CrashTracker::maxReportedTrials; ++n)
+        tracker.onTrialStarted(Fingerprint(n));
+    CHECK(tracker.trials().size() == CrashTracker::maxReportedTrials);
+}
+
 // Guards against this failure: a crash makes so many suspects that an entry that has just started does not learn in time
 // which requests are refused.
 TEST_CASE("Crash tracker: every part of the reports has the quarantined requests, and the parts cover all suspects")
