Reject the shape of an expert map before the planner allocates memory for it

ReplicaPlanner::create now rejects the shapes that ExpertMap rejects, and the agent logs MapNotPlanned and plans nothing instead of throwing.

Failing test: "ReplicaPlanner: a shape that is too large is rejected before memory is allocated for it", std::bad_alloc before; a shape without experts was accepted. That the agent ended was concluded by reading, not run.

--- a/include/swiftloft/expertmap/expert-map.h
+++ b/include/swiftloft/expertmap/expert-map.h
@@ -22,6 +22,9 @@
     friend bool operator==(const MapShape&, const MapShape&) = default;
 };
 
+/// True if no dimension is zero or too large: at most 4,096 ranks, 1,024 layers, 4,096 experts and 4,096 slots per rank.
+bool isValid(const MapShape& shape);
+
 /// Marks a slot that holds no expert.
 inline constexpr ExpertIndex noExpert { 0xffff };
 
--- a/include/swiftloft/expertmap/replica-planner.h
+++ b/include/swiftloft/expertmap/replica-planner.h
@@ -54,7 +54,7 @@
         double minGain { 0.04 };
     };
 
-    /// Fails with `InvalidArgument` when the half-life or a limit on copies is not positive.
+    /// Fails with `InvalidArgument` when the half-life or a limit on copies is not positive, or the shape is invalid.
     static Result<ReplicaPlanner> create(const MapShape& shape, const Options& options);
 
     /// Adds a report of tokens by layer and expert counted since the previous report. Returns an error, and changes
--- a/src/agent/rank-daemon.cc
+++ b/src/agent/rank-daemon.cc
@@ -347,7 +347,12 @@
     hooks.onNotPlanned = [group](std::string_view reason, const std::string& detail) {
         log::write(log::Event::MapNotPlanned, "group={} reason={} {}", group, reason, detail);
     };
-    m_mapScheduler.emplace(LoadCollector(shape, ReplicaPlanner::create(shape, options.planner).value()), options.scheduler, m_lastVersion, std::move(hooks));
+    auto planner = ReplicaPlanner::create(shape, options.planner);
+    if (!planner) {
+        hooks.onNotPlanned("invalid-configuration", fmt::format("problem=\"{}\"", planner.error().message));
+        return;
+    }
+    m_mapScheduler.emplace(LoadCollector(shape, std::move(*planner)), options.scheduler, m_lastVersion, std::move(hooks));
 }
 
 void RankDaemon::stopMember()
--- a/src/expertmap/expert-map.cc
+++ b/src/expertmap/expert-map.cc
@@ -20,13 +20,6 @@
 constexpr std::uint32_t maxExperts = 4096;
 constexpr std::uint32_t maxSlotsPerRank = 4096;
 
-bool isValidShape(const MapShape& shape)
-{
-    auto isWithin = [](std::uint32_t value, std::uint32_t bound) { return value > 0 && value <= bound; };
-    return isWithin(shape.ranks, maxRanks) && isWithin(shape.layers, maxLayers) && isWithin(shape.experts, maxExperts)
-        && isWithin(shape.slotsPerRank, maxSlotsPerRank);
-}
-
 /// Describes the first error in the slots of a layer; empty when they are valid.
 std::string layerError(const MapShape& shape, std::span<const ExpertIndex> slots, std::uint32_t layer)
 {
@@ -50,6 +43,13 @@
 
 } // namespace
 
+bool isValid(const MapShape& shape)
+{
+    auto isWithin = [](std::uint32_t value, std::uint32_t bound) { return value > 0 && value <= bound; };
+    return isWithin(shape.ranks, maxRanks) && isWithin(shape.layers, maxLayers) && isWithin(shape.experts, maxExperts)
+        && isWithin(shape.slotsPerRank, maxSlotsPerRank);
+}
+
 ExpertMap::ExpertMap(const MapShape& shape, std::vector<ExpertIndex> slots)
     : m_shape(shape)
     , m_slots(std::move(slots))
@@ -58,7 +58,7 @@
 
 Result<ExpertMap> ExpertMap::create(const MapShape& shape, std::vector<ExpertIndex> slots)
 {
-    if (!isValidShape(shape))
+    if (!isValid(shape))
         return invalid("a dimension of the expert map is zero or too large");
     if (slots.size() != static_cast<std::size_t>(shape.slotsPerLayer()) * shape.layers)
         return invalid(fmt::format("an expert map of this shape needs {} slots, got {}", static_cast<std::size_t>(shape.slotsPerLayer()) * shape.layers, slots.size()));
@@ -73,7 +73,7 @@
 
 Result<ExpertMap> ExpertMap::contiguous(const MapShape& shape)
 {
-    if (!isValidShape(shape) || shape.experts > shape.slotsPerLayer())
+    if (!isValid(shape) || shape.experts > shape.slotsPerLayer())
         return invalid("the experts don't fit into the slots");
     std::vector<ExpertIndex> layer(shape.slotsPerLayer(), noExpert);
     auto rankHolds = [&](std::uint32_t rank, ExpertIndex expert) {
@@ -104,7 +104,7 @@
 
 Result<ExpertMap> ExpertMap::roundRobin(const MapShape& shape)
 {
-    if (!isValidShape(shape) || shape.experts > shape.slotsPerLayer())
+    if (!isValid(shape) || shape.experts > shape.slotsPerLayer())
         return invalid("the experts don't fit into the slots");
     std::vector<ExpertIndex> slots(static_cast<std::size_t>(shape.layers) * shape.slotsPerLayer(), noExpert);
     for (std::uint32_t layer = 0; layer < shape.layers; ++layer) {
--- a/src/expertmap/replica-planner.cc
+++ b/src/expertmap/replica-planner.cc
@@ -2,6 +2,8 @@
 
 #include "src/expertmap/replica-layer.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cmath>
 #include <functional>
@@ -41,6 +43,8 @@
 {
     if (options.halfLife <= milliseconds(0) || options.maxCopiesPerRankAndLayer == 0 || options.maxCopiesPerRank == 0)
         return Error { ErrorCode::InvalidArgument, "the half-life and the copy limits of a replica planner must be positive" };
+    if (!isValid(shape))
+        return Error { ErrorCode::InvalidArgument, fmt::format("{} ranks, {} layers, {} experts and {} slots per rank: one is zero or too large for an expert map", shape.ranks, shape.layers, shape.experts, shape.slotsPerRank) };
     return ReplicaPlanner(shape, options);
 }
 
--- a/test/replica-planner_test.cc
+++ b/test/replica-planner_test.cc
@@ -116,6 +116,17 @@
     CHECK_FALSE(ReplicaPlanner::create(shape, options).has_value());
 }
 
+// Guards against this failure: a configuration with an absurd number of experts ends the agents that plan for it.
+TEST_CASE("ReplicaPlanner: a shape that is too large is rejected before memory is allocated for it")
+{
+    auto huge = shape;
+    huge.experts = GENERATE(0U, 4'000'000'000U);
+    CHECK_FALSE(ReplicaPlanner::create(huge, {}).has_value());
+    huge = shape;
+    huge.layers = GENERATE(0U, 4'000'000'000U);
+    CHECK_FALSE(ReplicaPlanner::create(huge, {}).has_value());
+}
+
 // Guards against steps that are slow for half a second after each shift of demand. While the history still holds the
 // old demand, the first plan suits neither demand, and ranks load experts that nobody requests. Only the second plan
 // helps.
