--- a/src/gateway/crashes/crash-tracker.h
+++ b/src/gateway/crashes/crash-tracker.h
@@ -36,7 +36,7 @@
 };
 
 /// Finds out at which crashes of backend servers a request was in flight, and decides by that whether the request may
-/// run. Pure: the time is passed in with each call.
+/// run. Reads no clock and does no I/O but writing log lines: the time is passed in with each call.
 ///
 /// Connections break for many reasons, so a run that ends without a response counts for nothing by itself. It is
 /// remembered, and becomes part of a crash report once there is evidence that the process of its server has ended. All
@@ -46,7 +46,8 @@
     /// Reports of local crashes are sent to the other entries again for this long, because datagrams get lost. After that
     /// they are part of hellos.
     static constexpr milliseconds propagationTime { 1200 };
-    /// Trials reported by another entry are valid for this long.
+    /// Trials reported by another entry are valid for this long. In a large fleet only entries of the same data centre
+    /// report theirs.
     static constexpr milliseconds trialLifetime { PeerLoads::reportLifetime };
     /// Minimum interval between probes of one server.
     static constexpr milliseconds probeInterval { 1000 };
