--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -29,7 +29,7 @@
     base=$((20000 + RANDOM % 10000))
     free=1
     for ip in "${fronts[@]}" "$platform"; do
-        for n in $(seq 0 20); do isFree "$ip" $((base + n)) || free=0; done
+        for n in $(seq 0 30); do isFree "$ip" $((base + n)) || free=0; done
     done
     [ "$free" = 1 ] && break
 done
@@ -37,18 +37,18 @@
 store="$platform:$base"
 "$standin" store --address "$store" & pids+=($!)
 
-# Three servers of each of two services, as counter-app of the site has; each behind a link of its own.
+# Six servers of each of two services, each behind a link of its own, so that one is a sixth of its service.
 declare -A serverPid linkPid
 startServer() { # NAME NUMBER ZONE
     local service=counter
     [[ $1 == m* ]] && service=model
     "$standin" server --id "i-$1" --service "$service" --zone "$3" --store "$store" --listen "$platform:$((base + 1 + $2))" \
-        --address "$platform:$((base + 11 + $2))" --journal "$record" --slots 6 & serverPid[$1]=$!
+        --address "$platform:$((base + 15 + $2))" --journal "$record" --slots 6 & serverPid[$1]=$!
     pids+=($!)
 }
 n=0
-for name in c0 c1 c2 m0 m1 m2; do
-    "$standin" link --address "$platform:$((base + 11 + n))" --to "$platform:$((base + 1 + n))" & linkPid[$name]=$!
+for name in c0 c1 c2 c3 c4 c5 m0 m1 m2 m3 m4 m5; do
+    "$standin" link --address "$platform:$((base + 15 + n))" --to "$platform:$((base + 1 + n))" & linkPid[$name]=$!
     pids+=($!)
     numbers[n]=$name
     n=$((n + 1))
@@ -69,7 +69,7 @@
 CONFIG
 for attempt in $(seq 50); do put op/config "$folder/config.json" 2>/dev/null && break; sleep 0.1; done
 n=0
-for name in c0 c1 c2 m0 m1 m2; do startServer "$name" "$n" "${zones[n % 3]}"; n=$((n + 1)); done
+for name in c0 c1 c2 c3 c4 c5 m0 m1 m2 m3 m4 m5; do startServer "$name" "$n" "${zones[n % 3]}"; n=$((n + 1)); done
 
 seeds="${fronts[0]}:$((base + 3)),${fronts[1]}:$((base + 3)),${fronts[2]}:$((base + 3))"
 for n in 0 1 2; do
@@ -132,7 +132,7 @@
         kill -KILL "${serverPid[$victim]}"
         wait "${serverPid[$victim]}" 2>/dev/null
         sleep "$5"
-        for n in 0 1 2 3 4 5; do [ "${numbers[n]}" = "$victim" ] && startServer "$victim" "$n" "${zones[n % 3]}"; done
+        for n in "${!numbers[@]}"; do [ "${numbers[n]}" = "$victim" ] && startServer "$victim" "$n" "${zones[n % 3]}"; done
         kill -USR2 "${linkPid[$victim]}"
         note "start and heal server=i-$victim"
     fi
