--- a/src/gateway/upstream-pool.cc
+++ b/src/gateway/upstream-pool.cc
@@ -1,6 +1,7 @@
 #include "src/gateway/upstream-pool.h"
 
 #include "src/gateway/snapshot.h"
+#include "src/log/logger.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -158,14 +159,24 @@
 /// requests end immediately as lost, and those that may run again are retried.
 void UpstreamPool::shutDownEndedIncarnations(const ServerStarts& listed)
 {
+    struct Disconnected {
+        int connections { 0 };
+        int inUse { 0 };
+    };
+    std::map<ServerIncarnation, Disconnected> disconnected;
     for (auto* connection : *m_openConnections) {
         auto it = listed.find(connection->server.id);
         bool hasEnded = it != listed.end() && it->second > connection->server.startedAt;
         if (!hasEnded)
             continue;
+        auto& count = disconnected[connection->server];
+        ++count.connections;
+        count.inUse += connection->isInUse ? 1 : 0;
         boost::system::error_code ec;
         connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
     }
+    for (auto& [server, count] : disconnected)
+        log::write(log::Event::EndedServerDisconnected, "server={} started={} listed={} connections={} in-use={}", server.id.value(), server.startedAt.value(), listed.at(server.id).value(), count.connections, count.inUse);
 }
 
 } // namespace swiftloft::gateway
