Do not pass on a response as whole when its server is known to have ended

What callers would see: a server crashes, its address refuses connections, and the end of one of its connections arrives later, held up on the way or by a system that is slow to close it. A torn response without a length or chunks on it is passed on as a whole one.

The entry has the knowledge, in its crash tracker, from a refused connection, a 421 of another server, the list or an agent, and does not use it here.

Change: the dispatcher marks the calls in flight at a server when there is evidence that its process has ended; the end of the connection completes no response of theirs. Requests sent after the evidence are not marked, as they may be at a new process, nor are those at servers that were leaving, which finish their requests with a closed port.

An end that arrives before the evidence is still taken for that of a complete response: HTTP has no other sign, and two seconds later is too late for the client. The quarantine counts it as a success only then.

--- a/src/gateway/async-dispatcher.h
+++ b/src/gateway/async-dispatcher.h
@@ -40,6 +40,8 @@
         /// Reports that the complete response was sent to the client. `endsWithConnection`: only the end of the server's
         /// connection has shown that it is complete.
         void reportCompleted(bool isSuccess, bool endsWithConnection);
+        /// See `Dispatcher::hasServerEnded`.
+        bool hasServerEnded() const { return m_dispatcher.m_reducer.hasServerEnded(m_id); }
         CallId id() const { return m_id; }
 
     private:
--- a/src/gateway/dispatcher-crashes.cc
+++ b/src/gateway/dispatcher-crashes.cc
@@ -81,13 +81,22 @@
         return;
     std::vector<crashes::CrashTracker::LostRun> inFlight;
     for (auto& [id, call] : m_calls) {
-        bool isRunning = call.currentServer == server && call.request.fingerprint && call.sentAt + sendingTime <= now;
+        if (call.currentServer != server)
+            continue;
+        call.hasServerEnded = true;
+        bool isRunning = call.request.fingerprint && call.sentAt + sendingTime <= now;
         if (isRunning)
             inFlight.push_back(runOf(id, call, server));
     }
     m_crashes.onServerEnded(now, server, evidence, inFlight, m_loadBalancer.lastActivityAt(server));
 }
 
+bool Dispatcher::hasServerEnded(CallId id) const
+{
+    auto it = m_calls.find(id);
+    return it != m_calls.end() && it->second.hasServerEnded;
+}
+
 void Dispatcher::gatherEvidence(TimePoint now, const ServerIncarnation& server, AttemptOutcome outcome, const Call& call, Effects& effects)
 {
     if (outcome == AttemptOutcome::Misdirected)
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -199,6 +199,7 @@
     call.currentServer = server->incarnation();
     call.hasResponseStarted = false;
     call.hasProgressed = false;
+    call.hasServerEnded = false;
     call.lastActivityAt = now;
     call.isAttemptCancelled = false;
     if (call.request.route->isStream && !m_nextStallCheckAt)
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -259,6 +259,9 @@
     const admission::AdmissionController& admission() const { return m_admission; }
     std::size_t queuedRequests() const { return m_queue.size(); }
     const capacity::ServiceEstimate& serviceEstimate() const { return m_estimate; }
+    /// True if the process of the call's current server has ended since the request was sent to it. Ignores servers that
+    /// were leaving.
+    bool hasServerEnded(CallId id) const;
     /// The requests that may have crashed servers.
     const crashes::CrashTracker& crashTracker() const { return m_crashes; }
     /// A part of what is known of these requests, for other entries; the next call returns the next part.
@@ -297,6 +300,8 @@
         TimePoint retryAt;
         /// Outcome of the last attempt; unset before the first one ends.
         std::optional<AttemptOutcome> lastOutcome;
+        /// There is evidence that the process of the current server has ended since the request was sent to it.
+        bool hasServerEnded { false };
         /// Events of the current attempt.
         capacity::StreamClock clock;
         /// The last attempt is or was a trial: the request, or a part of its prompt, may have crashed a server before.
--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -195,7 +195,8 @@
 /// system closes its connections in the same way as after a complete response without a length or chunks.
 bool RequestServer::isTorn(const Call& call, const UpstreamConnection& connection) const
 {
-    if (!call.endsWithConnection || !connection.hasServerEnded)
+    bool hasServerEnded = connection.hasServerEnded || call.handle->hasServerEnded();
+    if (!call.endsWithConnection || !hasServerEnded)
         return false;
     auto closedBy = connection.hasServerEnded ? "entry" : "server";
     m_metrics.count("swiftloft_entry_torn_responses_total", { { "service", call.service.value() }, { "closed_by", closedBy } });
--- a/test/dispatcher_test.cc
+++ b/test/dispatcher_test.cc
@@ -519,3 +519,21 @@
     REQUIRE(rig.refusal(1));
     CHECK(rig.refusal(1)->reason == RefusalReason::Lost);
 }
+
+// Guards against this failure: a response from the new process of a server is taken for one that its ended process has torn, or
+// that of a server that is leaving.
+TEST_CASE("Dispatcher: the end of a server concerns only requests that were sent to it before, and not if it was leaving")
+{
+    bool isLeaving = GENERATE(false, true);
+    auto server = Rig::server("s1");
+    Rig rig({ server });
+    rig.arrive(1);
+    REQUIRE(rig.sentTo(1) == "s1");
+    CHECK_FALSE(rig.dispatcher.hasServerEnded(CallId(1)));
+    if (isLeaving)
+        rig.apply(LeavingReported { server.incarnation() });
+    rig.apply(ProbeRefused { server.incarnation() });
+    CHECK(rig.dispatcher.hasServerEnded(CallId(1)) == !isLeaving);
+    rig.arrive(2);
+    CHECK_FALSE(rig.dispatcher.hasServerEnded(CallId(2)));
+}
--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -557,6 +557,29 @@
     CHECK(rig.platform.runs()[idThat(endsWithConnection, "once")].size() == 1);
 }
 
+// Guards against this failure: an address refuses connections because its server has crashed, the end of the server's last
+// connection arrives later, and the torn response on it is passed on as a whole one.
+TEST_CASE("Platform entry: the end of a connection completes no response once its server is known to have ended")
+{
+    EntryRig rig;
+    std::promise<void> isKnown;
+    ScriptedServer server([&, known = isKnown.get_future().share()](auto& socket, const std::string& id) {
+        boost::asio::write(socket, boost::asio::buffer(streamHead(id) + FakePlatform::eventText(id, 1)));
+        known.wait();
+    });
+    rig.platform.setListedAddress(0, server.address());
+    rig.start();
+    REQUIRE(rig.isReady());
+    auto stream = std::async(std::launch::async, [&] { return rig.streamAt(server); });
+    CHECK(waitUntil(Clock::now() + seconds(5), [&] { return server.hasRequest(); }));
+    CHECK(rig.sendUntilLogged("RequestSuspected", milliseconds(900)));
+    isKnown.set_value();
+    auto [id, body] = stream.get();
+    INFO(rig.log());
+    CHECK(server.requestId() == id);
+    CHECK(body == FakePlatform::completeStream(id));
+}
+
 // Guards against this failure: a stream can't be completed, and a client that speaks HTTP/1.0 or asks for the connection to be
 // closed takes its end for the end of the response.
 TEST_CASE("Platform entry: a torn stream looks torn to clients whose connections end with the response")
