Forward the events before a gap of a stream

What callers would see: an event missing in a stream. A server leaves out an event within one run; of the events that arrive in the same read, those before the gap are dropped, and another server goes on behind them.

Cause: forwardEvents advances the last event with each event that it has looked at, and returns at the gap before it writes. The attempt that follows resumes after events that were never written.

Change: what was read before the gap is written first.

--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -294,24 +294,26 @@
 }
 
 /// Appends `bytes` to the stream and forwards each event that is then complete. Skips events that the client already has,
-/// according to their ids. Returns false if the ids show that an event is missing.
+/// according to their ids. Returns false if the ids show that an event is missing; those before it are forwarded.
 asio::awaitable<bool> RequestServer::forwardEvents(Call& call, std::string_view bytes)
 {
     std::string out;
+    bool isMissingEvent = false;
     for (auto& event : call.splitter.append(bytes)) {
         if (event.id && call.lastEvent) {
             // A server that restarts the stream sends events again that the client already has.
             if (*event.id <= *call.lastEvent)
                 continue;
-            if (*event.id != *call.lastEvent + 1)
-                co_return false;
+            isMissingEvent = *event.id != *call.lastEvent + 1;
+            if (isMissingEvent)
+                break;
         }
         if (event.id)
             call.lastEvent = event.id;
         out += event.bytes;
     }
     if (out.empty())
-        co_return true;
+        co_return !isMissingEvent;
     auto now = Clock::now();
     if (!call.firstByteAt) {
         call.firstByteAt = now;
@@ -322,7 +324,7 @@
     }
     call.lastEventAt = now;
     co_await call.client.writeChunk(std::move(out));
-    co_return true;
+    co_return !isMissingEvent;
 }
 
 void RequestServer::releaseConnection(UpstreamConnectionPtr connection, const ResponseParser& parser)
--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -608,3 +608,22 @@
     CHECK(ec == boost::asio::error::connection_reset);
     CHECK_THAT(response, Contains("part 3") && !Contains("part 12"));
 }
+
+// Guards against this failure: a server leaves out an event of a stream, the events before it in the same read are dropped, and the
+// stream goes on elsewhere behind them.
+TEST_CASE("Platform entry: the events before a gap reach the client before the stream goes on at another server")
+{
+    EntryRig rig;
+    ScriptedServer server([](auto& socket, const std::string& id) {
+        auto event = [&](int n) { return FakePlatform::eventText(id, n); };
+        boost::asio::write(socket, boost::asio::buffer(streamHead(id) + event(1) + event(2) + event(4)));
+    });
+    rig.platform.setListedAddress(0, server.address());
+    rig.start();
+    REQUIRE(rig.isReady());
+    auto [id, body] = rig.streamAt(server);
+    REQUIRE(server.hasRequest());
+    REQUIRE(server.requestId() == id);
+    INFO(rig.log());
+    CHECK(body == FakePlatform::completeStream(id));
+}
