End the connections to a process whose address a later one has taken

What callers would see: a request waits until its deadline. Its server has crashed behind a cut, another server has started at its address under another id, and nothing ends the old connection.

Cause: the pool compared start times under the same id alone.

A server that is only missing from the list keeps its open connections, by design: it may be finishing its requests, or its entry may have expired while the store was away. Without both start times nothing is concluded, nor from an earlier one, which a store that was restored from an older copy may list again.

'Upstream: connections to a process end when a later one is listed at its address...' fails with the comparison by address taken out (1 of 12 checks) and passes with it.

--- a/src/gateway/upstream-pool.cc
+++ b/src/gateway/upstream-pool.cc
@@ -81,6 +81,7 @@
 {
     auto connection = std::make_unique<UpstreamConnection>(m_ioContext, m_openConnections);
     connection->server = server.incarnation();
+    connection->address = server.address;
     connection->stream.expires_at(deadline);
     co_await connection->stream.async_connect(server.address, use_awaitable);
     // The connection leads to a later process of the server.
@@ -136,10 +137,10 @@
 void UpstreamPool::applySnapshot(const Snapshot& snapshot)
 {
     auto now = Clock::now();
-    ServerStarts listed;
+    std::set<ServerIncarnation> listed;
     m_idleLimits.clear();
     for (auto& server : snapshot.servers) {
-        listed[server.id] = server.startedAt;
+        listed.insert(server.incarnation());
         auto* service = snapshot.configuration ? snapshot.configuration->findService(server.service) : nullptr;
         if (service)
             m_idleLimits[server.incarnation()] = idleConnectionLimit(service->maximumConnections, server.slots, snapshot.maxEntries);
@@ -149,39 +150,49 @@
         while (list.size() > idleLimitOf(server))
             list.pop_front();
     }
-    auto isListed = [&](const ServerIncarnation& incarnation) {
-        auto it = listed.find(incarnation.id);
-        return it != listed.end() && it->second == incarnation.startedAt;
-    };
-    std::erase_if(m_idle, [&](auto& it) { return !isListed(it.first); });
-    shutDownEndedIncarnations(listed);
+    std::erase_if(m_idle, [&](auto& it) { return !listed.contains(it.first); });
+    shutDownEndedIncarnations(snapshot.servers);
 }
 
-/// If a server's process dies while its link is down and is restarted under the same id, its old connections never
-/// report an error, and requests on them would wait until their deadlines. When the connections are shut down, these
-/// requests end immediately as lost, and those that may run again are retried. What has arrived of a response before can
-/// still be read.
-void UpstreamPool::shutDownEndedIncarnations(const ServerStarts& listed)
+/// If a server's process dies while its link is down and another one is started under its id or at its address, the old
+/// connections never report an error, and requests on them would wait until their deadlines. When the connections are shut
+/// down, these requests end immediately as lost, and those that may run again are retried. What has arrived of a response
+/// before can still be read.
+void UpstreamPool::shutDownEndedIncarnations(const std::vector<BackendServer>& listed)
 {
+    std::map<BackendServerId, ServerStartTime> startsById;
+    std::map<Endpoint, ServerStartTime> startsByAddress;
+    for (auto& server : listed) {
+        startsById[server.id] = server.startedAt;
+        auto& start = startsByAddress[server.address];
+        start = std::max(start, server.startedAt);
+    }
+    auto laterStart = [&](const UpstreamConnection& connection) {
+        auto byId = startsById.find(connection.server.id);
+        auto byAddress = startsByAddress.find(connection.address);
+        bool isComparable = connection.server.startedAt != ServerStartTime() && byAddress != startsByAddress.end();
+        return std::max(byId == startsById.end() ? ServerStartTime() : byId->second, isComparable ? byAddress->second : ServerStartTime());
+    };
     struct Disconnected {
+        ServerStartTime later;
         int connections { 0 };
         int inUse { 0 };
     };
     std::map<ServerIncarnation, Disconnected> disconnected;
     for (auto* connection : *m_openConnections) {
-        auto it = listed.find(connection->server.id);
-        bool hasEnded = it != listed.end() && it->second > connection->server.startedAt;
-        if (!hasEnded || connection->hasServerEnded)
+        auto later = laterStart(*connection);
+        if (later <= connection->server.startedAt || connection->hasServerEnded)
             continue;
         connection->hasServerEnded = true;
         auto& count = disconnected[connection->server];
+        count.later = later;
         ++count.connections;
         count.inUse += connection->isInUse ? 1 : 0;
         boost::system::error_code ec;
         connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
     }
     for (auto& [server, count] : disconnected)
-        log::write(log::Event::EndedServerDisconnected, "server={} started={} listed={} connections={} in-use={}", server.id.value(), server.startedAt.value(), listed.at(server.id).value(), count.connections, count.inUse);
+        log::write(log::Event::EndedServerDisconnected, "server={} started={} listed={} connections={} in-use={}", server.id.value(), server.startedAt.value(), count.later.value(), count.connections, count.inUse);
 }
 
 } // namespace swiftloft::gateway
--- a/src/gateway/upstream-pool.h
+++ b/src/gateway/upstream-pool.h
@@ -27,6 +27,7 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     ServerIncarnation server;
+    Endpoint address;
     /// A request was written and its response was not read to the end.
     bool isInUse { false };
     /// The server's process has ended and this entry has shut the connection down: the end of its stream is not the server's.
@@ -66,7 +67,8 @@
     /// it. If the pool exceeds its limit for the server, the connection that has been idle longest is closed.
     void release(UpstreamConnectionPtr connection, TimePoint idleUntil);
     /// Closes the idle connections to servers that are not in the snapshot, the idle connections beyond this entry's share, and
-    /// all connections to incarnations that have ended because their server was restarted.
+    /// all connections to processes that have ended, because a later one is listed under their id or at their address. The
+    /// connections in use to a server that is no longer listed stay open: it may be finishing its requests.
     void applySnapshot(const Snapshot& snapshot);
     void closeIdle() { m_idle.clear(); }
 
@@ -80,9 +82,7 @@
     boost::asio::awaitable<void> watchIdleConnection(ServerIncarnation server, std::uint64_t number);
     void closeIdleConnection(const ServerIncarnation& server, std::uint64_t number);
     std::size_t idleLimitOf(const ServerIncarnation& server) const;
-    /// Start time of each listed server, by id.
-    using ServerStarts = std::map<BackendServerId, ServerStartTime>;
-    void shutDownEndedIncarnations(const ServerStarts& listed);
+    void shutDownEndedIncarnations(const std::vector<BackendServer>& listed);
 
     boost::asio::io_context& m_ioContext;
     std::map<ServerIncarnation, std::list<Idle>> m_idle;
--- a/test/upstream-pool_test.cc
+++ b/test/upstream-pool_test.cc
@@ -85,3 +85,22 @@
     CHECK(rig.hasFailed);
     CHECK_FALSE(rig.connection);
 }
+
+// Guards against this failure: a request waits until its deadline for a process that has crashed behind a cut, although another
+// server has taken the address of the process.
+TEST_CASE("Upstream: connections to a process end when a later one is listed at its address, and not when it leaves the list")
+{
+    auto [startedAt, later, isShutDown] = GENERATE(table<std::uint64_t, std::uint64_t, bool>({ { 5, 6, true }, { 5, 4, false }, { 5, 0, false }, { 0, 6, false } }));
+    PoolRig rig;
+    rig.beginConnect(rig.server(startedAt));
+    rig.ioContext.run();
+    REQUIRE(rig.connection);
+    auto successor = rig.server(later);
+    successor.id = BackendServerId("s2");
+    auto elsewhere = successor;
+    elsewhere.address.port(1);
+    rig.list(elsewhere);
+    CHECK_FALSE(rig.connection->hasServerEnded);
+    rig.list(successor);
+    CHECK(rig.connection->hasServerEnded == isShutDown);
+}
