Do not wait for a response behind a stray one that ends with its connection

What callers would see: a late response to another request arrives where theirs is expected and has neither a length nor chunks. The entry reads it to the end of the connection and then expects their own response on the closed connection; while the server keeps the connection open, they wait until their deadline.

Cause: the loop over stray responses treats all of them as followed by another one. The outcome was right (lost, as soon as the connection ends), the wait was not.

Change: such an attempt is lost as soon as the head of the stray response has been read.

--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -132,6 +132,9 @@
         bool isStray = !head.requestId.empty() && head.requestId != call.head.id;
         if (isStray) {
             log::write(log::Event::StrayAnswer, "id={} server={} answers={}", call.head.id, connection->server.id.value(), head.requestId);
+            // It ends with the connection, so no response can follow.
+            if (parser.need_eof())
+                co_return AttemptOutcome::Lost;
             std::array<char, 4096> bytes;
             while (!parser.is_done()) {
                 parser.get().body().data = bytes.data();
--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -627,3 +627,26 @@
     INFO(rig.log());
     CHECK(body == FakePlatform::completeStream(id));
 }
+
+// Guards against this failure: a late response to another request ends only with its connection, and a request waits for its own
+// response behind it until the server or its deadline ends the wait.
+TEST_CASE("Platform entry: no response is expected behind a stray one that ends with its connection")
+{
+    EntryRig rig;
+    std::promise<void> isOver;
+    ScriptedServer server([over = isOver.get_future().share()](auto& socket, const std::string& id) {
+        boost::asio::write(socket, boost::asio::buffer(streamHead(id + "-other") + FakePlatform::eventText(id + "-other", 1)));
+        over.wait();
+    });
+    rig.platform.setListedAddress(0, server.address());
+    rig.start();
+    REQUIRE(rig.isReady());
+    auto began = Clock::now();
+    auto [id, body] = rig.streamAt(server);
+    bool isSoon = Clock::now() < began + seconds(2);
+    isOver.set_value();
+    INFO(rig.log());
+    CHECK(body == FakePlatform::completeStream(id));
+    CHECK(server.hasRequest());
+    CHECK(isSoon);
+}
