Do not take a listed process for the successor of one that started later

What callers would see: a response without a length or chunks is discarded though it is whole, and the requests at its server are counted as in flight at a crash. The store was restored from a copy that is some seconds old and lists an ended process again, at the address that a live one has taken meanwhile.

Cause: another process at a server's address was taken for its successor whichever of them had started first. Since the end of connections is judged by this evidence, a wrong one costs a response.

Change: a listed process with an earlier start shows nothing; one that does not say its start still does.

--- a/src/gateway/dispatcher-crashes.cc
+++ b/src/gateway/dispatcher-crashes.cc
@@ -130,7 +130,11 @@
         return;
     for (auto& server : snapshot.servers) {
         auto it = addresses.find(server.address);
-        if (it != addresses.end() && it->second != server.incarnation())
+        if (it == addresses.end() || it->second == server.incarnation())
+            continue;
+        // A store that was restored from an older copy lists ended processes again.
+        bool isEarlier = server.startedAt != ServerStartTime() && server.startedAt < it->second.startedAt;
+        if (!isEarlier)
             onServerEnded(now, it->second, crashes::Evidence::Replaced);
     }
     // A report from before the server was listed concerns its predecessor at the address.
--- a/test/dispatcher_test.cc
+++ b/test/dispatcher_test.cc
@@ -537,3 +537,19 @@
     rig.arrive(2);
     CHECK_FALSE(rig.dispatcher.hasServerEnded(CallId(2)));
 }
+
+// Guards against this failure: a restored store lists a process again that ended before, and the live one at its address is taken for
+// ended.
+TEST_CASE("Dispatcher: a process that is listed at a server's address shows its end unless it started before")
+{
+    auto [startedAt, isEnd] = GENERATE(table<std::uint64_t, bool>({ { 4, false }, { 6, true }, { 0, true } }));
+    auto server = Rig::server("s1");
+    server.startedAt = ServerStartTime(5);
+    Rig rig({ server });
+    rig.arrive(1);
+    REQUIRE(rig.sentTo(1) == "s1");
+    auto other = Rig::server("s0");
+    other.startedAt = ServerStartTime(startedAt);
+    rig.setServers({ server, other });
+    CHECK(rig.dispatcher.hasServerEnded(CallId(1)) == isEnd);
+}
