--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -102,8 +102,9 @@
     {
         int n = 0;
         return waitUntil(Clock::now() + time, [&] {
-            std::vector<std::future<replay::ExchangeResult>> calls;
             constexpr int callsAtATime = 8;
+            std::vector<std::future<replay::ExchangeResult>> calls;
+            calls.reserve(callsAtATime);
             for (int k = 0; k < callsAtATime; ++k)
                 calls.push_back(std::async(std::launch::async, [this, id = fmt::format("q{}", ++n)] { return call(request("safe", id)); }));
             calls.clear();
