--- a/test/fake-engine-group.h
+++ b/test/fake-engine-group.h
@@ -5,6 +5,7 @@
 #include <boost/system/system_error.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -25,8 +26,17 @@
     int maxDelayTurns { 1200 };
 };
 
+/// What happens to one command.
+struct CommandFate {
+    bool isAnswered { true };
+    /// The command is executed after each of these numbers of turns; never if there are none.
+    std::vector<int> executedAfter { 0 };
+};
+
 class FakeEngineGroup {
 public:
+    using FateHook = std::function<CommandFate(std::uint32_t rank, const EngineCommand& command)>;
+
     FakeEngineGroup(std::uint32_t ranks, bool checksFences, CommandFaults faults, std::uint64_t seed)
         : m_checksFences(checksFences)
         , m_faults(faults)
@@ -43,6 +53,9 @@
         return port;
     }
 
+    /// Lets `hook` decide what happens to each command, in place of the faults by chance.
+    void setFateHook(FateHook hook) { m_fateHook = std::move(hook); }
+
     /// Advances by one turn: executes delayed commands, finishes copies, and begins a step if no rank holds it.
     void advance()
     {
@@ -78,6 +91,7 @@
     {
         return std::all_of(m_ranks.begin(), m_ranks.end(), [&](auto& rank) { return rank.map == version; });
     }
+    bool hasDelayedCommands() const { return !m_delayedCommands.empty(); }
     bool isHeld() const
     {
         return std::any_of(m_ranks.begin(), m_ranks.end(), [](auto& rank) { return rank.held.has_value(); });
@@ -120,6 +134,8 @@
 
     boost::asio::awaitable<CommandOutcome> onCommand(std::uint32_t rank, EngineCommand command)
     {
+        if (m_fateHook)
+            co_return meetFate(rank, command, m_fateHook(rank, command));
         if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_faults.delayedShare) {
             std::uniform_int_distribution<int> delay(m_faults.minDelayTurns, m_faults.maxDelayTurns);
             m_delayedCommands.emplace(m_turn + delay(m_random), DelayedCommand { rank, command });
@@ -128,6 +144,20 @@
         co_return execute(rank, command);
     }
 
+    CommandOutcome meetFate(std::uint32_t rank, const EngineCommand& command, const CommandFate& fate)
+    {
+        auto outcome = CommandOutcome::Done;
+        for (auto turns : fate.executedAfter) {
+            if (turns > 0)
+                m_delayedCommands.emplace(m_turn + turns, DelayedCommand { rank, command });
+            else
+                outcome = execute(rank, command);
+        }
+        if (!fate.isAnswered)
+            throw boost::system::system_error(boost::asio::error::timed_out);
+        return outcome;
+    }
+
     CommandOutcome execute(std::uint32_t index, const EngineCommand& command)
     {
         auto& rank = m_ranks[index];
@@ -194,6 +224,7 @@
 
     bool m_checksFences;
     CommandFaults m_faults;
+    FateHook m_fateHook;
     std::mt19937_64 m_random;
     std::vector<Rank> m_ranks;
     std::multimap<int, DelayedCommand> m_delayedCommands;
