--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -132,7 +132,7 @@
         bool isStray = !head.requestId.empty() && head.requestId != call.head.id;
         if (isStray) {
             log::write(log::Event::StrayAnswer, "id={} server={} answers={}", call.head.id, connection->server.id.value(), head.requestId);
-            // It ends with the connection, so no response can follow.
+            // A response that ends with its connection is the last one on it.
             if (parser.need_eof())
                 co_return AttemptOutcome::Lost;
             std::array<char, 4096> bytes;
@@ -195,7 +195,8 @@
 }
 
 /// True if the response may be incomplete although its connection was closed cleanly. When a server's process ends, its
-/// system closes its connections in the same way as after a complete response without a length or chunks.
+/// system closes its connections in the same way as after a complete response without a length or chunks. Logs and counts
+/// the response.
 bool RequestServer::isTorn(const Call& call, const UpstreamConnection& connection) const
 {
     bool hasServerEnded = connection.hasServerEnded || call.handle->hasServerEnded();
