--- a/test/map-change-explorer_test.cc
+++ b/test/map-change-explorer_test.cc
@@ -33,13 +33,13 @@
     explore({ ranks, checksFences }, 1, 0);
 }
 
-// Guards against the same failure with two faults.
+// Guards against the same failure with two faults, in an even selection of the runs: swiftloft-explore plays all of them.
 TEST_CASE("Map change explorer: no two faults mix maps where engines check fences")
 {
     explore({ 2, true }, 2, boundedRuns);
 }
 
-// Guards against the same failure where no engine rejects an outdated order.
+// Guards against the same failure where no engine rejects an outdated order, in an even selection of the runs.
 TEST_CASE("Map change explorer: no two faults mix maps where engines ignore fences")
 {
     explore({ 2, false }, 2, boundedRuns);
