Let a stopping entry take no request that it can't finish

What callers saw: while all entries are being replaced, an entry takes a request up to seven seconds after its SIGTERM, passes it on and resets the client in the middle of the response.

Cause: a stopping entry served whatever arrived until its deadline, and nothing that decides about requests knew the deadline. The dispatcher queued, sent and repeated requests for time that the entry did not have; at the deadline the event loop stopped and cut what ran, without a word to the dispatcher or the log.

Ruled out: a start that takes too long (ready 0.02 s after the start of the process) and engines that broke off (each run was cut by the entry).

Change: the dispatcher knows when the entry ends. For the first three seconds it refuses what is expected to take longer than the entry lasts, afterwards what may take longer, by the size that the client states, the streams and responses before and the passes of the group; a refusal is 503, not run, with a time to return. At the deadline what still runs is ended with its verdict. A request no longer waits for the configuration of an entry that is being stopped.

--- a/src/gateway/admission/retry-schedule.cc
+++ b/src/gateway/admission/retry-schedule.cc
@@ -16,6 +16,8 @@
 /// Time until a service that has no server, or whose groups are all forming, usually serves again. A client that
 /// returns sooner is refused again, and most clients retry only once.
 constexpr milliseconds outageRetryDelay { 1800 };
+/// Spreads the clients that a stopping entry refuses over a short time at the other entries.
+constexpr milliseconds maxOtherEntryDelay { 100 };
 /// Clients wait for at most a third of the time they have left; slightly less allows for clock differences.
 constexpr double maxWaitShare { 0.3 };
 /// No client waits for longer than this.
@@ -39,6 +41,12 @@
     return now + std::chrono::duration_cast<Clock::duration>(jitter(generator) * wait);
 }
 
+TimePoint otherEntryRetryTime(TimePoint now, policy::Generator& generator)
+{
+    boost::random::uniform_int_distribution<int> jitter(0, static_cast<int>(maxOtherEntryDelay.count()));
+    return now + milliseconds(jitter(generator));
+}
+
 /// Schedules the retries of clients one after the other at the rate that the limits allow. A client whose turn would
 /// come after its maximum wait retries towards the end of that wait.
 TimePoint RetrySchedule::timeWithinLimits(TimePoint now, const RefusedRequest& request, double rate)
--- a/src/gateway/admission/retry-schedule.h
+++ b/src/gateway/admission/retry-schedule.h
@@ -15,6 +15,9 @@
 /// waits for it.
 TimePoint outageRetryTime(TimePoint now, TimePoint deadline, policy::Generator& generator);
 
+/// Returns when a client should retry at another entry, because this one is being stopped.
+TimePoint otherEntryRetryTime(TimePoint now, policy::Generator& generator);
+
 /// The properties of a refused request that decide when its client returns.
 struct RefusedRequest {
     ServiceName service;
--- a/src/gateway/capacity/service-estimate.cc
+++ b/src/gateway/capacity/service-estimate.cc
@@ -19,6 +19,14 @@
 /// A wait that is expected to last this many times longer than the request may wait is not begun: slots become free at
 /// random, and one in four of such waits would still be over in time.
 constexpr int hopelessWaits = 3;
+/// Passes of one group vary by less than this around their median, unless a rank becomes slow.
+constexpr double maxPassRatio = 1.25;
+/// Covers what is not counted in passes: connecting, one more attempt, and a pause while ranks switch their map.
+constexpr milliseconds attemptOverhead { 250 };
+/// Few responses of a plain server take longer than the mean by more than this many mean deviations.
+constexpr int maxDeviations = 8;
+/// Multiples of its objective within which a plain request ends while no response shows how long it takes.
+constexpr int maxObjectives = 3;
 
 Clock::duration clientPatience(const Route& route)
 {
@@ -297,6 +305,45 @@
     return Forecast { {}, {}, 0, *wait + service->mean, request.deadline - now, 0 };
 }
 
+std::optional<Clock::duration> ServiceEstimate::streamDuration(const Service& service, const RequestView& request, const ServiceUse& use, DurationBound bound, TimePoint now)
+{
+    bool isMax = bound == DurationBound::Max;
+    auto& name = request.route.name;
+    std::optional<double> events = service.sizes.expectedEvents(name, request.size, service.tokensPerEvent);
+    if (isMax)
+        events = service.sizes.maxEvents(name, request.size, service.tokensPerEvent);
+    if (!events)
+        return std::nullopt;
+    Clock::duration longest {};
+    for (auto& [groupName, group] : service.groups) {
+        auto pass = group.estimate->pass(now, use.running);
+        auto& model = group.estimate->model();
+        if (!pass && !model.isKnown())
+            return std::nullopt;
+        auto length = pass ? pass->length : fromSeconds(model.passMs(use.slots) / 1000);
+        longest = std::max(longest, fromSeconds(toSeconds(length) * (group.estimate->firstPasses() + *events)));
+    }
+    return isMax ? fromSeconds(maxPassRatio * toSeconds(longest)) + attemptOverhead : longest;
+}
+
+std::optional<Clock::duration> ServiceEstimate::plainDuration(const Service& service, const RequestView& request, DurationBound bound, TimePoint now)
+{
+    bool isMax = bound == DurationBound::Max;
+    if (auto time = service.slotTimes.serviceTime(now))
+        return isMax ? std::max<Clock::duration>(time->mean + maxDeviations * time->deviation, request.route.objective) : time->mean;
+    if (request.route.objective > milliseconds(0))
+        return (isMax ? maxObjectives : 1) * request.route.objective;
+    return std::nullopt;
+}
+
+std::optional<Clock::duration> ServiceEstimate::duration(TimePoint now, const ServiceName& name, const RequestView& request, const ServiceUse& use, DurationBound bound) const
+{
+    auto it = m_services.find(name);
+    if (it == m_services.end() || it->second.groups.empty())
+        return std::nullopt;
+    return request.route.isStream ? streamDuration(it->second, request, use, bound, now) : plainDuration(it->second, request, bound, now);
+}
+
 std::optional<double> ServiceEstimate::runLimit(TimePoint now, const ServiceName& name, const ServiceUse& use) const
 {
     if (!isWatching(now, name) || use.slots <= 0)
--- a/src/gateway/capacity/service-estimate.h
+++ b/src/gateway/capacity/service-estimate.h
@@ -45,6 +45,13 @@
     std::size_t queuedBefore { 0 };
 };
 
+enum class DurationBound {
+    /// About half of the requests take longer.
+    Expected,
+    /// Few requests take longer.
+    Max,
+};
+
 /// Why a request can't end in time: the numbers that decided.
 struct Forecast {
     EngineGroupName group {};
@@ -113,6 +120,9 @@
     std::optional<Forecast> refusalOf(TimePoint now, const ServiceName& service, const RequestView& request, const ServiceUse& use);
     /// Set if a request that found all slots of a plain service taken will not get one in time.
     std::optional<Forecast> queueRefusalOf(TimePoint now, const ServiceName& service, const RequestView& request);
+    /// Time that a request takes once it is sent; unset if too little is known. A server that becomes slower later is not
+    /// foreseen.
+    std::optional<Clock::duration> duration(TimePoint now, const ServiceName& service, const RequestView& request, const ServiceUse& use, DurationBound bound) const;
     /// Requests that may run on the service so that a mean stream ends within its time; unset while no group is short of
     /// time.
     std::optional<double> runLimit(TimePoint now, const ServiceName& service, const ServiceUse& use) const;
@@ -147,6 +157,8 @@
     static double meanTimeShare(const Service& service, const GroupEstimate& group, Clock::duration pass);
     void updateBinding(TimePoint now, const ServiceName& name, Service& service, const EngineGroupName& groupName, Group& group, const ServiceUse& use) const;
     Forecast forecast(const Service& service, const EngineGroupName& name, const Group& group, const Pass& pass, const RequestView& request, const ServiceUse& use, TimePoint now) const;
+    static std::optional<Clock::duration> streamDuration(const Service& service, const RequestView& request, const ServiceUse& use, DurationBound bound, TimePoint now);
+    static std::optional<Clock::duration> plainDuration(const Service& service, const RequestView& request, DurationBound bound, TimePoint now);
     bool canEnd(const Service& service, const Forecast& forecast, const RequestView& request) const;
     bool takeProbe(TimePoint now, Service& service);
 
--- a/src/gateway/dispatcher-refusals.cc
+++ b/src/gateway/dispatcher-refusals.cc
@@ -29,6 +29,8 @@
         return "quarantined";
     case RefusalReason::SuspectRunning:
         return "suspect-running";
+    case RefusalReason::Stopping:
+        return "stopping";
     case RefusalReason::AttemptsExhausted:
         return "tries-spent";
     case RefusalReason::Lost:
@@ -71,6 +73,10 @@
         effects.push_back(ForwardError { id });
         return;
     }
+    if (call.verdict == Verdict::NotRun && !canEndBeforeStop(call, now)) {
+        refuseForStop(id, call, now, effects);
+        return;
+    }
     if (call.verdict == Verdict::NotRun) {
         auto reason = isThrottledTooLong(call, now) ? refusalReason(call, now) : RefusalReason::AttemptsExhausted;
         refuse(now, id, call, reason, clientRetryTime(call, now), effects);
@@ -101,10 +107,16 @@
     std::get<Refuse>(effects.back()).forecast = forecast;
 }
 
+void Dispatcher::refuseForStop(CallId id, const Call& call, TimePoint now, Effects& effects)
+{
+    auto retryAt = m_hasServingPeer ? admission::otherEntryRetryTime(now, m_generator) : admission::outageRetryTime(now, call.request.deadline, m_generator);
+    refuse(now, id, call, RefusalReason::Stopping, retryAt, effects);
+}
+
 void Dispatcher::refuse(TimePoint now, CallId id, const Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, Effects& effects)
 {
     bool isForCapacity = reason != RefusalReason::NoServer && reason != RefusalReason::NoHomeServer && reason != RefusalReason::NoCommonHome
-        && reason != RefusalReason::Quarantined && reason != RefusalReason::SuspectRunning;
+        && reason != RefusalReason::Stopping && reason != RefusalReason::Quarantined && reason != RefusalReason::SuspectRunning;
     if (call.verdict == Verdict::NotRun && isForCapacity)
         m_admission.onRefused(now, call.service, call.request.priority);
     Refuse refusal { id, reason, call.verdict, retryAt, call.service, m_loadBalancer.occupancy(call.service, now), m_queue.size() };
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -99,7 +99,10 @@
         m_crashes.onReports(now, suspicions->reports);
     else if (auto* refused = std::get_if<ProbeRefused>(&event))
         onServerEnded(now, refused->server, crashes::Evidence::ConnectionRefused);
+    else if (auto* stop = std::get_if<StopScheduled>(&event))
+        m_stop = *stop;
     cancelStalledAttempts(now, effects);
+    endCallsAtStop(now, effects);
     dispatchQueued(now, effects);
     m_lastEventAt = now;
     return effects;
@@ -113,6 +116,7 @@
     m_estimate.setSnapshot(now, snapshot);
     m_retries.raiseMaxEntries(snapshot.maxEntries);
     m_crashes.tick(now);
+    m_hasServingPeer = std::any_of(snapshot.entries.begin(), snapshot.entries.end(), [](auto& it) { return it.state == EntryState::Serving; });
 }
 
 void Dispatcher::onRequestArrived(TimePoint now, const RequestArrived& event, Effects& effects)
@@ -225,6 +229,11 @@
             continue;
         }
         updateQueueDeadline(id, call, now);
+        if (call.verdict == Verdict::NotRun && !canEndBeforeStop(call, now)) {
+            m_queue.remove(id);
+            refuseForStop(id, call, now, effects);
+            continue;
+        }
         if (auto forecast = forecastRefusal(call, now, queuedBefore, false)) {
             refuseUnfinishable(id, call, *forecast, now, effects);
             continue;
@@ -301,6 +310,39 @@
     }
 }
 
+bool Dispatcher::canEndBeforeStop(const Call& call, TimePoint now) const
+{
+    if (!m_stop)
+        return true;
+    bool isAccepting = now < m_stop->acceptsUntil;
+    auto bound = isAccepting ? capacity::DurationBound::Expected : capacity::DurationBound::Max;
+    auto duration = m_estimate.duration(now, call.service, requestView(call.request, call.queueDeadline, 0), m_loadBalancer.useOf(call.service, now), bound);
+    if (!duration && isAccepting)
+        return true;
+    auto latestEnd = duration ? std::min(now + *duration, call.request.deadline) : call.request.deadline;
+    return latestEnd <= m_stop->deadline;
+}
+
+/// Without this, the end of the process would reset the connections of all clients that still wait, and a client would not
+/// know whether its request ran.
+void Dispatcher::endCallsAtStop(TimePoint now, Effects& effects)
+{
+    if (!isStopDeadlineReached(now))
+        return;
+    for (auto& [id, call] : m_calls) {
+        if (call.currentServer && !std::exchange(call.isAttemptCancelled, true))
+            effects.push_back(CancelAttempt { id });
+    }
+    for (auto id : m_queue.order()) {
+        auto& call = m_calls[id];
+        m_queue.remove(id);
+        if (call.verdict == Verdict::NotRun)
+            refuseForStop(id, call, now, effects);
+        else
+            failCall(id, call, *call.lastOutcome, now, effects);
+    }
+}
+
 /// True for a stream whose server is silent while others make progress, if another server can take it. A request whose
 /// response has not started may just be waiting in the queue of its server. Such a request counts as stalled only once
 /// the server is suspect because of another stream, of this or another entry.
@@ -420,6 +462,8 @@
 
 bool Dispatcher::mayRetry(const Call& call, AttemptOutcome outcome, TimePoint now) const
 {
+    if (isStopDeadlineReached(now) || (call.verdict == Verdict::NotRun && !canEndBeforeStop(call, now)))
+        return false;
     bool isSafe = call.request.route->isIdempotent || call.verdict == Verdict::NotRun;
     if (!isSafe || outcome == AttemptOutcome::TimedOut || call.attempts >= m_options.maxAttempts)
         return false;
@@ -447,6 +491,9 @@
 std::optional<TimePoint> Dispatcher::nextTick() const
 {
     auto next = m_nextStallCheckAt;
+    // After the deadline the calls end by themselves, and no further tick is needed.
+    if (m_stop && m_lastEventAt < m_stop->deadline)
+        next = std::min(next.value_or(m_stop->deadline), m_stop->deadline);
     if (auto at = m_admission.nextCheck(); at && m_queue.size() > 0)
         next = std::min(next.value_or(*at), *at);
     std::set<std::pair<ServiceName, HomeSet>> services;
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -95,6 +95,8 @@
     Quarantined,
     /// The request may have crashed a server, and another copy of it is running; the client should retry later.
     SuspectRunning,
+    /// The entry is being stopped, and the response can't end before it; the client should retry at another entry.
+    Stopping,
     /// The request did not run, and no further attempt is allowed.
     AttemptsExhausted,
     /// The request may have run, and its result is unknown.
@@ -161,10 +163,18 @@
 struct ProbeRefused {
     ServerIncarnation server;
 };
+/// The entry is being stopped. Requests that can't end before `deadline` are refused, and those that still run then are
+/// ended.
+struct StopScheduled {
+    TimePoint deadline;
+    /// Until then, clients still expect the entry to serve, and only requests that are expected to take too long are refused.
+    /// Afterwards all are refused that may take too long.
+    TimePoint acceptsUntil;
+};
 /// The time of `Dispatcher::nextTick` has been reached.
 struct Ticked { };
 
-using Event = std::variant<RequestArrived, AttemptEnded, ResponseStarted, StreamProgressed, CallClosed, LimitReceived, BackOffRequested, LeavingReported, SnapshotChanged, LoadReceived, SuspicionsReceived, ProbeRefused, Ticked>;
+using Event = std::variant<RequestArrived, AttemptEnded, ResponseStarted, StreamProgressed, CallClosed, LimitReceived, BackOffRequested, LeavingReported, SnapshotChanged, LoadReceived, SuspicionsReceived, ProbeRefused, StopScheduled, Ticked>;
 
 struct StartAttempt {
     CallId call;
@@ -346,6 +356,11 @@
     void failCall(CallId id, Call& call, AttemptOutcome outcome, TimePoint now, dispatch::Effects& effects);
     /// Returns false if no server has capacity now or the retry allowance is spent.
     bool tryStartAttempt(CallId id, Call& call, TimePoint now, dispatch::Effects& effects);
+    /// False if the entry is being stopped and the response is likely not to end before it.
+    bool canEndBeforeStop(const Call& call, TimePoint now) const;
+    bool isStopDeadlineReached(TimePoint now) const { return m_stop && now >= m_stop->deadline; }
+    /// Refuses the requests that have not run and ends all others once the deadline of the stop is reached.
+    void endCallsAtStop(TimePoint now, dispatch::Effects& effects);
     void cancelStalledAttempts(TimePoint now, dispatch::Effects& effects);
     bool isStalled(const Call& call, TimePoint now) const;
     void extendWaitForFormingGroups(TimePoint now);
@@ -358,6 +373,7 @@
     /// server has capacity for it.
     std::optional<capacity::Forecast> forecastRefusal(const Call& call, TimePoint now, std::size_t queuedBefore, bool isFull);
     void refuseUnfinishable(CallId id, const Call& call, const capacity::Forecast& forecast, TimePoint now, dispatch::Effects& effects);
+    void refuseForStop(CallId id, const Call& call, TimePoint now, dispatch::Effects& effects);
     void refuse(TimePoint now, CallId id, const Call& call, RefusalReason reason, std::optional<TimePoint> retryAt, dispatch::Effects& effects);
     /// The servers that the request may be sent to: all of the service in its homes, or, once it has run on the permitted
     /// number of servers, only those.
@@ -380,6 +396,10 @@
     /// When streams are next checked for servers that have fallen silent; unset while no stream runs.
     std::optional<TimePoint> m_nextStallCheckAt;
     admission::RetrySchedule m_retrySchedule;
+    /// Set once the entry is being stopped.
+    std::optional<dispatch::StopScheduled> m_stop;
+    /// Another entry serves clients.
+    bool m_hasServingPeer { false };
     /// Time of the last event.
     TimePoint m_lastEventAt;
 };
--- a/src/gateway/entry-daemon.cc
+++ b/src/gateway/entry-daemon.cc
@@ -28,8 +28,6 @@
 constexpr const char* serversPage = "/published/servers";
 /// A pull within a data centre takes milliseconds; a peer that takes longer is cut off.
 constexpr milliseconds pullTimeout { 800 };
-/// Part of the stop timeout that is reserved for the end of the process itself.
-constexpr milliseconds stopMargin { 700 };
 
 const char* pageOf(Topic topic)
 {
@@ -190,8 +188,10 @@
         if (count > 1)
             return;
         log::write(log::Event::ProcessStopping, "");
+        auto now = Clock::now();
+        auto schedule = StopSchedule::create(now, now + m_settings.stopTimeout);
         apply(control::StopRequested {});
-        m_traffic.stop(Clock::now() + m_settings.stopTimeout - stopMargin);
+        m_traffic.stop(schedule);
     }
 
     void tick()
--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -77,6 +77,8 @@
     } catch (const boost::system::system_error& error) {
         co_return error.code() == asio::error::connection_refused ? AttemptOutcome::ConnectionRefused : AttemptOutcome::NotSent;
     }
+    if (call.isAttemptCancelled)
+        co_return AttemptOutcome::NotSent;
     auto request = call.request;
     eraseHopByHop(request.base());
     auto now = Clock::now();
--- a/src/gateway/request-server.h
+++ b/src/gateway/request-server.h
@@ -30,6 +30,8 @@
     boost::asio::awaitable<bool> serve(DownstreamConnection& client, ClientRequest request);
     /// The snapshot has changed.
     void onSnapshotChanged();
+    /// The entry is being stopped.
+    void onStopping() { m_startupQueue.close(); }
     /// Reports to the dispatcher if the server's address refuses connections.
     boost::asio::awaitable<void> probe(BackendServer server);
     /// Responds to a request that could not be read.
--- a/src/gateway/startup-queue.cc
+++ b/src/gateway/startup-queue.cc
@@ -30,4 +30,10 @@
         timer->cancel();
 }
 
+void StartupQueue::close()
+{
+    m_isOn = false;
+    onReady();
+}
+
 } // namespace swiftloft::gateway
--- a/src/gateway/startup-queue.h
+++ b/src/gateway/startup-queue.h
@@ -24,6 +24,8 @@
     boost::asio::awaitable<void> wait(TimePoint deadline);
     /// Lets the waiting requests continue.
     void onReady();
+    /// Lets them continue and makes no further request wait.
+    void close();
 
 private:
     bool m_isOn;
--- a/src/gateway/traffic-server.cc
+++ b/src/gateway/traffic-server.cc
@@ -28,8 +28,8 @@
 constexpr milliseconds loadUpdateIntervalPerEntry { 2 };
 /// Known limits and suspicions are sent again at this interval while requests are running, because datagrams get lost.
 constexpr milliseconds limitRepeatInterval { 400 };
-/// An entry continues to accept connections for this long after SIGTERM, because clients cache their lists of entries.
-constexpr milliseconds acceptGracePeriod { 3000 };
+/// Time after the deadline of a stop for the responses that then end to be written.
+constexpr milliseconds cutOffDelay { 300 };
 /// Delay after a failed accept, for example when no file descriptors are left.
 constexpr milliseconds acceptRetryDelay { 10 };
 constexpr milliseconds pageTimeout { 3000 };
@@ -162,7 +162,7 @@
         auto error = co_await client.readRequest(limits, request);
         if (error == ReadError::Closed)
             co_return;
-        if (m_stopDeadline)
+        if (m_stop)
             client.setMustClose();
         if (error != ReadError::None) {
             co_await m_server.rejectUnreadable(client, error);
@@ -317,32 +317,44 @@
         m_metrics.set("swiftloft_entry_queued_requests", { { "service", demand.service.value() }, { "priority", fmt::format("{}", it.priority) } }, it.queued);
 }
 
-void TrafficServer::stop(TimePoint deadline)
+void TrafficServer::stop(const StopSchedule& schedule)
 {
-    asio::post(m_ioContext, [this, deadline] {
-        m_stopDeadline = deadline;
-        auto now = Clock::now();
-        m_stopNotBefore = std::min(now + acceptGracePeriod, deadline);
-        m_stopTimer.expires_at(m_stopNotBefore);
-        m_stopTimer.async_wait([this](boost::system::error_code ec) {
-            if (ec)
-                return;
+    asio::post(m_ioContext, [this, schedule] {
+        m_stop = schedule;
+        m_dispatcher.apply(dispatch::StopScheduled { schedule.deadline, schedule.acceptsUntil });
+        m_server.onStopping();
+        atStopTime(schedule.acceptsUntil, [this] {
             stopIfIdle();
-            m_stopTimer.expires_at(*m_stopDeadline);
-            m_stopTimer.async_wait([this](boost::system::error_code error) {
-                if (!error)
-                    m_ioContext.stop();
-            });
+            atStopTime(m_stop->deadline, [this] { onStopDeadline(); });
         });
     });
 }
 
+void TrafficServer::atStopTime(TimePoint time, std::function<void()> action)
+{
+    m_stopTimer.expires_at(time);
+    m_stopTimer.async_wait([action = std::move(action)](boost::system::error_code ec) {
+        if (!ec)
+            action();
+    });
+}
+
+std::size_t TrafficServer::busyConnections() const
+{
+    return static_cast<std::size_t>(std::count_if(m_clientConnections.begin(), m_clientConnections.end(), [](auto* client) { return !client->isIdle(); }));
+}
+
+void TrafficServer::onStopDeadline()
+{
+    log::write(log::Event::StopDeadlineReached, "connections={}", busyConnections());
+    m_dispatcher.apply(dispatch::Ticked {});
+    stopIfIdle();
+    atStopTime(m_stop->deadline + cutOffDelay, [this] { m_ioContext.stop(); });
+}
+
 void TrafficServer::stopIfIdle()
 {
-    if (!m_stopDeadline || Clock::now() < m_stopNotBefore)
-        return;
-    bool isBusy = std::any_of(m_clientConnections.begin(), m_clientConnections.end(), [](auto* client) { return !client->isIdle(); });
-    if (!isBusy)
+    if (m_stop && Clock::now() >= m_stop->acceptsUntil && busyConnections() == 0)
         m_ioContext.stop();
 }
 
--- a/src/gateway/traffic-server.h
+++ b/src/gateway/traffic-server.h
@@ -5,6 +5,7 @@
 #include "src/gateway/control-message.h"
 #include "src/gateway/request-server.h"
 #include "src/gateway/settings.h"
+#include "src/gateway/stop-schedule.h"
 #include "src/gateway/upstream-pool.h"
 
 #include <boost/asio/io_context.hpp>
@@ -44,8 +45,9 @@
     /// `hook` is called on the traffic thread when a server reports for the first time that it is leaving. Must be set before
     /// `run`.
     void setOnServerLeaving(AsyncDispatcher::OnServerLeaving hook) { m_dispatcher.setOnServerLeaving(std::move(hook)); }
-    /// Starts a graceful shutdown: `run` returns when no request is in progress, or at `deadline`. May be called from any thread.
-    void stop(TimePoint deadline);
+    /// Starts a graceful shutdown: `run` returns when no request is in progress, or shortly after the schedule's deadline.
+    /// May be called from any thread.
+    void stop(const StopSchedule& schedule);
 
 private:
     using Acceptor = boost::asio::ip::tcp::acceptor;
@@ -63,6 +65,11 @@
     std::vector<policy::SuspicionMessage> suspicionsToReport(TimePoint now, bool isChanged);
     void recordQueued(const ServiceDemand& demand);
     void scheduleLoadUpdate(TimePoint time);
+    void atStopTime(TimePoint time, std::function<void()> action);
+    /// Connections on which a request is being read or served.
+    std::size_t busyConnections() const;
+    /// Ends the requests in progress.
+    void onStopDeadline();
     void stopIfIdle();
 
     /// Context whose suspended coroutines can be destroyed before the other members of the server.
@@ -108,8 +115,7 @@
     std::optional<TimePoint> m_loadUpdateAt;
     std::set<DownstreamConnection*> m_clientConnections;
     /// Set once a shutdown has started.
-    std::optional<TimePoint> m_stopDeadline;
-    TimePoint m_stopNotBefore;
+    std::optional<StopSchedule> m_stop;
 };
 
 } // namespace swiftloft::gateway
--- a/test/dispatcher_test.cc
+++ b/test/dispatcher_test.cc
@@ -553,3 +553,77 @@
     rig.setServers({ server, other });
     CHECK(rig.dispatcher.hasServerEnded(CallId(1)) == isEnd);
 }
+
+// Guards against this failure: an entry that is being stopped sends a request to a server although it can't end in time,
+// and resets its client in the middle of the response.
+TEST_CASE("Dispatcher: a stopping entry refuses as not run what can't end before it, and serves the rest")
+{
+    Rig rig({ Rig::server("s1") });
+    rig.apply(StopScheduled { start + seconds(7), start + seconds(3) });
+    rig.arrive(1);
+    CHECK(rig.sentTo(1) == "s1");
+    rig.now = start + seconds(5);
+    rig.arrive(2);
+    CHECK(rig.sentTo(2) == "s1");
+    rig.now = start + seconds(6);
+    rig.arrive(3);
+    REQUIRE(rig.refusal(3));
+    CHECK(rig.refusal(3)->reason == RefusalReason::Stopping);
+    CHECK(rig.refusal(3)->verdict == Verdict::NotRun);
+}
+
+TEST_CASE("Dispatcher: clients of a stopping entry return at once while another entry serves, and otherwise after its restart")
+{
+    bool hasServingPeer = GENERATE(true, false);
+    Rig rig({ Rig::server("s1") });
+    auto snapshot = std::make_shared<Snapshot>();
+    snapshot->servers = { Rig::server("s1") };
+    snapshot->entries = { { {}, Incarnation(2), 1, {}, DataCentreName("a"), hasServingPeer ? EntryState::Serving : EntryState::Leaving } };
+    rig.apply(SnapshotChanged { snapshot });
+    rig.apply(StopScheduled { start, start });
+    rig.arrive(1);
+    REQUIRE(rig.refusal(1));
+    auto wait = rig.refusal(1)->retryAt.value() - start;
+    CHECK(wait <= (hasServingPeer ? milliseconds(100) : milliseconds(1800)));
+    CHECK(wait >= (hasServingPeer ? milliseconds(0) : milliseconds(1400)));
+}
+
+// Guards against this failure: requests that still run or wait at the end of a stop are cut off without a response, or are
+// sent to one more server first.
+TEST_CASE("Dispatcher: at the deadline of a stop every request ends, and none is sent again")
+{
+    Rig rig({ Rig::server("s1", 1), Rig::server("s2", 1) });
+    rig.arrive(1);
+    rig.arrive(2);
+    rig.arrive(3);
+    rig.apply(StopScheduled { start + milliseconds(50), start + milliseconds(50) });
+    REQUIRE(rig.refusal(3));
+    CHECK(rig.refusal(3)->verdict == Verdict::NotRun);
+    CHECK(rig.dispatcher.nextTick() == start + milliseconds(50));
+    rig.now = start + milliseconds(50);
+    CHECK(rig.apply(Ticked {}).size() == 2);
+    CHECK(std::holds_alternative<CancelAttempt>(rig.last.front()));
+    CHECK(rig.apply(Ticked {}).empty());
+    rig.end(1, AttemptOutcome::Stalled);
+    CHECK(rig.sentTo(1).empty());
+    REQUIRE(rig.refusal(1));
+    CHECK(rig.refusal(1)->verdict == Verdict::MayHaveRun);
+    // The attempt ended before the request was written.
+    rig.end(2, AttemptOutcome::NotSent);
+    REQUIRE(rig.refusal(2));
+    CHECK(rig.refusal(2)->reason == RefusalReason::Stopping);
+}
+
+// Guards against this failure: a server rejects a request of a stopping entry, and the entry sends it to the next one,
+// although little time is left.
+TEST_CASE("Dispatcher: a stopping entry does not repeat a request that no longer ends before it")
+{
+    Rig rig({ Rig::server("s1"), Rig::server("s2") });
+    rig.apply(StopScheduled { start + seconds(2), start + seconds(1) });
+    rig.arrive(1);
+    rig.now = start + seconds(1);
+    rig.end(1, AttemptOutcome::NotRun);
+    CHECK(rig.sentTo(1).empty());
+    REQUIRE(rig.refusal(1));
+    CHECK(rig.refusal(1)->verdict == Verdict::NotRun);
+}
--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -13,6 +13,7 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <atomic>
 #include <csignal>
 #include <fstream>
 #include <future>
@@ -227,6 +228,37 @@
     CHECK_THAT(rig.log(), Contains("ProcessStopped"));
 }
 
+// Guards against this failure: all entries are being replaced, so clients go on with the entries that they know, and an entry
+// takes requests until its end and cuts them off in the middle of their responses.
+TEST_CASE("Platform entry: a stopped entry completes each request that it passes on, and refuses the others")
+{
+    EntryRig rig(4);
+    rig.start();
+    REQUIRE(rig.isReady());
+    std::atomic<bool> hasEnded { false };
+    auto callUntilEnd = [&](int caller) {
+        std::vector<std::string> cutOff;
+        for (int n = 0; !hasEnded; ++n) {
+            auto id = fmt::format("e{}-{}", caller, n);
+            auto answer = call(rig.request(n % 2 == 0 ? "stream" : "once", id));
+            bool isRefused = answer.head.result_int() == 503;
+            bool isComplete = answer.failure.empty() && (answer.body == FakePlatform::plainBody(id) || answer.body == FakePlatform::completeStream(id));
+            if (!isRefused && !isComplete && rig.platform.runs().contains(id))
+                cutOff.push_back(id);
+        }
+        return cutOff;
+    };
+    std::vector<std::future<std::vector<std::string>>> callers;
+    for (int n = 0; n < 6; ++n)
+        callers.push_back(std::async(std::launch::async, callUntilEnd, n));
+    REQUIRE(waitUntil(Clock::now() + seconds(5), [&] { return rig.platform.runs().size() > 20; }));
+    rig.process->terminate();
+    CHECK(rig.process->waitForExit(Clock::now() + seconds(6)) == 0);
+    hasEnded = true;
+    for (auto& it : callers)
+        CHECK_THAT(it.get(), Catch::Matchers::Equals(std::vector<std::string>()));
+}
+
 // Guards against this failure: the limit in a server's responses is ignored, and an overloaded server gets more
 // requests than it accepts.
 TEST_CASE("Platform entry: servers get no more than the limits that they name")
--- a/test/startup-wait_test.cc
+++ b/test/startup-wait_test.cc
@@ -59,3 +59,23 @@
     ioContext.poll();
     CHECK(continued == 2);
 }
+
+// Guards against this failure: requests wait at an entry that has been asked to stop before it could serve.
+TEST_CASE("StartupQueue: no request waits once the entry is being stopped")
+{
+    boost::asio::io_context ioContext;
+    StartupQueue queue(true);
+    int continued = 0;
+    auto wait = [&]() -> boost::asio::awaitable<void> {
+        co_await queue.wait(Clock::now() + seconds(8));
+        ++continued;
+    };
+    co_spawn(ioContext, wait(), boost::asio::detached);
+    ioContext.poll();
+    CHECK(continued == 0);
+    queue.close();
+    ioContext.restart();
+    co_spawn(ioContext, wait(), boost::asio::detached);
+    ioContext.poll();
+    CHECK(continued == 2);
+}
