Name leaving entries in the directory while no entry serves

What callers saw: while all entries are being replaced, each directory answers 503. Clients go on with their old lists, and their requests go to entries that are about to end as often as to those that have just been asked to stop.

Cause: a directory names itself while it is ready, and the entries that say that they serve. Nothing tells for how long a leaving entry still accepts requests, so that it can't be named.

While none serves, directories name the leaving entries that accept requests for longer than clients keep the list, or else all that accept any. A refused client returns at once while another entry accepts requests, whether that one leaves or not, and otherwise as late as it waits: an entry ends its requests before its successor starts.

--- a/src/gateway/admission/retry-schedule.cc
+++ b/src/gateway/admission/retry-schedule.cc
@@ -41,6 +41,12 @@
     return now + std::chrono::duration_cast<Clock::duration>(jitter(generator) * wait);
 }
 
+TimePoint restartRetryTime(TimePoint now, TimePoint deadline, policy::Generator& generator)
+{
+    boost::random::uniform_real_distribution<double> jitter(minLateWaitShare, 1.0);
+    return now + std::chrono::duration_cast<Clock::duration>(jitter(generator) * maxWaitUntil(now, deadline));
+}
+
 TimePoint otherEntryRetryTime(TimePoint now, policy::Generator& generator)
 {
     boost::random::uniform_int_distribution<int> jitter(0, static_cast<int>(maxOtherEntryDelay.count()));
--- a/src/gateway/admission/retry-schedule.h
+++ b/src/gateway/admission/retry-schedule.h
@@ -15,6 +15,10 @@
 /// waits for it.
 TimePoint outageRetryTime(TimePoint now, TimePoint deadline, policy::Generator& generator);
 
+/// Returns when a client should retry while all entries are being stopped: as late as it waits, because an entry ends its
+/// requests before its successor starts.
+TimePoint restartRetryTime(TimePoint now, TimePoint deadline, policy::Generator& generator);
+
 /// Returns when a client should retry at another entry, because this one is being stopped.
 TimePoint otherEntryRetryTime(TimePoint now, policy::Generator& generator);
 
--- a/src/gateway/control-message.cc
+++ b/src/gateway/control-message.cc
@@ -41,6 +41,14 @@
     return *endpoint;
 }
 
+/// Casts a count that is not negative to a field of a message; larger counts become the field's maximum.
+template <typename Field, typename Number>
+Field clamped(Number number)
+{
+    constexpr auto max = static_cast<Number>(std::numeric_limits<Field>::max());
+    return static_cast<Field>(std::clamp<Number>(number, 0, max));
+}
+
 void build(schema::Member::Builder out, const EntryMember& member)
 {
     if (member.control.address().is_v4() && member.clients.address().is_v4()) {
@@ -57,6 +65,7 @@
     out.setDataCentre(member.dataCentre.value());
     out.setState(static_cast<std::uint8_t>(member.state));
     out.setIsWatching(member.isWatching);
+    out.setAcceptsForMs(clamped<std::uint16_t>(member.acceptsFor.count()));
 }
 
 EntryMember parse(schema::Member::Reader in)
@@ -67,15 +76,7 @@
     auto control = in.hasControl() ? endpointFrom(in.getControl()) : ip4(in.getControlIp4(), in.getControlPort());
     auto clients = in.hasClients() ? endpointFrom(in.getClients()) : ip4(in.getClientsIp4(), in.getClientsPort());
     return { control, Incarnation(in.getIncarnation()), in.getHeartbeat(), clients,
-        DataCentreName(in.getDataCentre().cStr()), static_cast<EntryState>(in.getState()), in.getIsWatching() };
-}
-
-/// Casts a count that is not negative to a field of a message; larger counts become the field's maximum.
-template <typename Field, typename Number>
-Field clamped(Number number)
-{
-    constexpr auto max = static_cast<Number>(std::numeric_limits<Field>::max());
-    return static_cast<Field>(std::clamp<Number>(number, 0, max));
+        DataCentreName(in.getDataCentre().cStr()), static_cast<EntryState>(in.getState()), in.getIsWatching(), milliseconds(in.getAcceptsForMs()) };
 }
 
 /// Checks a quantity that a peer sent.
--- a/src/gateway/control-message.h
+++ b/src/gateway/control-message.h
@@ -42,6 +42,9 @@
     EntryState state { EntryState::Starting };
     /// The entry watches the platform's store, and the store responds to it.
     bool isWatching { false };
+    /// How long a leaving entry still accepts all requests, as of the message. Relative, because the entries have no common
+    /// clock.
+    milliseconds acceptsFor { 0 };
 };
 
 /// Identifies an incarnation of a server by a hash, to keep datagrams small.
--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -44,8 +44,10 @@
         m_suspicions = measured->suspicions;
     } else if (auto* leaving = std::get_if<LeavingReported>(&event))
         markLeavingChanged(m_departures.onAnnounced(now, hashOf(leaving->server)));
-    else if (std::holds_alternative<StopRequested>(event)) {
+    else if (auto* stop = std::get_if<StopRequested>(&event)) {
         m_isLeaving = true;
+        // An entry that has not served yet is known to no client.
+        m_acceptsUntil = m_isReady ? stop->acceptsUntil : now;
         m_nextHelloAt = now;
     }
     if (std::exchange(m_isServerListChanged, false))
@@ -325,6 +327,8 @@
     }
     m_entries.setState(m_isLeaving ? EntryState::Leaving : m_isReady ? EntryState::Serving
                                                                      : EntryState::Starting);
+    if (m_isLeaving)
+        m_entries.setAcceptsFor(std::max(std::chrono::duration_cast<milliseconds>(m_acceptsUntil - now), milliseconds(0)));
 }
 
 void ControlState::tick(TimePoint now, Effects& effects)
@@ -390,6 +394,9 @@
         addLocalKnowledge(now, server);
     snapshot.self = m_entries.self();
     snapshot.entries = m_entries.alive(now);
+    snapshot.leavers = m_entries.acceptingLeavers(now);
+    if (m_isLeaving && m_acceptsUntil > now)
+        snapshot.leavers.push_back({ m_entries.self().clients, m_entries.self().dataCentre, m_acceptsUntil });
     snapshot.localRoster = m_entries.localRoster(now);
     snapshot.maxEntries = std::max(m_minEntries, m_entries.peakEntryCount());
     snapshot.isReady = m_isReady;
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -59,7 +59,10 @@
     ServerIncarnation server;
 };
 /// The process received SIGTERM.
-struct StopRequested { };
+struct StopRequested {
+    /// The entry accepts all requests until then.
+    TimePoint acceptsUntil {};
+};
 /// Time passed. Deliver one every `ControlState::tickInterval`.
 struct Ticked { };
 
@@ -265,6 +268,7 @@
     std::map<DataCentreName, ReportedLoads> m_remoteLoads;
     TimePoint m_briefNotBefore;
     bool m_isLeaving { false };
+    TimePoint m_acceptsUntil;
     bool m_isReady { false };
     /// Versions in the last immediate announcement to peers.
     ConfigurationVersion m_announcedVersion;
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -33,8 +33,24 @@
     return candidates;
 }
 
+std::vector<ServingEntry> acceptingAt(const std::vector<LeavingEntry>& leavers, TimePoint time)
+{
+    std::vector<ServingEntry> out;
+    for (auto& it : leavers) {
+        if (it.acceptsUntil > time)
+            out.push_back({ it.clients, it.dataCentre });
+    }
+    return out;
+}
+
 } // namespace
 
+std::vector<ServingEntry> servingLeavers(const std::vector<LeavingEntry>& leavers, TimePoint now, milliseconds maxAge)
+{
+    auto lasting = acceptingAt(leavers, now + maxAge);
+    return lasting.empty() ? acceptingAt(leavers, now) : lasting;
+}
+
 std::vector<Endpoint> directoryEntries(const std::vector<ServingEntry>& serving, const DirectoryQuery& query, const HostHomes* homes, const DataCentreRegions& regions, const DataCentreName& own)
 {
     Candidates candidates;
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -22,6 +22,10 @@
     DataCentreName dataCentre;
 };
 
+/// The entries that clients are sent to while no entry serves: of those that are leaving, the ones that accept requests
+/// for longer than `maxAge`, the time for which clients keep a response, or all that accept any if there are none.
+std::vector<ServingEntry> servingLeavers(const std::vector<LeavingEntry>& leavers, TimePoint now, milliseconds maxAge);
+
 /// Upper bound of the entries in one directory response.
 inline constexpr std::size_t maxDirectoryEntries = 64;
 
--- a/src/gateway/dispatcher-refusals.cc
+++ b/src/gateway/dispatcher-refusals.cc
@@ -109,7 +109,7 @@
 
 void Dispatcher::refuseForStop(CallId id, const Call& call, TimePoint now, Effects& effects)
 {
-    auto retryAt = m_hasServingPeer ? admission::otherEntryRetryTime(now, m_generator) : admission::outageRetryTime(now, call.request.deadline, m_generator);
+    auto retryAt = m_hasAcceptingPeer ? admission::otherEntryRetryTime(now, m_generator) : admission::restartRetryTime(now, call.request.deadline, m_generator);
     refuse(now, id, call, RefusalReason::Stopping, retryAt, effects);
 }
 
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -116,7 +116,8 @@
     m_estimate.setSnapshot(now, snapshot);
     m_retries.raiseMaxEntries(snapshot.maxEntries);
     m_crashes.tick(now);
-    m_hasServingPeer = std::any_of(snapshot.entries.begin(), snapshot.entries.end(), [](auto& it) { return it.state == EntryState::Serving; });
+    m_hasAcceptingPeer = std::any_of(snapshot.entries.begin(), snapshot.entries.end(), [](auto& it) { return it.state == EntryState::Serving; })
+        || std::any_of(snapshot.leavers.begin(), snapshot.leavers.end(), [&](auto& it) { return it.clients != snapshot.self.clients; });
 }
 
 void Dispatcher::onRequestArrived(TimePoint now, const RequestArrived& event, Effects& effects)
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -398,8 +398,8 @@
     admission::RetrySchedule m_retrySchedule;
     /// Set once the entry is being stopped.
     std::optional<dispatch::StopScheduled> m_stop;
-    /// Another entry serves clients.
-    bool m_hasServingPeer { false };
+    /// Another entry accepts all requests.
+    bool m_hasAcceptingPeer { false };
     /// Time of the last event.
     TimePoint m_lastEventAt;
 };
--- a/src/gateway/entry-daemon.cc
+++ b/src/gateway/entry-daemon.cc
@@ -190,7 +190,7 @@
         log::write(log::Event::ProcessStopping, "");
         auto now = Clock::now();
         auto schedule = StopSchedule::create(now, now + m_settings.stopTimeout);
-        apply(control::StopRequested {});
+        apply(control::StopRequested { schedule.acceptsUntil });
         m_traffic.stop(schedule);
     }
 
--- a/src/gateway/entry-registry.cc
+++ b/src/gateway/entry-registry.cc
@@ -169,4 +169,16 @@
     return members;
 }
 
+std::vector<LeavingEntry> EntryRegistry::acceptingLeavers(TimePoint now) const
+{
+    std::vector<LeavingEntry> leavers;
+    for (auto& [endpoint, peer] : m_peers) {
+        auto& member = peer.member;
+        auto acceptsUntil = peer.updatedAt + member.acceptsFor;
+        if (member.state == EntryState::Leaving && acceptsUntil > now && isAlive(peer, now))
+            leavers.push_back({ member.clients, member.dataCentre, acceptsUntil });
+    }
+    return leavers;
+}
+
 } // namespace swiftloft::gateway
--- a/src/gateway/entry-registry.h
+++ b/src/gateway/entry-registry.h
@@ -55,6 +55,8 @@
 
     void onHello(const Hello& hello, TimePoint now);
     void setState(EntryState state) { m_self.state = state; }
+    /// How long this entry still accepts all requests while it is leaving.
+    void setAcceptsFor(milliseconds time) { m_self.acceptsFor = time; }
     void setWatching(bool isWatching) { m_self.isWatching = isWatching; }
     /// True when the data centre needs this entry to watch the platform's store: of the entries that come before it by
     /// address, fewer than `watchersPerDataCentre` report that the store responds to them.
@@ -94,6 +96,8 @@
     const EntryMember& self() const { return m_self; }
     /// Other entries whose heartbeat advanced within `silenceTimeout`, or `indirectSilenceTimeout` where that applies.
     std::vector<EntryMember> alive(TimePoint now) const;
+    /// Other entries that are leaving and still accept all requests.
+    std::vector<LeavingEntry> acceptingLeavers(TimePoint now) const;
     /// Control addresses of the entries of this data centre, including this one, whose heartbeat advanced within
     /// `rosterRetention`. Entries of one data centre that have been up for some rounds agree on it.
     std::vector<Endpoint> localRoster(TimePoint now) const;
--- a/src/gateway/model.h
+++ b/src/gateway/model.h
@@ -53,6 +53,13 @@
     std::vector<RegionName> homes {};
 };
 
+/// An entry that is leaving and accepts all requests until `acceptsUntil`.
+struct LeavingEntry {
+    Endpoint clients;
+    DataCentreName dataCentre;
+    TimePoint acceptsUntil;
+};
+
 /// Published performance traits of a service's engines. Times are those of one engine at normal speed.
 struct EngineTraits {
     std::uint32_t slots { 0 };
--- a/src/gateway/news.capnp
+++ b/src/gateway/news.capnp
@@ -19,6 +19,7 @@
   controlPort @8 :UInt16;
   clientsIp4 @9 :UInt32;
   clientsPort @10 :UInt16;
+  acceptsForMs @11 :UInt16;        # of an entry that is leaving: how long it still accepts all requests
 }
 
 struct Hello {
--- a/src/gateway/news.capnp.h
+++ b/src/gateway/news.capnp.h
@@ -426,6 +426,8 @@
 
   inline  ::uint16_t getClientsPort() const;
 
+  inline  ::uint16_t getAcceptsForMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -499,6 +501,9 @@
   inline  ::uint16_t getClientsPort();
   inline void setClientsPort( ::uint16_t value);
 
+  inline  ::uint16_t getAcceptsForMs();
+  inline void setAcceptsForMs( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3019,6 +3024,20 @@
       ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t Member::Reader::getAcceptsForMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Member::Builder::getAcceptsForMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setAcceptsForMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Hello::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -18,6 +18,8 @@
     EntryMember self;
     /// Other entries that are alive.
     std::vector<EntryMember> entries;
+    /// Entries that are leaving and still accept all requests, this one included.
+    std::vector<LeavingEntry> leavers;
     /// Control addresses of the entries of this data centre, including this one and those that fell silent within
     /// `EntryRegistry::rosterRetention`.
     std::vector<Endpoint> localRoster;
--- a/src/gateway/traffic-server.cc
+++ b/src/gateway/traffic-server.cc
@@ -223,6 +223,8 @@
         if (entry.state == EntryState::Serving)
             serving.push_back({ entry.clients, entry.dataCentre });
     }
+    if (serving.empty())
+        serving = servingLeavers(m_snapshot->leavers, Clock::now(), m_settings.directoryMaxAge);
     auto* homes = m_snapshot->configuration ? m_snapshot->configuration->findHostHomes(query.host) : nullptr;
     return directoryEntries(serving, query, homes, m_settings.regions, m_settings.dataCentre);
 }
--- a/test/directory_test.cc
+++ b/test/directory_test.cc
@@ -87,3 +87,20 @@
     auto disjoint = homesOfHost({}, { RegionName("a"), RegionName("b") });
     CHECK(chosen({ "da1", "db1" }, fromC, &disjoint) == "da1 db1");
 }
+
+// Guards against this failure: all entries are being replaced at once, the directory names none, and clients go on with the
+// entries of an old list, of which some are about to end.
+TEST_CASE("Directory: while no entry serves, the leaving ones are named that accept requests for as long as clients keep a list")
+{
+    const TimePoint now { seconds(100) };
+    auto leaver = [&](unsigned short port, milliseconds acceptsFor) { return LeavingEntry { { boost::asio::ip::address_v4(0x0a000001), port }, DataCentreName("a"), now + acceptsFor }; };
+    auto portsOf = [&](const std::vector<LeavingEntry>& leavers) {
+        std::vector<unsigned> ports;
+        for (auto& it : servingLeavers(leavers, now, seconds(1)))
+            ports.push_back(it.clients.port());
+        return ports;
+    };
+    CHECK(portsOf({ leaver(1, milliseconds(900)), leaver(2, milliseconds(1100)), leaver(3, milliseconds(2900)) }) == std::vector<unsigned> { 2, 3 });
+    CHECK(portsOf({ leaver(1, milliseconds(900)), leaver(2, milliseconds(-10)) }) == std::vector<unsigned> { 1 });
+    CHECK(portsOf({ leaver(1, milliseconds(0)) }).empty());
+}
--- a/test/entry-registry_test.cc
+++ b/test/entry-registry_test.cc
@@ -244,3 +244,23 @@
     }
     CHECK(fewest == entries - 1);
 }
+
+TEST_CASE("EntryRegistry: a leaving entry accepts requests for the time that it has reported, unless it falls silent")
+{
+    EntryRegistry registry(member(1), {});
+    auto leaver = member(2);
+    leaver.state = EntryState::Leaving;
+    leaver.acceptsFor = seconds(3);
+    registry.onHello(helloOf(leaver), start);
+    registry.onHello(helloOf(member(3)), start);
+    auto leavers = registry.acceptingLeavers(start + seconds(1));
+    REQUIRE(leavers.size() == 1);
+    CHECK(leavers.front().clients == leaver.clients);
+    CHECK(leavers.front().acceptsUntil == start + seconds(3));
+    CHECK(registry.acceptingLeavers(start + seconds(2)).empty());
+    leaver.heartbeat = 2;
+    leaver.acceptsFor = milliseconds(500);
+    registry.onHello(helloOf(leaver), start + milliseconds(2500));
+    CHECK(registry.acceptingLeavers(start + milliseconds(2900)).size() == 1);
+    CHECK(registry.acceptingLeavers(start + seconds(3)).empty());
+}
