Bound the size of a stream's event, and search each of its bytes once

What callers saw: a server sends an event that does not end. The stream is cut at its deadline without an event, though another server could go on with it, and the traffic thread of the entry is busy until then.

Cause: the incomplete event was kept without a bound, and all of it was searched for its end again with every read, so that the time grew with the square of its size.

Change: an event may have 1 MiB; a stream with a larger one is lost and goes on at another server after its last event. The search goes on where it stopped.

Failed before: the row "event" of "Endless responses: the request is served by another server..." and "EventSplitter: an event that is too large is noticed..." (no such bound).

--- a/src/gateway/event-splitter.h
+++ b/src/gateway/event-splitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -21,14 +22,25 @@
 /// forwarded, the client would join it with the first event of the server that resumes the stream.
 class EventSplitter {
 public:
+    /// Maximum size of one event.
+    static constexpr std::size_t maxEventBytes { std::size_t { 1 } << 20 };
+
     /// Appends the next bytes and returns the events that they complete.
     std::vector<StreamEvent> append(std::string_view bytes);
     /// True if the buffer holds bytes of an incomplete event.
     bool hasPartialEvent() const { return !m_partialEvent.empty(); }
-    void reset() { m_partialEvent.clear(); }
+    /// True if the incomplete event is larger than `maxEventBytes`.
+    bool isEventTooLarge() const { return m_partialEvent.size() > maxEventBytes; }
+    void reset()
+    {
+        m_partialEvent.clear();
+        m_searchedBytes = 0;
+    }
 
 private:
     std::string m_partialEvent;
+    /// Bytes of the incomplete event that contain no end, so that each byte is searched once.
+    std::size_t m_searchedBytes { 0 };
 };
 
 } // namespace swiftloft::gateway
--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -282,6 +282,8 @@
         hasData = hasData || size > 0;
         if (size > 0 && !co_await forwardEvents(call, std::string_view(bytes.data(), size)))
             co_return AttemptOutcome::Lost;
+        if (call.splitter.isEventTooLarge())
+            co_return AttemptOutcome::Lost;
         if (ec == http::error::need_buffer)
             ec = {};
         if (ec == beast::error::timeout)
--- a/test/event-splitter_test.cc
+++ b/test/event-splitter_test.cc
@@ -43,3 +43,25 @@
     REQUIRE(events.size() == 1);
     CHECK(events[0].bytes == "id: 3\ndata: whole\n\n");
 }
+
+// Guards against this failure: a server sends an event that does not end, and the memory and the time to search it grow with it.
+TEST_CASE("EventSplitter: an event that is too large is noticed, and a large one comes out whole")
+{
+    EventSplitter splitter;
+    const std::string part(4096, 'x');
+    std::string large = "id: 1\ndata: ";
+    while (large.size() + part.size() < EventSplitter::maxEventBytes)
+        large += part;
+    CHECK(splitter.append(large).empty());
+    CHECK_FALSE(splitter.isEventTooLarge());
+    CHECK(splitter.append("\n").empty());
+    auto events = splitter.append("\nid: 2\n\n");
+    REQUIRE(events.size() == 2);
+    CHECK(events[0].bytes == large + "\n\n");
+    CHECK(events[1].id == 2);
+    splitter.append(large);
+    splitter.append(part + part);
+    CHECK(splitter.isEventTooLarge());
+    splitter.reset();
+    CHECK_FALSE(splitter.isEventTooLarge());
+}
--- a/test/process/endless-responses_test.cc
+++ b/test/process/endless-responses_test.cc
@@ -40,6 +40,7 @@
     const std::string chunked = "Transfer-Encoding: chunked\r\n";
     const std::string part(partBytes, 'x');
     return {
+        { "event", "stream", [](auto& id) { return streamHead(id); }, part },
         { "chunk extension of a stream", "stream", [chunked](auto& id) { return streamHead(id, chunked) + "5;"; }, part },
         { "chunk extension", "safe", [chunked](auto& id) { return plainHead(id, chunked) + "5;"; }, part },
         { "trailer", "safe", [chunked](auto& id) { return plainHead(id, chunked) + chunk("half") + "0\r\nX-Trailer: "; }, part },
