Don't serve with unchecked documents in an entry that is stopped early

What callers saw: an entry is stopped before it was ready. Until its end it serves requests with a configuration that it has from another entry, though that one may be cut off from the store itself, and keys that have been revoked are accepted.

Cause (by reading): an entry serves while it is ready or leaving, and the second did not ask whether it had ever been ready.

Change: only an entry that was ready when it was asked to stop serves until its end. Others refuse at once; no client knows them yet.

--- a/src/gateway/control-state.cc
+++ b/src/gateway/control-state.cc
@@ -46,7 +46,7 @@
         markLeavingChanged(m_departures.onAnnounced(now, hashOf(leaving->server)));
     else if (auto* stop = std::get_if<StopRequested>(&event)) {
         m_isLeaving = true;
-        // An entry that has not served yet is known to no client.
+        m_servesWhileLeaving = m_isReady;
         m_acceptsUntil = m_isReady ? stop->acceptsUntil : now;
         m_nextHelloAt = now;
     }
@@ -400,7 +400,7 @@
     snapshot.localRoster = m_entries.localRoster(now);
     snapshot.maxEntries = std::max(m_minEntries, m_entries.peakEntryCount());
     snapshot.isReady = m_isReady;
-    snapshot.isLeaving = m_isLeaving;
+    snapshot.servesWhileLeaving = m_servesWhileLeaving;
     snapshot.ranks = m_ranks.ranks();
     snapshot.peerDegradedRanks = m_ranks.peerDegradedRanks(now);
     for (auto& [dataCentre, reported] : m_remoteLoads) {
--- a/src/gateway/control-state.h
+++ b/src/gateway/control-state.h
@@ -268,6 +268,7 @@
     std::map<DataCentreName, ReportedLoads> m_remoteLoads;
     TimePoint m_briefNotBefore;
     bool m_isLeaving { false };
+    bool m_servesWhileLeaving { false };
     TimePoint m_acceptsUntil;
     bool m_isReady { false };
     /// Versions in the last immediate announcement to peers.
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -33,7 +33,7 @@
 /// True if the entry has the documents that it needs to serve requests.
 bool mayServe(const Snapshot& snapshot)
 {
-    return snapshot.configuration && (snapshot.isReady || snapshot.isLeaving);
+    return snapshot.configuration && (snapshot.isReady || snapshot.servesWhileLeaving);
 }
 
 std::string formatted(const capacity::Forecast& forecast)
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -27,8 +27,8 @@
     std::size_t maxEntries { 1 };
     /// True once the entry has the state it needs to serve requests.
     bool isReady { false };
-    /// True once the entry has been asked to stop.
-    bool isLeaving { false };
+    /// True once the entry has been asked to stop while it was ready: it serves the clients that still know it.
+    bool servesWhileLeaving { false };
     /// The last status received from each agent about the rank on its instance, and when it was received.
     struct Rank {
         RankStatus status;
--- a/test/control-state_test.cc
+++ b/test/control-state_test.cc
@@ -295,6 +295,7 @@
     rig.now += milliseconds(1);
     rig.apply(StopRequested { rig.now + seconds(3) });
     CHECK_FALSE(rig.state.snapshot(rig.now).isReady);
+    CHECK(rig.state.snapshot(rig.now).servesWhileLeaving);
     REQUIRE(rig.state.snapshot(rig.now).leavers.size() == 1);
     CHECK(rig.state.snapshot(rig.now).leavers.front().acceptsUntil == rig.now + seconds(3));
     // One hello to the local entries, one to the remote ones.
@@ -312,11 +313,16 @@
     }
 }
 
-// Guards against this failure: an entry that is stopped before it could serve is named to clients.
+// Guards against this failure: an entry that is stopped before it was ready is named to clients, and serves them with a
+// configuration from a peer that may itself be cut off from the store, so that revoked keys are accepted.
 TEST_CASE("ControlState: an entry that is stopped before it was ready accepts nothing")
 {
     Rig rig;
+    rig.apply(PullAnswered { Topic::Configuration, { { { "", "7", 5, false } }, 10 } });
+    REQUIRE(rig.version() == 7);
+    REQUIRE_FALSE(rig.state.snapshot(rig.now).isReady);
     rig.apply(StopRequested { rig.now + seconds(3) });
+    CHECK_FALSE(rig.state.snapshot(rig.now).servesWhileLeaving);
     CHECK(rig.state.snapshot(rig.now).leavers.empty());
 }
 
