Move streams away from silent servers in a stopping entry too

What callers saw: by reading of the change before; a stream of a stopping entry whose server falls silent stays there until its client leaves.

Cause: the question whether a request can end before the entry was asked for each further attempt. It is meant for requests that have not run, and a request that runs for the first time still counts as one.

Change: it is asked only after an attempt that has not run.

Failed before: "Dispatcher: a stopping entry still moves a stream away from a silent server".

--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -463,7 +463,8 @@
 
 bool Dispatcher::mayRetry(const Call& call, AttemptOutcome outcome, TimePoint now) const
 {
-    if (isStopDeadlineReached(now) || (call.verdict == Verdict::NotRun && !canEndBeforeStop(call, now)))
+    bool hasNotRun = isNotRun(outcome) && call.verdict == Verdict::NotRun;
+    if (isStopDeadlineReached(now) || (hasNotRun && !canEndBeforeStop(call, now)))
         return false;
     bool isSafe = call.request.route->isIdempotent || call.verdict == Verdict::NotRun;
     if (!isSafe || outcome == AttemptOutcome::TimedOut || call.attempts >= m_options.maxAttempts)
--- a/test/dispatcher_test.cc
+++ b/test/dispatcher_test.cc
@@ -633,3 +633,26 @@
     REQUIRE(rig.refusal(1));
     CHECK(rig.refusal(1)->verdict == Verdict::NotRun);
 }
+
+// Guards against this failure: a stream of a stopping entry stays at a server that has fallen silent until its client leaves.
+TEST_CASE("Dispatcher: a stopping entry still moves a stream away from a silent server")
+{
+    Rig rig({ Rig::server("s1"), Rig::server("s2") });
+    rig.route.isStream = true;
+    rig.arrive(1);
+    auto silentServer = rig.sentTo(1);
+    rig.arrive(2);
+    REQUIRE(rig.sentTo(2) != silentServer);
+    rig.apply(ResponseStarted { CallId(1) });
+    rig.apply(ResponseStarted { CallId(2) });
+    rig.apply(StopScheduled { start + seconds(4), start });
+    rig.now += milliseconds(1100);
+    rig.apply(StreamProgressed { CallId(2) });
+    rig.now += milliseconds(100);
+    rig.apply(Ticked {});
+    REQUIRE(rig.last.size() == 1);
+    CHECK(std::get<CancelAttempt>(rig.last.front()).call == CallId(1));
+    rig.end(1, AttemptOutcome::Stalled);
+    CHECK_FALSE(rig.sentTo(1).empty());
+    CHECK(rig.sentTo(1) != silentServer);
+}
