Soak: replace all entries at once, with nothing else at fault

The soak stopped one entry at a time and could not blame it for a response that was cut off, because its servers cut responses too. When all other faults are over, it now stops all entries, up to 0.6 s apart, while clients keep using the connections that they have, and sends each a second SIGTERM. No request that has run may then end without its response.

--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -23,6 +23,8 @@
 constexpr milliseconds configurationTimeout { 3500 };
 constexpr seconds stopTimeout { 5 };
 constexpr seconds recoveryTimeout { 15 };
+/// Servers that were leaving or restarting have been replaced by then.
+constexpr milliseconds settlingTime { 2500 };
 /// Counted from the time at which a server reports to an entry that it is leaving; the response may be delayed in transit.
 constexpr milliseconds leaveTimeout { 2500 };
 /// A client that was not served sends its next request after this delay.
@@ -184,7 +186,7 @@
 void Soak::crashingClientLoop(std::uint64_t seed)
 {
     std::mt19937_64 random(seed);
-    for (int n = 0; !m_isStopped; ++n) {
+    for (int n = 0; m_hasFaults; ++n) {
         auto entry = static_cast<std::size_t>(pick(random, 0, m_options.entries - 1));
         Outcome outcome { FakePlatform::requestIdVia(fmt::format("crash-{}", n), entry), "safe", currentKey(), Clock::now() };
         outcome.requestBody = FakePlatform::crashingBody;
@@ -197,7 +199,7 @@
 void Soak::crashingPartLoop(std::uint64_t seed)
 {
     std::mt19937_64 random(seed);
-    for (int n = 0; !m_isStopped; ++n) {
+    for (int n = 0; m_hasFaults; ++n) {
         auto entry = static_cast<std::size_t>(pick(random, 0, m_options.entries - 1));
         Outcome outcome { FakePlatform::requestIdVia(fmt::format("part-{}", n), entry), pick(random, 0, 1) ? "safe" : "stream", currentKey(), Clock::now() };
         outcome.requestBody = fmt::format("work {}", n);
@@ -217,6 +219,32 @@
         m_violations.push_back(fmt::format("entry {} was stopped and ended with status {}, expected 0 within {} s", index, status ? *status : -1, stopTimeout.count()));
 }
 
+/// All entries are replaced at once, some a moment after the others, while clients keep using the connections that they have.
+void Soak::rollEntries()
+{
+    std::this_thread::sleep_for(settlingTime);
+    recordEvent("roll all entries");
+    m_rolledAt = Clock::now();
+    std::mt19937_64 random(m_options.seed);
+    for (auto& entry : m_entries) {
+        entry.process->terminate();
+        std::this_thread::sleep_for(milliseconds(pick(random, 0, 600)));
+    }
+    for (std::size_t n = 0; n < m_entries.size(); ++n) {
+        stopGracefully(n);
+        startEntry(n);
+    }
+    if (!waitUntilServing())
+        m_violations.push_back(fmt::format("{} s after all entries were replaced these did not return status 200:{}", recoveryTimeout.count(), m_notServing));
+}
+
+void Soak::checkRoll(const Outcome& outcome, const std::vector<Run>& runs, std::vector<std::string>& violations) const
+{
+    bool isCutOff = outcome.isComplete ? outcome.status == 502 : !runs.empty();
+    if (outcome.sentAt > m_rolledAt && isCutOff)
+        violations.push_back(fmt::format("{} request {}: status {} and a {} response after a run at {}, although entries were only stopped", outcome.kind, outcome.id, outcome.status, outcome.isComplete ? "complete" : "truncated", runs.empty() ? "no server" : runs.front().server));
+}
+
 void Soak::injectEntryFault(std::mt19937_64& random)
 {
     auto index = static_cast<std::size_t>(pick(random, 0, m_options.entries - 1));
@@ -417,6 +445,8 @@
     recordEvent("no more faults");
     if (!waitUntilServing())
         m_violations.push_back(fmt::format("{} s after the last fault these entries did not return status 200:{}", recoveryTimeout.count(), m_notServing));
+    m_hasFaults = false;
+    rollEntries();
     m_isStopped = true;
     for (auto& client : clients)
         client.join();
@@ -494,6 +524,7 @@
         checkRuns(outcome, runs[outcome.id], violations);
         checkBody(outcome, violations);
         checkLeaving(outcome, runs[outcome.id], violations);
+        checkRoll(outcome, runs[outcome.id], violations);
     }
     for (auto* outcomes : { &m_crashingOutcomes, &m_crashingPartOutcomes }) {
         for (auto& outcome : *outcomes) {
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -84,6 +84,9 @@
     void injectBackOff(std::mt19937_64& random);
     void calm();
     void stopGracefully(std::size_t index);
+    void rollEntries();
+    /// No response is cut off while entries are replaced and nothing else fails.
+    void checkRoll(const Outcome& outcome, const std::vector<Run>& runs, std::vector<std::string>& violations) const;
     bool waitUntilServing();
     std::vector<std::string> check();
     void checkRuns(const Outcome& outcome, const std::vector<Run>& runs, std::vector<std::string>& violations) const;
@@ -99,6 +102,9 @@
     std::vector<std::unique_ptr<process_test::Relay>> m_serverRelays;
     std::vector<Entry> m_entries;
     std::atomic<bool> m_isStopped { false };
+    /// Until all other faults are over and the entries are replaced.
+    std::atomic<bool> m_hasFaults { true };
+    TimePoint m_rolledAt;
     mutable std::mutex m_mutex;
     std::vector<Outcome> m_outcomes;
     /// Of the requests that crash servers, and of those with a part that does.
