--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -128,6 +128,8 @@
         return fmt::format("refused: {} was in flight when {} crashed; {}", suspectOf(end), crashedServers(lines, causeFingerprint(end)), part("verdict") == "not-run" ? "it has not run" : "this attempt may have run");
     if (reason == "suspect-running")
         return fmt::format("refused: {} was in flight when {} crashed, and another request with it was running; it has not run", suspectOf(end), crashedServers(lines, causeFingerprint(end)));
+    if (reason == "stopping")
+        return "refused: the entry was being stopped and the response would not have ended before it; it has not run";
     if (reason == "tries-spent")
         return fmt::format("refused after {} tries, none of which ran it; the tries say why", part("attempts"));
     if (reason == "lost")
