Buffer small responses also while large ones use up the memory for all

By reading of the change before: while responses without end use up the sum, the response that is read next is lost, and that may be a small one of a request that must not run again.

Change: a response of up to 256 KiB does not count against the sum. The memory stays bounded by the requests that run, and a server runs as many as it has slots.

The moment itself has no test: it lasts for one read of a response that is given up.

--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -27,6 +27,8 @@
 /// Upper bound of a response that is buffered completely before it is forwarded, and of all of them together.
 constexpr std::size_t maxResponseBytes = 16U << 20;
 constexpr std::size_t maxBufferedBytes = 48U << 20;
+/// A response up to this size is buffered also while others use up the sum.
+constexpr std::size_t alwaysBufferedBytes = 256U << 10;
 constexpr std::size_t maxHeaderBytes = 64U << 10;
 constexpr unsigned misdirected = 421;
 /// Number of interim responses and of responses to earlier requests that are discarded before the connection is given up.
@@ -283,7 +285,8 @@
         if (ec == beast::error::timeout)
             co_return Clock::now() + responseMargin >= call.deadline ? AttemptOutcome::TimedOut : AttemptOutcome::Lost;
         // A response without a length is complete only if its connection is closed cleanly.
-        if (ec || body.size() > maxResponseBytes || m_bufferedBytes > maxBufferedBytes)
+        bool isTooLarge = body.size() > maxResponseBytes || (m_bufferedBytes > maxBufferedBytes && body.size() > alwaysBufferedBytes);
+        if (ec || isTooLarge)
             co_return AttemptOutcome::Lost;
     }
     if (isTorn(call, *connection))
