--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 
 #include <array>
+#include <span>
 
 /// Implements the part of `RequestServer` that makes one attempt at a request: it sends the request to a backend server and
 /// reads the response.
@@ -91,21 +92,36 @@
     std::size_t m_size { 0 };
 };
 
+/// The next bytes of a body, and the error with which it ended; none while it goes on.
+struct BodyPart {
+    std::size_t size { 0 };
+    boost::system::error_code ec;
+};
+
+asio::awaitable<BodyPart> readBody(UpstreamConnection& connection, ResponseParser& parser, std::span<char> bytes)
+{
+    auto& buffer = parser.get().body();
+    buffer.data = bytes.data();
+    buffer.size = bytes.size();
+    buffer.more = true;
+    BodyPart part;
+    co_await http::async_read_some(connection.stream, connection.buffer, parser, redirect_error(use_awaitable, part.ec));
+    part.size = bytes.size() - buffer.size;
+    if (part.ec == http::error::need_buffer)
+        part.ec = {};
+    co_return part;
+}
+
 /// Reads and discards the rest of a response. Returns false if it fails, or takes too much time or space.
 asio::awaitable<bool> discardBody(UpstreamConnection& connection, ResponseParser& parser, TimePoint deadline)
 {
     std::array<char, 4096> bytes;
     std::size_t size = 0;
     while (!parser.is_done()) {
-        auto& buffer = parser.get().body();
-        buffer.data = bytes.data();
-        buffer.size = bytes.size();
-        buffer.more = true;
-        boost::system::error_code ec;
         connection.stream.expires_at(deadline);
-        co_await http::async_read_some(connection.stream, connection.buffer, parser, redirect_error(use_awaitable, ec));
-        size += bytes.size() - parser.get().body().size;
-        if ((ec && ec != http::error::need_buffer) || size > maxStrayBytes)
+        auto part = co_await readBody(connection, parser, bytes);
+        size += part.size;
+        if (part.ec || size > maxStrayBytes)
             co_return false;
     }
     co_return true;
@@ -271,17 +287,9 @@
     std::array<char, 16384> bytes;
     BufferedBytes buffered { m_bufferedBytes };
     while (!parser.is_done()) {
-        auto& buffer = parser.get().body();
-        buffer.data = bytes.data();
-        buffer.size = bytes.size();
-        buffer.more = true;
-        boost::system::error_code ec;
-        co_await http::async_read_some(connection->stream, connection->buffer, parser, redirect_error(use_awaitable, ec));
-        auto size = bytes.size() - parser.get().body().size;
+        auto [size, ec] = co_await readBody(*connection, parser, bytes);
         body.append(bytes.data(), size);
         buffered.add(size);
-        if (ec == http::error::need_buffer)
-            ec = {};
         if (ec == beast::error::timeout)
             co_return Clock::now() + responseMargin >= call.deadline ? AttemptOutcome::TimedOut : AttemptOutcome::Lost;
         // A response without a length is complete only if its connection is closed cleanly.
@@ -327,20 +335,12 @@
     while (!parser.is_done()) {
         if (call.isAttemptCancelled)
             co_return AttemptOutcome::Lost;
-        auto& buffer = parser.get().body();
-        buffer.data = bytes.data();
-        buffer.size = bytes.size();
-        buffer.more = true;
-        boost::system::error_code ec;
-        co_await http::async_read_some(connection->stream, connection->buffer, parser, redirect_error(use_awaitable, ec));
-        auto size = bytes.size() - parser.get().body().size;
+        auto [size, ec] = co_await readBody(*connection, parser, bytes);
         hasData = hasData || size > 0;
         if (size > 0 && !co_await forwardEvents(call, std::string_view(bytes.data(), size)))
             co_return AttemptOutcome::Lost;
         if (call.splitter.isEventTooLarge())
             co_return AttemptOutcome::Lost;
-        if (ec == http::error::need_buffer)
-            ec = {};
         if (ec == beast::error::timeout)
             co_return AttemptOutcome::TimedOut;
         if (ec)
