--- a/test/process/endless-responses_test.cc
+++ b/test/process/endless-responses_test.cc
@@ -114,6 +114,7 @@
     auto response = *std::find_if(responses.begin(), responses.end(), [](auto& it) { return it.name == "body"; });
     EntryRig rig(endless + 1);
     std::vector<std::unique_ptr<ScriptedServer>> servers;
+    servers.reserve(endless);
     for (std::size_t n = 0; n < endless; ++n) {
         servers.push_back(std::make_unique<ScriptedServer>(scriptOf(response)));
         rig.platform.setListedAddress(n, servers.back()->address());
@@ -121,6 +122,7 @@
     rig.start();
     REQUIRE(rig.isReady());
     std::vector<std::future<replay::ExchangeResult>> calls;
+    calls.reserve(2 * endless);
     for (std::size_t n = 0; n < 2 * endless; ++n)
         calls.push_back(std::async(std::launch::async, [&rig, n] { return call(rig.request("safe", fmt::format("m{}", n))); }));
     for (auto& it : calls)
--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -138,7 +138,9 @@
         return cutOff;
     };
     std::vector<std::future<std::vector<std::string>>> callers;
-    for (int n = 0; n < 6; ++n)
+    constexpr int callerCount = 6;
+    callers.reserve(callerCount);
+    for (int n = 0; n < callerCount; ++n)
         callers.push_back(std::async(std::launch::async, callUntilEnd, n));
     REQUIRE(waitUntil(Clock::now() + seconds(5), [&] { return rig.platform.runs().size() > 20; }));
     rig.process->terminate();
