Say what a stopping entry refuses before its accept period is over

The comments of the schedule said that it accepts all requests until then; it refuses those that are expected to end after its deadline. Comments only. Format, build and the three process tests of a stopping entry pass; the whole check was not run again.

--- a/src/gateway/stop-schedule.h
+++ b/src/gateway/stop-schedule.h
@@ -9,12 +9,13 @@
 /// When an entry that is asked to stop accepts what. Its clients keep their lists of entries for a while, and it serves
 /// them meanwhile.
 struct StopSchedule {
-    /// The entry accepts all requests until then, and ends afterwards as soon as it has none.
+    /// Until then, the entry refuses only requests that are expected to end after `deadline`. Afterwards it ends as soon as it
+    /// has none.
     TimePoint acceptsUntil;
-    /// Requests that are likely not to end by then are refused, and those that still run then are ended.
+    /// After `acceptsUntil`, requests that may end later are refused. Those that still run at the deadline are ended.
     TimePoint deadline;
 
-    /// Time after the request to stop for which all requests are accepted.
+    /// Time from the request to stop until `acceptsUntil`.
     static constexpr milliseconds acceptPeriod { 3000 };
 
     /// `stopAt` is when the process must have ended.
