Log who ended a client's connection, and what a stop leaves undelivered

What operators saw: client-left for every request whose connection ended, also where the entry itself had closed the socket at its end or had given up a write.

waitForClose says how the connection ended: client-left, client-reset, client-stalled (a write that timed out) or entry-ended, with the bytes that the client had not acknowledged. ProcessStopping says until when requests are accepted and when those in progress are ended. A request that is ended at the deadline of a stop has the reason stopping; it was lost, which explain took for the server's fault.

No decision about requests changes.

--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -129,7 +129,7 @@
     if (reason == "suspect-running")
         return fmt::format("refused: {} was in flight when {} crashed, and another request with it was running; it has not run", suspectOf(end), crashedServers(lines, causeFingerprint(end)));
     if (reason == "stopping")
-        return "refused: the entry was being stopped and the response would not have ended before it; it has not run";
+        return fmt::format("the entry was being stopped and the response would not have ended before it; {}", part("verdict") == "not-run" ? "refused, it has not run" : "it may have run");
     if (reason == "tries-spent")
         return fmt::format("refused after {} tries, none of which ran it; the tries say why", part("attempts"));
     if (reason == "lost")
@@ -139,7 +139,13 @@
     if (reason == "server-error")
         return fmt::format("the backend server answered with status {}; passed on", part("status"));
     if (reason == "client-left")
-        return "the client left before the end; what was in progress was cancelled";
+        return "the client closed its connection, or its sending side, before the end; what was in progress was cancelled";
+    if (reason == "client-reset")
+        return "the client or the network reset the connection before the end; what was in progress was cancelled";
+    if (reason == "client-stalled")
+        return fmt::format("the client accepted its response too slowly and was cut off with {} bytes unacknowledged", part("undelivered"));
+    if (reason == "entry-ended")
+        return "the entry ended with the request in progress and reset the client's connection";
     if (reason == "unknown-key" || reason == "no-such-route")
         return fmt::format("turned away: {} in configuration {}; it has not run", reason, part("configuration"));
     return fmt::format("answered by the entry: {}", reason);
--- a/src/gateway/dispatcher-refusals.cc
+++ b/src/gateway/dispatcher-refusals.cc
@@ -82,7 +82,12 @@
         refuse(now, id, call, reason, clientRetryTime(call, now), effects);
         return;
     }
-    refuse(now, id, call, outcome == AttemptOutcome::TimedOut ? RefusalReason::TimedOut : RefusalReason::Lost, std::nullopt, effects);
+    auto reason = RefusalReason::Lost;
+    if (outcome == AttemptOutcome::TimedOut)
+        reason = RefusalReason::TimedOut;
+    else if (outcome == AttemptOutcome::Stalled && isStopDeadlineReached(now))
+        reason = RefusalReason::Stopping;
+    refuse(now, id, call, reason, std::nullopt, effects);
 }
 
 /// A request that has been sent to a server once goes on: its client has waited, and what it got would be lost.
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -95,7 +95,8 @@
     Quarantined,
     /// The request may have crashed a server, and another copy of it is running; the client should retry later.
     SuspectRunning,
-    /// The entry is being stopped, and the response can't end before it; the client should retry at another entry.
+    /// The entry is being stopped, and the response can't end before it. A client whose request has not run should retry at
+    /// another entry.
     Stopping,
     /// The request did not run, and no further attempt is allowed.
     AttemptsExhausted,
--- a/src/gateway/downstream-connection.cc
+++ b/src/gateway/downstream-connection.cc
@@ -11,7 +11,9 @@
 
 #include <algorithm>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace swiftloft::gateway {
@@ -45,6 +47,21 @@
 
 } // namespace
 
+std::string_view toString(ConnectionEnd end)
+{
+    switch (end) {
+    case ConnectionEnd::ClientClosed:
+        return "client-left";
+    case ConnectionEnd::ClientReset:
+        return "client-reset";
+    case ConnectionEnd::ClientStalled:
+        return "client-stalled";
+    case ConnectionEnd::EntryReset:
+        return "entry-ended";
+    }
+    return "unknown";
+}
+
 DownstreamConnection::DownstreamConnection(asio::ip::tcp::socket socket)
     : m_stream(std::move(socket))
 {
@@ -88,56 +105,89 @@
     co_return ReadError::None;
 }
 
+void DownstreamConnection::checkWritten(const boost::system::error_code& ec)
+{
+    if (ec == beast::error::timeout)
+        m_end = ConnectionEnd::ClientStalled;
+    if (ec)
+        throw boost::system::system_error(ec);
+}
+
 asio::awaitable<void> DownstreamConnection::writeResponse(ClientResponse& response)
 {
+    boost::system::error_code ec;
     m_stream.expires_at(Clock::now() + writeTimeout);
     response.keep_alive(!m_mustClose);
-    co_await http::async_write(m_stream, response, use_awaitable);
+    co_await http::async_write(m_stream, response, redirect_error(use_awaitable, ec));
+    checkWritten(ec);
 }
 
 asio::awaitable<void> DownstreamConnection::writeHead(ResponseFields head)
 {
+    boost::system::error_code ec;
     http::response<http::empty_body> response(std::move(head));
     response.keep_alive(!m_mustClose);
     response.chunked(true);
     http::response_serializer<http::empty_body> serializer(response);
     m_stream.expires_at(Clock::now() + writeTimeout);
-    co_await http::async_write_header(m_stream, serializer, use_awaitable);
+    co_await http::async_write_header(m_stream, serializer, redirect_error(use_awaitable, ec));
+    checkWritten(ec);
 }
 
 asio::awaitable<void> DownstreamConnection::writeChunk(std::string bytes)
 {
+    boost::system::error_code ec;
     m_stream.expires_at(Clock::now() + writeTimeout);
-    co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(bytes)), use_awaitable);
+    co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(bytes)), redirect_error(use_awaitable, ec));
+    checkWritten(ec);
 }
 
 asio::awaitable<void> DownstreamConnection::writeLastChunk()
 {
+    boost::system::error_code ec;
     m_stream.expires_at(Clock::now() + writeTimeout);
-    co_await asio::async_write(m_stream, http::make_chunk_last(), use_awaitable);
+    co_await asio::async_write(m_stream, http::make_chunk_last(), redirect_error(use_awaitable, ec));
+    checkWritten(ec);
 }
 
-asio::awaitable<void> DownstreamConnection::waitForClose()
+asio::awaitable<ConnectionEnd> DownstreamConnection::waitForClose()
 {
     auto& socket = m_stream.socket();
     boost::system::error_code ec;
     co_await socket.async_wait(asio::ip::tcp::socket::wait_read, redirect_error(use_awaitable, ec));
+    if (m_end)
+        co_return *m_end;
+    if (ec)
+        co_return ConnectionEnd::EntryReset;
     char byte = 0;
-    bool isOpen = !ec && ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-    if (!isOpen)
-        co_return;
+    auto size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (size <= 0)
+        co_return size == 0 ? ConnectionEnd::ClientClosed : ConnectionEnd::ClientReset;
     // The client has already sent more data, so its close can't be detected. Wait until the call ends.
     asio::steady_timer forever(co_await asio::this_coro::executor, TimePoint::max());
     co_await forever.async_wait(redirect_error(use_awaitable, ec));
+    co_return m_end.value_or(ConnectionEnd::EntryReset);
 }
 
-void DownstreamConnection::reset()
+void DownstreamConnection::reset(ConnectionEnd end)
 {
+    if (!m_stream.socket().is_open())
+        return;
+    m_undeliveredAtEnd = undeliveredBytes();
+    m_end = end;
     boost::system::error_code ec;
     m_stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
     m_stream.socket().close(ec);
 }
 
+std::size_t DownstreamConnection::undeliveredBytes()
+{
+    if (!m_stream.socket().is_open())
+        return m_undeliveredAtEnd;
+    int size = 0;
+    return ::ioctl(m_stream.socket().native_handle(), SIOCOUTQ, &size) == 0 ? static_cast<std::size_t>(std::max(size, 0)) : 0;
+}
+
 /// If the connection were closed immediately after the client has sent more data, the connection would be reset. The
 /// reset, or the end of the process, can overtake the last bytes of the response, and the client would see a complete
 /// response as truncated.
--- a/src/gateway/downstream-connection.h
+++ b/src/gateway/downstream-connection.h
@@ -8,7 +8,9 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace swiftloft::gateway {
 
@@ -27,6 +29,19 @@
     TooSlow,
 };
 
+/// Who ended a connection from a client, and how.
+enum class ConnectionEnd {
+    /// The client closed its side, or only stopped sending: the two look the same until something is written.
+    ClientClosed,
+    ClientReset,
+    /// The client did not accept the bytes of its response in time.
+    ClientStalled,
+    EntryReset,
+};
+
+/// Name of an end of a connection as the reason of a failed request in the log.
+std::string_view toString(ConnectionEnd);
+
 /// One connection from a client. Belongs to the traffic thread.
 class DownstreamConnection {
 public:
@@ -40,20 +55,32 @@
     boost::asio::awaitable<void> writeHead(ResponseFields head);
     boost::asio::awaitable<void> writeChunk(std::string bytes);
     boost::asio::awaitable<void> writeLastChunk();
-    /// Returns when the client has closed its side of the connection. Does not return while the client stays connected, or once
-    /// it has sent further data.
-    boost::asio::awaitable<void> waitForClose();
+    /// Returns when the connection has ended, and how. Does not return while the client stays connected, or once it has sent
+    /// further data.
+    boost::asio::awaitable<ConnectionEnd> waitForClose();
     /// Resets the connection, so that the client sees a response in progress as truncated.
-    void reset();
+    void reset(ConnectionEnd end = ConnectionEnd::EntryReset);
     bool isIdle() const { return m_isIdle; }
+    /// Bytes that were written and that the client's system has not acknowledged. After a reset, their number before it. 0 where
+    /// the system does not tell.
+    std::size_t undeliveredBytes();
+    /// Id of the last request, for the log.
+    const std::string& requestId() const { return m_requestId; }
+    void setRequestId(std::string id) { m_requestId = std::move(id); }
     /// Closes the connection gracefully: shuts down the sending side and waits until the client closes too, or for a short time.
     boost::asio::awaitable<void> close();
     bool mustClose() const { return m_mustClose; }
     void setMustClose() { m_mustClose = true; }
 
 private:
+    void checkWritten(const boost::system::error_code& ec);
+
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
+    std::string m_requestId;
+    /// Set if the entry has ended the connection.
+    std::optional<ConnectionEnd> m_end;
+    std::size_t m_undeliveredAtEnd { 0 };
     /// No request is being read or served.
     bool m_isIdle { true };
     /// No further request is read from the connection.
--- a/src/gateway/entry-daemon.cc
+++ b/src/gateway/entry-daemon.cc
@@ -187,9 +187,10 @@
     {
         if (count > 1)
             return;
-        log::write(log::Event::ProcessStopping, "");
         auto now = Clock::now();
         auto schedule = StopSchedule::create(now, now + m_settings.stopTimeout);
+        auto sinceNow = [&](TimePoint time) { return std::chrono::duration_cast<milliseconds>(time - now).count(); };
+        log::write(log::Event::ProcessStopping, "accepts-ms={} deadline-ms={}", sinceNow(schedule.acceptsUntil), sinceNow(schedule.deadline));
         apply(control::StopRequested { schedule.acceptsUntil });
         m_traffic.stop(schedule);
     }
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -109,9 +109,14 @@
         co_return true;
     }
     call.head = *head;
+    client.setRequestId(call.head.id);
     auto winner = co_await (run(call) || client.waitForClose());
     if (winner.index() == 1) {
-        call.reason = "client-left";
+        // A response that the entry has cut keeps its reason.
+        auto end = std::get<1>(winner);
+        if (end != ConnectionEnd::EntryReset || call.reason == answeredReason)
+            call.reason = toString(end);
+        call.refusalDetails += fmt::format(" undelivered={}", client.undeliveredBytes());
         logOutcome(call);
         co_return false;
     }
--- a/src/gateway/traffic-server.cc
+++ b/src/gateway/traffic-server.cc
@@ -82,7 +82,7 @@
     m_pool.closeIdle();
     m_dispatcher.setOnLoadChanged(nullptr);
     for (auto* client : std::set<DownstreamConnection*>(m_clientConnections))
-        client->reset();
+        endConnection(*client);
     m_ioContext.restart();
     m_ioContext.poll();
     // Some calls are still suspended here because no event resumes them, for example a call whose client has sent more
@@ -92,6 +92,15 @@
     m_ioContext.shutdown();
 }
 
+/// Ends a connection at the end of the process.
+void TrafficServer::endConnection(DownstreamConnection& client)
+{
+    // A request in progress gets a line of its own.
+    if (auto size = client.undeliveredBytes(); client.isIdle() && size > 0)
+        log::write(log::Event::ResponseUndelivered, "id={} undelivered={}", client.requestId(), size);
+    client.reset();
+}
+
 void TrafficServer::run()
 {
     m_ioContext.run();
--- a/src/gateway/traffic-server.h
+++ b/src/gateway/traffic-server.h
@@ -70,6 +70,7 @@
     std::size_t busyConnections() const;
     /// Ends the requests in progress.
     void onStopDeadline();
+    static void endConnection(DownstreamConnection& client);
     void stopIfIdle();
 
     /// Context whose suspended coroutines can be destroyed before the other members of the server.
--- a/test/process/entry-rig.h
+++ b/test/process/entry-rig.h
@@ -21,15 +21,25 @@
 /// A real entry process connected to the fake platform, with its log in a file.
 class EntryRig {
 public:
-    /// With relays, servers can crash.
-    explicit EntryRig(int servers = 2, bool hasRelays = false)
+    struct Options {
+        /// With relays, servers can crash.
+        bool hasRelays { false };
+        /// Time in which the entry ends after SIGTERM.
+        seconds stopTimeout { 4 };
+    };
+
+    explicit EntryRig(int servers = 2)
+        : EntryRig(servers, Options {})
+    {
+    }
+    EntryRig(int servers, const Options& options)
         : platform(servers, 8)
     {
-        for (std::size_t n = 0; hasRelays && n < platform.servers(); ++n) {
+        for (std::size_t n = 0; options.hasRelays && n < platform.servers(); ++n) {
             relays.push_back(std::make_unique<Relay>(platform.addressOf(n)));
             platform.setListedAddress(n, relays.back()->address());
         }
-        if (hasRelays)
+        if (options.hasRelays)
             platform.setOnCrash([this](std::size_t server, bool isDown) { relays[server]->setDown(isDown); });
         platform.publish("k1", "org-k1");
         directory = fmt::format("127.0.0.1:{}", freePort());
@@ -37,8 +47,8 @@
         clients = at();
         ready = at();
         std::ofstream(settings()) << fmt::format("[entry]\nid = e1\ndata-centre = dc\nclients = {}\nready = {}\ndirectory = {}\npeers = {}\nload = {}\nagent-port = 9\nmetrics = {}\nstore = {}\n"
-                                                 "retry-ratio = 0.2\nretry-slack = 100\nretry-window-seconds = 10\nstop-within-seconds = 4\ndirectory-kept-seconds = 1\n",
-            clients, ready, directory, at(), at(), metrics = at(), platform.storeAddress());
+                                                 "retry-ratio = 0.2\nretry-slack = 100\nretry-window-seconds = 10\nstop-within-seconds = {}\ndirectory-kept-seconds = 1\n",
+            clients, ready, directory, at(), at(), metrics = at(), platform.storeAddress(), options.stopTimeout.count());
     }
 
     void start()
--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -357,7 +357,7 @@
 // one server after the other.
 TEST_CASE("Platform entry: a request that crashes servers is refused at once after the third crash, and others are served")
 {
-    EntryRig rig(4, true);
+    EntryRig rig(4, { .hasRelays = true });
     rig.start();
     REQUIRE(rig.isReady());
     auto crashing = [&](int n) {
@@ -395,7 +395,7 @@
 // Guards against this failure: requests that have only a part of their prompts in common crash one server after the other.
 TEST_CASE("Platform entry: requests with a part that crashes servers are refused at once, and others with its other parts are served")
 {
-    EntryRig rig(4, true);
+    EntryRig rig(4, { .hasRelays = true });
     rig.start();
     REQUIRE(rig.isReady());
     int n = 0;
@@ -469,7 +469,7 @@
 TEST_CASE("Platform entry: a response that is cut off by the end of its server is not complete")
 {
     bool endsWithConnection = GENERATE(true, false);
-    EntryRig rig(2, true);
+    EntryRig rig(2, { .hasRelays = true });
     rig.start();
     REQUIRE(rig.isReady());
     rig.setAllServers(ServerMode::Stalling);
@@ -523,7 +523,7 @@
 TEST_CASE("Platform entry: a torn stream looks torn to clients whose connections end with the response")
 {
     auto version = GENERATE(std::string("HTTP/1.0"), std::string("HTTP/1.1"));
-    EntryRig rig(1, true);
+    EntryRig rig(1, { .hasRelays = true });
     rig.start();
     REQUIRE(rig.isReady());
     rig.setAllServers(ServerMode::Stalling);
