End a stopping entry only once its clients have their responses

What callers saw: a client that reads slowly over a connection that stays open is reset 3 s after SIGTERM in the middle of a response that its server had finished, although the entry has 4.3 s left; a fast one sees a reset after its response.

Cause: a connection counted as idle once the system had taken the last byte of the response, and the end of the process reset every connection with linger 0, which discards what the system still has to send. Seen in the log of the failing test: ResponseUndelivered undelivered=180912, 3 s after SIGTERM.

From the end of its accept period on, the entry asks every 50 ms, while it stops only, whether each idle connection has been acknowledged in full, and serves until then as it does while requests are in progress. Connections without a request in progress are closed in order, so that the system delivers what is left at the deadline. Only unfinished responses are reset. Readers of the status pages are waited for like clients.

Where a client reads nothing, the entry ends at its deadline as before.

--- a/src/gateway/downstream-connection.cc
+++ b/src/gateway/downstream-connection.cc
@@ -74,7 +74,7 @@
 asio::awaitable<ReadError> DownstreamConnection::readRequest(const ClientLimits& limits, ClientRequest& request)
 {
     boost::system::error_code ec;
-    m_isIdle = true;
+    m_state = State::Idle;
     m_buffer.max_size(std::max(limits.maximumHeaderBytes + process::maxUnparsedBytes, m_buffer.size()));
     if (m_buffer.size() == 0) {
         m_stream.expires_at(Clock::now() + limits.idleTimeout);
@@ -83,7 +83,7 @@
         if (ec)
             co_return ReadError::Closed;
     }
-    m_isIdle = false;
+    m_state = State::Busy;
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits.maximumHeaderBytes);
     parser.body_limit(limits.maximumBodyBytes);
@@ -188,11 +188,21 @@
     return ::ioctl(m_stream.socket().native_handle(), SIOCOUTQ, &size) == 0 ? static_cast<std::size_t>(std::max(size, 0)) : 0;
 }
 
+void DownstreamConnection::terminate()
+{
+    if (m_state == State::Busy)
+        return reset();
+    m_end = ConnectionEnd::EntryReset;
+    boost::system::error_code ec;
+    m_stream.socket().close(ec);
+}
+
 /// If the connection were closed immediately after the client has sent more data, the connection would be reset. The
 /// reset, or the end of the process, can overtake the last bytes of the response, and the client would see a complete
 /// response as truncated.
 asio::awaitable<void> DownstreamConnection::close()
 {
+    m_state = State::Closing;
     boost::system::error_code ec;
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     m_stream.expires_at(Clock::now() + lingerTimeout);
--- a/src/gateway/downstream-connection.h
+++ b/src/gateway/downstream-connection.h
@@ -60,7 +60,10 @@
     boost::asio::awaitable<ConnectionEnd> waitForClose();
     /// Resets the connection, so that the client sees a response in progress as truncated.
     void reset(ConnectionEnd end = ConnectionEnd::EntryReset);
-    bool isIdle() const { return m_isIdle; }
+    /// Ends the connection together with the process: by a reset if a request is in progress, otherwise in order.
+    void terminate();
+    /// True while no request is being read or served and the connection is not being closed.
+    bool isIdle() const { return m_state == State::Idle; }
     /// Bytes that were written and that the client's system has not acknowledged. After a reset, their number before it. 0 where
     /// the system does not tell.
     std::size_t undeliveredBytes();
@@ -73,6 +76,13 @@
     void setMustClose() { m_mustClose = true; }
 
 private:
+    enum class State {
+        Idle,
+        /// A request is being read or served.
+        Busy,
+        Closing,
+    };
+
     void checkWritten(const boost::system::error_code& ec);
 
     boost::beast::tcp_stream m_stream;
@@ -81,8 +91,7 @@
     /// Set if the entry has ended the connection.
     std::optional<ConnectionEnd> m_end;
     std::size_t m_undeliveredAtEnd { 0 };
-    /// No request is being read or served.
-    bool m_isIdle { true };
+    State m_state { State::Idle };
     /// No further request is read from the connection.
     bool m_mustClose { false };
 };
--- a/src/gateway/traffic-server.cc
+++ b/src/gateway/traffic-server.cc
@@ -30,6 +30,8 @@
 constexpr milliseconds limitRepeatInterval { 400 };
 /// Time after the deadline of a stop for the responses that then end to be written.
 constexpr milliseconds cutOffDelay { 300 };
+/// The system does not report that a client has acknowledged its response, so a stopping entry asks again after this time.
+constexpr milliseconds stopCheckInterval { 50 };
 /// Delay after a failed accept, for example when no file descriptors are left.
 constexpr milliseconds acceptRetryDelay { 10 };
 constexpr milliseconds pageTimeout { 3000 };
@@ -41,6 +43,24 @@
 
 } // namespace
 
+/// Counts a connection among those of the server while it is open.
+class TrafficServer::Registration {
+public:
+    Registration(TrafficServer& server, DownstreamConnection& connection)
+        : m_server(server)
+        , m_connection(connection)
+    {
+        m_server.m_connections.insert(&m_connection);
+    }
+    ~Registration() { m_server.m_connections.erase(&m_connection); }
+    Registration(const Registration&) = delete;
+    Registration& operator=(const Registration&) = delete;
+
+private:
+    TrafficServer& m_server;
+    DownstreamConnection& m_connection;
+};
+
 TrafficServer::TrafficServer(const EntrySettings& settings, const Protocol& protocol, process::SharedMetrics& metrics, Incarnation incarnation)
     : m_settings(settings)
     , m_protocol(protocol)
@@ -81,7 +101,7 @@
     m_loadSocket->stop();
     m_pool.closeIdle();
     m_dispatcher.setOnLoadChanged(nullptr);
-    for (auto* client : std::set<DownstreamConnection*>(m_clientConnections))
+    for (auto* client : std::set<DownstreamConnection*>(m_connections))
         endConnection(*client);
     m_ioContext.restart();
     m_ioContext.poll();
@@ -98,7 +118,7 @@
     // A request in progress gets a line of its own.
     if (auto size = client.undeliveredBytes(); client.isIdle() && size > 0)
         log::write(log::Event::ResponseUndelivered, "id={} undelivered={}", client.requestId(), size);
-    client.reset();
+    client.terminate();
 }
 
 void TrafficServer::run()
@@ -155,16 +175,7 @@
 asio::awaitable<void> TrafficServer::serveClient(asio::ip::tcp::socket socket)
 {
     DownstreamConnection client(std::move(socket));
-    m_clientConnections.insert(&client);
-    struct Unregister {
-        TrafficServer& traffic;
-        DownstreamConnection* client;
-        ~Unregister()
-        {
-            traffic.m_clientConnections.erase(client);
-            traffic.stopIfIdle();
-        }
-    } unregister { *this, &client };
+    Registration registration { *this, client };
     for (;;) {
         auto limits = m_snapshot->configuration ? m_snapshot->configuration->limits() : ClientLimits {};
         ClientRequest request;
@@ -188,12 +199,15 @@
 asio::awaitable<void> TrafficServer::serveStatusPage(asio::ip::tcp::socket socket)
 {
     DownstreamConnection client(std::move(socket));
+    Registration registration { *this, client };
     ClientLimits limits;
     limits.headerTimeout = pageTimeout;
     for (;;) {
         ClientRequest request;
         if (co_await client.readRequest(limits, request) != ReadError::None)
             co_return;
+        if (m_stop)
+            client.setMustClose();
         auto response = statusPage(request);
         co_await client.writeResponse(response);
         if (client.mustClose())
@@ -334,39 +348,36 @@
         m_stop = schedule;
         m_dispatcher.apply(dispatch::StopScheduled { schedule.deadline, schedule.acceptsUntil });
         m_server.onStopping();
-        atStopTime(schedule.acceptsUntil, [this] {
-            stopIfIdle();
-            atStopTime(m_stop->deadline, [this] { onStopDeadline(); });
-        });
+        checkStopAt(schedule.acceptsUntil);
     });
 }
 
-void TrafficServer::atStopTime(TimePoint time, std::function<void()> action)
+void TrafficServer::checkStopAt(TimePoint time)
 {
     m_stopTimer.expires_at(time);
-    m_stopTimer.async_wait([action = std::move(action)](boost::system::error_code ec) {
+    m_stopTimer.async_wait([this](boost::system::error_code ec) {
         if (!ec)
-            action();
+            checkStop();
     });
 }
 
 std::size_t TrafficServer::busyConnections() const
 {
-    return static_cast<std::size_t>(std::count_if(m_clientConnections.begin(), m_clientConnections.end(), [](auto* client) { return !client->isIdle(); }));
+    return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](auto* client) { return !client->isIdle(); }));
 }
 
-void TrafficServer::onStopDeadline()
+void TrafficServer::checkStop()
 {
-    log::write(log::Event::StopDeadlineReached, "connections={}", busyConnections());
-    m_dispatcher.apply(dispatch::Ticked {});
-    stopIfIdle();
-    atStopTime(m_stop->deadline + cutOffDelay, [this] { m_ioContext.stop(); });
-}
-
-void TrafficServer::stopIfIdle()
-{
-    if (m_stop && Clock::now() >= m_stop->acceptsUntil && busyConnections() == 0)
-        m_ioContext.stop();
+    auto now = Clock::now();
+    if (now >= m_stop->deadline && !std::exchange(m_hasReachedStopDeadline, true)) {
+        log::write(log::Event::StopDeadlineReached, "connections={}", busyConnections());
+        m_dispatcher.apply(dispatch::Ticked {});
+    }
+    bool isDelivered = std::all_of(m_connections.begin(), m_connections.end(), [](auto* client) { return client->isIdle() && client->undeliveredBytes() == 0; });
+    if (isDelivered || now >= m_stop->deadline + cutOffDelay)
+        return m_ioContext.stop();
+    TimePoint next = now + stopCheckInterval;
+    checkStopAt(now < m_stop->deadline ? std::min(next, m_stop->deadline) : next);
 }
 
 } // namespace swiftloft::gateway
--- a/src/gateway/traffic-server.h
+++ b/src/gateway/traffic-server.h
@@ -65,13 +65,12 @@
     std::vector<policy::SuspicionMessage> suspicionsToReport(TimePoint now, bool isChanged);
     void recordQueued(const ServiceDemand& demand);
     void scheduleLoadUpdate(TimePoint time);
-    void atStopTime(TimePoint time, std::function<void()> action);
-    /// Connections on which a request is being read or served.
+    /// Connections on which a request is being read or served, or that are being closed.
     std::size_t busyConnections() const;
-    /// Ends the requests in progress.
-    void onStopDeadline();
+    void checkStopAt(TimePoint time);
+    /// Ends the server once its clients have all of their responses. Ends the requests in progress at the deadline.
+    void checkStop();
     static void endConnection(DownstreamConnection& client);
-    void stopIfIdle();
 
     /// Context whose suspended coroutines can be destroyed before the other members of the server.
     class IoContext : public boost::asio::io_context {
@@ -114,9 +113,12 @@
     TimePoint m_demandsNotBefore;
     /// When the next load update is sent; unset if none is scheduled.
     std::optional<TimePoint> m_loadUpdateAt;
-    std::set<DownstreamConnection*> m_clientConnections;
+    class Registration;
+    /// Open connections of clients and of readers of the status pages.
+    std::set<DownstreamConnection*> m_connections;
     /// Set once a shutdown has started.
     std::optional<StopSchedule> m_stop;
+    bool m_hasReachedStopDeadline { false };
 };
 
 } // namespace swiftloft::gateway
--- a/test/process/slow-clients_test.cc
+++ b/test/process/slow-clients_test.cc
@@ -64,6 +64,23 @@
     CHECK(rig.process->waitForExit(Clock::now() + seconds(5)) == 0);
 }
 
+// Guards against this failure: an entry that waits for a client which reads nothing does not end in the time that it has, or the
+// client can't read what was sent to it afterwards.
+TEST_CASE("Slow clients: a stopped entry ends in time although a client does not read its response")
+{
+    EntryRig rig(1);
+    ScriptedServer server(streamOf(32));
+    rig.platform.setListedAddress(0, server.address());
+    rig.start();
+    REQUIRE(rig.isReady());
+    SlowClient client(rig.clients, keptRequest("stream", "k5"));
+    REQUIRE(waitUntil(Clock::now() + seconds(5), [&] { return rig.log().find("RequestServed") != std::string::npos; }));
+    rig.process->terminate();
+    CHECK(rig.process->waitForExit(Clock::now() + seconds(4)) == 0);
+    CHECK_THAT(rig.log(), Contains("ResponseUndelivered"));
+    CHECK(client.readResponse(std::size_t { 10 } << 20, Clock::now() + seconds(5)));
+}
+
 // Guards against this failure: a client that has its whole response sees its kept connection reset when the entry is stopped.
 TEST_CASE("Slow clients: a stopped entry closes idle connections in order")
 {
