Give clients up by their pace, not by the time of a whole response

Cause: one deadline of 5 s covered a whole write, though its constant was documented as the time in which a client accepts no bytes.

A write that takes over a second is measured: a client that accepts less than 64 KB within 10 s is given up (client-stalled), any other gets a response of any size. TCP_USER_TIMEOUT follows with the same 10 s. A connection that is closed after its last response waits for the client's acknowledgement by the same pace, not for 0.4 s only.

Clients may now hold the memory of a response for minutes, so a large response that finds none gives up the delivery that has lasted longest, a second at least (memory-needed), instead of being lost itself.

The error of a write is kept: once a write has reported it, a read of the same socket returns 0, as if the client had closed.

--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -144,6 +144,8 @@
         return "the client or the network reset the connection before the end; what was in progress was cancelled";
     if (reason == "client-stalled")
         return fmt::format("the client accepted its response too slowly and was cut off with {} bytes unacknowledged", part("undelivered"));
+    if (reason == "memory-needed")
+        return fmt::format("the entry needed the memory of the response for others, and no other was on its way to its client for longer; {} bytes were unacknowledged", part("undelivered"));
     if (reason == "entry-ended")
         return "the entry ended with the request in progress and reset the client's connection";
     if (reason == "unknown-key" || reason == "no-such-route")
--- a/src/gateway/downstream-connection.cc
+++ b/src/gateway/downstream-connection.cc
@@ -10,6 +10,8 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <cerrno>
+#include <utility>
 
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
@@ -25,11 +27,10 @@
 
 namespace {
 
-/// A client that accepts no bytes of its response for this long is gone: links deliver in milliseconds.
-constexpr milliseconds writeTimeout { 5000 };
-
 /// A client that has received its last response closes the connection within a few round trips.
 constexpr milliseconds lingerTimeout { 400 };
+/// Most writes are done sooner, and are not measured.
+constexpr milliseconds paceMeasureDelay { 1000 };
 constexpr std::size_t readSize = 4096;
 
 ReadError readErrorFrom(const boost::system::error_code& ec, bool hasStarted)
@@ -45,6 +46,12 @@
     return isBroken ? ReadError::Closed : ReadError::Malformed;
 }
 
+/// How a connection has ended that fails with this error of the system.
+ConnectionEnd endFrom(int error)
+{
+    return error == ETIMEDOUT ? ConnectionEnd::ClientStalled : ConnectionEnd::ClientReset;
+}
+
 } // namespace
 
 std::string_view toString(ConnectionEnd end)
@@ -56,6 +63,8 @@
         return "client-reset";
     case ConnectionEnd::ClientStalled:
         return "client-stalled";
+    case ConnectionEnd::MemoryNeeded:
+        return "memory-needed";
     case ConnectionEnd::EntryReset:
         return "entry-ended";
     }
@@ -64,10 +73,12 @@
 
 DownstreamConnection::DownstreamConnection(asio::ip::tcp::socket socket)
     : m_stream(std::move(socket))
+    , m_timer(m_stream.get_executor())
+    , m_self(std::make_shared<DownstreamConnection*>(this))
 {
     boost::system::error_code ec;
     m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
-    auto timeout = static_cast<int>(writeTimeout.count());
+    auto timeout = static_cast<int>(DeliveryPace::window.count());
     m_stream.socket().set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(timeout), ec);
 }
 
@@ -105,49 +116,117 @@
     co_return ReadError::None;
 }
 
-void DownstreamConnection::checkWritten(const boost::system::error_code& ec)
+void DownstreamConnection::startDelivery()
 {
-    if (ec == beast::error::timeout)
-        m_end = ConnectionEnd::ClientStalled;
-    if (ec)
-        throw boost::system::system_error(ec);
+    m_stream.expires_never();
+    ++m_writes;
+    m_isWriting = true;
+    if (!m_isTimerRunning)
+        startTimer(Clock::now() + paceMeasureDelay);
+}
+
+void DownstreamConnection::onWritten(std::size_t size, const boost::system::error_code& ec)
+{
+    m_writtenBytes += size;
+    if (!ec)
+        return;
+    m_isWriting = false;
+    // Once a write has reported the error, a read does not report it again.
+    if (!m_end)
+        m_end = endFrom(ec.value());
+    throw boost::system::system_error(ec);
+}
+
+template <typename Buffers>
+asio::awaitable<void> DownstreamConnection::write(Buffers buffers)
+{
+    beast::buffers_suffix<Buffers> rest(buffers);
+    startDelivery();
+    while (beast::buffer_bytes(rest) > 0) {
+        boost::system::error_code ec;
+        auto n = co_await m_stream.async_write_some(rest, redirect_error(use_awaitable, ec));
+        onWritten(n, ec);
+        rest.consume(n);
+    }
+    m_isWriting = false;
+}
+
+template <typename Serializer>
+asio::awaitable<void> DownstreamConnection::writeMessage(Serializer& serializer)
+{
+    startDelivery();
+    while (!serializer.is_done() && !(serializer.split() && serializer.is_header_done())) {
+        boost::system::error_code ec;
+        auto n = co_await http::async_write_some(m_stream, serializer, redirect_error(use_awaitable, ec));
+        onWritten(n, ec);
+    }
+    m_isWriting = false;
 }
 
 asio::awaitable<void> DownstreamConnection::writeResponse(ClientResponse& response)
 {
-    boost::system::error_code ec;
-    m_stream.expires_at(Clock::now() + writeTimeout);
     response.keep_alive(!m_mustClose);
-    co_await http::async_write(m_stream, response, redirect_error(use_awaitable, ec));
-    checkWritten(ec);
+    http::response_serializer<http::string_body> serializer(response);
+    co_await writeMessage(serializer);
 }
 
 asio::awaitable<void> DownstreamConnection::writeHead(ResponseFields head)
 {
-    boost::system::error_code ec;
     http::response<http::empty_body> response(std::move(head));
     response.keep_alive(!m_mustClose);
     response.chunked(true);
     http::response_serializer<http::empty_body> serializer(response);
-    m_stream.expires_at(Clock::now() + writeTimeout);
-    co_await http::async_write_header(m_stream, serializer, redirect_error(use_awaitable, ec));
-    checkWritten(ec);
+    serializer.split(true);
+    co_await writeMessage(serializer);
 }
 
 asio::awaitable<void> DownstreamConnection::writeChunk(std::string bytes)
 {
-    boost::system::error_code ec;
-    m_stream.expires_at(Clock::now() + writeTimeout);
-    co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(bytes)), redirect_error(use_awaitable, ec));
-    checkWritten(ec);
+    co_await write(http::make_chunk(asio::buffer(bytes)));
 }
 
 asio::awaitable<void> DownstreamConnection::writeLastChunk()
 {
-    boost::system::error_code ec;
-    m_stream.expires_at(Clock::now() + writeTimeout);
-    co_await asio::async_write(m_stream, http::make_chunk_last(), redirect_error(use_awaitable, ec));
-    checkWritten(ec);
+    co_await write(http::make_chunk_last());
+}
+
+void DownstreamConnection::startTimer(TimePoint time)
+{
+    m_isTimerRunning = true;
+    m_timer.expires_at(time);
+    m_timer.async_wait([self = std::weak_ptr(m_self)](boost::system::error_code ec) {
+        auto it = self.lock();
+        if (!ec && it)
+            (*it)->onTimer();
+    });
+}
+
+void DownstreamConnection::onTimer()
+{
+    m_isTimerRunning = false;
+    if (m_state == State::Closing)
+        checkClosing();
+    else if (m_isWriting)
+        checkPace();
+}
+
+void DownstreamConnection::checkPace()
+{
+    auto now = Clock::now();
+    if (std::exchange(m_measuredWrite, m_writes) != m_writes)
+        m_pace.start(now, deliveredBytes());
+    else if (m_pace.isTooSlow(now, deliveredBytes()))
+        return reset(ConnectionEnd::ClientStalled);
+    startTimer(m_pace.checkAt());
+}
+
+void DownstreamConnection::checkClosing()
+{
+    auto now = Clock::now();
+    if (undeliveredBytes() == 0 || m_pace.isTooSlow(now, deliveredBytes()))
+        m_stream.socket().cancel();
+    else
+        startTimer(now + lingerTimeout);
 }
 
 asio::awaitable<ConnectionEnd> DownstreamConnection::waitForClose()
@@ -162,7 +241,7 @@
     char byte = 0;
     auto size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (size <= 0)
-        co_return size == 0 ? ConnectionEnd::ClientClosed : ConnectionEnd::ClientReset;
+        co_return size == 0 ? ConnectionEnd::ClientClosed : endFrom(errno);
     // The client has already sent more data, so its close can't be detected. Wait until the call ends.
     asio::steady_timer forever(co_await asio::this_coro::executor, TimePoint::max());
     co_await forever.async_wait(redirect_error(use_awaitable, ec));
@@ -203,14 +282,17 @@
 asio::awaitable<void> DownstreamConnection::close()
 {
     m_state = State::Closing;
+    auto& socket = m_stream.socket();
     boost::system::error_code ec;
-    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
-    m_stream.expires_at(Clock::now() + lingerTimeout);
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    auto now = Clock::now();
+    m_pace.start(now, deliveredBytes());
+    startTimer(now + lingerTimeout);
     while (!ec) {
         m_buffer.clear();
-        co_await m_stream.async_read_some(m_buffer.prepare(readSize), redirect_error(use_awaitable, ec));
+        co_await socket.async_read_some(m_buffer.prepare(readSize), redirect_error(use_awaitable, ec));
     }
-    m_stream.socket().close(ec);
+    socket.close(ec);
 }
 
 } // namespace swiftloft::gateway
--- a/src/gateway/downstream-connection.h
+++ b/src/gateway/downstream-connection.h
@@ -1,13 +1,17 @@
 #pragma once
 
+#include "src/gateway/delivery-pace.h"
 #include "src/gateway/model.h"
 #include "src/gateway/protocol.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <algorithm>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -34,8 +38,10 @@
     /// The client closed its side, or only stopped sending: the two look the same until something is written.
     ClientClosed,
     ClientReset,
-    /// The client did not accept the bytes of its response in time.
+    /// The client accepted the bytes of its response too slowly.
     ClientStalled,
+    /// Others needed the memory of the response, and it had been on its way to its client for longest.
+    MemoryNeeded,
     EntryReset,
 };
 
@@ -70,7 +76,8 @@
     /// Id of the last request, for the log.
     const std::string& requestId() const { return m_requestId; }
     void setRequestId(std::string id) { m_requestId = std::move(id); }
-    /// Closes the connection gracefully: shuts down the sending side and waits until the client closes too, or for a short time.
+    /// Closes the connection gracefully: shuts down the sending side and waits until the client closes too, or has had a short
+    /// time for it after it acknowledged the last response.
     boost::asio::awaitable<void> close();
     bool mustClose() const { return m_mustClose; }
     void setMustClose() { m_mustClose = true; }
@@ -83,7 +90,22 @@
         Closing,
     };
 
-    void checkWritten(const boost::system::error_code& ec);
+    template <typename Buffers>
+    boost::asio::awaitable<void> write(Buffers buffers);
+    /// Writes the head of the message, or all of it.
+    template <typename Serializer>
+    boost::asio::awaitable<void> writeMessage(Serializer& serializer);
+    void startDelivery();
+    /// Counts bytes that were passed to the system. Throws if the connection has failed.
+    void onWritten(std::size_t size, const boost::system::error_code& ec);
+    void startTimer(TimePoint time);
+    void onTimer();
+    /// Ends the connection if the client accepts the bytes of a write too slowly.
+    void checkPace();
+    /// Ends the wait for the client's close once it has acknowledged its response, or takes too long to.
+    void checkClosing();
+    /// Bytes that the client's system has acknowledged so far.
+    std::uint64_t deliveredBytes() { return m_writtenBytes - std::min<std::uint64_t>(undeliveredBytes(), m_writtenBytes); }
 
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
@@ -92,6 +114,18 @@
     std::optional<ConnectionEnd> m_end;
     std::size_t m_undeliveredAtEnd { 0 };
     State m_state { State::Idle };
+    std::uint64_t m_writtenBytes { 0 };
+    /// Number of writes so far, the one in progress included.
+    std::uint64_t m_writes { 0 };
+    bool m_isWriting { false };
+    /// The write that the pace is measured for.
+    std::uint64_t m_measuredWrite { 0 };
+    DeliveryPace m_pace;
+    /// Checks the pace while bytes are written, and whether a connection that is being closed is done.
+    boost::asio::steady_timer m_timer;
+    bool m_isTimerRunning { false };
+    /// Expires with the connection, so that a handler of the timer that is already queued does nothing.
+    std::shared_ptr<DownstreamConnection*> m_self;
     /// No further request is read from the connection.
     bool m_mustClose { false };
 };
--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -25,11 +25,8 @@
 /// Connections within a region are established in a few milliseconds. If it takes longer, the server is unreachable or its
 /// accept queue is full. Waiting does not help in the latter case, because TCP retransmits the SYN only after one second.
 constexpr milliseconds connectTimeout { 250 };
-/// Upper bound of a response that is buffered completely before it is forwarded, and of all of them together.
+/// Upper bound of a response that is buffered completely before it is forwarded.
 constexpr std::size_t maxResponseBytes = 16U << 20;
-constexpr std::size_t maxBufferedBytes = 48U << 20;
-/// A response up to this size is buffered also while others use up the sum.
-constexpr std::size_t alwaysBufferedBytes = 256U << 10;
 constexpr std::size_t maxHeaderBytes = 64U << 10;
 constexpr unsigned misdirected = 421;
 /// Number of interim responses and of responses to earlier requests that are discarded before the connection is given up.
@@ -70,28 +67,6 @@
     return status >= 100 && status < 200 && status != 101;
 }
 
-/// Counts the bytes of one buffered response in the sum over all of them.
-class BufferedBytes {
-public:
-    explicit BufferedBytes(std::size_t& sum)
-        : m_sum(sum)
-    {
-    }
-    ~BufferedBytes() { m_sum -= m_size; }
-    BufferedBytes(const BufferedBytes&) = delete;
-    BufferedBytes& operator=(const BufferedBytes&) = delete;
-
-    void add(std::size_t size)
-    {
-        m_size += size;
-        m_sum += size;
-    }
-
-private:
-    std::size_t& m_sum;
-    std::size_t m_size { 0 };
-};
-
 /// The next bytes of a body, and the error with which it ended; none while it goes on.
 struct BodyPart {
     std::size_t size { 0 };
@@ -285,16 +260,15 @@
         co_return AttemptOutcome::Lost;
     std::string body;
     std::array<char, 16384> bytes;
-    BufferedBytes buffered { m_bufferedBytes };
+    ResponseMemory::Share memory(m_responseMemory);
     while (!parser.is_done()) {
         auto [size, ec] = co_await readBody(*connection, parser, bytes);
         body.append(bytes.data(), size);
-        buffered.add(size);
+        bool hasMemory = memory.add(Clock::now(), size);
         if (ec == beast::error::timeout)
             co_return Clock::now() + responseMargin >= call.deadline ? AttemptOutcome::TimedOut : AttemptOutcome::Lost;
         // A response without a length is complete only if its connection is closed cleanly.
-        bool isTooLarge = body.size() > maxResponseBytes || (m_bufferedBytes > maxBufferedBytes && body.size() > alwaysBufferedBytes);
-        if (ec || isTooLarge)
+        if (ec || !hasMemory || body.size() > maxResponseBytes)
             co_return AttemptOutcome::Lost;
     }
     if (isTorn(call, *connection))
@@ -313,6 +287,7 @@
         co_return AttemptOutcome::ServerError;
     }
     call.status = signedHead.status;
+    memory.startDelivery(Clock::now(), [&call] { call.client.reset(ConnectionEnd::MemoryNeeded); });
     co_await call.client.writeResponse(response);
     co_return AttemptOutcome::Answered;
 }
--- a/src/gateway/request-server.h
+++ b/src/gateway/request-server.h
@@ -4,6 +4,7 @@
 #include "src/gateway/downstream-connection.h"
 #include "src/gateway/event-splitter.h"
 #include "src/gateway/protocol.h"
+#include "src/gateway/response-memory.h"
 #include "src/gateway/startup-queue.h"
 #include "src/gateway/upstream-pool.h"
 #include "src/process/metrics.h"
@@ -68,8 +69,7 @@
     process::SharedMetrics& m_metrics;
     SnapshotSource m_snapshot;
     StartupQueue m_startupQueue;
-    /// Size of the responses that are being buffered.
-    std::size_t m_bufferedBytes { 0 };
+    ResponseMemory m_responseMemory;
     policy::Generator m_generator { std::random_device {}() };
 };
 
