Soak: a quarter of the clients read large responses slowly

They read 240 KB at 640 KB/s with little buffered by their systems, through all faults and the replacement of all entries.

--- a/test/soak/fake-platform.cc
+++ b/test/soak/fake-platform.cc
@@ -68,14 +68,26 @@
     return std::hash<std::string_view>()(id) % 4 == 0;
 }
 
+namespace {
+
+/// Size of an event of a large response.
+constexpr std::size_t largeEventBytes = 20 << 10;
+
+std::string paddingOf(const std::string& id, std::size_t size)
+{
+    return std::string(id.starts_with(FakePlatform::largeIdPrefix) ? size : 0, 'x');
+}
+
+} // namespace
+
 std::string FakePlatform::plainBody(const std::string& id)
 {
-    return "answer to " + id;
+    return "answer to " + id + paddingOf(id, eventsPerStream * largeEventBytes);
 }
 
 std::string FakePlatform::eventText(const std::string& id, int n)
 {
-    return fmt::format("id: {}\ndata: {} part {}\n\n", n, id, n);
+    return fmt::format("id: {}\ndata: {} part {}{}\n\n", n, id, n, paddingOf(id, largeEventBytes));
 }
 
 std::string FakePlatform::completeStream(const std::string& id)
--- a/test/soak/fake-platform.h
+++ b/test/soak/fake-platform.h
@@ -126,6 +126,8 @@
 
     /// True if the response to the request has neither a length nor chunks.
     static bool endsWithConnection(std::string_view id);
+    /// Ids that begin so get responses of 240 KB.
+    static constexpr std::string_view largeIdPrefix { "large-" };
     /// Body of a server's response to a plain request, and the number and content of the events of its streams.
     static std::string plainBody(const std::string& id);
     static constexpr int eventsPerStream { 12 };
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -27,14 +27,28 @@
 constexpr milliseconds settlingTime { 2500 };
 /// Counted from the time at which a server reports to an entry that it is leaving; the response may be delayed in transit.
 constexpr milliseconds leaveTimeout { 2500 };
+/// One of so many clients is slow, and its responses are large.
+constexpr int clientsPerSlowOne = 4;
 /// A client that was not served sends its next request after this delay.
 constexpr milliseconds retryDelay { 40 };
+constexpr std::size_t maxPrintedBytes = 1000;
+
+/// Bytes that a slow client reads at a time, and its pause between two reads.
+constexpr int slowReadBytes = 16 << 10;
+constexpr milliseconds slowReadPause { 25 };
 
 /// Client with one persistent connection, which is used until it fails.
 class PersistentClient {
 public:
-    explicit PersistentClient(const std::string& address)
+    enum class Pace {
+        Fast,
+        /// Reads slowly, and its system buffers little.
+        Slow,
+    };
+
+    explicit PersistentClient(const std::string& address, Pace pace = Pace::Fast)
         : m_endpoint(standin::parseEndpoint(address).value())
+        , m_pace(pace)
     {
     }
 
@@ -59,6 +73,10 @@
                 m_stream = std::make_unique<beast::tcp_stream>(m_io);
                 m_buffer.clear();
                 m_stream->expires_at(deadline);
+                if (m_pace == Pace::Slow) {
+                    m_stream->socket().open(asio::ip::tcp::v4());
+                    m_stream->socket().set_option(asio::socket_base::receive_buffer_size(slowReadBytes));
+                }
                 co_await m_stream->async_connect(m_endpoint, asio::use_awaitable);
             }
             m_stream->expires_at(deadline);
@@ -71,7 +89,7 @@
             request.body() = outcome.requestBody;
             request.prepare_payload();
             co_await http::async_write(*m_stream, request, asio::use_awaitable);
-            co_await http::async_read(*m_stream, m_buffer, parser, asio::use_awaitable);
+            co_await read(parser);
             outcome.isComplete = true;
             isKept = parser.get().keep_alive();
         } catch (const boost::system::system_error&) {
@@ -83,8 +101,24 @@
         }
     }
 
+    asio::awaitable<void> read(http::response_parser<http::string_body>& parser)
+    {
+        if (m_pace == Pace::Fast) {
+            co_await http::async_read(*m_stream, m_buffer, parser, asio::use_awaitable);
+            co_return;
+        }
+        m_buffer.max_size(slowReadBytes);
+        asio::steady_timer pause(m_io);
+        while (!parser.is_done()) {
+            co_await http::async_read_some(*m_stream, m_buffer, parser, asio::use_awaitable);
+            pause.expires_after(slowReadPause);
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+    }
+
     asio::io_context m_io;
     asio::ip::tcp::endpoint m_endpoint;
+    Pace m_pace;
     std::unique_ptr<beast::tcp_stream> m_stream;
     beast::flat_buffer m_buffer;
 };
@@ -154,13 +188,13 @@
     return m_key;
 }
 
-void Soak::clientLoop(std::uint64_t seed)
+void Soak::clientLoop(std::uint64_t seed, bool isSlow)
 {
     std::mt19937_64 random(seed);
     std::vector<std::unique_ptr<PersistentClient>> clients;
     clients.reserve(m_entries.size());
     for (auto& entry : m_entries)
-        clients.push_back(std::make_unique<PersistentClient>(entry.clients));
+        clients.push_back(std::make_unique<PersistentClient>(entry.clients, isSlow ? PersistentClient::Pace::Slow : PersistentClient::Pace::Fast));
     constexpr const char* kinds[] = { "stream", "once", "safe" };
     std::string oldKey = currentKey();
     for (int n = 0; !m_isStopped; ++n) {
@@ -170,7 +204,7 @@
         outcome.key = pick(random, 0, 9) == 0 ? oldKey : currentKey();
         outcome.sentAt = Clock::now();
         auto entry = static_cast<std::size_t>(pick(random, 0, static_cast<int>(clients.size()) - 1));
-        outcome.id = FakePlatform::requestIdVia(fmt::format("{}-{}", seed, n), entry);
+        outcome.id = FakePlatform::requestIdVia(fmt::format("{}{}-{}", isSlow ? FakePlatform::largeIdPrefix : "", seed, n), entry);
         outcome.parts = fmt::format("a1:40,b{}:20,{:x}:9", n % 4, seed);
         clients[entry]->exchange(outcome);
         bool isServed = outcome.status == 200;
@@ -419,7 +453,7 @@
     std::vector<std::thread> clients;
     clients.reserve(static_cast<std::size_t>(m_options.clients));
     for (int n = 0; n < m_options.clients; ++n)
-        clients.emplace_back([this, n] { clientLoop(m_options.seed * 1000 + static_cast<std::uint64_t>(n)); });
+        clients.emplace_back([this, n] { clientLoop(m_options.seed * 1000 + static_cast<std::uint64_t>(n), n % clientsPerSlowOne == 0); });
     clients.emplace_back([this] { crashingClientLoop(m_options.seed); });
     clients.emplace_back([this] { crashingPartLoop(m_options.seed + 1); });
     // Several fault threads run at the same time, so that faults overlap.
@@ -490,7 +524,7 @@
     auto expected = outcome.kind == "stream" ? FakePlatform::completeStream(outcome.id) : FakePlatform::plainBody(outcome.id);
     bool isExpected = outcome.isComplete ? outcome.body == expected : expected.starts_with(outcome.body);
     if (!isExpected)
-        violations.push_back(fmt::format("{} request {}: a {} response was '{}', expected '{}'", outcome.kind, outcome.id, outcome.isComplete ? "complete" : "truncated", outcome.body, expected));
+        violations.push_back(fmt::format("{} request {}: a {} response was '{}', expected '{}'", outcome.kind, outcome.id, outcome.isComplete ? "complete" : "truncated", outcome.body.substr(0, maxPrintedBytes), expected.substr(0, maxPrintedBytes)));
 }
 
 void Soak::checkDrains(std::vector<std::string>& violations) const
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -70,7 +70,7 @@
 
     void startEntry(std::size_t index);
     void recordEvent(const std::string& text);
-    void clientLoop(std::uint64_t seed);
+    void clientLoop(std::uint64_t seed, bool isSlow);
     /// Sends a request that crashes servers again and again, each time through any entry.
     void crashingClientLoop(std::uint64_t seed);
     /// Sends requests that have a part in common that crashes servers, and nothing else.
