Don't take streams for short because their events arrive in bursts

Cause, by the failing test: the length of a pass is the median of the intervals between events. Where events arrive four at a time, three of four intervals are 1 ms, and a stream of 800 ms is expected to take 21 ms.

The time of a stream, which only the decisions of a stopping entry ask for, uses the mean of the intervals where it is above the median. Refusals under load go on with the median, which one stalled connection does not move.

Failed before: ServiceEstimate: a stream does not look short because its events arrive in bursts (21 ms, expected 600 ms at least).

--- a/src/gateway/capacity/group-estimate.h
+++ b/src/gateway/capacity/group-estimate.h
@@ -56,6 +56,8 @@
 
     /// Unset if nothing recent is known, or if only the pace is known and the traits are not.
     std::optional<Pass> pass(TimePoint now, double running) const;
+    /// Mean of the last passes as seen by this entry; unset if nothing recent is known.
+    std::optional<Clock::duration> meanSeenPass(TimePoint now) const { return m_passes.mean(now); }
     /// Duration of the last passes as seen by this entry or reported; unset if nothing recent is known.
     std::optional<Pass> seenPass(TimePoint now) const;
     bool isReportedSlow(TimePoint now) const { return m_pace > 1 && m_paceReportedAt + reportLifetime > now; }
--- a/src/gateway/capacity/pass-times.cc
+++ b/src/gateway/capacity/pass-times.cc
@@ -1,22 +1,36 @@
 #include "src/gateway/capacity/pass-times.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace swiftloft::gateway::capacity {
 
-std::optional<Clock::duration> PassTimes::median(TimePoint now) const
+PassTimes::Lengths PassTimes::validLengths(TimePoint now) const
 {
-    std::array<Clock::duration, std::tuple_size_v<decltype(m_intervals)>> valid {};
-    std::size_t n = 0;
+    Lengths valid;
     for (auto& it : m_intervals) {
         if (it.length > Clock::duration(0) && it.at + std::max<Clock::duration>(lifetime, it.length * 3 / 2) > now)
-            valid[n++] = it.length;
+            valid.push_back(it.length);
     }
-    if (n == 0)
+    return valid;
+}
+
+std::optional<Clock::duration> PassTimes::median(TimePoint now) const
+{
+    auto valid = validLengths(now);
+    if (valid.empty())
         return std::nullopt;
-    auto middle = valid.begin() + static_cast<std::ptrdiff_t>(n / 2);
-    std::nth_element(valid.begin(), middle, valid.begin() + static_cast<std::ptrdiff_t>(n));
+    auto middle = valid.begin() + static_cast<std::ptrdiff_t>(valid.size() / 2);
+    std::nth_element(valid.begin(), middle, valid.end());
     return *middle;
 }
 
+std::optional<Clock::duration> PassTimes::mean(TimePoint now) const
+{
+    auto valid = validLengths(now);
+    if (valid.empty())
+        return std::nullopt;
+    return std::accumulate(valid.begin(), valid.end(), Clock::duration(0)) / static_cast<int>(valid.size());
+}
+
 } // namespace swiftloft::gateway::capacity
--- a/src/gateway/capacity/pass-times.h
+++ b/src/gateway/capacity/pass-times.h
@@ -2,6 +2,8 @@
 
 #include <swiftloft/units.h>
 
+#include <boost/container/static_vector.hpp>
+
 #include <array>
 #include <cstddef>
 #include <optional>
@@ -26,6 +28,8 @@
     }
     /// Median of the valid intervals; unset if there is none.
     std::optional<Clock::duration> median(TimePoint now) const;
+    /// Mean of the valid intervals; unset if there is none. Unlike the median, it holds also if events arrive in bursts.
+    std::optional<Clock::duration> mean(TimePoint now) const;
     /// When the last interval ended; the epoch if there was none.
     TimePoint newestAt() const { return m_intervals[(m_next + m_intervals.size() - 1) % m_intervals.size()].at; }
 
@@ -35,7 +39,11 @@
         Clock::duration length {};
     };
 
-    std::array<Interval, 9> m_intervals {};
+    static constexpr std::size_t maxIntervals { 9 };
+    using Lengths = boost::container::static_vector<Clock::duration, maxIntervals>;
+    Lengths validLengths(TimePoint now) const;
+
+    std::array<Interval, maxIntervals> m_intervals {};
     std::size_t m_next { 0 };
 };
 
--- a/src/gateway/capacity/service-estimate.cc
+++ b/src/gateway/capacity/service-estimate.cc
@@ -321,6 +321,7 @@
         if (!pass && !model.isKnown())
             return std::nullopt;
         auto length = pass ? pass->length : fromSeconds(model.passMs(use.slots) / 1000);
+        length = std::max(length, group.estimate->meanSeenPass(now).value_or(length));
         longest = std::max(longest, fromSeconds(toSeconds(length) * (group.estimate->firstPasses() + *events)));
     }
     return isMax ? fromSeconds(maxPassRatio * toSeconds(longest)) + attemptOverhead : longest;
--- a/test/service-estimate_test.cc
+++ b/test/service-estimate_test.cc
@@ -131,6 +131,18 @@
     CHECK(passes.median(start + milliseconds(2900)));
 }
 
+TEST_CASE("PassTimes: the mean of the valid intervals is that of events in bursts")
+{
+    PassTimes passes;
+    CHECK_FALSE(passes.mean(start));
+    passes.add(start, milliseconds(2));
+    passes.add(start, milliseconds(2));
+    passes.add(start, milliseconds(116));
+    REQUIRE(passes.mean(start));
+    CHECK(*passes.mean(start) == milliseconds(40));
+    CHECK_FALSE(passes.mean(start + milliseconds(1400)));
+}
+
 TEST_CASE("RequestSizes: a client's estimate counts half, and never beyond its maximum")
 {
     RequestSizes sizes;
@@ -170,6 +182,24 @@
     CHECK_FALSE(rig.estimate.duration(rig.now, ServiceName("unknown"), rig.request(), {}, DurationBound::Max).has_value());
 }
 
+// Guards against this failure: events arrive in bursts on a busy machine, so that most intervals are short, and a stopping entry
+// accepts streams that it can't finish.
+TEST_CASE("ServiceEstimate: a stream does not look short because its events arrive in bursts")
+{
+    EstimateRig rig;
+    constexpr int burst = 4;
+    constexpr int bursts = 12;
+    StreamClock clock;
+    rig.estimate.onAttemptStarted(rig.now, clock, rankServer(0).incarnation());
+    for (int n = 0; n < bursts; ++n) {
+        rig.runEvents(clock, burst * milliseconds(40) - (burst - 1) * milliseconds(1), 1);
+        rig.runEvents(clock, milliseconds(1), burst - 1);
+    }
+    auto duration = rig.estimate.duration(rig.now, model, rig.request(), { 64, 160 }, DurationBound::Expected);
+    REQUIRE(duration);
+    CHECK(*duration >= 20 * milliseconds(40) * 3 / 4);
+}
+
 TEST_CASE("ServiceEstimate: with normal passes nothing is watched or refused")
 {
     EstimateRig rig;
