--- a/src/gateway/downstream-connection.cc
+++ b/src/gateway/downstream-connection.cc
@@ -233,15 +233,21 @@
 {
     auto& socket = m_stream.socket();
     boost::system::error_code ec;
-    co_await socket.async_wait(asio::ip::tcp::socket::wait_read, redirect_error(use_awaitable, ec));
-    if (m_end)
-        co_return *m_end;
-    if (ec)
-        co_return ConnectionEnd::EntryReset;
-    char byte = 0;
-    auto size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (size <= 0)
-        co_return size == 0 ? ConnectionEnd::ClientClosed : endFrom(errno);
+    ssize_t size = -1;
+    while (size < 0) {
+        co_await socket.async_wait(asio::ip::tcp::socket::wait_read, redirect_error(use_awaitable, ec));
+        if (m_end)
+            co_return *m_end;
+        if (ec)
+            co_return ConnectionEnd::EntryReset;
+        char byte = 0;
+        size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        bool isSpurious = size < 0 && (errno == EAGAIN || errno == EINTR);
+        if (size < 0 && !isSpurious)
+            co_return endFrom(errno);
+    }
+    if (size == 0)
+        co_return ConnectionEnd::ClientClosed;
     // The client has already sent more data, so its close can't be detected. Wait until the call ends.
     asio::steady_timer forever(co_await asio::this_coro::executor, TimePoint::max());
     co_await forever.async_wait(redirect_error(use_awaitable, ec));
--- a/src/gateway/downstream-connection.h
+++ b/src/gateway/downstream-connection.h
@@ -52,6 +52,8 @@
 class DownstreamConnection {
 public:
     explicit DownstreamConnection(boost::asio::ip::tcp::socket socket);
+    DownstreamConnection(const DownstreamConnection&) = delete;
+    DownstreamConnection& operator=(const DownstreamConnection&) = delete;
 
     /// Reads the next request into `request`.
     boost::asio::awaitable<ReadError> readRequest(const ClientLimits& limits, ClientRequest& request);
