--- a/test/soak/fake-platform.cc
+++ b/test/soak/fake-platform.cc
@@ -454,6 +454,7 @@
 asio::awaitable<void> FakePlatform::serveRequest(std::size_t index, Exchange& exchange)
 {
     ServerMode mode {};
+    bool isMisdirected = false;
     std::uint64_t process = 0;
     std::optional<TimePoint> leavingAnnouncedAt;
     {
@@ -478,14 +479,12 @@
             exchange.setHeader("Server-Leaving", "1");
             leavingAnnouncedAt = m_leavingAnnouncedAt[server.id].try_emplace(entry, Clock::now()).first->second;
         }
-        if (exchange.header("X-Expect-Instance") != server.id) {
-            exchange.setHeader("X-Not-Executed", "1");
-            mode = ServerMode::Full;
-        } else if (server.backOff) {
+        isMisdirected = exchange.header("X-Expect-Instance") != server.id;
+        if (!isMisdirected && server.backOff) {
             server.backOffRule.onRequested(Clock::now(), entry, Clock::now() + *server.backOff);
             exchange.setHeader("Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(*server.backOff).count()));
             mode = ServerMode::Full;
-        } else if (mode != ServerMode::Full && server.running < m_slots) {
+        } else if (!isMisdirected && mode != ServerMode::Full && server.running < m_slots) {
             m_runs[exchange.header("X-Request-Id")].push_back({ server.id, std::string(exchange.path()), exchange.header("X-Tenant"), Clock::now(), m_version, leavingAnnouncedAt });
             ++server.running;
         } else
@@ -493,7 +492,7 @@
     }
     if (mode == ServerMode::Full) {
         exchange.setHeader("X-Not-Executed", "1");
-        co_return co_await exchange.reply(HttpStatus::service_unavailable, "text/plain", "");
+        co_return co_await exchange.reply(isMisdirected ? HttpStatus::misdirected_request : HttpStatus::service_unavailable, "text/plain", "");
     }
     std::exception_ptr failure;
     try {
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -15,6 +15,7 @@
     options.add_options()("servers", "backend servers", cxxopts::value<int>()->default_value("6"), "N");
     options.add_options()("clients", "clients, each with a connection to every entry", cxxopts::value<int>()->default_value("12"), "N");
     options.add_options()("entry", "the entry program", cxxopts::value<std::string>()->default_value(SWIFTLOFT_BUILD_DIR "/platform/swiftloft-platform-entry"), "FILE");
+    options.add_options()("logs", "folder for the entries' logs; none are kept without", cxxopts::value<std::string>()->default_value(""), "FOLDER");
     options.add_options()("h,help", "print this help");
     auto arguments = options.parse(argc, argv);
     if (arguments.count("help")) {
@@ -31,6 +32,7 @@
         one.servers = arguments["servers"].as<int>();
         one.clients = arguments["clients"].as<int>();
         one.program = arguments["entry"].as<std::string>();
+        one.logFolder = arguments["logs"].as<std::string>();
         soak::Soak soak(one);
         auto broken = soak.run();
         fmt::print("seed {}: {} requests, {} served, {} broken\n", one.seed, soak.requests(), soak.served(), broken.size());
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -176,7 +176,10 @@
 {
     auto& entry = m_entries[index];
     entry.isPaused = false;
-    entry.process = process_test::ChildProcess::start({ m_options.program, "--config", entry.settings }, { .waitsForListening = false }).value();
+    std::vector<std::string> command { m_options.program, "--config", entry.settings };
+    if (!m_options.logFolder.empty())
+        command = { "/bin/sh", "-c", fmt::format("exec {} --config {} >> {}/seed-{}-entry-{}.log", m_options.program, entry.settings, m_options.logFolder, m_options.seed, index) };
+    entry.process = process_test::ChildProcess::start(command, { .waitsForListening = false }).value();
 }
 
 void Soak::recordEvent(const std::string& text)
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -25,6 +25,8 @@
     int clients { 12 };
     seconds length { 8 };
     std::string program;
+    /// Empty if the entries' logs are not kept.
+    std::string logFolder {};
 };
 
 /// What a client observed of one request.
