Let no further SIGTERM kill a process that is ending

What operators saw: with two SIGTERM to one entry, its exit status is 143 instead of 0, now and then, and the log lacks ProcessStopped. Seen once in the soak with 60 entries, alone on the machine (: "entry 53 was stopped and ended with status 143"), whose entries get a second SIGTERM while they stop.

Cause: the handler of the signal ends with the control thread's objects, and the default action is back while the connections are still being closed. The moment is short, so each test of a second signal passed.

Once a stop has begun, the end of the handler leaves the signals blocked. The other threads have ended by then. It holds for agents and swiftloft-entry too, which use the same handler.

--- a/src/process/signals.cc
+++ b/src/process/signals.cc
@@ -11,6 +11,17 @@
     wait();
 }
 
+StopSignals::~StopSignals()
+{
+    if (m_count == 0)
+        return;
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 void StopSignals::wait()
 {
     m_signals.async_wait([this](boost::system::error_code ec, int) {
--- a/src/process/signals.h
+++ b/src/process/signals.h
@@ -11,6 +11,11 @@
 class StopSignals {
 public:
     StopSignals(boost::asio::io_context& ioContext, std::function<void(int count)> onStop);
+    /// Once a shutdown has begun, blocks further signals to stop in the calling thread, which must be the last one of the process:
+    /// by default they would kill it before it has ended in order.
+    ~StopSignals();
+    StopSignals(const StopSignals&) = delete;
+    StopSignals& operator=(const StopSignals&) = delete;
 
 private:
     void wait();
--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -88,6 +88,20 @@
     CHECK_THAT(rig.log(), Contains("ProcessStopped"));
 }
 
+// Guards against this failure: a further SIGTERM comes while an entry is ending, and kills it before it has closed its connections.
+TEST_CASE("Platform entry: a stopped entry ends in order although SIGTERM comes again and again")
+{
+    EntryRig rig;
+    rig.start();
+    REQUIRE(rig.isReady());
+    while (rig.process->isRunning()) {
+        rig.process->terminate();
+        std::this_thread::sleep_for(std::chrono::microseconds(100));
+    }
+    CHECK(rig.process->waitForExit(Clock::now()) == 0);
+    CHECK_THAT(rig.log(), Contains("ProcessStopped"));
+}
+
 // Guards against this failure: an entry that is stopped for an upgrade does not end, and the platform kills it with its
 // remaining requests after the grace period. Requests wait at silent servers and their clients have already sent
 // further requests, so neither connection closes. The waiting coroutines were destroyed after the tables that they
