--- a/test/process/slow-client.h
+++ b/test/process/slow-client.h
@@ -21,10 +21,6 @@
     bool readResponse(std::size_t bytesPerSecond, TimePoint deadline);
     /// Waits for the end of the connection after the response; what the system says of it.
     boost::system::error_code waitForEnd(TimePoint deadline);
-    /// What was received so far.
-    const std::string& received() const { return m_received; }
-    /// What the system said when the connection ended; none while it is open.
-    const boost::system::error_code& error() const { return m_error; }
     Socket& socket() { return m_socket; }
 
 private:
