Close a connection although its client goes on sending after its last response

What callers could do: a client that sends on after a response with Connection: close kept its connection, and a descriptor of the entry, for as long as it sent.

Cause: the end of the wait cancelled the pending read. A read that had completed already, as it has while a client sends all the time, was not cancelled, and the wait had no other bound. The socket is closed instead, as the timeout of the stream did before.

Two comments reworded.

--- a/src/gateway/downstream-connection.cc
+++ b/src/gateway/downstream-connection.cc
@@ -29,7 +29,7 @@
 
 /// A client that has received its last response closes the connection within a few round trips.
 constexpr milliseconds lingerTimeout { 400 };
-/// Most writes are done sooner, and are not measured.
+/// Time after which the pace of a write is checked; most writes end sooner.
 constexpr milliseconds paceMeasureDelay { 1000 };
 constexpr std::size_t readSize = 4096;
 
@@ -223,10 +223,11 @@
 void DownstreamConnection::checkClosing()
 {
     auto now = Clock::now();
-    if (undeliveredBytes() == 0 || m_pace.isTooSlow(now, deliveredBytes()))
-        m_stream.socket().cancel();
-    else
-        startTimer(now + lingerTimeout);
+    if (undeliveredBytes() > 0 && !m_pace.isTooSlow(now, deliveredBytes()))
+        return startTimer(now + lingerTimeout);
+    // Closed rather than cancelled: a read that has completed already would not see that it was cancelled.
+    boost::system::error_code ec;
+    m_stream.socket().close(ec);
 }
 
 asio::awaitable<ConnectionEnd> DownstreamConnection::waitForClose()
--- a/src/gateway/downstream-connection.h
+++ b/src/gateway/downstream-connection.h
@@ -120,7 +120,7 @@
     /// Number of writes so far, the one in progress included.
     std::uint64_t m_writes { 0 };
     bool m_isWriting { false };
-    /// The write that the pace is measured for.
+    /// The write that `m_pace` belongs to.
     std::uint64_t m_measuredWrite { 0 };
     DeliveryPace m_pace;
     /// Checks the pace while bytes are written, and whether a connection that is being closed is done.
--- a/test/process/slow-clients_test.cc
+++ b/test/process/slow-clients_test.cc
@@ -128,6 +128,23 @@
     CHECK_THAT(rig.log(), Contains("reason=client-stalled "));
 }
 
+// Guards against this failure: a client that goes on sending after its last response keeps its connection, and its descriptor, for ever.
+TEST_CASE("Slow clients: a connection is closed after its last response although the client goes on sending")
+{
+    EntryRig rig;
+    rig.start();
+    REQUIRE(rig.isReady());
+    auto request = keptRequest("once", "k7");
+    request.insert(request.find("\r\n") + 2, "Connection: close\r\n");
+    SlowClient client(rig.clients, request);
+    REQUIRE(client.readResponse(eventBytes, Clock::now() + seconds(5)));
+    const std::string bytes(eventBytes, 'x');
+    boost::system::error_code ec;
+    for (auto giveUpAt = Clock::now() + seconds(5); !ec && Clock::now() < giveUpAt;)
+        boost::asio::write(client.socket(), boost::asio::buffer(bytes), ec);
+    CHECK(ec);
+}
+
 // Guards against this failure: the log blames the client for a connection that the entry has ended, or for one that the network has.
 TEST_CASE("Slow clients: the log says who ended a connection")
 {
