Log what was expected of requests that a stop ends, and what came

What operators saw: two streams of the record end with the words stalled and stopping. Nothing says whether the server was silent or the entry's time was over, nor why the entry had accepted them.

An attempt that is cancelled at the deadline has the outcome stopped; stalled is left for silent servers. StopDeadlineReached says by how much it is late. ServiceEstimate::forecast returns the numbers behind a duration.

No decision about requests changes.

--- a/src/gateway/async-dispatcher.cc
+++ b/src/gateway/async-dispatcher.cc
@@ -47,7 +47,7 @@
     m_dispatcher.apply(dispatch::StreamProgressed { m_id });
 }
 
-void AsyncDispatcher::CallHandle::setOnCancelAttempt(std::function<void()> hook)
+void AsyncDispatcher::CallHandle::setOnCancelAttempt(OnCancelAttempt hook)
 {
     m_dispatcher.m_onCancelAttempt[m_id] = std::move(hook);
 }
@@ -83,7 +83,7 @@
 {
     auto it = m_onCancelAttempt.find(effect.call);
     if (it != m_onCancelAttempt.end())
-        it->second();
+        it->second(effect.reason);
 }
 
 void AsyncDispatcher::perform(const dispatch::PublishLeaving& effect)
--- a/src/gateway/async-dispatcher.h
+++ b/src/gateway/async-dispatcher.h
@@ -21,6 +21,8 @@
 public:
     AsyncDispatcher(boost::asio::io_context& ioContext, const DispatcherOptions& options, policy::Generator generator);
 
+    using OnCancelAttempt = std::function<void(dispatch::CancelReason reason)>;
+
     /// Handle of one call. The destructor closes the call, also when its coroutine is cancelled.
     class CallHandle {
     public:
@@ -36,7 +38,7 @@
         void reportResponseStarted();
         void reportProgress();
         /// `hook` is called when the current attempt must end.
-        void setOnCancelAttempt(std::function<void()> hook);
+        void setOnCancelAttempt(OnCancelAttempt hook);
         /// Reports that the complete response was sent to the client. `endsWithConnection`: only the end of the server's
         /// connection has shown that it is complete.
         void reportCompleted(bool isSuccess, bool endsWithConnection);
@@ -93,7 +95,7 @@
     Dispatcher m_reducer;
     boost::asio::steady_timer m_timer;
     std::map<CallId, std::shared_ptr<Waiter>> m_waiters;
-    std::map<CallId, std::function<void()>> m_onCancelAttempt;
+    std::map<CallId, OnCancelAttempt> m_onCancelAttempt;
     std::function<void()> m_onLoadChanged;
     OnServerLeaving m_onServerLeaving;
     OnProbe m_onProbe;
--- a/src/gateway/capacity/service-estimate.cc
+++ b/src/gateway/capacity/service-estimate.cc
@@ -232,7 +232,7 @@
     log::write(isBinding ? log::Event::EstimateBinds : log::Event::EstimateReleased, "service={} group={} pass-ms={} age-ms={} events={:.1f} time-share={:.2f} running={:.0f} limit={:.0f}", name.value(), groupName.value().empty() ? "-" : groupName.value(), pass ? toMs(pass->length) : -1, pass ? toMs(pass->age) : -1, service.sizes.meanEvents(), share, use.running, group.runLimit);
 }
 
-Forecast ServiceEstimate::forecast(const Service& service, const EngineGroupName& name, const Group& group, const Pass& pass, const RequestView& request, const ServiceUse& use, TimePoint now) const
+Forecast ServiceEstimate::groupForecast(const Service& service, const EngineGroupName& name, const Group& group, const Pass& pass, const RequestView& request, const ServiceUse& use, TimePoint now) const
 {
     double events = service.sizes.expectedEvents(request.route.name, request.size, service.tokensPerEvent);
     auto duration = fromSeconds(toSeconds(pass.length) * (group.estimate->firstPasses() + events - 1));
@@ -274,7 +274,7 @@
         auto pass = group.estimate->pass(now, use.running);
         if (!pass || !group.isBinding)
             return std::nullopt;
-        auto expected = forecast(service, groupName, group, *pass, request, use, now);
+        auto expected = groupForecast(service, groupName, group, *pass, request, use, now);
         if (canEnd(service, expected, request))
             return std::nullopt;
         if (!best || expected.duration < best->duration)
@@ -305,7 +305,7 @@
     return Forecast { {}, {}, 0, *wait + service->mean, request.deadline - now, 0 };
 }
 
-std::optional<Clock::duration> ServiceEstimate::streamDuration(const Service& service, const RequestView& request, const ServiceUse& use, DurationBound bound, TimePoint now)
+std::optional<Forecast> ServiceEstimate::streamForecast(const Service& service, const RequestView& request, const ServiceUse& use, DurationBound bound, TimePoint now)
 {
     bool isMax = bound == DurationBound::Max;
     auto& name = request.route.name;
@@ -314,7 +314,7 @@
         events = service.sizes.maxEvents(name, request.size, service.tokensPerEvent);
     if (!events)
         return std::nullopt;
-    Clock::duration longest {};
+    Forecast longest { {}, {}, *events, {}, request.deadline - now, use.running };
     for (auto& [groupName, group] : service.groups) {
         auto pass = group.estimate->pass(now, use.running);
         auto& model = group.estimate->model();
@@ -322,27 +322,37 @@
             return std::nullopt;
         auto length = pass ? pass->length : fromSeconds(model.passMs(use.slots) / 1000);
         length = std::max(length, group.estimate->meanSeenPass(now).value_or(length));
-        longest = std::max(longest, fromSeconds(toSeconds(length) * (group.estimate->firstPasses() + *events)));
+        auto duration = fromSeconds(toSeconds(length) * (group.estimate->firstPasses() + *events));
+        if (duration < longest.duration)
+            continue;
+        longest.group = groupName;
+        longest.pass = { length, pass ? pass->age : Clock::duration(0) };
+        longest.duration = duration;
     }
-    return isMax ? fromSeconds(maxPassRatio * toSeconds(longest)) + attemptOverhead : longest;
+    if (isMax)
+        longest.duration = fromSeconds(maxPassRatio * toSeconds(longest.duration)) + attemptOverhead;
+    return longest;
 }
 
-std::optional<Clock::duration> ServiceEstimate::plainDuration(const Service& service, const RequestView& request, DurationBound bound, TimePoint now)
+std::optional<Forecast> ServiceEstimate::plainForecast(const Service& service, const RequestView& request, DurationBound bound, TimePoint now)
 {
     bool isMax = bound == DurationBound::Max;
+    Forecast out { {}, {}, 0, {}, request.deadline - now, 0 };
     if (auto time = service.slotTimes.serviceTime(now))
-        return isMax ? std::max<Clock::duration>(time->mean + maxDeviations * time->deviation, request.route.objective) : time->mean;
-    if (request.route.objective > milliseconds(0))
-        return (isMax ? maxObjectives : 1) * request.route.objective;
-    return std::nullopt;
+        out.duration = isMax ? std::max<Clock::duration>(time->mean + maxDeviations * time->deviation, request.route.objective) : time->mean;
+    else if (request.route.objective > milliseconds(0))
+        out.duration = (isMax ? maxObjectives : 1) * request.route.objective;
+    else
+        return std::nullopt;
+    return out;
 }
 
-std::optional<Clock::duration> ServiceEstimate::duration(TimePoint now, const ServiceName& name, const RequestView& request, const ServiceUse& use, DurationBound bound) const
+std::optional<Forecast> ServiceEstimate::forecast(TimePoint now, const ServiceName& name, const RequestView& request, const ServiceUse& use, DurationBound bound) const
 {
     auto it = m_services.find(name);
     if (it == m_services.end() || it->second.groups.empty())
         return std::nullopt;
-    return request.route.isStream ? streamDuration(it->second, request, use, bound, now) : plainDuration(it->second, request, bound, now);
+    return request.route.isStream ? streamForecast(it->second, request, use, bound, now) : plainForecast(it->second, request, bound, now);
 }
 
 std::optional<double> ServiceEstimate::runLimit(TimePoint now, const ServiceName& name, const ServiceUse& use) const
--- a/src/gateway/capacity/service-estimate.h
+++ b/src/gateway/capacity/service-estimate.h
@@ -52,7 +52,7 @@
     Max,
 };
 
-/// Why a request can't end in time: the numbers that decided.
+/// How long a request takes, and the numbers behind it.
 struct Forecast {
     EngineGroupName group {};
     Pass pass {};
@@ -122,7 +122,7 @@
     std::optional<Forecast> queueRefusalOf(TimePoint now, const ServiceName& service, const RequestView& request);
     /// Time that a request takes once it is sent; unset if too little is known. A server that becomes slower later is not
     /// foreseen.
-    std::optional<Clock::duration> duration(TimePoint now, const ServiceName& service, const RequestView& request, const ServiceUse& use, DurationBound bound) const;
+    std::optional<Forecast> forecast(TimePoint now, const ServiceName& service, const RequestView& request, const ServiceUse& use, DurationBound bound) const;
     /// Requests that may run on the service so that a mean stream ends within its time; unset while no group is short of
     /// time.
     std::optional<double> runLimit(TimePoint now, const ServiceName& service, const ServiceUse& use) const;
@@ -156,9 +156,9 @@
     /// Duration of a mean stream in shares of the time that clients give.
     static double meanTimeShare(const Service& service, const GroupEstimate& group, Clock::duration pass);
     void updateBinding(TimePoint now, const ServiceName& name, Service& service, const EngineGroupName& groupName, Group& group, const ServiceUse& use) const;
-    Forecast forecast(const Service& service, const EngineGroupName& name, const Group& group, const Pass& pass, const RequestView& request, const ServiceUse& use, TimePoint now) const;
-    static std::optional<Clock::duration> streamDuration(const Service& service, const RequestView& request, const ServiceUse& use, DurationBound bound, TimePoint now);
-    static std::optional<Clock::duration> plainDuration(const Service& service, const RequestView& request, DurationBound bound, TimePoint now);
+    Forecast groupForecast(const Service& service, const EngineGroupName& name, const Group& group, const Pass& pass, const RequestView& request, const ServiceUse& use, TimePoint now) const;
+    static std::optional<Forecast> streamForecast(const Service& service, const RequestView& request, const ServiceUse& use, DurationBound bound, TimePoint now);
+    static std::optional<Forecast> plainForecast(const Service& service, const RequestView& request, DurationBound bound, TimePoint now);
     bool canEnd(const Service& service, const Forecast& forecast, const RequestView& request) const;
     bool takeProbe(TimePoint now, Service& service);
 
--- a/src/gateway/dispatcher-crashes.cc
+++ b/src/gateway/dispatcher-crashes.cc
@@ -13,7 +13,7 @@
 
 bool isLost(AttemptOutcome outcome)
 {
-    return outcome == AttemptOutcome::Lost || outcome == AttemptOutcome::Stalled || outcome == AttemptOutcome::TimedOut;
+    return outcome == AttemptOutcome::Lost || outcome == AttemptOutcome::Stalled || outcome == AttemptOutcome::Stopped || outcome == AttemptOutcome::TimedOut;
 }
 
 } // namespace
--- a/src/gateway/dispatcher-refusals.cc
+++ b/src/gateway/dispatcher-refusals.cc
@@ -85,9 +85,11 @@
     auto reason = RefusalReason::Lost;
     if (outcome == AttemptOutcome::TimedOut)
         reason = RefusalReason::TimedOut;
-    else if (outcome == AttemptOutcome::Stalled && isStopDeadlineReached(now))
+    else if (isStopDeadlineReached(now) && (outcome == AttemptOutcome::Stopped || outcome == AttemptOutcome::Stalled))
         reason = RefusalReason::Stopping;
     refuse(now, id, call, reason, std::nullopt, effects);
+    if (reason == RefusalReason::Stopping)
+        std::get<Refuse>(effects.back()).stopReport = StopReport { m_stop->deadline - call.sentAt, call.stopForecast, call.clock.events, now - call.lastActivityAt };
 }
 
 /// A request that has been sent to a server once goes on: its client has waited, and what it got would be lost.
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -49,6 +49,8 @@
         return "timed-out";
     case AttemptOutcome::Stalled:
         return "stalled";
+    case AttemptOutcome::Stopped:
+        return "stopped";
     }
     return "unknown";
 }
@@ -221,6 +223,7 @@
     call.hasServerEnded = false;
     call.lastActivityAt = now;
     call.isAttemptCancelled = false;
+    call.stopForecast = m_stop ? stopForecast(call, now) : std::nullopt;
     if (call.request.route->isStream && !m_nextStallCheckAt)
         m_nextStallCheckAt = now + stallCheckInterval;
     auto retries = call.attempts > 1 ? std::optional(m_retries.use(call.service, now)) : std::nullopt;
@@ -322,20 +325,24 @@
             continue;
         call.isAttemptCancelled = true;
         m_loadBalancer.onStalled(now, *call.currentServer);
-        effects.push_back(CancelAttempt { id });
+        effects.push_back(CancelAttempt { id, CancelReason::ServerSilent });
     }
 }
 
+std::optional<capacity::Forecast> Dispatcher::stopForecast(const Call& call, TimePoint now) const
+{
+    auto bound = now < m_stop->acceptsUntil ? capacity::DurationBound::Expected : capacity::DurationBound::Max;
+    return m_estimate.forecast(now, call.service, requestView(call.request, call.queueDeadline, 0), m_loadBalancer.useOf(call.service, now), bound);
+}
+
 bool Dispatcher::canEndBeforeStop(const Call& call, TimePoint now) const
 {
     if (!m_stop)
         return true;
-    bool isAccepting = now < m_stop->acceptsUntil;
-    auto bound = isAccepting ? capacity::DurationBound::Expected : capacity::DurationBound::Max;
-    auto duration = m_estimate.duration(now, call.service, requestView(call.request, call.queueDeadline, 0), m_loadBalancer.useOf(call.service, now), bound);
-    if (!duration && isAccepting)
+    auto forecast = stopForecast(call, now);
+    if (!forecast && now < m_stop->acceptsUntil)
         return true;
-    auto latestEnd = duration ? std::min(now + *duration, call.request.deadline) : call.request.deadline;
+    auto latestEnd = forecast ? std::min(now + forecast->duration, call.request.deadline) : call.request.deadline;
     return latestEnd <= m_stop->deadline;
 }
 
@@ -347,7 +354,7 @@
         return;
     for (auto& [id, call] : m_calls) {
         if (call.currentServer && !std::exchange(call.isAttemptCancelled, true))
-            effects.push_back(CancelAttempt { id });
+            effects.push_back(CancelAttempt { id, CancelReason::StopDeadline });
     }
     for (auto id : m_queue.order()) {
         auto& call = m_calls[id];
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -72,6 +72,8 @@
     /// The attempt was cancelled because its server fell silent while other servers made progress; the request may have
     /// run.
     Stalled,
+    /// The attempt was cancelled at the deadline of the entry's stop; the request may have run.
+    Stopped,
 };
 
 std::string_view toString(AttemptOutcome outcome);
@@ -188,6 +190,18 @@
     /// The retry allowance after this attempt; unset for the first attempt of a request. For the log.
     std::optional<RetryUse> retries {};
 };
+/// A request that was in progress at the deadline of the entry's stop: what was expected of its last attempt, and what came.
+/// For the log.
+struct StopReport {
+    /// Time from the start of the attempt to the deadline of the stop.
+    Clock::duration timeLeft {};
+    /// Made at the start of the attempt; unset if the entry was not being stopped then, or knew too little.
+    std::optional<capacity::Forecast> forecast {};
+    /// Events that have arrived; 0 if the server's group is not known.
+    unsigned events { 0 };
+    /// Time since the last data from the server, or since the start of the attempt.
+    Clock::duration silence {};
+};
 /// The retry allowance of the service is spent, so the request is not sent again for now; once per request. For the log
 /// and the metrics.
 struct RetryDenied {
@@ -217,10 +231,17 @@
     std::optional<crashes::PromptPart> part {};
     /// The request was not sent again because the retry allowance was spent; for the log.
     bool isRetryDenied { false };
+    /// Only for requests that were in progress at the deadline of the entry's stop.
+    std::optional<StopReport> stopReport {};
+};
+enum class CancelReason {
+    ServerSilent,
+    StopDeadline,
 };
 /// Cancel the attempt in progress; `AttemptEnded` follows.
 struct CancelAttempt {
     CallId call;
+    CancelReason reason { CancelReason::ServerSilent };
 };
 /// Forward the server's error response to the client.
 struct ForwardError {
@@ -327,6 +348,8 @@
         /// No attempt starts before this time; it is in the past until all servers that may run the request have
         /// failed.
         TimePoint retryAt;
+        /// What was expected of the current attempt when it started; only while the entry is being stopped.
+        std::optional<capacity::Forecast> stopForecast;
         /// Outcome of the last attempt; unset before the first one ends.
         std::optional<AttemptOutcome> lastOutcome;
         /// There is evidence that the process of the current server has ended since the request was sent to it.
@@ -377,6 +400,9 @@
     bool tryTakeRetry(CallId id, Call& call, TimePoint now, dispatch::Effects& effects);
     /// Returns false if no server has capacity now or the retry allowance is spent.
     bool tryStartAttempt(CallId id, Call& call, TimePoint now, dispatch::Effects& effects);
+    /// How long a request takes that is sent now, by the bound that applies at this time of the stop; unset if too little is
+    /// known.
+    std::optional<capacity::Forecast> stopForecast(const Call& call, TimePoint now) const;
     /// False if the entry is being stopped and the response is likely not to end before it.
     bool canEndBeforeStop(const Call& call, TimePoint now) const;
     bool isStopDeadlineReached(TimePoint now) const { return m_stop && now >= m_stop->deadline; }
--- a/src/gateway/request-call.h
+++ b/src/gateway/request-call.h
@@ -40,8 +40,8 @@
     TimePoint sentAt;
     /// Connection of the current attempt; null until it is open.
     UpstreamConnection* upstream { nullptr };
-    /// The current attempt must end.
-    bool isAttemptCancelled { false };
+    /// Why the current attempt must end; unset if it need not.
+    std::optional<dispatch::CancelReason> cancelReason;
     /// The server's response has neither a length nor chunks: it ends with its connection.
     bool endsWithConnection { false };
 
--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -123,7 +123,7 @@
     } catch (const boost::system::system_error& error) {
         co_return error.code() == asio::error::connection_refused ? AttemptOutcome::ConnectionRefused : AttemptOutcome::NotSent;
     }
-    if (call.isAttemptCancelled)
+    if (call.cancelReason)
         co_return AttemptOutcome::NotSent;
     auto request = call.request;
     eraseHopByHop(request.base());
@@ -308,7 +308,7 @@
     }
     bool hasData = false;
     while (!parser.is_done()) {
-        if (call.isAttemptCancelled)
+        if (call.cancelReason)
             co_return AttemptOutcome::Lost;
         auto [size, ec] = co_await readBody(*connection, parser, bytes);
         hasData = hasData || size > 0;
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -43,6 +43,13 @@
     return fmt::format(" needs-ms={} left-ms={} pass-ms={} age-ms={} events={:.1f} running={:.0f} group={}", ms(forecast.duration), ms(forecast.timeLeft), ms(forecast.pass.length), ms(forecast.pass.age), forecast.events, forecast.running, forecast.group.value().empty() ? "-" : forecast.group.value());
 }
 
+std::string formatted(const dispatch::StopReport& report)
+{
+    auto ms = [](Clock::duration time) { return std::chrono::duration_cast<milliseconds>(time).count(); };
+    auto expected = report.forecast.value_or(capacity::Forecast {});
+    return fmt::format("left-ms={} expected-ms={} events={} expected-events={:.1f} expected-pass-ms={} silent-ms={}", ms(report.timeLeft), report.forecast ? ms(expected.duration) : -1, report.events, expected.events, ms(expected.pass.length), ms(report.silence));
+}
+
 /// The first parts, in hexadecimal as clients send them.
 std::string formatted(const std::vector<PromptPartId>& parts)
 {
@@ -157,7 +164,7 @@
         call.deadline = std::min(call.deadline, *call.head.clientDeadline);
     call.lastEvent = call.head.lastEvent;
     call.handle = std::make_unique<AsyncDispatcher::CallHandle>(m_dispatcher, m_dispatcher.nextId());
-    call.handle->setOnCancelAttempt([&call] { cancelAttempt(call); });
+    call.handle->setOnCancelAttempt([&call](auto reason) { cancelAttempt(call, reason); });
     std::span<const RegionName> organisationHomes;
     if (organisation)
         organisationHomes = organisation->homes;
@@ -193,9 +200,9 @@
     m_metrics.count("swiftloft_entry_admission_total", labels);
 }
 
-void RequestServer::cancelAttempt(Call& call)
+void RequestServer::cancelAttempt(Call& call, dispatch::CancelReason reason)
 {
-    call.isAttemptCancelled = true;
+    call.cancelReason = reason;
     if (call.upstream)
         call.upstream->stream.cancel();
 }
@@ -214,11 +221,11 @@
     }
     call.servers += fmt::format("{}{}", call.servers.empty() ? "" : ",", server.id.value());
     call.splitter.reset();
-    call.isAttemptCancelled = false;
+    call.cancelReason.reset();
     auto outcome = co_await exchange(call, server);
     call.upstream = nullptr;
-    if (call.isAttemptCancelled && outcome == AttemptOutcome::Lost)
-        outcome = AttemptOutcome::Stalled;
+    if (call.cancelReason && outcome == AttemptOutcome::Lost)
+        outcome = *call.cancelReason == dispatch::CancelReason::StopDeadline ? AttemptOutcome::Stopped : AttemptOutcome::Stalled;
     if (outcome == AttemptOutcome::Answered) {
         call.isComplete = true;
         call.handle->reportCompleted(call.status < 300, call.endsWithConnection);
@@ -242,6 +249,8 @@
         call.refusalDetails += fmt::format(" part={:x} cause={:016x}", refusal.part->id.value(), refusal.part->cause.fingerprint.value());
     if (refusal.isRetryDenied)
         call.refusalDetails += retryDeniedDetail;
+    if (refusal.stopReport)
+        log::write(log::Event::RequestEndedByStop, "id={} {}", call.head.id, formatted(*refusal.stopReport));
     if (call.hasStreamStarted) {
         // Bytes that were sent can't be withdrawn. The response ends without its end mark, so that the client sees it as truncated.
         call.mustClose = true;
--- a/src/gateway/request-server.h
+++ b/src/gateway/request-server.h
@@ -43,7 +43,7 @@
 
     boost::asio::awaitable<void> respond(Call& call, http::status status, std::string_view reason, std::optional<TimePoint> retryAt = std::nullopt);
     boost::asio::awaitable<void> run(Call& call);
-    static void cancelAttempt(Call& call);
+    static void cancelAttempt(Call& call, dispatch::CancelReason reason);
     boost::asio::awaitable<CallDecision> attempt(Call& call, dispatch::StartAttempt start);
     boost::asio::awaitable<AttemptOutcome> exchange(Call& call, const BackendServer& server);
     boost::asio::awaitable<UpstreamConnectionPtr> acquireConnection(Call& call, const BackendServer& server);
--- a/src/gateway/traffic-server.cc
+++ b/src/gateway/traffic-server.cc
@@ -378,7 +378,7 @@
 {
     auto now = Clock::now();
     if (now >= m_stop->deadline && !std::exchange(m_hasReachedStopDeadline, true)) {
-        log::write(log::Event::StopDeadlineReached, "connections={}", busyConnections());
+        log::write(log::Event::StopDeadlineReached, "connections={} late-ms={}", busyConnections(), std::chrono::duration_cast<milliseconds>(now - m_stop->deadline).count());
         m_dispatcher.apply(dispatch::Ticked {});
     }
     bool isDelivered = std::all_of(m_connections.begin(), m_connections.end(), [](auto* client) { return client->isIdle() && client->undeliveredBytes() == 0; });
--- a/test/dispatcher_test.cc
+++ b/test/dispatcher_test.cc
@@ -648,12 +648,16 @@
     CHECK(rig.dispatcher.nextTick() == start + milliseconds(50));
     rig.now = start + milliseconds(50);
     CHECK(rig.apply(Ticked {}).size() == 2);
-    CHECK(std::holds_alternative<CancelAttempt>(rig.last.front()));
+    REQUIRE(std::holds_alternative<CancelAttempt>(rig.last.front()));
+    CHECK(std::get<CancelAttempt>(rig.last.front()).reason == CancelReason::StopDeadline);
     CHECK(rig.apply(Ticked {}).empty());
-    rig.end(1, AttemptOutcome::Stalled);
+    auto outcome = GENERATE(AttemptOutcome::Stopped, AttemptOutcome::Stalled);
+    rig.end(1, outcome);
     CHECK(rig.sentTo(1).empty());
     REQUIRE(rig.refusal(1));
     CHECK(rig.refusal(1)->verdict == Verdict::MayHaveRun);
+    REQUIRE(rig.refusal(1)->stopReport);
+    CHECK(rig.refusal(1)->stopReport->timeLeft == milliseconds(50));
     // The attempt ended before the request was written.
     rig.end(2, AttemptOutcome::NotSent);
     REQUIRE(rig.refusal(2));
--- a/test/gateway-fleet.h
+++ b/test/gateway-fleet.h
@@ -658,7 +658,8 @@
     {
         ++m_cancelledAttempts;
         auto attempt = m_calls[effect.call].attempt++;
-        schedule(m_now, [this, id = effect.call, attempt] { finish({ id, {}, attempt + 1, m_now }, gateway::AttemptOutcome::Stalled); });
+        auto outcome = effect.reason == gateway::dispatch::CancelReason::StopDeadline ? gateway::AttemptOutcome::Stopped : gateway::AttemptOutcome::Stalled;
+        schedule(m_now, [this, id = effect.call, attempt, outcome] { finish({ id, {}, attempt + 1, m_now }, outcome); });
     }
 
     bool isCurrent(const Attempt& it) { return !m_calls[it.id].isOver && m_calls[it.id].attempt == it.attempt; }
--- a/test/service-estimate_test.cc
+++ b/test/service-estimate_test.cc
@@ -170,7 +170,7 @@
 {
     EstimateRig rig;
     auto timeOf = [&](std::int64_t expectedTokens, DurationBound bound, milliseconds later = milliseconds(0)) {
-        return rig.estimate.duration(rig.now + later, model, rig.request(0, expectedTokens), { 64, 160 }, bound).value();
+        return rig.estimate.forecast(rig.now + later, model, rig.request(0, expectedTokens), { 64, 160 }, bound).value().duration;
     };
     // 20 events as estimated and as the streams before, in passes of 40 ms.
     CHECK(timeOf(100, DurationBound::Expected) >= 20 * milliseconds(40));
@@ -179,7 +179,7 @@
     CHECK(timeOf(100, DurationBound::Max) <= 5 * 20 * milliseconds(40));
     CHECK(timeOf(10, DurationBound::Max) < timeOf(100, DurationBound::Max));
     CHECK(timeOf(100, DurationBound::Max, seconds(9)) > milliseconds(0));
-    CHECK_FALSE(rig.estimate.duration(rig.now, ServiceName("unknown"), rig.request(), {}, DurationBound::Max).has_value());
+    CHECK_FALSE(rig.estimate.forecast(rig.now, ServiceName("unknown"), rig.request(), {}, DurationBound::Max).has_value());
 }
 
 // Guards against this failure: events arrive in bursts on a busy machine, so that most intervals are short, and a stopping entry
@@ -195,9 +195,9 @@
         rig.runEvents(clock, burst * milliseconds(40) - (burst - 1) * milliseconds(1), 1);
         rig.runEvents(clock, milliseconds(1), burst - 1);
     }
-    auto duration = rig.estimate.duration(rig.now, model, rig.request(), { 64, 160 }, DurationBound::Expected);
-    REQUIRE(duration);
-    CHECK(*duration >= 20 * milliseconds(40) * 3 / 4);
+    auto forecast = rig.estimate.forecast(rig.now, model, rig.request(), { 64, 160 }, DurationBound::Expected);
+    REQUIRE(forecast);
+    CHECK(forecast->duration >= 20 * milliseconds(40) * 3 / 4);
 }
 
 TEST_CASE("ServiceEstimate: with normal passes nothing is watched or refused")
--- a/test/soak/fake-platform.cc
+++ b/test/soak/fake-platform.cc
@@ -21,7 +21,6 @@
 
 namespace {
 
-constexpr milliseconds eventInterval { 15 };
 constexpr milliseconds plainRequestTime { 8 };
 constexpr milliseconds silenceDuration { 60'000 };
 constexpr milliseconds watchPollInterval { 15 };
@@ -541,7 +540,7 @@
         co_return co_await exchange.reply(HttpStatus::ok, "text/plain", std::move(body));
     co_await exchange.startStream("text/plain");
     co_await exchange.sendChunk(body.substr(0, body.size() / 2));
-    co_await pause(mode == ServerMode::Stalling ? silenceDuration : eventInterval);
+    co_await pause(mode == ServerMode::Stalling ? silenceDuration : m_eventInterval.load());
     co_await exchange.sendChunk(body.substr(body.size() / 2));
     co_await exchange.finishStream();
 }
@@ -581,7 +580,7 @@
     int first = last.empty() ? 1 : std::stoi(last) + 1;
     co_await exchange.startStream("text/event-stream");
     for (int n = first; n <= eventsPerStream; ++n) {
-        co_await pause(mode == ServerMode::Stalling && n == first + 3 ? silenceDuration : eventInterval);
+        co_await pause(mode == ServerMode::Stalling && n == first + 3 ? silenceDuration : m_eventInterval.load());
         auto text = eventText(id, n);
         bool isBroken = mode == ServerMode::DroppingResponses || (mode == ServerMode::TruncatingStreams && n == first + 3);
         if (isBroken) {
--- a/test/soak/fake-platform.h
+++ b/test/soak/fake-platform.h
@@ -70,6 +70,8 @@
     std::string storeAddress() const { return m_storeAddress; }
     void setStoreMode(StoreMode mode) { m_storeMode = mode; }
     void setServerMode(std::size_t server, ServerMode mode);
+    /// Sets the interval between the events of all streams, from their next event on.
+    void setEventInterval(milliseconds interval) { m_eventInterval = interval; }
     /// Sets the limit, in requests per second, that the server advertises in its responses; unset for none.
     void setLimit(std::size_t server, std::optional<double> rate);
     /// Makes the server reject all requests and ask for a back-off of this length; unset to stop.
@@ -197,6 +199,7 @@
     std::unique_ptr<standin::HttpServer> m_store;
     std::string m_storeAddress;
     std::atomic<StoreMode> m_storeMode { StoreMode::Normal };
+    std::atomic<milliseconds> m_eventInterval { milliseconds(15) };
     Items m_items;
     std::uint64_t m_revision { 10 };
     std::uint64_t m_era { 3 };
