Failing tests: a stopping entry cuts streams that it accepted late

What callers see: a reset in the middle of a stream, after status 200, that an entry accepted seconds after its SIGTERM.

Platform entry, real processes, 8 s for a stop: streams of 12 events, one every 15 ms, until the servers need 300 ms for one from 5.2 s after SIGTERM. Six of six streams in progress are cut at 7.3 s with the record's words, status=200 reason=stopping, and 228 beside them. Each was accepted because it was expected to end within half a second.

--- a/test/dispatcher_test.cc
+++ b/test/dispatcher_test.cc
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <map>
+
 using namespace swiftloft;
 using namespace swiftloft::gateway;
 using namespace swiftloft::gateway::dispatch;
@@ -612,6 +615,45 @@
     CHECK(rig.refusal(3)->verdict == Verdict::NotRun);
 }
 
+// Guards against this failure: servers become slow, and a stopping entry cuts requests that it has accepted late.
+TEST_CASE("Dispatcher: at the deadline of a stop no request is in progress that was accepted after the accept period")
+{
+    auto seed = GENERATE(range(1U, 101U));
+    policy::Generator generator(seed);
+    auto draw = [&](int min, int max) { return min + static_cast<int>(generator() % static_cast<unsigned>(max - min + 1)); };
+    Rig rig({ Rig::server("s1", 100), Rig::server("s2", 100) });
+    rig.route.isStream = draw(0, 1) == 1;
+    StopScheduled stop { start + seconds(draw(3, 8)), start + seconds(2) };
+    rig.apply(stop);
+    std::map<std::uint64_t, TimePoint> deadlines;
+    bool isSlow = false;
+    unsigned accepted = 0;
+    for (std::uint64_t id = 1; rig.now < stop.deadline; ++id) {
+        for (auto it = deadlines.begin(); it != deadlines.end();) {
+            bool isOver = rig.now >= it->second;
+            if (!isOver && (isSlow || draw(0, 3) > 0)) {
+                ++it;
+                continue;
+            }
+            rig.end(it->first, isOver ? AttemptOutcome::TimedOut : AttemptOutcome::Answered);
+            rig.apply(CallClosed { CallId(it->first) });
+            it = deadlines.erase(it);
+        }
+        isSlow = isSlow || draw(0, 20) == 0;
+        rig.route.timeout = milliseconds(draw(300, 8000));
+        rig.arrive(id);
+        if (rig.now >= stop.acceptsUntil && !rig.sentTo(id).empty()) {
+            deadlines[id] = rig.now + rig.route.timeout;
+            ++accepted;
+        } else
+            rig.apply(CallClosed { CallId(id) });
+        rig.now += milliseconds(50);
+    }
+    CAPTURE(seed, accepted);
+    CHECK(accepted > 0);
+    CHECK(std::all_of(deadlines.begin(), deadlines.end(), [&](auto& it) { return it.second <= stop.deadline; }));
+}
+
 TEST_CASE("Dispatcher: clients of a stopping entry return at once while another entry accepts requests, and otherwise as late as they wait")
 {
     auto peer = GENERATE(EntryState::Serving, EntryState::Leaving, EntryState::Starting);
--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -164,6 +164,42 @@
         CHECK_THAT(it.get(), Catch::Matchers::Equals(std::vector<std::string>()));
 }
 
+// Guards against this failure: the servers become slow in the middle of a stop, and the entry cuts streams that it accepted because
+// they would have ended in time at the pace of that moment.
+TEST_CASE("Platform entry: servers that become slow during a stop cost no stream that was accepted late")
+{
+    EntryRig rig(4, { .stopTimeout = seconds(8) });
+    rig.start();
+    REQUIRE(rig.isReady());
+    std::atomic<bool> hasEnded { false };
+    auto callUntilEnd = [&](int caller) {
+        std::vector<std::string> cutOff;
+        for (int n = 0; !hasEnded; ++n) {
+            auto id = fmt::format("w{}-{}", caller, n);
+            auto answer = call(rig.request("stream", id));
+            bool isComplete = answer.failure.empty() && answer.body == FakePlatform::completeStream(id);
+            if (!isComplete && answer.head.result_int() != 503 && rig.platform.runs().contains(id))
+                cutOff.push_back(id);
+        }
+        return cutOff;
+    };
+    std::vector<std::future<std::vector<std::string>>> callers;
+    constexpr int callerCount = 6;
+    callers.reserve(callerCount);
+    for (int n = 0; n < callerCount; ++n)
+        callers.push_back(std::async(std::launch::async, callUntilEnd, n));
+    REQUIRE(waitUntil(Clock::now() + seconds(5), [&] { return rig.platform.runs().size() > 20; }));
+    auto stoppedAt = Clock::now();
+    rig.process->terminate();
+    std::this_thread::sleep_until(stoppedAt + milliseconds(5200));
+    rig.platform.setEventInterval(milliseconds(300));
+    CHECK(rig.process->waitForExit(Clock::now() + seconds(4)) == 0);
+    hasEnded = true;
+    for (auto& it : callers)
+        CHECK_THAT(it.get(), Catch::Matchers::Equals(std::vector<std::string>()));
+    CHECK(rig.log().find("RequestEndedByStop") == std::string::npos);
+}
+
 // Guards against this failure: while all entries are being replaced, each directory answers that none serves.
 TEST_CASE("Platform entry: the directory of a stopped entry names it while it accepts requests and no other serves")
 {
