Let a stopping entry accept late only what ends by its own deadline

Cause: after the accept period an entry accepted what was expected to end before the deadline of its stop: 2.5 times the client's estimate and the mean of the route, in passes a quarter longer. Nothing stood behind the expectation. Passes that become longer once a stream is accepted, or a stream longer than that, cost the response. The class: a promise that rests on a forecast alone.

After the accept period a request is accepted only if its own deadline, the client's or the route's, is not after the deadline of the stop. The request then ends in time whatever its server does. Within the accept period expectations decide as before; what is longer than expected then is still cut.

--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -337,13 +337,13 @@
 
 bool Dispatcher::canEndBeforeStop(const Call& call, TimePoint now) const
 {
-    if (!m_stop)
+    if (!m_stop || call.request.deadline <= m_stop->deadline)
         return true;
+    // A forecast may fail: servers become slow, and streams are longer than their clients expect.
+    if (now >= m_stop->acceptsUntil)
+        return false;
     auto forecast = stopForecast(call, now);
-    if (!forecast && now < m_stop->acceptsUntil)
-        return true;
-    auto latestEnd = forecast ? std::min(now + forecast->duration, call.request.deadline) : call.request.deadline;
-    return latestEnd <= m_stop->deadline;
+    return !forecast || now + forecast->duration <= m_stop->deadline;
 }
 
 /// Without this, the end of the process would reset the connections of all clients that still wait, and a client would not
