--- a/src/gateway/traffic-server.cc
+++ b/src/gateway/traffic-server.cc
@@ -28,8 +28,6 @@
 constexpr milliseconds loadUpdateIntervalPerEntry { 2 };
 /// Known limits and suspicions are sent again at this interval while requests are running, because datagrams get lost.
 constexpr milliseconds limitRepeatInterval { 400 };
-/// Time after the deadline of a stop for the responses that then end to be written.
-constexpr milliseconds cutOffDelay { 300 };
 /// The system does not report that a client has acknowledged its response, so a stopping entry asks again after this time.
 constexpr milliseconds stopCheckInterval { 50 };
 /// Delay after a failed accept, for example when no file descriptors are left.
@@ -382,10 +380,10 @@
         m_dispatcher.apply(dispatch::Ticked {});
     }
     bool isDelivered = std::all_of(m_connections.begin(), m_connections.end(), [](auto* client) { return client->isIdle() && client->undeliveredBytes() == 0; });
-    if (isDelivered || now >= m_stop->deadline + cutOffDelay)
+    if (isDelivered || now >= m_stop->cutOffAt)
         return m_ioContext.stop();
     TimePoint next = now + stopCheckInterval;
-    checkStopAt(now < m_stop->deadline ? std::min(next, m_stop->deadline) : next);
+    checkStopAt(std::min(next, now < m_stop->deadline ? m_stop->deadline : m_stop->cutOffAt));
 }
 
 } // namespace swiftloft::gateway
