Soak: servers change their pace while all entries are replaced

The last phase of a run replaced the entries with servers at an even pace, where expectations hold. Each stop now draws the interval between events anew, 15 to 60 ms, from a generator of its own: the faults of kept seeds stay as they are.

--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -259,18 +259,23 @@
         m_violations.push_back(fmt::format("entry {} was stopped and ended with status {}, expected 0 within {} s", index, status ? *status : -1, stopTimeout.count()));
 }
 
-/// All entries are replaced at once, some a moment after the others, while clients keep using the connections that they have.
+/// All entries are replaced at once, some a moment after the others, while clients keep using the connections that they have
+/// and the pace of the servers changes.
 void Soak::rollEntries()
 {
     std::this_thread::sleep_for(settlingTime);
     recordEvent("roll all entries");
     m_rolledAt = Clock::now();
     std::mt19937_64 random(m_options.seed);
+    std::mt19937_64 paceRandom(m_options.seed + 1);
+    auto changePace = [&] { m_platform.setEventInterval(milliseconds(pick(paceRandom, 15, 60))); };
     for (auto& entry : m_entries) {
         entry.process->terminate();
+        changePace();
         std::this_thread::sleep_for(milliseconds(pick(random, 0, 600)));
     }
     for (std::size_t n = 0; n < m_entries.size(); ++n) {
+        changePace();
         stopGracefully(n);
         startEntry(n);
     }
