Remove the bounds of durations that nothing asks for any more

DurationBound::Max (2.5 times the client's estimate and the mean of the route, in passes a quarter longer; the mean of plain responses and eight deviations) said what a stopping entry accepts late. Since the request's own deadline decides that, only the log used it.

No decision changes. Dispatcher, StopSchedule, RequestSizes and the forecasts of ServiceEstimate: all cases pass.

--- a/src/gateway/capacity/request-sizes.h
+++ b/src/gateway/capacity/request-sizes.h
@@ -28,8 +28,6 @@
     void onStreamEnded(const std::string& route, unsigned events);
     /// Expected number of events of a stream; `tokensPerEvent` is positive.
     double expectedEvents(const std::string& route, const AnswerSize& size, double tokensPerEvent) const;
-    /// Number of events that few streams of the route exceed; unset if neither the request nor the streams before it tell.
-    std::optional<double> maxEvents(const std::string& route, const AnswerSize& size, double tokensPerEvent) const;
     /// Mean over all streams, weighted towards the latest ones; 0 while none has ended.
     double meanEvents() const { return m_mean; }
 
--- a/src/gateway/capacity/service-estimate.cc
+++ b/src/gateway/capacity/service-estimate.cc
@@ -19,14 +19,6 @@
 /// A wait that is expected to last this many times longer than the request may wait is not begun: slots become free at
 /// random, and one in four of such waits would still be over in time.
 constexpr int hopelessWaits = 3;
-/// Passes of one group vary by less than this around their median, unless a rank becomes slow.
-constexpr double maxPassRatio = 1.25;
-/// Covers what is not counted in passes: connecting, one more attempt, and a pause while ranks switch their map.
-constexpr milliseconds attemptOverhead { 250 };
-/// Few responses of a plain server take longer than the mean by more than this many mean deviations.
-constexpr int maxDeviations = 8;
-/// Multiples of its objective within which a plain request ends while no response shows how long it takes.
-constexpr int maxObjectives = 3;
 
 Clock::duration clientPatience(const Route& route)
 {
@@ -305,16 +297,10 @@
     return Forecast { {}, {}, 0, *wait + service->mean, request.deadline - now, 0 };
 }
 
-std::optional<Forecast> ServiceEstimate::streamForecast(const Service& service, const RequestView& request, const ServiceUse& use, DurationBound bound, TimePoint now)
+std::optional<Forecast> ServiceEstimate::streamForecast(const Service& service, const RequestView& request, const ServiceUse& use, TimePoint now)
 {
-    bool isMax = bound == DurationBound::Max;
-    auto& name = request.route.name;
-    std::optional<double> events = service.sizes.expectedEvents(name, request.size, service.tokensPerEvent);
-    if (isMax)
-        events = service.sizes.maxEvents(name, request.size, service.tokensPerEvent);
-    if (!events)
-        return std::nullopt;
-    Forecast longest { {}, {}, *events, {}, request.deadline - now, use.running };
+    double events = service.sizes.expectedEvents(request.route.name, request.size, service.tokensPerEvent);
+    Forecast longest { {}, {}, events, {}, request.deadline - now, use.running };
     for (auto& [groupName, group] : service.groups) {
         auto pass = group.estimate->pass(now, use.running);
         auto& model = group.estimate->model();
@@ -322,37 +308,34 @@
             return std::nullopt;
         auto length = pass ? pass->length : fromSeconds(model.passMs(use.slots) / 1000);
         length = std::max(length, group.estimate->meanSeenPass(now).value_or(length));
-        auto duration = fromSeconds(toSeconds(length) * (group.estimate->firstPasses() + *events));
+        auto duration = fromSeconds(toSeconds(length) * (group.estimate->firstPasses() + events));
         if (duration < longest.duration)
             continue;
         longest.group = groupName;
         longest.pass = { length, pass ? pass->age : Clock::duration(0) };
         longest.duration = duration;
     }
-    if (isMax)
-        longest.duration = fromSeconds(maxPassRatio * toSeconds(longest.duration)) + attemptOverhead;
     return longest;
 }
 
-std::optional<Forecast> ServiceEstimate::plainForecast(const Service& service, const RequestView& request, DurationBound bound, TimePoint now)
+std::optional<Forecast> ServiceEstimate::plainForecast(const Service& service, const RequestView& request, TimePoint now)
 {
-    bool isMax = bound == DurationBound::Max;
     Forecast out { {}, {}, 0, {}, request.deadline - now, 0 };
     if (auto time = service.slotTimes.serviceTime(now))
-        out.duration = isMax ? std::max<Clock::duration>(time->mean + maxDeviations * time->deviation, request.route.objective) : time->mean;
+        out.duration = time->mean;
     else if (request.route.objective > milliseconds(0))
-        out.duration = (isMax ? maxObjectives : 1) * request.route.objective;
+        out.duration = request.route.objective;
     else
         return std::nullopt;
     return out;
 }
 
-std::optional<Forecast> ServiceEstimate::forecast(TimePoint now, const ServiceName& name, const RequestView& request, const ServiceUse& use, DurationBound bound) const
+std::optional<Forecast> ServiceEstimate::forecast(TimePoint now, const ServiceName& name, const RequestView& request, const ServiceUse& use) const
 {
     auto it = m_services.find(name);
     if (it == m_services.end() || it->second.groups.empty())
         return std::nullopt;
-    return request.route.isStream ? streamForecast(it->second, request, use, bound, now) : plainForecast(it->second, request, bound, now);
+    return request.route.isStream ? streamForecast(it->second, request, use, now) : plainForecast(it->second, request, now);
 }
 
 std::optional<double> ServiceEstimate::runLimit(TimePoint now, const ServiceName& name, const ServiceUse& use) const
--- a/src/gateway/capacity/service-estimate.h
+++ b/src/gateway/capacity/service-estimate.h
@@ -45,13 +45,6 @@
     std::size_t queuedBefore { 0 };
 };
 
-enum class DurationBound {
-    /// About half of the requests take longer.
-    Expected,
-    /// Few requests take longer.
-    Max,
-};
-
 /// How long a request takes, and the numbers behind it.
 struct Forecast {
     EngineGroupName group {};
@@ -120,9 +113,9 @@
     std::optional<Forecast> refusalOf(TimePoint now, const ServiceName& service, const RequestView& request, const ServiceUse& use);
     /// Set if a request that found all slots of a plain service taken will not get one in time.
     std::optional<Forecast> queueRefusalOf(TimePoint now, const ServiceName& service, const RequestView& request);
-    /// Time that a request takes once it is sent; unset if too little is known. A server that becomes slower later is not
-    /// foreseen.
-    std::optional<Forecast> forecast(TimePoint now, const ServiceName& service, const RequestView& request, const ServiceUse& use, DurationBound bound) const;
+    /// Time that a request takes once it is sent; unset if too little is known. About half of the requests take longer, and a
+    /// server that becomes slower later is not foreseen.
+    std::optional<Forecast> forecast(TimePoint now, const ServiceName& service, const RequestView& request, const ServiceUse& use) const;
     /// Requests that may run on the service so that a mean stream ends within its time; unset while no group is short of
     /// time.
     std::optional<double> runLimit(TimePoint now, const ServiceName& service, const ServiceUse& use) const;
@@ -157,8 +150,8 @@
     static double meanTimeShare(const Service& service, const GroupEstimate& group, Clock::duration pass);
     void updateBinding(TimePoint now, const ServiceName& name, Service& service, const EngineGroupName& groupName, Group& group, const ServiceUse& use) const;
     Forecast groupForecast(const Service& service, const EngineGroupName& name, const Group& group, const Pass& pass, const RequestView& request, const ServiceUse& use, TimePoint now) const;
-    static std::optional<Forecast> streamForecast(const Service& service, const RequestView& request, const ServiceUse& use, DurationBound bound, TimePoint now);
-    static std::optional<Forecast> plainForecast(const Service& service, const RequestView& request, DurationBound bound, TimePoint now);
+    static std::optional<Forecast> streamForecast(const Service& service, const RequestView& request, const ServiceUse& use, TimePoint now);
+    static std::optional<Forecast> plainForecast(const Service& service, const RequestView& request, TimePoint now);
     bool canEnd(const Service& service, const Forecast& forecast, const RequestView& request) const;
     bool takeProbe(TimePoint now, Service& service);
 
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -331,8 +331,7 @@
 
 std::optional<capacity::Forecast> Dispatcher::stopForecast(const Call& call, TimePoint now) const
 {
-    auto bound = now < m_stop->acceptsUntil ? capacity::DurationBound::Expected : capacity::DurationBound::Max;
-    return m_estimate.forecast(now, call.service, requestView(call.request, call.queueDeadline, 0), m_loadBalancer.useOf(call.service, now), bound);
+    return m_estimate.forecast(now, call.service, requestView(call.request, call.queueDeadline, 0), m_loadBalancer.useOf(call.service, now));
 }
 
 bool Dispatcher::canEndBeforeStop(const Call& call, TimePoint now) const
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -172,7 +172,7 @@
 struct StopScheduled {
     TimePoint deadline;
     /// Until then, clients still expect the entry to serve, and only requests that are expected to take too long are refused.
-    /// Afterwards all are refused that may take too long.
+    /// Afterwards all are refused whose own deadlines are after `deadline`.
     TimePoint acceptsUntil;
 };
 /// The time of `Dispatcher::nextTick` has been reached.
@@ -400,10 +400,10 @@
     bool tryTakeRetry(CallId id, Call& call, TimePoint now, dispatch::Effects& effects);
     /// Returns false if no server has capacity now or the retry allowance is spent.
     bool tryStartAttempt(CallId id, Call& call, TimePoint now, dispatch::Effects& effects);
-    /// How long a request takes that is sent now, by the bound that applies at this time of the stop; unset if too little is
-    /// known.
+    /// How long a request takes that is sent now; unset if too little is known.
     std::optional<capacity::Forecast> stopForecast(const Call& call, TimePoint now) const;
-    /// False if the entry is being stopped and the response is likely not to end before it.
+    /// False if the entry is being stopped and must not send the request: its deadline is not before that of the stop, and it is
+    /// expected to take too long, or the accept period is over.
     bool canEndBeforeStop(const Call& call, TimePoint now) const;
     bool isStopDeadlineReached(TimePoint now) const { return m_stop && now >= m_stop->deadline; }
     /// Refuses the requests that have not run and ends all others once the deadline of the stop is reached.
