Tests of stopped entries: share the clients that call until the end

The two tests of a stopped entry under requests had the same clients. They are a class now, which also ends them if a check throws. What the tests check is unchanged; the wait for the first requests is a CHECK instead of a REQUIRE.

--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -34,6 +34,54 @@
     return id;
 }
 
+/// Clients that send one request after the other until the entry has ended.
+class CallersUntilEnd {
+public:
+    /// The requests of each client are of these kinds, in turn.
+    CallersUntilEnd(EntryRig& rig, const std::vector<std::string>& kinds)
+    {
+        constexpr int callerCount = 6;
+        m_callers.reserve(callerCount);
+        for (int n = 0; n < callerCount; ++n)
+            m_callers.push_back(std::async(std::launch::async, [this, &rig, kinds, n] { return callUntilEnd(rig, kinds, n); }));
+    }
+
+    ~CallersUntilEnd() { m_hasEnded = true; }
+    CallersUntilEnd(const CallersUntilEnd&) = delete;
+    CallersUntilEnd& operator=(const CallersUntilEnd&) = delete;
+
+    /// Ids of the requests that a server ran and whose clients got neither a complete response nor a refusal. To be called once the
+    /// entry has ended.
+    std::vector<std::string> cutOff()
+    {
+        m_hasEnded = true;
+        std::vector<std::string> out;
+        for (auto& it : m_callers) {
+            auto ids = it.get();
+            out.insert(out.end(), ids.begin(), ids.end());
+        }
+        return out;
+    }
+
+private:
+    std::vector<std::string> callUntilEnd(EntryRig& rig, const std::vector<std::string>& kinds, int caller) const
+    {
+        std::vector<std::string> cutOff;
+        for (std::size_t n = 0; !m_hasEnded; ++n) {
+            auto id = fmt::format("e{}-{}", caller, n);
+            auto answer = call(rig.request(kinds[n % kinds.size()], id));
+            bool isRefused = answer.head.result_int() == 503;
+            bool isComplete = answer.failure.empty() && (answer.body == FakePlatform::plainBody(id) || answer.body == FakePlatform::completeStream(id));
+            if (!isRefused && !isComplete && rig.platform.runs().contains(id))
+                cutOff.push_back(id);
+        }
+        return cutOff;
+    }
+
+    std::atomic<bool> m_hasEnded { false };
+    std::vector<std::future<std::vector<std::string>>> m_callers;
+};
+
 } // namespace
 
 TEST_CASE("Platform entry: requests of all kinds are answered by the server that ran them")
@@ -138,30 +186,11 @@
     EntryRig rig(4);
     rig.start();
     REQUIRE(rig.isReady());
-    std::atomic<bool> hasEnded { false };
-    auto callUntilEnd = [&](int caller) {
-        std::vector<std::string> cutOff;
-        for (int n = 0; !hasEnded; ++n) {
-            auto id = fmt::format("e{}-{}", caller, n);
-            auto answer = call(rig.request(n % 2 == 0 ? "stream" : "once", id));
-            bool isRefused = answer.head.result_int() == 503;
-            bool isComplete = answer.failure.empty() && (answer.body == FakePlatform::plainBody(id) || answer.body == FakePlatform::completeStream(id));
-            if (!isRefused && !isComplete && rig.platform.runs().contains(id))
-                cutOff.push_back(id);
-        }
-        return cutOff;
-    };
-    std::vector<std::future<std::vector<std::string>>> callers;
-    constexpr int callerCount = 6;
-    callers.reserve(callerCount);
-    for (int n = 0; n < callerCount; ++n)
-        callers.push_back(std::async(std::launch::async, callUntilEnd, n));
-    REQUIRE(waitUntil(Clock::now() + seconds(5), [&] { return rig.platform.runs().size() > 20; }));
+    CallersUntilEnd callers(rig, { "stream", "once" });
+    CHECK(waitUntil(Clock::now() + seconds(5), [&] { return rig.platform.runs().size() > 20; }));
     rig.process->terminate();
     CHECK(rig.process->waitForExit(Clock::now() + seconds(6)) == 0);
-    hasEnded = true;
-    for (auto& it : callers)
-        CHECK_THAT(it.get(), Catch::Matchers::Equals(std::vector<std::string>()));
+    CHECK_THAT(callers.cutOff(), Catch::Matchers::Equals(std::vector<std::string>()));
 }
 
 // Guards against this failure: the servers become slow in the middle of a stop, and the entry cuts streams that it accepted because
@@ -171,32 +200,14 @@
     EntryRig rig(4, { .stopTimeout = seconds(8) });
     rig.start();
     REQUIRE(rig.isReady());
-    std::atomic<bool> hasEnded { false };
-    auto callUntilEnd = [&](int caller) {
-        std::vector<std::string> cutOff;
-        for (int n = 0; !hasEnded; ++n) {
-            auto id = fmt::format("w{}-{}", caller, n);
-            auto answer = call(rig.request("stream", id));
-            bool isComplete = answer.failure.empty() && answer.body == FakePlatform::completeStream(id);
-            if (!isComplete && answer.head.result_int() != 503 && rig.platform.runs().contains(id))
-                cutOff.push_back(id);
-        }
-        return cutOff;
-    };
-    std::vector<std::future<std::vector<std::string>>> callers;
-    constexpr int callerCount = 6;
-    callers.reserve(callerCount);
-    for (int n = 0; n < callerCount; ++n)
-        callers.push_back(std::async(std::launch::async, callUntilEnd, n));
-    REQUIRE(waitUntil(Clock::now() + seconds(5), [&] { return rig.platform.runs().size() > 20; }));
+    CallersUntilEnd callers(rig, { "stream" });
+    CHECK(waitUntil(Clock::now() + seconds(5), [&] { return rig.platform.runs().size() > 20; }));
     auto stoppedAt = Clock::now();
     rig.process->terminate();
     std::this_thread::sleep_until(stoppedAt + milliseconds(5200));
     rig.platform.setEventInterval(milliseconds(300));
     CHECK(rig.process->waitForExit(Clock::now() + seconds(4)) == 0);
-    hasEnded = true;
-    for (auto& it : callers)
-        CHECK_THAT(it.get(), Catch::Matchers::Equals(std::vector<std::string>()));
+    CHECK_THAT(callers.cutOff(), Catch::Matchers::Equals(std::vector<std::string>()));
     CHECK(rig.log().find("RequestEndedByStop") == std::string::npos);
 }
 
