Test the log line of a request that a stop ends; wait with REQUIRE again

RequestEndedByStop (228) was only asked to be absent, which would hold for any other name of it too.

--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -187,7 +187,7 @@
     rig.start();
     REQUIRE(rig.isReady());
     CallersUntilEnd callers(rig, { "stream", "once" });
-    CHECK(waitUntil(Clock::now() + seconds(5), [&] { return rig.platform.runs().size() > 20; }));
+    REQUIRE(waitUntil(Clock::now() + seconds(5), [&] { return rig.platform.runs().size() > 20; }));
     rig.process->terminate();
     CHECK(rig.process->waitForExit(Clock::now() + seconds(6)) == 0);
     CHECK_THAT(callers.cutOff(), Catch::Matchers::Equals(std::vector<std::string>()));
@@ -201,7 +201,7 @@
     rig.start();
     REQUIRE(rig.isReady());
     CallersUntilEnd callers(rig, { "stream" });
-    CHECK(waitUntil(Clock::now() + seconds(5), [&] { return rig.platform.runs().size() > 20; }));
+    REQUIRE(waitUntil(Clock::now() + seconds(5), [&] { return rig.platform.runs().size() > 20; }));
     auto stoppedAt = Clock::now();
     rig.process->terminate();
     std::this_thread::sleep_until(stoppedAt + milliseconds(5200));
@@ -211,6 +211,23 @@
     CHECK(rig.log().find("RequestEndedByStop") == std::string::npos);
 }
 
+// Guards against this failure: a stop ends a stream, and its line in the log can't be told from that of a silent server.
+TEST_CASE("Platform entry: the log says what a stop has ended, and what came of it until then")
+{
+    EntryRig rig;
+    rig.start();
+    REQUIRE(rig.isReady());
+    rig.setAllServers(ServerMode::Stalling);
+    auto streamed = std::async(std::launch::async, [&] { return call(rig.request("stream", "g1")); });
+    REQUIRE(waitUntil(Clock::now() + seconds(5), [&] { return rig.platform.runs().contains("g1"); }));
+    rig.process->terminate();
+    CHECK(rig.process->waitForExit(Clock::now() + seconds(6)) == 0);
+    CHECK_FALSE(streamed.get().failure.empty());
+    auto log = rig.log();
+    CHECK_THAT(log, Contains("RequestEndedByStop e1 id=g1 ") && Contains("expected-ms=-1 events=3 "));
+    CHECK_THAT(log, Contains("end=stopped") && Contains("status=200 reason=stopping"));
+}
+
 // Guards against this failure: while all entries are being replaced, each directory answers that none serves.
 TEST_CASE("Platform entry: the directory of a stopped entry names it while it accepts requests and no other serves")
 {
