--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -223,7 +223,7 @@
     call.hasServerEnded = false;
     call.lastActivityAt = now;
     call.isAttemptCancelled = false;
-    call.stopForecast = m_stop ? stopForecast(call, now) : std::nullopt;
+    call.stopForecast = m_stop ? forecastOf(call, now) : std::nullopt;
     if (call.request.route->isStream && !m_nextStallCheckAt)
         m_nextStallCheckAt = now + stallCheckInterval;
     auto retries = call.attempts > 1 ? std::optional(m_retries.use(call.service, now)) : std::nullopt;
@@ -329,7 +329,7 @@
     }
 }
 
-std::optional<capacity::Forecast> Dispatcher::stopForecast(const Call& call, TimePoint now) const
+std::optional<capacity::Forecast> Dispatcher::forecastOf(const Call& call, TimePoint now) const
 {
     return m_estimate.forecast(now, call.service, requestView(call.request, call.queueDeadline, 0), m_loadBalancer.useOf(call.service, now));
 }
@@ -341,7 +341,7 @@
     // A forecast may fail: servers become slow, and streams are longer than their clients expect.
     if (now >= m_stop->acceptsUntil)
         return false;
-    auto forecast = stopForecast(call, now);
+    auto forecast = forecastOf(call, now);
     return !forecast || now + forecast->duration <= m_stop->deadline;
 }
 
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -401,7 +401,7 @@
     /// Returns false if no server has capacity now or the retry allowance is spent.
     bool tryStartAttempt(CallId id, Call& call, TimePoint now, dispatch::Effects& effects);
     /// How long a request takes that is sent now; unset if too little is known.
-    std::optional<capacity::Forecast> stopForecast(const Call& call, TimePoint now) const;
+    std::optional<capacity::Forecast> forecastOf(const Call& call, TimePoint now) const;
     /// False if the entry is being stopped and must not send the request: its deadline is not before that of the stop, and it is
     /// expected to take too long, or the accept period is over.
     bool canEndBeforeStop(const Call& call, TimePoint now) const;
