--- a/test/process/endless-responses_test.cc
+++ b/test/process/endless-responses_test.cc
@@ -13,8 +13,6 @@
 constexpr std::size_t partBytes { std::size_t { 64 } << 10 };
 /// A server gives up after this many bytes, far more than an entry may hold.
 constexpr std::size_t maxSentBytes { std::size_t { 300 } << 20 };
-/// Memory that a process may take by design.
-constexpr std::size_t maxMemoryBytes { std::size_t { 128 } << 20 };
 
 /// Bytes that never end: `part` is sent again and again after `begin`.
 struct EndlessResponse {
@@ -68,19 +66,6 @@
     };
 }
 
-/// Largest memory that the process has taken so far.
-std::size_t peakMemory(pid_t pid)
-{
-    std::ifstream in(fmt::format("/proc/{}/status", pid));
-    std::string line;
-    while (std::getline(in, line)) {
-        constexpr std::string_view peak = "VmHWM:";
-        if (line.starts_with(peak))
-            return std::stoul(line.substr(peak.size())) << 10U;
-    }
-    return 0;
-}
-
 std::string completeBody(const std::string& kind, const std::string& id)
 {
     return kind == "stream" ? FakePlatform::completeStream(id) : FakePlatform::plainBody(id);
--- a/test/process/entry-rig.h
+++ b/test/process/entry-rig.h
@@ -26,6 +26,9 @@
         bool hasRelays { false };
         /// Time in which the entry ends after SIGTERM.
         seconds stopTimeout { 4 };
+        FakePlatform::ClientLimits limits {};
+        /// Descriptors that the entry may open; 0 for as many as this process.
+        int descriptors { 0 };
     };
 
     explicit EntryRig(int servers = 2)
@@ -34,6 +37,7 @@
     }
     EntryRig(int servers, const Options& options)
         : platform(servers, 8)
+        , descriptors(options.descriptors)
     {
         for (std::size_t n = 0; options.hasRelays && n < platform.servers(); ++n) {
             relays.push_back(std::make_unique<Relay>(platform.addressOf(n)));
@@ -41,6 +45,7 @@
         }
         if (options.hasRelays)
             platform.setOnCrash([this](std::size_t server, bool isDown) { relays[server]->setDown(isDown); });
+        platform.setClientLimits(options.limits);
         platform.publish("k1", "org-k1");
         directory = fmt::format("127.0.0.1:{}", freePort());
         auto at = [] { return fmt::format("127.0.0.1:{}", freePort()); };
@@ -53,7 +58,7 @@
 
     void start()
     {
-        auto command = fmt::format("exec {} --config {} > {} 2>&1", builtProgram("platform/swiftloft-platform-entry"), settings(), logFile());
+        auto command = fmt::format("{}exec {} --config {} > {} 2>&1", limitDescriptors(descriptors), builtProgram("platform/swiftloft-platform-entry"), settings(), logFile());
         process = ChildProcess::start({ "/bin/sh", "-c", command }, { .waitsForListening = false }).value();
     }
 
@@ -130,6 +135,7 @@
     TemporaryFolder folder;
     std::vector<std::unique_ptr<Relay>> relays;
     FakePlatform platform;
+    int descriptors;
     std::string clients;
     std::string ready;
     std::string directory;
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -32,11 +32,11 @@
     return { { "id", id }, { "role", role }, { "address", loopback(port) }, { "peer", loopback(peerPort) }, { "data_centre", dataCentreOf(n) }, { "state", "live" } };
 }
 
-std::unique_ptr<ChildProcess> startDaemon(const std::string& program, const std::string& file)
+std::unique_ptr<ChildProcess> startDaemon(const std::string& program, const std::string& file, int descriptors = 0)
 {
     ChildProcess::Options options;
     options.waitsForListening = false;
-    return ChildProcess::start({ builtProgram(program), "--config", file }, options).value();
+    return ChildProcess::start({ "/bin/sh", "-c", fmt::format("{}exec {} --config {}", limitDescriptors(descriptors), builtProgram(program), file) }, options).value();
 }
 
 bool answersOk(const std::string& address, const std::string& target)
@@ -182,7 +182,7 @@
     auto file = writeFile(fmt::format("{}/{}.ini", m_folder.path(), entry.id),
         fmt::format("[process]\nid = {}\ndata-centre = {}\nlisten = {}\npeer = {}\nplatform = {}\nfirst-start = {}\n", entry.id, dataCentreOf(n), entry.address(),
             loopback(entry.peerPort), platformAddress(), isFirstStart ? "yes" : "no"));
-    entry.process = startDaemon("src/entry/swiftloft-entry", file);
+    entry.process = startDaemon("src/entry/swiftloft-entry", file, m_options.entryDescriptors);
 }
 
 std::string Fleet::stateOf(const Entry& entry, const std::string& serverId)
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -28,6 +28,8 @@
         std::string settings;
         /// How long clients may keep an address answer, as a settings value.
         std::string keepTime { "1s" };
+        /// Descriptors that an entry may open; 0 for as many as this process.
+        int entryDescriptors { 0 };
     };
 
     explicit Fleet(Options options);
--- a/test/process/process-harness.cc
+++ b/test/process/process-harness.cc
@@ -6,7 +6,9 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <thread>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -200,4 +202,41 @@
     return true;
 }
 
+std::string limitDescriptors(int descriptors)
+{
+    return descriptors > 0 ? fmt::format("ulimit -n {}; ", descriptors) : "";
+}
+
+std::size_t peakMemory(pid_t pid)
+{
+    std::ifstream in(fmt::format("/proc/{}/status", pid));
+    std::string line;
+    while (std::getline(in, line)) {
+        constexpr std::string_view peak = "VmHWM:";
+        if (line.starts_with(peak))
+            return std::stoul(line.substr(peak.size())) << 10U;
+    }
+    return 0;
+}
+
+void waitForStableMemory(pid_t pid)
+{
+    constexpr milliseconds stableTime { 1000 };
+    std::size_t peak = 0;
+    auto stableAt = Clock::now() + stableTime;
+    waitUntil(Clock::now() + seconds(30), [&] {
+        auto now = peakMemory(pid);
+        if (std::exchange(peak, now) != now)
+            stableAt = Clock::now() + stableTime;
+        return Clock::now() >= stableAt;
+    });
+}
+
+std::size_t openDescriptors(pid_t pid)
+{
+    std::error_code ec;
+    std::filesystem::directory_iterator it(fmt::format("/proc/{}/fd", pid), ec);
+    return ec ? 0 : static_cast<std::size_t>(std::distance(begin(it), end(it)));
+}
+
 } // namespace swiftloft::process_test
--- a/test/process/process-harness.h
+++ b/test/process/process-harness.h
@@ -54,6 +54,9 @@
     std::optional<int> m_exitStatus;
 };
 
+/// Beginning of a shell command that starts a program which may open this many descriptors; empty for 0.
+std::string limitDescriptors(int descriptors);
+
 /// A new folder of its own, removed with all it holds.
 class TemporaryFolder {
 public:
@@ -75,6 +78,18 @@
 /// process.
 int freePort();
 
+/// Largest memory in bytes that the process has taken so far; 0 if it has ended.
+std::size_t peakMemory(pid_t pid);
+
+/// Waits until the process has read what it was sent: until the largest memory that it has taken no longer changes.
+void waitForStableMemory(pid_t pid);
+
+/// Descriptors that the process has open; 0 if it has ended.
+std::size_t openDescriptors(pid_t pid);
+
+/// Memory that a process may take by design.
+inline constexpr std::size_t maxMemoryBytes { std::size_t { 128 } << 20 };
+
 /// Polls `condition` until it holds; false when it does not by the deadline.
 bool waitUntil(TimePoint deadline, const std::function<bool()>& condition);
 
--- a/test/soak/fake-platform.cc
+++ b/test/soak/fake-platform.cc
@@ -212,7 +212,7 @@
         return json::object { { "name", name }, { "host", "h.example" }, { "prefix", fmt::format("/{}/", name) }, { "kind", kind }, { "timeoutMs", timeout }, { "targetLatencyMs", 300 },
             { "priority", 1 }, { "service", "model" }, { "maxAttempts", 2 }, { "public", false }, { "resumable", true } };
     };
-    json::object limits { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", 100'000 }, { "headerTimeoutMs", 3000 }, { "idleTimeoutMs", 15000 } };
+    json::object limits { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", m_limits.maxBodyBytes }, { "headerTimeoutMs", 3000 }, { "idleTimeoutMs", m_limits.idleTimeout.count() } };
     json::object organisations { { "name", organisation }, { "apiKeys", json::array { key } } };
     json::object configuration { { "version", ++m_version }, { "routes", json::array { route("stream", "streaming", 4000), route("once", "unsafe", 1500), route("safe", "safe", 1500) } },
         { "services", json::array { json::object { { "name", "model" } } } }, { "limits", limits }, { "tenants", json::array { organisations } } };
--- a/test/soak/fake-platform.h
+++ b/test/soak/fake-platform.h
@@ -83,6 +83,12 @@
     static std::string requestIdVia(const std::string& id, std::size_t entry);
     /// Violations of the limits that servers advertised and of the back-offs that they asked for; empty if there are none.
     std::vector<std::string> violations() const;
+    /// Limits of the configurations that are published from now on.
+    struct ClientLimits {
+        std::size_t maxBodyBytes { 100'000 };
+        milliseconds idleTimeout { 15'000 };
+    };
+    void setClientLimits(const ClientLimits& limits) { m_limits = limits; }
     /// Publishes a configuration in which `key` belongs to `organisation`; returns its version.
     std::uint64_t publish(const std::string& key, const std::string& organisation);
     /// Copy of the store's current state, from which it can be restored later.
@@ -205,6 +211,7 @@
     std::uint64_t m_era { 3 };
     std::uint64_t m_version { 0 };
     std::string m_configuration;
+    ClientLimits m_limits;
     std::vector<Server> m_servers;
     int m_slots;
     int m_lastId { 0 };
