Failing test: an agent keeps the bodies of finished requests

Cause, by reading: a finished response is kept for 300 s for a client that sends its request again, up to 2,000 of them, and its `EngineRun` keeps the request as well.

--- a/test/process/fleet-crowds_test.cc
+++ b/test/process/fleet-crowds_test.cc
@@ -85,6 +85,16 @@
     fleet.checkBounds();
 }
 
+// Guards against this failure: an agent keeps finished responses for resent requests, and with each the body of its request.
+TEST_CASE("Fleet crowds: bodies of finished requests take no memory of an agent", "[crowd]")
+{
+    CrowdFleet fleet;
+    constexpr std::size_t requests = 30;
+    for (std::size_t n = 0; n < requests; ++n)
+        REQUIRE(call(order(fleet.entry(), std::string(maxBodyBytes, 'x'))).head.result_int() == 200);
+    fleet.checkBounds();
+}
+
 // Guards against this failure: a parsed body takes many times its bytes if it has many small values.
 TEST_CASE("Fleet crowds: model requests of many small values take bounded memory", "[crowd]")
 {
