Bound the memory of small responses that clients do not take

Cause, by reading: a response of up to 256 KB was buffered whatever the sum was, so thousands of clients that read nothing could make an entry keep as many responses.

Change: small responses may take a third more than the sum for all. Beyond it the oldest delivery ends, whether its client has had a second or not; a small response is lost only if none is being delivered. `maxSmallBytes` replaces `alwaysBufferedBytes`, also in the test, whose checks stay.

--- a/src/gateway/response-memory.cc
+++ b/src/gateway/response-memory.cc
@@ -14,10 +14,10 @@
 {
     m_size += size;
     m_memory.m_sum += size;
-    if (m_size <= alwaysBufferedBytes)
-        return true;
-    while (m_memory.m_sum > maxBytes) {
-        if (!m_memory.reclaim(now))
+    bool isSmall = m_size <= maxSmallBytes;
+    auto max = isSmall ? m_memory.m_maxBytes + m_memory.m_maxBytes / 3 : m_memory.m_maxBytes;
+    while (m_memory.m_sum > max) {
+        if (!m_memory.reclaimLarge(now) && !(isSmall && m_memory.reclaimAny()))
             return false;
     }
     return true;
@@ -36,15 +36,27 @@
     m_memory.m_sum -= std::exchange(m_size, 0);
 }
 
-bool ResponseMemory::reclaim(TimePoint now)
+bool ResponseMemory::reclaimLarge(TimePoint now)
 {
-    auto it = std::find_if(m_deliveries.begin(), m_deliveries.end(), [](auto* share) { return share->m_size > alwaysBufferedBytes; });
+    auto it = std::find_if(m_deliveries.begin(), m_deliveries.end(), [](auto* share) { return share->m_size > maxSmallBytes; });
     if (it == m_deliveries.end() || now < (*it)->m_protectedUntil)
         return false;
-    auto& share = **it;
+    giveUp(**it);
+    return true;
+}
+
+bool ResponseMemory::reclaimAny()
+{
+    if (m_deliveries.empty())
+        return false;
+    giveUp(*m_deliveries.front());
+    return true;
+}
+
+void ResponseMemory::giveUp(Share& share)
+{
     share.release();
     share.m_giveUp();
-    return true;
 }
 
 } // namespace swiftloft::gateway
--- a/src/gateway/response-memory.h
+++ b/src/gateway/response-memory.h
@@ -12,13 +12,18 @@
 /// client for longest is given up for a new one.
 class ResponseMemory {
 public:
-    /// Upper bound of all responses together.
+    /// Upper bound of all responses together, unless another is given.
     static constexpr std::size_t maxBytes { std::size_t { 48 } << 20 };
-    /// A response up to this size is buffered also while others use up the sum.
-    static constexpr std::size_t alwaysBufferedBytes { std::size_t { 256 } << 10 };
-    /// Time that a client has to accept a response before others may take its memory.
+    /// Responses up to this size may take a third more.
+    static constexpr std::size_t maxSmallBytes { std::size_t { 256 } << 10 };
+    /// Time that a client has to accept a response before large ones may take its memory.
     static constexpr milliseconds protectedTime { 1000 };
 
+    explicit ResponseMemory(std::size_t max = maxBytes)
+        : m_maxBytes(max)
+    {
+    }
+
     /// The part that one response takes. Must not outlive the memory.
     class Share {
     public:
@@ -50,8 +55,12 @@
 
 private:
     /// Gives up the oldest large delivery. Returns false if there is none that is not protected.
-    bool reclaim(TimePoint now);
+    bool reclaimLarge(TimePoint now);
+    /// Gives up the oldest delivery. Returns false if there is none.
+    bool reclaimAny();
+    void giveUp(Share& share);
 
+    std::size_t m_maxBytes;
     std::size_t m_sum { 0 };
     /// Shares whose delivery has started, the oldest first.
     std::list<Share*> m_deliveries;
--- a/test/response-memory_test.cc
+++ b/test/response-memory_test.cc
@@ -65,7 +65,7 @@
     TimePoint begin {};
     FullMemory full(begin);
     ResponseMemory::Share share(full.memory);
-    CHECK(share.add(begin + seconds(10), ResponseMemory::alwaysBufferedBytes));
+    CHECK(share.add(begin + seconds(10), ResponseMemory::maxSmallBytes));
     CHECK(full.givenUp.empty());
 }
 
