Bound what all clients together make a platform entry keep

What callers saw: an entry ran out of memory and ended under clients whose bodies stop short of their end; nobody was answered while idle connections had taken all descriptors.

Cause: each connection bounded its own request, and nothing bounded all of them together. A body took its announced length at once, or twice its bytes, and once more while it was sent to a server; a buffer kept its largest size; pages read bodies; no listener bounded its connections.

Change: `ClientBounds` owns the sums of a listener: bytes of requests and connections. What has made no progress for longest makes way; a request in progress never does. `RequestReader` reads for both kinds of listeners, counts what it keeps, lets a body grow with what has come, and answers 503 with Retry-After, not run, where there is no room. The server is sent the client's body itself. Pages take 1 KB of body. Bounds follow from the new settings `memory-mb` and `descriptors` (default 256 and what the system allows). A refused client that still sends has two seconds to read the refusal. Failed accepts are logged once a second.

--- a/src/gateway/downstream-connection.cc
+++ b/src/gateway/downstream-connection.cc
@@ -1,7 +1,5 @@
 #include "src/gateway/downstream-connection.h"
 
-#include "src/process/http-limits.h"
-
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -10,6 +8,7 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <utility>
 
@@ -33,19 +32,6 @@
 constexpr milliseconds paceMeasureDelay { 1000 };
 constexpr std::size_t readSize = 4096;
 
-ReadError readErrorFrom(const boost::system::error_code& ec, bool hasStarted)
-{
-    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
-        return ReadError::HeaderTooLarge;
-    if (ec == http::error::body_limit)
-        return ReadError::BodyTooLarge;
-    if (ec == beast::error::timeout)
-        return hasStarted ? ReadError::TooSlow : ReadError::Closed;
-    bool isBroken = ec == http::error::end_of_stream || ec == http::error::partial_message || ec.category() == asio::error::get_system_category()
-        || ec.category() == asio::error::get_misc_category();
-    return isBroken ? ReadError::Closed : ReadError::Malformed;
-}
-
 /// How a connection has ended that fails with this error of the system.
 ConnectionEnd endFrom(int error)
 {
@@ -65,14 +51,17 @@
         return "client-stalled";
     case ConnectionEnd::MemoryNeeded:
         return "memory-needed";
+    case ConnectionEnd::ConnectionNeeded:
+        return "connection-needed";
     case ConnectionEnd::EntryReset:
         return "entry-ended";
     }
     return "unknown";
 }
 
-DownstreamConnection::DownstreamConnection(asio::ip::tcp::socket socket)
+DownstreamConnection::DownstreamConnection(asio::ip::tcp::socket socket, process::ClientBounds& bounds)
     : m_stream(std::move(socket))
+    , m_reader(m_stream, bounds, [this] { makeWay(); })
     , m_timer(m_stream.get_executor())
     , m_self(std::make_shared<DownstreamConnection*>(this))
 {
@@ -84,36 +73,14 @@
 
 asio::awaitable<ReadError> DownstreamConnection::readRequest(const ClientLimits& limits, ClientRequest& request)
 {
-    boost::system::error_code ec;
     m_state = State::Idle;
-    m_buffer.max_size(std::max(limits.maximumHeaderBytes + process::maxUnparsedBytes, m_buffer.size()));
-    if (m_buffer.size() == 0) {
-        m_stream.expires_at(Clock::now() + limits.idleTimeout);
-        auto bytes = co_await m_stream.async_read_some(m_buffer.prepare(readSize), redirect_error(use_awaitable, ec));
-        m_buffer.commit(bytes);
-        if (ec)
-            co_return ReadError::Closed;
-    }
+    if (!co_await m_reader.waitForRequest(Clock::now() + limits.idleTimeout))
+        co_return ReadError::Closed;
     m_state = State::Busy;
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(limits.maximumHeaderBytes);
-    parser.body_limit(limits.maximumBodyBytes);
-    m_stream.expires_at(Clock::now() + limits.headerTimeout);
-    co_await http::async_read_header(m_stream, m_buffer, parser, redirect_error(use_awaitable, ec));
-    if (!ec && !parser.is_done()) {
-        if (parser.get()[http::field::expect] == "100-continue") {
-            http::response<http::empty_body> interim(http::status::continue_, parser.get().version());
-            co_await http::async_write(m_stream, interim, redirect_error(use_awaitable, ec));
-        }
-        m_stream.expires_at(Clock::now() + limits.idleTimeout);
-        co_await http::async_read(m_stream, m_buffer, parser, redirect_error(use_awaitable, ec));
-    }
-    if (ec)
-        co_return readErrorFrom(ec, true);
-    request = parser.release();
-    if (!request.keep_alive())
+    auto error = co_await m_reader.read({ limits.maximumHeaderBytes, limits.maximumBodyBytes, limits.headerTimeout, limits.idleTimeout }, request);
+    if (error == ReadError::None && !request.keep_alive())
         m_mustClose = true;
-    co_return ReadError::None;
+    co_return error;
 }
 
 void DownstreamConnection::startDelivery()
@@ -128,6 +95,8 @@
 void DownstreamConnection::onWritten(std::size_t size, const boost::system::error_code& ec)
 {
     m_writtenBytes += size;
+    if (std::exchange(m_isStalled, false))
+        m_reader.onAccepted();
     if (!ec)
         return;
     m_isWriting = false;
@@ -217,13 +186,16 @@
         m_pace.start(now, deliveredBytes());
     else if (m_pace.isTooSlow(now, deliveredBytes()))
         return reset(ConnectionEnd::ClientStalled);
+    m_isStalled = true;
+    m_reader.onStalled();
     startTimer(m_pace.checkAt());
 }
 
 void DownstreamConnection::checkClosing()
 {
     auto now = Clock::now();
-    if (undeliveredBytes() > 0 && !m_pace.isTooSlow(now, deliveredBytes()))
+    bool mustDiscard = std::exchange(m_isSending, false) && now < m_discardUntil;
+    if (mustDiscard || (undeliveredBytes() > 0 && !m_pace.isTooSlow(now, deliveredBytes())))
         return startTimer(now + lingerTimeout);
     // Closed rather than cancelled: a read that has completed already would not see that it was cancelled.
     boost::system::error_code ec;
@@ -274,6 +246,15 @@
     return ::ioctl(m_stream.socket().native_handle(), SIOCOUTQ, &size) == 0 ? static_cast<std::size_t>(std::max(size, 0)) : 0;
 }
 
+void DownstreamConnection::makeWay()
+{
+    if (m_state == State::Busy)
+        return reset(ConnectionEnd::ConnectionNeeded);
+    m_end = ConnectionEnd::ConnectionNeeded;
+    boost::system::error_code ec;
+    m_stream.socket().close(ec);
+}
+
 void DownstreamConnection::terminate()
 {
     if (m_state == State::Busy)
@@ -286,18 +267,21 @@
 /// If the connection were closed immediately after the client has sent more data, the connection would be reset. The
 /// reset, or the end of the process, can overtake the last bytes of the response, and the client would see a complete
 /// response as truncated.
-asio::awaitable<void> DownstreamConnection::close()
+asio::awaitable<void> DownstreamConnection::close(TimePoint discardUntil)
 {
     m_state = State::Closing;
+    m_discardUntil = discardUntil;
+    m_reader.onStalled();
     auto& socket = m_stream.socket();
     boost::system::error_code ec;
     socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     auto now = Clock::now();
     m_pace.start(now, deliveredBytes());
     startTimer(now + lingerTimeout);
+    std::array<char, readSize> discarded;
     while (!ec) {
-        m_buffer.clear();
-        co_await socket.async_read_some(m_buffer.prepare(readSize), redirect_error(use_awaitable, ec));
+        co_await socket.async_read_some(asio::buffer(discarded), redirect_error(use_awaitable, ec));
+        m_isSending = true;
     }
     socket.close(ec);
 }
--- a/src/gateway/downstream-connection.h
+++ b/src/gateway/downstream-connection.h
@@ -3,10 +3,10 @@
 #include "src/gateway/delivery-pace.h"
 #include "src/gateway/model.h"
 #include "src/gateway/protocol.h"
+#include "src/process/request-reader.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 
@@ -18,20 +18,9 @@
 
 namespace swiftloft::gateway {
 
-using ClientRequest = http::request<http::string_body>;
 using ClientResponse = http::response<http::string_body>;
-
-/// Reason why no request could be read.
-enum class ReadError {
-    None,
-    /// The client closed the connection between requests, stayed idle too long or disconnected within a request.
-    Closed,
-    Malformed,
-    HeaderTooLarge,
-    BodyTooLarge,
-    /// The client began a request and did not complete its head in time.
-    TooSlow,
-};
+using process::ClientRequest;
+using process::ReadError;
 
 /// Who ended a connection from a client, and how.
 enum class ConnectionEnd {
@@ -42,6 +31,8 @@
     ClientStalled,
     /// Others needed the memory of the response, and it had been on its way to its client for longest.
     MemoryNeeded,
+    /// Others needed the descriptor of the connection.
+    ConnectionNeeded,
     EntryReset,
 };
 
@@ -51,12 +42,16 @@
 /// One connection from a client. Belongs to the traffic thread.
 class DownstreamConnection {
 public:
-    explicit DownstreamConnection(boost::asio::ip::tcp::socket socket);
+    DownstreamConnection(boost::asio::ip::tcp::socket socket, process::ClientBounds& bounds);
     DownstreamConnection(const DownstreamConnection&) = delete;
     DownstreamConnection& operator=(const DownstreamConnection&) = delete;
 
-    /// Reads the next request into `request`.
+    /// False if the connection must be closed because there are too many.
+    bool isAdmitted() const { return m_reader.isAdmitted(); }
+    /// Reads the next request into `request`. What it takes is counted until the next call or `releaseRequest`.
     boost::asio::awaitable<ReadError> readRequest(const ClientLimits& limits, ClientRequest& request);
+    /// The body of the request has been destroyed.
+    void releaseRequest() { m_reader.release(); }
     /// Writes a complete response. Throws if the client has disconnected.
     boost::asio::awaitable<void> writeResponse(ClientResponse& response);
     /// Starts a response of unknown length, with chunked transfer encoding.
@@ -79,8 +74,8 @@
     const std::string& requestId() const { return m_requestId; }
     void setRequestId(std::string id) { m_requestId = std::move(id); }
     /// Closes the connection gracefully: shuts down the sending side and waits until the client closes too, or has had a short
-    /// time for it after it acknowledged the last response.
-    boost::asio::awaitable<void> close();
+    /// time for it after it acknowledged the last response. A client that still sends gets until `discardUntil`.
+    boost::asio::awaitable<void> close(TimePoint discardUntil = {});
     bool mustClose() const { return m_mustClose; }
     void setMustClose() { m_mustClose = true; }
 
@@ -106,11 +101,13 @@
     void checkPace();
     /// Ends the wait for the client's close once it has acknowledged its response, or takes too long to.
     void checkClosing();
+    /// Ends the connection at once for others that need its descriptor.
+    void makeWay();
     /// Bytes that the client's system has acknowledged so far.
     std::uint64_t deliveredBytes() { return m_writtenBytes - std::min<std::uint64_t>(undeliveredBytes(), m_writtenBytes); }
 
     boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer;
+    process::RequestReader m_reader;
     std::string m_requestId;
     /// Set if the entry has ended the connection.
     std::optional<ConnectionEnd> m_end;
@@ -123,6 +120,11 @@
     /// The write that `m_pace` belongs to.
     std::uint64_t m_measuredWrite { 0 };
     DeliveryPace m_pace;
+    /// The client has not accepted the bytes of a write when the pace was first checked.
+    bool m_isStalled { false };
+    TimePoint m_discardUntil;
+    /// The client has sent bytes since the last check of a connection that is being closed.
+    bool m_isSending { false };
     /// Checks the pace while bytes are written, and whether a connection that is being closed is done.
     boost::asio::steady_timer m_timer;
     bool m_isTimerRunning { false };
--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -125,7 +125,9 @@
     }
     if (call.cancelReason)
         co_return AttemptOutcome::NotSent;
-    auto request = call.request;
+    // Refers to the client's body: a copy would take as much memory again.
+    http::request<http::span_body<const char>> request(call.request.base());
+    request.body() = { call.request.body().data(), call.request.body().size() };
     eraseHopByHop(request.base());
     auto now = Clock::now();
     m_protocol.prepareUpstreamRequest(request.base(), { server.id, call.deadline, call.organisation, call.lastEvent, m_dispatcher.reducer().admission().priorityForServer(server.service, call.priority) }, now);
@@ -287,6 +289,7 @@
         co_return AttemptOutcome::ServerError;
     }
     call.status = signedHead.status;
+    releaseBody(call);
     memory.startDelivery(Clock::now(), [&call] { call.client.reset(ConnectionEnd::MemoryNeeded); });
     co_await call.client.writeResponse(response);
     co_return AttemptOutcome::Answered;
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -19,6 +19,8 @@
 
 /// Time for which a client is assumed to wait if its request names no deadline.
 constexpr milliseconds defaultClientTimeout { 5000 };
+/// Time for which the bytes of a client that was refused are discarded, so that it can read the refusal.
+constexpr milliseconds discardTimeout { 2000 };
 
 constexpr std::string_view answeredReason = "answered";
 constexpr std::string_view retryDeniedDetail = " retry=denied";
@@ -64,13 +66,14 @@
 
 } // namespace
 
-RequestServer::RequestServer(AsyncDispatcher& dispatcher, UpstreamPool& pool, const Protocol& protocol, process::SharedMetrics& metrics, SnapshotSource snapshot, bool waitsAtStart)
+RequestServer::RequestServer(AsyncDispatcher& dispatcher, UpstreamPool& pool, const Protocol& protocol, process::SharedMetrics& metrics, SnapshotSource snapshot, bool waitsAtStart, std::size_t maxResponseBytes)
     : m_dispatcher(dispatcher)
     , m_pool(pool)
     , m_protocol(protocol)
     , m_metrics(metrics)
     , m_snapshot(std::move(snapshot))
     , m_startupQueue(waitsAtStart)
+    , m_responseMemory(maxResponseBytes)
 {
 }
 
@@ -90,20 +93,32 @@
     response.prepare_payload();
     call.status = static_cast<unsigned>(status);
     call.reason = reason;
+    releaseBody(call);
     co_await call.client.writeResponse(response);
 }
 
+void RequestServer::releaseBody(Call& call)
+{
+    // The log and the dispatcher ask for the fingerprint later.
+    if (call.handle)
+        call.fingerprint();
+    std::string().swap(call.request.body());
+    call.client.releaseRequest();
+}
+
 asio::awaitable<void> RequestServer::rejectUnreadable(DownstreamConnection& client, ReadError error)
 {
-    auto status = error == ReadError::HeaderTooLarge ? http::status::request_header_fields_too_large
-        : error == ReadError::BodyTooLarge           ? http::status::payload_too_large
-        : error == ReadError::TooSlow                ? http::status::request_timeout
-                                                     : http::status::bad_request;
+    auto now = Clock::now();
+    auto status = process::statusOf(error);
     client.setMustClose();
-    ClientResponse response(status, 11);
+    ClientResponse response(static_cast<http::status>(status), 11);
+    if (error == ReadError::NoMemory)
+        response.set(http::field::retry_after, m_protocol.encodeRetryAfter(admission::outageRetryTime(now, now + defaultClientTimeout, m_generator), now));
     response.prepare_payload();
-    log::write(log::Event::RequestRefused, "status={} reason=unreadable", static_cast<unsigned>(status));
+    log::write(log::Event::RequestRefused, "status={} reason={}", status, process::toString(error));
+    m_metrics.count("swiftloft_entry_unread_requests_total", { { "reason", std::string(process::toString(error)) } });
     co_await client.writeResponse(response);
+    co_await client.close(now + discardTimeout);
 }
 
 asio::awaitable<bool> RequestServer::serve(DownstreamConnection& client, ClientRequest request)
--- a/src/gateway/request-server.h
+++ b/src/gateway/request-server.h
@@ -24,7 +24,7 @@
 public:
     using SnapshotSource = std::function<std::shared_ptr<const Snapshot>()>;
 
-    RequestServer(AsyncDispatcher& dispatcher, UpstreamPool& pool, const Protocol& protocol, process::SharedMetrics& metrics, SnapshotSource snapshot, bool waitsAtStart);
+    RequestServer(AsyncDispatcher& dispatcher, UpstreamPool& pool, const Protocol& protocol, process::SharedMetrics& metrics, SnapshotSource snapshot, bool waitsAtStart, std::size_t maxResponseBytes = ResponseMemory::maxBytes);
 
     /// Responds to `request`. Throws if the client's connection fails. Returns false if the connection must be closed
     /// afterwards.
@@ -35,13 +35,15 @@
     void onStopping() { m_startupQueue.close(); }
     /// Reports to the dispatcher if the server's address refuses connections.
     boost::asio::awaitable<void> probe(BackendServer server);
-    /// Responds to a request that could not be read.
+    /// Responds to a request that could not be read, and closes the connection.
     boost::asio::awaitable<void> rejectUnreadable(DownstreamConnection& client, ReadError error);
 
 private:
     struct Call;
 
     boost::asio::awaitable<void> respond(Call& call, http::status status, std::string_view reason, std::optional<TimePoint> retryAt = std::nullopt);
+    /// Destroys the body of a request that is not sent to a server any more.
+    static void releaseBody(Call& call);
     boost::asio::awaitable<void> run(Call& call);
     static void cancelAttempt(Call& call, dispatch::CancelReason reason);
     boost::asio::awaitable<CallDecision> attempt(Call& call, dispatch::StartAttempt start);
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -140,6 +140,11 @@
 constexpr double maxSeconds = 3600;
 constexpr double minApplyMs = 100;
 constexpr double maxEntries = 100'000;
+constexpr double bytesPerMegabyte = 1 << 20;
+constexpr double minMemoryMb = 64;
+constexpr double maxMemoryMb = 1 << 20;
+constexpr double minDescriptors = 128;
+constexpr double maxDescriptors = 1 << 24;
 
 } // namespace
 
@@ -170,9 +175,11 @@
         { "directory-kept-seconds", secondsSetter(settings.directoryMaxAge, 0, maxSeconds) },
         { "startup-wait", switchSetter(settings.waitsAtStart) },
         { "urgency", switchSetter(settings.isUrgencyOn) },
+        { "memory-mb", numberSetter([&](double mb) { settings.resources.memoryBytes = static_cast<std::size_t>(mb * bytesPerMegabyte); }, minMemoryMb, maxMemoryMb) },
+        { "descriptors", numberSetter([&](double n) { settings.resources.descriptors = static_cast<std::size_t>(n); }, minDescriptors, maxDescriptors) },
         { "least-entries", numberSetter([&](double n) { settings.minEntries = static_cast<std::size_t>(n); }, 1, maxEntries) },
     };
-    auto read = readSection(text, fileName, "entry", setters, { "apply-within-ms", "cold-overshoot", "cold-slack", "estimate", "seeds", "least-entries", "startup-wait", "urgency" }, &regions);
+    auto read = readSection(text, fileName, "entry", setters, { "apply-within-ms", "cold-overshoot", "cold-slack", "descriptors", "estimate", "memory-mb", "seeds", "least-entries", "startup-wait", "urgency" }, &regions);
     if (!read)
         return read.error();
     auto created = regionsFrom(regions, settings.dataCentre, fileName);
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -5,6 +5,7 @@
 #include "src/gateway/homes.h"
 #include "src/gateway/model.h"
 #include "src/gateway/retry-allowance.h"
+#include "src/process/resources.h"
 
 #include <swiftloft/result.h>
 
@@ -53,6 +54,8 @@
     /// Minimum number of entries among which budgets, such as that for retries, are divided. When more entries are
     /// seen, their number is used instead.
     std::size_t minEntries { 1 };
+    /// What clients can make the entry keep follows from this.
+    process::Resources resources { process::Resources::ofThisProcess() };
 };
 
 /// Settings of an agent, from its settings file.
--- a/src/gateway/traffic-server.cc
+++ b/src/gateway/traffic-server.cc
@@ -32,7 +32,11 @@
 constexpr milliseconds stopCheckInterval { 50 };
 /// Delay after a failed accept, for example when no file descriptors are left.
 constexpr milliseconds acceptRetryDelay { 10 };
+/// Interval between log lines about failed accepts.
+constexpr milliseconds acceptFailureLogInterval { 1000 };
 constexpr milliseconds pageTimeout { 3000 };
+/// Requests for pages need no body.
+constexpr std::size_t maxPageBodyBytes { 1024 };
 
 policy::Generator seeded()
 {
@@ -61,6 +65,8 @@
 
 TrafficServer::TrafficServer(const EntrySettings& settings, const Protocol& protocol, process::SharedMetrics& metrics, Incarnation incarnation)
     : m_settings(settings)
+    , m_clientBounds(settings.resources.forClients())
+    , m_pageBounds(settings.resources.forPages())
     , m_protocol(protocol)
     , m_metrics(metrics)
     , m_incarnation(incarnation)
@@ -68,7 +74,7 @@
     , m_dispatcher(m_ioContext, DispatcherOptions { settings.retries, settings.coldLimits, settings.regions, { settings.isUrgencyOn }, settings.estimate }, seeded())
     , m_pool(m_ioContext)
     , m_server(
-          m_dispatcher, m_pool, protocol, metrics, [this] { return m_snapshot; }, settings.waitsAtStart)
+          m_dispatcher, m_pool, protocol, metrics, [this] { return m_snapshot; }, settings.waitsAtStart, settings.resources.maxResponseBytes())
     , m_snapshot(std::make_shared<Snapshot>())
     , m_clients(m_ioContext)
     , m_ready(m_ioContext)
@@ -135,6 +141,8 @@
         m_estimateMetrics.update(Clock::now(), m_dispatcher.reducer().serviceEstimate());
         if (m_onLoadsMeasured)
             m_onLoadsMeasured({ m_dispatcher.reducer().loadBalancer().localLoads(Clock::now()), m_dispatcher.reducer().admission().localDemands(Clock::now()), m_dispatcher.nextSuspicions() });
+        recordBounds("clients", m_clientBounds);
+        recordBounds("pages", m_pageBounds);
         m_metrics.set("swiftloft_entry_suspect_requests", {}, static_cast<double>(m_dispatcher.reducer().crashTracker().suspects()));
     });
 }
@@ -165,28 +173,39 @@
         }
         if (ec == asio::error::operation_aborted)
             co_return;
-        log::write(log::Event::AcceptFailed, "problem=\"{}\"", ec.message());
+        recordAcceptFailure(ec.message());
         asio::steady_timer pause(m_ioContext, Clock::now() + acceptRetryDelay);
         co_await pause.async_wait(use_awaitable);
     }
 }
 
+void TrafficServer::recordAcceptFailure(const std::string& problem)
+{
+    m_metrics.count("swiftloft_entry_accept_failures_total", {});
+    auto now = Clock::now();
+    if (now < m_acceptFailureLogNotBefore)
+        return;
+    m_acceptFailureLogNotBefore = now + acceptFailureLogInterval;
+    log::write(log::Event::AcceptFailed, "problem=\"{}\"", problem);
+}
+
 asio::awaitable<void> TrafficServer::serveClient(asio::ip::tcp::socket socket)
 {
-    DownstreamConnection client(std::move(socket));
+    DownstreamConnection client(std::move(socket), m_clientBounds);
+    if (!client.isAdmitted())
+        co_return;
     Registration registration { *this, client };
     for (;;) {
         auto limits = m_snapshot->configuration ? m_snapshot->configuration->limits() : ClientLimits {};
+        limits.maximumBodyBytes = std::min<std::uint64_t>(limits.maximumBodyBytes, m_clientBounds.maxRequestBytes());
         ClientRequest request;
         auto error = co_await client.readRequest(limits, request);
         if (error == ReadError::Closed)
             co_return;
         if (m_stop)
             client.setMustClose();
-        if (error != ReadError::None) {
-            co_await m_server.rejectUnreadable(client, error);
-            co_return co_await client.close();
-        }
+        if (error != ReadError::None)
+            co_return co_await m_server.rejectUnreadable(client, error);
         bool isOpen = co_await m_server.serve(client, std::move(request));
         if (!isOpen)
             co_return;
@@ -197,16 +216,22 @@
 
 asio::awaitable<void> TrafficServer::serveStatusPage(asio::ip::tcp::socket socket)
 {
-    DownstreamConnection client(std::move(socket));
+    DownstreamConnection client(std::move(socket), m_pageBounds);
+    if (!client.isAdmitted())
+        co_return;
     Registration registration { *this, client };
     ClientLimits limits;
     limits.headerTimeout = pageTimeout;
+    limits.maximumBodyBytes = maxPageBodyBytes;
     for (;;) {
         ClientRequest request;
-        if (co_await client.readRequest(limits, request) != ReadError::None)
+        auto error = co_await client.readRequest(limits, request);
+        if (error == ReadError::Closed)
             co_return;
         if (m_stop)
             client.setMustClose();
+        if (error != ReadError::None)
+            co_return co_await m_server.rejectUnreadable(client, error);
         auto response = statusPage(request);
         co_await client.writeResponse(response);
         if (client.mustClose())
@@ -342,6 +367,14 @@
         log::write(log::Event::RetryAllowanceSpent, "service={} retries={} allowed={:.1f} requests={}", denial.service.value(), denial.use.spent, denial.use.allowed, denial.use.requests);
 }
 
+void TrafficServer::recordBounds(const std::string& listener, const process::ClientBounds& bounds)
+{
+    process::Labels labels { { "listener", listener } };
+    m_metrics.set("swiftloft_entry_client_connections", labels, static_cast<double>(bounds.connections()));
+    m_metrics.set("swiftloft_entry_client_bytes", labels, static_cast<double>(bounds.bytes()));
+    m_metrics.set("swiftloft_entry_clients_made_way_total", labels, static_cast<double>(bounds.madeWay()));
+}
+
 void TrafficServer::recordQueued(const ServiceDemand& demand)
 {
     for (auto& it : demand.priorities)
--- a/src/gateway/traffic-server.h
+++ b/src/gateway/traffic-server.h
@@ -55,6 +55,7 @@
 
     void listen(Acceptor& acceptor, const Endpoint& endpoint, ConnectionHandler serve);
     boost::asio::awaitable<void> accept(Acceptor& acceptor, ConnectionHandler serve);
+    void recordAcceptFailure(const std::string& problem);
     boost::asio::awaitable<void> serveClient(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> serveStatusPage(boost::asio::ip::tcp::socket socket);
     ClientResponse statusPage(const ClientRequest& request);
@@ -65,6 +66,7 @@
     std::vector<policy::SuspicionMessage> suspicionsToReport(TimePoint now, bool isChanged);
     void recordRetryDenied(const dispatch::RetryDenied& denial);
     void recordQueued(const ServiceDemand& demand);
+    void recordBounds(const std::string& listener, const process::ClientBounds& bounds);
     void scheduleLoadUpdate(TimePoint time);
     /// Connections on which a request is being read or served, or that are being closed.
     std::size_t busyConnections() const;
@@ -82,6 +84,9 @@
 
     IoContext m_ioContext { 1 };
     const EntrySettings& m_settings;
+    process::ClientBounds m_clientBounds;
+    /// For the readers of the readiness page and of the directory.
+    process::ClientBounds m_pageBounds;
     const Protocol& m_protocol;
     process::SharedMetrics& m_metrics;
     Incarnation m_incarnation;
@@ -120,6 +125,8 @@
     /// Set once a shutdown has started.
     std::optional<StopSchedule> m_stop;
     bool m_hasReachedStopDeadline { false };
+    /// A failure to accept a connection is not logged before.
+    TimePoint m_acceptFailureLogNotBefore;
 };
 
 } // namespace swiftloft::gateway
--- a/src/process/process-config.cc
+++ b/src/process/process-config.cc
@@ -11,6 +11,11 @@
 namespace {
 
 constexpr unsigned maxTrafficThreads = 64;
+constexpr std::size_t bytesPerMegabyte = std::size_t { 1 } << 20;
+constexpr unsigned minMemoryMb = 64;
+constexpr unsigned maxMemoryMb = 1 << 20;
+constexpr unsigned minDescriptors = 128;
+constexpr unsigned maxDescriptors = 1 << 24;
 
 std::optional<unsigned> parseNumber(std::string_view text, unsigned most)
 {
@@ -59,12 +64,22 @@
         config.isFirstStart = value == "yes";
         return value == "yes" || value == "no" ? "" : "yes or no";
     }
+    if (key == "memory-mb") {
+        auto n = parseNumber(value, maxMemoryMb).value_or(0);
+        config.resources.memoryBytes = n * bytesPerMegabyte;
+        return n < minMemoryMb ? fmt::format("a number from {} to {}", minMemoryMb, maxMemoryMb) : "";
+    }
+    if (key == "descriptors") {
+        auto n = parseNumber(value, maxDescriptors).value_or(0);
+        config.resources.descriptors = n;
+        return n < minDescriptors ? fmt::format("a number from {} to {}", minDescriptors, maxDescriptors) : "";
+    }
     if (key == "traffic-threads") {
         auto n = parseNumber(value, maxTrafficThreads);
         config.trafficThreads = n.value_or(0);
         return config.trafficThreads == 0 ? fmt::format("a number from 1 to {}", maxTrafficThreads) : "";
     }
-    return "one of the keys id, data-centre, listen, peer, rpc, platform, backend-server, first-start, traffic-threads";
+    return "one of the keys id, data-centre, listen, peer, rpc, platform, backend-server, first-start, traffic-threads, memory-mb, descriptors";
 }
 
 } // namespace
--- a/src/process/process-config.h
+++ b/src/process/process-config.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "src/process/resources.h"
+
 #include <swiftloft/ids.h>
 #include <swiftloft/result.h>
 
@@ -31,6 +33,8 @@
     /// No process has run in this fleet before: no agent can have forgotten a client's key, and no entry can hold a
     /// share of a limit from before.
     bool isFirstStart { false };
+    /// What clients can make the process keep follows from this.
+    Resources resources { Resources::ofThisProcess() };
 };
 
 /// Reads a `[process]` section. `fileName` is used in messages, which name line, key and what was expected.
--- a/src/process/status-server.cc
+++ b/src/process/status-server.cc
@@ -1,12 +1,12 @@
 #include "src/process/status-server.h"
 
-#include "src/process/http-limits.h"
+#include "src/process/request-reader.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <fmt/format.h>
 
 #include <chrono>
 
@@ -20,8 +20,15 @@
 namespace {
 
 constexpr std::chrono::seconds idleLimit { 30 };
-
-http::response<http::string_body> toResponse(const http::request<http::string_body>& request, StatusAnswer answer)
+constexpr std::size_t maxHeaderBytes { std::size_t { 8 } << 10 };
+/// Requests for pages need no body.
+constexpr std::size_t maxBodyBytes { 1024 };
+/// Time for which the bytes of a client that was refused are discarded, so that it can read the refusal.
+constexpr std::chrono::seconds discardTimeout { 2 };
+/// Delay after a failed accept, for example when no file descriptors are left.
+constexpr std::chrono::milliseconds acceptRetryDelay { 20 };
+
+http::response<http::string_body> toResponse(const ClientRequest& request, StatusAnswer answer)
 {
     http::response<http::string_body> response(static_cast<http::status>(answer.status), request.version());
     response.set(http::field::content_type, answer.contentType);
@@ -31,15 +38,30 @@
     return response;
 }
 
-awaitable<void> serve(beast::tcp_stream stream, std::function<StatusAnswer(const http::request<http::string_body>&)> answer)
+StatusAnswer refusal(ReadError error)
+{
+    return { statusOf(error), "text/plain", fmt::format("{}\n", toString(error)) };
+}
+
+awaitable<void> serve(beast::tcp_stream stream, ClientBounds& bounds, std::function<StatusAnswer(const ClientRequest&)> answer)
 {
-    beast::flat_buffer buf(maxUnparsedBytes);
-    for (;;) {
-        http::request<http::string_body> request;
-        stream.expires_at(std::chrono::steady_clock::now() + idleLimit);
-        co_await http::async_read(stream, buf, request, use_awaitable);
-        auto response = toResponse(request, answer(request));
+    RequestReader reader(stream, bounds, [&stream] { stream.close(); });
+    ReadLimits limits { maxHeaderBytes, maxBodyBytes, idleLimit, idleLimit, Clock::now() + idleLimit };
+    for (; reader.isAdmitted() && co_await reader.waitForRequest(limits.deadline); limits.deadline = Clock::now() + idleLimit) {
+        ClientRequest request;
+        auto error = co_await reader.read(limits, request);
+        if (error == ReadError::Closed)
+            co_return;
+        if (error != ReadError::None)
+            request.keep_alive(false);
+        auto response = toResponse(request, error == ReadError::None ? answer(request) : refusal(error));
+        if (!reader.hold(response.body().size()))
+            co_return;
+        reader.onStalled();
+        stream.expires_at(Clock::now() + idleLimit);
         co_await http::async_write(stream, response, use_awaitable);
+        if (error != ReadError::None)
+            co_return co_await closeInOrder(stream, Clock::now() + discardTimeout);
         if (!request.keep_alive())
             co_return;
     }
@@ -47,8 +69,10 @@
 
 } // namespace
 
-StatusServer::StatusServer(boost::asio::io_context& ioContext, const boost::asio::ip::tcp::endpoint& endpoint)
-    : m_acceptor(ioContext, endpoint)
+StatusServer::StatusServer(boost::asio::io_context& ioContext, const boost::asio::ip::tcp::endpoint& endpoint, const Resources& resources)
+    : m_bounds(resources.forStatus())
+    , m_acceptor(ioContext, endpoint)
+    , m_acceptTimer(ioContext)
 {
     accept();
 }
@@ -62,6 +86,7 @@
 {
     boost::system::error_code ec;
     m_acceptor.close(ec);
+    m_acceptTimer.cancel();
 }
 
 StatusAnswer StatusServer::answerFor(std::string_view target) const
@@ -84,9 +109,14 @@
                 return answerFor({ request.target().data(), request.target().size() });
             };
             // A connection that ends in an error is closed like any other.
-            co_spawn(m_acceptor.get_executor(), serve(beast::tcp_stream(std::move(socket)), answer), [](const std::exception_ptr&) {});
+            co_spawn(m_acceptor.get_executor(), serve(beast::tcp_stream(std::move(socket)), m_bounds, answer), [](const std::exception_ptr&) {});
+            return accept();
         }
-        accept();
+        m_acceptTimer.expires_at(Clock::now() + acceptRetryDelay);
+        m_acceptTimer.async_wait([this](boost::system::error_code ec) {
+            if (!ec)
+                accept();
+        });
     });
 }
 
--- a/src/process/status-server.h
+++ b/src/process/status-server.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "src/process/client-bounds.h"
+#include "src/process/resources.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <map>
@@ -21,7 +25,8 @@
 public:
     using Page = std::function<StatusAnswer()>;
 
-    StatusServer(boost::asio::io_context& ioContext, const boost::asio::ip::tcp::endpoint& endpoint);
+    /// What readers can make the process keep follows from `resources`.
+    StatusServer(boost::asio::io_context& ioContext, const boost::asio::ip::tcp::endpoint& endpoint, const Resources& resources = Resources::ofThisProcess());
 
     /// Adds the page at `path`, such as "/healthz".
     void add(const std::string& path, Page page);
@@ -34,7 +39,9 @@
     void accept();
     StatusAnswer answerFor(std::string_view target) const;
 
+    ClientBounds m_bounds;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_acceptTimer;
     std::map<std::string, Page, std::less<>> m_pages;
 };
 
