Bound what all clients together make swiftloft-entry keep

What callers saw, in runs of our own: 40 bodies of 8 MiB, complete or not, took 331 to 348 MB of an entry; with all descriptors taken it tried to accept without a pause, and nobody was answered.

Change: `Worker` reads by `RequestReader`; its part of the bounds is divided by the traffic threads. A request in progress counts twice, since the message to its agent holds it too. Without room: reason 7, not run, Retry-After 1. A request that can't be read gets 413 or 431 where it had 400. A failed accept is tried again after 20 ms.

--- a/src/entry/daemon.cc
+++ b/src/entry/daemon.cc
@@ -33,6 +33,13 @@
     return options;
 }
 
+/// What the clients of one traffic thread can make the process keep.
+process::ClientBounds::Options clientBounds(const process::ProcessConfig& config)
+{
+    auto bounds = config.resources.forClients();
+    return { bounds.maxConnections / config.trafficThreads, bounds.maxBytes / config.trafficThreads };
+}
+
 std::string queryValue(const std::string& target, std::string_view name)
 {
     auto url = boost::urls::parse_origin_form(target);
@@ -113,7 +120,7 @@
             boost::asio::post(m_control, [this, target = std::move(target), reply = std::move(reply)] { replyWithPage(target, reply); });
         };
         hooks.onFinished = [this] { boost::asio::post(m_control, [this] { onWorkerFinished(); }); };
-        WorkerOptions options { WorkerIndex(n), m_incarnation, m_config.id, m_config.listen };
+        WorkerOptions options { WorkerIndex(n), m_incarnation, m_config.id, m_config.listen, clientBounds(m_config) };
         m_workers.push_back(std::make_unique<Worker>(std::move(options), std::move(hooks)));
     }
     for (auto& worker : m_workers)
--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -2,7 +2,7 @@
 
 #include "src/entry/request-reader.h"
 #include "src/entry/response-writer.h"
-#include "src/process/http-limits.h"
+#include "src/log/logger.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
@@ -11,6 +11,8 @@
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include <sys/socket.h>
 
 namespace swiftloft::entry {
@@ -30,6 +32,12 @@
 constexpr std::size_t maxHeaderBytes = 32 * 1024;
 /// Queued parts are combined into one write of up to about this size.
 constexpr std::size_t writeBatchBytes = 64 * 1024;
+/// Time for which the bytes of a client that was refused are discarded, so that it can read the refusal.
+constexpr seconds discardTimeout { 2 };
+/// Delay after a failed accept, for example when no file descriptors are left.
+constexpr milliseconds acceptRetryDelay { 20 };
+/// A request in progress is held twice: as the client sent it, and as the message to its agent.
+constexpr std::size_t copiesInProgress { 2 };
 constexpr unsigned workerIndexShift = 48;
 
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
@@ -69,11 +77,27 @@
     return toResponse(refusal);
 }
 
+LocalResponse toResponse(process::ReadError error)
+{
+    if (error == process::ReadError::NoMemory) {
+        Refusal refusal;
+        refusal.reason = RefusalReason::Overloaded;
+        refusal.retryAfter = seconds(1);
+        refusal.details = "this entry has no memory left for the request";
+        return toResponse(refusal);
+    }
+    auto response = badRequest(fmt::format("the request can't be read: {}", process::toString(error)));
+    response.status = process::statusOf(error);
+    return response;
+}
+
 } // namespace
 
 Worker::Worker(WorkerOptions options, Hooks hooks)
     : m_options(std::move(options))
     , m_hooks(std::move(hooks))
+    , m_bounds(m_options.bounds)
+    , m_acceptTimer(m_loop.ioContext())
     , m_linkTimer(m_loop.ioContext())
     , m_outbox(m_loop.ioContext(), [this](std::vector<Event> events) { m_hooks.post(std::move(events)); })
 {
@@ -105,6 +129,7 @@
             for (auto& [id, exchange] : m_exchanges)
                 exchange->close();
             m_linkTimer.cancel();
+            m_acceptTimer.cancel();
             m_attempts.clear();
             m_links.clear();
             m_acceptor.reset();
@@ -141,8 +166,19 @@
             socket.set_option(tcp::no_delay(true), ec);
             // A connection that ends with an error is closed like any other.
             co_spawn(m_loop.ioContext(), serve(Stream(std::move(socket))), [](const std::exception_ptr&) {});
+            return accept();
         }
-        accept();
+        log::write(log::Event::AcceptFailed, "problem=\"{}\"", ec.message());
+        acceptLater();
+    });
+}
+
+void Worker::acceptLater()
+{
+    m_acceptTimer.expires_at(Clock::now() + acceptRetryDelay);
+    m_acceptTimer.async_wait([this](boost::system::error_code ec) {
+        if (!ec && m_acceptor)
+            accept();
     });
 }
 
@@ -165,35 +201,35 @@
     m_acceptor.reset();
 }
 
+asio::awaitable<void> Worker::rejectUnreadable(Stream& stream, process::RequestReader& reader, process::ReadError error)
+{
+    auto exchange = std::make_shared<Exchange>(m_loop.ioContext(), RequestId(), std::make_shared<ClientMessage>());
+    [[maybe_unused]] auto consumed = exchange->push(toResponse(error));
+    co_await writeResponse(stream, reader, exchange);
+    reader.onStalled();
+    co_await process::closeInOrder(stream, Clock::now() + discardTimeout);
+}
+
 asio::awaitable<void> Worker::serve(Stream stream)
 {
-    boost::beast::flat_buffer buf(process::maxUnparsedBytes);
-    for (;;) {
-        http::request_parser<http::string_body> parser;
-        parser.body_limit(maxBodyBytes);
-        parser.header_limit(maxHeaderBytes);
-        stream.expires_at(Clock::now() + idleTimeout);
-        std::optional<LocalResponse> unreadable;
-        try {
-            co_await http::async_read(stream, buf, parser, use_awaitable);
-        } catch (const boost::system::system_error& error) {
-            if (error.code() == http::error::end_of_stream || error.code().category() != http::make_error_code(http::error::bad_method).category())
-                co_return;
-            unreadable = badRequest(fmt::format("the request can't be read: {}", error.code().message()));
-        }
-        stream.expires_never();
-        if (unreadable) {
-            auto exchange = std::make_shared<Exchange>(m_loop.ioContext(), RequestId(), std::make_shared<ClientMessage>());
-            [[maybe_unused]] auto consumed = exchange->push(std::move(*unreadable));
-            co_await writeResponse(stream, exchange);
+    process::RequestReader reader(stream, m_bounds, [&stream] { stream.close(); });
+    process::ReadLimits limits { maxHeaderBytes, std::min(maxBodyBytes, m_bounds.maxRequestBytes() / copiesInProgress), idleTimeout, idleTimeout, Clock::now() + idleTimeout };
+    for (; reader.isAdmitted() && co_await reader.waitForRequest(limits.deadline); limits.deadline = Clock::now() + idleTimeout) {
+        ClientMessage message;
+        auto error = co_await reader.read(limits, message);
+        if (error == process::ReadError::Closed)
             co_return;
-        }
-        auto exchange = beginExchange(parser.release());
+        stream.expires_never();
+        if (error == process::ReadError::None && !reader.hold(copiesInProgress * message.body().size()))
+            error = process::ReadError::NoMemory;
+        if (error != process::ReadError::None)
+            co_return co_await rejectUnreadable(stream, reader, error);
+        auto exchange = beginExchange(std::move(message));
         watchForClose(stream, exchange);
         auto keepsAlive = false;
         std::exception_ptr failure;
         try {
-            keepsAlive = co_await writeResponse(stream, exchange);
+            keepsAlive = co_await writeResponse(stream, reader, exchange);
         } catch (const boost::system::system_error&) {
             failure = std::current_exception();
         }
@@ -205,7 +241,7 @@
     }
 }
 
-asio::awaitable<bool> Worker::writeResponse(Stream& stream, std::shared_ptr<Exchange> exchange)
+asio::awaitable<bool> Worker::writeResponse(Stream& stream, process::RequestReader& reader, std::shared_ptr<Exchange> exchange)
 {
     auto& message = *exchange->message();
     ResponseWriter::Options options;
@@ -222,9 +258,11 @@
         writer.add(co_await exchange->next(), out);
         while (!writer.isDone() && exchange->hasNext() && out.size() < writeBatchBytes)
             writer.add(co_await exchange->next(), out);
+        reader.onStalled();
         stream.expires_at(Clock::now() + writeStallTimeout);
         co_await asio::async_write(stream, asio::buffer(out), use_awaitable);
         stream.expires_never();
+        reader.onAccepted();
     }
     co_return writer.keepsAlive();
 }
--- a/src/entry/worker.h
+++ b/src/entry/worker.h
@@ -4,12 +4,12 @@
 #include "src/entry/events.h"
 #include "src/entry/exchange.h"
 #include "src/process/outbox.h"
+#include "src/process/request-reader.h"
 #include "src/process/status-server.h"
 #include "src/rpc/event-loop.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <functional>
@@ -25,6 +25,8 @@
     Incarnation incarnation;
     std::string entry;
     boost::asio::ip::tcp::endpoint listen;
+    /// What clients can make this thread keep.
+    process::ClientBounds::Options bounds;
 };
 
 /// A traffic thread of an entry, the process that accepts client requests and sends them to backend servers. Owns client
@@ -60,8 +62,11 @@
     void listen();
     void accept();
     void closeListener();
+    void acceptLater();
     boost::asio::awaitable<void> serve(Stream stream);
-    boost::asio::awaitable<bool> writeResponse(Stream& stream, std::shared_ptr<Exchange> exchange);
+    /// Responds to a request that could not be read, and closes the connection.
+    boost::asio::awaitable<void> rejectUnreadable(Stream& stream, process::RequestReader& reader, process::ReadError error);
+    boost::asio::awaitable<bool> writeResponse(Stream& stream, process::RequestReader& reader, std::shared_ptr<Exchange> exchange);
     std::shared_ptr<Exchange> beginExchange(ClientMessage message);
     void requestStatusPage(const std::shared_ptr<Exchange>& exchange);
     void endExchange(const std::shared_ptr<Exchange>& exchange);
@@ -88,8 +93,10 @@
 
     WorkerOptions m_options;
     Hooks m_hooks;
+    process::ClientBounds m_bounds;
     swiftloft::rpc::EventLoop m_loop;
     std::unique_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
+    boost::asio::steady_timer m_acceptTimer;
     boost::asio::steady_timer m_linkTimer;
     process::Outbox<Event> m_outbox;
     std::uint64_t m_lastRequest { 0 };
