Read model requests in one pass, without a tree of their values

What a client could do: one body of 8 MiB inside the limits, of 4 million small values, took 222 MB of an entry for a moment.

Cause: the whole body became a tree, each value of which takes many times its bytes, though the entry needs three or four fields of it.

Change: `readModelBody` takes the events of the parser and keeps only these fields. The text of messages is the same but for escapes and the form of numbers. A wrong type is named, its value no longer quoted.

--- a/src/entry/request-reader.cc
+++ b/src/entry/request-reader.cc
@@ -1,9 +1,8 @@
 #include "src/entry/request-reader.h"
 
+#include "src/entry/model-body.h"
+
 #include <boost/algorithm/string/predicate.hpp>
-#include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
-#include <boost/json/value.hpp>
 #include <fmt/format.h>
 #include <openssl/evp.h>
 #include <xxhash.h>
@@ -15,7 +14,6 @@
 namespace swiftloft::entry {
 
 namespace http = boost::beast::http;
-namespace json = boost::json;
 
 namespace {
 
@@ -25,7 +23,6 @@
 constexpr std::int64_t bytesPerToken = 4;
 constexpr std::int64_t defaultMaxTokens = 256;
 constexpr std::int64_t maxTokenLimit = 1'000'000;
-constexpr std::size_t maxJsonDepth = 32;
 
 std::string_view toStringView(boost::beast::string_view text)
 {
@@ -82,7 +79,7 @@
         auto& body = m_message.body();
         m_info->bodyHash = XXH3_64bits(body.data(), body.size());
         if (!m_error && isModelRequest())
-            readModelBody(body);
+            readModel(body);
         if (m_error)
             return *m_error;
         return std::shared_ptr<const RequestInfo>(m_info);
@@ -169,56 +166,28 @@
         return m_message.method() == http::verb::post && (path == "/v1/completions" || path == "/v1/chat/completions");
     }
 
-    void readModelBody(const std::string& body)
+    void readModel(const std::string& text)
     {
-        json::parse_options options;
-        options.max_depth = maxJsonDepth;
-        json::error_code ec;
-        auto value = json::parse(json::string_view(body.data(), body.size()), ec, {}, options);
-        auto object = ec ? nullptr : value.if_object();
-        if (!object)
-            return fail("the body", ec ? ec.message() : "not an object", "a JSON object");
-        readModelName(*object);
-        readTokenLimit(*object);
-        auto prompt = promptOf(*object);
-        m_info->promptTokens = Tokens(static_cast<std::int64_t>(prompt.size()) / bytesPerToken + 1);
-        auto salt = XXH3_64bits(m_info->service.value().data(), m_info->service.value().size());
-        m_info->prefix = policy::prefixBlocks(prompt, salt, {});
-    }
-
-    void readModelName(const json::object& object)
-    {
-        auto model = object.if_contains("model");
-        if (!model || !m_info->service.value().empty())
+        auto body = readModelBody(text);
+        if (!body) {
+            m_error = body.error();
             return;
-        if (!model->is_string() || model->get_string().size() > maxNameLength)
-            return fail("\"model\"", json::serialize(*model), "a string of at most 128 characters");
-        m_info->service = ServiceName(std::string(model->get_string()));
-    }
-
-    void readTokenLimit(const json::object& object)
-    {
-        m_info->expectedOutput = Tokens(defaultMaxTokens);
-        auto limit = object.if_contains("max_tokens");
-        if (!limit || limit->is_null())
-            return;
-        if (!limit->is_int64() || limit->get_int64() < 1 || limit->get_int64() > maxTokenLimit)
-            return fail("\"max_tokens\"", json::serialize(*limit), "a whole number from 1 to 1000000");
-        m_info->expectedOutput = Tokens(limit->get_int64());
-    }
-
-    static std::string promptOf(const json::object& object)
-    {
-        auto prompt = object.if_contains("prompt");
-        if (prompt && prompt->is_string())
-            return std::string(prompt->get_string());
-        auto messages = object.if_contains("messages");
-        if (!messages || !messages->is_array())
-            return "";
-        std::string text;
-        for (auto& message : messages->get_array())
-            text += json::serialize(message);
-        return text;
+        }
+        if (m_info->service.value().empty()) {
+            if (!body->modelProblem.empty())
+                m_error = Error { ErrorCode::MalformedInput, body->modelProblem };
+            auto model = body->model.value_or("");
+            if (model.size() > maxNameLength)
+                return fail("\"model\"", model, "a string of at most 128 characters");
+            m_info->service = ServiceName(model);
+        }
+        auto limit = body->maxTokens.value_or(defaultMaxTokens);
+        if (limit < 1 || limit > maxTokenLimit)
+            return fail("\"max_tokens\"", std::to_string(limit), "a whole number from 1 to 1000000");
+        m_info->expectedOutput = Tokens(limit);
+        m_info->promptTokens = Tokens(static_cast<std::int64_t>(body->prompt.size()) / bytesPerToken + 1);
+        auto salt = XXH3_64bits(m_info->service.value().data(), m_info->service.value().size());
+        m_info->prefix = policy::prefixBlocks(body->prompt, salt, {});
     }
 
     const ClientMessage& m_message;
