Agent: read no more of a response than the buffer of its run holds

What callers saw, in a run of our own: a response of 8 MiB was cut, with reason answer-not-held, in 8 of 8 requests; its run then held its place until its deadline. Found by the test of finished requests; not a fault of clients.

Cause: a run reads on while its buffer ends before the bytes that the buffer may hold beyond the call's offset, but then up to 16 KB at once, so it can pass that end. The buffer then drops bytes that the call has not been sent.

Change: a run reads at most the bytes that there is room for.

Evidence: the test of a body of the largest size now also asks for the whole response, and passes. It was not run alone before the change with that check; the 8 cut responses are of the other test.

--- a/src/agent/engine-run.cc
+++ b/src/agent/engine-run.cc
@@ -131,13 +131,13 @@
     while (!parser.is_done()) {
         co_await waitForBufferSpace();
         parser.get().body().data = chunk.data();
-        parser.get().body().size = chunk.size();
+        parser.get().body().size = std::min(chunk.size(), bufferSpace());
         parser.get().body().more = true;
         boost::system::error_code ec;
         co_await http::async_read_some(stream, buf, parser, asio::redirect_error(use_awaitable, ec));
         if (ec && ec != http::error::need_buffer)
             throw boost::system::system_error(ec);
-        std::string_view bytes(chunk.data(), chunk.size() - parser.get().body().size);
+        std::string_view bytes(chunk.data(), static_cast<char*>(parser.get().body().data) - chunk.data());
         m_digest.add({ reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size() });
         m_buffer.append(bytes);
         wakeSubscribers();
@@ -146,7 +146,8 @@
         m_engine.release(std::move(stream));
 }
 
-bool EngineRun::hasBufferSpace() const
+/// Bytes that may be read without dropping one that a call has not been sent.
+std::size_t EngineRun::bufferSpace() const
 {
     auto servedOffset = m_servedOffset;
     auto isAttached = false;
@@ -157,14 +158,15 @@
         servedOffset = isAttached ? std::min(servedOffset, subscriber->offset) : subscriber->offset;
         isAttached = true;
     }
-    return m_buffer.end() < servedOffset + m_bufferBytes;
+    auto end = servedOffset + m_bufferBytes;
+    return end - std::min(end, m_buffer.end());
 }
 
 // While no call receives the response, further reading would drop buffered bytes that a new connection may still
 // request. Reading from the engine therefore pauses until there is space again, a call attaches or the deadline passes.
 asio::awaitable<void> EngineRun::waitForBufferSpace()
 {
-    while (!hasBufferSpace()) {
+    while (bufferSpace() == 0) {
         m_bufferSpaceTimer.expires_at(m_deadline);
         boost::system::error_code ec;
         co_await m_bufferSpaceTimer.async_wait(asio::redirect_error(use_awaitable, ec));
--- a/src/agent/engine-run.h
+++ b/src/agent/engine-run.h
@@ -69,7 +69,7 @@
     boost::asio::awaitable<RunOutcome> execute();
     boost::asio::awaitable<void> readBody(boost::beast::tcp_stream& stream);
     boost::asio::awaitable<void> waitForBufferSpace();
-    bool hasBufferSpace() const;
+    std::size_t bufferSpace() const;
     void finish(RunOutcome outcome);
     void wakeSubscribers();
     kj::Promise<void> waitForChange();
--- a/test/process/fleet-crowds_test.cc
+++ b/test/process/fleet-crowds_test.cc
@@ -140,5 +140,6 @@
     CrowdFleet fleet;
     auto result = call(order(fleet.entry(), std::string(maxBodyBytes, 'x')));
     CHECK(result.head.result_int() == 200);
+    CHECK(result.end == replay::ExchangeEnd::Whole);
     CHECK(verdictOf(result) == "ran");
 }
