Agent: bound the bodies in progress, and keep none of finished requests

What clients could do: each finished response is kept for 300 s, up to 2,000 of them, and kept the body of its request as well: 30 requests of 8 MiB took 306 MB of their agent. Nothing bounded the bodies of all entries' requests in progress, nor the bytes of the responses kept.

Change: the body goes when the engine has ended the request. A request whose body would exceed a quarter of `memory-mb` together with those in progress is refused as overloaded; the ticket is cancelled, so it has not run. Responses are kept up to an eighth of `memory-mb`, the oldest is dropped first.

The bounds of bodies in progress and of responses are by reading; no test reaches them with an agent.

--- a/src/agent/daemon.cc
+++ b/src/agent/daemon.cc
@@ -20,6 +20,8 @@
     options.incarnation = incarnation;
     options.claims.hasStartupGracePeriod = !config.isFirstStart;
     options.claims.retention = clientKeyRetention;
+    options.maxBodyBytes = config.resources.forClients().maxBytes;
+    options.maxRetainedBytes = options.maxBodyBytes / 2;
     return options;
 }
 
@@ -30,7 +32,7 @@
     , m_incarnation(incarnation)
     , m_controlContext(1)
     , m_reducer(Reducer::create(reducerOptions(m_config, incarnation), Clock::now()).value())
-    , m_statusServer(m_controlContext, m_config.listen)
+    , m_statusServer(m_controlContext, m_config.listen, m_config.resources)
     , m_engineMonitor(m_controlContext, *m_config.backendServer, [this](const Event& event) { apply(event); })
     , m_mapControl(m_controlContext, { m_config.id, incarnation, *m_config.rpc, *m_config.backendServer })
     , m_timer(m_controlContext)
--- a/src/agent/engine-run.cc
+++ b/src/agent/engine-run.cc
@@ -177,12 +177,13 @@
 
 void EngineRun::finish(RunOutcome outcome)
 {
+    std::string().swap(m_request.message.body());
     if (outcome != RunOutcome::Broken) {
         m_outcome = outcome;
         wakeSubscribers();
     }
     if (m_onEnded)
-        m_onEnded(outcome);
+        m_onEnded(outcome, m_buffer.end() - m_buffer.begin());
 }
 
 void EngineRun::conclude(policy::CrashId crash)
--- a/src/agent/engine-run.h
+++ b/src/agent/engine-run.h
@@ -39,7 +39,8 @@
 /// number of calls, each at its own offset. Belongs to the traffic thread.
 class EngineRun : public std::enable_shared_from_this<EngineRun> {
 public:
-    using OnEnded = std::function<void(RunOutcome)>;
+    /// `bytes` is what is kept of the response.
+    using OnEnded = std::function<void(RunOutcome outcome, std::size_t bytes)>;
 
     EngineRun(boost::asio::io_context& ioContext, EngineConnectionPool& engine, EngineRequest request, TimePoint deadline, std::size_t bufferBytes);
     ~EngineRun();
--- a/src/agent/events.h
+++ b/src/agent/events.h
@@ -42,6 +42,7 @@
     /// Present for a request with a client's own key, which must not run twice.
     std::optional<policy::ClaimRequest> claim;
     bool attachesOnly { false };
+    std::size_t bodyBytes { 0 };
 };
 
 struct ClaimRequested {
@@ -81,6 +82,8 @@
     RunId run;
     RunOutcome outcome;
     TimePoint now;
+    /// What is kept of the response.
+    std::size_t responseBytes { 0 };
 };
 
 /// The engine responds. `tokensPerSecond` is the throughput that it reports, or 0 if it reports none. The probe started at
--- a/src/agent/reducer.cc
+++ b/src/agent/reducer.cc
@@ -56,6 +56,8 @@
     // therefore starts while a suspect runs alone or is waiting to do so.
     if (m_aloneRun)
         return Reason::OVERLOADED;
+    if (m_bodyBytes + event.bodyBytes > m_options.maxBodyBytes)
+        return Reason::OVERLOADED;
     if (runsAlone && m_quarantine.check(event.fingerprint, event.now).action == policy::QuarantineAction::Wait)
         return Reason::OVERLOADED;
     return Reason::NONE;
@@ -159,7 +161,8 @@
 {
     auto id = runIdOf(event.ticket);
     auto isHeld = isAlone && !m_runs.empty();
-    RunRecord run { event.ticket, event.fingerprint, event.totalTokens, event.deadline, isAlone, isHeld };
+    RunRecord run { event.ticket, event.fingerprint, event.totalTokens, event.deadline, isAlone, isHeld, std::nullopt, event.bodyBytes };
+    m_bodyBytes += event.bodyBytes;
     if (event.claim) {
         run.clientKey = event.claim->key;
         m_runByKey[event.claim->key] = id;
@@ -190,10 +193,12 @@
     auto run = it->second;
     m_runs.erase(it);
     m_pendingTokens -= run.totalTokens;
+    m_bodyBytes -= run.bodyBytes;
     m_dedup.finish(run.ticket, event.outcome == RunOutcome::Answered ? Verdict::Ran : Verdict::MayHaveRun);
     if (run.clientKey)
         m_claims.onFinish(*run.clientKey, event.outcome == RunOutcome::Answered ? Verdict::Ran : Verdict::MayHaveRun, event.now);
-    m_retainedResponses.push_back({ event.run, event.now + m_options.responseRetention, run.clientKey });
+    m_retainedResponses.push_back({ event.run, event.now + m_options.responseRetention, run.clientKey, event.responseBytes });
+    m_retainedBytes += event.responseBytes;
     if (run.isAlone) {
         m_aloneRun.reset();
         m_quarantine.onEndAlone(run.fingerprint);
@@ -307,7 +312,11 @@
 
 void Reducer::evictExpiredResponses(TimePoint now, Effects& effects)
 {
-    while (!m_retainedResponses.empty() && (m_retainedResponses.front().expires <= now || m_retainedResponses.size() > m_options.maxRetainedResponses)) {
+    auto mustEvict = [&] {
+        return m_retainedResponses.front().expires <= now || m_retainedResponses.size() > m_options.maxRetainedResponses || m_retainedBytes > m_options.maxRetainedBytes;
+    };
+    while (!m_retainedResponses.empty() && mustEvict()) {
+        m_retainedBytes -= m_retainedResponses.front().bytes;
         effects.push_back(DiscardRun { m_retainedResponses.front().run });
         if (m_retainedResponses.front().clientKey)
             m_runByKey.erase(*m_retainedResponses.front().clientKey);
--- a/src/agent/reducer.h
+++ b/src/agent/reducer.h
@@ -21,6 +21,10 @@
     seconds responseRetention { 300 };
     /// Limit of finished responses kept.
     std::size_t maxRetainedResponses { 2000 };
+    /// Limit of the bytes of finished responses kept.
+    std::size_t maxRetainedBytes { std::size_t { 32 } << 20 };
+    /// Limit of the bodies of all requests in progress.
+    std::size_t maxBodyBytes { std::size_t { 64 } << 20 };
     policy::DedupTableOptions dedup;
     policy::CrashQuarantineOptions quarantine;
     policy::ClaimTableOptions claims;
@@ -52,12 +56,14 @@
         bool isAlone { false };
         bool isHeld { false };
         std::optional<policy::ClientKey> clientKey;
+        std::size_t bodyBytes { 0 };
     };
 
     struct RetainedResponse {
         RunId run;
         TimePoint expires;
         std::optional<policy::ClientKey> clientKey;
+        std::size_t bytes { 0 };
     };
 
     /// A request whose connection broke. It is not known yet whether the engine crashed.
@@ -108,6 +114,9 @@
     Tokens m_pendingTokens;
     /// Ordered from oldest to newest.
     std::deque<RetainedResponse> m_retainedResponses;
+    std::size_t m_retainedBytes { 0 };
+    /// Sum of the bodies of the requests in progress.
+    std::size_t m_bodyBytes { 0 };
     std::vector<BrokenRun> m_brokenRuns;
     std::uint64_t m_crashCount { 0 };
     /// 0 unless the engine is down because of a crash.
--- a/src/agent/service.cc
+++ b/src/agent/service.cc
@@ -122,6 +122,7 @@
     if (request.hasClaim())
         event.claim = rpc::toClaim(request.getClaim());
     event.attachesOnly = request.getAttachesOnly() && event.claim;
+    event.bodyBytes = request.getBody().size();
     m_outbox.post(std::move(event));
     context.releaseParams();
     // When the entry's connection closes, the promise is dropped and this guard is destroyed with it. The guard then
@@ -179,7 +180,7 @@
     auto call = takeCall(effect.call);
     auto run = std::make_shared<EngineRun>(m_ioContext, m_engine, std::move(call->request), effect.deadline, m_options.resumeBufferBytes);
     m_runs[effect.run] = run;
-    run->setOnEnded([this, id = effect.run](RunOutcome outcome) { m_outbox.post(RunEnded { id, outcome, Clock::now() }); });
+    run->setOnEnded([this, id = effect.run](RunOutcome outcome, std::size_t bytes) { m_outbox.post(RunEnded { id, outcome, Clock::now(), bytes }); });
     if (!effect.isHeld)
         run->start();
     attach(call, run);
