Release the request of an attempt that has succeeded

What callers saw, in a run of our own: 30 complete requests of 8 MiB, one after the other, left 281 MB in the entry that served them; 128 MiB are allowed.

Cause: a worker keeps the attempt of each request in a table, and takes it out when the request is cancelled, refused or ended, but not when it succeeds. Each keeps its request, for as long as the process runs. A link also kept its last attempts until the next one.

Change: an attempt that has succeeded leaves the table; no effect follows for it. Links drop ended attempts with each tick.

--- a/src/entry/agent-link.cc
+++ b/src/entry/agent-link.cc
@@ -171,6 +171,7 @@
 
 void AgentLink::tick(TimePoint now)
 {
+    removeEndedAttempts();
     checkConnections(now);
     failExpiredAttempts(now);
     expireClaims(now);
--- a/src/entry/worker.cc
+++ b/src/entry/worker.cc
@@ -350,6 +350,9 @@
     hooks.onOutputBegan = [this, id = spec.id] { m_outbox.post(OutputBegan { id, Clock::now() }); };
     hooks.onEnded = [this, id = spec.id, serial = spec.attempt](AttemptOutcome outcome, Verdict verdict, AttemptReason reason, policy::CrashId crash) {
         m_outbox.post(AttemptEnded { id, serial, outcome, verdict, reason, Clock::now(), crash });
+        // No effect follows for an attempt that has succeeded.
+        if (outcome == AttemptOutcome::Answered)
+            asio::post(m_loop.ioContext(), [this, id] { dropAttempt(id); });
     };
     auto attempt = std::make_shared<Attempt>(spec, exchange, std::move(hooks));
     m_attempts[spec.id] = attempt;
