Let a status connection that outlives its server keep its bounds

By reading: the connections of a status server end with the context that they run on, which is destroyed after the server, and then touched the destroyed bounds.

--- a/src/entry/model-body.cc
+++ b/src/entry/model-body.cc
@@ -25,24 +25,13 @@
 /// Takes the events of the parser. Depth 1 is inside of the body's object.
 class Handler {
 public:
+    // Boost.JSON asks for these names.
+    // NOLINTBEGIN(readability-identifier-naming)
     static constexpr std::size_t max_object_size = std::size_t(-1);
     static constexpr std::size_t max_array_size = std::size_t(-1);
     static constexpr std::size_t max_key_size = std::size_t(-1);
     static constexpr std::size_t max_string_size = std::size_t(-1);
 
-    Result<ModelBody> result()
-    {
-        if (!m_isObject)
-            return Error { ErrorCode::MalformedInput, "the body is 'not an object'; expected a JSON object" };
-        if (!m_problem.empty())
-            return Error { ErrorCode::MalformedInput, m_problem };
-        if (!m_prompt)
-            m_body.prompt = std::move(m_messages);
-        else
-            m_body.prompt = std::move(*m_prompt);
-        return std::move(m_body);
-    }
-
     bool on_document_begin(json::error_code&) { return true; }
     bool on_document_end(json::error_code&) { return true; }
     bool on_object_begin(json::error_code&)
@@ -117,6 +106,20 @@
     }
     bool on_comment_part(json::string_view, json::error_code&) { return true; }
     bool on_comment(json::string_view, json::error_code&) { return true; }
+    // NOLINTEND(readability-identifier-naming)
+
+    Result<ModelBody> result()
+    {
+        if (!m_isObject)
+            return Error { ErrorCode::MalformedInput, "the body is 'not an object'; expected a JSON object" };
+        if (!m_problem.empty())
+            return Error { ErrorCode::MalformedInput, m_problem };
+        if (!m_prompt)
+            m_body.prompt = std::move(m_messages);
+        else
+            m_body.prompt = std::move(*m_prompt);
+        return std::move(m_body);
+    }
 
 private:
     enum class Field { Other,
--- a/src/process/resources.h
+++ b/src/process/resources.h
@@ -20,7 +20,9 @@
     ClientBounds::Options forClients() const { return { descriptors / 2, memoryBytes / 4 }; }
     /// For those who ask whether the process is ready, or where to connect.
     ClientBounds::Options forPages() const { return { descriptors / 8, memoryBytes / 16 }; }
-    /// For those who read metrics and status pages, and for peers that fetch documents.
+    /// For peers that fetch documents.
+    ClientBounds::Options forPeers() const { return { descriptors / 8, memoryBytes / 16 }; }
+    /// For those who read metrics and status pages.
     ClientBounds::Options forStatus() const { return { descriptors / 16, memoryBytes / 16 }; }
     /// Bytes of whole responses that are buffered for clients.
     std::size_t maxResponseBytes() const { return memoryBytes / 16 * 3; }
--- a/src/process/status-server.cc
+++ b/src/process/status-server.cc
@@ -43,9 +43,10 @@
     return { statusOf(error), "text/plain", fmt::format("{}\n", toString(error)) };
 }
 
-awaitable<void> serve(beast::tcp_stream stream, ClientBounds& bounds, std::function<StatusAnswer(const ClientRequest&)> answer)
+/// Keeps the bounds, since it may end after the server.
+awaitable<void> serve(beast::tcp_stream stream, std::shared_ptr<ClientBounds> bounds, std::function<StatusAnswer(const ClientRequest&)> answer)
 {
-    RequestReader reader(stream, bounds, [&stream] { stream.close(); });
+    RequestReader reader(stream, *bounds, [&stream] { stream.close(); });
     ReadLimits limits { maxHeaderBytes, maxBodyBytes, idleLimit, idleLimit, Clock::now() + idleLimit };
     for (; reader.isAdmitted() && co_await reader.waitForRequest(limits.deadline); limits.deadline = Clock::now() + idleLimit) {
         ClientRequest request;
@@ -69,8 +70,8 @@
 
 } // namespace
 
-StatusServer::StatusServer(boost::asio::io_context& ioContext, const boost::asio::ip::tcp::endpoint& endpoint, const Resources& resources)
-    : m_bounds(resources.forStatus())
+StatusServer::StatusServer(boost::asio::io_context& ioContext, const boost::asio::ip::tcp::endpoint& endpoint, const ClientBounds::Options& bounds)
+    : m_bounds(std::make_shared<ClientBounds>(bounds))
     , m_acceptor(ioContext, endpoint)
     , m_acceptTimer(ioContext)
 {
--- a/src/process/status-server.h
+++ b/src/process/status-server.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 namespace swiftloft::process {
@@ -25,8 +26,8 @@
 public:
     using Page = std::function<StatusAnswer()>;
 
-    /// What readers can make the process keep follows from `resources`.
-    StatusServer(boost::asio::io_context& ioContext, const boost::asio::ip::tcp::endpoint& endpoint, const Resources& resources = Resources::ofThisProcess());
+    /// `bounds` limits what readers can make the process keep.
+    StatusServer(boost::asio::io_context& ioContext, const boost::asio::ip::tcp::endpoint& endpoint, const ClientBounds::Options& bounds = Resources::ofThisProcess().forStatus());
 
     /// Adds the page at `path`, such as "/healthz".
     void add(const std::string& path, Page page);
@@ -39,7 +40,7 @@
     void accept();
     StatusAnswer answerFor(std::string_view target) const;
 
-    ClientBounds m_bounds;
+    std::shared_ptr<ClientBounds> m_bounds;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_acceptTimer;
     std::map<std::string, Page, std::less<>> m_pages;
