--- a/test/agent-reducer_test.cc
+++ b/test/agent-reducer_test.cc
@@ -27,15 +27,16 @@
         return effects;
     }
 
-    Effects run(std::uint64_t call, std::uint64_t serial, std::uint64_t fingerprint = 1)
+    Effects run(std::uint64_t call, std::uint64_t serial, std::uint64_t fingerprint = 1, std::size_t bodyBytes = 0)
     {
         RunRequested event { CallId(call), ticket(serial), Fingerprint(fingerprint) };
+        event.bodyBytes = bodyBytes;
         event.deadline = m_now + seconds(10);
         event.now = m_now;
         return apply(event);
     }
 
-    Effects endRun(std::uint64_t serial, RunOutcome outcome) { return apply(RunEnded { runIdOf(ticket(serial)), outcome, m_now }); }
+    Effects endRun(std::uint64_t serial, RunOutcome outcome, std::size_t responseBytes = 0) { return apply(RunEnded { runIdOf(ticket(serial)), outcome, m_now, responseBytes }); }
 
     static policy::Ticket ticket(std::uint64_t serial, Incarnation agent = incarnation) { return { self, agent, policy::MintEpoch(1), entryIncarnation, serial }; }
 
@@ -187,3 +188,31 @@
     agent.endRun(6, RunOutcome::Answered);
     CHECK(all<StartRun>(agent.run(5, 9)).size() == 1);
 }
+
+// Guards against this failure: the entries' requests in progress at an engine fill the memory of its agent.
+TEST_CASE("Agent: a request whose body has no room beside those in progress is refused as not run")
+{
+    Agent agent;
+    const std::size_t half = ReducerOptions().maxBodyBytes / 2;
+    agent.run(1, 1, 1, half);
+    agent.run(2, 2, 2, half);
+    CHECK(refusalVerdict(agent.run(3, 3, 3, 1)) == Verdict::NotRun);
+    CHECK(all<AttachCall>(agent.run(4, 1, 1, half)).size() == 1);
+    agent.endRun(1, RunOutcome::Answered);
+    CHECK(refusalVerdict(agent.run(5, 3, 3, 1)) == Verdict::NotRun);
+    CHECK(all<StartRun>(agent.run(6, 4, 4, half)).size() == 1);
+}
+
+// Guards against this failure: finished responses that are kept for resent requests fill the memory.
+TEST_CASE("Agent: the oldest responses are dropped if all together are too large")
+{
+    Agent agent;
+    const std::size_t half = ReducerOptions().maxRetainedBytes / 2;
+    for (std::uint64_t n = 1; n <= 3; ++n) {
+        agent.run(n, n, n);
+        agent.endRun(n, RunOutcome::Answered, half);
+    }
+    auto dropped = all<DiscardRun>(agent.apply(Tick { agent.now() }));
+    REQUIRE(dropped.size() == 1);
+    CHECK(dropped[0].run == runIdOf(Agent::ticket(1)));
+}
--- a/test/gateway-settings_test.cc
+++ b/test/gateway-settings_test.cc
@@ -113,3 +113,13 @@
     REQUIRE_FALSE(refused.has_value());
     CHECK(refused.error().message.find("on or off") != std::string::npos);
 }
+
+TEST_CASE("Entry settings: the bounds of clients follow from memory and descriptors, which are optional")
+{
+    CHECK(parseEntrySettings(entryText, "entry.ini").value().resources.memoryBytes == 256U << 20);
+    auto resources = parseEntrySettings(entryText + "memory-mb = 160\ndescriptors = 4096\n", "entry.ini").value().resources;
+    CHECK(resources.forClients().maxBytes == 40U << 20);
+    CHECK(resources.forClients().maxConnections == 2048);
+    CHECK(parseEntrySettings(entryText + "memory-mb = 8\n", "entry.ini").error().message == "entry.ini:18: key 'memory-mb' has value '8'; expected a number from 64 to 1048576");
+    CHECK(parseEntrySettings(entryText + "descriptors = all\n", "entry.ini").error().message == "entry.ini:18: key 'descriptors' has value 'all'; expected a number from 128 to 16777216");
+}
