--- a/test/process/client-crowds_test.cc
+++ b/test/process/client-crowds_test.cc
@@ -71,7 +71,7 @@
     bool servesOrdinaryRequest()
     {
         return waitUntil(Clock::now() + seconds(20), [this] {
-            auto id = fmt::format("ordinary{}", ++m_lastId);
+            auto id = fmt::format("ordinary{}", ++lastId);
             auto result = call(request("safe", id));
             return result.head.result_int() == 200 && result.body == FakePlatform::plainBody(id);
         });
@@ -85,7 +85,7 @@
         CHECK(peakMemory(process->pid()) < maxMemoryBytes);
     }
 
-    int m_lastId { 0 };
+    int lastId { 0 };
 };
 
 } // namespace
