Broken responses: heads that end early

Report of other operators: an engine stops in the middle of the head of its response and closes, and clients get a 200 with an empty or short body that looks complete. It does not happen here: on the code of the entry repeats such a request, or responds with 502 where it may not run again, and an agent's client gets 502 with the verdict may-have-run.

The tests cut heads in the blank line, in the line above it, in the first field and in the status line, with a length, chunks or neither.

--- a/test/process/broken-responses_test.cc
+++ b/test/process/broken-responses_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <mutex>
@@ -21,13 +22,15 @@
 using namespace std::string_literals;
 using Catch::Matchers::Contains;
 
-/// A response whose head is not valid HTTP/1.1.
+/// A response whose head is not valid HTTP/1.1, or not complete.
 struct BrokenResponse {
     std::string name;
     std::string statusLine { "HTTP/1.1 200 OK" };
     /// Header lines after the id and the signature, each with its line ending.
     std::string fields {};
     std::string body {};
+    /// Number of bytes that are left out at the end.
+    std::size_t missingBytes { 0 };
 };
 
 const std::string brokenBody = "broken";
@@ -86,7 +89,26 @@
 
 std::string bytesOf(const BrokenResponse& response, const std::string& id)
 {
-    return fmt::format("{}\r\nX-Request-Id: {}\r\nX-Response-Stamp: signed\r\n{}\r\n{}", response.statusLine, id, response.fields, response.body);
+    auto bytes = fmt::format("{}\r\nX-Request-Id: {}\r\nX-Response-Stamp: signed\r\n{}\r\n{}", response.statusLine, id, response.fields, response.body);
+    bytes.resize(bytes.size() - std::min(bytes.size(), response.missingBytes));
+    return bytes;
+}
+
+std::vector<BrokenResponse> responsesWithCutHead()
+{
+    const std::string statusLine = "HTTP/1.1 200 OK";
+    // The id that is inserted makes the head longer, but does not move its end.
+    auto headSize = bytesOf({ "", statusLine }, "").size();
+    std::vector<BrokenResponse> responses;
+    for (auto& fields : { "Content-Length: 12\r\n"s, "Transfer-Encoding: chunked\r\n"s, ""s }) {
+        // In the blank line, before it, and in the line above it.
+        for (std::size_t missingBytes : { 1, 2, 3, 4, 5, 12 })
+            responses.push_back({ fmt::format("fields '{}', {} bytes missing", fields, missingBytes), statusLine, fields, "", missingBytes });
+    }
+    // Before the signature, in the first field and in the status line.
+    for (std::size_t missingBytes : { std::size_t { 28 }, std::size_t { 40 }, headSize - 17, headSize - 4, headSize })
+        responses.push_back({ fmt::format("no fields, {} bytes missing", missingBytes), statusLine, "", "", missingBytes });
+    return responses;
 }
 
 std::string idOf(const standin::HttpRequest& request)
@@ -224,6 +246,19 @@
     checkAgent(responsesWithBrokenStatus());
 }
 
+// Guards against this failure: a server closes its connection in the middle of a head, and the client gets what has come as a whole
+// response with an empty or a short body.
+TEST_CASE("Broken responses: an entry passes no response on whose head is incomplete")
+{
+    checkEntry(responsesWithCutHead());
+}
+
+// Guards against this failure: as above, through an agent.
+TEST_CASE("Broken responses: an agent passes no response on whose head is incomplete")
+{
+    checkAgent(responsesWithCutHead());
+}
+
 // Guards against this failure: a server's response has a transfer coding that the entry does not decode, and the client gets the
 // coded bytes as the whole body.
 TEST_CASE("Broken responses: an entry passes no body on whose transfer coding it does not decode")
