Dispatcher: leave a stream that may not run again at its silent server

Cause: isStalled asks mayRetry, which judges the attempts that have ended. During the first attempt none has, so the request passed for one that has not run. Once the attempt was cancelled its verdict became may-have-run, and no retry was allowed.

Change: only requests of idempotent routes count as stalled. The attempt in progress may have run, whatever the verdict so far.

--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -373,6 +373,9 @@
     auto silenceThreshold = now - m_options.stallTimeout;
     if (call.isAttemptCancelled || call.lastActivityAt > silenceThreshold || !mayRetry(call, AttemptOutcome::Stalled, now))
         return false;
+    // The attempt in progress may have run the request, whatever became of those before it.
+    if (!call.request.route->isIdempotent)
+        return false;
     bool mayRunElsewhere = call.ranOn.size() + 1 < std::max(call.request.route->maximumServers, 1U);
     bool isServerSilent = m_loadBalancer.lastActivityAt(*call.currentServer) <= silenceThreshold && (call.hasResponseStarted || m_loadBalancer.isSuspect(*call.currentServer, now));
     return mayRunElsewhere && isServerSilent && m_loadBalancer.hasActivityElsewhere(call.service, *call.currentServer, now, call.homes) && m_loadBalancer.hasCapacityElsewhere(call.service, *call.currentServer, now, call.homes);
--- a/test/dispatcher_test.cc
+++ b/test/dispatcher_test.cc
@@ -61,6 +61,13 @@
         return "";
     }
 
+    /// The first request arrives, for a stream.
+    void startStream()
+    {
+        route.isStream = true;
+        arrive(1);
+    }
+
     const Refuse* refusal(std::uint64_t id) const
     {
         for (auto& effect : last) {
@@ -746,3 +753,15 @@
     CHECK_FALSE(rig.sentTo(1).empty());
     CHECK(rig.sentTo(1) != silentServer);
 }
+
+// Guards against this failure: a stream that may run only once is ended because its server is silent, although it can't be sent to
+// another one.
+TEST_CASE("Dispatcher: a stream that may not run again stays at its silent server")
+{
+    Rig rig({ Rig::server("s1"), Rig::server("s2") }, 2, false);
+    rig.startStream();
+    rig.apply(ResponseStarted { CallId(1) });
+    rig.apply(StopScheduled { start + seconds(8), start });
+    for (rig.now += milliseconds(1100); rig.now < start + seconds(4); rig.now += milliseconds(200))
+        CHECK(rig.apply(Ticked {}).empty());
+}
