Keep a stream at its silent server until another one has taken it

Cause: the dispatcher cancelled the attempt as soon as another server seemed to have room. It knows only what entries have sent there. When the other engines rejected the stream, nobody had it any more, and the client's connection was reset 0.15 s later.

Change: the effect StartTakeover sends the stream to another server over a second connection, while the silent one keeps it. Once the other server has begun a signed response with status 200, the stream goes on there and the first connection is reset. If the silent server sends data first, or its connection ends, the request to the other one is reset. A rejection leaves the stream where it is, and it is offered to a third server at the next check. A server that may have run the request counts against the route's maximum. While the entry waits for a client that accepts no data, its server is not silent.

--- a/src/gateway/async-dispatcher.cc
+++ b/src/gateway/async-dispatcher.cc
@@ -23,7 +23,7 @@
 AsyncDispatcher::CallHandle::~CallHandle()
 {
     m_dispatcher.m_waiters.erase(m_id);
-    m_dispatcher.m_onCancelAttempt.erase(m_id);
+    m_dispatcher.m_attemptHooks.erase(m_id);
     m_dispatcher.apply(dispatch::CallClosed { m_id });
 }
 
@@ -44,12 +44,27 @@
 
 void AsyncDispatcher::CallHandle::reportProgress()
 {
-    m_dispatcher.apply(dispatch::StreamProgressed { m_id });
+    m_dispatcher.apply(dispatch::StreamProgressed { m_id, true });
 }
 
-void AsyncDispatcher::CallHandle::setOnCancelAttempt(OnCancelAttempt hook)
+void AsyncDispatcher::CallHandle::reportDelivered()
 {
-    m_dispatcher.m_onCancelAttempt[m_id] = std::move(hook);
+    m_dispatcher.apply(dispatch::StreamDelivered { m_id });
+}
+
+void AsyncDispatcher::CallHandle::reportTakeoverAccepted()
+{
+    m_dispatcher.apply(dispatch::TakeoverAccepted { m_id });
+}
+
+void AsyncDispatcher::CallHandle::reportTakeoverFailed(AttemptOutcome outcome)
+{
+    m_dispatcher.apply(dispatch::TakeoverFailed { m_id, outcome });
+}
+
+void AsyncDispatcher::CallHandle::setAttemptHooks(AttemptHooks hooks)
+{
+    m_dispatcher.m_attemptHooks[m_id] = std::move(hooks);
 }
 
 void AsyncDispatcher::CallHandle::reportCompleted(bool isSuccess, bool endsWithConnection)
@@ -81,9 +96,16 @@
 
 void AsyncDispatcher::perform(const dispatch::CancelAttempt& effect)
 {
-    auto it = m_onCancelAttempt.find(effect.call);
-    if (it != m_onCancelAttempt.end())
-        it->second(effect.reason);
+    auto it = m_attemptHooks.find(effect.call);
+    if (it != m_attemptHooks.end())
+        it->second.onCancel();
+}
+
+void AsyncDispatcher::perform(const dispatch::StartTakeover& effect)
+{
+    auto it = m_attemptHooks.find(effect.call);
+    if (it != m_attemptHooks.end())
+        it->second.onStartTakeover(effect);
 }
 
 void AsyncDispatcher::perform(const dispatch::PublishLeaving& effect)
@@ -111,9 +133,8 @@
     auto effects = m_reducer.apply(Clock::now(), event);
     for (auto& effect : effects)
         std::visit([this](auto& it) { perform(it); }, effect);
-    // A `StreamProgressed` does not change the load. It is skipped early because it occurs with every event of every
-    // stream.
-    if (std::holds_alternative<dispatch::StreamProgressed>(event))
+    // These do not change the load. They are skipped early because they occur with every event of every stream.
+    if (std::holds_alternative<dispatch::StreamProgressed>(event) || std::holds_alternative<dispatch::StreamDelivered>(event))
         return;
     armTimer();
     bool isLoad = std::holds_alternative<dispatch::LoadReceived>(event) || std::holds_alternative<dispatch::SnapshotChanged>(event) || std::holds_alternative<dispatch::SuspicionsReceived>(event);
--- a/src/gateway/async-dispatcher.h
+++ b/src/gateway/async-dispatcher.h
@@ -21,7 +21,13 @@
 public:
     AsyncDispatcher(boost::asio::io_context& ioContext, const DispatcherOptions& options, policy::Generator generator);
 
-    using OnCancelAttempt = std::function<void(dispatch::CancelReason reason)>;
+    /// Hooks of one call that follow its decisions while an attempt is in progress.
+    struct AttemptHooks {
+        /// The current attempt must end.
+        std::function<void()> onCancel;
+        /// Another server is to be asked to take the request over.
+        std::function<void(const dispatch::StartTakeover&)> onStartTakeover;
+    };
 
     /// Handle of one call. The destructor closes the call, also when its coroutine is cancelled.
     class CallHandle {
@@ -36,9 +42,12 @@
         /// Reports the end of an attempt and waits for the next decision.
         boost::asio::awaitable<CallDecision> reportAttemptEnd(AttemptOutcome outcome);
         void reportResponseStarted();
+        /// Reports data of a stream that is now sent to the client; `reportDelivered` follows.
         void reportProgress();
-        /// `hook` is called when the current attempt must end.
-        void setOnCancelAttempt(OnCancelAttempt hook);
+        void reportDelivered();
+        void reportTakeoverAccepted();
+        void reportTakeoverFailed(AttemptOutcome outcome);
+        void setAttemptHooks(AttemptHooks hooks);
         /// Reports that the complete response was sent to the client. `endsWithConnection`: only the end of the server's
         /// connection has shown that it is complete.
         void reportCompleted(bool isSuccess, bool endsWithConnection);
@@ -84,6 +93,7 @@
     boost::asio::awaitable<CallDecision> awaitDecision(CallId id, dispatch::Event event);
     void deliver(CallId id, CallDecision decision);
     void perform(const dispatch::CancelAttempt& effect);
+    void perform(const dispatch::StartTakeover& effect);
     void perform(const dispatch::PublishLeaving& effect);
     void perform(const dispatch::ProbeServer& effect);
     void perform(const dispatch::RetryDenied& effect);
@@ -95,7 +105,7 @@
     Dispatcher m_reducer;
     boost::asio::steady_timer m_timer;
     std::map<CallId, std::shared_ptr<Waiter>> m_waiters;
-    std::map<CallId, OnCancelAttempt> m_onCancelAttempt;
+    std::map<CallId, AttemptHooks> m_attemptHooks;
     std::function<void()> m_onLoadChanged;
     OnServerLeaving m_onServerLeaving;
     OnProbe m_onProbe;
--- a/src/gateway/dispatcher-crashes.cc
+++ b/src/gateway/dispatcher-crashes.cc
@@ -66,6 +66,17 @@
         m_crashes.onTrialEnded(it.fingerprint);
 }
 
+crashes::CrashTracker::LostRun Dispatcher::takeoverRunOf(CallId id, const Call& call)
+{
+    return { id, call.takeover->server, call.request.fingerprint(), false, call.parts, {}, false, call.takeover->sentAt };
+}
+
+void Dispatcher::recordTakeoverOutcome(CallId id, const Call& call, AttemptOutcome outcome, TimePoint now)
+{
+    if (call.request.fingerprint && isLost(outcome))
+        m_crashes.onRunLost(now, takeoverRunOf(id, call));
+}
+
 void Dispatcher::recordProgress(Call& call, TimePoint now)
 {
     bool isNew = call.hasResponseStarted && !call.hasProgressed && now - call.responseStartedAt >= crashes::CrashTracker::minPartProgressTime;
@@ -81,6 +92,9 @@
         return;
     std::vector<crashes::CrashTracker::LostRun> inFlight;
     for (auto& [id, call] : m_calls) {
+        bool isTakingOver = call.takeover && call.takeover->server == server;
+        if (isTakingOver && call.request.fingerprint && call.takeover->sentAt + sendingTime <= now)
+            inFlight.push_back(takeoverRunOf(id, call));
         if (call.currentServer != server)
             continue;
         call.hasServerEnded = true;
@@ -115,6 +129,8 @@
     for (auto& [id, call] : m_calls) {
         if (call.currentServer)
             servers.insert(*call.currentServer);
+        if (call.takeover)
+            servers.insert(call.takeover->server);
     }
     return servers;
 }
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -15,14 +15,9 @@
 /// An attempt with less time left is not started: connecting alone takes a few milliseconds.
 constexpr milliseconds minAttemptTime { 15 };
 
-bool isNotRun(AttemptOutcome outcome)
-{
-    return outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::ConnectionRefused || outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::Misdirected;
-}
-
 bool isServerSuspect(AttemptOutcome outcome)
 {
-    // A stalled server already became suspect when the attempt was cancelled.
+    // A stalled server already became suspect when its stream was offered to another one.
     return outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::ConnectionRefused || outcome == AttemptOutcome::Lost || outcome == AttemptOutcome::TimedOut || outcome == AttemptOutcome::ServerError;
 }
 
@@ -49,12 +44,19 @@
         return "timed-out";
     case AttemptOutcome::Stalled:
         return "stalled";
+    case AttemptOutcome::Superseded:
+        return "superseded";
     case AttemptOutcome::Stopped:
         return "stopped";
     }
     return "unknown";
 }
 
+bool isNotRun(AttemptOutcome outcome)
+{
+    return outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::ConnectionRefused || outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::Misdirected;
+}
+
 Dispatcher::Dispatcher(const DispatcherOptions& options, policy::Generator generator)
     : m_options(options)
     , m_generator(generator)
@@ -69,9 +71,13 @@
 
 Effects Dispatcher::apply(TimePoint now, const Event& event)
 {
-    // Handled separately: it occurs with every event of every stream and frees no capacity.
+    // Handled separately: they occur with every event of every stream and free no capacity.
     if (auto* progressed = std::get_if<StreamProgressed>(&event)) {
-        onStreamProgressed(now, progressed->call);
+        onStreamProgressed(now, *progressed);
+        return {};
+    }
+    if (auto* delivered = std::get_if<StreamDelivered>(&event)) {
+        onStreamDelivered(now, delivered->call);
         return {};
     }
     Effects effects;
@@ -81,6 +87,10 @@
         onAttemptEnded(now, *ended, effects);
     else if (auto* responseStarted = std::get_if<ResponseStarted>(&event))
         onResponseStarted(now, responseStarted->call);
+    else if (auto* accepted = std::get_if<TakeoverAccepted>(&event))
+        onTakeoverAccepted(now, accepted->call);
+    else if (auto* failed = std::get_if<TakeoverFailed>(&event))
+        onTakeoverFailed(now, *failed, effects);
     else if (auto* closed = std::get_if<CallClosed>(&event))
         onCallClosed(now, closed->call);
     else if (auto* limit = std::get_if<LimitReceived>(&event))
@@ -103,7 +113,7 @@
         onServerEnded(now, refused->server, crashes::Evidence::ConnectionRefused);
     else if (auto* stop = std::get_if<StopScheduled>(&event))
         m_stop = *stop;
-    cancelStalledAttempts(now, effects);
+    offerStalledStreams(now, effects);
     endCallsAtStop(now, effects);
     dispatchQueued(now, effects);
     m_lastEventAt = now;
@@ -205,8 +215,7 @@
     auto server = m_loadBalancer.choose(filter, now, m_generator);
     if (!server)
         return false;
-    bool isOutsideAllowance = call.attempts == 0 || call.isAttemptCancelled;
-    if (!isOutsideAllowance && !tryTakeRetry(id, call, now, effects))
+    if (call.attempts > 0 && !tryTakeRetry(id, call, now, effects))
         return false;
     if (call.attempts == 0) {
         m_admission.onAdmitted(now, queuedRequest(id, call));
@@ -223,6 +232,7 @@
     call.hasServerEnded = false;
     call.lastActivityAt = now;
     call.isAttemptCancelled = false;
+    call.isDelivering = false;
     call.stopForecast = m_stop ? forecastOf(call, now) : std::nullopt;
     if (call.request.route->isStream && !m_nextStallCheckAt)
         m_nextStallCheckAt = now + stallCheckInterval;
@@ -310,9 +320,11 @@
 
 /// Guards against the stall of a single engine's machine. The engine's streams would hang until their clients
 /// disconnect. The slots of these clients would become free and be given new requests, and when the engine resumes, it
-/// would work for clients that have left. If the attempts are cancelled in time, the streams continue on other servers
-/// and their clients stay.
-void Dispatcher::cancelStalledAttempts(TimePoint now, Effects& effects)
+/// would work for clients that have left. If the streams continue on other servers in time, their clients stay.
+///
+/// An engine may also pause a stream and resume it in time. The silent server therefore keeps each stream until another server
+/// has taken it.
+void Dispatcher::offerStalledStreams(TimePoint now, Effects& effects)
 {
     if (!m_nextStallCheckAt || now < *m_nextStallCheckAt)
         return;
@@ -321,14 +333,72 @@
         if (!call.currentServer || !call.request.route->isStream)
             continue;
         m_nextStallCheckAt = now + stallCheckInterval;
-        if (!isStalled(call, now) || !tryTakeRetry(id, call, now, effects))
-            continue;
-        call.isAttemptCancelled = true;
-        m_loadBalancer.onStalled(now, *call.currentServer);
-        effects.push_back(CancelAttempt { id, CancelReason::ServerSilent });
+        if (isStalled(call, now))
+            tryStartTakeover(id, call, now, effects);
     }
 }
 
+void Dispatcher::tryStartTakeover(CallId id, Call& call, TimePoint now, Effects& effects)
+{
+    if (quarantineAction(call, now) != policy::QuarantineAction::Admit)
+        return;
+    auto excluded = call.triedServers;
+    excluded.push_back(*call.currentServer);
+    auto server = m_loadBalancer.choose({ call.service, excluded, std::nullopt, call.homes }, now, m_generator);
+    if (!server || m_loadBalancer.isSuspect(server->incarnation(), now) || !tryTakeRetry(id, call, now, effects))
+        return;
+    m_loadBalancer.onStalled(now, *call.currentServer);
+    ++call.attempts;
+    call.takeover = Call::Takeover { server->incarnation(), now };
+    effects.push_back(StartTakeover { id, *server, m_loadBalancer.runningRequests(server->incarnation(), now), m_loadBalancer.limitOf(server->incarnation()), m_retries.use(call.service, now) });
+    m_loadBalancer.onAttemptStarted(now, server->incarnation(), { call.request.promptTokens });
+}
+
+ServerIncarnation Dispatcher::endTakeover(Call& call)
+{
+    auto server = call.takeover->server;
+    call.takeover.reset();
+    m_loadBalancer.onAttemptEnded(server, { call.request.promptTokens }, false);
+    return server;
+}
+
+void Dispatcher::onTakeoverAccepted(TimePoint now, CallId id)
+{
+    auto it = m_calls.find(id);
+    if (it == m_calls.end() || !it->second.takeover || !it->second.currentServer)
+        return;
+    auto& call = it->second;
+    auto stalledServer = *call.currentServer;
+    endAttempt(call, now, { id, AttemptOutcome::Stalled });
+    recordFailedServer(call, stalledServer, AttemptOutcome::Stalled);
+    auto takeover = *std::exchange(call.takeover, std::nullopt);
+    call.sentAt = takeover.sentAt;
+    call.currentServer = takeover.server;
+    call.hasProgressed = false;
+    call.hasServerEnded = false;
+    call.stopForecast = m_stop ? forecastOf(call, now) : std::nullopt;
+    m_estimate.onAttemptStarted(takeover.sentAt, call.clock, takeover.server);
+    // The head of a response is no event of the stream.
+    call.hasResponseStarted = true;
+    call.responseStartedAt = now;
+    call.lastActivityAt = now;
+    m_loadBalancer.onActivity(now, takeover.server);
+    m_loadBalancer.onResponseStarted(takeover.server, { call.request.promptTokens });
+}
+
+void Dispatcher::onTakeoverFailed(TimePoint now, const TakeoverFailed& event, Effects& effects)
+{
+    auto it = m_calls.find(event.call);
+    if (it == m_calls.end() || !it->second.takeover)
+        return;
+    auto& call = it->second;
+    recordTakeoverOutcome(event.call, call, event.outcome, now);
+    auto server = endTakeover(call);
+    gatherEvidence(now, server, event.outcome, call, effects);
+    updateServerState(now, server, event.outcome, call);
+    recordFailedServer(call, server, event.outcome);
+}
+
 std::optional<capacity::Forecast> Dispatcher::forecastOf(const Call& call, TimePoint now) const
 {
     return m_estimate.forecast(now, call.service, requestView(call.request, call.queueDeadline, 0), m_loadBalancer.useOf(call.service, now));
@@ -353,7 +423,7 @@
         return;
     for (auto& [id, call] : m_calls) {
         if (call.currentServer && !std::exchange(call.isAttemptCancelled, true))
-            effects.push_back(CancelAttempt { id, CancelReason::StopDeadline });
+            effects.push_back(CancelAttempt { id });
     }
     for (auto id : m_queue.order()) {
         auto& call = m_calls[id];
@@ -371,27 +441,35 @@
 bool Dispatcher::isStalled(const Call& call, TimePoint now) const
 {
     auto silenceThreshold = now - m_options.stallTimeout;
-    if (call.isAttemptCancelled || call.lastActivityAt > silenceThreshold || !mayRetry(call, AttemptOutcome::Stalled, now))
-        return false;
+    bool isWaiting = !call.isAttemptCancelled && !call.takeover && !call.isDelivering && call.lastActivityAt <= silenceThreshold;
     // The attempt in progress may have run the request, whatever became of those before it.
-    if (!call.request.route->isIdempotent)
+    if (!isWaiting || !call.request.route->isIdempotent || !mayRetry(call, AttemptOutcome::Stalled, now))
         return false;
     bool mayRunElsewhere = call.ranOn.size() + 1 < std::max(call.request.route->maximumServers, 1U);
     bool isServerSilent = m_loadBalancer.lastActivityAt(*call.currentServer) <= silenceThreshold && (call.hasResponseStarted || m_loadBalancer.isSuspect(*call.currentServer, now));
     return mayRunElsewhere && isServerSilent && m_loadBalancer.hasActivityElsewhere(call.service, *call.currentServer, now, call.homes) && m_loadBalancer.hasCapacityElsewhere(call.service, *call.currentServer, now, call.homes);
 }
 
-void Dispatcher::onStreamProgressed(TimePoint now, CallId id)
+void Dispatcher::onStreamProgressed(TimePoint now, const StreamProgressed& event)
 {
-    auto it = m_calls.find(id);
+    auto it = m_calls.find(event.call);
     if (it == m_calls.end() || !it->second.currentServer)
         return;
     it->second.lastActivityAt = now;
+    it->second.isDelivering = event.isDelivering;
     recordProgress(it->second, now);
     m_loadBalancer.onActivity(now, *it->second.currentServer);
     capacity::ServiceEstimate::onEvent(now, it->second.clock);
 }
 
+void Dispatcher::onStreamDelivered(TimePoint now, CallId id)
+{
+    auto it = m_calls.find(id);
+    if (it == m_calls.end() || !std::exchange(it->second.isDelivering, false))
+        return;
+    it->second.lastActivityAt = now;
+}
+
 void Dispatcher::endAttempt(Call& call, TimePoint now, const AttemptEnded& event)
 {
     if (!call.currentServer)
@@ -411,7 +489,7 @@
         return;
     it->second.hasResponseStarted = true;
     it->second.responseStartedAt = now;
-    onStreamProgressed(now, id);
+    onStreamProgressed(now, { id });
     m_loadBalancer.onResponseStarted(*it->second.currentServer, { it->second.request.promptTokens });
 }
 
@@ -430,11 +508,7 @@
     gatherEvidence(now, server, event.outcome, call, effects);
     updateServerState(now, server, event.outcome, call);
     call.lastOutcome = event.outcome;
-    call.triedServers.push_back(server);
-    if (!isNotRun(event.outcome)) {
-        call.ranOn.push_back(server);
-        call.verdict = combine(call.verdict, event.outcome == AttemptOutcome::ServerError ? Verdict::Ran : Verdict::MayHaveRun);
-    }
+    recordFailedServer(call, server, event.outcome);
     bool hasResponse = event.outcome == AttemptOutcome::ServerError;
     if (!hasResponse && refuseIfQuarantined(event.call, call, now, effects))
         return;
@@ -457,6 +531,15 @@
     queueForRetry(event.call, call, now, call.verdict == Verdict::NotRun ? call.queueDeadline : now + m_options.recoveryTimeout);
 }
 
+void Dispatcher::recordFailedServer(Call& call, const ServerIncarnation& server, AttemptOutcome outcome)
+{
+    call.triedServers.push_back(server);
+    if (isNotRun(outcome))
+        return;
+    call.ranOn.push_back(server);
+    call.verdict = combine(call.verdict, outcome == AttemptOutcome::ServerError ? Verdict::Ran : Verdict::MayHaveRun);
+}
+
 void Dispatcher::queueForRetry(CallId id, Call& call, TimePoint now, TimePoint until)
 {
     call.queueDeadline = std::min(until, call.request.deadline);
@@ -509,6 +592,8 @@
     if (it == m_calls.end())
         return;
     // If an attempt is in progress, the client has left.
+    if (it->second.takeover)
+        endTakeover(it->second);
     endAttempt(it->second, now, { id, AttemptOutcome::Lost });
     m_queue.remove(id);
     m_calls.erase(it);
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -69,14 +69,17 @@
     ServerError,
     /// The server did not respond before the deadline.
     TimedOut,
-    /// The attempt was cancelled because its server fell silent while other servers made progress; the request may have
-    /// run.
+    /// Its server fell silent, and another server has taken the stream over; the request may have run.
     Stalled,
+    /// The attempt was to take a stream over from a silent server, which has gone on; the request may have run.
+    Superseded,
     /// The attempt was cancelled at the deadline of the entry's stop; the request may have run.
     Stopped,
 };
 
 std::string_view toString(AttemptOutcome outcome);
+/// True if no server has run the request in the attempt.
+bool isNotRun(AttemptOutcome outcome);
 
 /// Why the entry responds to a request itself.
 enum class RefusalReason {
@@ -132,6 +135,21 @@
 /// More data of a stream has arrived from its server.
 struct StreamProgressed {
     CallId call;
+    /// Nothing is read from the server until `StreamDelivered`.
+    bool isDelivering { false };
+};
+/// The client's connection has accepted the data of a stream, and the entry waits for its server again.
+struct StreamDelivered {
+    CallId call;
+};
+/// The server of a `StartTakeover` has begun its response: the call continues there, and its previous attempt has ended.
+struct TakeoverAccepted {
+    CallId call;
+};
+/// The server of a `StartTakeover` has not taken the stream over; the current attempt continues.
+struct TakeoverFailed {
+    CallId call;
+    AttemptOutcome outcome { AttemptOutcome::Superseded };
 };
 /// The call has ended: its client has received a response or has disconnected.
 struct CallClosed {
@@ -178,7 +196,7 @@
 /// The time of `Dispatcher::nextTick` has been reached.
 struct Ticked { };
 
-using Event = std::variant<RequestArrived, AttemptEnded, ResponseStarted, StreamProgressed, CallClosed, LimitReceived, BackOffRequested, LeavingReported, SnapshotChanged, LoadReceived, SuspicionsReceived, ProbeRefused, StopScheduled, Ticked>;
+using Event = std::variant<RequestArrived, AttemptEnded, ResponseStarted, StreamProgressed, StreamDelivered, TakeoverAccepted, TakeoverFailed, CallClosed, LimitReceived, BackOffRequested, LeavingReported, SnapshotChanged, LoadReceived, SuspicionsReceived, ProbeRefused, StopScheduled, Ticked>;
 
 struct StartAttempt {
     CallId call;
@@ -234,14 +252,20 @@
     /// Only for requests that were in progress at the deadline of the entry's stop.
     std::optional<StopReport> stopReport {};
 };
-enum class CancelReason {
-    ServerSilent,
-    StopDeadline,
-};
-/// Cancel the attempt in progress; `AttemptEnded` follows.
+/// Cancel the attempt in progress, and its take-over if there is one, because the deadline of the entry's stop has come;
+/// `AttemptEnded` follows.
 struct CancelAttempt {
     CallId call;
-    CancelReason reason { CancelReason::ServerSilent };
+};
+/// Send a stream whose server is silent to another server as well. `TakeoverAccepted` or `TakeoverFailed` follows. The current
+/// attempt must not be given up before the other server has begun its response.
+struct StartTakeover {
+    CallId call;
+    BackendServer server;
+    /// As in `StartAttempt`.
+    std::uint32_t running { 0 };
+    std::optional<RequestRate> limit {};
+    RetryUse retries;
 };
 /// Forward the server's error response to the client.
 struct ForwardError {
@@ -260,7 +284,7 @@
     BackendServer server;
 };
 
-using Effect = std::variant<StartAttempt, Refuse, ForwardError, CancelAttempt, PublishLeaving, ProbeServer, RetryDenied>;
+using Effect = std::variant<StartAttempt, StartTakeover, Refuse, ForwardError, CancelAttempt, PublishLeaving, ProbeServer, RetryDenied>;
 using Effects = std::vector<Effect>;
 
 } // namespace dispatch
@@ -279,9 +303,8 @@
     milliseconds recoveryTimeout { 1500 };
     /// Delay before a request is retried on servers that have just lost it: a rank group takes about 600 ms to re-form.
     milliseconds retryDelay { 150 };
-    /// A stream without an event for this long is cancelled at its server if other servers of the service make
-    /// progress. Clients give up on a stream after two seconds, and the stream must have continued on another server by
-    /// then.
+    /// A stream without an event for this long is offered to another server if other servers of the service make
+    /// progress. Clients give up on a stream after two seconds, and the stream must have continued by then.
     milliseconds stallTimeout { 1000 };
     /// Number of ranks that may reject a request before their groups are assumed to be forming and the request waits
     /// for them.
@@ -335,9 +358,16 @@
         TimePoint responseStartedAt;
         /// Time of the last data from the current server, or of the send if none has arrived.
         TimePoint lastActivityAt;
-        /// The attempt in progress has been cancelled. The retry that follows has already been charged to the retry
-        /// allowance.
+        /// The attempt in progress has been cancelled.
         bool isAttemptCancelled { false };
+        /// The entry waits for the client to accept data, and reads nothing from the server.
+        bool isDelivering { false };
+        struct Takeover {
+            ServerIncarnation server;
+            TimePoint sentAt;
+        };
+        /// Set while another server is asked to take the stream over.
+        std::optional<Takeover> takeover {};
         /// A retry was denied because the retry allowance was spent.
         bool isRetryDenied { false };
         TimePoint queueDeadline;
@@ -368,7 +398,10 @@
     void onRequestArrived(TimePoint now, const dispatch::RequestArrived& event, dispatch::Effects& effects);
     void onAttemptEnded(TimePoint now, const dispatch::AttemptEnded& event, dispatch::Effects& effects);
     void onResponseStarted(TimePoint now, CallId id);
-    void onStreamProgressed(TimePoint now, CallId id);
+    void onStreamProgressed(TimePoint now, const dispatch::StreamProgressed& event);
+    void onStreamDelivered(TimePoint now, CallId id);
+    void onTakeoverAccepted(TimePoint now, CallId id);
+    void onTakeoverFailed(TimePoint now, const dispatch::TakeoverFailed& event, dispatch::Effects& effects);
     void onCallClosed(TimePoint now, CallId id);
     ServiceName pickService(const Route& route);
     /// Does nothing if no attempt is in progress.
@@ -377,6 +410,8 @@
     static crashes::CrashTracker::LostRun runOf(CallId id, const Call& call, const ServerIncarnation& server);
     void startTrial(Call& call, TimePoint now);
     void recordOutcome(Call& call, const ServerIncarnation& server, const dispatch::AttemptEnded& event, TimePoint now);
+    static crashes::CrashTracker::LostRun takeoverRunOf(CallId id, const Call& call);
+    void recordTakeoverOutcome(CallId id, const Call& call, AttemptOutcome outcome, TimePoint now);
     /// Records once that the response of the current attempt has gone on for a while.
     void recordProgress(Call& call, TimePoint now);
     void onSnapshotChanged(TimePoint now, const Snapshot& snapshot);
@@ -408,8 +443,14 @@
     bool isStopDeadlineReached(TimePoint now) const { return m_stop && now >= m_stop->deadline; }
     /// Refuses the requests that have not run and ends all others once the deadline of the stop is reached.
     void endCallsAtStop(TimePoint now, dispatch::Effects& effects);
-    void cancelStalledAttempts(TimePoint now, dispatch::Effects& effects);
+    void offerStalledStreams(TimePoint now, dispatch::Effects& effects);
     bool isStalled(const Call& call, TimePoint now) const;
+    /// Does nothing if no server has capacity now or the retry allowance is spent.
+    void tryStartTakeover(CallId id, Call& call, TimePoint now, dispatch::Effects& effects);
+    /// Releases the slot of the call's take-over.
+    ServerIncarnation endTakeover(Call& call);
+    /// Adds the server to those on which an attempt of the request has failed.
+    static void recordFailedServer(Call& call, const ServerIncarnation& server, AttemptOutcome outcome);
     void extendWaitForFormingGroups(TimePoint now);
     static admission::QueuedRequest queuedRequest(CallId id, const Call& call);
     /// Sets the queue deadline of a request that has not been sent to a server yet.
--- a/src/gateway/request-call.h
+++ b/src/gateway/request-call.h
@@ -7,6 +7,28 @@
 
 namespace swiftloft::gateway {
 
+/// A final response of a backend server whose head has been read. Private to the source files of `RequestServer`.
+struct RequestServer::Response {
+    UpstreamConnectionPtr connection;
+    std::unique_ptr<ResponseParser> parser;
+    ResponseHead head;
+};
+
+/// An attempt to move a stream to another server while the current one keeps it. Private to the source files of
+/// `RequestServer`.
+struct RequestServer::Takeover {
+    /// Connection to the other server; null while there is none.
+    UpstreamConnection* connection { nullptr };
+    bool isCancelled { false };
+
+    void cancel()
+    {
+        isCancelled = true;
+        if (connection)
+            connection->stream.cancel();
+    }
+};
+
 /// State of one client request, from its arrival to its end. Private to the source files of `RequestServer`.
 struct RequestServer::Call {
     DownstreamConnection& client;
@@ -38,10 +60,18 @@
 
     /// When the request was sent to the current server.
     TimePoint sentAt;
+    /// Server of the current attempt.
+    BackendServerId currentServer;
     /// Connection of the current attempt; null until it is open.
     UpstreamConnection* upstream { nullptr };
-    /// Why the current attempt must end; unset if it need not.
-    std::optional<dispatch::CancelReason> cancelReason;
+    /// The current attempt must end.
+    bool isCancelled { false };
+    /// A read from `upstream` is in progress, and nothing else.
+    bool isReading { false };
+    /// The stream is to be offered to another server, once the read in progress has ended.
+    std::optional<dispatch::StartTakeover> takeoverOffer;
+    /// The take-over in progress.
+    std::weak_ptr<Takeover> takeover;
     /// The server's response has neither a length nor chunks: it ends with its connection.
     bool endsWithConnection { false };
 
--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -21,8 +21,6 @@
 
 namespace {
 
-using ResponseParser = http::response_parser<http::buffer_body>;
-
 /// Connections within a region are established in a few milliseconds. If it takes longer, the server is unreachable or its
 /// accept queue is full. Waiting does not help in the latter case, because TCP retransmits the SYN only after one second.
 constexpr milliseconds connectTimeout { 250 };
@@ -104,7 +102,7 @@
 
 } // namespace
 
-asio::awaitable<UpstreamConnectionPtr> RequestServer::acquireConnection(Call& call, const BackendServer& server)
+asio::awaitable<std::variant<AttemptOutcome, UpstreamConnectionPtr>> RequestServer::acquireConnection(Call& call, const BackendServer& server)
 {
     // A request that must not run twice gets a new connection. If the server closed an idle connection just as the
     // request is written to it, it would not be known whether the request ran.
@@ -112,19 +110,15 @@
         if (auto idle = m_pool.takeIdle(server))
             co_return idle;
     }
-    co_return co_await m_pool.connect(server, std::min(call.deadline - responseMargin, Clock::now() + connectTimeout));
-}
-
-asio::awaitable<AttemptOutcome> RequestServer::exchange(Call& call, const BackendServer& server)
-{
-    UpstreamConnectionPtr connection;
     try {
-        connection = co_await acquireConnection(call, server);
+        co_return co_await m_pool.connect(server, std::min(call.deadline - responseMargin, Clock::now() + connectTimeout));
     } catch (const boost::system::system_error& error) {
         co_return error.code() == asio::error::connection_refused ? AttemptOutcome::ConnectionRefused : AttemptOutcome::NotSent;
     }
-    if (call.cancelReason)
-        co_return AttemptOutcome::NotSent;
+}
+
+asio::awaitable<std::optional<AttemptOutcome>> RequestServer::sendRequest(Call& call, const BackendServer& server, UpstreamConnection& connection)
+{
     // Refers to the client's body: a copy would take as much memory again.
     http::request<http::span_body<const char>> request(call.request.base());
     request.body() = { call.request.body().data(), call.request.body().size() };
@@ -135,45 +129,90 @@
         request.content_length(request.body().size());
     request.version(11);
     request.keep_alive(true);
-    auto& stream = connection->stream;
-    stream.expires_at(call.deadline - responseMargin);
+    connection.stream.expires_at(call.deadline - responseMargin);
+    connection.isInUse = true;
+    connection.sentAt = now;
     boost::system::error_code ec;
-    connection->isInUse = true;
+    co_await http::async_write(connection.stream, request, redirect_error(use_awaitable, ec));
+    if (!ec)
+        co_return std::nullopt;
+    co_return ec == beast::error::timeout ? AttemptOutcome::TimedOut : AttemptOutcome::Lost;
+}
+
+asio::awaitable<AttemptOutcome> RequestServer::exchange(Call& call, const BackendServer& server)
+{
+    auto acquired = co_await acquireConnection(call, server);
+    if (auto* failure = std::get_if<AttemptOutcome>(&acquired))
+        co_return *failure;
+    if (call.isCancelled)
+        co_return AttemptOutcome::NotSent;
+    auto connection = std::get<UpstreamConnectionPtr>(std::move(acquired));
+    auto now = Clock::now();
+    // The hooks of the call may be called until it is destroyed.
+    struct Guard {
+        ~Guard()
+        {
+            call.upstream = nullptr;
+            call.isReading = false;
+        }
+        Call& call;
+    } guard { call };
     call.upstream = connection.get();
     call.sentAt = now;
-    co_await http::async_write(stream, request, redirect_error(use_awaitable, ec));
-    if (ec)
-        co_return ec == beast::error::timeout ? AttemptOutcome::TimedOut : AttemptOutcome::Lost;
+    if (auto failure = co_await sendRequest(call, server, *connection))
+        co_return *failure;
     auto deadline = call.deadline - responseMargin;
     bool mayRetryElsewhere = call.route->isIdempotent && !call.route->isStream && call.route->maximumServers > 1 && call.route->objective > milliseconds(0);
     if (mayRetryElsewhere && call.attempts < call.route->maximumServers)
         deadline = std::min<TimePoint>(deadline, now + silenceTimeoutObjectives * call.route->objective);
-    stream.expires_at(deadline);
+    connection->stream.expires_at(deadline);
     co_return co_await readResponse(call, std::move(connection), deadline);
 }
 
 asio::awaitable<AttemptOutcome> RequestServer::readResponse(Call& call, UpstreamConnectionPtr connection, TimePoint deadline)
+{
+    auto result = co_await readHead(call, std::move(connection), deadline);
+    if (auto* failure = std::get_if<AttemptOutcome>(&result))
+        co_return *failure;
+    auto response = std::get<Response>(std::move(result));
+    bool isStream = call.route->isStream && response.head.status == 200;
+    if (isStream)
+        co_return co_await forwardStream(call, std::move(response));
+    co_return co_await forwardWhole(call, std::move(response));
+}
+
+asio::awaitable<std::variant<AttemptOutcome, RequestServer::Response>> RequestServer::readHead(Call& call, UpstreamConnectionPtr connection, TimePoint deadline)
 {
     for (int n = 0; n <= maxStrayResponses; ++n) {
         auto& stream = connection->stream;
-        ResponseParser parser;
-        parser.header_limit(maxHeaderBytes);
-        parser.body_limit(boost::none);
+        auto parser = std::make_unique<ResponseParser>();
+        parser->header_limit(maxHeaderBytes);
+        parser->body_limit(boost::none);
         if (call.request.method() == http::verb::head)
-            parser.skip(true);
+            parser->skip(true);
         boost::system::error_code ec;
-        co_await http::async_read_header(stream, connection->buffer, parser, redirect_error(use_awaitable, ec));
+        bool isCurrent = connection.get() == call.upstream;
+        for (;;) {
+            call.isReading = isCurrent;
+            co_await http::async_read_header(stream, connection->buffer, *parser, redirect_error(use_awaitable, ec));
+            if (!isCurrent || !isOffered(call, ec))
+                break;
+            if (auto taken = co_await takeOver(call, *connection))
+                co_return std::move(*taken);
+            if (call.isCancelled)
+                co_return AttemptOutcome::Lost;
+        }
         if (ec == beast::error::timeout)
             co_return Clock::now() + responseMargin >= call.deadline ? AttemptOutcome::TimedOut : AttemptOutcome::Lost;
         if (!ec)
-            ec = process::checkResponseHead(parser.get().base());
+            ec = process::checkResponseHead(parser->get().base());
         if (ec) {
             recordInvalidHead(call, connection->server, ec);
             co_return AttemptOutcome::Lost;
         }
-        if (process::isInterim(parser.get().result_int()))
+        if (process::isInterim(parser->get().result_int()))
             continue;
-        auto head = m_protocol.decodeResponse(parser.get().base(), Clock::now());
+        auto head = m_protocol.decodeResponse(parser->get().base(), Clock::now());
         // Status 421 (Misdirected Request): the request reached a server other than the selected one, so the fields of
         // the response do not describe the selected server.
         bool isFromServer = head.status != misdirected;
@@ -189,28 +228,101 @@
         if (isStray) {
             log::write(log::Event::StrayAnswer, "id={} server={} answers={}", call.head.id, connection->server.id.value(), head.requestId);
             // A response that ends with its connection is the last one on it.
-            if (parser.need_eof())
+            if (parser->need_eof())
                 co_return AttemptOutcome::Lost;
-            if (!co_await discardBody(*connection, parser, std::min(deadline, Clock::now() + strayTimeout)))
+            if (!co_await discardBody(*connection, *parser, std::min(deadline, Clock::now() + strayTimeout)))
                 co_return AttemptOutcome::Lost;
             stream.expires_at(deadline);
             continue;
         }
         if (isFromServer)
-            recordLimit(call, connection->server, head);
-        call.endsWithConnection = parser.need_eof();
+            recordLimit(call, *connection, head);
         if (head.isNotRun)
             co_return head.status == misdirected ? AttemptOutcome::Misdirected : AttemptOutcome::NotRun;
         if (isSuccess(head.status) && head.isEncoded)
             co_return AttemptOutcome::Lost;
-        bool isStream = call.route->isStream && head.status == 200;
-        if (isStream)
-            co_return co_await forwardStream(call, std::move(connection), parser);
-        co_return co_await forwardWhole(call, std::move(connection), parser);
+        co_return Response { std::move(connection), std::move(parser), std::move(head) };
     }
     co_return AttemptOutcome::Lost;
 }
 
+void RequestServer::offerTakeover(Call& call, const dispatch::StartTakeover& start)
+{
+    if (!call.isReading) {
+        call.handle->reportTakeoverFailed(AttemptOutcome::Superseded);
+        return;
+    }
+    call.takeoverOffer = start;
+    call.upstream->stream.cancel();
+}
+
+bool RequestServer::isOffered(Call& call, const boost::system::error_code& ec)
+{
+    call.isReading = false;
+    if (!call.takeoverOffer)
+        return false;
+    if (ec == asio::error::operation_aborted && !call.isCancelled)
+        return true;
+    call.takeoverOffer.reset();
+    call.handle->reportTakeoverFailed(AttemptOutcome::Superseded);
+    return false;
+}
+
+asio::awaitable<std::optional<RequestServer::Response>> RequestServer::takeOver(Call& call, UpstreamConnection& current)
+{
+    auto start = *std::exchange(call.takeoverOffer, std::nullopt);
+    recordAttemptStart(call, start.server, start.running, start.limit, start.retries);
+    auto takeover = std::make_shared<Takeover>();
+    call.takeover = takeover;
+    // Data, or the end of the connection.
+    current.stream.socket().async_wait(asio::ip::tcp::socket::wait_read, [weak = call.takeover](const boost::system::error_code& ec) {
+        auto it = weak.lock();
+        if (!ec && it)
+            it->cancel();
+    });
+    auto result = co_await requestTakeover(call, start.server, *takeover);
+    boost::system::error_code ec;
+    current.stream.socket().cancel(ec);
+    auto* response = std::get_if<Response>(&result);
+    if (!response) {
+        auto outcome = std::get<AttemptOutcome>(result);
+        logFailedAttempt(call, start.server.id, outcome);
+        call.handle->reportTakeoverFailed(outcome);
+        co_return std::nullopt;
+    }
+    logFailedAttempt(call, call.currentServer, AttemptOutcome::Stalled);
+    call.currentServer = start.server.id;
+    call.upstream = response->connection.get();
+    call.sentAt = response->connection->sentAt;
+    call.splitter.reset();
+    call.handle->reportTakeoverAccepted();
+    co_return std::move(*response);
+}
+
+asio::awaitable<std::variant<AttemptOutcome, RequestServer::Response>> RequestServer::requestTakeover(Call& call, const BackendServer& server, Takeover& takeover)
+{
+    auto acquired = co_await acquireConnection(call, server);
+    if (takeover.isCancelled)
+        co_return AttemptOutcome::Superseded;
+    if (auto* failure = std::get_if<AttemptOutcome>(&acquired))
+        co_return *failure;
+    auto connection = std::get<UpstreamConnectionPtr>(std::move(acquired));
+    takeover.connection = connection.get();
+    std::variant<AttemptOutcome, Response> result;
+    if (auto failure = co_await sendRequest(call, server, *connection))
+        result = *failure;
+    else
+        result = co_await readHead(call, std::move(connection), call.deadline - responseMargin);
+    takeover.connection = nullptr;
+    auto* response = std::get_if<Response>(&result);
+    bool isRejected = !response && isNotRun(std::get<AttemptOutcome>(result));
+    if (takeover.isCancelled && !isRejected)
+        co_return AttemptOutcome::Superseded;
+    if (response && (response->head.status != 200 || !response->head.isSigned))
+        co_return AttemptOutcome::ServerError;
+    co_return result;
+}
+
 asio::awaitable<void> RequestServer::probe(BackendServer server)
 {
     try {
@@ -230,12 +342,12 @@
     log::write(log::Event::InvalidResponse, "id={} server={} problem=\"{}\"", call.head.id, server.id.value(), ec.message());
 }
 
-void RequestServer::recordLimit(const Call& call, const ServerIncarnation& server, const ResponseHead& head)
+void RequestServer::recordLimit(const Call& call, const UpstreamConnection& connection, const ResponseHead& head)
 {
     if (head.limit)
         m_metrics.count("swiftloft_entry_limits_heard_total", { { "service", call.service.value() } });
-    if (head.limit || m_dispatcher.reducer().loadBalancer().limitOf(server))
-        m_dispatcher.apply(dispatch::LimitReceived { server, call.sentAt, head.limit });
+    if (head.limit || m_dispatcher.reducer().loadBalancer().limitOf(connection.server))
+        m_dispatcher.apply(dispatch::LimitReceived { connection.server, connection.sentAt, head.limit });
 }
 
 void RequestServer::recordBackOff(const Call& call, const ServerIncarnation& server, const ResponseHead& head)
@@ -269,11 +381,13 @@
     return true;
 }
 
-asio::awaitable<AttemptOutcome> RequestServer::forwardWhole(Call& call, UpstreamConnectionPtr connection, ResponseParser& parser)
+asio::awaitable<AttemptOutcome> RequestServer::forwardWhole(Call& call, Response from)
 {
-    auto signedHead = m_protocol.decodeResponse(parser.get().base(), Clock::now());
+    auto& [connection, ownedParser, head] = from;
+    auto& parser = *ownedParser;
+    call.endsWithConnection = parser.need_eof();
     // A success response without the server's signature does not come from the server.
-    if (isSuccess(signedHead.status) && !signedHead.isSigned)
+    if (isSuccess(head.status) && !head.isSigned)
         co_return AttemptOutcome::Lost;
     // The parser adds trailers to its head.
     ClientResponse response(http::response_header<>(parser.get().base()));
@@ -300,24 +414,24 @@
     if (call.request.method() != http::verb::head)
         response.content_length(response.body().size());
     call.firstByteAt = Clock::now();
-    if (isServerError(signedHead.status) || call.hasStreamStarted) {
+    if (isServerError(head.status) || call.hasStreamStarted) {
         call.serverError = std::move(response);
         co_return AttemptOutcome::ServerError;
     }
-    call.status = signedHead.status;
+    call.status = head.status;
     releaseBody(call);
     memory.startDelivery(Clock::now(), [&call] { call.client.reset(ConnectionEnd::MemoryNeeded); });
     co_await call.client.writeResponse(response);
     co_return AttemptOutcome::Answered;
 }
 
-asio::awaitable<AttemptOutcome> RequestServer::forwardStream(Call& call, UpstreamConnectionPtr connection, ResponseParser& parser)
+asio::awaitable<AttemptOutcome> RequestServer::forwardStream(Call& call, Response from)
 {
     std::array<char, 16384> bytes;
-    if (!m_protocol.decodeResponse(parser.get().base(), Clock::now()).isSigned)
+    if (!from.head.isSigned)
         co_return AttemptOutcome::Lost;
     if (!call.hasStreamStarted) {
-        ResponseFields head(parser.get().base());
+        ResponseFields head(from.parser->get().base());
         eraseHopByHop(head);
         head.erase(http::field::content_length);
         head.version(11);
@@ -325,21 +439,35 @@
         call.hasStreamStarted = true;
         co_await call.client.writeHead(std::move(head));
     }
+    call.endsWithConnection = from.parser->need_eof();
     bool hasData = false;
-    while (!parser.is_done()) {
-        if (call.cancelReason)
+    while (!from.parser->is_done()) {
+        if (call.isCancelled)
             co_return AttemptOutcome::Lost;
-        auto [size, ec] = co_await readBody(*connection, parser, bytes);
+        call.isReading = true;
+        auto [size, ec] = co_await readBody(*from.connection, *from.parser, bytes);
+        bool isInterrupted = isOffered(call, ec);
         hasData = hasData || size > 0;
         if (size > 0 && !co_await forwardEvents(call, std::string_view(bytes.data(), size)))
             co_return AttemptOutcome::Lost;
         if (call.splitter.isEventTooLarge())
             co_return AttemptOutcome::Lost;
+        if (isInterrupted) {
+            auto taken = co_await takeOver(call, *from.connection);
+            if (!taken)
+                continue;
+            from = std::move(*taken);
+            call.endsWithConnection = from.parser->need_eof();
+            hasData = false;
+            continue;
+        }
         if (ec == beast::error::timeout)
             co_return AttemptOutcome::TimedOut;
         if (ec)
             co_return AttemptOutcome::Lost;
     }
+    auto& [connection, ownedParser, head] = from;
+    auto& parser = *ownedParser;
     // A server that crashes before the first event closes such a connection in the same way.
     bool isCutOff = call.splitter.hasPartialEvent() || (call.endsWithConnection && !hasData) || isTorn(call, *connection);
     if (isCutOff)
@@ -381,6 +509,7 @@
     }
     call.lastEventAt = now;
     co_await call.client.writeChunk(std::move(out));
+    call.handle->reportDelivered();
     co_return !isMissingEvent;
 }
 
--- a/src/gateway/request-server.cc
+++ b/src/gateway/request-server.cc
@@ -179,7 +179,7 @@
         call.deadline = std::min(call.deadline, *call.head.clientDeadline);
     call.lastEvent = call.head.lastEvent;
     call.handle = std::make_unique<AsyncDispatcher::CallHandle>(m_dispatcher, m_dispatcher.nextId());
-    call.handle->setOnCancelAttempt([&call](auto reason) { cancelAttempt(call, reason); });
+    call.handle->setAttemptHooks({ [&call] { cancelAttempt(call); }, [this, &call](auto& start) { offerTakeover(call, start); } });
     std::span<const RegionName> organisationHomes;
     if (organisation)
         organisationHomes = organisation->homes;
@@ -215,42 +215,54 @@
     m_metrics.count("swiftloft_entry_admission_total", labels);
 }
 
-void RequestServer::cancelAttempt(Call& call, dispatch::CancelReason reason)
+void RequestServer::cancelAttempt(Call& call)
 {
-    call.cancelReason = reason;
+    call.isCancelled = true;
     if (call.upstream)
         call.upstream->stream.cancel();
+    if (auto takeover = call.takeover.lock())
+        takeover->cancel();
 }
 
 asio::awaitable<CallDecision> RequestServer::attempt(Call& call, dispatch::StartAttempt start)
 {
     auto& server = start.server;
-    ++call.attempts;
-    call.service = server.service;
-    if (start.limit)
-        m_metrics.count("swiftloft_entry_limited_sends_total", { { "service", server.service.value() } });
-    if (call.attempts > 1) {
-        m_metrics.count("swiftloft_entry_retries_total", { { "service", server.service.value() } });
-        log::write(log::Event::AttemptStarted, "id={} server={} attempt={} running={} behind-event={}{}", call.head.id, server.id.value(), call.attempts, start.running,
-            call.lastEvent.value_or(0), start.retries ? fmt::format(" retries={} allowed={:.1f}", start.retries->spent, start.retries->allowed) : "");
-    }
-    call.servers += fmt::format("{}{}", call.servers.empty() ? "" : ",", server.id.value());
+    recordAttemptStart(call, server, start.running, start.limit, start.retries);
     call.splitter.reset();
-    call.cancelReason.reset();
+    call.isCancelled = false;
+    call.currentServer = server.id;
     auto outcome = co_await exchange(call, server);
-    call.upstream = nullptr;
-    if (call.cancelReason && outcome == AttemptOutcome::Lost)
-        outcome = *call.cancelReason == dispatch::CancelReason::StopDeadline ? AttemptOutcome::Stopped : AttemptOutcome::Stalled;
+    if (call.isCancelled && outcome == AttemptOutcome::Lost)
+        outcome = AttemptOutcome::Stopped;
     if (outcome == AttemptOutcome::Answered) {
         call.isComplete = true;
         call.handle->reportCompleted(call.status < 300, call.endsWithConnection);
         co_return CallDecision(dispatch::ForwardError { call.handle->id() });
     }
-    log::write(log::Event::AttemptFailed, "id={} server={} end={} after-ms={} fingerprint={:016x} parts={}", call.head.id, server.id.value(), toString(outcome),
-        std::chrono::duration_cast<milliseconds>(Clock::now() - call.arrivedAt).count(), call.fingerprint().value(), formatted(call.head.sharedParts));
+    logFailedAttempt(call, call.currentServer, outcome);
     co_return co_await call.handle->reportAttemptEnd(outcome);
 }
 
+void RequestServer::recordAttemptStart(Call& call, const BackendServer& server, std::uint32_t running, const std::optional<RequestRate>& limit, const std::optional<RetryUse>& retries)
+{
+    ++call.attempts;
+    call.service = server.service;
+    if (limit)
+        m_metrics.count("swiftloft_entry_limited_sends_total", { { "service", server.service.value() } });
+    if (call.attempts > 1) {
+        m_metrics.count("swiftloft_entry_retries_total", { { "service", server.service.value() } });
+        log::write(log::Event::AttemptStarted, "id={} server={} attempt={} running={} behind-event={}{}", call.head.id, server.id.value(), call.attempts, running,
+            call.lastEvent.value_or(0), retries ? fmt::format(" retries={} allowed={:.1f}", retries->spent, retries->allowed) : "");
+    }
+    call.servers += fmt::format("{}{}", call.servers.empty() ? "" : ",", server.id.value());
+}
+
+void RequestServer::logFailedAttempt(Call& call, const BackendServerId& server, AttemptOutcome outcome)
+{
+    log::write(log::Event::AttemptFailed, "id={} server={} end={} after-ms={} fingerprint={:016x} parts={}", call.head.id, server.value(), toString(outcome),
+        std::chrono::duration_cast<milliseconds>(Clock::now() - call.arrivedAt).count(), call.fingerprint().value(), formatted(call.head.sharedParts));
+}
+
 asio::awaitable<void> RequestServer::refuse(Call& call, const dispatch::Refuse& refusal)
 {
     call.reason = toString(refusal.reason);
--- a/src/gateway/upstream-pool.h
+++ b/src/gateway/upstream-pool.h
@@ -31,6 +31,8 @@
     Endpoint address;
     /// A request was written and its response was not read to the end.
     bool isInUse { false };
+    /// When the last request was sent.
+    TimePoint sentAt;
     /// The server's process has ended and this entry has shut the connection down: the end of its stream is not the server's.
     bool hasServerEnded { false };
     /// The connection has carried a request before.
--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -394,6 +394,30 @@
     others.get();
 }
 
+// Guards against this failure: a server pauses a stream for less time than its client waits, no other server takes the stream, and the
+// client of a stopping entry loses it.
+TEST_CASE("Platform entry: a stopping entry leaves a paused stream at its server unless another one takes it")
+{
+    // Streams of the second kind may not be resumed.
+    auto kind = GENERATE(std::string("stream"), std::string("note"));
+    EntryRig rig(3, { .stopTimeout = seconds(8) });
+    rig.start();
+    REQUIRE(rig.isReady());
+    // An entry that has just started has no retries.
+    std::this_thread::sleep_for(seconds(1));
+    rig.setAllServers(ServerMode::Pausing);
+    auto body = std::async(std::launch::async, [&] { return call(rig.request(kind, "p1")).body; });
+    REQUIRE(waitUntil(Clock::now() + seconds(5), [&] { return rig.platform.runs().contains("p1"); }));
+    rig.process->terminate();
+    CHECK(body.get() == FakePlatform::completeStream("p1"));
+    INFO(rig.log());
+    CHECK(rig.process->waitForExit(Clock::now() + seconds(8)) == 0);
+    CHECK(rig.platform.runs().at("p1").size() == 1);
+    // The stream was offered to others if it may be resumed.
+    bool isOffered = rig.log().find("AttemptStarted") != std::string::npos;
+    CHECK(isOffered == (kind == "stream"));
+}
+
 TEST_CASE("Platform entry: a hang-up does not end it")
 {
     EntryRig rig;
--- a/test/soak/fake-platform.h
+++ b/test/soak/fake-platform.h
@@ -48,6 +48,8 @@
     Silent,
     /// Sends nothing for a minute after the first events of a stream, or after half of another response.
     Stalling,
+    /// Pauses each stream once, for `streamPause`, and rejects streams that another server has begun.
+    Pausing,
 };
 
 /// One run of a request at a server.
@@ -139,6 +141,8 @@
     /// Body of a server's response to a plain request, and the number and content of the events of its streams.
     static std::string plainBody(const std::string& id);
     static constexpr int eventsPerStream { 12 };
+    /// Shorter than the two seconds after which clients leave a stream.
+    static constexpr milliseconds streamPause { 1700 };
     static std::string eventText(const std::string& id, int n);
     static std::string completeStream(const std::string& id);
 
