Keep a slow request at its server until another one has taken it

What callers saw: 502 after three latency objectives, although the server would have responded shortly afterwards.

Cause: RequestServer::exchange ended the read of a response that may be requested again after three objectives, whether or not a retry was left and another server had room.

Change: the dispatcher offers such a request to another server at that time, as it does with streams. The first of the two that responds keeps it. stallTime schedules the check of each call, in place of a check every 200 ms.

--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -113,7 +113,7 @@
         onServerEnded(now, refused->server, crashes::Evidence::ConnectionRefused);
     else if (auto* stop = std::get_if<StopScheduled>(&event))
         m_stop = *stop;
-    offerStalledStreams(now, effects);
+    offerStalledCalls(now, effects);
     endCallsAtStop(now, effects);
     dispatchQueued(now, effects);
     m_lastEventAt = now;
@@ -234,8 +234,8 @@
     call.isAttemptCancelled = false;
     call.isDelivering = false;
     call.stopForecast = m_stop ? forecastOf(call, now) : std::nullopt;
-    if (call.request.route->isStream && !m_nextStallCheckAt)
-        m_nextStallCheckAt = now + stallCheckInterval;
+    if (auto at = stallTime(call))
+        scheduleStallCheck(*at);
     auto retries = call.attempts > 1 ? std::optional(m_retries.use(call.service, now)) : std::nullopt;
     effects.push_back(StartAttempt { id, *server, m_loadBalancer.runningRequests(server->incarnation(), now), m_loadBalancer.limitOf(server->incarnation()), retries });
     m_loadBalancer.onAttemptStarted(now, server->incarnation(), { call.request.promptTokens });
@@ -322,22 +322,35 @@
 /// disconnect. The slots of these clients would become free and be given new requests, and when the engine resumes, it
 /// would work for clients that have left. If the streams continue on other servers in time, their clients stay.
 ///
-/// An engine may also pause a stream and resume it in time. The silent server therefore keeps each stream until another server
-/// has taken it.
-void Dispatcher::offerStalledStreams(TimePoint now, Effects& effects)
+/// An engine may also pause a request and resume it in time. The silent server therefore keeps each request until another server
+/// has taken it over.
+void Dispatcher::offerStalledCalls(TimePoint now, Effects& effects)
 {
     if (!m_nextStallCheckAt || now < *m_nextStallCheckAt)
         return;
     m_nextStallCheckAt.reset();
     for (auto& [id, call] : m_calls) {
-        if (!call.currentServer || !call.request.route->isStream)
+        auto at = call.currentServer ? stallTime(call) : std::nullopt;
+        if (!at)
             continue;
-        m_nextStallCheckAt = now + stallCheckInterval;
-        if (isStalled(call, now))
+        scheduleStallCheck(std::max(*at, now + stallCheckInterval));
+        if (*at <= now && isStalled(call, now))
             tryStartTakeover(id, call, now, effects);
     }
 }
 
+std::optional<TimePoint> Dispatcher::stallTime(const Call& call) const
+{
+    auto& route = *call.request.route;
+    if (!route.isIdempotent || route.maximumServers < 2)
+        return std::nullopt;
+    if (route.isStream)
+        return call.lastActivityAt + m_options.stallTimeout;
+    if (route.objective <= milliseconds(0))
+        return std::nullopt;
+    return call.sentAt + m_options.maxSilentObjectives * route.objective;
+}
+
 void Dispatcher::tryStartTakeover(CallId id, Call& call, TimePoint now, Effects& effects)
 {
     if (quarantineAction(call, now) != policy::QuarantineAction::Admit)
@@ -347,7 +360,10 @@
     auto server = m_loadBalancer.choose({ call.service, excluded, std::nullopt, call.homes }, now, m_generator);
     if (!server || m_loadBalancer.isSuspect(server->incarnation(), now) || !tryTakeRetry(id, call, now, effects))
         return;
-    m_loadBalancer.onStalled(now, *call.currentServer);
+    if (call.request.route->isStream)
+        m_loadBalancer.onStalled(now, *call.currentServer);
+    else
+        m_loadBalancer.onFailure(now, *call.currentServer);
     ++call.attempts;
     call.takeover = Call::Takeover { server->incarnation(), now };
     effects.push_back(StartTakeover { id, *server, m_loadBalancer.runningRequests(server->incarnation(), now), m_loadBalancer.limitOf(server->incarnation()), m_retries.use(call.service, now) });
@@ -378,10 +394,13 @@
     call.hasServerEnded = false;
     call.stopForecast = m_stop ? forecastOf(call, now) : std::nullopt;
     m_estimate.onAttemptStarted(takeover.sentAt, call.clock, takeover.server);
+    call.lastActivityAt = now;
+    call.hasResponseStarted = false;
+    if (!call.request.route->isStream)
+        return;
     // The head of a response is no event of the stream.
     call.hasResponseStarted = true;
     call.responseStartedAt = now;
-    call.lastActivityAt = now;
     m_loadBalancer.onActivity(now, takeover.server);
     m_loadBalancer.onResponseStarted(takeover.server, { call.request.promptTokens });
 }
@@ -435,19 +454,24 @@
     }
 }
 
-/// True for a stream whose server is silent while others make progress, if another server can take it. A request whose
-/// response has not started may just be waiting in the queue of its server. Such a request counts as stalled only once
-/// the server is suspect because of another stream, of this or another entry.
+/// A response that is sent as a whole shows no progress. A stream's server is silent if none of its streams makes progress while
+/// other servers do. A stream whose response has not started may just be waiting in the queue of its server. Its server
+/// counts as silent only once it is suspect because of another stream, of this or another entry.
+bool Dispatcher::isServerSilent(const Call& call, TimePoint now) const
+{
+    if (!call.request.route->isStream)
+        return true;
+    auto& server = *call.currentServer;
+    bool hasBegun = call.hasResponseStarted || m_loadBalancer.isSuspect(server, now);
+    return hasBegun && m_loadBalancer.lastActivityAt(server) <= now - m_options.stallTimeout && m_loadBalancer.hasActivityElsewhere(call.service, server, now, call.homes);
+}
+
+/// True for a call that waits for a silent server, if another server can take it.
 bool Dispatcher::isStalled(const Call& call, TimePoint now) const
 {
-    auto silenceThreshold = now - m_options.stallTimeout;
-    bool isWaiting = !call.isAttemptCancelled && !call.takeover && !call.isDelivering && call.lastActivityAt <= silenceThreshold;
-    // The attempt in progress may have run the request, whatever became of those before it.
-    if (!isWaiting || !call.request.route->isIdempotent || !mayRetry(call, AttemptOutcome::Stalled, now))
-        return false;
-    bool mayRunElsewhere = call.ranOn.size() + 1 < std::max(call.request.route->maximumServers, 1U);
-    bool isServerSilent = m_loadBalancer.lastActivityAt(*call.currentServer) <= silenceThreshold && (call.hasResponseStarted || m_loadBalancer.isSuspect(*call.currentServer, now));
-    return mayRunElsewhere && isServerSilent && m_loadBalancer.hasActivityElsewhere(call.service, *call.currentServer, now, call.homes) && m_loadBalancer.hasCapacityElsewhere(call.service, *call.currentServer, now, call.homes);
+    bool isWaiting = !call.isAttemptCancelled && !call.takeover && !call.isDelivering;
+    bool mayRunElsewhere = call.ranOn.size() + 1 < call.request.route->maximumServers;
+    return isWaiting && mayRunElsewhere && mayRetry(call, AttemptOutcome::Stalled, now) && isServerSilent(call, now) && m_loadBalancer.hasCapacityElsewhere(call.service, *call.currentServer, now, call.homes);
 }
 
 void Dispatcher::onStreamProgressed(TimePoint now, const StreamProgressed& event)
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -69,9 +69,9 @@
     ServerError,
     /// The server did not respond before the deadline.
     TimedOut,
-    /// Its server fell silent, and another server has taken the stream over; the request may have run.
+    /// Its server fell silent, and another server has taken the request over; the request may have run.
     Stalled,
-    /// The attempt was to take a stream over from a silent server, which has gone on; the request may have run.
+    /// The attempt was to take a request over from a silent server, which has gone on; the request may have run.
     Superseded,
     /// The attempt was cancelled at the deadline of the entry's stop; the request may have run.
     Stopped,
@@ -146,7 +146,7 @@
 struct TakeoverAccepted {
     CallId call;
 };
-/// The server of a `StartTakeover` has not taken the stream over; the current attempt continues.
+/// The server of a `StartTakeover` has not taken the request over; the current attempt continues.
 struct TakeoverFailed {
     CallId call;
     AttemptOutcome outcome { AttemptOutcome::Superseded };
@@ -257,7 +257,7 @@
 struct CancelAttempt {
     CallId call;
 };
-/// Send a stream whose server is silent to another server as well. `TakeoverAccepted` or `TakeoverFailed` follows. The current
+/// Send a request whose server is silent to another server as well. `TakeoverAccepted` or `TakeoverFailed` follows. The current
 /// attempt must not be given up before the other server has begun its response.
 struct StartTakeover {
     CallId call;
@@ -306,6 +306,8 @@
     /// A stream without an event for this long is offered to another server if other servers of the service make
     /// progress. Clients give up on a stream after two seconds, and the stream must have continued by then.
     milliseconds stallTimeout { 1000 };
+    /// A request for a whole response is offered to another server when it has taken this many latency objectives of its route.
+    int maxSilentObjectives { 3 };
     /// Number of ranks that may reject a request before their groups are assumed to be forming and the request waits
     /// for them.
     unsigned maxRankRejections { 2 };
@@ -322,7 +324,7 @@
     Dispatcher(const DispatcherOptions& options, policy::Generator generator);
 
     dispatch::Effects apply(TimePoint now, const dispatch::Event& event);
-    /// When to deliver a `Ticked`; unset while no request is queued and no stream is being watched.
+    /// When to deliver a `Ticked`; unset while no request is queued and none is being watched.
     std::optional<TimePoint> nextTick() const;
     /// The servers and their known load.
     const LoadBalancer& loadBalancer() const { return m_loadBalancer; }
@@ -366,7 +368,7 @@
             ServerIncarnation server;
             TimePoint sentAt;
         };
-        /// Set while another server is asked to take the stream over.
+        /// Set while another server is asked to take the request over.
         std::optional<Takeover> takeover {};
         /// A retry was denied because the retry allowance was spent.
         bool isRetryDenied { false };
@@ -443,7 +445,11 @@
     bool isStopDeadlineReached(TimePoint now) const { return m_stop && now >= m_stop->deadline; }
     /// Refuses the requests that have not run and ends all others once the deadline of the stop is reached.
     void endCallsAtStop(TimePoint now, dispatch::Effects& effects);
-    void offerStalledStreams(TimePoint now, dispatch::Effects& effects);
+    void offerStalledCalls(TimePoint now, dispatch::Effects& effects);
+    /// When a call that makes no progress is to be offered to another server; unset if never.
+    std::optional<TimePoint> stallTime(const Call& call) const;
+    void scheduleStallCheck(TimePoint time) { m_nextStallCheckAt = std::min(m_nextStallCheckAt.value_or(time), time); }
+    bool isServerSilent(const Call& call, TimePoint now) const;
     bool isStalled(const Call& call, TimePoint now) const;
     /// Does nothing if no server has capacity now or the retry allowance is spent.
     void tryStartTakeover(CallId id, Call& call, TimePoint now, dispatch::Effects& effects);
@@ -483,7 +489,7 @@
     admission::AdmissionController m_admission;
     /// Requests that wait for a server.
     admission::RequestQueue m_queue;
-    /// When streams are next checked for servers that have fallen silent; unset while no stream runs.
+    /// When calls are next checked for servers that have fallen silent; unset while no call may be offered to another server.
     std::optional<TimePoint> m_nextStallCheckAt;
     admission::RetrySchedule m_retrySchedule;
     /// Set once the entry is being stopped.
--- a/src/gateway/request-call.h
+++ b/src/gateway/request-call.h
@@ -14,7 +14,7 @@
     ResponseHead head;
 };
 
-/// An attempt to move a stream to another server while the current one keeps it. Private to the source files of
+/// An attempt to move a request to another server while the current one keeps it. Private to the source files of
 /// `RequestServer`.
 struct RequestServer::Takeover {
     /// Connection to the other server; null while there is none.
@@ -68,7 +68,7 @@
     bool isCancelled { false };
     /// A read from `upstream` is in progress, and nothing else.
     bool isReading { false };
-    /// The stream is to be offered to another server, once the read in progress has ended.
+    /// The request is to be offered to another server, once the read in progress has ended.
     std::optional<dispatch::StartTakeover> takeoverOffer;
     /// The take-over in progress.
     std::weak_ptr<Takeover> takeover;
--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -34,10 +34,6 @@
 /// up.
 constexpr std::size_t maxStrayBytes = 1U << 20;
 constexpr milliseconds strayTimeout { 500 };
-/// Time from the start of sending a request within which the response must be complete, in multiples of the route's latency
-/// objective. Applies only to idempotent, non-streaming requests of a route with an objective, and only while another
-/// server can be tried if this one does not respond.
-constexpr int silenceTimeoutObjectives = 3;
 /// Time reserved before the deadline so that the entry's own error response still reaches the client.
 constexpr milliseconds responseMargin { 20 };
 
@@ -147,7 +143,6 @@
     if (call.isCancelled)
         co_return AttemptOutcome::NotSent;
     auto connection = std::get<UpstreamConnectionPtr>(std::move(acquired));
-    auto now = Clock::now();
     // The hooks of the call may be called until it is destroyed.
     struct Guard {
         ~Guard()
@@ -158,20 +153,15 @@
         Call& call;
     } guard { call };
     call.upstream = connection.get();
-    call.sentAt = now;
+    call.sentAt = Clock::now();
     if (auto failure = co_await sendRequest(call, server, *connection))
         co_return *failure;
-    auto deadline = call.deadline - responseMargin;
-    bool mayRetryElsewhere = call.route->isIdempotent && !call.route->isStream && call.route->maximumServers > 1 && call.route->objective > milliseconds(0);
-    if (mayRetryElsewhere && call.attempts < call.route->maximumServers)
-        deadline = std::min<TimePoint>(deadline, now + silenceTimeoutObjectives * call.route->objective);
-    connection->stream.expires_at(deadline);
-    co_return co_await readResponse(call, std::move(connection), deadline);
+    co_return co_await readResponse(call, std::move(connection));
 }
 
-asio::awaitable<AttemptOutcome> RequestServer::readResponse(Call& call, UpstreamConnectionPtr connection, TimePoint deadline)
+asio::awaitable<AttemptOutcome> RequestServer::readResponse(Call& call, UpstreamConnectionPtr connection)
 {
-    auto result = co_await readHead(call, std::move(connection), deadline);
+    auto result = co_await readHead(call, std::move(connection));
     if (auto* failure = std::get_if<AttemptOutcome>(&result))
         co_return *failure;
     auto response = std::get<Response>(std::move(result));
@@ -181,8 +171,9 @@
     co_return co_await forwardWhole(call, std::move(response));
 }
 
-asio::awaitable<std::variant<AttemptOutcome, RequestServer::Response>> RequestServer::readHead(Call& call, UpstreamConnectionPtr connection, TimePoint deadline)
+asio::awaitable<std::variant<AttemptOutcome, RequestServer::Response>> RequestServer::readHead(Call& call, UpstreamConnectionPtr connection)
 {
+    auto deadline = call.deadline - responseMargin;
     for (int n = 0; n <= maxStrayResponses; ++n) {
         auto& stream = connection->stream;
         auto parser = std::make_unique<ResponseParser>();
@@ -312,13 +303,19 @@
     if (auto failure = co_await sendRequest(call, server, *connection))
         result = *failure;
     else
-        result = co_await readHead(call, std::move(connection), call.deadline - responseMargin);
+        result = co_await readHead(call, std::move(connection));
     takeover.connection = nullptr;
     auto* response = std::get_if<Response>(&result);
     bool isRejected = !response && isNotRun(std::get<AttemptOutcome>(result));
     if (takeover.isCancelled && !isRejected)
         co_return AttemptOutcome::Superseded;
-    if (response && (response->head.status != 200 || !response->head.isSigned))
+    if (!response)
+        co_return result;
+    auto& head = response->head;
+    if (isSuccess(head.status) && !head.isSigned)
+        co_return AttemptOutcome::Lost;
+    bool isUsable = call.route->isStream ? head.status == 200 : !isServerError(head.status);
+    if (!isUsable)
         co_return AttemptOutcome::ServerError;
     co_return result;
 }
@@ -383,28 +380,43 @@
 
 asio::awaitable<AttemptOutcome> RequestServer::forwardWhole(Call& call, Response from)
 {
-    auto& [connection, ownedParser, head] = from;
-    auto& parser = *ownedParser;
-    call.endsWithConnection = parser.need_eof();
     // A success response without the server's signature does not come from the server.
-    if (isSuccess(head.status) && !head.isSigned)
+    if (isSuccess(from.head.status) && !from.head.isSigned)
         co_return AttemptOutcome::Lost;
     // The parser adds trailers to its head.
-    ClientResponse response(http::response_header<>(parser.get().base()));
-    eraseHopByHop(response.base());
+    http::response_header<> responseHead(from.parser->get().base());
     std::string body;
     std::array<char, 16384> bytes;
-    ResponseMemory::Share memory(m_responseMemory);
-    while (!parser.is_done()) {
-        auto [size, ec] = co_await readBody(*connection, parser, bytes);
+    std::optional<ResponseMemory::Share> memory(std::in_place, m_responseMemory);
+    while (!from.parser->is_done()) {
+        // The response to a request for a stream is a stream elsewhere.
+        call.isReading = !call.route->isStream;
+        auto [size, ec] = co_await readBody(*from.connection, *from.parser, bytes);
+        bool isInterrupted = isOffered(call, ec);
         body.append(bytes.data(), size);
-        bool hasMemory = memory.add(Clock::now(), size);
+        bool hasMemory = memory->add(Clock::now(), size);
         if (ec == beast::error::timeout)
             co_return Clock::now() + responseMargin >= call.deadline ? AttemptOutcome::TimedOut : AttemptOutcome::Lost;
         // A response without a length is complete only if its connection is closed cleanly.
-        if (ec || !hasMemory || body.size() > maxResponseBytes)
+        if ((ec && !isInterrupted) || !hasMemory || body.size() > maxResponseBytes)
+            co_return AttemptOutcome::Lost;
+        if (!isInterrupted)
+            continue;
+        auto taken = co_await takeOver(call, *from.connection);
+        if (call.isCancelled)
             co_return AttemptOutcome::Lost;
+        if (!taken)
+            continue;
+        from = std::move(*taken);
+        responseHead = from.parser->get().base();
+        body.clear();
+        memory.emplace(m_responseMemory);
     }
+    auto& [connection, ownedParser, head] = from;
+    auto& parser = *ownedParser;
+    call.endsWithConnection = parser.need_eof();
+    ClientResponse response(std::move(responseHead));
+    eraseHopByHop(response.base());
     if (isTorn(call, *connection))
         co_return AttemptOutcome::Lost;
     call.upstream = nullptr;
@@ -420,7 +432,7 @@
     }
     call.status = head.status;
     releaseBody(call);
-    memory.startDelivery(Clock::now(), [&call] { call.client.reset(ConnectionEnd::MemoryNeeded); });
+    memory->startDelivery(Clock::now(), [&call] { call.client.reset(ConnectionEnd::MemoryNeeded); });
     co_await call.client.writeResponse(response);
     co_return AttemptOutcome::Answered;
 }
--- a/src/gateway/request-server.h
+++ b/src/gateway/request-server.h
@@ -60,15 +60,15 @@
     boost::asio::awaitable<std::variant<AttemptOutcome, UpstreamConnectionPtr>> acquireConnection(Call& call, const BackendServer& server);
     /// Returns how the attempt has failed, if it has.
     boost::asio::awaitable<std::optional<AttemptOutcome>> sendRequest(Call& call, const BackendServer& server, UpstreamConnection& connection);
-    boost::asio::awaitable<AttemptOutcome> readResponse(Call& call, UpstreamConnectionPtr connection, TimePoint deadline);
+    boost::asio::awaitable<AttemptOutcome> readResponse(Call& call, UpstreamConnectionPtr connection);
     /// Reads up to the head of the final response, or returns how the attempt has failed. The response is that of another server
-    /// if that has taken the stream over.
-    boost::asio::awaitable<std::variant<AttemptOutcome, Response>> readHead(Call& call, UpstreamConnectionPtr connection, TimePoint deadline);
+    /// if that has taken the request over.
+    boost::asio::awaitable<std::variant<AttemptOutcome, Response>> readHead(Call& call, UpstreamConnectionPtr connection);
     /// Follows `StartTakeover`: interrupts the read from the current server.
     void offerTakeover(Call& call, const dispatch::StartTakeover& start);
     /// Ends a read from the current server. Returns true if it was interrupted by an offer, which `takeOver` must follow.
     static bool isOffered(Call& call, const boost::system::error_code& ec);
-    /// Asks another server to take the stream over from `current`. Returns its response, or nothing if `current` keeps the stream.
+    /// Asks another server to take the request over from `current`. Returns its response, or nothing if `current` keeps the request.
     boost::asio::awaitable<std::optional<Response>> takeOver(Call& call, UpstreamConnection& current);
     boost::asio::awaitable<std::variant<AttemptOutcome, Response>> requestTakeover(Call& call, const BackendServer& server, Takeover& takeover);
     void recordInvalidHead(const Call& call, const ServerIncarnation& server, const boost::system::error_code& ec);
--- a/test/dispatcher_test.cc
+++ b/test/dispatcher_test.cc
@@ -795,6 +795,29 @@
     CHECK(rig.end(1, AttemptOutcome::Answered).empty());
 }
 
+// Guards against this failure: a request is taken from a slow server before another one has taken it, and fails if none does.
+TEST_CASE("Dispatcher: a slow server keeps a request until another server has taken it")
+{
+    Rig rig({ Rig::server("s1"), Rig::server("s2") });
+    rig.arrive(1);
+    auto slowServer = rig.sentTo(1);
+    REQUIRE(rig.dispatcher.nextTick() == start + 3 * rig.route.objective);
+    rig.now = start + 3 * rig.route.objective;
+    rig.apply(Ticked {});
+    CHECK_FALSE(rig.hasCancelled());
+    REQUIRE_FALSE(rig.offeredTo(1).empty());
+    CHECK(rig.offeredTo(1) != slowServer);
+    auto outcome = GENERATE(AttemptOutcome::NotRun, AttemptOutcome::Lost, AttemptOutcome::ServerError, AttemptOutcome::Answered);
+    if (outcome == AttemptOutcome::Answered)
+        rig.apply(TakeoverAccepted { CallId(1) });
+    else
+        CHECK(rig.apply(TakeoverFailed { CallId(1), outcome }).empty());
+    CHECK_FALSE(rig.refusal(1));
+    rig.now += milliseconds(200);
+    CHECK(rig.apply(Ticked {}).empty());
+    CHECK(rig.end(1, AttemptOutcome::Answered).empty());
+}
+
 // Guards against this failure: a stream that may run only once is ended because its server is silent, although it can't be sent to
 // another one.
 TEST_CASE("Dispatcher: a stream that may not run again stays at its silent server")
--- a/test/process/platform-entry_test.cc
+++ b/test/process/platform-entry_test.cc
@@ -418,6 +418,30 @@
     CHECK(isOffered == (kind == "stream"));
 }
 
+// Guards against this failure: a server takes long for a request that may run again, no other server takes it, and the client gets 502
+// shortly before the response.
+TEST_CASE("Platform entry: a slow request stays at its server unless another one takes it")
+{
+    EntryRig rig;
+    rig.start();
+    REQUIRE(rig.isReady());
+    // An entry that has just started has no retries.
+    std::this_thread::sleep_for(seconds(1));
+    rig.platform.setServerMode(0, ServerMode::Pausing);
+    std::map<std::string, std::future<std::string>> bodies;
+    for (int n = 0; n < 6; ++n) {
+        auto id = fmt::format("w{}", n);
+        bodies[id] = std::async(std::launch::async, [&rig, id] { return call(rig.request("safe", id)).body; });
+    }
+    REQUIRE(waitUntil(Clock::now() + milliseconds(500), [&] { return rig.platform.runs().size() == bodies.size(); }));
+    rig.platform.setServerMode(1, ServerMode::Full);
+    for (auto& [id, body] : bodies)
+        CHECK(body.get() == FakePlatform::plainBody(id));
+    INFO(rig.log());
+    for (auto& [id, runs] : rig.platform.runs())
+        CHECK(runs.size() == 1);
+}
+
 TEST_CASE("Platform entry: a hang-up does not end it")
 {
     EntryRig rig;
--- a/test/soak/fake-platform.cc
+++ b/test/soak/fake-platform.cc
@@ -538,7 +538,8 @@
         co_await pause(silenceDuration);
     if (isStream(exchange))
         co_return co_await stream(exchange, mode);
-    co_await pause(plainRequestTime);
+    auto workTime = mode == ServerMode::Pausing ? plainPause : plainRequestTime;
+    co_await pause(workTime);
     if (mode == ServerMode::DroppingResponses) {
         exchange.drop();
         co_return;
--- a/test/soak/fake-platform.h
+++ b/test/soak/fake-platform.h
@@ -48,7 +48,8 @@
     Silent,
     /// Sends nothing for a minute after the first events of a stream, or after half of another response.
     Stalling,
-    /// Pauses each stream once, for `streamPause`, and rejects streams that another server has begun.
+    /// Pauses each stream once, for `streamPause`, and rejects streams that another server has begun. Sends other responses after
+    /// `plainPause`.
     Pausing,
 };
 
@@ -143,6 +144,8 @@
     static constexpr int eventsPerStream { 12 };
     /// Shorter than the two seconds after which clients leave a stream.
     static constexpr milliseconds streamPause { 1700 };
+    /// Longer than three latency objectives of the routes, and shorter than their timeouts.
+    static constexpr milliseconds plainPause { 1000 };
     static std::string eventText(const std::string& id, int n);
     static std::string completeStream(const std::string& id);
 
