--- a/src/gateway/async-dispatcher.cc
+++ b/src/gateway/async-dispatcher.cc
@@ -52,6 +52,11 @@
     m_dispatcher.apply(dispatch::StreamDelivered { m_id });
 }
 
+void AsyncDispatcher::CallHandle::reportResponseReceived()
+{
+    m_dispatcher.apply(dispatch::ResponseReceived { m_id });
+}
+
 void AsyncDispatcher::CallHandle::reportTakeoverAccepted()
 {
     m_dispatcher.apply(dispatch::TakeoverAccepted { m_id });
--- a/src/gateway/async-dispatcher.h
+++ b/src/gateway/async-dispatcher.h
@@ -45,6 +45,7 @@
         /// Reports data of a stream that is now sent to the client; `reportDelivered` follows.
         void reportProgress();
         void reportDelivered();
+        void reportResponseReceived();
         void reportTakeoverAccepted();
         void reportTakeoverFailed(AttemptOutcome outcome);
         void setAttemptHooks(AttemptHooks hooks);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -87,6 +87,8 @@
         onAttemptEnded(now, *ended, effects);
     else if (auto* responseStarted = std::get_if<ResponseStarted>(&event))
         onResponseStarted(now, responseStarted->call);
+    else if (auto* received = std::get_if<ResponseReceived>(&event))
+        onResponseReceived(received->call);
     else if (auto* accepted = std::get_if<TakeoverAccepted>(&event))
         onTakeoverAccepted(now, accepted->call);
     else if (auto* failed = std::get_if<TakeoverFailed>(&event))
@@ -486,6 +488,13 @@
     capacity::ServiceEstimate::onEvent(now, it->second.clock);
 }
 
+void Dispatcher::onResponseReceived(CallId id)
+{
+    auto it = m_calls.find(id);
+    if (it != m_calls.end())
+        it->second.isDelivering = true;
+}
+
 void Dispatcher::onStreamDelivered(TimePoint now, CallId id)
 {
     auto it = m_calls.find(id);
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -138,6 +138,10 @@
     /// Nothing is read from the server until `StreamDelivered`.
     bool isDelivering { false };
 };
+/// The whole response has arrived and is being sent to the client; `AttemptEnded` follows when it has been sent.
+struct ResponseReceived {
+    CallId call;
+};
 /// The client's connection has accepted the data of a stream, and the entry waits for its server again.
 struct StreamDelivered {
     CallId call;
@@ -196,7 +200,7 @@
 /// The time of `Dispatcher::nextTick` has been reached.
 struct Ticked { };
 
-using Event = std::variant<RequestArrived, AttemptEnded, ResponseStarted, StreamProgressed, StreamDelivered, TakeoverAccepted, TakeoverFailed, CallClosed, LimitReceived, BackOffRequested, LeavingReported, SnapshotChanged, LoadReceived, SuspicionsReceived, ProbeRefused, StopScheduled, Ticked>;
+using Event = std::variant<RequestArrived, AttemptEnded, ResponseStarted, StreamProgressed, ResponseReceived, StreamDelivered, TakeoverAccepted, TakeoverFailed, CallClosed, LimitReceived, BackOffRequested, LeavingReported, SnapshotChanged, LoadReceived, SuspicionsReceived, ProbeRefused, StopScheduled, Ticked>;
 
 struct StartAttempt {
     CallId call;
@@ -401,6 +405,7 @@
     void onAttemptEnded(TimePoint now, const dispatch::AttemptEnded& event, dispatch::Effects& effects);
     void onResponseStarted(TimePoint now, CallId id);
     void onStreamProgressed(TimePoint now, const dispatch::StreamProgressed& event);
+    void onResponseReceived(CallId id);
     void onStreamDelivered(TimePoint now, CallId id);
     void onTakeoverAccepted(TimePoint now, CallId id);
     void onTakeoverFailed(TimePoint now, const dispatch::TakeoverFailed& event, dispatch::Effects& effects);
--- a/src/gateway/request-exchange.cc
+++ b/src/gateway/request-exchange.cc
@@ -431,6 +431,7 @@
         co_return AttemptOutcome::ServerError;
     }
     call.status = head.status;
+    call.handle->reportResponseReceived();
     releaseBody(call);
     memory->startDelivery(Clock::now(), [&call] { call.client.reset(ConnectionEnd::MemoryNeeded); });
     co_await call.client.writeResponse(response);
--- a/test/dispatcher_test.cc
+++ b/test/dispatcher_test.cc
@@ -847,6 +847,18 @@
     CHECK_FALSE(rig.offeredTo(1).empty());
 }
 
+// Guards against this failure: a client accepts a large response slowly, and its server counts as slow.
+TEST_CASE("Dispatcher: a request is not offered to another server while its response is sent to the client")
+{
+    Rig rig({ Rig::server("s1"), Rig::server("s2") });
+    rig.arrive(1);
+    rig.now += rig.route.objective;
+    rig.apply(ResponseReceived { CallId(1) });
+    for (; rig.now < start + seconds(5); rig.now += milliseconds(200))
+        CHECK(rig.apply(Ticked {}).empty());
+    CHECK(rig.end(1, AttemptOutcome::Answered).empty());
+}
+
 // Guards against this failure: a request runs on more servers than its route allows, because one that was to take it over is not
 // counted.
 TEST_CASE("Dispatcher: a server that was to take a stream over counts as one that has run it")
