Check for silent servers of streams every 200 ms again

Cause: since the change of slow requests, a stream was next checked when its own silence would have lasted a second. The checks are also moments at which queued requests are sent, and fewer of them were sent in time.

Change: streams are checked at the interval as before, requests for whole responses when they are due. That queued requests depend on these checks is as it was.

The emulator dropped the limits that a rejection carries while an attempt was over; it drops only what a superseded offer would have brought.

--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -237,7 +237,7 @@
     call.isDelivering = false;
     call.stopForecast = m_stop ? forecastOf(call, now) : std::nullopt;
     if (auto at = stallTime(call))
-        scheduleStallCheck(*at);
+        scheduleStallCheck(call, *at, now);
     auto retries = call.attempts > 1 ? std::optional(m_retries.use(call.service, now)) : std::nullopt;
     effects.push_back(StartAttempt { id, *server, m_loadBalancer.runningRequests(server->incarnation(), now), m_loadBalancer.limitOf(server->incarnation()), retries });
     m_loadBalancer.onAttemptStarted(now, server->incarnation(), { call.request.promptTokens });
@@ -335,7 +335,7 @@
         auto at = call.currentServer ? stallTime(call) : std::nullopt;
         if (!at)
             continue;
-        scheduleStallCheck(std::max(*at, now + stallCheckInterval));
+        scheduleStallCheck(call, *at, now);
         if (*at <= now && isStalled(call, now))
             tryStartTakeover(id, call, now, effects);
     }
@@ -353,6 +353,15 @@
     return call.sentAt + m_options.maxSilentObjectives * route.objective;
 }
 
+void Dispatcher::scheduleStallCheck(const Call& call, TimePoint stalledAt, TimePoint now)
+{
+    auto next = now + stallCheckInterval;
+    // Whether the server of a stream is silent may change with each event of another stream.
+    if (!call.request.route->isStream)
+        next = std::max(next, stalledAt);
+    m_nextStallCheckAt = std::min(m_nextStallCheckAt.value_or(next), next);
+}
+
 void Dispatcher::tryStartTakeover(CallId id, Call& call, TimePoint now, Effects& effects)
 {
     if (quarantineAction(call, now) != policy::QuarantineAction::Admit)
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -453,7 +453,8 @@
     void offerStalledCalls(TimePoint now, dispatch::Effects& effects);
     /// When a call that makes no progress is to be offered to another server; unset if never.
     std::optional<TimePoint> stallTime(const Call& call) const;
-    void scheduleStallCheck(TimePoint time) { m_nextStallCheckAt = std::min(m_nextStallCheckAt.value_or(time), time); }
+    /// `stalledAt`: see `stallTime`.
+    void scheduleStallCheck(const Call& call, TimePoint stalledAt, TimePoint now);
     bool isServerSilent(const Call& call, TimePoint now) const;
     bool isStalled(const Call& call, TimePoint now) const;
     /// Does nothing if no server has capacity now or the retry allowance is spent.
--- a/test/gateway-fleet.h
+++ b/test/gateway-fleet.h
@@ -276,6 +276,8 @@
         gateway::ServerIncarnation incarnation;
         int attempt { 0 };
         TimePoint sentAt;
+        /// It was started to take the stream over.
+        bool isTakeover { false };
     };
     /// A request that crashes the servers that run it.
     struct CrashingRequest {
@@ -347,6 +349,7 @@
         int begunAttempt { -1 };
         /// The attempt of another server to take the stream over.
         std::optional<int> takeover {};
+        std::set<int> supersededAttempts {};
         int lastAttempt { 0 };
     };
     struct Scheduled {
@@ -671,7 +674,7 @@
         ++m_offeredStreams;
         auto& call = m_calls[effect.call];
         call.takeover = ++call.lastAttempt;
-        Attempt attempt { effect.call, effect.server.incarnation(), *call.takeover, m_now };
+        Attempt attempt { effect.call, effect.server.incarnation(), *call.takeover, m_now, true };
         schedule(m_now + networkDelay, [this, attempt] { deliver(attempt); });
     }
 
@@ -679,8 +682,12 @@
     void failTakeover(gateway::CallId id, gateway::AttemptOutcome outcome)
     {
         auto& call = m_calls[id];
-        if (std::exchange(call.takeover, std::nullopt))
-            apply(call.entry, gateway::dispatch::TakeoverFailed { id, outcome }, call.incarnation);
+        auto takeover = std::exchange(call.takeover, std::nullopt);
+        if (!takeover)
+            return;
+        if (outcome == gateway::AttemptOutcome::Superseded)
+            call.supersededAttempts.insert(*takeover);
+        apply(call.entry, gateway::dispatch::TakeoverFailed { id, outcome }, call.incarnation);
     }
 
     bool isTakeover(const Attempt& it) { return m_calls[it.id].takeover == it.attempt; }
@@ -801,15 +808,16 @@
             limit = gateway::AdvertisedLimit { gateway::RequestRate(*server->limit) };
         auto forwardedAt = std::max(m_now + networkDelay, entryAt(m_calls[it.id].entry).frozenUntil);
         schedule(forwardedAt, [this, it, limit, hasTaken] {
-            if (!isCurrent(it))
-                return;
             auto& call = m_calls[it.id];
+            // The entry has reset the connection.
+            if (call.supersededAttempts.contains(it.attempt))
+                return;
             auto* advertiser = serverOf(it.incarnation);
             if (advertiser && limit && entryAt(call.entry).incarnation == call.incarnation)
                 advertiser->rule.onForwarded(m_now, call.entry);
-            if (isTakeover(it)) {
+            if (it.isTakeover) {
                 apply(call.entry, gateway::dispatch::LimitReceived { it.incarnation, it.sentAt, limit }, call.incarnation);
-                if (hasTaken)
+                if (hasTaken && isTakeover(it))
                     acceptTakeover(it);
                 return;
             }
